--- a/src/bin/dewhook-drill/main.rs
+++ b/src/bin/switchhill-simhost/main.rs
@@ -7,11 +7,11 @@
 
 mod wire;
 
-use dewhook::interface::{Action, Settings};
-use dewhook::Brain;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
+use switchhill::interface::Action;
+use switchhill::Brain;
 
 struct Instance {
     brain: Brain,
@@ -20,14 +20,14 @@
 
 /// All instances, started ones and (as `None`) killed ones, and the batch being read.
 #[derive(Default)]
-struct Drill {
+struct Host {
     instances: BTreeMap<u64, Option<Instance>>,
     now: Option<f64>,
     reply: String,
     actions: Vec<Action>,
 }
 
-impl Drill {
+impl Host {
     /// Takes one line; true when the batch is complete and the reply is ready.
     fn line(&mut self, line: &str) -> Result<bool, String> {
         let head: wire::Head = wire::read(line)?;
@@ -55,10 +55,9 @@
         match head.kind.as_str() {
             "newInstance" => {
                 let told: wire::NewInstance = wire::read(line)?;
-                let settings = Settings::try_from(told.boot_info)?;
+                let settings = told.settings()?;
                 let bounds = wire::Bounds { classes: settings.classes.len(), plans: settings.plans.len() };
-                let brain = Brain::new(settings, told.random_seed)
-                    .map_err(|e| format!("field `{}`: {}", wire::wire_name(&e.field), e.problem))?;
+                let brain = Brain::new(settings, told.random_seed).map_err(|e| e.to_string())?;
                 self.instances.insert(i, Some(Instance { brain, bounds }));
             }
             "kill" => match self.instances.get_mut(&i) {
@@ -85,16 +84,16 @@
 }
 
 fn run(input: impl BufRead, mut output: impl Write) -> Result<(), String> {
-    let mut drill = Drill::default();
+    let mut host = Host::default();
     for (number, line) in input.lines().enumerate() {
         let at = |what: String| format!("line {}: {what}", number + 1);
         let line = line.map_err(|e| at(e.to_string()))?;
-        if !line.trim().is_empty() && drill.line(&line).map_err(at)? {
-            output.write_all(drill.reply.as_bytes()).map_err(|e| at(e.to_string()))?;
+        if !line.trim().is_empty() && host.line(&line).map_err(at)? {
+            output.write_all(host.reply.as_bytes()).map_err(|e| at(e.to_string()))?;
             output.flush().map_err(|e| at(e.to_string()))?;
         }
     }
-    match drill.now {
+    match host.now {
         Some(_) => Err("the input ends inside a batch".into()),
         None => Ok(()),
     }
@@ -104,7 +103,7 @@
     match run(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("dewhook-drill: {message}");
+            eprintln!("switchhill-simhost: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/dewhook-drill/wire.rs
+++ b/src/bin/switchhill-simhost/wire.rs
@@ -2,10 +2,12 @@
 
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
-use dewhook::interface as face;
-use dewhook::interface::{Action, Code, Event, RequestId};
 use serde::de::{DeserializeOwned, Error as _};
 use serde::{Deserialize, Deserializer, Serialize};
+use serde_json::value::RawValue;
+use switchhill::interface as face;
+use switchhill::interface::{Action, Code, Event, RequestId};
+use switchhill::settings::{Field, Told};
 
 /// Reads one value; the error names the field.
 pub fn read<T: DeserializeOwned>(line: &str) -> Result<T, String> {
@@ -45,192 +47,18 @@
 #[serde(rename_all = "camelCase")]
 pub struct NewInstance {
     pub random_seed: u64,
-    pub boot_info: BootInfo,
+    pub boot_info: Box<RawValue>,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct BootInfo {
-    az: u32,
-    balancers: u32,
-    #[serde(default)]
-    discovery: String,
-    #[serde(default)]
-    family_info: FamilyInfo,
-    limits: Limits,
-    #[serde(default)]
-    report: Report,
-    request_classes: Vec<Class>,
-    rules: Rules,
-    tariffs: Vec<Tariff>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct FamilyInfo {
-    may_count: bool,
-    meter_ms: f64,
-    units_top: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct Limits {
-    cancel: bool,
-    max_attempts: u32,
-    max_retry_after_ms: f64,
-    may_duplicate: bool,
-    may_probe: bool,
-    retry_after: bool,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-struct Report {
-    fields: Vec<String>,
-    how: String,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Class {
-    effect: String,
-    #[serde(default)]
-    key_scope: String,
-    #[serde(default)]
-    late_value: f64,
-    on_time_ms: f64,
-    #[serde(default)]
-    window_ms: f64,
-    worth: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Rules {
-    cold_share: f64,
-    fall_multiple: f64,
-    overload_for_ms: f64,
-    warm_up_ms: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Tariff {
-    #[serde(default)]
-    at_once: f64,
-    #[serde(default)]
-    beyond_earns: f64,
-    #[serde(default)]
-    cap_depth: f64,
-    #[serde(default)]
-    ceiling_rate: f64,
-    #[serde(default)]
-    most_at_once: f64,
-    #[serde(default)]
-    overrun_cost: f64,
-    pays: f64,
-    #[serde(default)]
-    rate: f64,
-}
-
-impl TryFrom<BootInfo> for face::Settings {
-    type Error = String;
-
-    fn try_from(told: BootInfo) -> Result<Self, String> {
-        let mut classes = Vec::new();
-        for (n, class) in told.request_classes.iter().enumerate() {
-            let scope = match class.key_scope.as_str() {
-                "zone" => face::KeyScope::Zone,
-                "cell" => face::KeyScope::Cell,
-                "all" => face::KeyScope::All,
-                "" if class.effect != "dedup" => face::KeyScope::All,
-                _ => return Err(format!("field `bootInfo.requestClasses[{n}].keyScope`: unknown")),
-            };
-            let effect = match class.effect.as_str() {
-                "retryable" => face::Effect::Safe,
-                "dedup" => face::Effect::Keyed { scope, window: class.window_ms },
-                "fragile" => face::Effect::Unsafe,
-                _ => return Err(format!("field `bootInfo.requestClasses[{n}].effect`: unknown")),
-            };
-            let (worth, aim, late_value) = (class.worth, class.on_time_ms, class.late_value);
-            classes.push(face::Class { worth, aim, late_value, effect });
-        }
-        let plan = |t: &Tariff| face::Plan {
-            price: t.pays,
-            rate: t.rate,
-            burst: t.most_at_once,
-            at_once: t.at_once,
-            beyond_earns: t.beyond_earns,
-            overrun_cost: t.overrun_cost,
-            ceiling_rate: t.ceiling_rate,
-            ceiling_depth: t.cap_depth,
-        };
-        let field = |name: &String| match name.as_str() {
-            "concurrent" => face::ReportField::Concurrent,
-            "depth" => face::ReportField::Queued,
-            "load_share" => face::ReportField::Utilisation,
-            "mean_ms" => face::ReportField::ServiceTime,
-            "tps" => face::ReportField::Throughput,
-            "err_ps" => face::ReportField::Errors,
-            _ => face::ReportField::Other,
-        };
-        let limits = &told.limits;
-        Ok(Self {
-            gateways: told.balancers,
-            zone: told.az,
-            classes,
-            plans: told.tariffs.iter().map(plan).collect(),
-            rules: face::Rules {
-                cold_share: told.rules.cold_share,
-                warm_up: told.rules.warm_up_ms,
-                fall_multiple: told.rules.fall_multiple,
-                fall_span: told.rules.overload_for_ms,
-            },
-            limits: face::Limits {
-                max_attempts: limits.max_attempts,
-                may_duplicate: limits.may_duplicate,
-                may_probe: limits.may_probe,
-                may_stop: limits.cancel,
-                max_hold_off: if limits.retry_after { limits.max_retry_after_ms } else { 0.0 },
-                may_count: told.family_info.may_count,
-            },
-            report_fields: told.report.fields.iter().map(field).collect(),
-            report_by: match told.report.how.as_str() {
-                "inline" => face::ReportBy::Answer,
-                "on_probe" => face::ReportBy::Probe,
-                _ => face::ReportBy::Never,
-            },
-            meter_period: told.family_info.meter_ms,
-            most_units: told.family_info.units_top,
-            must_subscribe: told.discovery == "subscribe",
-        })
+impl NewInstance {
+    /// The settings, by the translation that the program uses too.
+    pub fn settings(&self) -> Result<face::Settings, String> {
+        let info = miniserde::json::from_str(self.boot_info.get())
+            .map_err(|_| String::from("field `bootInfo`: not JSON"))?;
+        Ok(Told::read(&Field::root(&info, "bootInfo"))?.module)
     }
 }
 
-/// The settings' name on the wire for a field that the library found at fault.
-pub fn wire_name(field: &str) -> String {
-    let names = [
-        ("gateways", "balancers"),
-        ("classes", "requestClasses"),
-        ("plans", "tariffs"),
-        (".aim", ".onTimeMs"),
-        (".late_value", ".lateValue"),
-        (".window", ".windowMs"),
-        (".price", ".pays"),
-        (".burst", ".mostAtOnce"),
-        (".at_once", ".atOnce"),
-        (".beyond_earns", ".beyondEarns"),
-        (".overrun_cost", ".overrunCost"),
-        (".ceiling_rate", ".ceilingRate"),
-        (".ceiling_depth", ".capDepth"),
-        (".cold_share", ".coldShare"),
-        (".warm_up", ".warmUpMs"),
-        ("meter_period", "familyInfo.meterMs"),
-    ];
-    names.iter().fold(format!("bootInfo.{field}"), |name, (ours, theirs)| name.replacen(ours, theirs, 1))
-}
-
 fn code(word: &str) -> Code {
     match word {
         "success" => Code::Success,
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,517 @@
+//! Streams, upstream requests and timers around the module; knows no wire, socket or protocol.
+//!
+//! A front tells the core what happened as [`Input`]s; [`Core::advance`] hands them to the module in one
+//! go and yields [`Command`]s. The module's words are translated here, once: its request is a stream,
+//! its attempt an upstream request, its backend an upstream host, its refusal a local reply.
+//!
+//! The core owns two invariants whatever a front or the module does: every stream gets at most one final
+//! answer, and by its deadline exactly one unless its downstream left; every upstream request has exactly
+//! one outcome.
+
+mod timers;
+
+use crate::interface::{
+    Action, Backend, BackendId, BackendState, Class, Code, Effect, Event, ListKind, Millis, Outcome, Request,
+    RequestId, Settings, SettingsError,
+};
+use crate::memory::counters::Counters;
+use crate::Brain;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+pub(crate) use timers::Timers;
+
+/// Names a stream; a front never uses one twice.
+pub type StreamId = u64;
+/// Names an upstream request: its stream and its number there, from 0.
+pub type UpstreamId = (StreamId, u32);
+
+/// A stream is answered this long before its client gives up, so that the last byte is out by then.
+const ANSWER_EARLY: Millis = 10.0;
+/// The core answers a stream itself this long after the module should have.
+const LAST_RESORT: Millis = 5.0;
+/// A figure of the shared store stands in for a missing reading for this many meter periods.
+const USAGE_STANDS: f64 = 4.0;
+
+/// What a downstream asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Terms {
+    /// Position of the class in the settings.
+    pub class: usize,
+    /// Position of the customer's plan in the settings.
+    pub plan: usize,
+    /// The customer.
+    pub customer: u64,
+    /// Through how many gateways the customer's streams come in.
+    pub spread: u32,
+    /// What it takes from the quota.
+    pub units: f64,
+    /// How long the client waits, from the last byte of the request.
+    pub wait: Millis,
+    /// The client says it has asked before.
+    pub resent: bool,
+}
+
+/// How an upstream request ended, as the wire saw it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// A whole answer came.
+    Served,
+    /// The upstream host answered with an error; it may have run.
+    Error,
+    /// Turned away unseen.
+    TurnedAway,
+    /// No connection, or it broke before the last byte of the request was written.
+    NotConnected,
+    /// The connection broke after that; it may have run.
+    Reset,
+    /// Nothing of it was sent.
+    NeverSent,
+}
+
+/// What happened.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Input {
+    /// A whole request has come in.
+    StreamArrived(StreamId, Terms),
+    /// The downstream of a stream has gone away.
+    DownstreamLeft(StreamId),
+    /// An upstream request has ended.
+    UpstreamEnded {
+        /// Which.
+        id: UpstreamId,
+        /// How.
+        end: End,
+        /// The customer's metered use in percent, where the answer told it.
+        usage: Option<f64>,
+        /// A load report.
+        report: Option<Vec<f64>>,
+    },
+    /// The connections to its upstream host have no room for this upstream request now.
+    UpstreamHeld(UpstreamId),
+    /// An upstream host has room for so many upstream requests that are held for it.
+    HostHasRoom(BackendId, usize),
+    /// The list of upstream hosts has changed.
+    ListChanged(ListKind, Vec<Backend>),
+    /// A probe has ended.
+    ProbeEnded(BackendId, Code, Millis),
+    /// A customer's use over all gateways in the last finished period, in percent of its quota's rate.
+    Usage(u64, f64),
+}
+
+/// What a front is to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Command {
+    /// Send the stream's request to this upstream host and wait for so long.
+    Send(UpstreamId, BackendId, Millis),
+    /// Stop waiting for an upstream request; its outcome is settled.
+    Stop(UpstreamId),
+    /// Answer the stream with what this upstream request brought.
+    Deliver(UpstreamId),
+    /// Local reply: not served, trying again after so long is harmless.
+    Refuse(StreamId, Millis),
+    /// Local reply: failed; true when time ran out.
+    Fail(StreamId, bool),
+    /// Probe an upstream host.
+    Probe(BackendId),
+    /// Close idle connections to an upstream host.
+    CloseIdle(BackendId),
+    /// Ask discovery for the whole list.
+    ReadList,
+    /// A line for the log.
+    Log(String),
+}
+
+#[derive(Debug)]
+struct Stream {
+    class: usize,
+    customer: u64,
+    units: f64,
+    rate: f64,
+    tries: u32,
+    /// An upstream request may have run, or is still out.
+    ran: bool,
+    out: u32,
+    timed_out: bool,
+    deadline: Millis,
+}
+
+#[derive(Debug)]
+struct Upstream {
+    host: BackendId,
+    customer: u64,
+    sent: Millis,
+    until: Millis,
+    held: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Module(u64),
+    Upstream(UpstreamId),
+    Stream(StreamId),
+}
+
+/// A gateway's streams and the module that decides on them.
+#[derive(Debug)]
+pub struct Core {
+    brain: Brain,
+    classes: Vec<Class>,
+    rates: Vec<f64>,
+    max_attempts: u32,
+    meter_period: Millis,
+    now: Millis,
+    streams: HashMap<StreamId, Stream>,
+    upstream: HashMap<UpstreamId, Upstream>,
+    held: BTreeMap<BackendId, VecDeque<UpstreamId>>,
+    hosts: BTreeMap<BackendId, BackendState>,
+    usage: HashMap<u64, (f64, Millis)>,
+    sent_on: BTreeMap<u64, (f64, f64)>,
+    metered: bool,
+    timers: Timers<Due>,
+    actions: Vec<Action>,
+    events: VecDeque<Event>,
+    /// What has been counted.
+    pub counters: Counters,
+}
+
+impl Core {
+    /// Builds a core from the module's settings and a seed for its chances.
+    ///
+    /// # Errors
+    /// Names the first setting that the module could not work with.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        Ok(Self {
+            classes: settings.classes.clone(),
+            rates: settings.plans.iter().map(|plan| plan.rate).collect(),
+            max_attempts: settings.limits.max_attempts,
+            meter_period: settings.meter_period,
+            brain: Brain::new(settings, seed)?,
+            now: 0.0,
+            streams: HashMap::new(),
+            upstream: HashMap::new(),
+            held: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            usage: HashMap::new(),
+            sent_on: BTreeMap::new(),
+            metered: false,
+            timers: Timers::default(),
+            actions: Vec::new(),
+            events: VecDeque::new(),
+            counters: Counters::default(),
+        })
+    }
+
+    /// From now on, keeps account of what is sent on per customer for [`Core::take_sent_on`].
+    pub fn keep_account(&mut self) {
+        self.metered = true;
+    }
+
+    /// What was sent on since the last call: customer, units, and the quota's rate.
+    pub fn take_sent_on(&mut self) -> BTreeMap<u64, (f64, f64)> {
+        std::mem::take(&mut self.sent_on)
+    }
+
+    /// Streams that still wait for their final answer.
+    #[must_use]
+    pub fn open_streams(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// Whether new work may be sent to an upstream host: to be asked again at its first byte.
+    #[must_use]
+    pub fn may_send_to(&self, host: &str) -> bool {
+        self.hosts.get(host) == Some(&BackendState::Ready)
+    }
+
+    /// When [`Core::advance`] wants to be called at the latest.
+    #[must_use]
+    pub fn next_due(&self) -> Option<Millis> {
+        self.timers.next_due()
+    }
+
+    /// Tells all that happened up to `now`, time itself included, and appends what is to be done.
+    pub fn advance(&mut self, now: Millis, inputs: &mut Vec<Input>, commands: &mut Vec<Command>) {
+        self.now = self.now.max(now);
+        for input in inputs.drain(..) {
+            self.input(input, commands);
+            self.settle(commands);
+        }
+        while let Some(due) = self.timers.pop(self.now) {
+            match due {
+                Due::Module(tag) => self.events.push_back(Event::Timer(tag)),
+                Due::Upstream(id) => {
+                    if self.upstream.get(&id).is_some_and(|u| u.until <= self.now) {
+                        let held = self.upstream.get(&id).is_some_and(|u| u.held);
+                        commands.push(Command::Stop(id));
+                        self.ended(id, if held { Code::Void } else { Code::TimedOut }, None, None, commands);
+                    }
+                }
+                // The module answers at the deadline; this stands in for it should it ever not.
+                Due::Stream(id) => {
+                    if self.streams.contains_key(&id) {
+                        self.finish(id, Some(Command::Fail(id, true)), commands);
+                        self.events.push_back(Event::Lapsed(RequestId(id)));
+                    }
+                }
+            }
+            self.settle(commands);
+        }
+    }
+
+    fn input(&mut self, input: Input, commands: &mut Vec<Command>) {
+        match input {
+            Input::StreamArrived(id, terms) => self.arrived(id, &terms, commands),
+            Input::DownstreamLeft(id) => {
+                if self.streams.contains_key(&id) {
+                    self.finish(id, None, commands);
+                    self.events.push_back(Event::Lapsed(RequestId(id)));
+                }
+            }
+            Input::UpstreamEnded { id, end, usage, report } => {
+                let code = match end {
+                    End::Served => Code::Success,
+                    End::Error => Code::Failure,
+                    End::TurnedAway => Code::Overloaded,
+                    End::NotConnected => Code::Unreachable,
+                    End::Reset => Code::Broken,
+                    End::NeverSent => Code::Void,
+                };
+                self.ended(id, code, usage, report, commands);
+            }
+            Input::UpstreamHeld(id) => {
+                if let Some(upstream) = self.upstream.get_mut(&id) {
+                    self.counters.upstream_held += 1;
+                    upstream.held = true;
+                    self.held.entry(upstream.host.clone()).or_default().push_back(id);
+                }
+            }
+            Input::HostHasRoom(host, room) => self.release(&host, room, commands),
+            Input::ListChanged(kind, backends) => self.listed(kind, backends, commands),
+            Input::ProbeEnded(backend, code, elapsed) => {
+                self.events.push_back(Event::Probed { backend, code, elapsed, report: None });
+            }
+            Input::Usage(customer, percent) => {
+                self.usage.insert(customer, (percent, self.now));
+            }
+        }
+    }
+
+    fn arrived(&mut self, id: StreamId, terms: &Terms, commands: &mut Vec<Command>) {
+        self.counters.streams += 1;
+        let known = terms.class < self.classes.len() && terms.plan < self.rates.len();
+        if !known || self.streams.contains_key(&id) {
+            commands.push(Command::Fail(id, false));
+            self.counters.failed += 1;
+            return;
+        }
+        let budget = (terms.wait - ANSWER_EARLY).max(0.0);
+        let stream = Stream {
+            class: terms.class,
+            customer: terms.customer,
+            units: terms.units,
+            rate: self.rates[terms.plan],
+            tries: 0,
+            ran: false,
+            out: 0,
+            timed_out: false,
+            deadline: self.now + budget,
+        };
+        self.timers.push(stream.deadline + LAST_RESORT, Due::Stream(id));
+        self.streams.insert(id, stream);
+        self.events.push_back(Event::Request(Request {
+            id: RequestId(id),
+            class: terms.class,
+            plan: terms.plan,
+            customer: terms.customer,
+            entry_points: terms.spread,
+            budget,
+            units: terms.units,
+            is_retry: terms.resent,
+        }));
+    }
+
+    fn listed(&mut self, kind: ListKind, backends: Vec<Backend>, commands: &mut Vec<Command>) {
+        self.counters.lists += 1;
+        if matches!(kind, ListKind::Full | ListKind::Saved) {
+            self.hosts.values_mut().for_each(|state| *state = BackendState::Gone);
+        }
+        for backend in &backends {
+            self.hosts.insert(backend.id.clone(), backend.state);
+        }
+        // Nothing that waits for room may reach a host that drains.
+        let left: Vec<BackendId> = self.held.keys().filter(|host| !self.may_send_to(host)).cloned().collect();
+        for host in left {
+            for id in self.held.remove(&host).unwrap_or_default() {
+                if self.upstream.contains_key(&id) {
+                    self.ended(id, Code::Void, None, None, commands);
+                }
+            }
+        }
+        self.events.push_back(Event::List { kind, backends });
+    }
+
+    fn release(&mut self, host: &BackendId, room: usize, commands: &mut Vec<Command>) {
+        let Some(queue) = self.held.get_mut(host) else { return };
+        let mut left = room;
+        while left > 0 {
+            let Some(id) = queue.pop_front() else { break };
+            let Some(upstream) = self.upstream.get_mut(&id) else { continue };
+            left -= 1;
+            upstream.held = false;
+            commands.push(Command::Send(id, host.clone(), (upstream.until - self.now).max(1.0)));
+        }
+        if queue.is_empty() {
+            self.held.remove(host);
+        }
+    }
+
+    /// Hands the module what is pending and turns its actions into commands, until both are quiet.
+    fn settle(&mut self, commands: &mut Vec<Command>) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.brain.handle(self.now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(action, commands);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn act(&mut self, action: Action, commands: &mut Vec<Command>) {
+        match action {
+            Action::Attempt { request, backend, timeout } => {
+                self.attempt(request.0, backend, timeout, commands)
+            }
+            Action::Stop { request, attempt } => {
+                let id = (request.0, attempt);
+                if self.upstream.contains_key(&id) {
+                    commands.push(Command::Stop(id));
+                    self.ended(id, Code::Withdrawn, None, None, commands);
+                }
+            }
+            Action::Refuse { request, hold_off } => {
+                let Some(stream) = self.streams.get(&request.0) else { return };
+                let class = &self.classes[stream.class];
+                let command = if stream.ran && class.effect == Effect::Unsafe {
+                    Command::Fail(request.0, stream.timed_out)
+                } else {
+                    // The module leaves it open where clients are not known to heed it; a real one is told.
+                    Command::Refuse(request.0, if hold_off > 0.0 { hold_off } else { class.aim / 4.0 })
+                };
+                self.finish(request.0, Some(command), commands);
+            }
+            Action::Fail(request) => {
+                let Some(stream) = self.streams.get(&request.0) else { return };
+                let late = stream.timed_out || self.now >= stream.deadline;
+                self.finish(request.0, Some(Command::Fail(request.0, late)), commands);
+            }
+            Action::Timer { tag, delay } => self.timers.push(self.now + delay, Due::Module(tag)),
+            Action::Probe(host) => {
+                if self.may_send_to(&host) {
+                    self.counters.probes += 1;
+                    commands.push(Command::Probe(host));
+                } else {
+                    let told = Event::Probed { backend: host, code: Code::Void, elapsed: 0.0, report: None };
+                    self.events.push_back(told);
+                }
+            }
+            Action::Subscribe | Action::ReadList => commands.push(Command::ReadList),
+            Action::Close(host) => commands.push(Command::CloseIdle(host)),
+            Action::Trace(line) => commands.push(Command::Log(line)),
+            // The design has gateways share nothing on the ordinary path but the meter.
+            Action::Count { name, .. } => {
+                self.events.push_back(Event::Counted { name, code: Code::Unreachable, reading: 0.0 });
+            }
+            Action::Tell { .. } => {}
+        }
+    }
+
+    fn attempt(&mut self, id: StreamId, host: BackendId, timeout: Millis, commands: &mut Vec<Command>) {
+        let may_send = self.may_send_to(&host);
+        let Some(stream) = self.streams.get_mut(&id) else { return };
+        let key = (id, stream.tries);
+        stream.tries += 1;
+        // A second lock on the rules: no unsafe class is sent again once it may have run, nothing goes to
+        // a host that was told draining, nothing past the most attempts.
+        let twice = (stream.ran || stream.out > 0) && self.classes[stream.class].effect == Effect::Unsafe;
+        let sound = may_send && !twice && key.1 < self.max_attempts;
+        stream.out += 1;
+        let until = (self.now + timeout).min(stream.deadline);
+        let customer = stream.customer;
+        self.upstream
+            .insert(key, Upstream { host: host.clone(), customer, sent: self.now, until, held: false });
+        if !sound {
+            self.ended(key, Code::Void, None, None, commands);
+            return;
+        }
+        if key.1 == 0 && self.metered {
+            let sent = self.sent_on.entry(stream.customer).or_insert((0.0, stream.rate));
+            sent.0 += stream.units;
+        }
+        self.counters.upstream_requests += 1;
+        self.timers.push(until, Due::Upstream(key));
+        commands.push(Command::Send(key, host, until - self.now));
+    }
+
+    /// An upstream request has its one outcome; a stream that it serves has its final answer.
+    fn ended(
+        &mut self,
+        id: UpstreamId,
+        code: Code,
+        usage: Option<f64>,
+        report: Option<Vec<f64>>,
+        commands: &mut Vec<Command>,
+    ) {
+        let Some(upstream) = self.upstream.remove(&id) else { return };
+        let counters = &mut self.counters;
+        *match code {
+            Code::Success => &mut counters.upstream_served,
+            Code::Overloaded => &mut counters.upstream_turned_away,
+            Code::TimedOut => &mut counters.upstream_timed_out,
+            Code::Unreachable => &mut counters.upstream_not_connected,
+            Code::Broken => &mut counters.upstream_reset,
+            Code::Withdrawn => &mut counters.upstream_stopped,
+            Code::Void => &mut counters.upstream_void,
+            Code::Failure | Code::Unknown => &mut counters.upstream_errors,
+        } += 1;
+        if let Some(stream) = self.streams.get_mut(&id.0) {
+            stream.out -= 1;
+            stream.ran |= !matches!(code, Code::Overloaded | Code::Unreachable | Code::Void);
+            stream.timed_out = code == Code::TimedOut;
+            if code == Code::Success {
+                self.finish(id.0, Some(Command::Deliver(id)), commands);
+            }
+        }
+        let usage = usage.or_else(|| {
+            let (percent, at) = *self.usage.get(&upstream.customer)?;
+            (self.now - at <= USAGE_STANDS * self.meter_period).then_some(percent)
+        });
+        self.events.push_back(Event::Outcome(Outcome {
+            request: RequestId(id.0),
+            attempt: id.1,
+            backend: upstream.host,
+            code,
+            finished: !self.streams.contains_key(&id.0),
+            elapsed: self.now - upstream.sent,
+            settled_units: None,
+            usage,
+            report,
+        }));
+    }
+
+    /// The one place where a stream ends: with its final answer, or without one when its downstream left.
+    fn finish(&mut self, id: StreamId, answer: Option<Command>, commands: &mut Vec<Command>) {
+        if self.streams.remove(&id).is_none() {
+            return;
+        }
+        *match &answer {
+            Some(Command::Deliver(_)) => &mut self.counters.served,
+            Some(Command::Refuse(..)) => &mut self.counters.refused,
+            Some(_) => &mut self.counters.failed,
+            None => &mut self.counters.left,
+        } += 1;
+        commands.extend(answer);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,11 @@
-//! Decisions of a quota-keeping gateway, as a sans-I/O state machine.
+//! A quota-keeping gateway: its decisions as a sans-I/O state machine, and the program around them.
 //!
-//! A [`Brain`] is built from [`interface::Settings`] and a seed. It is then told what happens, with
+//! The decisions: a [`Brain`] is built from [`interface::Settings`] and a seed. It is then told what happens, with
 //! the time, and appends what is to be done. It reads no clock, opens no socket and keeps no globals.
 //!
 //! ```
-//! use dewhook::interface::*;
-//! use dewhook::Brain;
+//! use switchhill::interface::*;
+//! use switchhill::Brain;
 //!
 //! let settings = Settings {
 //!     gateways: 2,
@@ -63,6 +63,11 @@
 //! ```
 
 mod brain;
+pub mod core;
 pub mod interface;
+pub mod memory;
+pub mod net;
+pub mod process;
+pub mod settings;
 
 pub use brain::Brain;
--- /dev/null
+++ b/src/memory/mod.rs
@@ -0,0 +1,5 @@
+//! What is kept in memory: buffers, pools of connections, counters.
+
+pub mod buffer;
+pub mod counters;
+pub mod pool;
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,174 @@
+//! The watch on discovery's list: renewed at once, its connection made anew when it hangs.
+
+use super::http1::{self, Parsed};
+use super::poll::Interest;
+use super::upstream::connect;
+use super::{Conn, Due, Gateway};
+use crate::interface::{ListKind, Millis};
+use crate::memory::buffer::{Got, Inbound, Outbound};
+use crate::memory::pool::Token;
+use crate::process::config::List;
+use crate::settings::Field;
+use std::net::{SocketAddr, TcpStream};
+
+/// How long a watch waits for news. Short, since what discovery cannot get through counts as told 2 s
+/// after the wait ends.
+const WAIT: Millis = 3000.0;
+/// A call without an answer this long after its wait is dropped with its connection.
+const HANGS: Millis = 700.0;
+/// After a failure the next try waits this long; a watch that resumes within 200 ms is the same watch.
+const AGAIN: Millis = 100.0;
+
+/// What is known of discovery.
+pub(super) struct Discovery {
+    address: SocketAddr,
+    token: Option<Token>,
+    revision: Option<u64>,
+    /// The next call asks for the whole list.
+    pub(super) whole_next: bool,
+    /// Counts calls, so that a timer of an earlier one does nothing.
+    turn: u64,
+}
+
+impl Discovery {
+    pub(super) fn new(address: SocketAddr) -> Self {
+        Self { address, token: None, revision: None, whole_next: true, turn: 0 }
+    }
+}
+
+/// The connection to discovery.
+pub(super) struct Link {
+    socket: TcpStream,
+    inbound: Inbound,
+    outbound: Outbound,
+    interest: Interest,
+    waiting: bool,
+}
+
+impl Gateway {
+    /// Connects to discovery; the call follows once the connection is up.
+    pub(super) fn ask_discovery(&mut self) {
+        self.discovery.turn += 1;
+        let token = self.slots.reserve();
+        let interest = Interest { read: true, write: true };
+        let socket = connect(self.discovery.address);
+        let added = socket.and_then(|socket| self.poll.add(&socket, token, interest).map(|()| socket));
+        let Ok(socket) = added else {
+            self.slots.release(token);
+            return self.discovery_again();
+        };
+        let (inbound, outbound) = (Inbound::default(), Outbound::default());
+        let mut link = Link { socket, inbound, outbound, interest, waiting: false };
+        self.discovery.token = Some(token);
+        self.discovery.whole_next = true;
+        self.call(&mut link);
+        self.slots.put(token, Conn::Discovery(link));
+    }
+
+    fn call(&mut self, link: &mut Link) {
+        let state = &mut self.discovery;
+        let query = match state.revision.filter(|_| !state.whole_next) {
+            Some(revision) => format!("?index={revision}&wait={WAIT}"),
+            None => String::new(),
+        };
+        let waits = if query.is_empty() { 0.0 } else { WAIT };
+        state.whole_next = false;
+        state.turn += 1;
+        self.timers.push(self.now + waits + HANGS, Due::Discovery(state.turn));
+        let call = format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {}\r\n\r\n", state.address);
+        link.outbound.push(call.into_bytes());
+        link.waiting = true;
+    }
+
+    pub(super) fn discovery_ready(
+        &mut self,
+        token: Token,
+        mut link: Link,
+        read: bool,
+        _write: bool,
+    ) -> Option<Link> {
+        if read {
+            loop {
+                match link.inbound.read(&mut link.socket, &mut self.scratch) {
+                    Got::Some => {}
+                    Got::Blocked => break,
+                    Got::End | Got::Broken => return self.close_discovery(link),
+                }
+            }
+            while link.waiting {
+                let (answer, used, reusable) = match http1::answer(link.inbound.bytes(), false) {
+                    Parsed::Whole(answer, used, reusable) => (answer, used, reusable),
+                    Parsed::Partial(_) => break,
+                    Parsed::Bad(..) => return self.close_discovery(link),
+                };
+                link.inbound.consume(used);
+                link.waiting = false;
+                if answer.status != 200 || !self.told_list(&answer.body) || !reusable {
+                    return self.close_discovery(link);
+                }
+                self.call(&mut link);
+            }
+        }
+        match link.outbound.write(&mut link.socket) {
+            Ok(done) => {
+                let interest = Interest { read: true, write: !done };
+                if interest != link.interest && self.poll.change(&link.socket, token, interest).is_err() {
+                    return self.close_discovery(link);
+                }
+                link.interest = interest;
+                Some(link)
+            }
+            Err(e) if e.kind() == std::io::ErrorKind::NotConnected => Some(link),
+            Err(_) => self.close_discovery(link),
+        }
+    }
+
+    /// Takes a list in; false when it cannot be read.
+    fn told_list(&mut self, body: &[u8]) -> bool {
+        let text = std::str::from_utf8(body).unwrap_or("");
+        let read = miniserde::json::from_str(text)
+            .map_err(|_| String::from("not JSON"))
+            .and_then(|value| List::read(&Field::root(&value, ""), &self.told.zones));
+        match read {
+            Ok(list) => {
+                self.discovery.revision = Some(list.revision);
+                self.listed = true;
+                let kind = if list.complete { ListKind::Full } else { ListKind::Changes };
+                if list.complete || !list.members.is_empty() {
+                    self.take_list(list, kind);
+                }
+                true
+            }
+            Err(why) => {
+                eprintln!("discovery's answer: {why}");
+                false
+            }
+        }
+    }
+
+    fn close_discovery(&mut self, link: Link) -> Option<Link> {
+        self.poll.remove(&link.socket);
+        self.discovery.token = None;
+        self.discovery_again();
+        None
+    }
+
+    fn discovery_again(&mut self) {
+        self.discovery.turn += 1;
+        self.timers.push(self.now + AGAIN, Due::Discovery(self.discovery.turn));
+    }
+
+    /// A call hangs, or it is time to try again.
+    pub(super) fn discovery_due(&mut self, turn: u64) {
+        if turn != self.discovery.turn {
+            return;
+        }
+        if let Some(token) = self.discovery.token.take() {
+            if let Some(Conn::Discovery(link)) = self.slots.take(token) {
+                self.poll.remove(&link.socket);
+            }
+            self.slots.release(token);
+        }
+        self.ask_discovery();
+    }
+}
--- /dev/null
+++ b/src/net/downstream.rs
@@ -0,0 +1,304 @@
+//! HTTP/1.1 connections from downstreams.
+
+use super::http1::{self, Parsed};
+use super::message::{Answer, MOST_BODY, MOST_HEAD};
+use super::poll::Interest;
+use super::{local, refusal, Conn, Downstream, Due, Gateway, ACCEPT_ON};
+use crate::core::{Input, StreamId};
+use crate::interface::Millis;
+use crate::memory::buffer::{Got, Inbound, Outbound};
+use crate::memory::pool::Token;
+use std::io;
+use std::net::{TcpListener, TcpStream};
+
+/// Bytes that wait behind the request in work before reading stops.
+const MOST_WAITING: usize = MOST_HEAD + 3 * MOST_BODY;
+/// A request that takes longer to come in is given up.
+const ARRIVES_WITHIN: Millis = 10_000.0;
+/// A connection without a request is closed after this long.
+const IDLE: Millis = 300_000.0;
+/// A connection whose last answer is written is closed this long after.
+const LINGER: Millis = 500.0;
+/// Without descriptors to spare, accepting rests this long.
+const ACCEPT_REST: Millis = 50.0;
+/// What a client is told that came while connections are scarce.
+const SCARCE_HOLD_OFF: Millis = 500.0;
+
+/// One connection from a downstream.
+pub(super) struct Down {
+    socket: TcpStream,
+    inbound: Inbound,
+    outbound: Outbound,
+    interest: Interest,
+    stream: Option<StreamId>,
+    /// No further request is taken: it closes once all is written.
+    closing: bool,
+    /// All is written and our side ended; the rest of what comes is dropped.
+    lingering: bool,
+    /// Taken over the share of descriptors that streams get: its request is turned away.
+    surplus: bool,
+    /// When the request at hand began to come in, or the last one was answered.
+    since: Millis,
+    /// An answer that is not out by then never will be.
+    out_by: Millis,
+}
+
+impl Gateway {
+    pub(super) fn accept(&mut self, listener: &TcpListener) {
+        loop {
+            // Danger: past the limit `accept` fails and the listener stays readable: a loop that spins.
+            if self.downstreams >= self.most_downstreams + 8 && !self.close_one_idle_down() {
+                self.rest_accepting();
+                return;
+            }
+            match listener.accept() {
+                Ok((socket, _)) => self.accepted(socket),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(_) => {
+                    if !self.close_one_idle_down() {
+                        self.rest_accepting();
+                    }
+                    return;
+                }
+            }
+        }
+    }
+
+    fn accepted(&mut self, socket: TcpStream) {
+        let token = self.slots.reserve();
+        let ready = socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true));
+        if ready.and_then(|()| self.poll.add(&socket, token, Interest::READ)).is_err() {
+            self.slots.release(token);
+            return;
+        }
+        self.core.counters.downstream_connections += 1;
+        self.downstreams += 1;
+        let down = Down {
+            socket,
+            inbound: Inbound::default(),
+            outbound: Outbound::default(),
+            interest: Interest::READ,
+            stream: None,
+            closing: false,
+            lingering: false,
+            surplus: self.downstreams > self.most_downstreams && !self.close_one_idle_down(),
+            since: self.now,
+            out_by: f64::INFINITY,
+        };
+        let kept = self.down_ready(token, down, true, false).map(Conn::Down);
+        self.keep(token, kept);
+    }
+
+    fn rest_accepting(&mut self) {
+        self.watch_listener(false);
+        self.timers.push(self.now + ACCEPT_REST, Due::Accept);
+    }
+
+    pub(super) fn watch_listener(&mut self, on: bool) {
+        self.accepting = on;
+        let Some(token) = self.listener else { return };
+        if let Some(Conn::Listener(listener)) = self.slots.get(token) {
+            // A listener that cannot be watched again is tried anew at the next rest.
+            let _ = self.poll.change(listener, token, Interest { read: on, write: false });
+        }
+    }
+
+    /// Closes the connection that has been without a request for longest.
+    fn close_one_idle_down(&mut self) -> bool {
+        let mut oldest: Option<(Millis, Token)> = None;
+        for token in self.slots.tokens() {
+            if let Some(Conn::Down(down)) = self.slots.get(token) {
+                if down.is_idle() && oldest.is_none_or(|(since, _)| down.since < since) {
+                    oldest = Some((down.since, token));
+                }
+            }
+        }
+        let Some((_, token)) = oldest else { return false };
+        if let Some(Conn::Down(down)) = self.slots.take(token) {
+            self.close_down(down);
+        }
+        self.slots.release(token);
+        true
+    }
+
+    pub(super) fn close_down(&mut self, down: Down) {
+        self.poll.remove(&down.socket);
+        self.downstreams -= 1;
+        if let Some(stream) = down.stream {
+            self.exchanges.remove(&stream);
+            self.inputs.push(Input::DownstreamLeft(stream));
+        }
+    }
+
+    /// Handles an event; gives the connection back unless it is closed.
+    pub(super) fn down_ready(
+        &mut self,
+        token: Token,
+        mut down: Down,
+        read: bool,
+        _write: bool,
+    ) -> Option<Down> {
+        if read {
+            let fresh = down.inbound.bytes().is_empty() && down.stream.is_none() && !down.lingering;
+            loop {
+                if down.inbound.bytes().len() > MOST_WAITING {
+                    break;
+                }
+                match down.inbound.read(&mut down.socket, &mut self.scratch) {
+                    Got::Some => {}
+                    Got::Blocked => break,
+                    // A downstream that closes has gone away; so has one that ends its sending.
+                    Got::End | Got::Broken => {
+                        self.close_down(down);
+                        return None;
+                    }
+                }
+            }
+            if fresh && !down.inbound.bytes().is_empty() {
+                down.since = self.now;
+            }
+            self.take_requests(token, &mut down);
+        }
+        // Room to write needs no handling of its own: whatever the event, what waits is tried.
+        self.flush_down(token, down)
+    }
+
+    /// Takes the next request from what has been read, unless one is in work.
+    fn take_requests(&mut self, token: Token, down: &mut Down) {
+        while down.stream.is_none() && !down.closing && down.outbound.is_empty() {
+            if down.inbound.bytes().is_empty() {
+                return;
+            }
+            let (message, used, reusable) = match http1::request(down.inbound.bytes()) {
+                Parsed::Whole(message, used, reusable) => (message, used, reusable),
+                Parsed::Partial(expects) => {
+                    if expects {
+                        down.outbound.push(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec());
+                    }
+                    return;
+                }
+                Parsed::Bad(status, why) => return self.bad_message(down, status, why),
+            };
+            down.inbound.consume(used);
+            down.since = self.now;
+            down.closing |= !reusable;
+            if let Some(answer) = self.own_service(&message) {
+                down.push(&answer, self.stopping.is_some());
+            } else if down.surplus {
+                down.push(&refusal(SCARCE_HOLD_OFF), true);
+            } else {
+                match self.stream_arrived(Downstream::Http1(token), message) {
+                    Ok(stream) => down.stream = Some(stream),
+                    Err((status, why)) => self.bad_message(down, status, why),
+                }
+            }
+        }
+    }
+
+    fn bad_message(&mut self, down: &mut Down, status: u16, why: &'static str) {
+        self.core.counters.bad_messages += 1;
+        down.push(&local(status, format!("{why}\n").as_bytes()), true);
+    }
+
+    /// Writes what can be written and watches for what comes next.
+    fn flush_down(&mut self, token: Token, mut down: Down) -> Option<Down> {
+        loop {
+            match down.outbound.write(&mut down.socket) {
+                Ok(true) if down.closing && down.stream.is_none() => {
+                    // Danger: closed with bytes unread, the system resets the connection and the answer
+                    // may be lost with it. Only our side is ended; what still comes is read and dropped.
+                    if !down.lingering {
+                        down.lingering = true;
+                        down.since = self.now;
+                        let _ = down.socket.shutdown(std::net::Shutdown::Write);
+                    }
+                    down.inbound.consume(down.inbound.bytes().len());
+                    break;
+                }
+                Ok(true) => {
+                    let before = down.inbound.bytes().len();
+                    self.take_requests(token, &mut down);
+                    if down.outbound.is_empty() || down.inbound.bytes().len() == before {
+                        break;
+                    }
+                }
+                Ok(false) => break,
+                Err(_) => {
+                    self.close_down(down);
+                    return None;
+                }
+            }
+        }
+        let interest =
+            Interest { read: down.inbound.bytes().len() <= MOST_WAITING, write: !down.outbound.is_empty() };
+        if interest != down.interest {
+            if self.poll.change(&down.socket, token, interest).is_err() {
+                self.close_down(down);
+                return None;
+            }
+            down.interest = interest;
+        }
+        Some(down)
+    }
+
+    pub(super) fn answer_http1(&mut self, token: Token, deadline: Millis, answer: &Answer) {
+        let Some(Conn::Down(mut down)) = self.slots.take(token) else { return };
+        down.stream = None;
+        down.since = self.now;
+        down.out_by = deadline;
+        down.push(answer, self.stopping.is_some());
+        let kept = self.flush_down(token, down).map(Conn::Down);
+        self.keep(token, kept);
+    }
+
+    pub(super) fn sweep_down(&mut self, token: Token, mut down: Down) -> Option<Down> {
+        let age = self.now - down.since;
+        let unread = !down.inbound.bytes().is_empty();
+        if !down.outbound.is_empty() && self.now > down.out_by.max(down.since + 50.0) {
+            self.close_down(down);
+            return None;
+        }
+        if down.lingering {
+            if age > LINGER {
+                self.close_down(down);
+                return None;
+            }
+            return Some(down);
+        }
+        if down.stream.is_none() && down.outbound.is_empty() {
+            if unread && age > ARRIVES_WITHIN {
+                self.bad_message(&mut down, 408, "the request did not come in");
+                return self.flush_down(token, down);
+            }
+            let stopped = self.stopping.is_some_and(|since| self.now >= since + ACCEPT_ON);
+            if !unread && (age > IDLE || stopped) {
+                // A request may just have come in: it is read before the connection closes.
+                let down = self.down_ready(token, down, true, false)?;
+                if down.is_idle() {
+                    self.close_down(down);
+                    return None;
+                }
+                return Some(down);
+            }
+        }
+        Some(down)
+    }
+}
+
+impl Down {
+    fn is_idle(&self) -> bool {
+        self.stream.is_none() && self.outbound.is_empty() && self.inbound.bytes().is_empty()
+    }
+
+    fn push(&mut self, answer: &Answer, close: bool) {
+        self.closing |= close;
+        self.outbound.push(http1::answer_head(
+            answer.status,
+            &answer.headers,
+            answer.body.len(),
+            self.closing,
+        ));
+        self.outbound.push(answer.body.clone());
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,401 @@
+//! What is spoken on the wire: one loop over all sockets, driving the core.
+//!
+//! Each round gathers what is ready, hands it to the core in one go, and carries out what came back.
+
+pub mod http1;
+pub mod message;
+pub mod poll;
+
+mod discovery;
+mod downstream;
+mod upstream;
+
+use crate::core::Timers;
+use crate::core::{Command, Core, End, Input, StreamId, UpstreamId};
+use crate::interface::{BackendId, Code, ListKind, Millis};
+use crate::memory::buffer;
+use crate::memory::counters::Counters;
+use crate::memory::pool::{Slots, Token};
+use crate::process::config::{Config, List};
+use crate::process::signals::{self, Asked, Signals};
+use crate::settings::Told;
+use discovery::Discovery;
+use downstream::Down;
+use message::{Answer, Message};
+use poll::{Interest, Poll};
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::os::unix::net::UnixStream;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use upstream::{Host, Up};
+
+/// How often connections are looked over for what no event tells.
+const SWEEP: Millis = 250.0;
+/// Without a word from discovery, the list from the configuration does after this long.
+const READY_ANYWAY: Millis = 1000.0;
+/// After SIGTERM new connections are still taken for this long.
+const ACCEPT_ON: Millis = 700.0;
+/// Descriptors kept for everything but clients and upstream hosts.
+const RESERVE: usize = 24;
+
+/// Unix time in milliseconds that never steps back.
+struct Clock {
+    base: Millis,
+    start: Instant,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let base = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { base: base.as_secs_f64() * 1000.0, start: Instant::now() }
+    }
+
+    fn now(&self) -> Millis {
+        self.base + self.start.elapsed().as_secs_f64() * 1000.0
+    }
+}
+
+enum Conn {
+    Listener(TcpListener),
+    Signal(UnixStream, Asked),
+    Down(Down),
+    Up(Up),
+    Discovery(discovery::Link),
+}
+
+/// Where a stream's answer goes.
+#[derive(Debug, Clone, Copy)]
+enum Downstream {
+    Http1(Token),
+}
+
+/// What is held of a stream while it is open.
+struct Exchange {
+    downstream: Downstream,
+    message: Message,
+    answer: Option<(u32, Answer)>,
+    deadline: Millis,
+}
+
+/// What is due in the loop itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Sweep,
+    Connect(Token),
+    Probe(Token),
+    Discovery(u64),
+    Accept,
+}
+
+/// The running program.
+pub struct Gateway {
+    core: Core,
+    told: Told,
+    poll: Poll,
+    clock: Clock,
+    now: Millis,
+    started: Millis,
+    slots: Slots<Conn>,
+    listener: Option<Token>,
+    accepting: bool,
+    discovery: Discovery,
+    hosts: BTreeMap<BackendId, Host>,
+    http2_hosts: std::collections::BTreeSet<String>,
+    exchanges: HashMap<StreamId, Exchange>,
+    in_flight: HashMap<UpstreamId, Token>,
+    next_stream: StreamId,
+    inputs: Vec<Input>,
+    timers: Timers<Due>,
+    scratch: Vec<u8>,
+    listed: bool,
+    stopping: Option<Millis>,
+    downstreams: usize,
+    upstreams: usize,
+    most_downstreams: usize,
+    most_upstreams: usize,
+}
+
+impl Gateway {
+    /// Listens and begins to ask discovery.
+    ///
+    /// # Errors
+    /// When the address cannot be listened on or the poller cannot be had.
+    pub fn new(config: Config, signals: Option<Signals>) -> io::Result<Self> {
+        let invalid = |e: crate::interface::SettingsError| io::Error::new(io::ErrorKind::InvalidInput, e);
+        let core = Core::new(config.told.module.clone(), config.seed).map_err(invalid)?;
+        let clock = Clock::new();
+        let now = clock.now();
+        let most_upstreams = (config.sockets - RESERVE) * 2 / 5;
+        let mut gateway = Self {
+            core,
+            told: config.told,
+            poll: Poll::new()?,
+            now,
+            started: now,
+            clock,
+            slots: Slots::default(),
+            listener: None,
+            accepting: true,
+            discovery: Discovery::new(config.discovery),
+            hosts: BTreeMap::new(),
+            http2_hosts: config.operator.http2_hosts,
+            exchanges: HashMap::new(),
+            in_flight: HashMap::new(),
+            next_stream: 0,
+            inputs: Vec::new(),
+            timers: Timers::default(),
+            scratch: buffer::scratch(),
+            listed: false,
+            stopping: None,
+            downstreams: 0,
+            upstreams: 0,
+            most_downstreams: config.sockets - RESERVE - most_upstreams,
+            most_upstreams,
+        };
+        let listener = TcpListener::bind(config.listen)?;
+        listener.set_nonblocking(true)?;
+        let token = gateway.slots.reserve();
+        gateway.poll.add(&listener, token, Interest::READ)?;
+        gateway.slots.put(token, Conn::Listener(listener));
+        gateway.listener = Some(token);
+        if let Some(signals) = signals {
+            for (socket, asked) in [(signals.stop, Asked::Stop), (signals.counters, Asked::Counters)] {
+                let token = gateway.slots.reserve();
+                gateway.poll.add(&socket, token, Interest::READ)?;
+                gateway.slots.put(token, Conn::Signal(socket, asked));
+            }
+        }
+        if let Some(known) = config.known {
+            gateway.take_list(known, ListKind::Saved);
+        }
+        gateway.timers.push(now + SWEEP, Due::Sweep);
+        gateway.ask_discovery();
+        Ok(gateway)
+    }
+
+    /// Where clients connect.
+    ///
+    /// # Errors
+    /// When it listens no more.
+    pub fn address(&mut self) -> io::Result<SocketAddr> {
+        match self.listener.and_then(|token| self.slots.get(token)) {
+            Some(Conn::Listener(listener)) => listener.local_addr(),
+            _ => Err(io::ErrorKind::NotConnected.into()),
+        }
+    }
+
+    /// What has been counted.
+    #[must_use]
+    pub fn counters(&self) -> &Counters {
+        &self.core.counters
+    }
+
+    /// Runs until told to stop and all that was taken is answered.
+    ///
+    /// # Errors
+    /// When the poller fails.
+    pub fn run(&mut self) -> io::Result<()> {
+        let mut ready = Vec::new();
+        let mut commands = Vec::new();
+        while !self.finished() {
+            let due =
+                self.core.next_due().into_iter().chain(self.timers.next_due()).fold(f64::INFINITY, f64::min);
+            let wait = (due - self.clock.now()).clamp(0.0, SWEEP);
+            let wait = if self.inputs.is_empty() { wait } else { 0.0 };
+            self.poll.wait(Duration::from_micros((wait * 1000.0).ceil() as u64), &mut ready)?;
+            self.now = self.clock.now();
+            for (token, readable, writable) in ready.drain(..) {
+                self.ready(token, readable, writable);
+            }
+            while let Some(due) = self.timers.pop(self.now) {
+                self.due(due);
+            }
+            self.core.advance(self.now, &mut self.inputs, &mut commands);
+            for command in commands.drain(..) {
+                self.carry_out(command);
+            }
+        }
+        Ok(())
+    }
+
+    fn finished(&self) -> bool {
+        let Some(since) = self.stopping else { return false };
+        self.now >= since + ACCEPT_ON && self.core.open_streams() == 0 && self.downstreams == 0
+    }
+
+    fn ready(&mut self, token: Token, readable: bool, writable: bool) {
+        let Some(conn) = self.slots.take(token) else { return };
+        let kept = match conn {
+            Conn::Listener(listener) => {
+                self.accept(&listener);
+                Some(Conn::Listener(listener))
+            }
+            Conn::Signal(socket, asked) => {
+                signals::drain(&socket);
+                match asked {
+                    Asked::Stop => self.begin_stop(),
+                    Asked::Counters => eprint!("{}", self.core.counters),
+                }
+                Some(Conn::Signal(socket, asked))
+            }
+            Conn::Down(down) => self.down_ready(token, down, readable, writable).map(Conn::Down),
+            Conn::Up(up) => self.up_ready(token, up, readable, writable).map(Conn::Up),
+            Conn::Discovery(link) => {
+                self.discovery_ready(token, link, readable, writable).map(Conn::Discovery)
+            }
+        };
+        self.keep(token, kept);
+    }
+
+    /// Puts a connection back, or frees the slot of one that is closed.
+    fn keep(&mut self, token: Token, conn: Option<Conn>) {
+        match conn {
+            Some(conn) => self.slots.put(token, conn),
+            None => self.slots.release(token),
+        }
+    }
+
+    fn due(&mut self, due: Due) {
+        match due {
+            Due::Sweep => {
+                self.sweep();
+                self.timers.push(self.now + SWEEP, Due::Sweep);
+            }
+            Due::Connect(token) => self.connect_overdue(token),
+            Due::Probe(token) => self.probe_overdue(token),
+            Due::Discovery(turn) => self.discovery_due(turn),
+            Due::Accept => self.watch_listener(true),
+        }
+    }
+
+    fn carry_out(&mut self, command: Command) {
+        match command {
+            Command::Send(id, host, wait) => self.send(id, &host, wait),
+            Command::Stop(id) => self.stop(id),
+            Command::Deliver((stream, _)) => {
+                let Some(exchange) = self.exchanges.remove(&stream) else { return };
+                match exchange.answer {
+                    Some((_, answer)) => self.answer(exchange.downstream, exchange.deadline, answer),
+                    None => self.answer(exchange.downstream, exchange.deadline, local(502, b"")),
+                }
+            }
+            Command::Refuse(stream, hold_off) => {
+                let Some(exchange) = self.exchanges.remove(&stream) else { return };
+                let answer = refusal(hold_off);
+                self.answer(exchange.downstream, exchange.deadline, answer);
+            }
+            Command::Fail(stream, late) => {
+                let Some(exchange) = self.exchanges.remove(&stream) else { return };
+                let answer = local(if late { 504 } else { 502 }, b"");
+                self.answer(exchange.downstream, exchange.deadline, answer);
+            }
+            Command::Probe(host) => self.probe(&host),
+            Command::CloseIdle(host) => self.close_idle(&host),
+            Command::ReadList => self.discovery.whole_next = true,
+            Command::Log(line) => eprintln!("{line}"),
+        }
+    }
+
+    fn answer(&mut self, downstream: Downstream, deadline: Millis, answer: Answer) {
+        match downstream {
+            Downstream::Http1(token) => self.answer_http1(token, deadline, &answer),
+        }
+    }
+
+    /// Takes in a whole request, however it was spoken.
+    fn stream_arrived(
+        &mut self,
+        downstream: Downstream,
+        message: Message,
+    ) -> Result<StreamId, (u16, &'static str)> {
+        let terms = message.terms(&self.told)?;
+        let id = self.next_stream;
+        self.next_stream += 1;
+        let deadline = self.now + terms.wait;
+        self.exchanges.insert(id, Exchange { downstream, message, answer: None, deadline });
+        self.inputs.push(Input::StreamArrived(id, terms));
+        Ok(id)
+    }
+
+    /// A local service: readiness and counters. `None` for what is a stream.
+    fn own_service(&self, message: &Message) -> Option<Answer> {
+        match message.path() {
+            "/health/ready" if self.is_ready() => Some(local(200, b"ready\n")),
+            "/health/ready" => Some(local(503, b"not ready\n")),
+            "/health/counters" => Some(local(200, self.core.counters.to_string().as_bytes())),
+            _ => None,
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        self.stopping.is_none() && (self.listed || self.now >= self.started + READY_ANYWAY)
+    }
+
+    /// An upstream request has ended on the wire.
+    fn upstream_ended(&mut self, id: UpstreamId, end: End, answer: Option<Answer>) {
+        self.in_flight.remove(&id);
+        let usage = answer.as_ref().and_then(|a| a.used);
+        let report = answer.as_ref().and_then(|a| a.report(&self.told.report_names));
+        if let (End::Served, Some(exchange), Some(answer)) = (end, self.exchanges.get_mut(&id.0), answer) {
+            // Of two that come together, the core delivers the first.
+            exchange.answer.get_or_insert((id.1, answer));
+        }
+        self.inputs.push(Input::UpstreamEnded { id, end, usage, report });
+    }
+
+    fn take_list(&mut self, list: List, kind: ListKind) {
+        let mut backends = Vec::with_capacity(list.members.len());
+        for member in list.members {
+            let http2 = member.http2 || self.http2_hosts.contains(&*member.backend.id);
+            self.place_host(&member.backend.id, member.address, http2);
+            backends.push(member.backend);
+        }
+        self.inputs.push(Input::ListChanged(kind, backends));
+    }
+
+    fn begin_stop(&mut self) {
+        if self.stopping.is_none() {
+            eprintln!("stopping: not ready, finishing {} streams", self.core.open_streams());
+            self.stopping = Some(self.now);
+        }
+    }
+
+    fn sweep(&mut self) {
+        if self.stopping.is_some_and(|since| self.now >= since + ACCEPT_ON) {
+            if let Some(token) = self.listener.take() {
+                if let Some(Conn::Listener(listener)) = self.slots.take(token) {
+                    // What the system has accepted already is ours to answer.
+                    self.accept(&listener);
+                    self.poll.remove(&listener);
+                }
+                self.slots.release(token);
+            }
+        }
+        for token in self.slots.tokens() {
+            let Some(conn) = self.slots.take(token) else { continue };
+            let kept = match conn {
+                Conn::Down(down) => self.sweep_down(token, down).map(Conn::Down),
+                Conn::Up(up) => self.sweep_up(up).map(Conn::Up),
+                other => Some(other),
+            };
+            self.keep(token, kept);
+        }
+    }
+
+    fn probed(&mut self, host: BackendId, code: Code, since: Millis) {
+        self.inputs.push(Input::ProbeEnded(host, code, self.now - since));
+    }
+}
+
+/// An answer that the gateway words itself.
+fn local(status: u16, body: &[u8]) -> Answer {
+    Answer { status, body: body.to_vec(), ..Answer::default() }
+}
+
+/// A local reply that trying again is harmless, and when.
+fn refusal(hold_off: Millis) -> Answer {
+    let mut answer = local(503, b"");
+    answer.header("retry-after", format!("{:.3}", hold_off.max(1.0) / 1000.0).as_bytes());
+    answer
+}
--- /dev/null
+++ b/src/net/upstream.rs
@@ -0,0 +1,353 @@
+//! HTTP/1.1 connections to upstream hosts: one upstream request at a time on each.
+
+use super::http1::{self, Parsed};
+use super::message::{Answer, Message};
+use super::poll::Interest;
+use super::{Conn, Due, Gateway};
+use crate::core::{End, UpstreamId};
+use crate::interface::{BackendId, Code, Millis};
+use crate::memory::buffer::{Got, Inbound, Outbound};
+use crate::memory::pool::Token;
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+
+/// Share of the time after which an upstream host closes an idle connection at which ours are closed.
+/// Danger: a request written into that close would be a reset, and a `top-up` could not be sent again.
+const IDLE_SHARE: f64 = 0.5;
+/// A probe without an answer by then has failed.
+const PROBE_WITHIN: Millis = 1000.0;
+
+/// An upstream host as the wire knows it.
+pub(super) struct Host {
+    pub(super) address: SocketAddr,
+    pub(super) http2: bool,
+    /// Idle connections, the one used last at the end.
+    pub(super) idle: Vec<Token>,
+}
+
+/// What a connection is opened or used for.
+enum Job {
+    Stream(UpstreamId, Millis),
+    Probe(Millis),
+}
+
+/// One connection to an upstream host.
+pub(super) struct Up {
+    socket: TcpStream,
+    token: Token,
+    host: BackendId,
+    connecting: bool,
+    job: Option<Job>,
+    inbound: Inbound,
+    outbound: Outbound,
+    interest: Interest,
+    since: Millis,
+}
+
+impl Gateway {
+    pub(super) fn place_host(&mut self, id: &BackendId, address: SocketAddr, http2: bool) {
+        match self.hosts.get_mut(id) {
+            Some(host) if host.address == address && host.http2 == http2 => {}
+            Some(host) => {
+                (host.address, host.http2) = (address, http2);
+                self.close_idle(id);
+            }
+            None => {
+                self.hosts.insert(id.clone(), Host { address, http2, idle: Vec::new() });
+            }
+        }
+    }
+
+    pub(super) fn send(&mut self, id: UpstreamId, host: &BackendId, wait: Millis) {
+        self.start(host, Job::Stream(id, self.now + wait));
+    }
+
+    pub(super) fn probe(&mut self, host: &BackendId) {
+        self.start(host, Job::Probe(self.now));
+    }
+
+    /// Puts a job on an idle connection, or opens one for it.
+    fn start(&mut self, host: &BackendId, job: Job) {
+        while let Some(token) = self.hosts.get_mut(host).and_then(|h| h.idle.pop()) {
+            let Some(Conn::Up(mut up)) = self.slots.take(token) else { continue };
+            up.job = Some(job);
+            if let Some(Job::Stream(id, _)) = up.job {
+                self.in_flight.insert(id, token);
+            } else {
+                self.timers.push(self.now + PROBE_WITHIN, Due::Probe(token));
+            }
+            let kept = self.begin(token, up).map(Conn::Up);
+            return self.keep(token, kept);
+        }
+        let room = self.upstreams < self.most_upstreams || self.close_any_idle();
+        let connected = match self.hosts.get(host) {
+            Some(known) if room => connect(known.address),
+            _ => Err(io::ErrorKind::NotConnected.into()),
+        };
+        let token = self.slots.reserve();
+        let interest = Interest { read: false, write: true };
+        let added = connected.and_then(|socket| self.poll.add(&socket, token, interest).map(|()| socket));
+        let Ok(socket) = added else {
+            self.slots.release(token);
+            return self.job_over(host, job, End::NeverSent, None);
+        };
+        self.upstreams += 1;
+        self.core.counters.upstream_connections += 1;
+        match job {
+            Job::Stream(id, _) => drop(self.in_flight.insert(id, token)),
+            Job::Probe(_) => self.timers.push(self.now + PROBE_WITHIN, Due::Probe(token)),
+        }
+        self.timers.push(self.now + self.told.connect_timeout, Due::Connect(token));
+        let up = Up {
+            socket,
+            token,
+            host: host.clone(),
+            connecting: true,
+            job: Some(job),
+            inbound: Inbound::default(),
+            outbound: Outbound::default(),
+            interest,
+            since: self.now,
+        };
+        self.slots.put(token, Conn::Up(up));
+    }
+
+    /// Writes the request of a connection that is up.
+    fn begin(&mut self, token: Token, mut up: Up) -> Option<Up> {
+        match up.job {
+            Some(Job::Stream(id, until)) => {
+                // A connect takes time: whether the host drains is looked at again at the first byte.
+                let exchange = self.exchanges.get(&id.0).filter(|_| self.core.may_send_to(&up.host));
+                let Some(exchange) = exchange else {
+                    up.job = None;
+                    self.upstream_ended(id, End::NeverSent, None);
+                    return self.rest(token, up);
+                };
+                let wait = (until - self.now).max(1.0) as u64;
+                up.outbound.push(http1::request_head(&exchange.message, wait));
+                up.outbound.push(exchange.message.body.clone());
+            }
+            Some(Job::Probe(since)) => {
+                if !self.core.may_send_to(&up.host) {
+                    up.job = None;
+                    self.probed(up.host.clone(), Code::Void, since);
+                    return self.rest(token, up);
+                }
+                let mut message =
+                    Message { method: "GET".into(), target: "/stats".into(), ..Message::default() };
+                message.header("Host", b"app.svc");
+                up.outbound.push(http1::request_head(&message, PROBE_WITHIN as u64));
+            }
+            None => return self.rest(token, up),
+        }
+        self.up_ready(token, up, false, true)
+    }
+
+    /// Handles an event; gives the connection back unless it is closed.
+    pub(super) fn up_ready(&mut self, token: Token, mut up: Up, read: bool, write: bool) -> Option<Up> {
+        if up.connecting {
+            if !read && !write {
+                return Some(up);
+            }
+            if !matches!(up.socket.take_error(), Ok(None)) || up.socket.peer_addr().is_err() {
+                return self.close_up(up, End::NotConnected);
+            }
+            up.connecting = false;
+            return self.begin(token, up);
+        }
+        if !up.outbound.is_empty() && up.outbound.write(&mut up.socket).is_err() {
+            return self.close_up(up, End::NotConnected);
+        }
+        if read {
+            loop {
+                match up.inbound.read(&mut up.socket, &mut self.scratch) {
+                    Got::Some => {}
+                    Got::Blocked => break,
+                    got => return self.up_ended(up, got == Got::End),
+                }
+            }
+            match http1::answer(up.inbound.bytes(), false) {
+                Parsed::Partial(_) => {}
+                Parsed::Bad(..) => return self.close_up(up, End::Error),
+                Parsed::Whole(answer, used, reusable) => {
+                    if up.job.is_none() {
+                        // Nothing was asked: what comes would be taken for the next answer.
+                        return self.close_up(up, End::Reset);
+                    }
+                    up.inbound.consume(used);
+                    let clean = reusable && up.outbound.is_empty() && up.inbound.bytes().is_empty();
+                    self.answered(&mut up, answer);
+                    if !clean {
+                        return self.close_up(up, End::Reset);
+                    }
+                    return self.rest(token, up);
+                }
+            }
+            if up.job.is_none() {
+                return self.close_up(up, End::Reset);
+            }
+        }
+        self.watch_up(token, up)
+    }
+
+    fn watch_up(&mut self, token: Token, mut up: Up) -> Option<Up> {
+        let interest = Interest { read: true, write: !up.outbound.is_empty() };
+        if interest != up.interest {
+            if self.poll.change(&up.socket, token, interest).is_err() {
+                return self.close_up(up, End::Reset);
+            }
+            up.interest = interest;
+        }
+        Some(up)
+    }
+
+    /// The upstream host has ended its sending, or the connection broke.
+    fn up_ended(&mut self, mut up: Up, in_order: bool) -> Option<Up> {
+        if in_order && up.job.is_some() {
+            if let Parsed::Whole(answer, ..) = http1::answer(up.inbound.bytes(), true) {
+                self.answered(&mut up, answer);
+            }
+        }
+        self.close_up(up, End::Reset)
+    }
+
+    /// A whole answer has come for the job at hand.
+    fn answered(&mut self, up: &mut Up, answer: Answer) {
+        let Some(job) = up.job.take() else { return };
+        let end = match answer.status {
+            200 => End::Served,
+            503 | 504 if answer.turned_away => End::TurnedAway,
+            _ => End::Error,
+        };
+        self.job_over(&up.host.clone(), job, end, Some(answer));
+    }
+
+    fn job_over(&mut self, host: &BackendId, job: Job, end: End, answer: Option<Answer>) {
+        match job {
+            Job::Stream(id, _) => self.upstream_ended(id, end, answer),
+            Job::Probe(since) => {
+                let code = match end {
+                    End::Served => Code::Success,
+                    End::TurnedAway => Code::Overloaded,
+                    End::Error => Code::Failure,
+                    End::NotConnected => Code::Unreachable,
+                    End::Reset => Code::Broken,
+                    End::NeverSent => Code::Void,
+                };
+                self.probed(host.clone(), code, since);
+            }
+        }
+    }
+
+    /// Closes a connection; a job on it ends as `end`, or as never run if its last byte was not written.
+    fn close_up(&mut self, mut up: Up, end: End) -> Option<Up> {
+        self.poll.remove(&up.socket);
+        self.upstreams -= 1;
+        if let Some(host) = self.hosts.get_mut(&up.host) {
+            host.idle.retain(|token| *token != up.token);
+        }
+        if let Some(job) = up.job.take() {
+            let unsent = up.connecting || !up.outbound.is_empty();
+            let end = if unsent { End::NotConnected } else { end };
+            self.job_over(&up.host.clone(), job, end, None);
+        }
+        None
+    }
+
+    /// Lays a connection without a job by for the next one.
+    fn rest(&mut self, token: Token, mut up: Up) -> Option<Up> {
+        let known =
+            self.hosts.get(&up.host).is_some_and(|h| up.socket.peer_addr().is_ok_and(|a| a == h.address));
+        if !known
+            || !self.core.may_send_to(&up.host)
+            || self.stopping.is_some() && self.core.open_streams() == 0
+        {
+            return self.close_up(up, End::Reset);
+        }
+        up.since = self.now;
+        let host = up.host.clone();
+        let up = self.watch_up(token, up)?;
+        if let Some(host) = self.hosts.get_mut(&host) {
+            host.idle.push(token);
+        }
+        Some(up)
+    }
+
+    /// Gives up an upstream request by closing its connection.
+    pub(super) fn stop(&mut self, id: UpstreamId) {
+        let Some(token) = self.in_flight.remove(&id) else { return };
+        if let Some(Conn::Up(mut up)) = self.slots.take(token) {
+            up.job = None;
+            self.close_up(up, End::Reset);
+        }
+        self.slots.release(token);
+    }
+
+    pub(super) fn connect_overdue(&mut self, token: Token) {
+        if matches!(self.slots.get(token), Some(Conn::Up(up)) if up.connecting) {
+            if let Some(Conn::Up(up)) = self.slots.take(token) {
+                self.close_up(up, End::NotConnected);
+            }
+            self.slots.release(token);
+        }
+    }
+
+    pub(super) fn probe_overdue(&mut self, token: Token) {
+        let now = self.now;
+        let late = |since: Millis| now - since >= PROBE_WITHIN - 1.0;
+        if matches!(self.slots.get(token), Some(Conn::Up(Up { job: Some(Job::Probe(since)), .. })) if late(*since))
+        {
+            if let Some(Conn::Up(mut up)) = self.slots.take(token) {
+                if let Some(Job::Probe(since)) = up.job.take() {
+                    self.probed(up.host.clone(), Code::TimedOut, since);
+                }
+                self.close_up(up, End::Reset);
+            }
+            self.slots.release(token);
+        }
+    }
+
+    /// Closes idle connections to one host.
+    pub(super) fn close_idle(&mut self, host: &BackendId) {
+        let idle = self.hosts.get_mut(host).map(|h| std::mem::take(&mut h.idle)).unwrap_or_default();
+        for token in idle {
+            if let Some(Conn::Up(up)) = self.slots.take(token) {
+                self.close_up(up, End::Reset);
+            }
+            self.slots.release(token);
+        }
+    }
+
+    /// Makes room for one connection by closing an idle one to another host.
+    fn close_any_idle(&mut self) -> bool {
+        let most = self.hosts.values_mut().max_by_key(|h| h.idle.len());
+        let Some(token) = most.filter(|h| !h.idle.is_empty()).map(|h| h.idle.remove(0)) else { return false };
+        if let Some(Conn::Up(up)) = self.slots.take(token) {
+            self.close_up(up, End::Reset);
+        }
+        self.slots.release(token);
+        true
+    }
+
+    pub(super) fn sweep_up(&mut self, up: Up) -> Option<Up> {
+        let idle = up.job.is_none() && !up.connecting;
+        let old = self.now - up.since > self.told.conn_idle * IDLE_SHARE;
+        if idle && (old || !self.core.may_send_to(&up.host)) {
+            return self.close_up(up, End::Reset);
+        }
+        Some(up)
+    }
+}
+
+/// Begins to connect without waiting.
+pub(super) fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.set_tcp_nodelay(true)?;
+    match socket.connect(&address.into()) {
+        // 115 is EINPROGRESS, which the standard library names only in newer editions.
+        Err(e) if e.raw_os_error() != Some(115) && e.kind() != io::ErrorKind::WouldBlock => Err(e),
+        _ => Ok(socket.into()),
+    }
+}
--- /dev/null
+++ b/src/process/mod.rs
@@ -0,0 +1,4 @@
+//! Start and stop: what the program is told, and the signals it obeys.
+
+pub mod config;
+pub mod signals;
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,324 @@
+//! The settings as the operators write them, in JSON, and their one translation to the module's terms.
+//!
+//! The program reads them from its configuration and the adapter from the simulator's first message;
+//! both are the same object, so both come through here.
+
+use crate::interface as face;
+use miniserde::json::{Number, Value};
+
+/// A JSON value with the path that leads to it, so that a complaint can name the field at fault.
+pub struct Field<'a> {
+    value: Option<&'a Value>,
+    path: String,
+}
+
+impl<'a> Field<'a> {
+    /// The root of a document, under the name that complaints begin with.
+    #[must_use]
+    pub fn root(value: &'a Value, name: &str) -> Self {
+        Self { value: Some(value), path: name.into() }
+    }
+
+    /// The member `name` of an object; absent where the object has none.
+    #[must_use]
+    pub fn at(&self, name: &str) -> Field<'a> {
+        let value = match self.value {
+            Some(Value::Object(object)) => object.get(name).filter(|v| !matches!(v, Value::Null)),
+            _ => None,
+        };
+        let path = if self.path.is_empty() { name.into() } else { format!("{}.{name}", self.path) };
+        Field { value, path }
+    }
+
+    /// A complaint about this field.
+    #[must_use]
+    pub fn bad(&self, problem: &str) -> String {
+        format!("field `{}`: {problem}", self.path)
+    }
+
+    /// Whether the field is there.
+    #[must_use]
+    pub fn given(&self) -> bool {
+        self.value.is_some()
+    }
+
+    /// The elements of an array.
+    ///
+    /// # Errors
+    /// When it is absent or no array.
+    pub fn list(&self) -> Result<Vec<Field<'a>>, String> {
+        match self.value {
+            Some(Value::Array(items)) => {
+                let item = |(n, value)| Field { value: Some(value), path: format!("{}[{n}]", self.path) };
+                Ok(items.iter().enumerate().map(item).collect())
+            }
+            Some(_) => Err(self.bad("is no list")),
+            None => Err(self.bad("missing")),
+        }
+    }
+
+    /// Fails unless the field is an object.
+    ///
+    /// # Errors
+    /// When it is absent or something else.
+    pub fn object(self) -> Result<Field<'a>, String> {
+        match self.value {
+            Some(Value::Object(_)) => Ok(self),
+            Some(_) => Err(self.bad("is no object")),
+            None => Err(self.bad("missing")),
+        }
+    }
+
+    /// A number.
+    ///
+    /// # Errors
+    /// When it is absent or no number.
+    pub fn number(&self) -> Result<f64, String> {
+        match self.value {
+            Some(Value::Number(Number::U64(n))) => Ok(*n as f64),
+            Some(Value::Number(Number::I64(n))) => Ok(*n as f64),
+            Some(Value::Number(Number::F64(n))) => Ok(*n),
+            Some(_) => Err(self.bad("is no number")),
+            None => Err(self.bad("missing")),
+        }
+    }
+
+    /// A number, or what stands for an absent one.
+    ///
+    /// # Errors
+    /// When it is something else.
+    pub fn number_or(&self, absent: f64) -> Result<f64, String> {
+        if self.given() {
+            self.number()
+        } else {
+            Ok(absent)
+        }
+    }
+
+    /// A whole number from 0 to 2^32 - 1.
+    ///
+    /// # Errors
+    /// When it is absent or no such number.
+    pub fn count(&self) -> Result<u32, String> {
+        let number = self.number()?;
+        if number.fract() == 0.0 && (0.0..=f64::from(u32::MAX)).contains(&number) {
+            Ok(number as u32)
+        } else {
+            Err(self.bad("is no whole number from 0"))
+        }
+    }
+
+    /// A text.
+    ///
+    /// # Errors
+    /// When it is absent or no text.
+    pub fn text(&self) -> Result<&'a str, String> {
+        match self.value {
+            Some(Value::String(text)) => Ok(text),
+            Some(_) => Err(self.bad("is no text")),
+            None => Err(self.bad("missing")),
+        }
+    }
+
+    /// A text, empty when absent.
+    ///
+    /// # Errors
+    /// When it is something else.
+    pub fn text_or_empty(&self) -> Result<&'a str, String> {
+        if self.given() {
+            self.text()
+        } else {
+            Ok("")
+        }
+    }
+
+    /// True or false; false when absent.
+    ///
+    /// # Errors
+    /// When it is something else.
+    pub fn flag(&self) -> Result<bool, String> {
+        match self.value {
+            Some(Value::Bool(flag)) => Ok(*flag),
+            Some(_) => Err(self.bad("is neither true nor false")),
+            None => Ok(false),
+        }
+    }
+
+    fn names(&self, member: &str) -> Result<Vec<String>, String> {
+        if !self.given() {
+            return Ok(Vec::new());
+        }
+        let name = |item: Field<'_>| {
+            if matches!(item.value, Some(Value::String(_))) {
+                item.text()
+            } else {
+                item.at(member).text_or_empty()
+            }
+            .map(String::from)
+        };
+        self.list()?.into_iter().map(name).collect()
+    }
+}
+
+/// The settings: what the module needs, and what only a wire needs.
+#[derive(Debug, Clone)]
+pub struct Told {
+    /// What the module is built from.
+    pub module: face::Settings,
+    /// The classes by name, with the time that their clients wait in all.
+    pub classes: Vec<(String, face::Millis)>,
+    /// The plans' names.
+    pub plans: Vec<String>,
+    /// The zones' names.
+    pub zones: Vec<String>,
+    /// The names of a load report's values, in order.
+    pub report_names: Vec<String>,
+    /// An idle connection to a worker is closed by it after this long.
+    pub conn_idle: face::Millis,
+    /// A connection that is not up by then will not come.
+    pub connect_timeout: face::Millis,
+    /// Requests that may be open at once.
+    pub max_open: usize,
+    /// New work may reach a worker for this long after its drain was told.
+    pub drain_grace: face::Millis,
+}
+
+impl Told {
+    /// Translates the settings object and checks every figure.
+    ///
+    /// # Errors
+    /// One line that names the first field at fault.
+    pub fn read(from: &Field<'_>) -> Result<Self, String> {
+        let (limits, rules) = (from.at("limits").object()?, from.at("rules").object()?);
+        let (family, report) = (from.at("familyInfo"), from.at("report"));
+        let mut module = face::Settings {
+            gateways: from.at("balancers").count()?,
+            zone: from.at("az").count()?,
+            classes: Vec::new(),
+            plans: Vec::new(),
+            rules: face::Rules {
+                cold_share: rules.at("coldShare").number()?,
+                warm_up: rules.at("warmUpMs").number()?,
+                fall_multiple: rules.at("fallMultiple").number()?,
+                fall_span: rules.at("overloadForMs").number()?,
+            },
+            limits: face::Limits {
+                max_attempts: if limits.at("maxAttempts").given() {
+                    limits.at("maxAttempts").count()?
+                } else {
+                    0
+                },
+                may_duplicate: limits.at("mayDuplicate").flag()?,
+                may_probe: limits.at("mayProbe").flag()?,
+                may_stop: limits.at("cancel").flag()?,
+                max_hold_off: match limits.at("retryAfter").flag()? {
+                    true => limits.at("maxRetryAfterMs").number_or(0.0)?,
+                    false => 0.0,
+                },
+                may_count: family.at("mayCount").flag()?,
+            },
+            report_fields: Vec::new(),
+            report_by: match report.at("how").text_or_empty()? {
+                "inline" => face::ReportBy::Answer,
+                "on_probe" => face::ReportBy::Probe,
+                _ => face::ReportBy::Never,
+            },
+            meter_period: family.at("meterMs").number_or(0.0)?,
+            most_units: family.at("unitsTop").number_or(0.0)?,
+            must_subscribe: from.at("discovery").text_or_empty()? == "subscribe",
+        };
+        let mut classes = Vec::new();
+        for class in from.at("requestClasses").list()? {
+            module.classes.push(read_class(&class)?);
+            classes
+                .push((class.at("name").text_or_empty()?.to_string(), class.at("giveUpMs").number_or(0.0)?));
+        }
+        let plans = from.at("tariffs");
+        module.plans = plans.list()?.iter().map(read_plan).collect::<Result<_, _>>()?;
+        let report_names = report.at("fields").names("name")?;
+        module.report_fields = report_names.iter().map(|name| report_field(name)).collect();
+        module.validate().map_err(|e| from.at(&wire_name(&e.field)).bad(e.problem))?;
+        Ok(Self {
+            module,
+            classes,
+            plans: plans.names("name")?,
+            zones: from.at("zones").names("name")?,
+            report_names,
+            conn_idle: limits.at("connIdleMs").number_or(30_000.0)?,
+            connect_timeout: limits.at("connectTimeoutMs").number_or(250.0)?,
+            max_open: limits.at("maxOpen").number_or(20_000.0)? as usize,
+            drain_grace: rules.at("drainGraceMs").number_or(250.0)?,
+        })
+    }
+}
+
+fn read_class(class: &Field<'_>) -> Result<face::Class, String> {
+    let effect = class.at("effect");
+    let scope = match class.at("keyScope").text_or_empty()? {
+        "zone" => face::KeyScope::Zone,
+        "cell" => face::KeyScope::Cell,
+        "all" => face::KeyScope::All,
+        "" if effect.text()? != "dedup" => face::KeyScope::All,
+        _ => return Err(class.at("keyScope").bad("unknown")),
+    };
+    Ok(face::Class {
+        effect: match effect.text()? {
+            "retryable" => face::Effect::Safe,
+            "dedup" => face::Effect::Keyed { scope, window: class.at("windowMs").number_or(0.0)? },
+            "fragile" => face::Effect::Unsafe,
+            _ => return Err(effect.bad("unknown")),
+        },
+        worth: class.at("worth").number()?,
+        aim: class.at("onTimeMs").number()?,
+        late_value: class.at("lateValue").number_or(0.0)?,
+    })
+}
+
+fn read_plan(plan: &Field<'_>) -> Result<face::Plan, String> {
+    let figure = |name| plan.at(name).number_or(0.0);
+    Ok(face::Plan {
+        price: plan.at("pays").number()?,
+        rate: figure("rate")?,
+        burst: figure("mostAtOnce")?,
+        at_once: figure("atOnce")?,
+        beyond_earns: figure("beyondEarns")?,
+        overrun_cost: figure("overrunCost")?,
+        ceiling_rate: figure("ceilingRate")?,
+        ceiling_depth: figure("capDepth")?,
+    })
+}
+
+fn report_field(name: &str) -> face::ReportField {
+    match name {
+        "concurrent" => face::ReportField::Concurrent,
+        "depth" => face::ReportField::Queued,
+        "load_share" => face::ReportField::Utilisation,
+        "mean_ms" => face::ReportField::ServiceTime,
+        "tps" => face::ReportField::Throughput,
+        "err_ps" => face::ReportField::Errors,
+        _ => face::ReportField::Other,
+    }
+}
+
+/// The settings' name on the wire for a field that the module found at fault.
+fn wire_name(field: &str) -> String {
+    let names = [
+        ("gateways", "balancers"),
+        ("classes", "requestClasses"),
+        ("plans", "tariffs"),
+        (".aim", ".onTimeMs"),
+        (".late_value", ".lateValue"),
+        (".window", ".windowMs"),
+        (".price", ".pays"),
+        (".burst", ".mostAtOnce"),
+        (".at_once", ".atOnce"),
+        (".beyond_earns", ".beyondEarns"),
+        (".overrun_cost", ".overrunCost"),
+        (".ceiling_rate", ".ceilingRate"),
+        (".ceiling_depth", ".capDepth"),
+        (".cold_share", ".coldShare"),
+        (".warm_up", ".warmUpMs"),
+        ("meter_period", "familyInfo.meterMs"),
+    ];
+    names.iter().fold(field.to_string(), |name, (ours, theirs)| name.replacen(ours, theirs, 1))
+}
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -5,7 +5,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn drill(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_dewhook-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_switchhill-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -2,9 +2,9 @@
 #![allow(missing_docs)]
 
 mod support;
-use dewhook::interface::*;
 use std::collections::BTreeMap;
 use support::*;
+use switchhill::interface::*;
 
 /// Sends `count` requests at once and answers them after `latency`.
 fn round(driver: &mut Driver, first: u64, count: u64, latency: Millis) -> usize {
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -2,9 +2,9 @@
 #![allow(missing_docs)]
 
 mod support;
-use dewhook::interface::*;
 use std::collections::BTreeMap;
 use support::*;
+use switchhill::interface::*;
 
 const CODES: [Code; 8] = [
     Code::Failure,
@@ -184,7 +184,7 @@
     let field = |change: fn(&mut Settings)| {
         let mut settings = settings();
         change(&mut settings);
-        dewhook::Brain::new(settings, 1).expect_err("unusable").field
+        switchhill::Brain::new(settings, 1).expect_err("unusable").field
     };
     assert_eq!(field(|s| s.gateways = 0), "gateways");
     assert_eq!(field(|s| s.plans[0].rate = -1.0), "plans[0].rate");
@@ -410,7 +410,7 @@
     let mut cold = 0;
     for seed in 0..300 {
         let mut driver = Driver::new(settings(), 0);
-        driver.brain = dewhook::Brain::new(settings(), seed).expect("usable settings");
+        driver.brain = switchhill::Brain::new(settings(), seed).expect("usable settings");
         driver.now = 100_000.0;
         let list = (1..=10).map(|n| Backend { born: if n == 1 { 99_999.0 } else { 0.0 }, ..backend(n) });
         driver.list(ListKind::Saved, list.collect());
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,8 +1,8 @@
 //! Drives a brain by hand: keeps its timers, its actions and the clock.
 #![allow(dead_code, missing_docs)]
 
-use dewhook::interface::*;
-use dewhook::Brain;
+use switchhill::interface::*;
+use switchhill::Brain;
 
 pub fn class(effect: Effect) -> Class {
     Class { worth: 1.0, aim: 1000.0, late_value: 0.2, effect }
