Add the HTTP/2 front, the shared store and tests on real sockets

Done: HTTP/2 with prior knowledge on both sides by the h2 crate, polled by the same loop (src/net/h2io.rs holds the socket's traits and wakers; no runtime). The core holds upstream requests until the peer's concurrency limit has room and drops them at a drain. A sent stream counts as never run only on REFUSED_STREAM or a GOAWAY below it. A shared store in RESP serves as the meter (src/net/store.rs). Both are off unless an operator's file names them.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -29,7 +29,7 @@
 /// The core answers a stream itself this long after the module should have.
 const LAST_RESORT: Millis = 5.0;
 /// A figure of the shared store stands in for a missing reading for this many meter periods.
-const USAGE_STANDS: f64 = 4.0;
+const USAGE_STANDS: f64 = 2.0;
 
 /// What a downstream asks for.
 #[derive(Debug, Clone, PartialEq)]
@@ -89,6 +89,8 @@
     UpstreamHeld(UpstreamId),
     /// An upstream host has room for so many upstream requests that are held for it.
     HostHasRoom(BackendId, usize),
+    /// No connection to an upstream host can be had: what is held for it never ran.
+    HostUnreachable(BackendId),
     /// The list of upstream hosts has changed.
     ListChanged(ListKind, Vec<Backend>),
     /// A probe has ended.
@@ -207,6 +209,8 @@
 
     /// What was sent on since the last call: customer, units, and the quota's rate.
     pub fn take_sent_on(&mut self) -> BTreeMap<u64, (f64, f64)> {
+        let (now, stands) = (self.now, USAGE_STANDS * self.meter_period);
+        self.usage.retain(|_, (_, at)| now - *at <= stands);
         std::mem::take(&mut self.sent_on)
     }
 
@@ -222,6 +226,12 @@
         self.hosts.get(host) == Some(&BackendState::Ready)
     }
 
+    /// Whether upstream requests are held until this host has room.
+    #[must_use]
+    pub fn holds_for(&self, host: &BackendId) -> bool {
+        self.held.contains_key(host)
+    }
+
     /// When [`Core::advance`] wants to be called at the latest.
     #[must_use]
     pub fn next_due(&self) -> Option<Millis> {
@@ -285,6 +295,7 @@
                 }
             }
             Input::HostHasRoom(host, room) => self.release(&host, room, commands),
+            Input::HostUnreachable(host) => self.drop_held(&host, Code::Unreachable, commands),
             Input::ListChanged(kind, backends) => self.listed(kind, backends, commands),
             Input::ProbeEnded(backend, code, elapsed) => {
                 self.events.push_back(Event::Probed { backend, code, elapsed, report: None });
@@ -340,15 +351,17 @@
         // Nothing that waits for room may reach a host that drains.
         let left: Vec<BackendId> = self.held.keys().filter(|host| !self.may_send_to(host)).cloned().collect();
         for host in left {
-            for id in self.held.remove(&host).unwrap_or_default() {
-                if self.upstream.contains_key(&id) {
-                    self.ended(id, Code::Void, None, None, commands);
-                }
-            }
+            self.drop_held(&host, Code::Void, commands);
         }
         self.events.push_back(Event::List { kind, backends });
     }
 
+    fn drop_held(&mut self, host: &BackendId, code: Code, commands: &mut Vec<Command>) {
+        for id in self.held.remove(host).unwrap_or_default() {
+            self.ended(id, code, None, None, commands);
+        }
+    }
+
     fn release(&mut self, host: &BackendId, room: usize, commands: &mut Vec<Command>) {
         let Some(queue) = self.held.get_mut(host) else { return };
         let mut left = room;
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -1,1 +1,243 @@
+//! The invariants, without sockets.
 
+use super::*;
+use crate::interface::{Limits, Plan, ReportBy, Rules};
+
+const VIEW: usize = 0;
+const TOP_UP: usize = 1;
+
+fn settings() -> Settings {
+    let class = |worth, aim, late_value, effect| Class { worth, aim, late_value, effect };
+    Settings {
+        gateways: 2,
+        zone: 0,
+        classes: vec![class(2.0, 1500.0, 0.0, Effect::Safe), class(6.0, 5000.0, 0.2, Effect::Unsafe)],
+        plans: vec![Plan {
+            price: 1.0,
+            rate: 5.0,
+            burst: 8.0,
+            at_once: 0.0,
+            beyond_earns: 0.0,
+            overrun_cost: 0.8,
+            ceiling_rate: 0.0,
+            ceiling_depth: 0.0,
+        }],
+        rules: Rules { cold_share: 0.2, warm_up: 10_000.0, fall_multiple: 2.0, fall_span: 2000.0 },
+        limits: Limits {
+            max_attempts: 3,
+            may_duplicate: true,
+            may_probe: false,
+            may_stop: true,
+            max_hold_off: 0.0,
+            may_count: false,
+        },
+        report_fields: vec![],
+        report_by: ReportBy::Never,
+        meter_period: 1000.0,
+        most_units: 1.0,
+        must_subscribe: false,
+    }
+}
+
+fn hosts(ids: &[&str], state: BackendState) -> Vec<Backend> {
+    ids.iter().map(|id| Backend { id: (*id).into(), state, rating: 1.0, ..Backend::default() }).collect()
+}
+
+fn terms(class: usize, wait: Millis) -> Terms {
+    Terms { class, plan: 0, customer: 7, spread: 2, units: 1.0, wait, resent: false }
+}
+
+struct Bench {
+    core: Core,
+    now: Millis,
+    out: Vec<Command>,
+}
+
+impl Bench {
+    fn new(ids: &[&str]) -> Self {
+        let core = Core::new(settings(), 3).expect("sound settings");
+        let mut bench = Self { core, now: 1000.0, out: Vec::new() };
+        bench.tell(vec![Input::ListChanged(ListKind::Full, hosts(ids, BackendState::Ready))]);
+        bench
+    }
+
+    fn tell(&mut self, mut inputs: Vec<Input>) {
+        self.core.advance(self.now, &mut inputs, &mut self.out);
+    }
+
+    fn ended(&mut self, id: UpstreamId, end: End) {
+        self.tell(vec![Input::UpstreamEnded { id, end, usage: None, report: None }]);
+    }
+
+    fn arrive(&mut self, id: StreamId, class: usize, wait: Millis) -> UpstreamId {
+        self.tell(vec![Input::StreamArrived(id, terms(class, wait))]);
+        self.last_send().expect("sent on").0
+    }
+
+    fn pass(&mut self, time: Millis) {
+        let until = self.now + time;
+        while let Some(due) = self.core.next_due().filter(|due| *due <= until) {
+            self.now = due;
+            self.tell(vec![]);
+        }
+        self.now = until;
+    }
+
+    fn sends(&self) -> usize {
+        self.out.iter().filter(|c| matches!(c, Command::Send(..))).count()
+    }
+
+    fn last_send(&self) -> Option<(UpstreamId, BackendId)> {
+        self.out.iter().rev().find_map(|c| match c {
+            Command::Send(id, host, _) => Some((*id, host.clone())),
+            _ => None,
+        })
+    }
+
+    fn answers(&self, stream: StreamId) -> Vec<&Command> {
+        let of = |c: &&Command| match c {
+            Command::Deliver((id, _)) | Command::Refuse(id, _) | Command::Fail(id, _) => *id == stream,
+            _ => false,
+        };
+        self.out.iter().filter(of).collect()
+    }
+}
+
+#[test]
+fn a_served_stream_has_one_answer_however_often_its_end_is_told() {
+    let mut bench = Bench::new(&["a", "b"]);
+    let id = bench.arrive(1, VIEW, 3000.0);
+    bench.ended(id, End::Served);
+    bench.ended(id, End::Served);
+    bench.ended(id, End::Reset);
+    bench.pass(10_000.0);
+    assert_eq!(bench.answers(1), [&Command::Deliver(id)]);
+    assert_eq!(bench.core.counters.upstream_served, 1);
+    assert_eq!(bench.core.counters.upstream_reset, 0);
+}
+
+#[test]
+fn a_top_up_that_may_have_run_is_never_sent_again() {
+    for end in [End::Reset, End::Error] {
+        let mut bench = Bench::new(&["a", "b", "c"]);
+        let id = bench.arrive(1, TOP_UP, 8000.0);
+        bench.ended(id, end);
+        bench.pass(20_000.0);
+        assert_eq!(bench.sends(), 1, "{end:?}");
+        assert_eq!(bench.answers(1), [&Command::Fail(1, false)], "{end:?}");
+    }
+}
+
+#[test]
+fn a_top_up_that_never_ran_may_go_to_another_host_or_be_refused() {
+    for end in [End::NotConnected, End::TurnedAway, End::NeverSent] {
+        let mut bench = Bench::new(&["a", "b", "c"]);
+        let id = bench.arrive(1, TOP_UP, 8000.0);
+        bench.ended(id, end);
+        if let Some((again, _)) = bench.last_send().filter(|(again, _)| *again != id) {
+            bench.ended(again, End::Served);
+        }
+        bench.pass(20_000.0);
+        let answers = bench.answers(1);
+        assert_eq!(answers.len(), 1, "{end:?}");
+        assert!(!matches!(answers[0], Command::Fail(..)), "{end:?}: {answers:?}");
+    }
+}
+
+#[test]
+fn a_downstream_that_leaves_after_its_top_up_was_sent_on() {
+    // Guarded against: the outcome of the abandoned request is lost to the module, or it is sent again.
+    let mut bench = Bench::new(&["a", "b"]);
+    let id = bench.arrive(1, TOP_UP, 8000.0);
+    bench.tell(vec![Input::DownstreamLeft(1)]);
+    assert!(bench.out.contains(&Command::Stop(id)));
+    bench.ended(id, End::Served);
+    bench.pass(20_000.0);
+    assert_eq!(bench.sends(), 1);
+    assert_eq!(bench.answers(1).len(), 0);
+    assert_eq!((bench.core.counters.upstream_stopped, bench.core.counters.left), (1, 1));
+    assert_eq!(bench.core.open_streams(), 0);
+}
+
+#[test]
+fn a_hung_upstream_host_costs_the_stream_its_deadline_and_no_more() {
+    for (class, wait) in [(VIEW, 700.0), (TOP_UP, 6000.0)] {
+        let mut bench = Bench::new(&["a"]);
+        bench.arrive(1, class, wait);
+        let start = bench.now;
+        while bench.answers(1).is_empty() {
+            bench.pass(1.0);
+            assert!(bench.now <= start + wait, "class {class} has no answer by its deadline");
+        }
+        bench.pass(20_000.0);
+        assert_eq!(bench.answers(1).len(), 1);
+    }
+}
+
+#[test]
+fn nothing_is_sent_to_a_host_that_was_told_draining_or_gone() {
+    for state in [BackendState::Draining, BackendState::Gone] {
+        let mut bench = Bench::new(&["a"]);
+        bench.tell(vec![Input::ListChanged(ListKind::Changes, hosts(&["a"], state))]);
+        bench.tell(vec![Input::StreamArrived(1, terms(VIEW, 2000.0))]);
+        assert_eq!(bench.sends(), 0);
+        assert!(matches!(bench.answers(1)[..], [Command::Refuse(1, hold_off)] if *hold_off > 0.0));
+    }
+}
+
+#[test]
+fn what_is_held_for_room_never_reaches_a_host_that_drains_meanwhile() {
+    // Guarded against: a request that waits for an HTTP/2 peer's limit starts after the drain was told.
+    let mut bench = Bench::new(&["a", "b"]);
+    let id = bench.arrive(1, TOP_UP, 8000.0);
+    let (_, host) = bench.last_send().expect("sent on");
+    bench.tell(vec![Input::UpstreamHeld(id)]);
+    bench.tell(vec![Input::ListChanged(ListKind::Changes, hosts(&[&host], BackendState::Draining))]);
+    let before = bench.sends();
+    bench.tell(vec![Input::HostHasRoom(host.clone(), 10)]);
+    assert_eq!(bench.sends(), before);
+    assert!(bench.out.iter().skip(1).all(|c| !matches!(c, Command::Send(i, h, _) if *i != id && *h == host)));
+    assert_eq!(bench.core.counters.upstream_void, 1);
+}
+
+#[test]
+fn what_is_held_goes_out_when_there_is_room_and_only_as_much() {
+    let mut bench = Bench::new(&["a"]);
+    for stream in 1..=3 {
+        let id = bench.arrive(stream, VIEW, 3000.0);
+        bench.tell(vec![Input::UpstreamHeld(id)]);
+    }
+    bench.out.clear();
+    bench.tell(vec![Input::HostHasRoom("a".into(), 2)]);
+    let sent: Vec<UpstreamId> = (bench.out.iter())
+        .filter_map(|c| if let Command::Send(id, ..) = c { Some(*id) } else { None })
+        .collect();
+    assert_eq!(sent, [(1, 0), (2, 0)]);
+}
+
+#[test]
+fn held_requests_of_an_unreachable_host_never_ran() {
+    let mut bench = Bench::new(&["a"]);
+    let id = bench.arrive(1, TOP_UP, 8000.0);
+    bench.tell(vec![Input::UpstreamHeld(id), Input::HostUnreachable("a".into())]);
+    assert!(matches!(bench.answers(1)[..], [Command::Refuse(..)]) || bench.sends() > 1);
+    assert_eq!(bench.core.counters.upstream_not_connected, 1);
+}
+
+#[test]
+fn what_is_sent_on_is_accounted_once_per_stream() {
+    let mut bench = Bench::new(&["a", "b", "c"]);
+    bench.core.keep_account();
+    let id = bench.arrive(1, VIEW, 3000.0);
+    bench.ended(id, End::NotConnected);
+    assert_eq!(bench.core.take_sent_on().get(&7), Some(&(1.0, 5.0)));
+    assert!(bench.core.take_sent_on().is_empty());
+}
+
+#[test]
+fn a_stream_with_no_time_left_is_answered_at_once() {
+    let mut bench = Bench::new(&["a"]);
+    bench.tell(vec![Input::StreamArrived(1, terms(VIEW, 0.0))]);
+    assert_eq!(bench.answers(1).len(), 1);
+    assert_eq!(bench.sends(), 0);
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -11,6 +11,8 @@
     let listen = config.listen;
     let mut gateway =
         Gateway::new(config, Some(signals)).map_err(|e| format!("cannot start on {listen}: {e}"))?;
+    let address = gateway.address().map_err(|e| format!("no address: {e}"))?;
+    eprintln!("listening on {address}");
     gateway.run().map_err(|e| format!("the loop failed: {e}"))?;
     eprint!("{}", gateway.counters());
     Ok(())
--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -1,9 +1,10 @@
 //! HTTP/1.1 connections from downstreams.
 
+use super::h2io::Io;
 use super::http1::{self, Parsed};
 use super::message::{Answer, MOST_BODY, MOST_HEAD};
 use super::poll::Interest;
-use super::{local, refusal, Conn, Downstream, Due, Gateway, ACCEPT_ON};
+use super::{local, refusal, Conn, Downstream, Due, Gateway, ACCEPT_ON, SCARCE_HOLD_OFF};
 use crate::core::{Input, StreamId};
 use crate::interface::Millis;
 use crate::memory::buffer::{Got, Inbound, Outbound};
@@ -21,9 +22,6 @@
 const LINGER: Millis = 500.0;
 /// Without descriptors to spare, accepting rests this long.
 const ACCEPT_REST: Millis = 50.0;
-/// What a client is told that came while connections are scarce.
-const SCARCE_HOLD_OFF: Millis = 500.0;
-
 /// One connection from a downstream.
 pub(super) struct Down {
     socket: TcpStream,
@@ -31,6 +29,8 @@
     outbound: Outbound,
     interest: Interest,
     stream: Option<StreamId>,
+    /// Its first bytes have not come.
+    fresh: bool,
     /// No further request is taken: it closes once all is written.
     closing: bool,
     /// All is written and our side ended; the rest of what comes is dropped.
@@ -80,13 +80,14 @@
             outbound: Outbound::default(),
             interest: Interest::READ,
             stream: None,
+            fresh: true,
             closing: false,
             lingering: false,
             surplus: self.downstreams > self.most_downstreams && !self.close_one_idle_down(),
             since: self.now,
             out_by: f64::INFINITY,
         };
-        let kept = self.down_ready(token, down, true, false).map(Conn::Down);
+        let kept = self.down_ready(token, down, true);
         self.keep(token, kept);
     }
 
@@ -126,19 +127,13 @@
         self.poll.remove(&down.socket);
         self.downstreams -= 1;
         if let Some(stream) = down.stream {
-            self.exchanges.remove(&stream);
+            self.take_exchange(stream);
             self.inputs.push(Input::DownstreamLeft(stream));
         }
     }
 
     /// Handles an event; gives the connection back unless it is closed.
-    pub(super) fn down_ready(
-        &mut self,
-        token: Token,
-        mut down: Down,
-        read: bool,
-        _write: bool,
-    ) -> Option<Down> {
+    pub(super) fn down_ready(&mut self, token: Token, mut down: Down, read: bool) -> Option<Conn> {
         if read {
             let fresh = down.inbound.bytes().is_empty() && down.stream.is_none() && !down.lingering;
             loop {
@@ -158,10 +153,22 @@
             if fresh && !down.inbound.bytes().is_empty() {
                 down.since = self.now;
             }
+            if down.fresh {
+                match http1::is_http2(down.inbound.bytes()) {
+                    Some(true) if self.http2_downstream => return self.switch_to_http2(token, down),
+                    None if self.http2_downstream => return Some(Conn::Down(down)),
+                    _ => down.fresh = down.inbound.bytes().is_empty(),
+                }
+            }
             self.take_requests(token, &mut down);
         }
         // Room to write needs no handling of its own: whatever the event, what waits is tried.
-        self.flush_down(token, down)
+        self.flush_down(token, down).map(Conn::Down)
+    }
+
+    fn switch_to_http2(&mut self, token: Token, down: Down) -> Option<Conn> {
+        let io = Io::new(down.socket, down.inbound.bytes().to_vec());
+        self.become_http2(token, io).map(|down| Conn::Down2(Box::new(down)))
     }
 
     /// Takes the next request from what has been read, unless one is in work.
@@ -185,8 +192,8 @@
             down.closing |= !reusable;
             if let Some(answer) = self.own_service(&message) {
                 down.push(&answer, self.stopping.is_some());
-            } else if down.surplus {
-                down.push(&refusal(SCARCE_HOLD_OFF), true);
+            } else if down.surplus || self.holds_too_much() {
+                down.push(&refusal(SCARCE_HOLD_OFF), down.surplus);
             } else {
                 match self.stream_arrived(Downstream::Http1(token), message) {
                     Ok(stream) => down.stream = Some(stream),
@@ -252,7 +259,7 @@
         self.keep(token, kept);
     }
 
-    pub(super) fn sweep_down(&mut self, token: Token, mut down: Down) -> Option<Down> {
+    pub(super) fn sweep_down(&mut self, token: Token, mut down: Down) -> Option<Conn> {
         let age = self.now - down.since;
         let unread = !down.inbound.bytes().is_empty();
         if !down.outbound.is_empty() && self.now > down.out_by.max(down.since + 50.0) {
@@ -264,25 +271,26 @@
                 self.close_down(down);
                 return None;
             }
-            return Some(down);
+            return Some(Conn::Down(down));
         }
         if down.stream.is_none() && down.outbound.is_empty() {
             if unread && age > ARRIVES_WITHIN {
                 self.bad_message(&mut down, 408, "the request did not come in");
-                return self.flush_down(token, down);
+                return self.flush_down(token, down).map(Conn::Down);
             }
             let stopped = self.stopping.is_some_and(|since| self.now >= since + ACCEPT_ON);
             if !unread && (age > IDLE || stopped) {
                 // A request may just have come in: it is read before the connection closes.
-                let down = self.down_ready(token, down, true, false)?;
-                if down.is_idle() {
-                    self.close_down(down);
-                    return None;
-                }
-                return Some(down);
+                return match self.down_ready(token, down, true)? {
+                    Conn::Down(down) if down.is_idle() => {
+                        self.close_down(down);
+                        None
+                    }
+                    other => Some(other),
+                };
             }
         }
-        Some(down)
+        Some(Conn::Down(down))
     }
 }
 
--- a/src/net/message.rs
+++ b/src/net/message.rs
@@ -111,6 +111,12 @@
         }
     }
 
+    /// Roughly the memory it takes.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        self.target.len() + self.headers.len() + self.body.len()
+    }
+
     /// The path without its query.
     #[must_use]
     pub fn path(&self) -> &str {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,11 @@
 
 mod discovery;
 mod downstream;
+mod h2io;
+mod http2;
+mod http2_down;
+mod http2_up;
+mod store;
 mod upstream;
 
 use crate::core::Timers;
@@ -21,13 +26,17 @@
 use crate::settings::Told;
 use discovery::Discovery;
 use downstream::Down;
+use h2io::Woken;
+use http2_down::Down2;
+use http2_up::Up2;
 use message::{Answer, Message};
 use poll::{Interest, Poll};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixStream;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use store::Account;
 use upstream::{Host, Up};
 
 /// How often connections are looked over for what no event tells.
@@ -36,6 +45,12 @@
 const READY_ANYWAY: Millis = 1000.0;
 /// After SIGTERM new connections are still taken for this long.
 const ACCEPT_ON: Millis = 700.0;
+/// Bytes of requests that are held at once; more are turned away.
+const MOST_HELD: usize = 48 * 1024 * 1024;
+/// What a client is told that came while connections or memory are scarce.
+const SCARCE_HOLD_OFF: Millis = 500.0;
+/// The meter period of a shared store where the settings name none.
+const STORE_PERIOD: Millis = 2000.0;
 /// Descriptors kept for everything but clients and upstream hosts.
 const RESERVE: usize = 24;
 
@@ -61,13 +76,17 @@
     Signal(UnixStream, Asked),
     Down(Down),
     Up(Up),
+    Down2(Box<Down2>),
+    Up2(Box<Up2>),
     Discovery(discovery::Link),
+    Store(store::Link),
 }
 
 /// Where a stream's answer goes.
 #[derive(Debug, Clone, Copy)]
 enum Downstream {
     Http1(Token),
+    Http2(Token, u32),
 }
 
 /// What is held of a stream while it is open.
@@ -86,6 +105,7 @@
     Probe(Token),
     Discovery(u64),
     Accept,
+    Account,
 }
 
 /// The running program.
@@ -101,9 +121,13 @@
     accepting: bool,
     discovery: Discovery,
     hosts: BTreeMap<BackendId, Host>,
-    http2_hosts: std::collections::BTreeSet<String>,
+    account: Option<Account>,
+    http2_hosts: BTreeSet<String>,
+    http2_downstream: bool,
+    woken: Woken,
     exchanges: HashMap<StreamId, Exchange>,
     in_flight: HashMap<UpstreamId, Token>,
+    held_bytes: usize,
     next_stream: StreamId,
     inputs: Vec<Input>,
     timers: Timers<Due>,
@@ -123,13 +147,24 @@
     /// When the address cannot be listened on or the poller cannot be had.
     pub fn new(config: Config, signals: Option<Signals>) -> io::Result<Self> {
         let invalid = |e: crate::interface::SettingsError| io::Error::new(io::ErrorKind::InvalidInput, e);
-        let core = Core::new(config.told.module.clone(), config.seed).map_err(invalid)?;
+        let mut told = config.told;
         let clock = Clock::new();
         let now = clock.now();
+        let account = config.operator.store.map(|store| {
+            // Where the platform has no meter, the store's period is the module's.
+            if told.module.meter_period <= 0.0 {
+                told.module.meter_period = STORE_PERIOD;
+            }
+            Account::new(store, told.module.meter_period, now)
+        });
+        let mut core = Core::new(told.module.clone(), config.seed).map_err(invalid)?;
+        if account.is_some() {
+            core.keep_account();
+        }
         let most_upstreams = (config.sockets - RESERVE) * 2 / 5;
         let mut gateway = Self {
             core,
-            told: config.told,
+            told,
             poll: Poll::new()?,
             now,
             started: now,
@@ -139,9 +174,13 @@
             accepting: true,
             discovery: Discovery::new(config.discovery),
             hosts: BTreeMap::new(),
+            account,
+            http2_downstream: config.operator.http2_downstream,
             http2_hosts: config.operator.http2_hosts,
+            woken: Woken::default(),
             exchanges: HashMap::new(),
             in_flight: HashMap::new(),
+            held_bytes: 0,
             next_stream: 0,
             inputs: Vec::new(),
             timers: Timers::default(),
@@ -170,6 +209,7 @@
             gateway.take_list(known, ListKind::Saved);
         }
         gateway.timers.push(now + SWEEP, Due::Sweep);
+        gateway.account_due();
         gateway.ask_discovery();
         Ok(gateway)
     }
@@ -202,7 +242,7 @@
             let due =
                 self.core.next_due().into_iter().chain(self.timers.next_due()).fold(f64::INFINITY, f64::min);
             let wait = (due - self.clock.now()).clamp(0.0, SWEEP);
-            let wait = if self.inputs.is_empty() { wait } else { 0.0 };
+            let wait = if self.inputs.is_empty() && self.woken.is_empty() { wait } else { 0.0 };
             self.poll.wait(Duration::from_micros((wait * 1000.0).ceil() as u64), &mut ready)?;
             self.now = self.clock.now();
             for (token, readable, writable) in ready.drain(..) {
@@ -215,6 +255,9 @@
             for command in commands.drain(..) {
                 self.carry_out(command);
             }
+            for token in self.woken.take() {
+                self.ready(token, false, false);
+            }
         }
         Ok(())
     }
@@ -239,8 +282,11 @@
                 }
                 Some(Conn::Signal(socket, asked))
             }
-            Conn::Down(down) => self.down_ready(token, down, readable, writable).map(Conn::Down),
+            Conn::Down(down) => self.down_ready(token, down, readable),
             Conn::Up(up) => self.up_ready(token, up, readable, writable).map(Conn::Up),
+            Conn::Down2(down) => self.down2_ready(token, *down).map(|down| Conn::Down2(Box::new(down))),
+            Conn::Up2(up) => self.up2_ready(token, *up).map(|up| Conn::Up2(Box::new(up))),
+            Conn::Store(link) => self.store_ready(token, link, readable).map(Conn::Store),
             Conn::Discovery(link) => {
                 self.discovery_ready(token, link, readable, writable).map(Conn::Discovery)
             }
@@ -266,6 +312,7 @@
             Due::Probe(token) => self.probe_overdue(token),
             Due::Discovery(turn) => self.discovery_due(turn),
             Due::Accept => self.watch_listener(true),
+            Due::Account => self.account_due(),
         }
     }
 
@@ -274,19 +321,19 @@
             Command::Send(id, host, wait) => self.send(id, &host, wait),
             Command::Stop(id) => self.stop(id),
             Command::Deliver((stream, _)) => {
-                let Some(exchange) = self.exchanges.remove(&stream) else { return };
+                let Some(exchange) = self.take_exchange(stream) else { return };
                 match exchange.answer {
                     Some((_, answer)) => self.answer(exchange.downstream, exchange.deadline, answer),
                     None => self.answer(exchange.downstream, exchange.deadline, local(502, b"")),
                 }
             }
             Command::Refuse(stream, hold_off) => {
-                let Some(exchange) = self.exchanges.remove(&stream) else { return };
+                let Some(exchange) = self.take_exchange(stream) else { return };
                 let answer = refusal(hold_off);
                 self.answer(exchange.downstream, exchange.deadline, answer);
             }
             Command::Fail(stream, late) => {
-                let Some(exchange) = self.exchanges.remove(&stream) else { return };
+                let Some(exchange) = self.take_exchange(stream) else { return };
                 let answer = local(if late { 504 } else { 502 }, b"");
                 self.answer(exchange.downstream, exchange.deadline, answer);
             }
@@ -300,9 +347,22 @@
     fn answer(&mut self, downstream: Downstream, deadline: Millis, answer: Answer) {
         match downstream {
             Downstream::Http1(token) => self.answer_http1(token, deadline, &answer),
+            Downstream::Http2(token, key) => self.answer_http2(token, key, deadline, &answer),
         }
     }
 
+    /// Whether another stream would go over what is held in memory at once.
+    fn holds_too_much(&self) -> bool {
+        self.held_bytes > MOST_HELD || self.core.open_streams() >= self.told.max_open
+    }
+
+    /// Forgets a stream's exchange.
+    fn take_exchange(&mut self, stream: StreamId) -> Option<Exchange> {
+        let exchange = self.exchanges.remove(&stream)?;
+        self.held_bytes -= exchange.message.size();
+        Some(exchange)
+    }
+
     /// Takes in a whole request, however it was spoken.
     fn stream_arrived(
         &mut self,
@@ -313,6 +373,7 @@
         let id = self.next_stream;
         self.next_stream += 1;
         let deadline = self.now + terms.wait;
+        self.held_bytes += message.size();
         self.exchanges.insert(id, Exchange { downstream, message, answer: None, deadline });
         self.inputs.push(Input::StreamArrived(id, terms));
         Ok(id)
@@ -375,8 +436,10 @@
         for token in self.slots.tokens() {
             let Some(conn) = self.slots.take(token) else { continue };
             let kept = match conn {
-                Conn::Down(down) => self.sweep_down(token, down).map(Conn::Down),
+                Conn::Down(down) => self.sweep_down(token, down),
                 Conn::Up(up) => self.sweep_up(up).map(Conn::Up),
+                Conn::Down2(down) => self.sweep_down2(token, *down).map(|down| Conn::Down2(Box::new(down))),
+                Conn::Up2(up) => self.sweep_up2(token, *up).map(|up| Conn::Up2(Box::new(up))),
                 other => Some(other),
             };
             self.keep(token, kept);
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -14,9 +14,9 @@
 
 /// Share of the time after which an upstream host closes an idle connection at which ours are closed.
 /// Danger: a request written into that close would be a reset, and a `top-up` could not be sent again.
-const IDLE_SHARE: f64 = 0.5;
+pub(super) const IDLE_SHARE: f64 = 0.5;
 /// A probe without an answer by then has failed.
-const PROBE_WITHIN: Millis = 1000.0;
+pub(super) const PROBE_WITHIN: Millis = 1000.0;
 
 /// An upstream host as the wire knows it.
 pub(super) struct Host {
@@ -24,10 +24,13 @@
     pub(super) http2: bool,
     /// Idle connections, the one used last at the end.
     pub(super) idle: Vec<Token>,
+    /// The HTTP/2 connection that takes new requests.
+    pub(super) http2_token: Option<Token>,
 }
 
-/// What a connection is opened or used for.
-enum Job {
+/// What a connection is opened or used for: a stream's request, with the time until which its answer is
+/// waited for, or a probe, with its start.
+pub(super) enum Job {
     Stream(UpstreamId, Millis),
     Probe(Millis),
 }
@@ -54,7 +57,7 @@
                 self.close_idle(id);
             }
             None => {
-                self.hosts.insert(id.clone(), Host { address, http2, idle: Vec::new() });
+                self.hosts.insert(id.clone(), Host { address, http2, idle: Vec::new(), http2_token: None });
             }
         }
     }
@@ -69,6 +72,9 @@
 
     /// Puts a job on an idle connection, or opens one for it.
     fn start(&mut self, host: &BackendId, job: Job) {
+        if self.hosts.get(host).is_some_and(|h| h.http2) {
+            return self.start_http2(host, job);
+        }
         while let Some(token) = self.hosts.get_mut(host).and_then(|h| h.idle.pop()) {
             let Some(Conn::Up(mut up)) = self.slots.take(token) else { continue };
             up.job = Some(job);
@@ -215,15 +221,11 @@
     /// A whole answer has come for the job at hand.
     fn answered(&mut self, up: &mut Up, answer: Answer) {
         let Some(job) = up.job.take() else { return };
-        let end = match answer.status {
-            200 => End::Served,
-            503 | 504 if answer.turned_away => End::TurnedAway,
-            _ => End::Error,
-        };
+        let end = end_of(&answer);
         self.job_over(&up.host.clone(), job, end, Some(answer));
     }
 
-    fn job_over(&mut self, host: &BackendId, job: Job, end: End, answer: Option<Answer>) {
+    pub(super) fn job_over(&mut self, host: &BackendId, job: Job, end: End, answer: Option<Answer>) {
         match job {
             Job::Stream(id, _) => self.upstream_ended(id, end, answer),
             Job::Probe(since) => {
@@ -277,35 +279,43 @@
     /// Gives up an upstream request by closing its connection.
     pub(super) fn stop(&mut self, id: UpstreamId) {
         let Some(token) = self.in_flight.remove(&id) else { return };
-        if let Some(Conn::Up(mut up)) = self.slots.take(token) {
-            up.job = None;
-            self.close_up(up, End::Reset);
-        }
-        self.slots.release(token);
+        let kept = match self.slots.take(token) {
+            Some(Conn::Up(mut up)) => {
+                up.job = None;
+                self.close_up(up, End::Reset).map(Conn::Up)
+            }
+            Some(Conn::Up2(up)) => self.stop_http2(token, *up, id).map(|up| Conn::Up2(Box::new(up))),
+            other => other,
+        };
+        self.keep(token, kept);
     }
 
     pub(super) fn connect_overdue(&mut self, token: Token) {
-        if matches!(self.slots.get(token), Some(Conn::Up(up)) if up.connecting) {
-            if let Some(Conn::Up(up)) = self.slots.take(token) {
-                self.close_up(up, End::NotConnected);
-            }
-            self.slots.release(token);
-        }
+        let kept = match self.slots.take(token) {
+            Some(Conn::Up(up)) if up.connecting => self.close_up(up, End::NotConnected).map(Conn::Up),
+            Some(Conn::Up2(up)) => self.connect_overdue_http2(*up).map(|up| Conn::Up2(Box::new(up))),
+            Some(other) => Some(other),
+            None => return,
+        };
+        self.keep(token, kept);
     }
 
     pub(super) fn probe_overdue(&mut self, token: Token) {
-        let now = self.now;
-        let late = |since: Millis| now - since >= PROBE_WITHIN - 1.0;
-        if matches!(self.slots.get(token), Some(Conn::Up(Up { job: Some(Job::Probe(since)), .. })) if late(*since))
-        {
-            if let Some(Conn::Up(mut up)) = self.slots.take(token) {
-                if let Some(Job::Probe(since)) = up.job.take() {
+        let late = |since: Millis, now: Millis| now - since >= PROBE_WITHIN - 1.0;
+        let kept = match self.slots.take(token) {
+            Some(Conn::Up(mut up)) => match up.job {
+                Some(Job::Probe(since)) if late(since, self.now) => {
+                    up.job = None;
                     self.probed(up.host.clone(), Code::TimedOut, since);
+                    self.close_up(up, End::Reset).map(Conn::Up)
                 }
-                self.close_up(up, End::Reset);
-            }
-            self.slots.release(token);
-        }
+                _ => Some(Conn::Up(up)),
+            },
+            Some(Conn::Up2(up)) => self.probe_overdue_http2(token, *up).map(|up| Conn::Up2(Box::new(up))),
+            Some(other) => Some(other),
+            None => return,
+        };
+        self.keep(token, kept);
     }
 
     /// Closes idle connections to one host.
@@ -320,7 +330,7 @@
     }
 
     /// Makes room for one connection by closing an idle one to another host.
-    fn close_any_idle(&mut self) -> bool {
+    pub(super) fn close_any_idle(&mut self) -> bool {
         let most = self.hosts.values_mut().max_by_key(|h| h.idle.len());
         let Some(token) = most.filter(|h| !h.idle.is_empty()).map(|h| h.idle.remove(0)) else { return false };
         if let Some(Conn::Up(up)) = self.slots.take(token) {
@@ -340,6 +350,15 @@
     }
 }
 
+/// What an upstream host's answer says of its request.
+pub(super) fn end_of(answer: &Answer) -> End {
+    match answer.status {
+        200 => End::Served,
+        503 | 504 if answer.turned_away => End::TurnedAway,
+        _ => End::Error,
+    }
+}
+
 /// Begins to connect without waiting.
 pub(super) fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
--- /dev/null
+++ b/tests/parsers.rs
@@ -0,0 +1,149 @@
+//! Tables of cases for what comes off the wire and out of files.
+#![allow(missing_docs)]
+
+use rstest::rstest;
+use switchhill::net::http1::{self, Parsed};
+use switchhill::net::message::{Answer, Message};
+use switchhill::process::config::{Config, Operator};
+
+const HEAD: &str = "POST /top-up/x?y=1 HTTP/1.1\r\nHost: app.svc\r\nX-Txn: 1\r\n";
+
+fn parsed(text: &str) -> Parsed<Message> {
+    http1::request(text.as_bytes())
+}
+
+#[rstest]
+#[case::no_body("", "", true)]
+#[case::length("Content-Length: 5\r\n", "hello", true)]
+#[case::chunked("Transfer-Encoding: chunked\r\n", "2\r\nhe\r\n3;x=y\r\nllo\r\n0\r\nT: u\r\n\r\n", true)]
+#[case::close("Connection: close\r\nContent-Length: 5\r\n", "hello", false)]
+fn whole_requests_and_every_split_of_them(#[case] headers: &str, #[case] body: &str, #[case] reusable: bool) {
+    let text = format!("{HEAD}{headers}\r\n{body}");
+    for at in 0..text.len() {
+        assert!(matches!(parsed(&text[..at]), Parsed::Partial(_)), "split at {at}");
+    }
+    // What follows on the connection belongs to the next request.
+    let Parsed::Whole(message, used, again) = parsed(&format!("{text}GET / HTTP/1.1\r\n")) else {
+        panic!("not whole");
+    };
+    assert_eq!((used, again), (text.len(), reusable));
+    assert_eq!((message.method.as_str(), message.target.as_str()), ("POST", "/top-up/x?y=1"));
+    assert_eq!(message.body, if body.is_empty() { &b""[..] } else { &b"hello"[..] });
+    assert_eq!(message.headers, b"Host: app.svc\r\nX-Txn: 1\r\n");
+}
+
+#[rstest]
+#[case("Content-Length: 5x\r\n\r\n", 400)]
+#[case("Content-Length: -1\r\n\r\n", 400)]
+#[case("Content-Length: 1\r\nContent-Length: 2\r\n\r\n", 400)]
+#[case("Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n", 400)]
+#[case("Transfer-Encoding: gzip, chunked\r\n\r\n", 400)]
+#[case("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n", 400)]
+#[case("Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400)]
+#[case("Transfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n", 400)]
+#[case("Transfer-Encoding: chunked\r\n\r\nfffffff\r\n", 413)]
+#[case("Content-Length: 65537\r\n\r\n", 413)]
+#[case("Content-Length: 99999999999999999999999\r\n\r\n", 413)]
+#[case("bad header\r\n\r\n", 400)]
+fn malformed_requests_name_their_status(#[case] rest: &str, #[case] status: u16) {
+    assert!(matches!(parsed(&format!("{HEAD}{rest}")), Parsed::Bad(s, _) if s == status), "{rest:?}");
+}
+
+#[test]
+fn a_head_without_end_is_too_large() {
+    let text = format!("{HEAD}X: {}", "a".repeat(20_000));
+    assert!(matches!(parsed(&text), Parsed::Bad(431, _)));
+    let many: String = (0..100).map(|n| format!("X-{n}: 1\r\n")).collect();
+    assert!(matches!(parsed(&format!("{HEAD}{many}\r\n")), Parsed::Bad(431, _)));
+}
+
+#[rstest]
+#[case("GET http://elsewhere/ HTTP/1.1\r\n\r\n")]
+#[case("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")]
+#[case("\x16\x03\x01\x02\x00\x01\x00\x01\x07\x03")]
+fn other_tongues_get_400(#[case] text: &str) {
+    assert!(matches!(parsed(text), Parsed::Bad(400, _)));
+}
+
+#[rstest]
+#[case::length("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 200, b"ok", true)]
+#[case::chunked(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    200,
+    b"ok",
+    true
+)]
+#[case::old("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", 200, b"ok", false)]
+#[case::closes("HTTP/1.1 500 No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", 500, b"", false)]
+#[case::hinted(
+    "HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    200,
+    b"ok",
+    true
+)]
+fn answers(#[case] text: &str, #[case] status: u16, #[case] body: &[u8], #[case] reusable: bool) {
+    for at in 0..text.len() {
+        assert!(matches!(http1::answer(&text.as_bytes()[..at], false), Parsed::Partial(_)), "split at {at}");
+    }
+    let Parsed::Whole(answer, used, again) = http1::answer(text.as_bytes(), false) else {
+        panic!("not whole")
+    };
+    assert_eq!((answer.status, &answer.body[..], used, again), (status, body, text.len(), reusable));
+}
+
+#[test]
+fn an_answer_until_the_end_is_whole_only_at_the_end() {
+    let text = b"HTTP/1.1 200 OK\r\n\r\nso far";
+    assert!(matches!(http1::answer(text, false), Parsed::Partial(_)));
+    assert!(matches!(http1::answer(text, true), Parsed::Whole(a, _, false) if a.body == b"so far"));
+    // Cut short of its length it is not whole, whoever closed.
+    assert!(matches!(
+        http1::answer(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nso far", true),
+        Parsed::Partial(_)
+    ));
+}
+
+#[rstest]
+#[case("inflight=7,queue=2,util=0.61", &["depth", "concurrent"], Some(vec![2.0, 7.0]))]
+#[case("latency_ms=12.5", &["mean_ms"], Some(vec![12.5]))]
+#[case("mean_ms=12.5", &["mean_ms"], Some(vec![12.5]))]
+#[case("", &["mean_ms"], None)]
+fn load_reports(#[case] value: &str, #[case] names: &[&str], #[case] report: Option<Vec<f64>>) {
+    let mut answer = Answer::default();
+    answer.header("X-Pressure", value.as_bytes());
+    assert_eq!(answer.report(&names.iter().map(ToString::to_string).collect::<Vec<_>>()), report);
+}
+
+pub const CONFIG: &str = include_str!("support/config.json");
+
+#[test]
+fn a_sound_configuration_is_read() {
+    let config = Config::read(CONFIG, None).expect("sound");
+    assert_eq!((config.name.as_str(), config.sockets, config.told.plans.len()), ("n0", 1024, 3));
+    assert_eq!(config.known.expect("known").members[0].backend.zone, 1);
+}
+
+#[rstest]
+#[case("\"10.0.0.4:8443\"", "\"here\"", "`listen`")]
+#[case("\"seed\":\"8c1f30d27a5be964\"", "\"seed\":8", "`seed`")]
+#[case("\"sockets\":1024", "\"sockets\":10", "`limits.sockets`")]
+#[case("\"balancers\": 3", "\"balancers\": 0", "`settings.balancers`")]
+#[case("\"onTimeMs\": 1500.0", "\"onTimeMs\": -1", "`settings.requestClasses[0].onTimeMs`")]
+#[case("\"effect\": \"fragile\"", "\"effect\": \"odd\"", "`settings.requestClasses[1].effect`")]
+#[case("\"phase\":\"in_service\"", "\"phase\":\"odd\"", "`known.members[0].phase`")]
+#[case("\"host_port\":\"10.1.0.18:8443\"", "\"host_port\":\"x\"", "`known.members[0].host_port`")]
+#[case("{\"name\"", "{{\"name\"", "not JSON")]
+fn a_bad_configuration_is_named_in_one_line(#[case] from: &str, #[case] to: &str, #[case] says: &str) {
+    assert!(CONFIG.contains(from), "{from}");
+    let error = Config::read(&CONFIG.replacen(from, to, 1), None).expect_err(says);
+    assert!(error.contains(says) && !error.contains('\n'), "{error}");
+}
+
+#[test]
+fn the_operators_file_in_the_repository_is_sound() {
+    let text = include_str!("../deploy/two-sites.json");
+    let operator = Operator::read(text).expect("sound");
+    assert!(operator.http2_downstream && operator.store.is_some());
+    let error = Operator::read(&text.replace("\"address\"", "\"adress\"")).expect_err("no address");
+    assert!(error.contains("`store.address`"), "{error}");
+}
--- /dev/null
+++ b/tests/sockets.rs
@@ -0,0 +1,240 @@
+//! One short test on real sockets for each rule of the platform's protocol.
+#![allow(missing_docs)]
+
+mod stand_in;
+
+use rstest::rstest;
+use stand_in::*;
+use std::io::Write;
+use std::net::Shutdown;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+fn fleet(acts: &[Act]) -> (Arc<Seen>, Discovery) {
+    let seen = Arc::new(Seen::default());
+    let ids = ["s-1", "s-2", "s-3", "s-4"];
+    let members = acts.iter().zip(ids).map(|(act, id)| {
+        let act = *act;
+        member(id, host(&seen, move |_| act))
+    });
+    let discovery = Discovery::new(members.collect());
+    (seen, discovery)
+}
+
+#[test]
+fn a_request_is_served_with_the_hosts_own_answer() {
+    let (seen, discovery) = fleet(&[Act::Serve]);
+    let gateway = Gateway::start(&discovery);
+    let mut client = Client::connect(gateway.address);
+    for (id, class, body) in [(1, "usage-view", ""), (2, "top-up", "pay"), (3, "usage-view", "")] {
+        let answer = client.ask(class, id, id, 3000);
+        assert_eq!((answer.status, answer.body), (200, format!("{id:016x}{body}").into_bytes()));
+        assert_eq!(seen.times(&format!("{id:016x}")), 1);
+    }
+    assert_eq!(gateway.counter("served"), 3);
+    // The second and third went over the first one's connection.
+    assert_eq!(gateway.counter("upstream_connections"), 1);
+}
+
+#[rstest]
+#[case::broken_connection(Act::Break)]
+#[case::error(Act::Error)]
+fn a_top_up_that_may_have_run_fails_and_is_not_sent_again(#[case] act: Act) {
+    let (seen, discovery) = fleet(&[act; 3]);
+    let gateway = Gateway::start(&discovery);
+    let answer = Client::connect(gateway.address).ask("top-up", 1, 1, 5000);
+    assert_eq!((answer.status, seen.all()), (502, 1));
+}
+
+#[test]
+fn a_top_up_on_a_reused_connection_that_breaks_is_a_reset() {
+    // Guarded against: a kept connection that the host closes while a request is on its way looks like one
+    // that could be tried again; its last byte was written, so it may have run.
+    let seen = Arc::new(Seen::default());
+    let act =
+        |m: &switchhill::net::message::Message| if m.method == "POST" { Act::Break } else { Act::Serve };
+    let discovery = Discovery::new(vec![member("s-1", host(&seen, act)), member("s-2", host(&seen, act))]);
+    let gateway = Gateway::start(&discovery);
+    let mut client = Client::connect(gateway.address);
+    for id in 1..=4 {
+        assert_eq!(client.ask("usage-view", id, id, 3000).status, 200);
+    }
+    assert_eq!(client.ask("top-up", 9, 9, 3000).status, 502);
+    assert_eq!((seen.times(&format!("{:016x}", 9)), gateway.counter("upstream_reset")), (1, 1));
+}
+
+#[rstest]
+#[case::turned_away(true)]
+#[case::not_connected(false)]
+fn a_top_up_that_never_ran_is_refused_with_the_time_to_come_back(#[case] listens: bool) {
+    let seen = Arc::new(Seen::default());
+    let address = if listens { host(&seen, |_| Act::TurnAway) } else { nowhere() };
+    let discovery = Discovery::new(vec![member("s-1", address)]);
+    let gateway = Gateway::start(&discovery);
+    let start = Instant::now();
+    let answer = Client::connect(gateway.address).ask("top-up", 1, 1, 10_000);
+    assert_eq!((answer.status, seen.all()), (503, 0));
+    assert!(retry_after(&answer).is_some_and(|s| s > 0.0));
+    // At once, not when its time is up.
+    assert!(start.elapsed() < Duration::from_secs(5));
+}
+
+#[test]
+fn a_request_without_any_host_is_refused_at_once() {
+    let discovery = Discovery::new(vec![]);
+    let gateway = Gateway::start(&discovery);
+    let start = Instant::now();
+    let answer = Client::connect(gateway.address).ask("usage-view", 1, 1, 10_000);
+    assert_eq!(answer.status, 503);
+    assert!(retry_after(&answer).is_some() && start.elapsed() < Duration::from_secs(5));
+}
+
+#[rstest]
+#[case::given_up_at_the_aim("usage-view", 2500, 503)]
+#[case::out_of_time("usage-view", 600, 504)]
+#[case::may_have_run("top-up", 600, 504)]
+fn a_silent_host_costs_no_more_than_the_clients_time(
+    #[case] class: &str,
+    #[case] wait: u64,
+    #[case] status: u16,
+) {
+    let (_, discovery) = fleet(&[Act::Hang]);
+    let gateway = Gateway::start(&discovery);
+    assert_eq!(Client::connect(gateway.address).ask(class, 1, 1, wait).status, status);
+    assert_eq!(gateway.counter("served"), 0);
+}
+
+#[test]
+fn a_host_told_draining_gets_nothing_new() {
+    let (seen, other) = (Arc::new(Seen::default()), Arc::new(Seen::default()));
+    let discovery = Discovery::new(vec![
+        member("s-1", host(&seen, |_| Act::Serve)),
+        member("s-2", host(&other, |_| Act::Serve)),
+    ]);
+    let gateway = Gateway::start(&discovery);
+    let mut client = Client::connect(gateway.address);
+    let mut id = 0;
+    wait_for("both hosts in use", || {
+        id += 1;
+        assert_eq!(client.ask("usage-view", id, id, 3000).status, 200);
+        seen.all() > 0 && other.all() > 0
+    });
+    let lists = gateway.counter("lists");
+    discovery.change("s-1", "terminating");
+    wait_for("the change", || gateway.counter("lists") > lists);
+    let before = seen.all();
+    for id in 1000..1030 {
+        assert_eq!(client.ask("usage-view", id, id, 3000).status, 200);
+    }
+    assert_eq!(seen.all(), before);
+}
+
+#[test]
+fn a_hanging_watch_is_made_anew() {
+    let (_, discovery) = fleet(&[Act::Serve]);
+    let gateway = Gateway::start(&discovery);
+    wait_for("a watch", || discovery.calls() >= 2);
+    let before = discovery.calls();
+    discovery.silence(true);
+    wait_for("a call on another connection", || discovery.calls() > before);
+    discovery.change("s-1", "terminating");
+    discovery.silence(false);
+    wait_for("the drain", || Client::connect(gateway.address).ask("usage-view", 1, 1, 2000).status == 503);
+}
+
+#[rstest]
+#[case("GET /usage-view HTTP/1.1\r\nHost: a\r\n\r\n", 400)]
+#[case("GET /elsewhere HTTP/1.1\r\nHost: a\r\n\r\n", 404)]
+#[case("DELETE /top-up HTTP/1.1\r\nHost: a\r\n\r\n", 405)]
+#[case("POST /top-up HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", 413)]
+#[case("\x00\x01\x02\r\n\r\n", 400)]
+#[case("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", 400)]
+fn bad_input_gets_its_status_and_a_close(#[case] text: &str, #[case] status: u16) {
+    let (_, discovery) = fleet(&[Act::Serve]);
+    let gateway = Gateway::start(&discovery);
+    let mut client = Client::connect(gateway.address);
+    client.write(text);
+    assert_eq!(client.answer().expect("an answer").status, status);
+    assert!(client.answer().is_none(), "the connection is closed");
+    assert_eq!(gateway.counter("bad_messages"), 1);
+}
+
+#[test]
+fn pipelined_and_split_requests_are_answered_in_turn() {
+    let (_, discovery) = fleet(&[Act::Serve]);
+    let gateway = Gateway::start(&discovery);
+    let mut client = Client::connect(gateway.address);
+    let text: String = (1..=3).map(|id| request("top-up", id, id, 5000)).collect();
+    for part in text.as_bytes().chunks(37) {
+        client.socket.write_all(part).expect("written");
+    }
+    for id in 1..=3 {
+        assert_eq!(client.answer().expect("an answer").body, format!("{id:016x}pay").into_bytes());
+    }
+}
+
+#[test]
+fn a_client_that_leaves_has_its_top_up_settled_and_not_repeated() {
+    let (seen, discovery) = fleet(&[Act::Hang, Act::Hang]);
+    let gateway = Gateway::start(&discovery);
+    for end in [Shutdown::Write, Shutdown::Both] {
+        let before = seen.all();
+        let mut client = Client::connect(gateway.address);
+        client.write(&request("top-up", before as u64 + 1, 1, 10_000));
+        wait_for("the request at a host", || seen.all() > before);
+        client.socket.shutdown(end).expect("shut down");
+        wait_for("its outcome", || gateway.counter("upstream_stopped") == before as u64 + 1);
+    }
+    assert_eq!((seen.all(), seen.most(), gateway.counter("left")), (2, 1, 2));
+}
+
+#[test]
+fn descriptors_run_out_and_everyone_is_answered() {
+    // Guarded against: a connection the machine has accepted and the program has no descriptor for.
+    let (_, discovery) = fleet(&[Act::Serve]);
+    let config = config(discovery.address).replace("\"sockets\":1024", "\"sockets\":64");
+    let gateway = Gateway::start_with(&config, None);
+    let mut clients: Vec<Client> = (0..60).map(|_| Client::connect(gateway.address)).collect();
+    let mut answered = 0;
+    for (id, client) in clients.iter_mut().enumerate() {
+        client.write(&request("usage-view", id as u64, id as u64, 5000));
+        // An idle one that was closed for a newer is asked anew, as clients do.
+        let answer = client.answer().unwrap_or_else(|| {
+            *client = Client::connect(gateway.address);
+            client.ask("usage-view", id as u64, id as u64, 5000)
+        });
+        assert!(matches!(answer.status, 200 | 503), "{}", answer.status);
+        answered += 1;
+    }
+    assert_eq!(answered, 60);
+}
+
+#[test]
+fn sigterm_finishes_what_was_taken_and_exits_in_order() {
+    let (_, discovery) = fleet(&[Act::ServeAfter(1200)]);
+    let mut gateway = Gateway::start(&discovery);
+    let mut early = Client::connect(gateway.address);
+    let mut kept = Client::connect(gateway.address);
+    early.write(&request("top-up", 1, 1, 8000));
+    wait_for("the request to be taken", || gateway.counter("upstream_requests") == 1);
+    gateway.terminate();
+    wait_for("not ready", || gateway.get("/health/ready").is_some_and(|a| a.status == 503));
+    // Clients come on for a while, on connections old and new.
+    assert_eq!(kept.ask("top-up", 2, 2, 8000).status, 200);
+    assert_eq!(early.answer().expect("an answer").status, 200);
+    let output = gateway.wait();
+    assert_eq!(output.status.code(), Some(0));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("switchhill_served 2"));
+}
+
+#[test]
+fn a_bad_configuration_ends_the_program_with_one_line() {
+    let text = config(nowhere()).replace("\"balancers\": 3", "\"balancers\": 0");
+    let (mut command, directory) = prepare(&text, None);
+    let output = command.output().expect("runs");
+    let _ = std::fs::remove_dir_all(directory);
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(!output.status.success());
+    assert_eq!(said.lines().count(), 1, "{said}");
+    assert!(said.contains("`settings.balancers`"), "{said}");
+}
