Tell the module of a time-out before the stream's deadline ends it

Seen: a test of a host that falls silent passed on four cores and failed on one. Its `top-up` ended as called off, not as timed out: the module's own deadline timer and the upstream request's time-out fell on the same instant, and which came first hung on the rounding of two sums (src/core/mod.rs, attempt: `until`). The module judges a host by time-outs, not by what it calls off itself, so a silent host stayed sound.

Done: a time-out at the deadline is told 1 ms before it. Idle connections are closed on a time-out only if the host has answered nothing since the request was written.

Ruled out: a lost probe and a stale connection count as causes (counters showed three connections before and after, and no probe).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -26,6 +26,8 @@
 
 /// A stream is answered this long before its client gives up, so that the last byte is out by then.
 const ANSWER_EARLY: Millis = 10.0;
+/// A time-out at a stream's deadline is told this long before it.
+const OUTCOME_FIRST: Millis = 1.0;
 /// The core answers a stream itself this long after the module should have.
 const LAST_RESORT: Millis = 5.0;
 /// A figure of the shared store stands in for a missing reading for this many meter periods.
@@ -463,7 +465,9 @@
         let twice = (stream.ran || stream.out > 0) && self.classes[stream.class].effect == Effect::Unsafe;
         let sound = may_send && !twice && key.1 < self.max_attempts;
         stream.out += 1;
-        let until = (self.now + timeout).min(stream.deadline);
+        // Danger: at the deadline itself the module fails the stream and calls the request off, and never
+        // hears that the host was silent to the end.
+        let until = (self.now + timeout).min(stream.deadline - OUTCOME_FIRST).max(self.now);
         let customer = stream.customer;
         self.upstream
             .insert(key, Upstream { host: host.clone(), customer, sent: self.now, until, held: false });
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -171,6 +171,9 @@
         }
         bench.pass(20_000.0);
         assert_eq!(bench.answers(1).len(), 1);
+        // Guarded against: the stream's end came first, and the module took a silent host for a sound one.
+        let counters = &bench.core.counters;
+        assert_eq!((counters.upstream_timed_out, counters.upstream_stopped), (bench.sends() as u64, 0));
     }
 }
 
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -24,6 +24,8 @@
     pub(super) http2: bool,
     /// Idle connections, the one used last at the end.
     pub(super) idle: Vec<Token>,
+    /// When it last answered anything.
+    heard: Millis,
     /// The HTTP/2 connection that takes new requests.
     pub(super) http2_token: Option<Token>,
 }
@@ -46,6 +48,7 @@
     inbound: Inbound,
     outbound: Outbound,
     interest: Interest,
+    /// When it began to connect, was given its job, or became idle.
     since: Millis,
 }
 
@@ -58,7 +61,10 @@
                 self.close_idle(id);
             }
             None => {
-                self.hosts.insert(id.clone(), Host { address, http2, idle: Vec::new(), http2_token: None });
+                self.hosts.insert(
+                    id.clone(),
+                    Host { address, http2, idle: Vec::new(), heard: self.now, http2_token: None },
+                );
             }
         }
     }
@@ -121,6 +127,7 @@
 
     /// Writes the request of a connection that is up.
     fn begin(&mut self, token: Token, mut up: Up) -> Option<Up> {
+        up.since = self.now;
         match up.job {
             Some(Job::Stream(id, until)) => {
                 // A connect takes time: whether the host drains is looked at again at the first byte.
@@ -221,6 +228,9 @@
     /// A whole answer has come for the job at hand.
     fn answered(&mut self, up: &mut Up, answer: Answer) {
         let Some(job) = up.job.take() else { return };
+        if let Some(host) = self.hosts.get_mut(&up.host) {
+            host.heard = self.now;
+        }
         let end = end_of(&answer);
         self.job_over(&up.host.clone(), job, end, Some(answer));
     }
@@ -280,7 +290,7 @@
         let Some(token) = self.in_flight.remove(&id) else { return };
         let kept = match self.slots.take(token) {
             Some(Conn::Up(mut up)) => {
-                if timed_out {
+                if timed_out && self.hosts.get(&up.host).is_some_and(|h| h.heard < up.since) {
                     // Danger: a machine that was cut off leaves its idle connections open and silent, and a
                     // `top-up` written to one is lost. A new connection shows the cut before anything is sent.
                     self.close_idle(&up.host.clone());
