Read the configuration again on SIGHUP and move discovery to its new address

Checked: the exit code is the default action of signal 1. signals.rs installed SIGTERM, SIGINT and SIGUSR1 only; config.rs overlaid RELAY_DISCOVERY whenever it read the file, so a reload through it would have kept the old address. Ruled out: the watch itself. It is dropped and made anew by the path that a hanging call takes already.

A file with a fault is logged and changes nothing.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -161,6 +161,17 @@
         self.timers.push(self.now + AGAIN, Due::Discovery(self.discovery.turn));
     }
 
+    /// Discovery is to be found at another address from now on. The whole list is asked for there at once;
+    /// until it comes, the hosts known stay as they are.
+    pub(super) fn move_discovery(&mut self, address: SocketAddr) {
+        if address != self.discovery.address {
+            self.discovery.address = address;
+            // A version of the other one's list says nothing here.
+            self.discovery.revision = None;
+            self.discovery_due(self.discovery.turn);
+        }
+    }
+
     /// A call hangs, or it is time to try again.
     pub(super) fn discovery_due(&mut self, turn: u64) {
         if turn != self.discovery.turn {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -162,7 +162,7 @@
         if account.is_some() {
             core.keep_account();
         }
-        let most_upstreams = (config.sockets - RESERVE) * 2 / 5;
+        let (most_downstreams, most_upstreams) = shares(config.sockets);
         let mut gateway = Self {
             core,
             told,
@@ -190,7 +190,7 @@
             stopping: None,
             downstreams: 0,
             upstreams: 0,
-            most_downstreams: config.sockets - RESERVE - most_upstreams,
+            most_downstreams,
             most_upstreams,
         };
         let listener = TcpListener::bind(config.listen)?;
@@ -200,7 +200,12 @@
         gateway.slots.put(token, Conn::Listener(listener));
         gateway.listener = Some(token);
         if let Some(signals) = signals {
-            for (socket, asked) in [(signals.stop, Asked::Stop), (signals.counters, Asked::Counters)] {
+            let sockets = [
+                (signals.stop, Asked::Stop),
+                (signals.counters, Asked::Counters),
+                (signals.reload, Asked::Reload),
+            ];
+            for (socket, asked) in sockets {
                 let token = gateway.slots.reserve();
                 gateway.poll.add(&socket, token, Interest::READ)?;
                 gateway.slots.put(token, Conn::Signal(socket, asked));
@@ -280,6 +285,7 @@
                 match asked {
                     Asked::Stop => self.begin_stop(),
                     Asked::Counters => log(self.core.counters.to_string().trim_end()),
+                    Asked::Reload => self.reload(),
                 }
                 Some(Conn::Signal(socket, asked))
             }
@@ -424,6 +430,19 @@
         self.inputs.push(Input::ListChanged(kind, backends));
     }
 
+    /// Takes over what a running gateway can from the configuration as it is now: discovery's address and
+    /// the limits. Streams and connections stay. A file that cannot be read changes nothing.
+    fn reload(&mut self) {
+        match Config::from_files() {
+            Ok(config) => {
+                log(&format!("configuration read again: discovery at {}", config.discovery));
+                (self.most_downstreams, self.most_upstreams) = shares(config.sockets);
+                self.move_discovery(config.discovery);
+            }
+            Err(why) => log(&format!("the new configuration is not taken, the old one stays: {why}")),
+        }
+    }
+
     fn begin_stop(&mut self) {
         if self.stopping.is_none() {
             log(&format!("stopping: not ready, finishing {} streams", self.core.open_streams()));
@@ -461,6 +480,12 @@
     }
 }
 
+/// How the descriptors are shared out: for downstreams and for upstream hosts.
+fn shares(sockets: usize) -> (usize, usize) {
+    let upstreams = (sockets - RESERVE) * 2 / 5;
+    (sockets - RESERVE - upstreams, upstreams)
+}
+
 /// An answer that the gateway words itself.
 fn local(status: u16, body: &[u8]) -> Answer {
     Answer { status, body: body.to_vec(), ..Answer::default() }
--- a/src/process/config.rs
+++ b/src/process/config.rs
@@ -166,13 +166,7 @@
     /// # Errors
     /// One line that names what is at fault.
     pub fn from_environment() -> Result<Self, String> {
-        let read = |path: &str| std::fs::read_to_string(path).map_err(|e| format!("cannot read {path}: {e}"));
-        let path = std::env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG is not set")?;
-        let operator = match std::env::var("SWITCHHILL_OPERATOR") {
-            Ok(path) if !path.is_empty() => Some(read(&path)?),
-            _ => None,
-        };
-        let mut config = Self::read(&read(&path)?, operator.as_deref())?;
+        let mut config = Self::from_files()?;
         for (name, slot) in [("RELAY_LISTEN", &mut config.listen), ("RELAY_DISCOVERY", &mut config.discovery)]
         {
             if let Ok(text) = std::env::var(name) {
@@ -181,6 +175,21 @@
         }
         Ok(config)
     }
+
+    /// Reads the files that the environment names, as they are now. The environment's own addresses are as
+    /// old as the process: at a reload they must not stand in for what the file has come to say.
+    ///
+    /// # Errors
+    /// One line that names what is at fault.
+    pub fn from_files() -> Result<Self, String> {
+        let read = |path: &str| std::fs::read_to_string(path).map_err(|e| format!("cannot read {path}: {e}"));
+        let path = std::env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG is not set")?;
+        let operator = match std::env::var("SWITCHHILL_OPERATOR") {
+            Ok(path) if !path.is_empty() => Some(read(&path)?),
+            _ => None,
+        };
+        Self::read(&read(&path)?, operator.as_deref())
+    }
 }
 
 impl Operator {
--- a/src/process/signals.rs
+++ b/src/process/signals.rs
@@ -1,6 +1,6 @@
 //! Signals as bytes on a socket that the loop watches.
 
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::io::{self, Read};
 use std::os::unix::net::UnixStream;
 
@@ -11,6 +11,8 @@
     Stop,
     /// SIGUSR1: print the counters.
     Counters,
+    /// SIGHUP: read the configuration again.
+    Reload,
 }
 
 /// The reading ends, one for each kind of signal.
@@ -19,6 +21,8 @@
     pub stop: UnixStream,
     /// Becomes readable on SIGUSR1.
     pub counters: UnixStream,
+    /// Becomes readable on SIGHUP.
+    pub reload: UnixStream,
 }
 
 impl Signals {
@@ -35,7 +39,7 @@
             }
             Ok(read)
         };
-        Ok(Self { stop: pipe(&[SIGTERM, SIGINT])?, counters: pipe(&[SIGUSR1])? })
+        Ok(Self { stop: pipe(&[SIGTERM, SIGINT])?, counters: pipe(&[SIGUSR1])?, reload: pipe(&[SIGHUP])? })
     }
 }
 
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -292,7 +292,11 @@
     }
 
     pub fn start_with(config: &str, operator: Option<&str>) -> Self {
-        let (mut command, directory) = prepare(config, operator);
+        let (command, directory) = prepare(config, operator);
+        Self::run(command, directory)
+    }
+
+    pub fn run(mut command: Command, directory: std::path::PathBuf) -> Self {
         let mut child = command.spawn().expect("starts");
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
         let mut line = String::new();
@@ -319,9 +323,21 @@
         text.lines().find_map(|l| l.strip_prefix(&name)?.parse().ok()).expect("a counter")
     }
 
-    pub fn terminate(&mut self) {
+    fn signal(&self, name: &str) {
         let id = self.child.as_ref().expect("running").id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+    }
+
+    pub fn terminate(&mut self) {
+        self.signal("-TERM");
+    }
+
+    /// Puts another configuration in the place of the one it was started with and says so.
+    pub fn reload(&self, config: &str) {
+        let next = self.directory.join("next.json");
+        std::fs::write(&next, config).expect("written");
+        std::fs::rename(next, self.directory.join("config.json")).expect("replaced");
+        self.signal("-HUP");
     }
 
     pub fn wait(&mut self) -> Output {
