Answer or close bad clients within 2 s and refuse here what a box would refuse

Checked: the refusals are SCARCE_HOLD_OFF answers, not the module's: its log has no price and no more quota refusals than before. downstream.rs gave an unfinished request 10 s and a silent connection 300 s, so both shares of the descriptors filled up. message.rs clamped `spread`, had no bound for `units` and did not look at X-Txn's form nor at open ids; 48 MiB of held requests were allowed whatever the limits. Ruled out: CPU (0.6 s of a core in 22 s).

Change: 2 s for a first request from the connect on, 30 s idle, 2 s once half of the share is taken; silent and lingering connections give way first. What comes after the last answer is received with MSG_TRUNC, without a copy, for 2 s. Terms are checked field by field; an id that is open gets 409. All that is held, halves and unread answers too, fits in a fifth of limits.memory_mb.

Each test but the one for the 60 MB body's memory fails on the state before; that one now has a pause that the old 500 ms of lingering do not survive.

--- a/src/memory/buffer.rs
+++ b/src/memory/buffer.rs
@@ -6,6 +6,9 @@
 /// How much one read takes at the most.
 const READ: usize = 16 * 1024;
 
+/// The most memory that an empty buffer keeps for its next bytes.
+const KEPT: usize = 2 * 1024;
+
 /// Bytes read and not yet used.
 #[derive(Debug, Default)]
 pub struct Inbound {
@@ -40,8 +43,8 @@
             self.bytes.clear();
             self.start = 0;
             // A long body must not pin its memory to an idle connection.
-            if self.bytes.capacity() > 2 * READ {
-                self.bytes.shrink_to(READ);
+            if self.bytes.capacity() > KEPT {
+                self.bytes = Vec::new();
             }
         }
     }
@@ -94,6 +97,12 @@
         self.pieces.is_empty()
     }
 
+    /// Bytes that are still to be written.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.pieces.iter().map(Vec::len).sum::<usize>() - self.written
+    }
+
     /// Forgets what is not yet written.
     pub fn clear(&mut self) {
         self.pieces.clear();
--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -9,6 +9,7 @@
 use crate::interface::Millis;
 use crate::memory::buffer::{Got, Inbound, Outbound};
 use crate::memory::pool::Token;
+use socket2::SockRef;
 use std::io;
 use std::net::{TcpListener, TcpStream};
 
@@ -16,12 +17,19 @@
 const MOST_REQUEST: usize = 2 * MOST_HEAD + 2 * MOST_BODY;
 /// Bytes that wait behind the request in work before reading stops.
 const MOST_WAITING: usize = MOST_HEAD;
-/// A request that takes longer to come in is given up.
-const ARRIVES_WITHIN: Millis = 10_000.0;
-/// A connection without a request is closed after this long.
-const IDLE: Millis = 300_000.0;
+/// A request that takes longer to come in is given up, and a new connection that asks nothing is closed.
+pub(super) const ARRIVES_WITHIN: Millis = 2000.0;
+/// A connection that has asked and asks no more is closed after this long,
+const IDLE: Millis = 30_000.0;
+/// and after this long once half of the descriptors for downstreams are taken.
+const IDLE_CROWDED: Millis = 2000.0;
 /// A connection whose last answer is written is closed this long after.
-const LINGER: Millis = 500.0;
+const LINGER: Millis = 2000.0;
+/// With no descriptor left, one that is silent from the start or only lingers is closed after this long.
+const SPARED: Millis = 100.0;
+/// Bytes that one read of a lingering connection drops at the most, and reads of an event.
+pub(super) const DROPPED: usize = 1024 * 1024;
+const DROPS: usize = 8;
 /// Without descriptors to spare, accepting rests this long.
 const ACCEPT_REST: Millis = 50.0;
 /// One connection from a downstream.
@@ -33,6 +41,10 @@
     stream: Option<StreamId>,
     /// Its first bytes have not come.
     fresh: bool,
+    /// A whole request has come by it.
+    asked: bool,
+    /// Its bytes that are counted among what is held.
+    counted: usize,
     /// Its client was told to send the body.
     went_on: bool,
     /// No further request is taken: it closes once all is written.
@@ -85,6 +97,8 @@
             interest: Interest::READ,
             stream: None,
             fresh: true,
+            asked: false,
+            counted: 0,
             went_on: false,
             closing: false,
             lingering: false,
@@ -110,27 +124,55 @@
         }
     }
 
-    /// Closes the connection that has been without a request for longest.
+    /// Closes one connection that nothing is in work on: first what has never asked or only lingers, then
+    /// what has been without a request for longest.
     fn close_one_idle_down(&mut self) -> bool {
-        let mut oldest: Option<(Millis, Token)> = None;
+        let mut oldest: Option<(bool, Millis, Token)> = None;
         for token in self.slots.tokens() {
-            if let Some(Conn::Down(down)) = self.slots.get(token) {
-                if down.is_idle() && oldest.is_none_or(|(since, _)| down.since < since) {
-                    oldest = Some((down.since, token));
+            let (asked, since) = match self.slots.get(token) {
+                Some(Conn::Down(down)) if down.asked && !down.lingering && down.is_idle() => {
+                    (true, down.since)
                 }
+                // Danger: closed too soon, a client whose first request is on its way gets no answer.
+                Some(Conn::Down(down)) if down.lingering || down.is_idle() => {
+                    if self.now - down.since < SPARED {
+                        continue;
+                    }
+                    (false, down.since)
+                }
+                Some(Conn::Down2(down)) if down.is_idle() => (true, down.since()),
+                _ => continue,
+            };
+            if oldest.is_none_or(|(a, s, _)| (asked, since) < (a, s)) {
+                oldest = Some((asked, since, token));
             }
         }
-        let Some((_, token)) = oldest else { return false };
-        if let Some(Conn::Down(down)) = self.slots.take(token) {
-            self.close_down(down);
-        }
-        self.slots.release(token);
+        let Some((.., token)) = oldest else { return false };
+        let kept = match self.slots.take(token) {
+            Some(Conn::Down(down)) => {
+                self.close_down(down);
+                None
+            }
+            Some(Conn::Down2(down)) => self.close_down2(*down).map(|down| Conn::Down2(Box::new(down))),
+            other => other,
+        };
+        self.keep(token, kept);
         true
     }
 
+    /// How long a connection may be without a request before it is closed.
+    pub(super) fn idle_limit(&self) -> Millis {
+        if self.downstreams * 2 > self.most_downstreams {
+            IDLE_CROWDED
+        } else {
+            IDLE
+        }
+    }
+
     pub(super) fn close_down(&mut self, down: Down) {
         self.poll.remove(&down.socket);
         self.downstreams -= 1;
+        self.held_bytes -= down.counted;
         if let Some(stream) = down.stream {
             self.take_exchange(stream);
             self.inputs.push(Input::DownstreamLeft(stream));
@@ -144,8 +186,11 @@
             self.close_down(down);
             return None;
         }
+        if read && down.lingering {
+            return self.drop_what_comes(down).map(Conn::Down);
+        }
         if read {
-            let fresh = down.inbound.bytes().is_empty() && down.stream.is_none() && !down.lingering;
+            let fresh = down.inbound.bytes().is_empty() && down.stream.is_none() && down.asked;
             loop {
                 if !down.wants_bytes() {
                     break;
@@ -176,7 +221,25 @@
         self.flush_down(token, down).map(Conn::Down)
     }
 
+    /// Drops what a client still sends after its last answer, without copying it: a client that reads only
+    /// once it has sent all still finds the answer, and a long body costs next to nothing.
+    fn drop_what_comes(&mut self, down: Down) -> Option<Down> {
+        for _ in 0..DROPS {
+            match SockRef::from(&down.socket).recv_with_flags(&mut self.dropped, libc::MSG_TRUNC) {
+                Ok(n) if n > 0 => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Some(down),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Ok(_) | Err(_) => {
+                    self.close_down(down);
+                    return None;
+                }
+            }
+        }
+        Some(down)
+    }
+
     fn switch_to_http2(&mut self, token: Token, down: Down) -> Option<Conn> {
+        self.held_bytes -= down.counted;
         let io = Io::new(down.socket, down.inbound.bytes().to_vec());
         self.become_http2(token, io).map(|down| Conn::Down2(Box::new(down)))
     }
@@ -199,6 +262,7 @@
                 Parsed::Bad(status, why) => return self.bad_message(down, status, why),
             };
             down.inbound.consume(used);
+            down.asked = true;
             down.went_on = false;
             down.out_by = self.now + ARRIVES_WITHIN;
             down.since = self.now;
@@ -258,6 +322,15 @@
             }
             down.interest = interest;
         }
+        // What clients have sent by halves, or do not read, is memory as well.
+        let counted = down.inbound.bytes().len() + down.outbound.len();
+        self.held_bytes = self.held_bytes + counted - down.counted;
+        down.counted = counted;
+        if self.held_bytes > self.most_held && counted > MOST_HEAD && down.stream.is_none() && !down.closing {
+            down.inbound.consume(down.inbound.bytes().len());
+            down.push(&refusal(SCARCE_HOLD_OFF, Downstream::Http1(token)), true);
+            return self.flush_down(token, down);
+        }
         Some(down)
     }
 
@@ -291,7 +364,8 @@
                 return self.flush_down(token, down).map(Conn::Down);
             }
             let stopped = self.stopping.is_some_and(|since| self.now >= since + ACCEPT_ON);
-            if !unread && (age > IDLE || stopped) {
+            let limit = if down.asked { self.idle_limit() } else { ARRIVES_WITHIN };
+            if !unread && (age > limit || stopped) {
                 // A request may just have come in: it is read before the connection closes.
                 return match self.down_ready(token, down, true)? {
                     Conn::Down(down) if down.is_idle() => {
--- a/src/net/http1.rs
+++ b/src/net/http1.rs
@@ -271,6 +271,7 @@
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
--- a/src/net/http2_down.rs
+++ b/src/net/http2_down.rs
@@ -1,5 +1,6 @@
 //! HTTP/2 connections from downstreams: many streams on each, every one with its own answer.
 
+use super::downstream::ARRIVES_WITHIN;
 use super::h2io::{Flag, Io};
 use super::http2::{self, CONNECTION_WINDOW, MOST_RESETS, MOST_STREAMS};
 use super::message::{Answer, Message, MOST_BODY, MOST_HEAD};
@@ -17,11 +18,6 @@
 use std::sync::Arc;
 use std::task::{Context, Poll, Wake, Waker};
 
-/// A connection without a stream is closed after this long.
-const IDLE: Millis = 300_000.0;
-/// A request or preface that takes longer to come in is given up.
-const ARRIVES_WITHIN: Millis = 10_000.0;
-
 enum Phase {
     Handshake(Handshake<Io, Bytes>),
     Open(Connection<Io, Bytes>),
@@ -59,15 +55,18 @@
 impl Gateway {
     /// Takes over a connection whose first bytes are HTTP/2's preface.
     pub(super) fn become_http2(&mut self, token: Token, socket: Io) -> Option<Down2> {
-        let handshake = h2::server::Builder::new()
-            .max_concurrent_streams(MOST_STREAMS)
-            .initial_window_size(MOST_BODY as u32)
-            .initial_connection_window_size(CONNECTION_WINDOW)
-            .max_header_list_size(MOST_HEAD as u32)
-            .max_pending_accept_reset_streams(MOST_RESETS)
-            .max_local_error_reset_streams(Some(MOST_RESETS))
-            .max_send_buffer_size(4 * MOST_BODY)
-            .handshake(socket.clone());
+        let handshake =
+            h2::server::Builder::new()
+                .max_concurrent_streams(MOST_STREAMS)
+                .initial_window_size(MOST_BODY as u32)
+                .initial_connection_window_size(
+                    self.most_held.clamp(MOST_BODY, CONNECTION_WINDOW as usize) as u32
+                )
+                .max_header_list_size(MOST_HEAD as u32)
+                .max_pending_accept_reset_streams(MOST_RESETS)
+                .max_local_error_reset_streams(Some(MOST_RESETS))
+                .max_send_buffer_size(4 * MOST_BODY)
+                .handshake(socket.clone());
         let (waker, flag) = self.woken.waker(token);
         let down = Down2 {
             io: socket,
@@ -248,7 +247,7 @@
         Some(down)
     }
 
-    fn close_down2(&mut self, down: Down2) -> Option<Down2> {
+    pub(super) fn close_down2(&mut self, down: Down2) -> Option<Down2> {
         self.poll.remove(down.io.socket());
         self.downstreams -= 1;
         for slot in down.streams.into_values() {
@@ -268,7 +267,7 @@
         let now = self.now;
         let idle = down.streams.is_empty();
         let silent = matches!(down.phase, Phase::Handshake(_)) && now - down.since > ARRIVES_WITHIN;
-        if silent || idle && now - down.since > IDLE {
+        if silent || idle && now - down.since > self.idle_limit() {
             return self.close_down2(down);
         }
         let mut any = false;
@@ -309,6 +308,16 @@
 const LEAVE_WITHIN: Millis = 300.0;
 
 impl Down2 {
+    /// Nothing is in work on it.
+    pub(super) fn is_idle(&self) -> bool {
+        self.streams.is_empty()
+    }
+
+    /// When it was taken over, or last had a stream in work.
+    pub(super) fn since(&self) -> Millis {
+        self.since
+    }
+
     /// An event came for the socket.
     pub(super) fn told(&self, readable: bool) {
         if readable {
--- a/src/net/message.rs
+++ b/src/net/message.rs
@@ -1,6 +1,7 @@
 //! Requests and answers as both fronts hold them, and what a request's headers mean to the gateway.
 
 use crate::core::Terms;
+use crate::interface::Effect;
 use crate::settings::Told;
 
 /// The most bytes of a body.
@@ -8,6 +9,11 @@
 /// The most bytes of a head.
 pub const MOST_HEAD: usize = 16 * 1024;
 
+/// Customers are numbered below this.
+const MOST_CUSTOMERS: u64 = 1 << 33;
+/// The most units of a request where the settings name none.
+const MOST_UNITS: f64 = 1e6;
+
 /// A whole request. The header block holds the lines that pass on, as HTTP/1.1 writes them.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Message {
@@ -40,16 +46,40 @@
     pub pressure: Option<String>,
 }
 
+/// A header that the gateway reads for itself.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+enum Read<T> {
+    #[default]
+    Missing,
+    /// It cannot be read, or it is there twice: a box may take another value of it for true.
+    Bad,
+    Is(T),
+}
+
+impl<T> Read<T> {
+    fn take(&mut self, value: Option<T>) {
+        *self = match (&self, value) {
+            (Self::Missing, Some(value)) => Self::Is(value),
+            _ => Self::Bad,
+        };
+    }
+
+    fn needed(&self, why: &'static str) -> Result<&T, (u16, &'static str)> {
+        match self {
+            Self::Is(value) => Ok(value),
+            Self::Missing | Self::Bad => Err((400, why)),
+        }
+    }
+}
+
 /// Headers that the gateway reads.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Own {
-    /// `X-Txn`
-    pub txn: bool,
-    tier: Option<String>,
-    customer: Option<u64>,
-    remaining: Option<u64>,
-    remaining_bad: bool,
-    terms: Option<String>,
+    txn: Read<u64>,
+    tier: Read<String>,
+    customer: Read<u64>,
+    remaining: Read<u64>,
+    terms: Read<String>,
     resent: bool,
 }
 
@@ -89,18 +119,17 @@
     pub fn header(&mut self, name: &str, value: &[u8]) {
         let is = |wanted: &str| name.eq_ignore_ascii_case(wanted);
         if is("x-txn") {
-            self.own.txn = !text(value).is_empty();
+            self.own.txn.take(hex(text(value)));
         } else if is("x-tier") {
-            self.own.tier = Some(text(value).into());
+            self.own.tier.take(Some(text(value).into()));
         } else if is("cookie") {
-            if let Some(customer) = customer(text(value)) {
-                self.own.customer = Some(customer);
+            for digits in customers(text(value)) {
+                self.own.customer.take(hex(digits).filter(|customer| *customer < MOST_CUSTOMERS));
             }
         } else if is("x-remaining-ms") {
-            self.own.remaining = text(value).parse().ok();
-            self.own.remaining_bad = self.own.remaining.is_none();
+            self.own.remaining.take(text(value).parse().ok());
         } else if is("x-call-terms") {
-            self.own.terms = Some(text(value).into());
+            self.own.terms.take(Some(text(value).into()));
         } else if is("x-resent") {
             self.own.resent = text(value) == "1";
         } else if is("host") {
@@ -130,49 +159,93 @@
     pub fn terms(&self, told: &Told) -> Result<Terms, (u16, &'static str)> {
         let first = self.path().trim_start_matches('/').split('/').next().unwrap_or("");
         let class = told.classes.iter().position(|(name, _)| name == first).ok_or((404, "no such class"))?;
-        if self.method != "GET" && self.method != "POST" {
-            return Err((405, "method must be GET or POST"));
-        }
-        if !self.own.txn {
-            return Err((400, "X-Txn is missing"));
+        // A class that is safe to repeat is asked for with GET, one that is not with POST.
+        match (self.method.as_str(), told.module.classes[class].effect == Effect::Safe) {
+            ("GET", true) if self.body.is_empty() => {}
+            ("GET", true) => return Err((400, "GET takes no body")),
+            ("POST", false) => {}
+            _ => return Err((405, "not the method of this class")),
         }
-        let tier = self.own.tier.as_deref().ok_or((400, "X-Tier is missing"))?;
+        self.id()?;
+        let tier = self.own.tier.needed("X-Tier is missing")?;
         let plan = told.plans.iter().position(|name| name == tier).ok_or((400, "X-Tier names no plan"))?;
-        let customer = self.own.customer.ok_or((400, "cookie client is missing or not 16 hex digits"))?;
-        if self.own.remaining_bad {
-            return Err((400, "X-Remaining-Ms is no whole number"));
-        }
-        let mut terms = Terms {
-            class,
-            plan,
-            customer,
-            spread: told.module.gateways,
-            units: 1.0,
-            wait: self.own.remaining.map_or(told.classes[class].1, |ms| ms as f64),
-            resent: self.own.resent,
-        };
-        for pair in self.own.terms.as_deref().unwrap_or("").split(',').filter(|p| !p.trim().is_empty()) {
-            let (name, value) = pair.split_once('=').ok_or((400, "X-Call-Terms is malformed"))?;
-            let number: f64 = value.trim().parse().map_err(|_| (400, "X-Call-Terms is malformed"))?;
-            if !number.is_finite() || number < 0.0 {
-                return Err((400, "X-Call-Terms is malformed"));
+        let customer =
+            *self.own.customer.needed("cookie client is missing or not 16 hex digits below 2^33")?;
+        let give_up = told.classes[class].1;
+        let wait = match self.own.remaining {
+            Read::Missing => give_up,
+            Read::Bad => return Err((400, "X-Remaining-Ms is no whole number")),
+            // Danger: a time without end would hold the request's memory and its box as long.
+            Read::Is(ms) if give_up > 0.0 && ms as f64 > 10.0 * give_up => {
+                return Err((400, "X-Remaining-Ms is out of range"))
             }
-            match name.trim() {
-                "units" => terms.units = number,
-                "spread" => terms.spread = (number as u32).clamp(1, told.module.gateways),
-                _ => {}
+            Read::Is(ms) if give_up > 0.0 => (ms as f64).min(give_up),
+            Read::Is(ms) => ms as f64,
+        };
+        let gateways = told.module.gateways;
+        let mut terms =
+            Terms { class, plan, customer, spread: gateways, units: 1.0, wait, resent: self.own.resent };
+        match &self.own.terms {
+            Read::Missing => {}
+            Read::Bad => return Err(BAD_TERMS),
+            Read::Is(text) => {
+                (terms.units, terms.spread) = call_terms(text, told.module.most_units, gateways)?;
             }
         }
         Ok(terms)
     }
+
+    /// The request's id.
+    ///
+    /// # Errors
+    /// The status and the reason when it has none in the platform's form.
+    pub fn id(&self) -> Result<u64, (u16, &'static str)> {
+        self.own.txn.needed("X-Txn is missing or not 16 hex digits").copied()
+    }
+}
+
+const BAD_TERMS: (u16, &str) = (400, "X-Call-Terms is malformed or out of range");
+
+/// `units` and `spread` of `X-Call-Terms`. Danger: what is out of range may come in a usual customer's name;
+/// clamped or believed, it would spend that customer's quota or cut its share.
+fn call_terms(text: &str, most_units: f64, gateways: u32) -> Result<(f64, u32), (u16, &'static str)> {
+    let (mut units, mut spread, mut first) = (None, None, None);
+    for pair in text.split(',') {
+        let (name, value) = pair.split_once('=').ok_or(BAD_TERMS)?;
+        let value = value.trim();
+        let twice = match name.trim() {
+            "units" => {
+                let number: f64 = value.parse().map_err(|_| BAD_TERMS)?;
+                let most = if most_units > 0.0 { most_units } else { MOST_UNITS };
+                // What is not a number is in no range.
+                let sound = number > 0.0 && number <= most;
+                units.replace(if sound { number } else { return Err(BAD_TERMS) }).is_some()
+            }
+            "spread" => spread.replace(whole(value, 1..=gateways)?).is_some(),
+            "first" => first.replace(whole(value, 0..=gateways - 1)?).is_some(),
+            _ => false,
+        };
+        if twice {
+            return Err(BAD_TERMS);
+        }
+    }
+    Ok((units.unwrap_or(1.0), spread.unwrap_or(gateways)))
+}
+
+fn whole(value: &str, range: std::ops::RangeInclusive<u32>) -> Result<u32, (u16, &'static str)> {
+    value.parse().ok().filter(|number| range.contains(number)).ok_or(BAD_TERMS)
+}
+
+/// 16 hex digits.
+fn hex(digits: &str) -> Option<u64> {
+    let form = digits.len() == 16 && digits.bytes().all(|b| b.is_ascii_hexdigit());
+    form.then(|| u64::from_str_radix(digits, 16).ok()).flatten()
 }
 
-/// The customer named by the cookie `client`.
-fn customer(cookie: &str) -> Option<u64> {
+/// The values of the cookie `client`.
+fn customers(cookie: &str) -> impl Iterator<Item = &str> {
     let pairs = cookie.split(';').filter_map(|pair| pair.trim().split_once('='));
-    let (_, digits) = pairs.into_iter().find(|(name, _)| *name == "client")?;
-    let hex = digits.len() == 16 && digits.bytes().all(|b| b.is_ascii_hexdigit());
-    hex.then(|| u64::from_str_radix(digits, 16).ok()).flatten()
+    pairs.filter(|(name, _)| *name == "client").map(|(_, digits)| digits)
 }
 
 impl Answer {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -31,8 +31,9 @@
 use http2_up::Up2;
 use message::{Answer, Message};
 use poll::{Interest, Poll};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::io::{self, Write};
+use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixStream;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -45,8 +46,9 @@
 const READY_ANYWAY: Millis = 1000.0;
 /// After SIGTERM new connections are still taken for this long.
 const ACCEPT_ON: Millis = 500.0;
-/// Bytes of requests that are held at once; more are turned away.
-const MOST_HELD: usize = 48 * 1024 * 1024;
+/// Share of the memory for requests, what comes in by halves and answers that clients do not read; more is
+/// turned away. The rest is for the program, its tables and what upstream hosts answer.
+const HELD_SHARE: usize = 5;
 /// What a client is told that came while connections or memory are scarce.
 const SCARCE_HOLD_OFF: Millis = 500.0;
 /// The meter period of a shared store where the settings name none.
@@ -127,8 +129,13 @@
     http2_downstream: bool,
     woken: Woken,
     exchanges: HashMap<StreamId, Exchange>,
+    /// The ids that clients gave to the requests that are open.
+    open_ids: HashSet<u64>,
     in_flight: HashMap<UpstreamId, Token>,
     held_bytes: usize,
+    most_held: usize,
+    /// Where bytes that nobody wants are received to; never read.
+    dropped: Box<[MaybeUninit<u8>]>,
     next_stream: StreamId,
     inputs: Vec<Input>,
     timers: Timers<Due>,
@@ -180,8 +187,11 @@
             http2_hosts: config.operator.http2_hosts,
             woken: Woken::default(),
             exchanges: HashMap::new(),
+            open_ids: HashSet::new(),
             in_flight: HashMap::new(),
             held_bytes: 0,
+            most_held: config.memory / HELD_SHARE,
+            dropped: Box::new_uninit_slice(downstream::DROPPED),
             next_stream: 0,
             inputs: Vec::new(),
             timers: Timers::default(),
@@ -368,12 +378,15 @@
 
     /// Whether another stream would go over what is held in memory at once.
     fn holds_too_much(&self) -> bool {
-        self.held_bytes > MOST_HELD || self.core.open_streams() >= self.told.max_open
+        self.held_bytes > self.most_held || self.core.open_streams() >= self.told.max_open
     }
 
     /// Forgets a stream's exchange.
     fn take_exchange(&mut self, stream: StreamId) -> Option<Exchange> {
         let exchange = self.exchanges.remove(&stream)?;
+        if let Ok(id) = exchange.message.id() {
+            self.open_ids.remove(&id);
+        }
         self.held_bytes -= exchange.message.size();
         Some(exchange)
     }
@@ -385,6 +398,11 @@
         message: Message,
     ) -> Result<StreamId, (u16, &'static str)> {
         let terms = message.terms(&self.told)?;
+        // Danger: a copy under the id of an open request would be that request's second copy at a box, and
+        // the box's answer to one could end the other. The one that owns the id goes on untouched.
+        if !self.open_ids.insert(message.id()?) {
+            return Err((409, "X-Txn is the id of an open request"));
+        }
         let id = self.next_stream;
         self.next_stream += 1;
         let deadline = self.now + terms.wait;
@@ -437,6 +455,7 @@
             Ok(config) => {
                 log(&format!("configuration read again: discovery at {}", config.discovery));
                 (self.most_downstreams, self.most_upstreams) = shares(config.sockets);
+                self.most_held = config.memory / HELD_SHARE;
                 self.move_discovery(config.discovery);
             }
             Err(why) => log(&format!("the new configuration is not taken, the old one stays: {why}")),
--- a/src/process/config.rs
+++ b/src/process/config.rs
@@ -116,6 +116,8 @@
     pub seed: u64,
     /// File descriptors that may be open.
     pub sockets: usize,
+    /// Bytes of memory that may be taken.
+    pub memory: usize,
     /// The list as last known.
     pub known: Option<List>,
     /// The settings.
@@ -145,18 +147,21 @@
         let seed = u64::from_str_radix(seed.text()?, 16).map_err(|_| seed.bad("is not 16 hex digits"))?;
         let known = root.at("known");
         let sockets = root.at("limits").at("sockets");
+        let memory = root.at("limits").at("memory_mb");
         let config = Self {
             name: root.at("name").text_or_empty()?.into(),
             listen: address("listen")?,
             discovery: address("discovery")?,
             seed,
             sockets: if sockets.given() { sockets.count()? as usize } else { 1024 },
+            memory: memory.number_or(192.0)?.max(0.0) as usize * 1024 * 1024,
             known: if known.given() { Some(List::read(&known, &told.zones)?) } else { None },
             told,
             operator: operator.map(Operator::read).transpose()?.unwrap_or_default(),
         };
-        match config.sockets {
-            0..64 => Err(sockets.bad("must be at least 64")),
+        match (config.sockets, config.memory >> 20) {
+            (0..64, _) => Err(sockets.bad("must be at least 64")),
+            (_, 0..16) => Err(memory.bad("must be at least 16")),
             _ => Ok(config),
         }
     }
--- a/tests/http2.rs
+++ b/tests/http2.rs
@@ -121,6 +121,21 @@
     assert!(knobs.connections.load(Ordering::SeqCst) > 2, "later streams use new connections");
 }
 
+#[test]
+fn bad_terms_and_the_id_of_an_open_request_get_a_4xx_on_this_front_too() {
+    let Site { seen, gateway, .. } = site(&[Act::ServeAfter(500); 1], |_| {});
+    // The owner speaks HTTP/1.1; the copy comes by HTTP/2.
+    let mut owner = Client::connect(gateway.address);
+    owner.write(&request("top-up", 1, 1, 8000));
+    wait_for("the request at a host", || seen.all() == 1);
+    let answers =
+        ask_all(gateway.address, vec![ask("top-up", 1), Ask { units: "9", ..ask("usage-view", 2) }]);
+    let statuses: Vec<_> = answers.into_iter().map(|a| a.map(|a| a.status)).collect();
+    assert_eq!(statuses, [Some(409), Some(400)]);
+    assert_eq!(owner.answer().expect("an answer").status, 200);
+    assert_eq!((seen.all(), gateway.counter("bad_messages")), (1, 2));
+}
+
 #[test]
 fn a_stream_reset_after_its_top_up_was_sent_on() {
     let Site { seen, gateway, .. } = site(&[Act::Hang; 2], |_| {});
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -114,12 +114,76 @@
     assert_eq!(answer.report(&names.iter().map(ToString::to_string).collect::<Vec<_>>()), report);
 }
 
+#[rstest]
+#[case::as_clients_send_it("usage-view", "", "", 0)]
+#[case::upper_case_id("usage-view", "0000000000000abc", "0000000000000ABC", 0)]
+#[case::unknown_terms_pass("usage-view", "first=0", "first=2,later=x", 0)]
+#[case::no_such_class("else", "", "", 404)]
+#[case::class_of_the_other_method("top-up", "", "", 405)]
+#[case::no_id("usage-view", "X-Txn: 0000000000000abc\r\n", "", 400)]
+#[case::id_too_short("usage-view", "0000000000000abc", "abc", 400)]
+#[case::id_is_no_hex("usage-view", "0000000000000abc", "000000000000-abc", 400)]
+#[case::id_twice("usage-view", "X-Tier", "X-Txn: 0000000000000abc\r\nX-Tier", 400)]
+#[case::no_such_plan("usage-view", "X-Tier: basic", "X-Tier: gold", 400)]
+#[case::customer_too_large("usage-view", "client=00000000", "client=ffffffff", 400)]
+#[case::two_customers("usage-view", "client=0", "client=0000000000000001; client=0", 400)]
+#[case::time_is_no_number("usage-view", "Ms: 900", "Ms: soon", 400)]
+#[case::negative_time("usage-view", "Ms: 900", "Ms: -900", 400)]
+#[case::endless_time("usage-view", "Ms: 900", "Ms: 999999999999", 400)]
+#[case::no_units("usage-view", "units=1", "units=0", 400)]
+#[case::units_below_nought("usage-view", "units=1", "units=-1", 400)]
+#[case::units_not_a_number("usage-view", "units=1", "units=NaN", 400)]
+#[case::units_without_end("usage-view", "units=1", "units=inf", 400)]
+#[case::units_over_the_most("usage-view", "units=1", "units=2", 400)]
+#[case::units_twice("usage-view", "units=1", "units=1,units=1", 400)]
+#[case::empty_set("usage-view", "spread=2", "spread=0", 400)]
+#[case::set_too_large("usage-view", "spread=2", "spread=4", 400)]
+#[case::set_is_no_number("usage-view", "spread=2", "spread=two", 400)]
+#[case::set_begins_nowhere("usage-view", "first=0", "first=3", 400)]
+#[case::no_terms_at_all("usage-view", "units=1,spread=2,first=0", ",", 400)]
+fn what_a_box_would_refuse_is_refused_here(
+    #[case] class: &str,
+    #[case] from: &str,
+    #[case] to: &str,
+    #[case] status: u16,
+) {
+    // Guarded against: terms that are clamped or believed, also in the name of a customer who never sent them.
+    let told = Config::read(CONFIG, None).expect("sound").told;
+    let text = format!(
+        "GET /{class} HTTP/1.1\r\nX-Txn: 0000000000000abc\r\nX-Tier: basic\r\n\
+         Cookie: client=0000000000000007\r\nX-Remaining-Ms: 900\r\n\
+         X-Call-Terms: units=1,spread=2,first=0\r\n\r\n"
+    );
+    assert!(text.contains(from), "{from}");
+    let Parsed::Whole(message, ..) = parsed(&text.replacen(from, to, 1)) else { panic!("not whole") };
+    match message.terms(&told) {
+        Ok(terms) => assert_eq!((status, terms.customer, terms.units, terms.spread), (0, 7, 1.0, 2)),
+        Err((got, why)) => assert_eq!(got, status, "{why}"),
+    }
+}
+
+#[rstest]
+#[case("GET", "hello", 400)]
+#[case("POST", "", 405)]
+#[case("HEAD", "", 405)]
+fn a_safe_class_is_asked_for_with_get_and_no_body(
+    #[case] method: &str,
+    #[case] body: &str,
+    #[case] status: u16,
+) {
+    let told = Config::read(CONFIG, None).expect("sound").told;
+    let text = format!("{method} /usage-view HTTP/1.1\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let Parsed::Whole(message, ..) = parsed(&text) else { panic!("not whole") };
+    assert_eq!(message.terms(&told).map_err(|(got, _)| got), Err(status));
+}
+
 pub const CONFIG: &str = include_str!("support/config.json");
 
 #[test]
 fn a_sound_configuration_is_read() {
     let config = Config::read(CONFIG, None).expect("sound");
     assert_eq!((config.name.as_str(), config.sockets, config.told.plans.len()), ("n0", 1024, 3));
+    assert_eq!(config.memory, 192 << 20);
     assert_eq!(config.known.expect("known").members[0].backend.zone, 1);
 }
 
@@ -127,6 +191,7 @@
 #[case("\"10.0.0.4:8443\"", "\"here\"", "`listen`")]
 #[case("\"seed\":\"8c1f30d27a5be964\"", "\"seed\":8", "`seed`")]
 #[case("\"sockets\":1024", "\"sockets\":10", "`limits.sockets`")]
+#[case("\"memory_mb\":192", "\"memory_mb\":8", "`limits.memory_mb`")]
 #[case("\"balancers\": 3", "\"balancers\": 0", "`settings.balancers`")]
 #[case("\"onTimeMs\": 1500.0", "\"onTimeMs\": -1", "`settings.requestClasses[0].onTimeMs`")]
 #[case("\"effect\": \"fragile\"", "\"effect\": \"odd\"", "`settings.requestClasses[1].effect`")]
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -268,6 +268,85 @@
     assert_eq!(answered, 60);
 }
 
+#[test]
+fn a_copy_under_the_id_of_an_open_request_is_refused_and_its_owner_served() {
+    let (seen, discovery) = fleet(&[Act::ServeAfter(800)]);
+    let gateway = Gateway::start(&discovery);
+    let (mut owner, mut other) = (Client::connect(gateway.address), Client::connect(gateway.address));
+    owner.write(&request("top-up", 1, 1, 8000));
+    wait_for("the request at a host", || seen.all() == 1);
+    assert_eq!(other.ask("top-up", 1, 2, 8000).status, 409);
+    assert_eq!(owner.answer().expect("an answer").status, 200);
+    assert_eq!(seen.times(&format!("{:016x}", 1)), 1);
+    // Once it has its answer the id is nobody's: a client that lost the answer may ask for the view again.
+    assert_eq!(owner.ask("usage-view", 1, 1, 8000).status, 200);
+}
+
+#[rstest]
+#[case::silent("", None)]
+#[case::half_a_head("GET /usage-view HT", Some(408))]
+#[case::half_a_body("POST /top-up HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc", Some(408))]
+fn a_connection_that_does_not_ask_is_ended_soon(#[case] sent: &str, #[case] status: Option<u16>) {
+    // Guarded against: hundreds that say nothing, or trickle, hold the descriptors of those who ask.
+    let (_, discovery) = fleet(&[Act::Serve]);
+    let gateway = Gateway::start(&discovery);
+    let mut client = Client::connect(gateway.address);
+    client.socket.set_read_timeout(Some(Duration::from_secs(8))).expect("set");
+    let start = Instant::now();
+    client.write(sent);
+    assert_eq!(client.answer().map(|a| a.status), status);
+    assert!(start.elapsed() < Duration::from_secs(8), "an end, not the test's own time-out");
+}
+
+#[test]
+fn a_long_body_neither_hides_its_answer_nor_stays_in_memory() {
+    // Guarded against: a client that reads only once it has sent all finds its connection reset, not the 413.
+    let (_, discovery) = fleet(&[Act::Serve]);
+    let gateway = Gateway::start(&discovery);
+    let mut client = Client::connect(gateway.address);
+    client.write("POST /top-up HTTP/1.1\r\nContent-Length: 62914560\r\n\r\n");
+    let sent = (0..960).all(|n| {
+        if n == 480 {
+            // A client that takes its time must not be cut off in the middle either.
+            std::thread::sleep(Duration::from_millis(900));
+        }
+        client.socket.write_all(&[b'x'; 65536]).is_ok()
+    });
+    assert!(sent, "all of it is taken");
+    assert_eq!(client.answer().expect("an answer").status, 413);
+    assert!(gateway.memory_kb() < 24 * 1024, "{} KB", gateway.memory_kb());
+}
+
+#[test]
+fn clients_that_asked_once_give_way_when_descriptors_run_short() {
+    let (_, discovery) = fleet(&[Act::Serve]);
+    let config = config(discovery.address).replace("\"sockets\":1024", "\"sockets\":64");
+    let gateway = Gateway::start_with(&config, None);
+    let mut clients: Vec<Client> = (0..20).map(|_| Client::connect(gateway.address)).collect();
+    for (id, client) in clients.iter_mut().enumerate() {
+        assert_eq!(client.ask("usage-view", id as u64, id as u64, 5000).status, 200);
+    }
+    // More than half of the downstreams' 24 are taken: of those without a request as many go as are over it.
+    clients.iter().for_each(|client| client.socket.set_nonblocking(true).expect("set"));
+    let closed = |c: &Client| matches!(c.socket.peek(&mut [0]), Ok(0));
+    wait_for("eight to be closed", || clients.iter().filter(|c| closed(c)).count() >= 8);
+}
+
+#[test]
+fn halves_of_requests_do_not_fill_the_memory() {
+    // Guarded against: as many bodies as there are descriptors, each sent but for its last byte.
+    let (_, discovery) = fleet(&[Act::Serve]);
+    let config = config(discovery.address).replace("\"memory_mb\":192", "\"memory_mb\":16");
+    let gateway = Gateway::start_with(&config, None);
+    let half = format!("POST /top-up HTTP/1.1\r\nContent-Length: 65536\r\n\r\n{}", "x".repeat(65_000));
+    let mut clients: Vec<Client> = (0..200).map(|_| Client::connect(gateway.address)).collect();
+    clients.iter_mut().for_each(|client| client.write(&half));
+    let turned_away = clients.iter_mut().filter_map(Client::answer).filter(|a| a.status == 503).count();
+    assert!(turned_away > 100, "{turned_away}");
+    assert!(gateway.memory_kb() < 16 * 1024, "{} KB", gateway.memory_kb());
+    assert_eq!(Client::connect(gateway.address).ask("usage-view", 1, 1, 5000).status, 200);
+}
+
 #[test]
 fn sigterm_finishes_what_was_taken_and_exits_in_order() {
     let (_, discovery) = fleet(&[Act::ServeAfter(1200)]);
--- a/tests/stand_in/http2.rs
+++ b/tests/stand_in/http2.rs
@@ -150,11 +150,12 @@
     pub wait_ms: u64,
     pub reset_after: Option<u64>,
     pub body: Vec<u8>,
+    pub units: &'static str,
 }
 
 pub fn ask(class: &'static str, id: u64) -> Ask {
     let body = if class == "top-up" { b"pay".to_vec() } else { vec![] };
-    Ask { class, id, wait_ms: 8000, reset_after: None, body }
+    Ask { class, id, wait_ms: 8000, reset_after: None, body, units: "1" }
 }
 
 /// Sends all requests at once on one connection; the answers in their order, `None` for a reset stream.
@@ -178,7 +179,7 @@
                 .header("x-tier", "farm-pro")
                 .header("cookie", format!("client={:016x}", ask.id))
                 .header("x-remaining-ms", ask.wait_ms)
-                .header("x-call-terms", "units=1,spread=1,first=0")
+                .header("x-call-terms", format!("units={},spread=1,first=0", ask.units))
                 .body(())
                 .expect("a request");
             let (response, mut body) = send.send_request(request, ask.body.is_empty()).expect("sent");
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -323,8 +323,19 @@
         text.lines().find_map(|l| l.strip_prefix(&name)?.parse().ok()).expect("a counter")
     }
 
+    fn id(&self) -> u32 {
+        self.child.as_ref().expect("running").id()
+    }
+
+    /// The memory that the program holds.
+    pub fn memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id())).expect("a status");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).expect("a size");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     fn signal(&self, name: &str) {
-        let id = self.child.as_ref().expect("running").id().to_string();
+        let id = self.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
     }
 
