Fail an upstream answer that stops in the middle and never reuse an unquiet connection

At fault by reading, upstream.rs: the read loop went on for as long as bytes came (180 KB of one head in a single event, without bound); a length that is too long was waited for until the deadline, 12 s for a `top-up`; start() took an idle connection without a look at its socket.

Change: 160 KiB an answer, 400 ms without progress once it has begun (interim answers do not count as begun), MSG_PEEK before reuse; the stall on HTTP/2 too.

--- a/src/net/http1.rs
+++ b/src/net/http1.rs
@@ -125,6 +125,26 @@
     named.iter().any(|n| n.eq_ignore_ascii_case(name))
 }
 
+/// How many of the bytes are whole interim answers (1xx, but for a change of protocol).
+#[must_use]
+pub fn interim(bytes: &[u8]) -> usize {
+    let mut skipped = 0;
+    // Few answers are interim: their status begins with a 1.
+    while bytes.get(skipped + 9) == Some(&b'1') {
+        let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+        let mut head = httparse::Response::new(&mut headers);
+        match head.parse(&bytes[skipped..]) {
+            Ok(httparse::Status::Complete(used)) if is_interim(head.code.unwrap_or(0)) => skipped += used,
+            _ => break,
+        }
+    }
+    skipped
+}
+
+fn is_interim(status: u16) -> bool {
+    (100..200).contains(&status) && status != 101
+}
+
 /// Reads an answer from the start of `bytes`; `ended` says that no more will come.
 #[must_use]
 pub fn answer(bytes: &[u8], ended: bool) -> Parsed<Answer> {
@@ -139,7 +159,7 @@
             _ => return Parsed::Bad(502, "the head is malformed"),
         };
         let status = head.code.unwrap_or(0);
-        if (100..200).contains(&status) && status != 101 {
+        if is_interim(status) {
             skipped += used;
             continue;
         }
--- a/src/net/http2_up.rs
+++ b/src/net/http2_up.rs
@@ -4,7 +4,7 @@
 use super::http2::{self, CONNECTION_WINDOW};
 use super::message::{Answer, Message, MOST_BODY, MOST_HEAD};
 use super::poll::Interest;
-use super::upstream::{connect, Job, IDLE_SHARE, PROBE_WITHIN};
+use super::upstream::{connect, Job, IDLE_SHARE, PROBE_WITHIN, STALLED};
 use super::{Conn, Due, Gateway};
 use crate::core::{End, Input, UpstreamId};
 use crate::interface::{BackendId, Millis};
@@ -41,6 +41,8 @@
     rest: Bytes,
     /// Its head has reached the socket.
     left: bool,
+    /// When anything of its answer last came.
+    read_at: Millis,
     waker: Waker,
     flag: Arc<Flag>,
 }
@@ -175,7 +177,16 @@
                 }
                 let (waker, flag) = self.woken.waker(up.token);
                 let (answering, rest) = (Answering::Head(response), Bytes::from(body));
-                up.slots.push(Slot { job, answering, send, rest, left: false, waker, flag });
+                up.slots.push(Slot {
+                    job,
+                    answering,
+                    send,
+                    rest,
+                    left: false,
+                    read_at: self.now,
+                    waker,
+                    flag,
+                });
             }
             Err(_) => {
                 up.leaving = true;
@@ -285,6 +296,7 @@
                 continue;
             }
             any = true;
+            slot.read_at = self.now;
             match poll_slot(slot) {
                 None => at += 1,
                 Some((end, answer)) => {
@@ -370,6 +382,14 @@
         if open && up.slots.is_empty() && !up.wanted && (old || !usable) {
             return self.close_up2(up, End::Reset);
         }
+        // As on the other front: an answer that has begun and brings nothing more has failed.
+        let stalled = |s: &Slot| matches!(s.answering, Answering::Body(..)) && self.now - s.read_at > STALLED;
+        if let Some(at) = up.slots.iter().position(stalled) {
+            let mut slot = up.slots.swap_remove(at);
+            slot.send.send_reset(Reason::CANCEL);
+            self.job_over(&up.host.clone(), slot.job, End::Error, None);
+            return self.up2_ready(token, up);
+        }
         if up.slots.is_empty() {
             (up.pinged, up.heard) = (None, self.now);
         } else if let Phase::Open(_, _, Some(ping)) = &mut up.phase {
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 connections to upstream hosts: one upstream request at a time on each.
 
 use super::http1::{self, Parsed};
-use super::message::{Answer, Message};
+use super::message::{Answer, Message, MOST_BODY, MOST_HEAD};
 use super::poll::Interest;
 use super::{Conn, Due, Gateway};
 use crate::core::{End, UpstreamId};
@@ -18,6 +18,11 @@
 /// A probe without an answer by then has failed.
 pub(super) const PROBE_WITHIN: Millis = 1000.0;
 
+/// An answer that has begun and brings nothing more for this long will not become whole.
+pub(super) const STALLED: Millis = 400.0;
+/// Bytes of one answer after which it is no answer: head, body and the framing of its chunks.
+const MOST_ANSWER: usize = 2 * MOST_HEAD + 2 * MOST_BODY;
+
 /// An upstream host as the wire knows it.
 pub(super) struct Host {
     pub(super) address: SocketAddr,
@@ -50,6 +55,9 @@
     interest: Interest,
     /// When it began to connect, was given its job, or became idle.
     since: Millis,
+    /// When it last brought anything, and bytes of interim answers to its job.
+    read_at: Millis,
+    interim: usize,
 }
 
 impl Gateway {
@@ -84,6 +92,13 @@
         }
         while let Some(token) = self.hosts.get_mut(host).and_then(|h| h.idle.pop()) {
             let Some(Conn::Up(mut up)) = self.slots.take(token) else { continue };
+            // Danger: what came behind the last answer, a copy of it or noise, lies unread until the next
+            // round. Written to now, it would pass for the answer to this request.
+            if !is_quiet(&up.socket) {
+                self.close_up(up, End::Reset);
+                self.slots.release(token);
+                continue;
+            }
             up.job = Some(job);
             if let Some(Job::Stream(id, _)) = up.job {
                 self.in_flight.insert(id, token);
@@ -121,6 +136,8 @@
             outbound: Outbound::default(),
             interest,
             since: self.now,
+            read_at: self.now,
+            interim: 0,
         };
         self.slots.put(token, Conn::Up(up));
     }
@@ -128,6 +145,7 @@
     /// Writes the request of a connection that is up.
     fn begin(&mut self, token: Token, mut up: Up) -> Option<Up> {
         up.since = self.now;
+        up.interim = 0;
         match up.job {
             Some(Job::Stream(id, until)) => {
                 // A connect takes time: whether the host drains is looked at again at the first byte.
@@ -173,14 +191,25 @@
             return self.close_up(up, End::NotConnected);
         }
         if read {
+            up.read_at = self.now;
             loop {
                 match up.inbound.read(&mut up.socket, &mut self.scratch) {
+                    // Danger: an answer that keeps coming is read as fast as it is sent.
+                    Got::Some if up.inbound.bytes().len() > MOST_ANSWER => break,
                     Got::Some => {}
                     Got::Blocked => break,
                     got => return self.up_ended(up, got == Got::End),
                 }
             }
+            // Interim answers say nothing of when the final one comes; what is cut short is looked at behind them.
+            let interim = http1::interim(up.inbound.bytes());
+            up.inbound.consume(interim);
+            up.interim += interim;
             match http1::answer(up.inbound.bytes(), false) {
+                Parsed::Partial(_) if up.interim > MOST_HEAD => return self.close_up(up, End::Error),
+                Parsed::Partial(_) if up.inbound.bytes().len() > MOST_ANSWER => {
+                    return self.close_up(up, End::Error)
+                }
                 Parsed::Partial(_) => {}
                 Parsed::Bad(..) => return self.close_up(up, End::Error),
                 Parsed::Whole(answer, used, reusable) => {
@@ -370,6 +399,11 @@
         if idle && (old || !self.core.may_send_to(&up.host)) {
             return self.close_up(up, End::Reset);
         }
+        // Danger: a length that is too long, or a head that ends in the middle, would be waited for until the
+        // request's time is up. What has begun comes in one go; without more of it, it has failed.
+        if up.job.is_some() && !up.inbound.bytes().is_empty() && self.now - up.read_at > STALLED {
+            return self.close_up(up, End::Error);
+        }
         Some(up)
     }
 }
@@ -383,6 +417,11 @@
     }
 }
 
+/// Whether a connection is open and nothing lies unread on it.
+fn is_quiet(socket: &TcpStream) -> bool {
+    socket.peek(&mut [0]).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+}
+
 /// Begins to connect without waiting.
 pub(super) fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
@@ -394,3 +433,30 @@
         _ => Ok(socket.into()),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::is_quiet;
+    use std::io::Write;
+    use std::net::{TcpListener, TcpStream};
+
+    #[test]
+    fn a_connection_with_bytes_unread_or_an_end_is_not_quiet() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+        let ours = || {
+            let socket = TcpStream::connect(listener.local_addr().expect("bound")).expect("connects");
+            socket.set_nonblocking(true).expect("set");
+            (socket, listener.accept().expect("accepted").0)
+        };
+        let (quiet, _open) = ours();
+        let (copied, mut host) = ours();
+        let (ended, gone) = ours();
+        host.write_all(b"HTTP/1.1 200 OK").expect("written");
+        drop(gone);
+        // Loopback hands over within the call of the other side, but nothing says that it must.
+        while is_quiet(&copied) || is_quiet(&ended) {
+            std::thread::yield_now();
+        }
+        assert!(is_quiet(&quiet));
+    }
+}
--- a/tests/http2.rs
+++ b/tests/http2.rs
@@ -136,6 +136,23 @@
     assert_eq!((seen.all(), gateway.counter("bad_messages")), (1, 2));
 }
 
+#[test]
+fn an_answer_that_stops_in_the_middle_fails_and_its_connection_serves_on() {
+    let (seen, knobs) = (Arc::new(Seen::default()), Arc::new(Knobs::default()));
+    let act = |m: &switchhill::net::message::Message| match m.method.as_str() {
+        "POST" => Act::Say("half of"),
+        _ => Act::ServeAfter(1200),
+    };
+    let discovery =
+        Discovery::new(vec![Member { http2: true, ..member("s-1", http2::host(&seen, &knobs, act)) }]);
+    let gateway = Gateway::start_with(&config(discovery.address), Some(OPERATOR));
+    let answers = ask_all(gateway.address, vec![ask("top-up", 1), ask("usage-view", 2)]);
+    let statuses: Vec<_> = answers.into_iter().map(|a| a.map(|a| a.status)).collect();
+    assert_eq!(statuses, [Some(502), Some(200)]);
+    assert_eq!((seen.times(&format!("{:016x}", 1)), gateway.counter("upstream_errors")), (1, 1));
+    assert_eq!(gateway.counter("upstream_connections"), 1);
+}
+
 #[test]
 fn a_stream_reset_after_its_top_up_was_sent_on() {
     let Site { seen, gateway, .. } = site(&[Act::Hang; 2], |_| {});
--- a/tests/stand_in/http2.rs
+++ b/tests/stand_in/http2.rs
@@ -112,6 +112,15 @@
             seen.note(&id);
             return respond.send_reset(Reason::INTERNAL_ERROR);
         }
+        Act::Say(text) => {
+            // An answer that begins and brings nothing more.
+            seen.note(&id);
+            let mut send = respond.send_response(http::Response::new(()), false).expect("open");
+            let _ = send.send_data(Bytes::from_static(text.as_bytes()), false);
+            let _ = std::future::poll_fn(|cx| send.poll_reset(cx)).await;
+            return;
+        }
+        Act::ServeBehind(_) | Act::ServeBefore(_) | Act::KeepComing => unreachable!("in HTTP/1.1 only"),
         Act::Hang => {
             seen.note(&id);
             let _ = std::future::poll_fn(|cx| respond.poll_reset(cx)).await;
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -169,6 +169,14 @@
     Hang,
     /// HTTP/2 only: `REFUSED_STREAM`.
     Refuse,
+    /// These bytes as they stand; the connection stays open.
+    Say(&'static str),
+    /// These bytes in front of a good answer.
+    ServeBehind(&'static str),
+    /// These bytes right behind a good answer.
+    ServeBefore(&'static str),
+    /// An answer whose body never ends.
+    KeepComing,
 }
 
 /// How often each id has come whole to any of the upstream hosts that share it.
@@ -225,6 +233,18 @@
                     thread::sleep(Duration::from_millis(ms));
                     whole(200, "", &[id.as_bytes(), &message.body].concat())
                 }
+                Act::Say(bytes) => bytes.as_bytes().to_vec(),
+                Act::ServeBehind(bytes) => [
+                    bytes.as_bytes(),
+                    &whole(200, "X-Pressure: ?=!\r\nX-RateLimit-Used: -\r\n", id.as_bytes()),
+                ]
+                .concat(),
+                Act::ServeBefore(bytes) => [&whole(200, "", id.as_bytes()), bytes.as_bytes()].concat(),
+                Act::KeepComing => {
+                    let _ = socket.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\nX-Pad: ");
+                    while socket.write_all(&[b'p'; 8192]).is_ok() {}
+                    return;
+                }
                 Act::Error => whole(500, "", b""),
                 Act::TurnAway | Act::Refuse => whole(503, "X-Turned-Away: 1\r\n", b""),
                 Act::Break => return,
