Forget upstream hosts that are gone, in the core, the loop and the module

At fault: Core::listed marked hosts as gone and kept them; place_host only ever inserted; Brain::list pushed a new place for each new id.

Change: the core drops what is gone and says so once; a place in the module is taken again once nothing is out to it and no race waits for it. The health that was learnt goes with it: an id that comes back is judged anew. Also: before a downstream is closed to free a descriptor its bytes are read, since a first request may just have come.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -598,15 +598,27 @@
             let (born, now) = (told.born, self.now);
             let ramp_from = if born > 0.0 { born } else { f64::NEG_INFINITY };
             let fresh = Server { ramp_from, answered: now, ratio: 1.0, ..Server::default() };
-            let index = *self.by_id.entry(told.id.clone()).or_insert(self.servers.len());
+            let known = self.by_id.get(&told.id).copied();
+            // Danger: backends are replaced under new ids all day; each takes the place of one that is gone.
+            let unused = || (0..self.servers.len()).find(|i| !self.by_id.values().any(|used| used == i));
+            let index = known.or_else(unused).unwrap_or(self.servers.len());
             if index == self.servers.len() {
-                self.servers.push(Server { told, ..fresh });
+                self.servers.push(Server::default());
+            }
+            if known.is_none() {
+                self.by_id.insert(told.id.clone(), index);
+                self.servers[index] = Server { told, ..fresh };
             } else if born > self.servers[index].told.born {
                 self.servers[index] = Server { told, out: self.servers[index].out, ..fresh };
             } else {
                 self.servers[index].told = told;
             }
         }
+        let (servers, races) = (&self.servers, &self.races);
+        self.by_id.retain(|_, i| {
+            let in_use = servers[*i].out > 0 || races.iter().any(|race| race.1.contains(i));
+            servers[*i].told.state != BackendState::Gone || in_use
+        });
     }
 
     // ---- Attempts ----
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -120,6 +120,8 @@
     CloseIdle(BackendId),
     /// An upstream host drains or is gone: nothing new may start, nor what has not left yet.
     HostLeft(BackendId),
+    /// An upstream host is in no list any more: forget it.
+    HostGone(BackendId),
     /// Ask discovery for the whole list.
     ReadList,
     /// A line for the log.
@@ -230,6 +232,12 @@
         self.hosts.get(host) == Some(&BackendState::Ready)
     }
 
+    /// Whether an upstream host is in the list, whatever its state.
+    #[must_use]
+    pub fn knows(&self, host: &str) -> bool {
+        self.hosts.contains_key(host)
+    }
+
     /// Whether upstream requests are held until this host has room.
     #[must_use]
     pub fn holds_for(&self, host: &BackendId) -> bool {
@@ -365,6 +373,11 @@
         }
         let left = before.into_iter().filter(|host| !self.may_send_to(host));
         commands.extend(left.map(Command::HostLeft));
+        // Danger: hosts are replaced under new ids all day long; what is kept of those gone would only grow.
+        let gone = |state: &BackendState| *state == BackendState::Gone;
+        let ids = self.hosts.iter().filter(|(_, state)| gone(state)).map(|(host, _)| host.clone());
+        commands.extend(ids.map(Command::HostGone));
+        self.hosts.retain(|_, state| !gone(state));
         // Nothing that waits for room may reach a host that drains.
         let left: Vec<BackendId> = self.held.keys().filter(|host| !self.may_send_to(host)).cloned().collect();
         for host in left {
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -277,5 +277,8 @@
         }
         let left: Vec<_> = bench.out.iter().filter(|c| matches!(c, Command::HostLeft(_))).collect();
         assert_eq!(left, [&Command::HostLeft("a".into())]);
+        // One that only drains is kept; of one that is gone nothing is.
+        let gone = bench.out.iter().filter(|c| matches!(c, Command::HostGone(_))).count();
+        assert_eq!((gone == 1, bench.core.knows("a")), (kind == ListKind::Full, kind == ListKind::Changes));
     }
 }
--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -149,15 +149,20 @@
         }
         let Some((.., token)) = oldest else { return false };
         let kept = match self.slots.take(token) {
-            Some(Conn::Down(down)) => {
-                self.close_down(down);
-                None
-            }
+            // Danger: its first request may just have come in, and a client that is closed on then has failed.
+            Some(Conn::Down(down)) => match self.down_ready(token, down, true) {
+                Some(Conn::Down(down)) if down.lingering || down.is_idle() => {
+                    self.close_down(down);
+                    None
+                }
+                other => other,
+            },
             Some(Conn::Down2(down)) => self.close_down2(*down).map(|down| Conn::Down2(Box::new(down))),
             other => other,
         };
+        let closed = kept.is_none();
         self.keep(token, kept);
-        true
+        closed
     }
 
     /// How long a connection may be without a request before it is closed.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -364,6 +364,7 @@
             Command::Probe(host) => self.probe(&host),
             Command::CloseIdle(host) => self.close_idle(&host),
             Command::HostLeft(host) => self.host_left(&host),
+            Command::HostGone(host) => self.host_gone(&host),
             Command::ReadList => self.discovery.whole_next = true,
             Command::Log(line) => log(&line),
         }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -371,6 +371,14 @@
         }
     }
 
+    /// A host is in no list any more. It may have come back in the same round.
+    pub(super) fn host_gone(&mut self, host: &BackendId) {
+        if !self.core.knows(host) {
+            self.close_idle(host);
+            self.hosts.remove(host);
+        }
+    }
+
     /// Closes idle connections to one host.
     pub(super) fn close_idle(&mut self, host: &BackendId) {
         let idle = self.hosts.get_mut(host).map(|h| std::mem::take(&mut h.idle)).unwrap_or_default();
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -545,3 +545,29 @@
     assert_eq!(tries(Code::Broken), 50);
     assert!((4..=8).contains(&tries(Code::Failure)));
 }
+
+#[test]
+fn nothing_is_kept_of_backends_that_are_gone() {
+    // Guarded against: a long day on which backends are replaced under new ids, and a module that grows and
+    // slows down with every one of them.
+    let mut driver = Driver::new(settings(), 3);
+    let early = driver.request(request(1));
+    let held = sent(&early).expect("sent").to_string();
+    let id = |n: u32| -> BackendId { format!("10.0.{}.{}:80", n / 200, n % 200).into() };
+    for n in 10..400 {
+        driver.advance(driver.now + 100.0);
+        let fresh = Backend { id: id(n), born: driver.now, ..backend(1) };
+        let old = |n: u32, state| Backend { id: id(n), state, ..backend(1) };
+        driver.list(ListKind::Changes, vec![fresh, old(n - 2, BackendState::Gone)]);
+    }
+    let text = format!("{:?}", driver.brain);
+    assert!(!text.contains(&*id(100)) && text.contains(&*id(399)));
+    // One that is gone with an attempt out is remembered until that has its outcome.
+    let gone = Backend { id: held.as_str().into(), state: BackendState::Gone, ..backend(1) };
+    driver.list(ListKind::Changes, vec![gone]);
+    assert!(format!("{:?}", driver.brain).contains(&held));
+    driver.outcome(1, 0, Code::Success);
+    driver.list(ListKind::Changes, vec![]);
+    driver.list(ListKind::Changes, (1000..1010).map(|n| Backend { id: id(n), ..backend(1) }).collect());
+    assert!(!format!("{:?}", driver.brain).contains(&held));
+}
