Keep top-ups off kept connections while these are found dead

Ruled out: our idle limit (half of 30 s; none had been idle for over 1 s).

Change: upstream::Reuse learns how often a kept connection breaks at once. From 2% on a request that must not run twice gets a new one; from 8% on others too but every sixth, and a host keeps two idle ones at most.

The new test in tests/spoilt.rs fails without it: a `top-up` gets 502.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::core::Timers;
 use crate::core::{Command, Core, End, Input, StreamId, UpstreamId};
-use crate::interface::{BackendId, Code, ListKind, Millis};
+use crate::interface::{BackendId, Code, Effect, ListKind, Millis};
 use crate::memory::buffer;
 use crate::memory::counters::Counters;
 use crate::memory::pool::{Slots, Token};
@@ -97,6 +97,8 @@
     message: Message,
     answer: Option<(u32, Answer)>,
     deadline: Millis,
+    /// It must not run twice, so nothing that may have run is sent again.
+    once: bool,
 }
 
 /// What is due in the loop itself.
@@ -125,6 +127,7 @@
     discovery: Discovery,
     hosts: BTreeMap<BackendId, Host>,
     account: Option<Account>,
+    reuse: upstream::Reuse,
     http2_hosts: BTreeSet<String>,
     http2_downstream: bool,
     woken: Woken,
@@ -183,6 +186,7 @@
             discovery: Discovery::new(config.discovery),
             hosts: BTreeMap::new(),
             account,
+            reuse: upstream::Reuse::default(),
             http2_downstream: config.operator.http2_downstream,
             http2_hosts: config.operator.http2_hosts,
             woken: Woken::default(),
@@ -407,8 +411,9 @@
         let id = self.next_stream;
         self.next_stream += 1;
         let deadline = self.now + terms.wait;
+        let once = self.told.module.classes[terms.class].effect == Effect::Unsafe;
         self.held_bytes += message.size();
-        self.exchanges.insert(id, Exchange { downstream, message, answer: None, deadline });
+        self.exchanges.insert(id, Exchange { downstream, message, answer: None, deadline, once });
         self.inputs.push(Input::StreamArrived(id, terms));
         Ok(id)
     }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -23,6 +23,41 @@
 /// Bytes of one answer after which it is no answer: head, body and the framing of its chunks.
 const MOST_ANSWER: usize = 2 * MOST_HEAD + 2 * MOST_BODY;
 
+/// A kept connection that breaks this soon after a request was written to it had been given up by its host.
+const STALE_WITHIN: Millis = 25.0;
+
+/// How often kept connections turn out to be dead, over the last few dozen uses.
+#[derive(Debug, Default)]
+pub(super) struct Reuse {
+    risk: f64,
+    passed_over: u32,
+}
+
+impl Reuse {
+    /// Weight of one use.
+    const WEIGHT: f64 = 1.0 / 32.0;
+    /// From this risk on nothing that must not run twice goes out on a kept connection,
+    const RISKY_ONCE: f64 = 0.02;
+    /// and from this one on nothing else does but one request in a few, to learn when it is over.
+    const RISKY: f64 = 0.08;
+    const TRY: u32 = 6;
+
+    fn told(&mut self, stale: bool) {
+        self.risk += (f64::from(u8::from(stale)) - self.risk) * Self::WEIGHT;
+    }
+
+    /// Whether a request may go out on a kept connection. Danger: hosts and what stands before them may drop
+    /// connections without a word; a request written then may have run, as far as anyone can prove, and a
+    /// `top-up` is lost. A new connection costs a round trip.
+    fn allows(&mut self, once: bool) -> bool {
+        if once {
+            return self.risk < Self::RISKY_ONCE;
+        }
+        self.passed_over = if self.risk < Self::RISKY { 0 } else { (self.passed_over + 1) % Self::TRY };
+        self.passed_over == 0
+    }
+}
+
 /// An upstream host as the wire knows it.
 pub(super) struct Host {
     pub(super) address: SocketAddr,
@@ -58,6 +93,8 @@
     /// When it last brought anything, and bytes of interim answers to its job.
     read_at: Millis,
     interim: usize,
+    /// It has served before.
+    reused: bool,
 }
 
 impl Gateway {
@@ -90,7 +127,14 @@
         if self.hosts.get(host).is_some_and(|h| h.http2) {
             return self.start_http2(host, job);
         }
-        while let Some(token) = self.hosts.get_mut(host).and_then(|h| h.idle.pop()) {
+        let reuse = match &job {
+            Job::Stream(id, _) => {
+                let once = self.exchanges.get(&id.0).is_some_and(|exchange| exchange.once);
+                self.reuse.allows(once)
+            }
+            Job::Probe(_) => true,
+        };
+        while let Some(token) = self.hosts.get_mut(host).filter(|_| reuse).and_then(|h| h.idle.pop()) {
             let Some(Conn::Up(mut up)) = self.slots.take(token) else { continue };
             // Danger: what came behind the last answer, a copy of it or noise, lies unread until the next
             // round. Written to now, it would pass for the answer to this request.
@@ -100,6 +144,7 @@
                 continue;
             }
             up.job = Some(job);
+            up.reused = true;
             if let Some(Job::Stream(id, _)) = up.job {
                 self.in_flight.insert(id, token);
             } else {
@@ -138,6 +183,7 @@
             since: self.now,
             read_at: self.now,
             interim: 0,
+            reused: false,
         };
         self.slots.put(token, Conn::Up(up));
     }
@@ -257,6 +303,9 @@
     /// A whole answer has come for the job at hand.
     fn answered(&mut self, up: &mut Up, answer: Answer) {
         let Some(job) = up.job.take() else { return };
+        if up.reused {
+            self.reuse.told(false);
+        }
         if let Some(host) = self.hosts.get_mut(&up.host) {
             host.heard = self.now;
         }
@@ -291,6 +340,9 @@
         if let Some(job) = up.job.take() {
             let unsent = up.connecting || !up.outbound.is_empty();
             let end = if unsent { End::NotConnected } else { end };
+            if up.reused {
+                self.reuse.told(end == End::Reset && self.now - up.since < STALE_WITHIN);
+            }
             self.job_over(&up.host.clone(), job, end, None);
         }
         None
@@ -305,6 +357,11 @@
         {
             return self.close_up(up, End::Reset);
         }
+        // Where few are used again they would only pile up at the host.
+        let spare = self.hosts.get(&up.host).is_some_and(|h| h.idle.len() >= 2);
+        if spare && self.reuse.risk >= Reuse::RISKY {
+            return self.close_up(up, End::Reset);
+        }
         up.since = self.now;
         let host = up.host.clone();
         let up = self.watch_up(token, up)?;
--- a/tests/spoilt.rs
+++ b/tests/spoilt.rs
@@ -5,6 +5,7 @@
 
 use rstest::rstest;
 use stand_in::*;
+use std::io::Write;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -54,3 +55,33 @@
     }
     assert_eq!((seen.all(), seen.most()), (20, 1));
 }
+
+#[test]
+fn top_ups_leave_kept_connections_alone_while_these_are_found_dead() {
+    // Guarded against: hosts, or what stands before them, that drop a kept connection at its next request;
+    // a `top-up` written to one may have run and cannot be sent again.
+    let seen = Arc::new(Seen::default());
+    let noted = seen.clone();
+    let address = serve(move |mut socket| {
+        let mut bytes = Vec::new();
+        if let Some(message) = read_request(&mut socket, &mut bytes) {
+            let id = id_of(&message);
+            noted.note(&id);
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len());
+            let _ = socket.write_all(answer.as_bytes());
+            let _ = read_request(&mut socket, &mut bytes);
+        }
+    });
+    let gateway = Gateway::start(&Discovery::new(vec![member("s-1", address)]));
+    let mut client = Client::connect(gateway.address);
+    for id in 1..=6 {
+        assert!(matches!(client.ask("usage-view", id, id, 3000).status, 200 | 503));
+    }
+    let resets = gateway.counter("upstream_reset");
+    for id in 11..=20 {
+        let answer = client.ask("top-up", id, id, 5000);
+        assert_eq!((answer.status, answer.body), (200, format!("{id:016x}").into_bytes()));
+    }
+    assert!(resets > 0);
+    assert_eq!((gateway.counter("upstream_reset"), seen.most()), (resets, 1));
+}
