Count overtaken attempts as lost, not queued, and aim slices below the quota

Release of all hosts in 5 s: 367 price refusals.

Causes: reprice() counts every attempt that is out too long as waiting, times up to 2 + their number, though its host has answered what was sent later; three time-outs of such attempts in a row rest a healthy host; look_into() calls a host silent only if it has answered nothing, so no copy was sent. judge() made a host cold after three broken connections. A cold host's latency counted as waiting. Slices aim at the whole quota, with the floors of others on top.

Change: Server::reached tells what is overtaken; tells() leaves cold hosts out; only out of reach makes cold; SLICE_AIM 0.85, DOUBLING 0.5.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,7 +4,7 @@
 //! attempts, timers. A [`Brain`] does no I/O and has no clock: [`Brain::handle`] takes the time.
 
 use crate::interface::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// How often prices are computed anew (t_c of the paper).
 const PRICE_EVERY: Millis = 300.0;
@@ -40,6 +40,11 @@
 const EXTRA_MOST: f64 = 3.0;
 /// Share of the aim after which an attempt is looked into.
 const CHECK_SHARE: f64 = 0.3;
+/// Share of the quota that slices aim at together, and how fast one may double (times a second). Readings are
+/// periods old, and the floors of gateways that see little of a customer come on top: aimed at the whole,
+/// what all grant in a burst passes it. May hurt: a customer just under its quota is refused now and then.
+const SLICE_AIM: f64 = 0.85;
+const DOUBLING: f64 = 0.5;
 /// Slots in which a gateway remembers what it let through; each is half a meter period.
 const SLOTS: usize = 32;
 /// Requests that tell a customer's own rate here; fewer are looked for further back.
@@ -88,6 +93,8 @@
     lag: f64,
     silence: f64,
     answered: Millis,
+    /// When the latest of what it has answered was sent.
+    reached: Millis,
     faults: u32,
     rest: Millis,
     rest_until: Millis,
@@ -236,7 +243,7 @@
         // Danger: a hung backend tells nothing until its time-outs. The age of what is still out
         // counts as wait so far once it is longer than usual.
         let usual = |o: &&Out| self.classes[o.class].floor + self.wait;
-        let late = |o: &&Out| self.now - o.sent > usual(o) && !self.servers[o.server].doubted();
+        let late = |o: &&Out| self.now - o.sent > usual(o) && self.tells(o.server) && !self.overtaken(o);
         let overdue: Vec<&Out> = self.out.values().filter(late).collect();
         let missing = self.missing + overdue.len() as f64;
         for out in &overdue {
@@ -337,7 +344,7 @@
         let seconds = (now - customer.shared_at) / 1000.0;
         if seconds >= 1.0 {
             customer.shared_at = now;
-            let most = customer.share * seconds.min(4.0).exp2();
+            let most = customer.share * (DOUBLING * seconds.min(4.0)).exp2();
             // A reading stands until answers come without one: a seldom seen customer's is the best there is.
             let fresh = customer.blind_at < customer.read_at + 4.0 * self.set.meter_period;
             let own = customer.let_through(plan, self.set.meter_period, request.units, since_start);
@@ -346,7 +353,7 @@
                 _ if customer.read_at.is_infinite() => customer.share,
                 (false, _) => customer.share / 2.0,
                 (true, false) => most,
-                (true, true) if plan.rate > 0.0 => own / customer.reading,
+                (true, true) if plan.rate > 0.0 => SLICE_AIM * own / customer.reading,
                 // Peaks do not add up as rates do: a cap leaves what the others did not hold then.
                 (true, true) => 1.0 - (customer.reading - own).max(0.0),
             };
@@ -449,6 +456,21 @@
         rules.cold_share + (1.0 - rules.cold_share) * age / rules.warm_up
     }
 
+    /// Whether its backend has answered something that was sent after this attempt.
+    fn overtaken(&self, out: &Out) -> bool {
+        // Danger: an answer that got lost on its way looks like a queue for as long as it is waited for, and
+        // a few of them at a fast backend would price out the rest and put the backend to rest. Queues are
+        // served about in turn: what others have overtaken is lost, and tells of that connection alone.
+        self.servers[out.server].reached > out.sent
+    }
+
+    /// Whether a latency there tells of waiting in the fleet.
+    fn tells(&self, index: usize) -> bool {
+        // Danger: a release starts most backends anew; a cold one is slow however little it holds, and its
+        // latency squared would price out what the warm ones could serve. Its turn bounds its own load.
+        !self.servers[index].doubted() && self.warmth(&self.servers[index]) >= 1.0
+    }
+
     fn may_take(&self, server: &Server) -> bool {
         server.told.state == BackendState::Ready && self.now >= server.rest_until
     }
@@ -542,24 +564,28 @@
     }
 
     /// Judges a backend by what came of an attempt.
-    fn judge(&mut self, index: usize, class: usize, code: Code, elapsed: Millis, act: &mut Vec<Action>) {
-        let typical = self.typical(class);
+    fn judge(&mut self, out: &Out, code: Code, elapsed: Millis, act: &mut Vec<Action>) {
+        let (index, overtaken) = (out.server, self.overtaken(out));
+        let typical = self.typical(out.class);
         let server = &mut self.servers[index];
         match code {
             Code::Success => {
                 (server.faults, server.rest, server.rest_until) = (0, 0.0, 0.0);
                 (server.answered, server.lag, server.silence) = (self.now, 0.0, 0.0);
+                server.reached = server.reached.max(out.sent);
                 if typical > 0.0 && self.stalled < self.now {
                     server.ratio += ((elapsed / typical).clamp(0.05, 20.0) - server.ratio) * 0.05;
                 }
             }
             Code::Overloaded => server.ratio = (server.ratio * 1.2).min(20.0),
             Code::Failure | Code::TimedOut | Code::Unreachable | Code::Broken | Code::Unknown => {
-                server.faults += 1;
+                server.faults += u32::from(!overtaken);
                 server.ratio = (server.ratio * 1.1).min(20.0);
-                if server.faults == FAULTS && self.put_to_rest(index, act) {
-                    // It may have started anew unknown to the list: it comes back as a cold one.
-                    if matches!(code, Code::Unreachable | Code::Broken) {
+                if server.faults == FAULTS && !overtaken && self.put_to_rest(index, act) {
+                    // It may have started anew unknown to the list: it comes back as a cold one. Danger:
+                    // where connections break under healthy ones, the fleet would be taken for cold piece by
+                    // piece; what was down was out of reach before it came back.
+                    if code == Code::Unreachable {
                         let server = &mut self.servers[index];
                         server.ramp_from = server.rest_until;
                     }
@@ -592,6 +618,8 @@
         if kind != ListKind::Changes {
             self.servers.iter_mut().for_each(|s| s.told.state = BackendState::Gone);
         }
+        let used: BTreeSet<usize> = self.by_id.values().copied().collect();
+        let mut unused: Vec<usize> = (0..self.servers.len()).filter(|i| !used.contains(i)).collect();
         for mut told in backends {
             // Danger: a start in the future would never warm up; without a figure it was long ago.
             told.born = if told.born.is_finite() { told.born.min(self.now) } else { 0.0 };
@@ -600,8 +628,7 @@
             let fresh = Server { ramp_from, answered: now, ratio: 1.0, ..Server::default() };
             let known = self.by_id.get(&told.id).copied();
             // Danger: backends are replaced under new ids all day; each takes the place of one that is gone.
-            let unused = || (0..self.servers.len()).find(|i| !self.by_id.values().any(|used| used == i));
-            let index = known.or_else(unused).unwrap_or(self.servers.len());
+            let index = known.or_else(|| unused.pop()).unwrap_or(self.servers.len());
             if index == self.servers.len() {
                 self.servers.push(Server::default());
             }
@@ -706,10 +733,12 @@
         };
         let elapsed = self.now - out.sent;
         self.servers[out.server].out = self.servers[out.server].out.saturating_sub(1);
-        self.judge(out.server, out.class, told.code, elapsed, act);
+        self.judge(&out, told.code, elapsed, act);
         // Danger: one silent part of the fleet would price out what the rest could serve well. What a
         // backend in doubt holds or lets time out tells of that backend, not of waiting.
-        let sound = told.code == Code::TimedOut && !self.servers[out.server].doubted();
+        let overtaken = self.overtaken(&out);
+        let tells = self.tells(out.server);
+        let sound = told.code == Code::TimedOut && tells && !overtaken;
         let age = elapsed - self.classes[out.class].floor;
         let wait = self.silent_wait(out.class, age, self.missing + 1.0);
         // Danger: further attempts kept to a share of the admissions leave most of what gets lost unanswered.
@@ -722,7 +751,7 @@
             self.missing += 1.0;
             self.classes[out.class].waits += wait;
             self.classes[out.class].answers += 1.0;
-        } else if told.code == Code::Success && self.stalled < self.now {
+        } else if told.code == Code::Success && self.stalled < self.now && tells {
             let queued = self.queued(told.report.as_deref());
             let class = &mut self.classes[out.class];
             class.known = (class.known + 1.0).min(SURE);
@@ -844,7 +873,7 @@
         let (class, single) = (open.class, open.out == 1 && !open.streaming);
         let held = self.out.range((id, 0)..=(id, u32::MAX)).next().filter(|_| single);
         let Some((attempt, out)) = held.map(|(key, out)| (key.1, *out)) else { return };
-        let silent = self.servers[out.server].answered <= out.sent;
+        let silent = self.servers[out.server].answered <= out.sent || self.overtaken(&out);
         if silent && self.now - out.sent > 2.0 * self.typical(class) {
             if self.set.limits.may_duplicate {
                 if self.further(id, out.server, act) {
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -571,3 +571,70 @@
     driver.list(ListKind::Changes, (1000..1010).map(|n| Backend { id: id(n), ..backend(1) }).collect());
     assert!(!format!("{:?}", driver.brain).contains(&held));
 }
+
+#[test]
+fn what_later_attempts_have_overtaken_is_lost_and_asked_again() {
+    // Guarded against: an answer lost at a backend that answers all others, waited for until the aim.
+    let mut settings = settings();
+    settings.limits.may_duplicate = true;
+    let mut driver = Driver::new(settings, 2);
+    answered(&mut driver, 0, 20, 50.0);
+    assert!(sent(&driver.request(request(500))).is_some());
+    answered(&mut driver, 20, 8, 50.0);
+    let copies = driver
+        .log
+        .iter()
+        .filter(|(_, a)| matches!(a, Action::Attempt { request, .. } if *request == RequestId(500)));
+    assert_eq!(copies.count(), 2);
+}
+
+/// The backend of every attempt so far, by request.
+fn sent_to(driver: &Driver) -> Vec<(u64, BackendId)> {
+    let attempt = |(_, a): &(Millis, Action)| match a {
+        Action::Attempt { request, backend, .. } => Some((request.0, backend.clone())),
+        _ => None,
+    };
+    driver.log.iter().filter_map(attempt).collect()
+}
+
+fn rested(driver: &Driver) -> bool {
+    driver.log.iter().any(|(_, a)| matches!(a, Action::Trace(line) if line.starts_with("resting")))
+}
+
+#[test]
+fn lost_answers_do_not_rest_a_backend_that_answers_what_came_later() {
+    for overtaken in [true, false] {
+        let mut driver = Driver::new(settings(), 4);
+        (1..=24).for_each(|id| drop(driver.request(request(id))));
+        let all = sent_to(&driver);
+        let (_, busy) =
+            all.iter().find(|(_, b)| all.iter().filter(|(_, o)| o == b).count() >= 4).expect("one");
+        let held: Vec<u64> = all.iter().filter(|(_, b)| b == busy).map(|(id, _)| *id).collect();
+        driver.advance(50.0);
+        if overtaken {
+            // Something sent later is answered there.
+            let later = (100..200).find(|id| {
+                let done = driver.request(request(*id));
+                sent(&done) == Some(&**busy)
+            });
+            driver.outcome(later.expect("one of a hundred"), 0, Code::Success);
+        }
+        held.iter().take(3).for_each(|id| drop(driver.outcome(*id, 0, Code::TimedOut)));
+        assert_eq!(rested(&driver), !overtaken);
+    }
+}
+
+#[test]
+fn a_backend_whose_connections_break_is_not_taken_for_a_cold_one() {
+    // Guarded against: a network that resets connections, after which the whole fleet counts as cold.
+    let mut driver = Driver::new(settings(), 4);
+    let broken = backend(1).id;
+    (1..=24).for_each(|id| drop(driver.request(request(id))));
+    for (id, there) in sent_to(&driver) {
+        driver.outcome(id, 0, if there == broken { Code::Broken } else { Code::Success });
+        driver.outcome(id, 1, Code::Success);
+    }
+    assert!(rested(&driver));
+    // All of them are warm for ever, as the list says.
+    assert_eq!(format!("{:?}", driver.brain).matches("ramp_from: -inf").count(), 4);
+}
