Probe for a race only where half the wait outweighs the told price of two probes

The price is a setting of the module now. A race costs two probes and saves half of the wait at most.

A test fails without the change.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,8 +26,9 @@
 const CROSS_ZONE: f64 = 1.1;
 /// Chance in what backends are compared by.
 const DITHER: f64 = 0.3;
-/// Wait, as a share of the aim, from which probes are worth their price.
-const RACE: f64 = 0.02;
+/// A race costs two probes and saves half of the wait at most: it pays where the wait, as a share of the aim,
+/// is above this many times the price of one probe.
+const RACE: f64 = 4.0;
 /// Faults in a row after which a backend is left alone.
 const FAULTS: u32 = 3;
 /// Silence, as the sum of what is out over the usual latency, that puts a backend in doubt.
@@ -659,7 +660,9 @@
         // idle one. Probes that wait like requests can; they are paid for only in a queue.
         let ready = self.servers.iter().filter(|s| self.may_take(s)).count().max(1) as f64;
         let blind = (1.0 + FEW as f64 * self.usual_out / ready).powi(-2);
-        let pays = self.wait > RACE * self.set.classes[self.open[&id].class].aim && self.rng.f64() < blind;
+        // Danger: what probes cost is told and differs between sites by a factor of ten.
+        let worth = RACE * self.set.limits.probe_price * self.set.classes[self.open[&id].class].aim;
+        let pays = self.wait > worth && self.rng.f64() < blind;
         let second = if self.set.limits.may_probe && pays { self.choose(None, Some(first)) } else { None };
         let warm = |i: usize| self.warmth(&self.servers[i]) >= 1.0;
         match second.filter(|&second| second != first && warm(first) && warm(second)) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -110,6 +110,8 @@
     pub may_duplicate: bool,
     /// Backends may be probed.
     pub may_probe: bool,
+    /// What one probe for each first try takes off the result, as a share of it; 0 where probes are free.
+    pub probe_price: f64,
     /// Attempts may be called off.
     pub may_stop: bool,
     /// The longest hold-off that a client honours; 0 when clients are not told.
@@ -236,6 +238,7 @@
         let cold = self.rules.cold_share;
         check((0.0..=1.0).contains(&cold), "rules.cold_share".into(), "must be from 0 to 1")?;
         number(self.rules.warm_up, "rules.warm_up".into())?;
+        number(self.limits.probe_price, "limits.probe_price".into())?;
         number(self.meter_period, "meter_period".into())
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,7 +25,7 @@
 //!     limits: Limits {
 //!         max_attempts: 3,
 //!         may_duplicate: true,
-//!         may_probe: false,
+//!         may_probe: false, probe_price: 0.005,
 //!         may_stop: true,
 //!         max_hold_off: 0.0,
 //!         may_count: false,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -210,6 +210,7 @@
                 },
                 may_duplicate: limits.at("mayDuplicate").flag()?,
                 may_probe: limits.at("mayProbe").flag()?,
+                probe_price: from.at("penalties").at("probe").number_or(0.0)?,
                 may_stop: limits.at("cancel").flag()?,
                 max_hold_off: match limits.at("retryAfter").flag()? {
                     true => limits.at("maxRetryAfterMs").number_or(0.0)?,
@@ -317,6 +318,7 @@
         (".ceiling_rate", ".ceilingRate"),
         (".ceiling_depth", ".capDepth"),
         (".cold_share", ".coldShare"),
+        ("limits.probe_price", "penalties.probe"),
         (".warm_up", ".warmUpMs"),
         ("meter_period", "familyInfo.meterMs"),
     ];
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -365,6 +365,21 @@
     assert!(sent(&probed(&mut driver, &asked[0], Code::Success)).is_none(), "sent twice");
 }
 
+#[test]
+fn where_probes_cost_more_than_the_wait_that_they_save_nobody_is_probed() {
+    let asked = |price: f64| {
+        let mut settings = settings();
+        settings.limits.may_probe = true;
+        settings.limits.probe_price = price;
+        let mut driver = Driver::new(settings, 40);
+        answered(&mut driver, 0, 20, 50.0);
+        answered(&mut driver, 20, 10, 250.0);
+        (100..200).map(|id| probes(&driver.request(request(id))).len()).sum::<usize>()
+    };
+    assert!(asked(0.005) > 0);
+    assert_eq!(asked(0.14), 0);
+}
+
 #[test]
 fn a_race_that_nobody_wins_is_sent_all_the_same_and_one_without_news_is_answered() {
     let mut driver = racing();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -32,6 +32,7 @@
             max_attempts: 4,
             may_duplicate: false,
             may_probe: false,
+            probe_price: 0.005,
             may_stop: true,
             max_hold_off: 0.0,
             may_count: false,
