--- a/src/brain.rs
+++ b/src/brain.rs
@@ -556,7 +556,7 @@
         able.retain(|&i| self.warmth(&self.servers[i]) >= 1.0);
         // Danger: one of a hundred gateways meets each of sixty backends once in ten seconds: it never learns
         // which are slow, and pays a new connection for most requests. Each keeps to a window of the ring of
-        // ids, which all see alike; windows lie evenly: each backend is in as many, and the dead are passed over.
+        // ids, which all see alike; windows lie evenly: each backend is in as many.
         let share = SHARED_BY * able.len() as f64 / f64::from(self.set.gateways);
         let window = (share.ceil() as usize).max(FEW);
         if able.len() > window {
