Take an unread customer for what its plan's readings tell, not for inside its quota

Line at fault: Brain::request, told_worth 1 for whatever the local store of at least one unit lets in.

The price, not a lot, then decides. The first answers, judged against a guess, no longer count in a host's ratio.

A test fails without it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,7 +27,7 @@
 const SHARED_BY: f64 = 20.0;
 /// Golden ratio: multiples of it, less their whole part, lie evenly on a ring whichever numbers are missing.
 const GOLDEN: f64 = 0.618_033_988_749_894_9;
-/// Answers of a backend, of late, below which one failure to connect is reason enough to leave it alone.
+/// Answers of late below which one failed connect is reason enough to leave a backend alone.
 const SELDOM: f64 = 15.0;
 /// What a backend in another zone must be better by.
 const CROSS_ZONE: f64 = 1.1;
@@ -53,6 +53,8 @@
 /// what all grant in a burst passes it. May hurt: a customer just under its quota is refused now and then.
 const SLICE_AIM: f64 = 0.85;
 const DOUBLING: f64 = 0.5;
+/// Least chance to be inside its quota, and the first, that a customer has of whom nothing is known here.
+const UNREAD: f64 = 0.65;
 /// Slots in which a gateway remembers what it let through; each is half a meter period.
 const SLOTS: usize = 32;
 /// Requests that tell a customer's own rate here; fewer are looked for further back.
@@ -80,6 +82,7 @@
 /// A customer's local share of its quota and of its ceiling.
 #[derive(Debug, Clone, Default)]
 struct Customer {
+    plan: usize,
     entry: f64,
     share: f64,
     store: f64,
@@ -100,7 +103,7 @@
     ramp_from: Millis,
     out: u32,
     ratio: f64,
-    /// Answers and faults that `ratio` was learnt from; old ones count less.
+    /// Answers that `ratio` was learnt from; old ones count less.
     evidence: f64,
     lag: f64,
     silence: f64,
@@ -153,6 +156,8 @@
     started: Option<Millis>,
     classes: Vec<ClassState>,
     customers: BTreeMap<u64, Customer>,
+    /// Share of each plan's readings that tell of use within the quota.
+    within: Vec<f64>,
     servers: Vec<Server>,
     by_id: BTreeMap<BackendId, usize>,
     open: BTreeMap<RequestId, Open>,
@@ -190,6 +195,7 @@
             started: None,
             classes: vec![ClassState::default(); set.classes.len()],
             customers: BTreeMap::new(),
+            within: vec![UNREAD; set.plans.len()],
             servers: Vec::new(),
             by_id: BTreeMap::new(),
             open: BTreeMap::new(),
@@ -277,10 +283,9 @@
         if count <= 0.0 {
             self.wait *= 1.0 - FADE;
         }
-        self.servers.iter_mut().for_each(|s| {
-            s.ratio += (1.0 - s.ratio) * FADE / 4.0;
-            s.evidence *= 1.0 - FADE / 4.0;
-        });
+        for s in &mut self.servers {
+            (s.ratio, s.evidence) = (s.ratio + (1.0 - s.ratio) * FADE / 4.0, s.evidence * (1.0 - FADE / 4.0));
+        }
         for class in &mut self.classes {
             if class.answers <= 0.0 && class.admitted <= 0.0 {
                 class.mean *= 1.0 - FADE / 2.0;
@@ -341,6 +346,7 @@
         // would be refused at each. One is lent at the start.
         let lent = if plan.at_once > 0.0 { (1.0 / plan.at_once).min(1.0) } else { 0.0 };
         let customer = self.customers.entry(request.customer).or_insert_with(|| Customer {
+            plan: request.plan,
             entry,
             share: lent.max(1.0 / entry),
             store: (plan.burst / entry).max(request.units),
@@ -407,8 +413,13 @@
             // Danger: a cap smaller than the gateways it is split over, when each rounds its part up; the
             // broken part of one is granted by chance instead.
             && (plan.at_once <= 0.0 || customer.out + chance < plan.at_once * customer.share);
+        let unread =
+            inside && plan.rate > 0.0 && part * customer.share < 1.0 && customer.read_at.is_infinite();
         let under = plan.ceiling_rate <= 0.0 || customer.ceiling >= request.units;
-        let told_worth = if inside { 1.0 } else { plan.beyond_earns - plan.overrun_cost };
+        // Danger: over many gateways, a customer far beyond its quota is new at each, and each lets one in.
+        // Unread, it is worth what its plan's readings tell: so often inside, else beyond.
+        let chance = if unread { self.within[request.plan].max(UNREAD) } else { f64::from(u8::from(inside)) };
+        let told_worth = chance + (1.0 - chance) * (plan.beyond_earns - plan.overrun_cost);
         let value = class.worth * plan.price * told_worth;
         let hold_off = self.hold_off(request.class);
         let choice = if under && value > 0.0 { self.choose(None, None) } else { None };
@@ -599,7 +610,7 @@
                 (server.faults, server.rest, server.rest_until) = (0, 0.0, 0.0);
                 (server.answered, server.lag, server.silence) = (self.now, 0.0, 0.0);
                 server.reached = server.reached.max(out.sent);
-                if typical > 0.0 && self.stalled < self.now {
+                if self.classes[out.class].known > 0.0 && self.stalled < self.now {
                     let weight = (1.0 / (server.evidence + 4.0)).max(0.05);
                     server.ratio += ((elapsed / typical).clamp(0.05, 20.0) - server.ratio) * weight;
                     server.evidence += 1.0;
@@ -686,7 +697,6 @@
         // idle one. Probes that wait like requests can; they are paid for only in a queue.
         let ready = self.servers.iter().filter(|s| self.may_take(s)).count().max(1) as f64;
         let blind = (1.0 + FEW as f64 * self.usual_out / ready).powi(-2);
-        // Danger: what probes cost is told and differs between sites by a factor of ten.
         let worth = RACE * self.set.limits.probe_price * self.set.classes[self.open[&id].class].aim;
         let pays = self.wait > worth && self.rng.f64() < blind;
         let second = if self.set.limits.may_probe && pays { self.choose(None, Some(first)) } else { None };
@@ -802,6 +812,8 @@
             if let Some(usage) = told.usage.filter(|u| u.is_finite() && *u >= 0.0) {
                 customer.reading = usage / 100.0;
                 customer.read_at = self.now;
+                let within = &mut self.within[customer.plan];
+                *within += (f64::from(u8::from(usage <= 100.0)) - *within) * FADE;
             } else if told.code == Code::Success {
                 customer.blind_at = self.now;
             }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -93,3 +93,28 @@
     assert_eq!(sends_after(0), 0);
     assert!(sends_after(100) > 0);
 }
+
+#[test]
+fn where_parts_are_below_one_request_an_unread_customer_is_worth_less_than_one_that_is_read() {
+    let taken = |gateways: u32| {
+        let mut settings = Settings { gateways, ..settings() };
+        settings.plans[0] = Plan { rate: 1.0, burst: 20.0, ..settings.plans[0].clone() };
+        let mut driver = Driver::new(settings, 4);
+        let terms = |id: u64, customer: u64| Request { customer, entry_points: gateways, ..request(id) };
+        // Answers take 600 ms, which costs more than an unread customer is worth beside what it may overrun.
+        for id in 0..20 {
+            let done = driver.request(terms(id, 100 + id));
+            let then = driver.now + 600.0;
+            driver.advance(then);
+            sent(&done).into_iter().for_each(|_| drop(driver.metered(id, 0, Code::Success, Some(20.0))));
+        }
+        (200..220)
+            .filter(|&id| {
+                let done = driver.request(terms(id, id));
+                sent(&done).is_some()
+            })
+            .count()
+    };
+    let (unread, few) = (taken(100), taken(4));
+    assert!(unread < few, "{unread} of a hundred gateways, {few} of four");
+}
