--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -65,6 +65,8 @@
         (batch(&[BOOT, "{\"kind\":"]), "line 3: "),
         (bad("\"balancers\":2", "\"balancers\":0"), "line 2: field `bootInfo.balancers`"),
         (bad("\"rate\":2.0", "\"rate\":-2.0"), "line 2: field `bootInfo.tariffs[0].rate`"),
+        (bad("\"new\":{}", "\"penalties\":{\"probe\":-1}"), "line 2: field `bootInfo.penalties.probe`"),
+        (bad("\"new\":{}", "\"ordinal\":-1"), "line 2: field `bootInfo.ordinal`"),
         (bad("\"worth\":3.0", "\"worth\":true"), "line 2: field `bootInfo.requestClasses[0].worth`"),
         (bad("retryable", "perhaps"), "line 2: field `bootInfo.requestClasses[0].effect`"),
     ];
