Let a customer read within its quota count like an unread one, not by a lot

Now such a request is worth what its plan's readings tell, and the price decides, as for an unread customer.

A test fails without it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -103,7 +103,6 @@
     ramp_from: Millis,
     out: u32,
     ratio: f64,
-    /// Answers that `ratio` was learnt from; old ones count less.
     evidence: f64,
     lag: f64,
     silence: f64,
@@ -413,12 +412,13 @@
             // Danger: a cap smaller than the gateways it is split over, when each rounds its part up; the
             // broken part of one is granted by chance instead.
             && (plan.at_once <= 0.0 || customer.out + chance < plan.at_once * customer.share);
-        let unread =
-            inside && plan.rate > 0.0 && part * customer.share < 1.0 && customer.read_at.is_infinite();
+        let read = customer.read_at.is_finite();
+        let unsure = plan.rate > 0.0 && part * customer.share < 1.0 && inside != read;
+        let unsure = unsure && customer.reading <= 1.0;
         let under = plan.ceiling_rate <= 0.0 || customer.ceiling >= request.units;
         // Danger: over many gateways, a customer far beyond its quota is new at each, and each lets one in.
-        // Unread, it is worth what its plan's readings tell: so often inside, else beyond.
-        let chance = if unread { self.within[request.plan].max(UNREAD) } else { f64::from(u8::from(inside)) };
+        // Unread, or read within it, it is worth what its plan's readings tell: so often inside, else beyond.
+        let chance = if unsure { self.within[request.plan].max(UNREAD) } else { f64::from(u8::from(inside)) };
         let told_worth = chance + (1.0 - chance) * (plan.beyond_earns - plan.overrun_cost);
         let value = class.worth * plan.price * told_worth;
         let hold_off = self.hold_off(request.class);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -118,3 +118,24 @@
     let (unread, few) = (taken(100), taken(4));
     assert!(unread < few, "{unread} of a hundred gateways, {few} of four");
 }
+
+#[test]
+fn a_customer_read_within_its_quota_is_not_refused_for_what_a_part_below_one_request_holds() {
+    let taken = |usage: f64| {
+        let mut settings = Settings { gateways: 100, ..settings() };
+        settings.plans[0] = Plan { rate: 1.0, burst: 4.0, ..settings.plans[0].clone() };
+        let mut driver = Driver::new(settings, 4);
+        let ask = |driver: &mut Driver, id: u64| {
+            let done = driver.request(Request { entry_points: 100, ..request(id) });
+            let then = driver.now + 50.0;
+            driver.advance(then);
+            sent(&done).is_some_and(|_| {
+                driver.metered(id, 0, Code::Success, Some(usage));
+                true
+            })
+        };
+        (0..40).filter(|&id| ask(&mut driver, id)).count()
+    };
+    assert!(taken(90.0) >= 30, "{}", taken(90.0));
+    assert!(taken(300.0) <= 5, "{}", taken(300.0));
+}
