Name the doubtful part of a quota once and give the fleet's tests one way to be served

Read again: Brain::request compared part x share with 1 twice, asked twice whether a reading came, and used the name chance for two figures; an absent whole number in the settings was worded twice (ordinal beside maxAttempts); the test of dear probes built its driver beside racing(); tests/fleet.rs asked, waited and answered by hand in four places.

Field::count_or stands beside number_or; racing_at and served are the tests' one way each. No decision, bound or expectation changes.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -404,22 +404,22 @@
         // Danger: many gateways split a quota into parts below one request, which tell nothing of whether
         // the whole is used up. The less a part can hold, the more what the last reading left decides.
         let part = if plan.rate > 0.0 { plan.burst / request.units.max(0.1) } else { plan.at_once };
-        let told = if customer.read_at.is_finite() { (1.0 - customer.reading).max(0.0) } else { 0.0 };
+        let read = customer.read_at.is_finite();
+        let told = if read { (1.0 - customer.reading).max(0.0) } else { 0.0 };
         let room = other < told / (1.0 + part * customer.share).powi(4);
-        let needed = if part * customer.share < 1.0 { request.units * chance } else { request.units };
+        let broken = part * customer.share < 1.0;
+        let needed = if broken { request.units * chance } else { request.units };
         let inside = room
             || (plan.rate <= 0.0 || customer.store.max(0.0) >= needed)
             // Danger: a cap smaller than the gateways it is split over, when each rounds its part up; the
             // broken part of one is granted by chance instead.
             && (plan.at_once <= 0.0 || customer.out + chance < plan.at_once * customer.share);
-        let read = customer.read_at.is_finite();
-        let unsure = plan.rate > 0.0 && part * customer.share < 1.0 && inside != read;
-        let unsure = unsure && customer.reading <= 1.0;
+        let unsure = broken && plan.rate > 0.0 && customer.reading <= 1.0 && inside != read;
         let under = plan.ceiling_rate <= 0.0 || customer.ceiling >= request.units;
         // Danger: over many gateways, a customer far beyond its quota is new at each, and each lets one in.
         // Unread, or read within it, it is worth what its plan's readings tell: so often inside, else beyond.
-        let chance = if unsure { self.within[request.plan].max(UNREAD) } else { f64::from(u8::from(inside)) };
-        let told_worth = chance + (1.0 - chance) * (plan.beyond_earns - plan.overrun_cost);
+        let likely = if unsure { self.within[request.plan].max(UNREAD) } else { f64::from(u8::from(inside)) };
+        let told_worth = likely + (1.0 - likely) * (plan.beyond_earns - plan.overrun_cost);
         let value = class.worth * plan.price * told_worth;
         let hold_off = self.hold_off(request.class);
         let choice = if under && value > 0.0 { self.choose(None, None) } else { None };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,7 +8,8 @@
 //! use switchhill::Brain;
 //!
 //! let settings = Settings {
-//!     gateways: 2, ordinal: 0,
+//!     gateways: 2,
+//!     ordinal: 0,
 //!     zone: 0,
 //!     classes: vec![Class { worth: 1.0, aim: 500.0, late_value: 0.0, effect: Effect::Safe }],
 //!     plans: vec![Plan {
@@ -25,7 +26,8 @@
 //!     limits: Limits {
 //!         max_attempts: 3,
 //!         may_duplicate: true,
-//!         may_probe: false, probe_price: 0.005,
+//!         may_probe: false,
+//!         probe_price: 0.005,
 //!         may_stop: true,
 //!         max_hold_off: 0.0,
 //!         may_count: false,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -108,6 +108,18 @@
         }
     }
 
+    /// A whole number, or what stands for an absent one.
+    ///
+    /// # Errors
+    /// When it is something else.
+    pub fn count_or(&self, absent: u32) -> Result<u32, String> {
+        if self.given() {
+            self.count()
+        } else {
+            Ok(absent)
+        }
+    }
+
     /// A text.
     ///
     /// # Errors
@@ -193,7 +205,7 @@
         let (family, report) = (from.at("familyInfo"), from.at("report"));
         let mut module = face::Settings {
             gateways: from.at("balancers").count()?,
-            ordinal: if from.at("ordinal").given() { from.at("ordinal").count()? } else { 0 },
+            ordinal: from.at("ordinal").count_or(0)?,
             zone: from.at("az").count()?,
             classes: Vec::new(),
             plans: Vec::new(),
@@ -204,11 +216,7 @@
                 fall_span: rules.at("overloadForMs").number()?,
             },
             limits: face::Limits {
-                max_attempts: if limits.at("maxAttempts").given() {
-                    limits.at("maxAttempts").count()?
-                } else {
-                    0
-                },
+                max_attempts: limits.at("maxAttempts").count_or(0)?,
                 may_duplicate: limits.at("mayDuplicate").flag()?,
                 may_probe: limits.at("mayProbe").flag()?,
                 probe_price: from.at("penalties").at("probe").number_or(0.0)?,
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -324,8 +324,12 @@
 }
 
 fn racing() -> Driver {
+    racing_at(settings().limits.probe_price)
+}
+
+fn racing_at(probe_price: f64) -> Driver {
     let mut settings = settings();
-    settings.limits.may_probe = true;
+    settings.limits = Limits { may_probe: true, probe_price, ..settings.limits };
     let mut driver = Driver::new(settings, 40);
     answered(&mut driver, 0, 20, 50.0);
     answered(&mut driver, 20, 10, 250.0);
@@ -368,12 +372,7 @@
 #[test]
 fn where_probes_cost_more_than_the_wait_that_they_save_nobody_is_probed() {
     let asked = |price: f64| {
-        let mut settings = settings();
-        settings.limits.may_probe = true;
-        settings.limits.probe_price = price;
-        let mut driver = Driver::new(settings, 40);
-        answered(&mut driver, 0, 20, 50.0);
-        answered(&mut driver, 20, 10, 250.0);
+        let mut driver = racing_at(price);
         (100..200).map(|id| probes(&driver.request(request(id))).len()).sum::<usize>()
     };
     assert!(asked(0.005) > 0);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -18,19 +18,28 @@
     (0..count).map(|n| Backend { id: id(n), ..backend(n) }).collect()
 }
 
+/// Asks, lets so much time pass, and answers with a reading of use if it was sent on; tells where to.
+fn served(driver: &mut Driver, request: Request, after: Millis, usage: Option<f64>) -> Option<String> {
+    let id = request.id.0;
+    let host = sent(&driver.request(request)).map(str::to_string);
+    let then = driver.now + after;
+    driver.advance(then);
+    if host.is_some() {
+        driver.metered(id, 0, Code::Success, usage);
+    }
+    host
+}
+
 /// Sends requests through every gateway, each answered at once; tells which hosts each gateway used.
 fn used(gateways: &mut [Driver], first: u64, each: u64) -> (BTreeMap<String, u32>, Vec<BTreeSet<String>>) {
     let mut sends = BTreeMap::new();
     let mut met = vec![BTreeSet::new(); gateways.len()];
     for (driver, met) in gateways.iter_mut().zip(&mut met) {
         for id in first..first + each {
-            let done = driver.request(Request { customer: id, ..request(id) });
-            let host = sent(&done).expect("nothing is scarce").to_string();
+            let host = served(driver, Request { customer: id, ..request(id) }, 200.0, None);
+            let host = host.expect("nothing is scarce");
             *sends.entry(host.clone()).or_insert(0) += 1;
             met.insert(host);
-            let then = driver.now + 200.0;
-            driver.advance(then);
-            driver.outcome(id, 0, Code::Success);
         }
     }
     (sends, met)
@@ -82,12 +91,8 @@
         let host = sent(&done).expect("sent").to_string();
         driver.outcome(500, 0, Code::Unreachable);
         (501..521)
-            .filter(|&id| {
-                let done = driver.request(Request { customer: id, ..request(id) });
-                let again = sent(&done) == Some(&*host);
-                driver.outcome(id, 0, Code::Success);
-                again
-            })
+            .filter_map(|id| served(&mut driver, Request { customer: id, ..request(id) }, 0.0, None))
+            .filter(|again| *again == host)
             .count()
     };
     assert_eq!(sends_after(0), 0);
@@ -100,20 +105,12 @@
         let mut settings = Settings { gateways, ..settings() };
         settings.plans[0] = Plan { rate: 1.0, burst: 20.0, ..settings.plans[0].clone() };
         let mut driver = Driver::new(settings, 4);
-        let terms = |id: u64, customer: u64| Request { customer, entry_points: gateways, ..request(id) };
+        let new = |id: u64| Request { customer: 100 + id, entry_points: gateways, ..request(id) };
         // Answers take 600 ms, which costs more than an unread customer is worth beside what it may overrun.
         for id in 0..20 {
-            let done = driver.request(terms(id, 100 + id));
-            let then = driver.now + 600.0;
-            driver.advance(then);
-            sent(&done).into_iter().for_each(|_| drop(driver.metered(id, 0, Code::Success, Some(20.0))));
+            served(&mut driver, new(id), 600.0, Some(20.0));
         }
-        (200..220)
-            .filter(|&id| {
-                let done = driver.request(terms(id, id));
-                sent(&done).is_some()
-            })
-            .count()
+        (200..220).filter(|&id| sent(&driver.request(new(id))).is_some()).count()
     };
     let (unread, few) = (taken(100), taken(4));
     assert!(unread < few, "{unread} of a hundred gateways, {few} of four");
@@ -125,16 +122,8 @@
         let mut settings = Settings { gateways: 100, ..settings() };
         settings.plans[0] = Plan { rate: 1.0, burst: 4.0, ..settings.plans[0].clone() };
         let mut driver = Driver::new(settings, 4);
-        let ask = |driver: &mut Driver, id: u64| {
-            let done = driver.request(Request { entry_points: 100, ..request(id) });
-            let then = driver.now + 50.0;
-            driver.advance(then);
-            sent(&done).is_some_and(|_| {
-                driver.metered(id, 0, Code::Success, Some(usage));
-                true
-            })
-        };
-        (0..40).filter(|&id| ask(&mut driver, id)).count()
+        let spread = |id: u64| Request { entry_points: 100, ..request(id) };
+        (0..40).filter_map(|id| served(&mut driver, spread(id), 50.0, Some(usage))).count()
     };
     assert!(taken(90.0) >= 30, "{}", taken(90.0));
     assert!(taken(300.0) <= 5, "{}", taken(300.0));
