Add the operators' door: health, figures, cordons and drains by hand

Change: net/control.rs (calls, callers bounded in number and time, looked at first in each round), memory/figures.rs (one rendering for the door and /health/counters), an overlay of cordons in the core, a drain that ends connections and takes no request from 1.6 s on.

--- a/lab/src/stand_in/mod.rs
+++ b/lab/src/stand_in/mod.rs
@@ -276,6 +276,8 @@
 /// The program, in a process of its own.
 pub struct Gateway {
     pub address: SocketAddr,
+    /// Where operators call, where the configuration names an address.
+    pub control: Option<SocketAddr>,
     child: Option<Child>,
     directory: std::path::PathBuf,
 }
@@ -298,7 +300,7 @@
     let directory = std::env::temp_dir().join(format!("switchhill-test-{}-{number}", std::process::id()));
     std::fs::create_dir_all(&directory).expect("a folder");
     let mut command = Command::new(program());
-    for name in ["RELAY_LISTEN", "RELAY_DISCOVERY", "SWITCHHILL_OPERATOR"] {
+    for name in ["RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_CONTROL", "SWITCHHILL_OPERATOR"] {
         command.env_remove(name);
     }
     std::fs::write(directory.join("config.json"), config).expect("written");
@@ -340,8 +342,14 @@
         log.read_line(&mut line).expect("a line");
         let address =
             line.trim().strip_prefix("listening on ").and_then(|a| a.parse().ok()).expect("an address");
+        let config = std::fs::read_to_string(directory.join("config.json")).expect("readable");
+        let control = config.contains("\"control\"").then(|| {
+            line.clear();
+            log.read_line(&mut line).expect("a line");
+            line.trim().strip_prefix("operators call at ").and_then(|a| a.parse().ok()).expect("an address")
+        });
         child.stderr = Some(log.into_inner());
-        let gateway = Self { address, child: Some(child), directory };
+        let gateway = Self { address, control, child: Some(child), directory };
         wait_for("readiness", || gateway.get("/health/ready").is_some_and(|a| a.status == 200));
         gateway
     }
@@ -360,6 +368,20 @@
         text.lines().find_map(|l| l.strip_prefix(&name)?.parse().ok()).expect("a counter")
     }
 
+    /// One call at the operators' door: its whole answer.
+    pub fn call(&self, line: &str) -> String {
+        call(self.control.expect("it has a door"), line)
+    }
+
+    /// One of the figures that operators fetch.
+    pub fn figure(&self, name: &str) -> u64 {
+        let text = self.call("counters");
+        assert!(text.ends_with("\nEOF\n"), "{text}");
+        let name = format!("edge_relay.{name}:");
+        let value = text.lines().find_map(|l| l.strip_prefix(&name)?.split('|').next()?.parse().ok());
+        value.unwrap_or_else(|| panic!("no {name} in {text}"))
+    }
+
     fn id(&self) -> u32 {
         self.child.as_ref().expect("running").id()
     }
@@ -413,6 +435,21 @@
     }
 }
 
+/// One call at an operators' door: its whole answer.
+pub fn call(control: SocketAddr, line: &str) -> String {
+    let mut socket = TcpStream::connect(control).expect("connects");
+    socket.set_read_timeout(Some(PATIENCE)).expect("set");
+    socket.write_all(format!("{line}\n").as_bytes()).expect("written");
+    let mut text = String::new();
+    socket.read_to_string(&mut text).expect("an answer and an end");
+    text
+}
+
+/// The configuration with an operators' door on any port.
+pub fn with_door(config: &str) -> String {
+    config.replacen('{', r#"{"control":"127.0.0.1:0","#, 1)
+}
+
 /// A client's connection in HTTP/1.1.
 pub struct Client {
     pub socket: TcpStream,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,6 +3,8 @@
 //! The parts stand in the order of a request's life: price, slice, ceiling, choice of backend,
 //! attempts, timers. A [`Brain`] does no I/O and has no clock: [`Brain::handle`] takes the time.
 
+mod standing;
+
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -22,8 +24,7 @@
 const TICK: Millis = 100.0;
 /// Backends compared for one attempt.
 const FEW: usize = 8;
-/// Gateways that share a backend, on average, where there are many: each keeps to as few as that takes.
-/// More share the load more evenly; fewer know their backends better and open fewer connections.
+/// Gateways that share a backend where there are many: more even out the load, fewer know their backends.
 const SHARED_BY: f64 = 20.0;
 /// Golden ratio: multiples of it, less their whole part, lie evenly on a ring whichever numbers are missing.
 const GOLDEN: f64 = 0.618_033_988_749_894_9;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,6 +15,7 @@
     RequestId, Settings, SettingsError, Why,
 };
 use crate::memory::counters::Counters;
+use crate::memory::figures::{Figures, Outcome as Ending};
 use crate::Brain;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 pub(crate) use timers::Timers;
@@ -30,6 +31,8 @@
 const OUTCOME_FIRST: Millis = 1.0;
 /// The core answers a stream itself this long after the module should have.
 const LAST_RESORT: Millis = 5.0;
+/// Upstream hosts that may be called out at once.
+const MOST_CORDONS: usize = 1024;
 /// A figure of the shared store stands in for a missing reading for this many meter periods.
 const USAGE_STANDS: f64 = 2.0;
 
@@ -131,6 +134,8 @@
 #[derive(Debug)]
 struct Stream {
     class: usize,
+    /// Where its end is counted.
+    figure: Option<usize>,
     customer: u64,
     units: f64,
     rate: f64,
@@ -170,15 +175,23 @@
     streams: HashMap<StreamId, Stream>,
     upstream: HashMap<UpstreamId, Upstream>,
     held: BTreeMap<BackendId, VecDeque<UpstreamId>>,
-    hosts: BTreeMap<BackendId, BackendState>,
+    /// The list as it was told.
+    hosts: BTreeMap<BackendId, Backend>,
+    /// Upstream hosts that an operator has called out, and when. Danger: they count as draining whatever the
+    /// list says of them, also when it forgets them and lists them again.
+    cordons: BTreeMap<BackendId, Millis>,
     usage: HashMap<u64, (f64, Millis)>,
     sent_on: BTreeMap<u64, (f64, f64)>,
     metered: bool,
+    /// Hosts called out or back since the last round.
+    events_called: Vec<BackendId>,
     timers: Timers<Due>,
     actions: Vec<Action>,
     events: VecDeque<Event>,
     /// What has been counted.
     pub counters: Counters,
+    /// What operators fetch.
+    pub figures: Figures,
 }
 
 impl Core {
@@ -198,13 +211,16 @@
             upstream: HashMap::new(),
             held: BTreeMap::new(),
             hosts: BTreeMap::new(),
+            cordons: BTreeMap::new(),
             usage: HashMap::new(),
             sent_on: BTreeMap::new(),
             metered: false,
+            events_called: Vec::new(),
             timers: Timers::default(),
             actions: Vec::new(),
             events: VecDeque::new(),
             counters: Counters::default(),
+            figures: Figures::default(),
         })
     }
 
@@ -229,7 +245,47 @@
     /// Whether new work may be sent to an upstream host: to be asked again at its first byte.
     #[must_use]
     pub fn may_send_to(&self, host: &str) -> bool {
-        self.hosts.get(host) == Some(&BackendState::Ready)
+        let ready = self.hosts.get(host).is_some_and(|told| told.state == BackendState::Ready);
+        ready && !self.cordons.contains_key(host)
+    }
+
+    /// Leaves an upstream host out, from now on and until [`Core::uncordon`]. False for an id that nobody has.
+    pub fn cordon(&mut self, host: &str) -> bool {
+        let Some(id) = self.called(host) else { return false };
+        let now = self.now;
+        if self.cordons.len() < MOST_CORDONS || self.cordons.contains_key(&id) {
+            self.cordons.entry(id.clone()).or_insert(now);
+            self.events_called.push(id);
+            return true;
+        }
+        false
+    }
+
+    /// Puts an upstream host back. False for an id that nobody has.
+    pub fn uncordon(&mut self, host: &str) -> bool {
+        let Some(id) = self.called(host) else { return false };
+        if let Some(since) = self.cordons.remove(&id) {
+            let now = self.now;
+            if let Some(told) = self.hosts.get_mut(&id) {
+                // It was taken out to be restarted: unless the list has told a start since, it starts now.
+                told.born = if told.born > since { told.born } else { now };
+            }
+            self.events_called.push(id);
+        }
+        true
+    }
+
+    fn called(&self, host: &str) -> Option<BackendId> {
+        let listed = self.hosts.get_key_value(host).map(|(id, _)| id);
+        listed.or_else(|| self.cordons.get_key_value(host).map(|(id, _)| id)).cloned()
+    }
+
+    /// Upstream hosts in the list, and how many of them get nothing now, by an operator's call or by the
+    /// module's choice.
+    #[must_use]
+    pub fn hosts_listed_and_down(&self) -> (usize, usize) {
+        let down = |id: &&BackendId| self.cordons.contains_key(*id) || self.brain.avoids(id);
+        (self.hosts.len(), self.hosts.keys().filter(down).count())
     }
 
     /// Whether an upstream host is in the list, whatever its state.
@@ -259,6 +315,10 @@
     /// Tells all that happened up to `now`, time itself included, and appends what is to be done.
     pub fn advance(&mut self, now: Millis, inputs: &mut Vec<Input>, commands: &mut Vec<Command>) {
         self.now = self.now.max(now);
+        for id in std::mem::take(&mut self.events_called) {
+            self.called_out_or_back(&id, commands);
+            self.settle(commands);
+        }
         for input in inputs.drain(..) {
             self.input(input, commands);
             self.settle(commands);
@@ -335,6 +395,7 @@
         let budget = (terms.wait - ANSWER_EARLY).max(0.0);
         let stream = Stream {
             class: terms.class,
+            figure: self.figures.slot(terms.class),
             customer: terms.customer,
             units: terms.units,
             rate: self.rates[terms.plan],
@@ -358,32 +419,51 @@
         }));
     }
 
-    fn listed(&mut self, kind: ListKind, backends: Vec<Backend>, commands: &mut Vec<Command>) {
+    fn listed(&mut self, kind: ListKind, mut backends: Vec<Backend>, commands: &mut Vec<Command>) {
         self.counters.lists += 1;
-        let ready = |hosts: &BTreeMap<BackendId, BackendState>| -> Vec<BackendId> {
-            let ready = hosts.iter().filter(|(_, state)| **state == BackendState::Ready);
-            ready.map(|(host, _)| host.clone()).collect()
-        };
-        let before = ready(&self.hosts);
+        let before: Vec<BackendId> =
+            self.hosts.keys().filter(|host| self.may_send_to(host)).cloned().collect();
         if matches!(kind, ListKind::Full | ListKind::Saved) {
-            self.hosts.values_mut().for_each(|state| *state = BackendState::Gone);
+            self.hosts.values_mut().for_each(|told| told.state = BackendState::Gone);
         }
         for backend in &backends {
-            self.hosts.insert(backend.id.clone(), backend.state);
+            self.hosts.insert(backend.id.clone(), backend.clone());
         }
         let left = before.into_iter().filter(|host| !self.may_send_to(host));
         commands.extend(left.map(Command::HostLeft));
         // Danger: hosts are replaced under new ids all day long; what is kept of those gone would only grow.
-        let gone = |state: &BackendState| *state == BackendState::Gone;
-        let ids = self.hosts.iter().filter(|(_, state)| gone(state)).map(|(host, _)| host.clone());
+        let gone = |told: &Backend| told.state == BackendState::Gone;
+        let ids = self.hosts.iter().filter(|(_, told)| gone(told)).map(|(host, _)| host.clone());
         commands.extend(ids.map(Command::HostGone));
-        self.hosts.retain(|_, state| !gone(state));
-        // Nothing that waits for room may reach a host that drains.
+        self.hosts.retain(|_, told| !gone(told));
+        self.drop_held_by_left(commands);
+        backends.iter_mut().for_each(|backend| self.overlay(backend));
+        self.events.push_back(Event::List { kind, backends });
+    }
+
+    /// What the module hears of a host that is called out: it drains.
+    fn overlay(&self, backend: &mut Backend) {
+        if backend.state == BackendState::Ready && self.cordons.contains_key(&backend.id) {
+            backend.state = BackendState::Draining;
+        }
+    }
+
+    fn called_out_or_back(&mut self, id: &BackendId, commands: &mut Vec<Command>) {
+        let Some(mut told) = self.hosts.get(id).cloned() else { return };
+        if !self.may_send_to(id) {
+            commands.push(Command::HostLeft(id.clone()));
+            self.drop_held_by_left(commands);
+        }
+        self.overlay(&mut told);
+        self.events.push_back(Event::List { kind: ListKind::Changes, backends: vec![told] });
+    }
+
+    /// Nothing that waits for room may reach a host that drains.
+    fn drop_held_by_left(&mut self, commands: &mut Vec<Command>) {
         let left: Vec<BackendId> = self.held.keys().filter(|host| !self.may_send_to(host)).cloned().collect();
         for host in left {
             self.drop_held(&host, Code::Void, commands);
         }
-        self.events.push_back(Event::List { kind, backends });
     }
 
     fn drop_held(&mut self, host: &BackendId, code: Code, commands: &mut Vec<Command>) {
@@ -545,8 +625,15 @@
 
     /// The one place where a stream ends: with its final answer, or without one when its downstream left.
     fn finish(&mut self, id: StreamId, answer: Option<Command>, commands: &mut Vec<Command>) {
-        if self.streams.remove(&id).is_none() {
-            return;
+        let Some(stream) = self.streams.remove(&id) else { return };
+        let ending = match &answer {
+            Some(Command::Deliver(_)) => Some(Ending::Success),
+            Some(Command::Refuse(..)) => Some(Ending::Busy),
+            Some(_) => Some(Ending::Failure),
+            None => None,
+        };
+        if let (Some(figure), Some(ending)) = (stream.figure, ending) {
+            self.figures.count(figure, ending);
         }
         *match &answer {
             Some(Command::Deliver(_)) => &mut self.counters.served,
--- a/src/main.rs
+++ b/src/main.rs
@@ -49,6 +49,9 @@
     gateway.use_logs(logs);
     let address = gateway.address().map_err(|e| format!("no address: {e}"))?;
     eprintln!("listening on {address}");
+    if let Some(control) = gateway.control_address() {
+        eprintln!("operators call at {control}");
+    }
     gateway.run().map_err(|e| format!("the loop failed: {e}"))?;
     eprint!("{}", gateway.counters());
     Ok(())
--- /dev/null
+++ b/src/memory/figures.rs
@@ -0,0 +1,173 @@
+//! The figures that operators fetch: what became of requests by class, and what stands now.
+//!
+//! Counts start at 0 with the process and never fall, also when a class is dropped from the settings and
+//! comes back. They are written as `edge_relay.NAME:VALUE|TYPE`, type `c` for counts and `g` for what stands now.
+
+use std::fmt::Write;
+
+/// Begins every line.
+const PREFIX: &str = "edge_relay";
+/// Classes that are kept in mind. Danger: names may change at every reload; what is kept must not grow with them.
+const MOST_CLASSES: usize = 256;
+
+/// How a request ended for its client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// With an upstream host's answer.
+    Success,
+    /// With a local reply that trying again is harmless.
+    Busy,
+    /// With any other local reply.
+    Failure,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Class {
+    name: String,
+    counts: [u64; 3],
+}
+
+/// What is read from the gateway's state at the moment of asking.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Now {
+    /// Requests taken whose final answer has not been given.
+    pub inflight: usize,
+    /// Upstream hosts in the list.
+    pub hosts_listed: usize,
+    /// Of these, the ones that get nothing now, by hand or by choice.
+    pub hosts_down: usize,
+}
+
+/// Counts since the start of the process.
+#[derive(Debug, Clone, Default)]
+pub struct Figures {
+    classes: Vec<Class>,
+    /// The classes that the settings name now, by their position there.
+    named: Vec<usize>,
+    /// Upstream requests whose last byte was written to a connection.
+    pub backend_calls: u64,
+    /// Configurations taken at SIGHUP.
+    pub reconfig_ok: u64,
+    /// Configurations turned down at SIGHUP.
+    pub reconfig_failed: u64,
+}
+
+impl Figures {
+    /// From now on the settings name these classes, in this order.
+    pub fn name<'a>(&mut self, names: impl Iterator<Item = &'a str>) {
+        let names: Vec<&str> = names.collect();
+        while self.classes.len() + names.len() > MOST_CLASSES {
+            let Some(old) = self.classes.iter().position(|c| !names.contains(&c.name.as_str())) else {
+                break;
+            };
+            self.classes.remove(old);
+        }
+        let slot = |name: &str| {
+            self.classes.iter().position(|c| c.name == name).unwrap_or_else(|| {
+                self.classes.push(Class { name: name.into(), ..Class::default() });
+                self.classes.len() - 1
+            })
+        };
+        self.named = names.into_iter().map(slot).collect();
+    }
+
+    /// Where a class that the settings name is counted, by its position there.
+    #[must_use]
+    pub fn slot(&self, class: usize) -> Option<usize> {
+        self.named.get(class).copied()
+    }
+
+    /// Counts the end of a request of the class in this slot.
+    pub fn count(&mut self, slot: usize, outcome: Outcome) {
+        if let Some(class) = self.classes.get_mut(slot) {
+            class.counts[outcome as usize] += 1;
+        }
+    }
+
+    /// All figures, a line each.
+    #[must_use]
+    pub fn render(&self, now: Now) -> String {
+        let mut text = String::with_capacity(64 * (3 * self.classes.len() + 8));
+        for class in &self.classes {
+            let name = plain(&class.name);
+            for (word, value) in ["success", "busy", "failure"].iter().zip(class.counts) {
+                let _ = writeln!(text, "{PREFIX}.calls.{name}.{word}:{value}|c");
+            }
+        }
+        let counts = [
+            ("backend_calls", self.backend_calls),
+            ("reconfig_ok", self.reconfig_ok),
+            ("reconfig_failed", self.reconfig_failed),
+        ];
+        for (name, value) in counts {
+            let _ = writeln!(text, "{PREFIX}.{name}:{value}|c");
+        }
+        let stand =
+            [("inflight", now.inflight), ("hosts_listed", now.hosts_listed), ("hosts_down", now.hosts_down)];
+        for (name, value) in stand {
+            let _ = writeln!(text, "{PREFIX}.{name}:{value}|g");
+        }
+        text
+    }
+}
+
+/// A class's name as it stands between two points. What would end it there, or the line, is written as `%` and
+/// two hex digits, so that no two names become one.
+fn plain(name: &str) -> String {
+    let mut text = String::with_capacity(name.len());
+    for byte in name.bytes() {
+        if byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'/') {
+            text.push(char::from(byte));
+        } else {
+            let _ = write!(text, "%{byte:02x}");
+        }
+    }
+    text
+}
+
+#[cfg(test)]
+mod tests {
+    use super::{Figures, Now, Outcome};
+
+    #[test]
+    fn a_class_that_is_dropped_and_comes_back_goes_on_counting() {
+        let mut figures = Figures::default();
+        figures.name(["a", "b"].into_iter());
+        figures.count(figures.slot(1).expect("named"), Outcome::Busy);
+        figures.name(["a"].into_iter());
+        assert_eq!(figures.slot(1), None);
+        figures.name(["c", "b", "a"].into_iter());
+        figures.count(figures.slot(1).expect("named"), Outcome::Busy);
+        let text = figures.render(Now { inflight: 3, hosts_listed: 2, hosts_down: 1 });
+        assert!(text.contains("edge_relay.calls.b.busy:2|c\n"), "{text}");
+        assert!(text.contains("edge_relay.inflight:3|g\n") && text.contains("hosts_down:1|g\n"), "{text}");
+    }
+
+    #[test]
+    fn awkward_names_break_neither_lines_nor_each_other() {
+        let mut figures = Figures::default();
+        figures.name(["a.b", "a b", "a\n:1|c", "%2e"].into_iter());
+        let text = figures.render(Now::default());
+        assert_eq!(text.lines().count(), 4 * 3 + 6, "{text}");
+        for line in text.lines() {
+            let (name, value) = line.split_once(':').expect("a value");
+            assert!(name.starts_with("edge_relay.") && matches!(value, "0|c" | "0|g"), "{line}");
+        }
+        let mut names: Vec<&str> = text.lines().collect();
+        names.sort_unstable();
+        names.dedup();
+        assert_eq!(names.len(), 18);
+    }
+
+    #[test]
+    fn names_seen_once_do_not_pile_up() {
+        let mut figures = Figures::default();
+        for n in 0..2000 {
+            let name = format!("class-{n}");
+            figures.name(["kept", name.as_str()].into_iter());
+            figures.count(0, Outcome::Success);
+        }
+        assert!(figures.classes.len() <= super::MOST_CLASSES);
+        assert!(figures.render(Now::default()).contains("calls.kept.success:2000|c"));
+    }
+}
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod buffer;
 pub mod counters;
+pub mod figures;
 pub mod pool;
--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -8,6 +8,7 @@
 use crate::core::{Input, StreamId};
 use crate::interface::Millis;
 use crate::memory::buffer::{Got, Inbound, Outbound};
+use crate::memory::figures::Outcome as Ending;
 use crate::memory::pool::Token;
 use socket2::SockRef;
 use std::io;
@@ -23,6 +24,12 @@
 const IDLE: Millis = 30_000.0;
 /// and after this long once half of the descriptors for downstreams are taken.
 const IDLE_CROWDED: Millis = 2000.0;
+/// After a drain by hand, connections are closed from here on once they have been without a request for a while,
+const SENT_AWAY: Millis = 300.0;
+const QUIET: Millis = 250.0;
+/// and from here on whatever they do between two requests. Fronts stop coming 0.2 s after a no; 4 s after the call
+/// no connection may be held that has had a request in the last 2 s.
+const DRAINED_BY: Millis = 1600.0;
 /// A connection whose last answer is written is closed this long after.
 const LINGER: Millis = 2000.0;
 /// With no descriptor left, one that is silent from the start or only lingers is closed after this long.
@@ -131,7 +138,7 @@
 
     /// Closes one connection that nothing is in work on: first what has never asked or only lingers, then
     /// what has been without a request for longest.
-    fn close_one_idle_down(&mut self) -> bool {
+    pub(super) fn close_one_idle_down(&mut self) -> bool {
         let mut oldest: Option<(bool, Millis, Token)> = None;
         for token in self.slots.tokens() {
             let (asked, since) = match self.slots.get(token) {
@@ -279,7 +286,7 @@
             down.since = self.now;
             down.closing |= !reusable;
             if let Some(answer) = self.own_service(&message) {
-                down.push(&answer, self.stopping.is_some());
+                down.push(&answer, self.is_leaving());
             } else if down.surplus || self.holds_too_much() {
                 let counters = &mut self.core.counters;
                 if down.surplus {
@@ -288,7 +295,8 @@
                     counters.turned_away_memory += 1;
                 }
                 let answer = self.short_of_room(Downstream::Http1(token), &message);
-                down.push(&answer, down.surplus);
+                self.turned_away(&message, Ending::Busy);
+                down.push(&answer, down.surplus || self.is_leaving());
             } else {
                 match self.stream_arrived(Downstream::Http1(token), message) {
                     Ok(stream) => down.stream = Some(stream),
@@ -357,7 +365,7 @@
         down.stream = None;
         down.since = self.now;
         down.out_by = deadline;
-        down.push(answer, self.stopping.is_some());
+        down.push(answer, self.is_leaving());
         let kept = self.flush_down(token, down).map(Conn::Down);
         self.keep(token, kept);
     }
@@ -382,8 +390,16 @@
                 return self.flush_down(token, down).map(Conn::Down);
             }
             let stopped = self.stopping.is_some_and(|since| self.now >= since + ACCEPT_ON);
+            let drained = self.drained.map_or(0.0, |since| self.now - since);
+            if drained > DRAINED_BY && unread {
+                // Not taken: its client sends it once more, elsewhere.
+                down.push(&refusal(SCARCE_HOLD_OFF, Downstream::Http1(token)), true);
+                return self.flush_down(token, down).map(Conn::Down);
+            }
+            // One whose client was just answered is likely to have its next request on the way; a new one surely.
+            let away = drained > DRAINED_BY || drained > SENT_AWAY && down.asked && age > QUIET;
             let limit = if down.asked { self.idle_limit() } else { ARRIVES_WITHIN };
-            if !unread && (age > limit || stopped) {
+            if !unread && (age > limit || stopped || away) {
                 // A request may just have come in: it is read before the connection closes.
                 return match self.down_ready(token, down, true)? {
                     Conn::Down(down) if down.is_idle() => {
--- a/src/net/http2_down.rs
+++ b/src/net/http2_down.rs
@@ -8,6 +8,7 @@
 use super::{local, Conn, Downstream, Gateway};
 use crate::core::{Input, StreamId};
 use crate::interface::Millis;
+use crate::memory::figures::Outcome as Ending;
 use crate::memory::pool::Token;
 use bytes::Bytes;
 use h2::server::{Connection, Handshake, SendResponse};
@@ -95,7 +96,7 @@
         }
         loop {
             let Phase::Open(connection) = &mut down.phase else { return Some(down) };
-            if self.stopping.is_some() && !down.leaving {
+            if self.is_leaving() && !down.leaving {
                 down.leaving = true;
                 connection.graceful_shutdown();
             }
@@ -160,6 +161,7 @@
                         if self.holds_too_much() {
                             self.held_bytes -= message.body.len();
                             let answer = self.short_of_room(Downstream::Http2(token, key), &message);
+                            self.turned_away(&message, Ending::Busy);
                             return say(&mut respond, &answer, slot, self.now);
                         }
                         if message.body.len() + data.len() > MOST_BODY {
@@ -208,7 +210,10 @@
         self.held_bytes -= message.body.len();
         let answer = match self.own_service(&message) {
             Some(answer) => answer,
-            None if self.holds_too_much() => self.short_of_room(Downstream::Http2(token, key), &message),
+            None if self.holds_too_much() => {
+                self.turned_away(&message, Ending::Busy);
+                self.short_of_room(Downstream::Http2(token, key), &message)
+            }
             None => match self.stream_arrived(Downstream::Http2(token, key), message) {
                 Ok(stream) => {
                     // The reset of a waiting stream is heard through its own waker.
@@ -291,10 +296,13 @@
             }
         }
         down.streams.retain(|_, slot| !matches!(slot.part, Part::Over));
-        if self.stopping.is_some() {
+        if self.is_leaving() {
             // A client that keeps its connection open has had its GOAWAY; it is closed once it is empty.
-            let over =
-                idle && self.stopping.is_some_and(|since| now >= since + super::ACCEPT_ON + LEAVE_WITHIN);
+            let over = idle
+                && self
+                    .stopping
+                    .or(self.drained)
+                    .is_some_and(|since| now >= since + super::ACCEPT_ON + LEAVE_WITHIN);
             return if over { self.close_down2(down) } else { self.down2_ready(token, down) };
         }
         if any {
--- a/src/net/http2_up.rs
+++ b/src/net/http2_up.rs
@@ -41,6 +41,8 @@
     rest: Bytes,
     /// Its head has reached the socket.
     left: bool,
+    /// Its last byte was handed over and counted.
+    counted: bool,
     /// When anything of its answer last came.
     read_at: Millis,
     waker: Waker,
@@ -183,6 +185,7 @@
                     send,
                     rest,
                     left: false,
+                    counted: false,
                     read_at: self.now,
                     waker,
                     flag,
@@ -297,7 +300,12 @@
             }
             any = true;
             slot.read_at = self.now;
-            match poll_slot(slot) {
+            let polled = poll_slot(slot);
+            if slot.rest.is_empty() && !slot.counted {
+                slot.counted = true;
+                self.core.figures.backend_calls += u64::from(matches!(slot.job, Job::Stream(..)));
+            }
+            match polled {
                 None => at += 1,
                 Some((end, answer)) => {
                     let slot = up.slots.swap_remove(at);
--- a/src/net/message.rs
+++ b/src/net/message.rs
@@ -159,13 +159,19 @@
         self.target.split('?').next().unwrap_or("")
     }
 
+    /// The position of its class in the settings.
+    #[must_use]
+    pub fn class(&self, told: &Told) -> Option<usize> {
+        let first = self.path().trim_start_matches('/').split('/').next().unwrap_or("");
+        told.classes.iter().position(|(name, _)| name == first)
+    }
+
     /// What the request asks of the gateway.
     ///
     /// # Errors
     /// The status and the reason of a request that no client sends.
     pub fn terms(&self, told: &Told) -> Result<Terms, (u16, &'static str)> {
-        let first = self.path().trim_start_matches('/').split('/').next().unwrap_or("");
-        let class = told.classes.iter().position(|(name, _)| name == first).ok_or((404, "no such class"))?;
+        let class = self.class(told).ok_or((404, "no such class"))?;
         // A class that is safe to repeat is asked for with GET, one that is not with POST.
         match (self.method.as_str(), told.module.classes[class].effect == Effect::Safe) {
             ("GET", true) if self.body.is_empty() => {}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod message;
 pub mod poll;
 
+pub mod control;
 mod discovery;
 mod door;
 mod downstream;
@@ -21,11 +22,13 @@
 use crate::interface::{BackendId, Code, Effect, ListKind, Millis};
 use crate::memory::buffer;
 use crate::memory::counters::Counters;
+use crate::memory::figures::{Now, Outcome as Ending};
 use crate::memory::pool::{Slots, Token};
 use crate::process::config::{Config, Files, List};
 use crate::process::logs::Logs;
 use crate::process::signals::{self, Asked, Signals};
 use crate::settings::Told;
+use control::{Caller, Control};
 use discovery::Discovery;
 use door::AtDoor;
 use downstream::Down;
@@ -84,6 +87,8 @@
 
 enum Conn {
     Listener(TcpListener),
+    Control(TcpListener),
+    Caller(Caller),
     Signal(UnixStream, Asked),
     Down(Down),
     Up(Up),
@@ -139,6 +144,7 @@
     started: Millis,
     slots: Slots<Conn>,
     listener: Option<Token>,
+    control: Control,
     discovery: Discovery,
     hosts: BTreeMap<BackendId, Host>,
     account: Option<Account>,
@@ -161,6 +167,8 @@
     scratch: Vec<u8>,
     listed: bool,
     stopping: Option<Millis>,
+    /// Drained by an operator's call, since then.
+    drained: Option<Millis>,
     downstreams: usize,
     upstreams: usize,
     most_downstreams: usize,
@@ -190,7 +198,7 @@
         if account.is_some() {
             core.keep_account();
         }
-        let (most_downstreams, most_upstreams) = shares(config.sockets);
+        let (most_downstreams, most_upstreams) = shares(config.sockets, config.control.is_some());
         let most_held = config.memory / HELD_SHARE;
         let door = config.operator.door.as_ref();
         let door = door.map(|door| AtDoor::new(door, &told, config.memory, most_held));
@@ -203,6 +211,7 @@
             clock,
             slots: Slots::default(),
             listener: None,
+            control: Control::default(),
             discovery: Discovery::new(config.discovery),
             hosts: BTreeMap::new(),
             account,
@@ -223,6 +232,7 @@
             scratch: buffer::scratch(),
             listed: false,
             stopping: None,
+            drained: None,
             downstreams: 0,
             upstreams: 0,
             most_downstreams,
@@ -230,6 +240,10 @@
             files: config.files,
             logs: None,
         };
+        gateway.core.figures.name(gateway.told.classes.iter().map(|(name, _)| name.as_str()));
+        if let Some(control) = config.control {
+            gateway.open_control(control)?;
+        }
         let listener = listen(config.listen)?;
         let token = gateway.slots.reserve();
         gateway.poll.add(&listener, token, Interest::READ)?;
@@ -293,6 +307,8 @@
             let wait = if self.inputs.is_empty() && self.woken.is_empty() { wait } else { 0.0 };
             self.poll.wait(Duration::from_micros((wait * 1000.0).ceil() as u64), &mut ready)?;
             self.now = self.clock.now();
+            // Operators first, whatever else there is to do.
+            ready.sort_by_key(|event| !self.control.concerns(event.0));
             for (token, readable, writable) in ready.drain(..) {
                 self.ready(token, readable, writable);
             }
@@ -326,6 +342,11 @@
                 self.accept(&listener);
                 Some(Conn::Listener(listener))
             }
+            Conn::Control(listener) => {
+                self.accept_callers(&listener);
+                Some(Conn::Control(listener))
+            }
+            Conn::Caller(caller) => self.caller_ready(token, caller, readable).map(Conn::Caller),
             Conn::Signal(socket, asked) => {
                 signals::drain(&socket);
                 match asked {
@@ -478,7 +499,51 @@
     }
 
     fn is_ready(&self) -> bool {
-        self.stopping.is_none() && (self.listed || self.now >= self.started + READY_ANYWAY)
+        self.stopping.is_none()
+            && self.drained.is_none()
+            && (self.listed || self.now >= self.started + READY_ANYWAY)
+    }
+
+    fn why_not_ready(&self) -> &'static str {
+        match (self.stopping, self.drained) {
+            (Some(_), _) => "stopping",
+            (None, Some(_)) => "drained",
+            (None, None) => "no list of upstream hosts yet",
+        }
+    }
+
+    /// An answer given now is the last of its connection.
+    fn is_leaving(&self) -> bool {
+        self.stopping.is_some() || self.drained.is_some()
+    }
+
+    /// Sends clients away; goes on serving those who come.
+    fn quiesce(&mut self) {
+        if self.drained.is_none() {
+            tracing::info!(streams = self.core.open_streams(), "drained by an operator: not ready");
+            self.drained = Some(self.now);
+        }
+    }
+
+    /// Takes clients again.
+    fn resume(&mut self) {
+        if self.drained.take().is_some() {
+            tracing::info!("resumed by an operator");
+        }
+    }
+
+    /// What operators fetch, a line a figure.
+    fn figures(&self) -> String {
+        let (hosts_listed, hosts_down) = self.core.hosts_listed_and_down();
+        self.core.figures.render(Now { inflight: self.exchanges.len(), hosts_listed, hosts_down })
+    }
+
+    /// Counts a request that a front turned away before the core heard of it.
+    fn turned_away(&mut self, message: &Message, how: Ending) {
+        let class = message.class(&self.told).and_then(|class| self.core.figures.slot(class));
+        if let Some(slot) = class {
+            self.core.figures.count(slot, how);
+        }
     }
 
     /// An upstream request has ended on the wire.
@@ -509,7 +574,7 @@
         match Config::from_files(&self.files) {
             Ok(config) => {
                 tracing::info!(discovery = %config.discovery, "configuration read again");
-                (self.most_downstreams, self.most_upstreams) = shares(config.sockets);
+                (self.most_downstreams, self.most_upstreams) = shares(config.sockets, self.control.is_open());
                 self.most_held = config.memory / HELD_SHARE;
                 if let Some(logs) = &self.logs {
                     logs.change(&config.operator.log);
@@ -527,7 +592,7 @@
     fn told_counters(&self) -> String {
         let dropped = self.logs.as_ref().map_or(0, Logs::dropped);
         let door = self.door.as_ref().map_or(String::new(), AtDoor::figures);
-        format!("{}switchhill_log_lines_dropped {dropped}\n{door}", self.core.counters)
+        format!("{}switchhill_log_lines_dropped {dropped}\n{door}{}", self.core.counters, self.figures())
     }
 
     fn begin_stop(&mut self) {
@@ -556,6 +621,7 @@
             let Some(conn) = self.slots.take(token) else { continue };
             let kept = match conn {
                 Conn::Down(down) => self.sweep_down(token, down),
+                Conn::Caller(caller) => self.sweep_caller(token, caller).map(Conn::Caller),
                 Conn::Up(up) => self.sweep_up(up).map(Conn::Up),
                 Conn::Down2(down) => self.sweep_down2(token, *down).map(|down| Conn::Down2(Box::new(down))),
                 Conn::Up2(up) => self.sweep_up2(token, *up).map(|up| Conn::Up2(Box::new(up))),
@@ -580,10 +646,11 @@
     Ok(socket.into())
 }
 
-/// How the descriptors are shared out: for downstreams and for upstream hosts.
-fn shares(sockets: usize) -> (usize, usize) {
-    let upstreams = (sockets - RESERVE) * 2 / 5;
-    (sockets - RESERVE - upstreams, upstreams)
+/// How the descriptors are shared out: for downstreams and for upstream hosts. Operators' calls have theirs.
+fn shares(sockets: usize, control: bool) -> (usize, usize) {
+    let left = sockets - RESERVE - if control { control::MOST_CALLERS } else { 0 };
+    let upstreams = left * 2 / 5;
+    (left - upstreams, upstreams)
 }
 
 /// An answer that the gateway words itself.
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -233,8 +233,12 @@
             up.connecting = false;
             return self.begin(token, up);
         }
-        if !up.outbound.is_empty() && up.outbound.write(&mut up.socket).is_err() {
-            return self.close_up(up, End::NotConnected);
+        if !up.outbound.is_empty() {
+            match up.outbound.write(&mut up.socket) {
+                Ok(true) if matches!(up.job, Some(Job::Stream(..))) => self.core.figures.backend_calls += 1,
+                Ok(_) => {}
+                Err(_) => return self.close_up(up, End::NotConnected),
+            }
         }
         if read {
             up.read_at = self.now;
--- a/src/process/config.rs
+++ b/src/process/config.rs
@@ -152,6 +152,8 @@
     pub listen: SocketAddr,
     /// Where discovery listens.
     pub discovery: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub control: Option<SocketAddr>,
     /// For chances.
     pub seed: u64,
     /// File descriptors that may be open.
@@ -188,12 +190,14 @@
         let seed = root.at("seed");
         let seed = u64::from_str_radix(seed.text()?, 16).map_err(|_| seed.bad("is not 16 hex digits"))?;
         let known = root.at("known");
+        let control = root.at("control").given().then(|| address("control")).transpose()?;
         let sockets = root.at("limits").at("sockets");
         let memory = root.at("limits").at("memory_mb");
         let config = Self {
             name: root.at("name").text_or_empty()?.into(),
             listen: address("listen")?,
             discovery: address("discovery")?,
+            control,
             seed,
             sockets: if sockets.given() { sockets.count()? as usize } else { 1024 },
             memory: memory.number_or(192.0)?.max(0.0) as usize * 1024 * 1024,
@@ -221,6 +225,9 @@
                 *slot = text.parse().map_err(|_| format!("{name}: is no address and port"))?;
             }
         }
+        if let Some(text) = std::env::var("RELAY_CONTROL").ok().filter(|text| !text.is_empty()) {
+            config.control = Some(text.parse().map_err(|_| "RELAY_CONTROL: is no address and port")?);
+        }
         Ok(config)
     }
 
