--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,7 +3,7 @@
 //! The parts stand in the order of a request's life: price, slice, ceiling, choice of backend,
 //! attempts, timers. A [`Brain`] does no I/O and has no clock: [`Brain::handle`] takes the time.
 
-mod standing;
+pub mod standing;
 
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -66,8 +66,8 @@
 const FORGET_ONCE: Millis = 10_000.0;
 
 /// What is known of one class: the price and what it is computed from.
-#[derive(Debug, Clone, Default)]
-struct ClassState {
+#[derive(Debug, Clone, Default, serde::Serialize, serde::Deserialize)]
+pub struct ClassState {
     price: f64,
     mean: f64,
     /// Mean latency without what reports tell was waiting.
@@ -81,8 +81,8 @@
 }
 
 /// A customer's local share of its quota and of its ceiling.
-#[derive(Debug, Clone, Default)]
-struct Customer {
+#[derive(Debug, Clone, Default, serde::Serialize, serde::Deserialize)]
+pub struct Customer {
     plan: usize,
     entry: f64,
     share: f64,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,6 +8,7 @@
 //! answer, and by its deadline exactly one unless its downstream left; every upstream request has exactly
 //! one outcome.
 
+pub mod state;
 mod timers;
 
 use crate::interface::{
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -264,8 +264,14 @@
             Call::Health if self.is_ready() => "200 ready\n".into(),
             Call::Health => no(self.why_not_ready()),
             Call::Counters => format!("{}EOF\n", self.figures()),
-            Call::Cordon(id) if self.core.cordon(&id) => "200 left out\n".into(),
-            Call::Uncordon(id) if self.core.uncordon(&id) => "200 put back\n".into(),
+            Call::Cordon(id) if self.core.cordon(&id) => {
+                self.repeat_call(&format!("cordon {id}"));
+                "200 left out\n".into()
+            }
+            Call::Uncordon(id) if self.core.uncordon(&id) => {
+                self.repeat_call(&format!("uncordon {id}"));
+                "200 put back\n".into()
+            }
             Call::Cordon(_) | Call::Uncordon(_) => no("no upstream host has this id"),
             Call::Quiesce => {
                 self.quiesce();
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -34,6 +34,11 @@
     pub(super) fn new(address: SocketAddr) -> Self {
         Self { address, token: None, revision: None, whole_next: true, turn: 0 }
     }
+
+    /// The version of the list as it stands.
+    pub(super) fn revision(&self) -> Option<u64> {
+        self.revision
+    }
 }
 
 /// The connection to discovery.
--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -131,8 +131,10 @@
     /// Looks at the listener again after a rest.
     pub(super) fn watch_listener(&mut self) {
         let Some(token) = self.listener else { return };
+        // Only the process that decides takes clients.
+        let read = !self.beside.waits() && self.beside.left().is_none();
         if let Some(Conn::Listener(listener)) = self.slots.get(token) {
-            let _ = self.poll.change(listener, token, Interest::READ);
+            let _ = self.poll.change(listener, token, Interest { read, write: false });
         }
     }
 
@@ -390,8 +392,8 @@
                 return self.flush_down(token, down).map(Conn::Down);
             }
             let stopped = self.stopping.is_some_and(|since| self.now >= since + ACCEPT_ON);
-            let drained = self.drained.map_or(0.0, |since| self.now - since);
-            if drained > DRAINED_BY && unread {
+            let drained = self.drained.or(self.beside.left()).map_or(0.0, |since| self.now - since);
+            if drained > DRAINED_BY && unread && self.drained.is_some() {
                 // Not taken: its client sends it once more, elsewhere.
                 down.push(&refusal(SCARCE_HOLD_OFF, Downstream::Http1(token)), true);
                 return self.flush_down(token, down).map(Conn::Down);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 mod door;
 mod downstream;
 mod h2io;
+pub mod handover;
 mod http2;
 mod http2_down;
 mod http2_up;
@@ -33,6 +34,7 @@
 use door::AtDoor;
 use downstream::Down;
 use h2io::Woken;
+use handover::Beside;
 use http2_down::Down2;
 use http2_up::Up2;
 use message::{Answer, Message};
@@ -42,7 +44,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener};
-use std::os::unix::net::UnixStream;
+use std::os::unix::net::{UnixListener, UnixStream};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use store::Account;
 use switchhill_door::Ended;
@@ -89,6 +91,8 @@
     Listener(TcpListener),
     Control(TcpListener),
     Caller(Caller),
+    Beside(UnixListener),
+    Link(handover::Link),
     Signal(UnixStream, Asked),
     Down(Down),
     Up(Up),
@@ -145,6 +149,7 @@
     slots: Slots<Conn>,
     listener: Option<Token>,
     control: Control,
+    beside: Beside,
     discovery: Discovery,
     hosts: BTreeMap<BackendId, Host>,
     account: Option<Account>,
@@ -173,6 +178,8 @@
     upstreams: usize,
     most_downstreams: usize,
     most_upstreams: usize,
+    /// Descriptors, and bytes of memory, that the configuration allows.
+    limits: (usize, usize),
     files: Files,
     logs: Option<Logs>,
 }
@@ -212,6 +219,8 @@
             slots: Slots::default(),
             listener: None,
             control: Control::default(),
+            beside: Beside::new(handover::place(config.listen)),
+            limits: (config.sockets, config.memory),
             discovery: Discovery::new(config.discovery),
             hosts: BTreeMap::new(),
             account,
@@ -244,11 +253,13 @@
         if let Some(control) = config.control {
             gateway.open_control(control)?;
         }
-        let listener = listen(config.listen)?;
+        let found = handover::find(handover::place(config.listen).as_deref(), config.listen)?;
         let token = gateway.slots.reserve();
-        gateway.poll.add(&listener, token, Interest::READ)?;
-        gateway.slots.put(token, Conn::Listener(listener));
+        gateway.poll.add(&found.listener, token, Interest { read: false, write: false })?;
+        gateway.slots.put(token, Conn::Listener(found.listener));
         gateway.listener = Some(token);
+        gateway.join(found.socket);
+        gateway.watch_listener();
         if let Some(signals) = signals {
             let sockets = [
                 (signals.stop, Asked::Stop),
@@ -315,6 +326,9 @@
             while let Some(due) = self.timers.pop(self.now) {
                 self.due(due);
             }
+            if self.beside.waits() {
+                self.sweep_beside();
+            }
             self.door_round();
             self.core.advance(self.now, &mut self.inputs, &mut commands);
             for command in commands.drain(..) {
@@ -347,6 +361,11 @@
                 Some(Conn::Control(listener))
             }
             Conn::Caller(caller) => self.caller_ready(token, caller, readable).map(Conn::Caller),
+            Conn::Beside(door) => {
+                self.accept_successor(&door);
+                Some(Conn::Beside(door))
+            }
+            Conn::Link(link) => self.link_ready(token, link, readable).map(Conn::Link),
             Conn::Signal(socket, asked) => {
                 signals::drain(&socket);
                 match asked {
@@ -491,7 +510,10 @@
     /// A local service: readiness and counters. `None` for what is a stream.
     fn own_service(&self, message: &Message) -> Option<Answer> {
         match message.path() {
-            "/health/ready" if self.is_ready() => Some(local(200, b"ready\n")),
+            // Two processes are one gateway to its clients: the other one is ready.
+            "/health/ready" if self.is_ready() || self.beside.left().is_some() => {
+                Some(local(200, b"ready\n"))
+            }
             "/health/ready" => Some(local(503, b"not ready\n")),
             "/health/counters" => Some(local(200, self.told_counters().as_bytes())),
             _ => None,
@@ -501,20 +523,29 @@
     fn is_ready(&self) -> bool {
         self.stopping.is_none()
             && self.drained.is_none()
-            && (self.listed || self.now >= self.started + READY_ANYWAY)
+            && !self.beside.waits()
+            && self.beside.left().is_none()
+            && self.knows_enough()
+    }
+
+    /// Whether hosts are known, or as well as they will be.
+    fn knows_enough(&self) -> bool {
+        self.listed || self.now >= self.started + READY_ANYWAY
     }
 
     fn why_not_ready(&self) -> &'static str {
         match (self.stopping, self.drained) {
+            _ if self.beside.left().is_some() => "handed over",
             (Some(_), _) => "stopping",
             (None, Some(_)) => "drained",
+            (None, None) if self.beside.waits() => "waiting for the state of another process",
             (None, None) => "no list of upstream hosts yet",
         }
     }
 
     /// An answer given now is the last of its connection.
     fn is_leaving(&self) -> bool {
-        self.stopping.is_some() || self.drained.is_some()
+        self.stopping.is_some() || self.drained.is_some() || self.beside.left().is_some()
     }
 
     /// Sends clients away; goes on serving those who come.
@@ -574,8 +605,8 @@
         match Config::from_files(&self.files) {
             Ok(config) => {
                 tracing::info!(discovery = %config.discovery, "configuration read again");
-                (self.most_downstreams, self.most_upstreams) = shares(config.sockets, self.control.is_open());
-                self.most_held = config.memory / HELD_SHARE;
+                self.limits = (config.sockets, config.memory);
+                self.share_out();
                 if let Some(logs) = &self.logs {
                     logs.change(&config.operator.log);
                 }
@@ -607,11 +638,14 @@
     }
 
     fn sweep(&mut self) {
+        self.sweep_beside();
         if self.stopping.is_some_and(|since| self.now >= since + ACCEPT_ON) {
             if let Some(token) = self.listener.take() {
                 if let Some(Conn::Listener(listener)) = self.slots.take(token) {
-                    // What the system has accepted already is ours to answer.
-                    self.accept(&listener);
+                    // What the system has accepted already is ours to answer, unless another process has the queue.
+                    if self.beside.left().is_none() && !self.beside.waits() {
+                        self.accept(&listener);
+                    }
                     self.poll.remove(&listener);
                 }
                 self.slots.release(token);
@@ -640,6 +674,8 @@
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
+    // A start beside a process that cannot be spoken to: both take clients until that one stops.
+    socket.set_reuse_port(true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
