--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -67,11 +67,14 @@
     Some(bytes)
 }
 
+/// A frame as it is read: its kind, its payload and its length in all.
+pub type Whole<'a> = (Kind, &'a [u8], usize);
+
 /// Reads one frame from the start of `bytes`: its kind, payload and length. `None` while it is not whole.
 ///
 /// # Errors
 /// What another version, or something else, wrote.
-pub fn read_frame(bytes: &[u8]) -> Result<Option<(Kind, &[u8], usize)>, &'static str> {
+pub fn read_frame(bytes: &[u8]) -> Result<Option<Whole<'_>>, &'static str> {
     match bytes {
         [version, ..] if *version != VERSION => return Err("another version"),
         [_, kind, ..] if usize::from(*kind) >= KINDS.len() => return Err("an unknown frame"),
@@ -108,6 +111,8 @@
     role: Role,
     /// Descriptors that the other one holds.
     theirs: usize,
+    /// What is to be logged once the start's own line is out.
+    pub(super) complaints: Vec<String>,
 }
 
 /// The link to the other process.
@@ -122,6 +127,8 @@
 pub(super) struct Found {
     pub(super) listener: TcpListener,
     pub(super) socket: Option<UnixStream>,
+    /// What spoke against going on from another process.
+    pub(super) complaint: Option<String>,
 }
 
 /// Where the processes of the gateway that listens here meet. Danger: without `$TMPDIR` the folder is everybody's,
@@ -137,15 +144,15 @@
 /// # Errors
 /// When the address cannot be listened on.
 pub(super) fn find(place: Option<&Path>, address: SocketAddr) -> io::Result<Found> {
-    let asked = place.map(|place| ask(place, address));
-    match asked {
-        Some(Ok((listener, socket))) => return Ok(Found { listener, socket: Some(socket) }),
+    let mut complaint = None;
+    match place.map(|place| ask(place, address)) {
+        Some(Ok((listener, socket))) => return Ok(Found { listener, socket: Some(socket), complaint: None }),
         // The usual start: nobody is there.
         Some(Err(e)) if e.kind() == io::ErrorKind::NotFound => {}
-        Some(Err(e)) => tracing::warn!("no process to go on from, a plain start: {e}"),
+        Some(Err(e)) => complaint = Some(format!("no process to go on from, a plain start: {e}")),
         None => {}
     }
-    Ok(Found { listener: listen(address)?, socket: None })
+    Ok(Found { listener: listen(address)?, socket: None, complaint })
 }
 
 fn ask(place: &Path, address: SocketAddr) -> io::Result<(TcpListener, UnixStream)> {
@@ -223,7 +230,7 @@
 
 impl Beside {
     pub(super) fn new(place: Option<PathBuf>) -> Self {
-        Self { place, door: None, link: None, role: Role::Alone, theirs: 0 }
+        Self { place, door: None, link: None, role: Role::Alone, theirs: 0, complaints: Vec::new() }
     }
 
     /// Whether another process still decides.
@@ -278,7 +285,10 @@
         match opened {
             Ok(token) => self.beside.door = Some(token),
             // Where this is not allowed, a start goes on without it.
-            Err(e) => tracing::warn!("an upgrade could not go on from here, {}: {e}", place.display()),
+            Err(e) => {
+                let why = format!("an upgrade could not go on from here, {}: {e}", place.display());
+                self.beside.complaints.push(why);
+            }
         }
     }
 
@@ -432,6 +442,7 @@
 
     /// While another process decides: asks for its state once this one could serve, and does not wait forever.
     pub(super) fn sweep_beside(&mut self) {
+        self.beside.complaints.drain(..).for_each(|line| tracing::warn!("{line}"));
         match self.beside.role {
             Role::Waiting(None) if self.knows_enough() && self.stopping.is_none() => {
                 let Some(token) = self.beside.link else { return };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -258,6 +258,7 @@
         gateway.poll.add(&found.listener, token, Interest { read: false, write: false })?;
         gateway.slots.put(token, Conn::Listener(found.listener));
         gateway.listener = Some(token);
+        gateway.beside.complaints.extend(found.complaint);
         gateway.join(found.socket);
         gateway.watch_listener();
         if let Some(signals) = signals {
