Settings change at SIGHUP, whole or not at all; open requests keep their rules

Seen: at 9.06 s a file whose giveUpMs is 0 was taken and moved discovery to an address where nobody is, so drains were not heard (Config::read took absent and zero deadlines for none; Gateway::reload took addresses and limits only); new classes got 404.

Change: Told::serviceable and Config::may_follow check before anything changes; Core::retune and Brain::retune keep what open requests came under behind the new classes and plans; reconfig_ok and reconfig_failed count.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -125,6 +125,7 @@
     since: Millis,
     deadline: Millis,
     tries: u32,
+    most: u32,
     out: u32,
     streaming: bool,
     /// Send time, zone and cell of the earliest attempt that may have run.
@@ -258,8 +259,7 @@
         // seldom asked for has few answers, and the spread of its work alone would look like waiting.
         let mut sum: f64 = self.classes.iter().map(|c| c.waits).sum();
         let mut count: f64 = self.classes.iter().map(|c| c.answers).sum();
-        // Danger: a hung backend tells nothing until its time-outs. The age of what is still out
-        // counts as wait so far once it is longer than usual.
+        // Danger: a hung backend tells nothing until its time-outs; a longer age than usual counts as wait so far.
         let usual = |o: &&Out| self.classes[o.class].floor + self.wait;
         let late = |o: &&Out| self.now - o.sent > usual(o) && self.tells(o.server) && !self.overtaken(o);
         let overdue: Vec<&Out> = self.out.values().filter(late).collect();
@@ -302,8 +302,7 @@
     /// The share of a latency that was waiting, by the queue that the backend reports with the answer.
     fn queued(&self, report: Option<&[f64]>) -> f64 {
         // Danger: a gateway that starts in a jam takes its latency for the usual one and prices nothing.
-        // It only lowers what counts as usual, so late or empty reports do no harm; a queue told for long
-        // after it is gone prices service as waiting until the report is renewed.
+        // It only lowers what counts as usual: a late report does no harm, one of a past queue prices service.
         let value = |field| {
             let at = self.set.report_fields.iter().position(|f| *f == field)?;
             report?.get(at).copied().filter(|v| v.is_finite() && *v >= 0.0)
@@ -464,6 +463,7 @@
             inside,
             since: self.now,
             deadline: self.now + request.budget,
+            most: self.set.limits.max_attempts,
             ..Open::default()
         };
         self.open.insert(request.id, open);
@@ -868,7 +868,7 @@
                 }
             }
         }
-        if open.tries >= self.set.limits.max_attempts || self.extra < 1.0 || self.now >= open.deadline {
+        if open.tries >= open.most || self.extra < 1.0 || self.now >= open.deadline {
             return false;
         }
         let Some(server) = self.choose(scope, Some(but)) else {
--- a/src/brain/standing.rs
+++ b/src/brain/standing.rs
@@ -1,7 +1,7 @@
 //! What others may read of the module's state, and what outlives a process. No decision is taken here.
 
 use super::{Brain, ClassState, Customer};
-use crate::interface::Millis;
+use crate::interface::{Millis, Settings, SettingsError};
 use serde::{Deserialize, Serialize};
 
 /// What a brain has learnt, for one that goes on in its place. Classes and plans stand in the order of the
@@ -33,6 +33,82 @@
 }
 
 impl Brain {
+    /// Goes on under other settings. `classes` and `plans` tell, for each of the present settings', its position in
+    /// the new ones under its name. `held` marks classes that must stay for others' sake. What open requests came
+    /// under, and the new settings drop or change, stands behind the new ones until they are over.
+    ///
+    /// Returns the new position of each class that stays.
+    ///
+    /// # Errors
+    /// Names the first setting that no gateway could work with; then nothing has changed.
+    pub fn retune(
+        &mut self,
+        mut set: Settings,
+        classes: &[Option<usize>],
+        plans: &[Option<usize>],
+        held: &[bool],
+    ) -> Result<Vec<Option<usize>>, SettingsError> {
+        set.validate()?;
+        let used = |n: usize| held.get(n).copied().unwrap_or(false);
+        let class_used: Vec<bool> = (0..self.classes.len())
+            .map(|n| {
+                used(n)
+                    || self.open.values().any(|open| open.class == n)
+                    || self.out.values().any(|out| out.class == n)
+            })
+            .collect();
+        let mut states = vec![ClassState::default(); set.classes.len()];
+        let mut class_at = Vec::with_capacity(self.classes.len());
+        for (n, state) in self.classes.iter().enumerate() {
+            let named = classes.get(n).copied().flatten().filter(|at| *at < states.len());
+            if let Some(at) = named {
+                states[at] = state.clone();
+            }
+            let same = named.filter(|at| set.classes[*at] == self.set.classes[n]);
+            class_at.push(same.or_else(|| {
+                class_used[n].then(|| {
+                    set.classes.push(self.set.classes[n].clone());
+                    states.push(state.clone());
+                    states.len() - 1
+                })
+            }));
+        }
+        let mut within = vec![super::UNREAD; set.plans.len()];
+        let named_plans = set.plans.len();
+        let mut plan_at = Vec::with_capacity(self.within.len());
+        for (n, own) in self.within.iter().enumerate() {
+            let named = plans.get(n).copied().flatten().filter(|at| *at < named_plans);
+            if let Some(at) = named {
+                within[at] = *own;
+            }
+            let same = named.filter(|at| set.plans[*at] == self.set.plans[n]);
+            let open = self.open.values().any(|open| open.plan == n);
+            plan_at.push(same.or_else(|| {
+                open.then(|| {
+                    set.plans.push(self.set.plans[n].clone());
+                    within.push(*own);
+                    within.len() - 1
+                })
+            }));
+        }
+        // Every index below is in use, so it has a place.
+        for open in self.open.values_mut() {
+            open.class = class_at[open.class].unwrap_or(0);
+            open.plan = plan_at[open.plan].unwrap_or(0);
+        }
+        self.out.values_mut().for_each(|out| out.class = class_at[out.class].unwrap_or(0));
+        // A customer's own plan is the one its name has now; without one it is a new customer when it comes back.
+        self.customers.retain(|_, customer| match plans.get(customer.plan).copied().flatten() {
+            Some(plan) if plan < named_plans => {
+                customer.plan = plan;
+                true
+            }
+            _ => false,
+        });
+        (self.classes, self.within, self.set) = (states, within, set);
+        Ok(class_at)
+    }
+
     /// Whether it gives a backend single tries at the most, since its attempts came to nothing.
     #[must_use]
     pub fn avoids(&self, backend: &str) -> bool {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -141,6 +141,8 @@
     units: f64,
     rate: f64,
     tries: u32,
+    /// The most upstream requests it may have.
+    most: u32,
     /// An upstream request may have run, or is still out.
     ran: bool,
     out: u32,
@@ -168,7 +170,10 @@
 #[derive(Debug)]
 pub struct Core {
     brain: Brain,
+    /// Those of the settings, then those that open streams came under and the settings dropped or changed.
     classes: Vec<Class>,
+    /// How many of them the settings name.
+    named: usize,
     rates: Vec<f64>,
     max_attempts: u32,
     meter_period: Millis,
@@ -203,6 +208,7 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         Ok(Self {
             classes: settings.classes.clone(),
+            named: settings.classes.len(),
             rates: settings.plans.iter().map(|plan| plan.rate).collect(),
             max_attempts: settings.limits.max_attempts,
             meter_period: settings.meter_period,
@@ -225,6 +231,36 @@
         })
     }
 
+    /// Goes on under other settings; open streams keep the rules that they came under. `classes` and `plans` tell,
+    /// for each of the present settings', its position in the new ones under its name. Nothing may be pending.
+    ///
+    /// # Errors
+    /// Names the first setting that the module could not work with; then nothing has changed.
+    pub fn retune(
+        &mut self,
+        settings: Settings,
+        classes: &[Option<usize>],
+        plans: &[Option<usize>],
+    ) -> Result<(), SettingsError> {
+        let mut held = vec![false; self.classes.len()];
+        self.streams.values().for_each(|stream| held[stream.class] = true);
+        let named = settings.classes.clone();
+        let rates = settings.plans.iter().map(|plan| plan.rate).collect();
+        let (max_attempts, meter_period) = (settings.limits.max_attempts, settings.meter_period);
+        let places = self.brain.retune(settings, classes, plans, &held)?;
+        let mut all = named;
+        self.named = all.len();
+        for (old, place) in std::mem::take(&mut self.classes).into_iter().zip(&places) {
+            if place.is_some_and(|place| place >= self.named) {
+                all.push(old);
+            }
+        }
+        self.streams.values_mut().for_each(|stream| stream.class = places[stream.class].unwrap_or(0));
+        (self.classes, self.rates) = (all, rates);
+        (self.max_attempts, self.meter_period) = (max_attempts, meter_period);
+        Ok(())
+    }
+
     /// From now on, keeps account of what is sent on per customer for [`Core::take_sent_on`].
     pub fn keep_account(&mut self) {
         self.metered = true;
@@ -387,7 +423,7 @@
 
     fn arrived(&mut self, id: StreamId, terms: &Terms, commands: &mut Vec<Command>) {
         self.counters.streams += 1;
-        let known = terms.class < self.classes.len() && terms.plan < self.rates.len();
+        let known = terms.class < self.named && terms.plan < self.rates.len();
         if !known || self.streams.contains_key(&id) {
             commands.push(Command::Fail(id, false));
             self.counters.failed += 1;
@@ -401,6 +437,7 @@
             units: terms.units,
             rate: self.rates[terms.plan],
             tries: 0,
+            most: self.max_attempts,
             ran: false,
             out: 0,
             timed_out: false,
@@ -557,7 +594,7 @@
         // A second lock on the rules: no unsafe class is sent again once it may have run, nothing goes to
         // a host that was told draining, nothing past the most attempts.
         let twice = (stream.ran || stream.out > 0) && self.classes[stream.class].effect == Effect::Unsafe;
-        let sound = may_send && !twice && key.1 < self.max_attempts;
+        let sound = may_send && !twice && key.1 < stream.most;
         stream.out += 1;
         // Danger: at the deadline itself the module fails the stream and calls the request off, and never
         // hears that the host was silent to the end.
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -284,3 +284,106 @@
         assert_eq!((gone == 1, bench.core.knows("a")), (kind == ListKind::Full, kind == ListKind::Changes));
     }
 }
+
+mod across_settings {
+    use super::*;
+    use proptest::prelude::*;
+
+    /// The classes that names stand for; the effect of one may change from settings to settings.
+    fn told(names: &[(usize, bool)], most: u32) -> Settings {
+        let mut told = settings();
+        told.classes = names
+            .iter()
+            .map(|(name, safe)| Class {
+                worth: 1.0 + *name as f64,
+                aim: 1000.0,
+                late_value: 0.2,
+                effect: if *safe { Effect::Safe } else { Effect::Unsafe },
+            })
+            .collect();
+        told.limits.max_attempts = most;
+        told
+    }
+
+    #[derive(Debug, Clone)]
+    enum Step {
+        Arrive(usize),
+        End(usize, u8),
+        Pass(u16),
+        Retune(Vec<(usize, bool)>, u32),
+    }
+
+    fn steps() -> impl Strategy<Value = Vec<Step>> {
+        let names = prop::collection::btree_map(0..4usize, any::<bool>(), 1..4)
+            .prop_map(|map| map.into_iter().collect());
+        let step = prop_oneof![
+            4 => (0..4usize).prop_map(Step::Arrive),
+            4 => (0..8usize, 0..5u8).prop_map(|(which, how)| Step::End(which, how)),
+            1 => (1..800u16).prop_map(Step::Pass),
+            2 => (names, 1..4u32).prop_map(|(names, most)| Step::Retune(names, most)),
+        ];
+        prop::collection::vec(step, 1..80)
+    }
+
+    proptest! {
+        #[test]
+        fn every_stream_keeps_its_rules_and_has_one_answer(steps in steps()) {
+            let mut names = vec![(0, true), (1, false)];
+            let mut most = 3;
+            let mut bench = Bench { core: Core::new(told(&names, most), 3).expect("sound"), now: 1000.0, out: vec![] };
+            bench.tell(vec![Input::ListChanged(ListKind::Full, hosts(&["a", "b", "c"], BackendState::Ready))]);
+            let (mut next, mut rules, mut answers) = (0, HashMap::new(), HashMap::new());
+            let (mut out, mut sent): (Vec<UpstreamId>, HashMap<StreamId, u32>) = (vec![], HashMap::new());
+            for step in steps {
+                match step {
+                    Step::Arrive(at) if at < names.len() => {
+                        rules.insert(next, (names[at].1, most));
+                        bench.tell(vec![Input::StreamArrived(next, Terms { customer: next, ..terms(at, 3000.0) })]);
+                        next += 1;
+                    }
+                    Step::End(which, how) if which < out.len() => {
+                        let ends = [End::Served, End::Error, End::TurnedAway, End::Reset, End::NotConnected];
+                        bench.ended(out.remove(which), ends[usize::from(how)]);
+                    }
+                    Step::Pass(ms) => bench.pass(f64::from(ms)),
+                    Step::Retune(new, attempts) => {
+                        let place = |(name, _): &(usize, bool)| new.iter().position(|(own, _)| own == name);
+                        let classes: Vec<_> = names.iter().map(place).collect();
+                        bench.core.retune(told(&new, attempts), &classes, &[Some(0)]).expect("sound");
+                        (names, most) = (new, attempts);
+                    }
+                    _ => {}
+                }
+                for command in bench.out.drain(..) {
+                    match command {
+                        Command::Send(id, ..) => {
+                            let (safe, most) = rules[&id.0];
+                            let before = sent.entry(id.0).or_insert(0);
+                            *before += 1;
+                            prop_assert!(*before <= most, "stream {} has {} of {most}", id.0, before);
+                            prop_assert!(safe || !out.iter().any(|o| o.0 == id.0), "two of an unsafe stream are out");
+                            out.push(id);
+                        }
+                        Command::Stop(id, _) => out.retain(|o| *o != id),
+                        Command::Deliver((stream, _)) | Command::Refuse(stream, ..) | Command::Fail(stream, _) => {
+                            prop_assert!(answers.insert(stream, ()).is_none(), "stream {stream} has two answers");
+                        }
+                        _ => {}
+                    }
+                }
+            }
+            bench.pass(4000.0);
+            for command in bench.out.drain(..) {
+                if let Command::Deliver((stream, _)) | Command::Refuse(stream, ..) | Command::Fail(stream, _) = command {
+                    prop_assert!(answers.insert(stream, ()).is_none(), "stream {stream} has two answers");
+                }
+            }
+            prop_assert_eq!(answers.len(), next as usize);
+            prop_assert_eq!(bench.core.classes.len() >= names.len(), true);
+            // What no stream needs any more goes with the next settings.
+            let classes: Vec<_> = (0..names.len()).map(Some).collect();
+            bench.core.retune(told(&names, most), &classes, &[Some(0)]).expect("sound");
+            prop_assert_eq!(bench.core.classes.len(), names.len());
+        }
+    }
+}
--- a/src/memory/figures.rs
+++ b/src/memory/figures.rs
@@ -56,19 +56,25 @@
     /// From now on the settings name these classes, in this order.
     pub fn name<'a>(&mut self, names: impl Iterator<Item = &'a str>) {
         let names: Vec<&str> = names.collect();
-        while self.classes.len() + names.len() > MOST_CLASSES {
-            let Some(old) = self.classes.iter().position(|c| !names.contains(&c.name.as_str())) else {
-                break;
-            };
-            self.classes.remove(old);
-        }
         let slot = |name: &str| {
-            self.classes.iter().position(|c| c.name == name).unwrap_or_else(|| {
-                self.classes.push(Class { name: name.into(), ..Class::default() });
-                self.classes.len() - 1
-            })
+            if let Some(own) = self.classes.iter().position(|c| c.name == name) {
+                return own;
+            }
+            let class = Class { name: name.into(), ..Class::default() };
+            // Places stay: requests that are open know theirs.
+            let unnamed = self.classes.iter().position(|c| !names.contains(&c.name.as_str()));
+            match unnamed.filter(|_| self.classes.len() >= MOST_CLASSES) {
+                Some(old) => {
+                    self.classes[old] = class;
+                    old
+                }
+                None => {
+                    self.classes.push(class);
+                    self.classes.len() - 1
+                }
+            }
         };
-        self.named = names.into_iter().map(slot).collect();
+        self.named = names.iter().copied().map(slot).collect();
     }
 
     /// Where a class that the settings name is counted, by its position there.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -166,10 +166,10 @@
         self.timers.push(self.now + AGAIN, Due::Discovery(self.discovery.turn));
     }
 
-    /// Discovery is to be found at another address from now on. The whole list is asked for there at once;
+    /// Discovery is to be found at this address from now on; `anew` asks again even where it is the same. The whole list is asked for there at once;
     /// until it comes, the hosts known stay as they are.
-    pub(super) fn move_discovery(&mut self, address: SocketAddr) {
-        if address != self.discovery.address {
+    pub(super) fn move_discovery(&mut self, address: SocketAddr, anew: bool) {
+        if anew || address != self.discovery.address {
             self.discovery.address = address;
             // A version of the other one's list says nothing here.
             self.discovery.revision = None;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -181,6 +181,8 @@
     /// Descriptors, and bytes of memory, that the configuration allows.
     limits: (usize, usize),
     files: Files,
+    /// The configuration in force, as it was written.
+    text: String,
     logs: Option<Logs>,
 }
 
@@ -247,6 +249,7 @@
             most_downstreams,
             most_upstreams,
             files: config.files,
+            text: config.text,
             logs: None,
         };
         gateway.core.figures.name(gateway.told.classes.iter().map(|(name, _)| name.as_str()));
@@ -600,26 +603,56 @@
         self.inputs.push(Input::ListChanged(kind, backends));
     }
 
-    /// Takes over what a running gateway can from the configuration as it is now: discovery's address and
-    /// the limits. Streams and connections stay. A file that cannot be read changes nothing.
+    /// Takes over what a running gateway can from the configuration as it is now: the settings, discovery's
+    /// address and the limits, all of it or nothing. Streams and connections stay.
     fn reload(&mut self) {
-        match Config::from_files(&self.files) {
-            Ok(config) => {
-                tracing::info!(discovery = %config.discovery, "configuration read again");
-                self.limits = (config.sockets, config.memory);
-                self.share_out();
-                if let Some(logs) = &self.logs {
-                    logs.change(&config.operator.log);
-                }
-                if let (Some(at), Some(door)) = (&mut self.door, config.operator.door) {
-                    at.use_keys(door.keys);
-                }
-                self.move_discovery(config.discovery);
+        match Config::from_files(&self.files).and_then(|config| self.take_config(config)) {
+            Ok(()) => self.core.figures.reconfig_ok += 1,
+            Err(why) => {
+                self.core.figures.reconfig_failed += 1;
+                tracing::warn!("the new configuration is not taken, the old one stays: {why}");
             }
-            Err(why) => tracing::warn!("the new configuration is not taken, the old one stays: {why}"),
         }
     }
 
+    fn take_config(&mut self, config: Config) -> Result<(), String> {
+        config.may_follow(&self.text)?;
+        let mut told = config.told;
+        if self.account.is_some() && told.module.meter_period <= 0.0 {
+            told.module.meter_period = STORE_PERIOD;
+        }
+        let names =
+            |told: &Told| -> Vec<String> { told.classes.iter().map(|(name, _)| name.clone()).collect() };
+        let (before, after) = (names(&self.told), names(&told));
+        let position = |names: &[String], name: &String| names.iter().position(|own| own == name);
+        let classes: Vec<_> = before.iter().map(|name| position(&after, name)).collect();
+        let plans: Vec<_> = self.told.plans.iter().map(|name| position(&told.plans, name)).collect();
+        if self.door.is_some() && (before != after || self.told.plans != told.plans) {
+            return Err("field `settings`: with a door, classes and plans change only with a restart".into());
+        }
+        // Danger: what this round has brought so far is numbered by the settings that it came under.
+        let mut commands = Vec::new();
+        self.core.advance(self.now, &mut self.inputs, &mut commands);
+        commands.into_iter().for_each(|command| self.carry_out(command));
+        let retuned = self.core.retune(told.module.clone(), &classes, &plans);
+        retuned.map_err(|e| format!("field `settings`: {e}"))?;
+        self.core.figures.name(after.iter().map(String::as_str));
+        let moved_zones = self.told.zones != told.zones;
+        self.told = told;
+        self.limits = (config.sockets, config.memory);
+        self.share_out();
+        if let Some(logs) = &self.logs {
+            logs.change(&config.operator.log);
+        }
+        if let (Some(at), Some(door)) = (&mut self.door, config.operator.door) {
+            at.use_keys(door.keys);
+        }
+        tracing::info!(discovery = %config.discovery, "configuration read again");
+        self.text = config.text;
+        self.move_discovery(config.discovery, moved_zones);
+        Ok(())
+    }
+
     /// The counters as operators read them, with what the log had to drop.
     fn told_counters(&self) -> String {
         let dropped = self.logs.as_ref().map_or(0, Logs::dropped);
--- a/src/process/config.rs
+++ b/src/process/config.rs
@@ -3,7 +3,7 @@
 use super::document::{Fault, Faults, Node, Reader};
 use super::logs::{self, Form, Wanted};
 use crate::interface::{Backend, BackendState, Millis};
-use crate::settings::{Field, Told};
+use crate::settings::{missing_key, Field, Told};
 use miniserde::json::Value;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -168,6 +168,8 @@
     pub operator: Operator,
     /// Where both were read from; empty paths where they were not read from files.
     pub files: Files,
+    /// The platform's configuration as it was written.
+    pub text: String,
 }
 
 fn document(text: &str, name: &str) -> Result<Value, String> {
@@ -186,7 +188,9 @@
             let field = root.at(name);
             field.text()?.parse().map_err(|_| field.bad("is no address and port"))
         };
-        let told = Told::read(&root.at("settings").object()?)?;
+        let settings = root.at("settings").object()?;
+        let told = Told::read(&settings)?;
+        Told::serviceable(&settings)?;
         let seed = root.at("seed");
         let seed = u64::from_str_radix(seed.text()?, 16).map_err(|_| seed.bad("is not 16 hex digits"))?;
         let known = root.at("known");
@@ -205,6 +209,7 @@
             told,
             operator: Operator::default(),
             files: Files::default(),
+            text: text.into(),
         };
         match (config.sockets, config.memory >> 20) {
             (0..64, _) => Err(sockets.bad("must be at least 64")),
@@ -256,6 +261,19 @@
         Ok(config)
     }
 
+    /// Whether this one may take the place of a running one, whose text that is.
+    ///
+    /// # Errors
+    /// One line that names a key that has got lost.
+    pub fn may_follow(&self, text: &str) -> Result<(), String> {
+        let (before, after) = (document(text, "the one in force")?, document(&self.text, "configuration")?);
+        // The list comes from discovery; what the file says of it is for a start.
+        match missing_key(&before, &after, &["known"]) {
+            Some(path) => Err(format!("field `{path}`: missing, and the configuration in force has it")),
+            None => Ok(()),
+        }
+    }
+
     /// Whether the operator's file fits the platform's configuration.
     fn fits(&self) -> Result<(), Faults> {
         let weights = self.operator.door.iter().flat_map(|door| &door.weights);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -172,6 +172,35 @@
     }
 }
 
+/// The first key, by its path, that `before` has and `after` lacks. Elements of a list need what all of the former
+/// ones had; `but` names members of the root whose inside may change freely.
+#[must_use]
+pub fn missing_key(before: &Value, after: &Value, but: &[&str]) -> Option<String> {
+    fn look(before: &Value, after: &Value, path: &str, but: &[&str]) -> Option<String> {
+        match (before, after) {
+            (Value::Object(before), Value::Object(after)) => before.iter().find_map(|(key, value)| {
+                let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+                match after.get(key) {
+                    None => Some(path),
+                    Some(_) if but.contains(&path.as_str()) => None,
+                    Some(other) => look(value, other, &path, but),
+                }
+            }),
+            (Value::Array(before), Value::Array(after)) => {
+                let first = before.first()?;
+                after.iter().enumerate().find_map(|(n, item)| {
+                    let gone = look(first, item, &format!("{path}[{n}]"), but)?;
+                    let key = gone.rsplit('.').next().unwrap_or_default().to_string();
+                    let all = before.iter().all(|b| matches!(b, Value::Object(b) if b.contains_key(&key)));
+                    all.then_some(gone)
+                })
+            }
+            _ => None,
+        }
+    }
+    look(before, after, "", but)
+}
+
 /// The settings: what the module needs, and what only a wire needs.
 #[derive(Debug, Clone)]
 pub struct Told {
@@ -262,6 +291,38 @@
     }
 }
 
+impl Told {
+    /// What a gateway in service needs beyond what the module can work with.
+    ///
+    /// # Errors
+    /// One line that names the first field at fault.
+    pub fn serviceable(from: &Field<'_>) -> Result<(), String> {
+        let attempts = from.at("limits").at("maxAttempts");
+        if attempts.count()? == 0 {
+            return Err(attempts.bad("must be above 0"));
+        }
+        for list in ["requestClasses", "tariffs"] {
+            let mut names = Vec::new();
+            for item in from.at(list).list()? {
+                let name = item.at("name");
+                let text = name.text()?;
+                if text.is_empty() || names.contains(&text) {
+                    return Err(name.bad("is empty or there twice"));
+                }
+                names.push(text);
+            }
+        }
+        for class in from.at("requestClasses").list()? {
+            let give_up = class.at("giveUpMs");
+            let ms = give_up.number()?;
+            if !(ms.is_finite() && ms > 0.0) {
+                return Err(give_up.bad("must be above 0"));
+            }
+        }
+        Ok(())
+    }
+}
+
 fn read_class(class: &Field<'_>) -> Result<face::Class, String> {
     let effect = class.at("effect");
     let scope = match class.at("keyScope").text_or_empty()? {
