--- a/src/brain.rs
+++ b/src/brain.rs
@@ -259,7 +259,7 @@
         // seldom asked for has few answers, and the spread of its work alone would look like waiting.
         let mut sum: f64 = self.classes.iter().map(|c| c.waits).sum();
         let mut count: f64 = self.classes.iter().map(|c| c.answers).sum();
-        // Danger: a hung backend tells nothing until its time-outs; a longer age than usual counts as wait so far.
+        // Danger: a hung backend tells nothing until its time-outs; a longer age than usual is wait so far.
         let usual = |o: &&Out| self.classes[o.class].floor + self.wait;
         let late = |o: &&Out| self.now - o.sent > usual(o) && self.tells(o.server) && !self.overtaken(o);
         let overdue: Vec<&Out> = self.out.values().filter(late).collect();
@@ -302,7 +302,7 @@
     /// The share of a latency that was waiting, by the queue that the backend reports with the answer.
     fn queued(&self, report: Option<&[f64]>) -> f64 {
         // Danger: a gateway that starts in a jam takes its latency for the usual one and prices nothing.
-        // It only lowers what counts as usual: a late report does no harm, one of a past queue prices service.
+        // It only lowers what counts as usual: a late report does no harm, a past queue's prices service.
         let value = |field| {
             let at = self.set.report_fields.iter().position(|f| *f == field)?;
             report?.get(at).copied().filter(|v| v.is_finite() && *v >= 0.0)
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -641,13 +641,13 @@
         self.told = told;
         self.limits = (config.sockets, config.memory);
         self.share_out();
+        tracing::info!(discovery = %config.discovery, "configuration read again");
         if let Some(logs) = &self.logs {
             logs.change(&config.operator.log);
         }
         if let (Some(at), Some(door)) = (&mut self.door, config.operator.door) {
             at.use_keys(door.keys);
         }
-        tracing::info!(discovery = %config.discovery, "configuration read again");
         self.text = config.text;
         self.move_discovery(config.discovery, moved_zones);
         Ok(())
