--- a/src/bin/switchhill-simhost/wire.rs
+++ b/src/bin/switchhill-simhost/wire.rs
@@ -223,6 +223,7 @@
                 budget: told.budget_ms,
                 units: told.units,
                 is_retry: told.is_retry,
+                coming: false,
             })
         }
         "response" => {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -126,6 +126,7 @@
     deadline: Millis,
     tries: u32,
     most: u32,
+    coming: bool,
     out: u32,
     streaming: bool,
     /// Send time, zone and cell of the earliest attempt that may have run.
@@ -238,6 +239,7 @@
         match event {
             Event::List { kind, backends } => self.list(kind, backends, act),
             Event::Request(request) => self.request(&request, act),
+            Event::Whole { request, budget } => self.whole(request, budget, act),
             Event::Started { request, .. } => {
                 self.open.get_mut(&request).into_iter().for_each(|open| open.streaming = true);
             }
@@ -278,8 +280,7 @@
             .map(|(c, t)| f64::from(self.set.gateways) * t.worth / (t.aim / 1000.0) * c.admitted / seconds)
             .sum();
         let price = (self.wait.max(0.0) / 1000.0).powi(2) / ready * delay_cost;
-        // Danger: once nothing is admitted, nothing is measured, and a bad figure would stand for
-        // ever. What no answer confirms fades.
+        // Danger: with nothing admitted nothing is measured, and a bad figure would stand: it fades.
         if count <= 0.0 {
             self.wait *= 1.0 - FADE;
         }
@@ -315,11 +316,9 @@
 
     /// What an attempt without an answer tells of waiting: not more than the answers that come.
     fn silent_wait(&self, class: usize, age: Millis, missing: f64) -> Millis {
-        // Danger: a time-out says that an answer is missing, not that the fleet queues. Where answers get
-        // lost and the others are fast, its whole length squared prices all out, and too few are left to
-        // bring the price down. Silence counts up to a few times the wait that answers tell, more with each
-        // in a row (all backends stopped) and while the usual latency is little known. Covers parts of the
-        // fleet cut off or hung, too. May hurt: a jam that lets some fast answers through is braked later.
+        // Danger: a time-out says that an answer is missing, not that the fleet queues; its square would
+        // price out all. Silence counts up to a few times the wait that answers tell, more with each in a row
+        // and while the usual latency is little known. May hurt: a jam with fast answers is braked later.
         let class = &self.classes[class];
         let least = if class.known > 0.0 { 0.1 * class.floor } else { age };
         let unsure = (SURE / class.known.max(1.0)).powi(2);
@@ -341,16 +340,14 @@
         let now = self.now;
         let entry = f64::from(request.entry_points.max(1));
         let since_start = (now - self.started.unwrap_or(now)) / 1000.0;
-        // Danger: many gateways split a quota into parts below one request; a calm customer's first one
-        // would be refused at each. One is lent at the start.
+        // Danger: split over many gateways, a calm customer's first request would be refused: one is lent.
         let lent = if plan.at_once > 0.0 { (1.0 / plan.at_once).min(1.0) } else { 0.0 };
         let customer = self.customers.entry(request.customer).or_insert_with(|| Customer {
             plan: request.plan,
             entry,
             share: lent.max(1.0 / entry),
             store: (plan.burst / entry).max(request.units),
-            // Danger: a restarted gateway must not grant a fresh burst. The ceiling's store is empty
-            // at the start of the process and has filled since, for customers not yet seen too.
+            // Danger: a restarted gateway must not grant a fresh burst: the ceiling's store starts empty.
             ceiling: (plan.ceiling_rate / entry * since_start).min(plan.ceiling_depth / entry),
             filled: now,
             shared_at: now,
@@ -462,16 +459,27 @@
             units: request.units,
             inside,
             since: self.now,
-            deadline: self.now + request.budget,
+            deadline: self.now + if request.coming { f64::INFINITY } else { request.budget },
             most: self.set.limits.max_attempts,
+            coming: request.coming,
             ..Open::default()
         };
         self.open.insert(request.id, open);
-        self.remind(Due::Deadline(request.id), request.budget, act);
+        if !request.coming {
+            self.remind(Due::Deadline(request.id), request.budget, act);
+        }
         self.remind(Due::Check(request.id), class.aim * CHECK_SHARE, act);
         self.race(request.id, server, act);
     }
 
+    /// A request's last byte has come: its time, and that of its attempts, begins.
+    fn whole(&mut self, id: RequestId, budget: Millis, act: &mut Vec<Action>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        (open.coming, open.since, open.deadline) = (false, self.now, self.now + budget);
+        self.out.range_mut((id, 0)..=(id, u32::MAX)).for_each(|(_, out)| out.sent = self.now);
+        self.remind(Due::Deadline(id), budget, act);
+    }
+
     // ---- Choice of backend, with health and the cold ramp ----
 
     /// Share of its full work that a backend can surely do, from its start on.
@@ -486,16 +494,14 @@
 
     /// Whether its backend has answered something that was sent after this attempt.
     fn overtaken(&self, out: &Out) -> bool {
-        // Danger: an answer that got lost on its way looks like a queue for as long as it is waited for, and
-        // a few of them at a fast backend would price out the rest and put the backend to rest. Queues are
-        // served about in turn: what others have overtaken is lost, and tells of that connection alone.
+        // Danger: an answer that got lost looks like a queue. Queues are served about in turn: what others
+        // have overtaken is lost, and tells of that connection alone.
         self.servers[out.server].reached > out.sent
     }
 
     /// Whether a latency there tells of waiting in the fleet.
     fn tells(&self, index: usize) -> bool {
-        // Danger: a release starts most backends anew; a cold one is slow however little it holds, and its
-        // latency squared would price out what the warm ones could serve. Its turn bounds its own load.
+        // Danger: a cold one is slow however little it holds, which squared would price out the warm ones.
         !self.servers[index].doubted() && self.warmth(&self.servers[index]) >= 1.0
     }
 
@@ -505,8 +511,7 @@
 
     /// Draws by size and warmth over all backends; a cold one takes the attempt that falls to it.
     fn cold_turn(&mut self) -> Option<usize> {
-        // Danger: hundreds of gateways see a request a second each, so saved-up budgets either never hold
-        // one or add up to a burst. Chance at the warmed part adds up to it over any number of them.
+        // Danger: what hundreds of gateways save up is a burst; chance adds up to the warmed part.
         let weigh = |s: &Server| if s.told.state == BackendState::Ready { s.size() } else { 0.0 };
         let size: f64 = self.servers.iter().map(weigh).sum();
         let warm: f64 = self.servers.iter().map(|s| weigh(s) * self.warmth(s)).sum();
@@ -535,8 +540,7 @@
     }
 
     fn expected(&self, class: usize, server: usize) -> Millis {
-        // Danger: measured waits are those of requests admitted a while ago; a surge or a stop shows in
-        // what is out long before. The wait, not the service, moves with it.
+        // Danger: measured waits are old; a surge or a stop shows in what is out long before.
         (self.classes[class].floor + self.wait.max(0.0) * self.load()) * Self::slowness(&self.servers[server])
     }
 
@@ -566,9 +570,8 @@
             return Some(cold);
         }
         able.retain(|&i| self.warmth(&self.servers[i]) >= 1.0);
-        // Danger: one of a hundred gateways meets each of sixty backends once in ten seconds: it never learns
-        // which are slow, and pays a new connection for most requests. Each keeps to a window of the ring of
-        // ids, which all see alike; windows lie evenly: each backend is in as many.
+        // Danger: one of a hundred gateways never learns which of sixty backends are slow, and connects anew
+        // for most requests. Each keeps to a window of the ring of ids; windows lie evenly.
         let share = SHARED_BY * able.len() as f64 / f64::from(self.set.gateways);
         let window = (share.ceil() as usize).max(FEW);
         if able.len() > window {
@@ -624,9 +627,8 @@
                 server.faults = if clear { FAULTS } else { server.faults + u32::from(!overtaken) };
                 server.ratio = (server.ratio * (1.0 + 1.0 / (server.evidence + 1.0)).max(1.1)).min(20.0);
                 if server.faults == FAULTS && !overtaken && self.put_to_rest(index, act) {
-                    // It may have started anew unknown to the list: it comes back as a cold one. Danger:
-                    // where connections break under healthy ones, the fleet would be taken for cold piece by
-                    // piece; what was down was out of reach before it came back.
+                    // It may have started anew unknown to the list, and comes back cold. Danger: broken
+                    // connections alone must not make it so; what was down was out of reach before.
                     if code == Code::Unreachable {
                         let server = &mut self.servers[index];
                         server.ramp_from = server.rest_until;
@@ -694,8 +696,7 @@
 
     /// Sends a first attempt; where it would wait long, to that one of two which answers a probe first.
     fn race(&mut self, id: RequestId, first: usize, act: &mut Vec<Action>) {
-        // Danger: with next to nothing out of its own, a gateway cannot tell a busy or dead backend from an
-        // idle one. Probes that wait like requests can; they are paid for only in a queue.
+        // Danger: with little out of its own, a gateway cannot tell busy backends from idle ones; probes can.
         let ready = self.servers.iter().filter(|s| self.may_take(s)).count().max(1) as f64;
         let blind = (1.0 + FEW as f64 * self.usual_out / ready).powi(-2);
         let worth = RACE * self.set.limits.probe_price * self.set.classes[self.open[&id].class].aim;
@@ -746,7 +747,8 @@
             open.deadline.min(open.since + told.aim - 5.0)
         };
         let timeout = (last - self.now).max(1.0).min(open.deadline - self.now);
-        let out = Out { server: index, class, customer, sent: self.now };
+        let sent = if open.coming { f64::INFINITY } else { self.now };
+        let out = Out { server: index, class, customer, sent };
         self.out.insert((id, open.tries), out);
         open.tries += 1;
         open.out += 1;
@@ -784,8 +786,7 @@
         let sound = told.code == Code::TimedOut && tells && !overtaken;
         let age = elapsed - self.classes[out.class].floor;
         let wait = self.silent_wait(out.class, age, self.missing + 1.0);
-        // Danger: further attempts kept to a share of the admissions leave most of what gets lost unanswered.
-        // A reset, or silence that outlasts all waiting, earns one more; a jam earns none and gets no load.
+        // A reset, or silence that outlasts all waiting, earns one more attempt; a jam earns none.
         let silent = matches!(told.code, Code::TimedOut | Code::Withdrawn) && wait < age;
         if told.code == Code::Broken || silent && self.set.limits.may_duplicate {
             self.extra = (self.extra + 1.0).min(EXTRA_MOST);
@@ -983,7 +984,7 @@
             let typical = if known { self.classes[out.class].mean } else { self.typical(out.class) };
             let server = &mut self.servers[out.server];
             if server.answered <= out.sent {
-                let age = (self.now - out.sent) / typical.max(1.0);
+                let age = ((self.now - out.sent) / typical.max(1.0)).max(0.0);
                 server.lag = server.lag.max(age);
                 server.silence += age;
             }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -32,6 +32,8 @@
 const OUTCOME_FIRST: Millis = 1.0;
 /// The core answers a stream itself this long after the module should have.
 const LAST_RESORT: Millis = 5.0;
+/// A request whose body is still coming in is given up after this long: 32 MiB at 64 kB a second take 525 s.
+const COMES_WITHIN: Millis = 600_000.0;
 /// Upstream hosts that may be called out at once.
 const MOST_CORDONS: usize = 1024;
 /// A figure of the shared store stands in for a missing reading for this many meter periods.
@@ -54,6 +56,8 @@
     pub wait: Millis,
     /// The client says it has asked before.
     pub resent: bool,
+    /// Its last byte has not come: time counts from [`Input::BodyWhole`].
+    pub coming: bool,
 }
 
 /// How an upstream request ended, as the wire saw it.
@@ -78,6 +82,8 @@
 pub enum Input {
     /// A whole request has come in.
     StreamArrived(StreamId, Terms),
+    /// The last byte of a stream has come that arrived while it was coming in.
+    BodyWhole(StreamId),
     /// The downstream of a stream has gone away.
     DownstreamLeft(StreamId),
     /// An upstream request has ended.
@@ -148,6 +154,8 @@
     out: u32,
     timed_out: bool,
     deadline: Millis,
+    /// How long from its last byte on, while that has not come.
+    coming: Option<Millis>,
 }
 
 #[derive(Debug)]
@@ -372,7 +380,7 @@
                 }
                 // The module answers at the deadline; this stands in for it should it ever not.
                 Due::Stream(id) => {
-                    if self.streams.contains_key(&id) {
+                    if self.streams.get(&id).is_some_and(|stream| stream.deadline <= self.now) {
                         self.finish(id, Some(Command::Fail(id, true)), commands);
                         self.events.push_back(Event::Lapsed(RequestId(id)));
                     }
@@ -385,6 +393,7 @@
     fn input(&mut self, input: Input, commands: &mut Vec<Command>) {
         match input {
             Input::StreamArrived(id, terms) => self.arrived(id, &terms, commands),
+            Input::BodyWhole(id) => self.whole(id),
             Input::DownstreamLeft(id) => {
                 if self.streams.contains_key(&id) {
                     self.finish(id, None, commands);
@@ -441,7 +450,8 @@
             ran: false,
             out: 0,
             timed_out: false,
-            deadline: self.now + budget,
+            deadline: self.now + if terms.coming { COMES_WITHIN } else { budget },
+            coming: terms.coming.then_some(budget),
         };
         self.timers.push(stream.deadline + LAST_RESORT, Due::Stream(id));
         self.streams.insert(id, stream);
@@ -454,9 +464,26 @@
             budget,
             units: terms.units,
             is_retry: terms.resent,
+            coming: terms.coming,
         }));
     }
 
+    /// A stream's last byte has come: its time, and that of what is out for it, begins.
+    fn whole(&mut self, id: StreamId) {
+        let Some(stream) = self.streams.get_mut(&id) else { return };
+        let Some(budget) = stream.coming.take() else { return };
+        stream.deadline = self.now + budget;
+        self.timers.push(stream.deadline + LAST_RESORT, Due::Stream(id));
+        let until = (stream.deadline - OUTCOME_FIRST).max(self.now);
+        for n in 0..stream.tries {
+            if let Some(upstream) = self.upstream.get_mut(&(id, n)) {
+                (upstream.sent, upstream.until) = (self.now, until);
+                self.timers.push(until, Due::Upstream((id, n)));
+            }
+        }
+        self.events.push_back(Event::Whole { request: RequestId(id), budget });
+    }
+
     fn listed(&mut self, kind: ListKind, mut backends: Vec<Backend>, commands: &mut Vec<Command>) {
         self.counters.lists += 1;
         let before: Vec<BackendId> =
@@ -544,7 +571,9 @@
             }
             Action::Stop { request, attempt } => {
                 let id = (request.0, attempt);
-                if self.upstream.contains_key(&id) {
+                // Danger: to the module an attempt whose request is still coming in looks silent.
+                let coming = self.streams.get(&request.0).is_some_and(|stream| stream.coming.is_some());
+                if self.upstream.contains_key(&id) && !coming {
                     commands.push(Command::Stop(id, false));
                     self.ended(id, Code::Withdrawn, None, None, commands);
                 }
@@ -598,6 +627,7 @@
         stream.out += 1;
         // Danger: at the deadline itself the module fails the stream and calls the request off, and never
         // hears that the host was silent to the end.
+        let timeout = if stream.coming.is_some() { COMES_WITHIN } else { timeout };
         let until = (self.now + timeout).min(stream.deadline - OUTCOME_FIRST).max(self.now);
         let customer = stream.customer;
         self.upstream
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -46,7 +46,7 @@
 }
 
 fn terms(class: usize, wait: Millis) -> Terms {
-    Terms { class, plan: 0, customer: 7, spread: 2, units: 1.0, wait, resent: false }
+    Terms { class, plan: 0, customer: 7, spread: 2, units: 1.0, wait, resent: false, coming: false }
 }
 
 struct Bench {
@@ -285,6 +285,25 @@
     }
 }
 
+#[test]
+fn a_request_that_is_still_coming_in_has_its_time_from_its_last_byte_on() {
+    let mut bench = Bench::new(&["a", "b"]);
+    bench.tell(vec![Input::StreamArrived(1, Terms { coming: true, ..terms(TOP_UP, 1500.0) })]);
+    let (id, _) = bench.last_send().expect("sent on");
+    bench.pass(60_000.0);
+    assert_eq!((bench.answers(1).len(), bench.core.open_streams()), (0, 1));
+    bench.tell(vec![Input::BodyWhole(1)]);
+    bench.pass(1000.0);
+    assert_eq!(bench.answers(1).len(), 0);
+    bench.pass(600.0);
+    assert_eq!(bench.answers(1), [&Command::Fail(1, true)]);
+    assert!(bench.out.contains(&Command::Stop(id, true)), "its time-out is told");
+    // One that never ends its body is let go of in the end.
+    bench.tell(vec![Input::StreamArrived(2, Terms { coming: true, ..terms(TOP_UP, 1500.0) })]);
+    bench.pass(COMES_WITHIN + 1000.0);
+    assert_eq!((bench.answers(2).len(), bench.core.open_streams()), (1, 0));
+}
+
 mod across_settings {
     use super::*;
     use proptest::prelude::*;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -329,6 +329,8 @@
     pub units: f64,
     /// The client has asked before.
     pub is_retry: bool,
+    /// Its last byte has not come: time, and that of its attempts, counts from [`Event::Whole`].
+    pub coming: bool,
 }
 
 /// How an attempt ended.
@@ -366,6 +368,13 @@
     },
     /// A client's try has come in.
     Request(Request),
+    /// The last byte of a request has come that came in while it was `coming`.
+    Whole {
+        /// The request.
+        request: RequestId,
+        /// The client waits this long from now on.
+        budget: Millis,
+    },
     /// An attempt's answer has begun to stream; it belongs to the client now.
     Started {
         /// The request.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,6 +58,7 @@
 //!     budget: 1000.0,
 //!     units: 1.0,
 //!     is_retry: false,
+//!     coming: false,
 //! };
 //! brain.handle(1.0, Event::Request(request), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Attempt { request: RequestId(1), .. })));
--- a/src/memory/pool.rs
+++ b/src/memory/pool.rs
@@ -77,6 +77,11 @@
         self.used == 0
     }
 
+    /// What is in the slots.
+    pub fn iter(&self) -> impl Iterator<Item = &T> {
+        self.slots.iter().filter_map(|(_, occupant)| occupant.as_ref())
+    }
+
     /// The tokens in use.
     #[must_use]
     pub fn tokens(&self) -> Vec<Token> {
--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -4,8 +4,9 @@
 use super::http1::{self, Parsed};
 use super::message::{Answer, MOST_BODY, MOST_HEAD};
 use super::poll::Interest;
+use super::relay::{Upload, LEAST_RATE, READS_WITHIN, STANDS_STILL};
 use super::{local, refusal, Conn, Downstream, Due, Gateway, ACCEPT_ON, SCARCE_HOLD_OFF};
-use crate::core::{Input, StreamId};
+use crate::core::StreamId;
 use crate::interface::Millis;
 use crate::memory::buffer::{Got, Inbound, Outbound};
 use crate::memory::figures::Outcome as Ending;
@@ -18,7 +19,9 @@
 const MOST_REQUEST: usize = 2 * MOST_HEAD + 2 * MOST_BODY;
 /// Bytes that wait behind the request in work before reading stops.
 const MOST_WAITING: usize = MOST_HEAD;
-/// A request that takes longer to come in is given up, and a new connection that asks nothing is closed.
+/// A head that takes longer to come in is given up: clients on slow lines spend up to 2 s on one.
+const HEAD_WITHIN: Millis = 2500.0;
+/// A stream that takes longer to come in over HTTP/2 is given up, and a new connection that asks nothing is closed.
 pub(super) const ARRIVES_WITHIN: Millis = 2000.0;
 /// A connection that has asked and asks no more is closed after this long,
 const IDLE: Millis = 30_000.0;
@@ -41,11 +44,24 @@
 const ACCEPT_REST: Millis = 50.0;
 /// One connection from a downstream.
 pub(super) struct Down {
-    socket: TcpStream,
-    inbound: Inbound,
-    outbound: Outbound,
+    pub(super) socket: TcpStream,
+    pub(super) inbound: Inbound,
+    pub(super) outbound: Outbound,
     interest: Interest,
-    stream: Option<StreamId>,
+    pub(super) stream: Option<StreamId>,
+    /// The rest of its long request.
+    pub(super) upload: Option<Upload>,
+    /// The connection from which its long answer comes.
+    pub(super) feed: Option<Token>,
+    /// That one has stopped reading since this client has enough before it.
+    pub(super) choked: bool,
+    /// A long answer is going out, and its end is told by the connection's.
+    fed: bool,
+    pub(super) untold: bool,
+    /// Its last request came in HTTP/1.0.
+    pub(super) http10: bool,
+    /// When it last brought anything.
+    read_at: Millis,
     /// Its first bytes have not come.
     fresh: bool,
     /// A whole request has come by it.
@@ -55,15 +71,15 @@
     /// Its client was told to send the body.
     went_on: bool,
     /// No further request is taken: it closes once all is written.
-    closing: bool,
+    pub(super) closing: bool,
     /// All is written and our side ended; the rest of what comes is dropped.
     lingering: bool,
     /// Taken over the share of descriptors that streams get: its request is turned away.
     surplus: bool,
     /// When the request at hand began to come in, or the last one was answered.
-    since: Millis,
+    pub(super) since: Millis,
     /// An answer that is not out by then never will be.
-    out_by: Millis,
+    pub(super) out_by: Millis,
 }
 
 impl Gateway {
@@ -103,6 +119,13 @@
             outbound: Outbound::default(),
             interest: Interest::READ,
             stream: None,
+            upload: None,
+            feed: None,
+            choked: false,
+            fed: false,
+            untold: false,
+            http10: false,
+            read_at: self.now,
             fresh: true,
             asked: false,
             counted: 0,
@@ -193,9 +216,11 @@
         self.poll.remove(&down.socket);
         self.downstreams -= 1;
         self.held_bytes -= down.counted;
+        if let Some(from) = down.feed {
+            self.drop_feed(from);
+        }
         if let Some(stream) = down.stream {
-            self.take_exchange(stream);
-            self.inputs.push(Input::DownstreamLeft(stream));
+            self.call_off(stream);
         }
     }
 
@@ -209,7 +234,12 @@
         if read && down.lingering {
             return self.drop_what_comes(down).map(Conn::Down);
         }
+        if read && down.upload.is_some() {
+            down.read_at = self.now;
+            return self.upload_ready(token, down);
+        }
         if read {
+            down.read_at = self.now;
             let fresh = down.inbound.bytes().is_empty() && down.stream.is_none() && down.asked;
             loop {
                 if !down.wants_bytes() {
@@ -266,10 +296,11 @@
 
     /// Takes the next request from what has been read, unless one is in work.
     fn take_requests(&mut self, token: Token, down: &mut Down) {
-        while down.stream.is_none() && !down.closing && down.outbound.is_empty() {
+        while down.stream.is_none() && down.feed.is_none() && !down.closing && down.outbound.is_empty() {
             if down.inbound.bytes().is_empty() {
                 return;
             }
+            let mut upload = None;
             let (message, used, reusable) = match http1::request(down.inbound.bytes()) {
                 Parsed::Whole(message, used, reusable) => (message, used, reusable),
                 Parsed::Partial(expects) => {
@@ -279,16 +310,29 @@
                     }
                     return;
                 }
+                Parsed::Bad(413, _) => match http1::long_request(down.inbound.bytes()) {
+                    Ok(long) => {
+                        if long.expects && !down.went_on {
+                            down.outbound.push(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec());
+                        }
+                        upload = Some((long.rest, long.length.is_none()));
+                        (long.message, long.used, long.reusable)
+                    }
+                    Err((status, why)) => return self.bad_message(down, status, why),
+                },
                 Parsed::Bad(status, why) => return self.bad_message(down, status, why),
             };
+            let coming = message.coming.is_some();
+            let at_hand = message.body.len();
             down.inbound.consume(used);
             down.asked = true;
             down.went_on = false;
             down.out_by = self.now + ARRIVES_WITHIN;
             down.since = self.now;
             down.closing |= !reusable;
+            down.http10 = message.http10;
             if let Some(answer) = self.own_service(&message) {
-                down.push(&answer, self.is_leaving());
+                down.push(&answer, self.is_leaving() || coming);
             } else if down.surplus || self.holds_too_much() {
                 let counters = &mut self.core.counters;
                 if down.surplus {
@@ -298,26 +342,38 @@
                 }
                 let answer = self.short_of_room(Downstream::Http1(token), &message);
                 self.turned_away(&message, Ending::Busy);
-                down.push(&answer, down.surplus || self.is_leaving());
+                down.push(&answer, down.surplus || self.is_leaving() || coming);
             } else {
                 match self.stream_arrived(Downstream::Http1(token), message) {
-                    Ok(stream) => down.stream = Some(stream),
+                    Ok(stream) => {
+                        down.stream = Some(stream);
+                        let upload = upload.filter(|_| coming);
+                        down.upload =
+                            upload.map(|(rest, chunks)| Upload::new(stream, rest, chunks, self.now, at_hand));
+                    }
                     Err((status, why)) => self.bad_message(down, status, why),
                 }
             }
         }
     }
 
-    fn bad_message(&mut self, down: &mut Down, status: u16, why: &'static str) {
+    pub(super) fn bad_message(&mut self, down: &mut Down, status: u16, why: &'static str) {
+        tracing::debug!(status, why, age_ms = self.now - down.since, "a bad message");
         self.core.counters.bad_messages += 1;
         down.push(&local(status, format!("{why}\n").as_bytes()), true);
     }
 
     /// Writes what can be written and watches for what comes next.
-    fn flush_down(&mut self, token: Token, mut down: Down) -> Option<Down> {
+    pub(super) fn flush_down(&mut self, token: Token, mut down: Down) -> Option<Down> {
         loop {
-            match down.outbound.write(&mut down.socket) {
-                Ok(true) if down.closing && down.stream.is_none() => {
+            let before = down.outbound.len();
+            let written = down.outbound.write(&mut down.socket);
+            if down.fed && down.outbound.len() < before {
+                down.out_by = self.now + READS_WITHIN;
+                down.fed = down.feed.is_some() || !down.outbound.is_empty();
+            }
+            match written {
+                Ok(true) if down.closing && down.stream.is_none() && down.feed.is_none() => {
                     // Danger: closed with bytes unread, the system resets the connection and the answer
                     // may be lost with it. Only our side is ended; what still comes is read and dropped.
                     if !down.lingering {
@@ -342,6 +398,10 @@
                 }
             }
         }
+        if let Some(from) = down.feed.filter(|_| down.choked && down.outbound.len() <= self.room() / 2) {
+            down.choked = false;
+            self.hungry.push(from);
+        }
         let interest = Interest { read: down.wants_bytes(), write: !down.outbound.is_empty() };
         if interest != down.interest {
             if self.poll.change(&down.socket, token, interest).is_err() {
@@ -354,7 +414,13 @@
         let counted = down.inbound.bytes().len() + down.outbound.len();
         self.held_bytes = self.held_bytes + counted - down.counted;
         down.counted = counted;
-        if self.held_bytes > self.most_held && counted > MOST_HEAD && down.stream.is_none() && !down.closing {
+        let passing = down.feed.is_some() || down.fed;
+        if self.held_bytes > self.most_held
+            && counted > MOST_HEAD
+            && down.stream.is_none()
+            && !down.closing
+            && !passing
+        {
             down.inbound.consume(down.inbound.bytes().len());
             down.push(&refusal(SCARCE_HOLD_OFF, Downstream::Http1(token)), true);
             return self.flush_down(token, down);
@@ -362,12 +428,24 @@
         Some(down)
     }
 
-    pub(super) fn answer_http1(&mut self, token: Token, deadline: Millis, answer: &Answer) {
-        let Some(Conn::Down(mut down)) = self.slots.take(token) else { return };
+    pub(super) fn answer_http1(&mut self, token: Token, deadline: Millis, answer: Answer) {
+        let Some(Conn::Down(mut down)) = self.slots.take(token) else {
+            answer.long.into_iter().for_each(|long| self.drop_feed(long.from));
+            return;
+        };
         down.stream = None;
         down.since = self.now;
+        if let Some(long) = answer.long {
+            down.fed = true;
+            return self.answer_long(token, down, &answer, long);
+        }
         down.out_by = deadline;
-        down.push(answer, self.is_leaving());
+        // What is still to come of its request is dropped.
+        let early = down.upload.take().is_some();
+        if early {
+            tracing::debug!(status = answer.status, "answered before the request was whole");
+        }
+        down.push(&answer, early || self.is_leaving());
         let kept = self.flush_down(token, down).map(Conn::Down);
         self.keep(token, kept);
     }
@@ -386,8 +464,16 @@
             }
             return Some(Conn::Down(down));
         }
-        if down.stream.is_none() && down.outbound.is_empty() {
-            if unread && age > ARRIVES_WITHIN {
+        if let (Some(stream), Some(upload)) = (down.stream, &down.upload) {
+            if upload.too_slow(self.now) {
+                self.call_off(stream);
+                (down.stream, down.upload) = (None, None);
+                self.bad_message(&mut down, 408, "the request did not come in");
+                return self.flush_down(token, down).map(Conn::Down);
+            }
+        }
+        if down.stream.is_none() && down.feed.is_none() && down.outbound.is_empty() {
+            if unread && self.is_too_slow(&down) {
                 self.bad_message(&mut down, 408, "the request did not come in");
                 return self.flush_down(token, down).map(Conn::Down);
             }
@@ -416,18 +502,35 @@
     }
 }
 
+impl Gateway {
+    /// Whether a request that comes in by halves has taken too long: its head, or what of its body has come.
+    fn is_too_slow(&self, down: &Down) -> bool {
+        let age = self.now - down.since;
+        let bytes = down.inbound.bytes();
+        if age <= HEAD_WITHIN {
+            return age > STANDS_STILL && self.now - down.read_at > STANDS_STILL && http1::has_head(bytes);
+        }
+        let least = (age - HEAD_WITHIN) * LEAST_RATE;
+        !http1::has_head(bytes) || self.now - down.read_at > STANDS_STILL || (bytes.len() as f64) < least
+    }
+}
+
 impl Down {
     /// Whether more is read: a whole request while none is in work, little behind one that is.
     fn wants_bytes(&self) -> bool {
-        let most = if self.stream.is_none() { MOST_REQUEST } else { MOST_WAITING };
-        self.lingering || self.inbound.bytes().len() <= most
+        let most = if self.stream.is_none() && self.feed.is_none() { MOST_REQUEST } else { MOST_WAITING };
+        let takes = self.upload.as_ref().map_or(self.inbound.bytes().len() <= most, |upload| !upload.paused);
+        self.lingering || takes
     }
 
     fn is_idle(&self) -> bool {
-        self.stream.is_none() && self.outbound.is_empty() && self.inbound.bytes().is_empty()
+        self.stream.is_none()
+            && self.feed.is_none()
+            && self.outbound.is_empty()
+            && self.inbound.bytes().is_empty()
     }
 
-    fn push(&mut self, answer: &Answer, close: bool) {
+    pub(super) fn push(&mut self, answer: &Answer, close: bool) {
         self.closing |= close;
         self.outbound.push(http1::answer_head(
             answer.status,
--- a/src/net/http1.rs
+++ b/src/net/http1.rs
@@ -1,9 +1,11 @@
 //! HTTP/1.1 in bytes: heads parsed in place, bodies by length or in chunks, heads written out.
 
-use super::message::{Answer, Message, MOST_BODY, MOST_HEAD};
+use super::message::{Answer, Coming, Message, MOST_BODY, MOST_HEAD, MOST_LONG};
 use std::io::Write;
 
 const MOST_HEADERS: usize = 64;
+/// Bytes of the line in front of a chunk, its extensions included.
+const MOST_LINE: usize = 4096;
 
 /// What a buffer holds.
 #[derive(Debug, PartialEq, Eq)]
@@ -71,46 +73,262 @@
     }
 }
 
-/// Reads a request from the start of `bytes`.
-#[must_use]
-pub fn request(bytes: &[u8]) -> Parsed<Message> {
+/// A head that has been read: what it says, its bytes, how its body ends, whether the connection may be used again.
+struct Head<T> {
+    message: T,
+    used: usize,
+    framing: Framing,
+    reusable: bool,
+    expects: bool,
+}
+
+fn read_request_head(bytes: &[u8]) -> Result<Option<Head<Message>>, (u16, &'static str)> {
     let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
     let mut head = httparse::Request::new(&mut headers);
     let used = match head.parse(bytes) {
         Ok(httparse::Status::Complete(used)) if used <= MOST_HEAD => used,
-        Ok(httparse::Status::Partial) if bytes.len() <= MOST_HEAD => return Parsed::Partial(false),
-        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Parsed::Bad(431, "the head is too large"),
-        Err(_) => return Parsed::Bad(400, "the head is malformed"),
-    };
-    let hop = match Hop::read(head.headers) {
-        Ok(hop) => hop,
-        Err(why) => return Parsed::Bad(400, why),
+        Ok(httparse::Status::Partial) if bytes.len() <= MOST_HEAD => return Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err((431, "the head is too large")),
+        Err(_) => return Err((400, "the head is malformed")),
     };
+    let hop = Hop::read(head.headers).map_err(|why| (400, why))?;
     let framing = if hop.chunked { Framing::Chunked } else { Framing::Length(hop.length.unwrap_or(0)) };
-    if matches!(framing, Framing::Length(length) if length > MOST_BODY) {
-        return Parsed::Bad(413, "the body is too large");
-    }
-    let (body, end) = match body(bytes, used, framing, false) {
-        Ok(Some(found)) => found,
-        Ok(None) => return Parsed::Partial(hop.expects && bytes.len() == used),
-        Err((status, why)) => return Parsed::Bad(status, why),
-    };
-    let target = head.path.unwrap_or("");
-    if !target.starts_with('/') {
-        return Parsed::Bad(400, "the target is no path");
-    }
+    let target = origin_form(head.path.unwrap_or("")).ok_or((400, "the target is no path"))?;
     let mut message = Message {
         method: head.method.unwrap_or("").into(),
         target: target.into(),
         headers: Vec::with_capacity(used),
-        body,
+        http10: head.version == Some(0),
         ..Message::default()
     };
     let named = connection_names(head.headers);
     for header in head.headers.iter().filter(|h| !is_named(&named, h.name)) {
         message.header(header.name, header.value);
     }
-    Parsed::Whole(message, end, hop.reusable(head.version.unwrap_or(0)))
+    let reusable = hop.reusable(head.version.unwrap_or(0));
+    Ok(Some(Head { message, used, framing, reusable, expects: hop.expects }))
+}
+
+/// Path and query of a target, which may come with scheme and authority in front (RFC 9112, 3.2.2).
+fn origin_form(target: &str) -> Option<&str> {
+    if target.starts_with('/') {
+        return Some(target);
+    }
+    let scheme = target.get(..7).filter(|scheme| scheme.eq_ignore_ascii_case("http://"))?;
+    let rest = &target[scheme.len()..];
+    let path = rest.find(['/', '?']).filter(|at| *at > 0);
+    match path {
+        Some(at) if rest[at..].starts_with('/') => Some(&rest[at..]),
+        None if !rest.is_empty() && !rest.starts_with(['/', '?']) => Some("/"),
+        _ => None,
+    }
+}
+
+/// Reads a request from the start of `bytes`.
+#[must_use]
+pub fn request(bytes: &[u8]) -> Parsed<Message> {
+    let head = match read_request_head(bytes) {
+        Ok(Some(head)) => head,
+        Ok(None) => return Parsed::Partial(false),
+        Err((status, why)) => return Parsed::Bad(status, why),
+    };
+    match body(bytes, head.used, head.framing, false) {
+        Ok(Some((body, end))) => Parsed::Whole(Message { body, ..head.message }, end, head.reusable),
+        Ok(None) => Parsed::Partial(head.expects && bytes.len() == head.used),
+        Err((status, why)) => Parsed::Bad(status, why),
+    }
+}
+
+/// A message whose body is too long to be held: its head, what of the body is at hand, and how to read the rest.
+#[derive(Debug)]
+pub struct Long<T> {
+    /// The head, with what of the body has come.
+    pub message: T,
+    /// Bytes that were used for these.
+    pub used: usize,
+    /// Reads what follows.
+    pub rest: Rest,
+    /// The length of the whole body, where the head tells it.
+    pub length: Option<u64>,
+    /// Whether the connection may be used again.
+    pub reusable: bool,
+    /// The client waits for leave to send the body.
+    pub expects: bool,
+}
+
+/// Reads the start of a request that [`request`] found too large.
+///
+/// # Errors
+/// The status to answer with, and why.
+pub fn long_request(bytes: &[u8]) -> Result<Long<Message>, (u16, &'static str)> {
+    let head = read_request_head(bytes)?.ok_or((413, "the body is too large"))?;
+    let (mut rest, length) = Rest::of(head.framing)?;
+    let Head { mut message, used, reusable, expects, .. } = head;
+    let taken = rest.take(&bytes[used..], &mut message.body).map_err(|why| (400, why))?;
+    message.coming = (!rest.is_over()).then_some(length.map_or(Coming::Chunks, Coming::Length));
+    Ok(Long { message, used: used + taken, rest, length, reusable, expects: expects && bytes.len() == used })
+}
+
+/// Reads the start of an answer that [`answer`] found too large, behind interim ones.
+///
+/// # Errors
+/// Why it is none.
+pub fn long_answer(bytes: &[u8]) -> Result<Long<Answer>, &'static str> {
+    let head = read_answer_head(bytes)?.ok_or("the head is not whole")?;
+    let (mut rest, length) = Rest::of(head.framing).map_err(|(_, why)| why)?;
+    let Head { mut message, used, reusable, .. } = head;
+    let taken = rest.take(&bytes[used..], &mut message.body)?;
+    Ok(Long { message, used: used + taken, rest, length, reusable, expects: false })
+}
+
+/// How a long body goes on.
+#[derive(Debug)]
+pub enum Rest {
+    /// So many bytes are to come.
+    Length(u64),
+    /// In chunks.
+    Chunked(Chunks),
+    /// Until the connection ends.
+    UntilEnd(u64),
+}
+
+impl Rest {
+    fn of(framing: Framing) -> Result<(Self, Option<u64>), (u16, &'static str)> {
+        match framing {
+            Framing::Length(length) if length as u64 > MOST_LONG => Err((413, "the body is too large")),
+            Framing::Length(length) => Ok((Self::Length(length as u64), Some(length as u64))),
+            Framing::Chunked => Ok((Self::Chunked(Chunks::default()), None)),
+            Framing::UntilEnd => Ok((Self::UntilEnd(0), None)),
+        }
+    }
+
+    /// Takes what is the body's from the start of `bytes` into `body`; tells how many bytes were used.
+    ///
+    /// # Errors
+    /// What breaks its framing, or that it is too large.
+    pub fn take(&mut self, bytes: &[u8], body: &mut Vec<u8>) -> Result<usize, &'static str> {
+        match self {
+            Self::Length(left) => {
+                let n = usize::try_from(*left).unwrap_or(usize::MAX).min(bytes.len());
+                body.extend_from_slice(&bytes[..n]);
+                *left -= n as u64;
+                Ok(n)
+            }
+            Self::Chunked(chunks) => chunks.take(bytes, body),
+            Self::UntilEnd(got) => {
+                *got += bytes.len() as u64;
+                if *got > MOST_LONG {
+                    return Err("the body is too large");
+                }
+                body.extend_from_slice(bytes);
+                Ok(bytes.len())
+            }
+        }
+    }
+
+    /// Whether all of it has come, as far as its framing tells.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        match self {
+            Self::Length(left) => *left == 0,
+            Self::Chunked(chunks) => chunks.state == ChunkState::Over,
+            Self::UntilEnd(_) => false,
+        }
+    }
+
+    /// Whether the connection's end is the body's.
+    #[must_use]
+    pub fn ends_with_connection(&self) -> bool {
+        matches!(self, Self::UntilEnd(_))
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum ChunkState {
+    #[default]
+    Size,
+    Data(u64),
+    /// Behind a chunk's data.
+    DataEnd,
+    Trailers,
+    Over,
+}
+
+/// Reads a body in chunks, however it is cut into pieces (RFC 9112, 7.1). Extensions and trailers are dropped.
+#[derive(Debug, Default)]
+pub struct Chunks {
+    state: ChunkState,
+    /// Bytes of data so far.
+    data: u64,
+}
+
+impl Chunks {
+    fn take(&mut self, bytes: &[u8], body: &mut Vec<u8>) -> Result<usize, &'static str> {
+        const BAD: &str = "a chunk is malformed";
+        let mut at = 0;
+        loop {
+            let left = &bytes[at..];
+            match self.state {
+                ChunkState::Over => return Ok(at),
+                ChunkState::Data(n) => {
+                    let take = usize::try_from(n).unwrap_or(usize::MAX).min(left.len());
+                    if take == 0 {
+                        return Ok(at);
+                    }
+                    body.extend_from_slice(&left[..take]);
+                    at += take;
+                    let n = n - take as u64;
+                    self.state = if n == 0 { ChunkState::DataEnd } else { ChunkState::Data(n) };
+                }
+                ChunkState::DataEnd => match left {
+                    [b'\r', b'\n', ..] => {
+                        at += 2;
+                        self.state = ChunkState::Size;
+                    }
+                    [] | [b'\r'] => return Ok(at),
+                    _ => return Err(BAD),
+                },
+                ChunkState::Size => match httparse::parse_chunk_size(left) {
+                    Ok(httparse::Status::Complete((skip, size))) => {
+                        at += skip;
+                        self.data += size;
+                        if self.data > MOST_LONG {
+                            return Err("the body is too large");
+                        }
+                        self.state = if size == 0 { ChunkState::Trailers } else { ChunkState::Data(size) };
+                    }
+                    Ok(httparse::Status::Partial) if left.len() <= MOST_LINE => return Ok(at),
+                    _ => return Err(BAD),
+                },
+                ChunkState::Trailers => {
+                    let mut trailers = [httparse::EMPTY_HEADER; 16];
+                    match httparse::parse_headers(left, &mut trailers) {
+                        Ok(httparse::Status::Complete((used, _))) => {
+                            at += used;
+                            self.state = ChunkState::Over;
+                        }
+                        Ok(httparse::Status::Partial) if left.len() <= MOST_HEAD => return Ok(at),
+                        _ => return Err(BAD),
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// The line in front of a chunk.
+#[must_use]
+pub fn chunk_line(length: usize) -> Vec<u8> {
+    format!("{length:x}\r\n").into_bytes()
+}
+
+/// What ends a body in chunks.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// Whether a head's end has come.
+#[must_use]
+pub fn has_head(bytes: &[u8]) -> bool {
+    bytes.windows(4).take(MOST_HEAD).any(|four| four == b"\r\n\r\n")
 }
 
 /// Headers that `Connection` names belong to this connection only.
@@ -148,44 +366,46 @@
 /// Reads an answer from the start of `bytes`; `ended` says that no more will come.
 #[must_use]
 pub fn answer(bytes: &[u8], ended: bool) -> Parsed<Answer> {
-    let mut skipped = 0;
-    loop {
-        let bytes = &bytes[skipped..];
-        let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
-        let mut head = httparse::Response::new(&mut headers);
-        let used = match head.parse(bytes) {
-            Ok(httparse::Status::Complete(used)) => used,
-            Ok(httparse::Status::Partial) if bytes.len() <= MOST_HEAD => return Parsed::Partial(false),
-            _ => return Parsed::Bad(502, "the head is malformed"),
-        };
-        let status = head.code.unwrap_or(0);
-        if is_interim(status) {
-            skipped += used;
-            continue;
-        }
-        let hop = match Hop::read(head.headers) {
-            Ok(hop) => hop,
-            Err(why) => return Parsed::Bad(502, why),
-        };
-        let framing = match hop.length {
-            _ if status == 204 || status == 304 => Framing::Length(0),
-            Some(length) => Framing::Length(length),
-            None if hop.chunked => Framing::Chunked,
-            None => Framing::UntilEnd,
-        };
-        let (body, end) = match body(bytes, used, framing, ended) {
-            Ok(Some(found)) => found,
-            Ok(None) => return Parsed::Partial(false),
-            Err((_, why)) => return Parsed::Bad(502, why),
-        };
-        let mut answer = Answer { status, body, ..Answer::default() };
-        let named = connection_names(head.headers);
-        for header in head.headers.iter().filter(|h| !is_named(&named, h.name)) {
-            answer.header(header.name, header.value);
-        }
-        let reusable = hop.reusable(head.version.unwrap_or(0)) && framing != Framing::UntilEnd;
-        return Parsed::Whole(answer, skipped + end, reusable);
+    let skipped = interim(bytes);
+    let Some(head) = (match read_answer_head(&bytes[skipped..]) {
+        Ok(head) => head,
+        Err(why) => return Parsed::Bad(502, why),
+    }) else {
+        return Parsed::Partial(false);
+    };
+    let bytes = &bytes[skipped..];
+    let reusable = head.reusable && head.framing != Framing::UntilEnd;
+    match body(bytes, head.used, head.framing, ended) {
+        Ok(Some((body, end))) => Parsed::Whole(Answer { body, ..head.message }, skipped + end, reusable),
+        Ok(None) => Parsed::Partial(false),
+        Err((413, why)) => Parsed::Bad(413, why),
+        Err((_, why)) => Parsed::Bad(502, why),
+    }
+}
+
+fn read_answer_head(bytes: &[u8]) -> Result<Option<Head<Answer>>, &'static str> {
+    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut head = httparse::Response::new(&mut headers);
+    let used = match head.parse(bytes) {
+        Ok(httparse::Status::Complete(used)) => used,
+        Ok(httparse::Status::Partial) if bytes.len() <= MOST_HEAD => return Ok(None),
+        _ => return Err("the head is malformed"),
+    };
+    let status = head.code.unwrap_or(0);
+    let hop = Hop::read(head.headers)?;
+    let framing = match hop.length {
+        _ if status == 204 || status == 304 => Framing::Length(0),
+        Some(length) => Framing::Length(length),
+        None if hop.chunked => Framing::Chunked,
+        None => Framing::UntilEnd,
+    };
+    let mut answer = Answer { status, ..Answer::default() };
+    let named = connection_names(head.headers);
+    for header in head.headers.iter().filter(|h| !is_named(&named, h.name)) {
+        answer.header(header.name, header.value);
     }
+    let reusable = hop.reusable(head.version.unwrap_or(0));
+    Ok(Some(Head { message: answer, used, framing, reusable, expects: false }))
 }
 
 type Body = Result<Option<(Vec<u8>, usize)>, (u16, &'static str)>;
@@ -263,8 +483,13 @@
     head.extend_from_slice(&message.headers);
     // Writing to a Vec does not fail.
     let _ = write!(head, "X-Remaining-Ms: {wait_ms}\r\n");
-    if !message.body.is_empty() || message.method == "POST" {
-        let _ = write!(head, "Content-Length: {}\r\n", message.body.len());
+    match message.coming {
+        Some(Coming::Length(length)) => drop(write!(head, "Content-Length: {length}\r\n")),
+        Some(Coming::Chunks) => head.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
+        None if !message.body.is_empty() || message.method == "POST" => {
+            drop(write!(head, "Content-Length: {}\r\n", message.body.len()));
+        }
+        None => {}
     }
     head.extend_from_slice(b"\r\n");
     head
@@ -273,10 +498,31 @@
 /// Writes the head of an answer with a body of `length`.
 #[must_use]
 pub fn answer_head(status: u16, headers: &[u8], length: usize, close: bool) -> Vec<u8> {
+    answer_head_as(status, headers, Told::Length(length as u64), close)
+}
+
+/// How an answer's end is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Told {
+    /// By its length.
+    Length(u64),
+    /// By its last chunk.
+    Chunks,
+    /// By the connection's end.
+    End,
+}
+
+/// Writes the head of an answer whose end is told so.
+#[must_use]
+pub fn answer_head_as(status: u16, headers: &[u8], told: Told, close: bool) -> Vec<u8> {
     let mut head = Vec::with_capacity(headers.len() + 96);
     let _ = write!(head, "HTTP/1.1 {status} {}\r\n", reason(status));
     head.extend_from_slice(headers);
-    let _ = write!(head, "Content-Length: {length}\r\n");
+    match told {
+        Told::Length(length) => drop(write!(head, "Content-Length: {length}\r\n")),
+        Told::Chunks => head.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
+        Told::End => {}
+    }
     if close {
         head.extend_from_slice(b"Connection: close\r\n");
     }
--- a/src/net/http2_down.rs
+++ b/src/net/http2_down.rs
@@ -186,7 +186,7 @@
             Part::Waiting(stream, mut respond) => match respond.poll_reset(&mut cx) {
                 Poll::Pending => Part::Waiting(stream, respond),
                 Poll::Ready(_) => {
-                    self.take_exchange(stream);
+                    self.drop_exchange(stream);
                     self.inputs.push(Input::DownstreamLeft(stream));
                     Part::Over
                 }
--- a/src/net/message.rs
+++ b/src/net/message.rs
@@ -7,6 +7,8 @@
 
 /// The most bytes of a body.
 pub const MOST_BODY: usize = 64 * 1024;
+/// The most bytes of a body that passes on as it comes.
+pub const MOST_LONG: u64 = 32 * 1024 * 1024;
 /// The most bytes of a head.
 pub const MOST_HEAD: usize = 16 * 1024;
 
@@ -24,12 +26,25 @@
     pub target: String,
     /// Header lines that pass on.
     pub headers: Vec<u8>,
-    /// The body.
+    /// The body, or its beginning where more is `coming`.
     pub body: Vec<u8>,
+    /// The body is long and passes on as it comes; how its end is told.
+    pub coming: Option<Coming>,
+    /// It came in HTTP/1.0, which knows no chunks.
+    pub http10: bool,
     /// What the gateway reads for itself.
     pub own: Own,
 }
 
+/// How the end of a body is told that is still coming.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Coming {
+    /// By its length, as a whole.
+    Length(u64),
+    /// By its last chunk.
+    Chunks,
+}
+
 /// A whole answer.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Answer {
@@ -45,6 +60,17 @@
     pub used: Option<f64>,
     /// `X-Pressure`
     pub pressure: Option<String>,
+    /// The body is long and passes on as it comes.
+    pub long: Option<Feeding>,
+}
+
+/// Where a long answer comes from.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Feeding {
+    /// The connection to the upstream host.
+    pub from: usize,
+    /// The length of the whole body, where it is told.
+    pub length: Option<u64>,
 }
 
 /// A header that the gateway reads for itself.
@@ -174,7 +200,7 @@
         let class = self.class(told).ok_or((404, "no such class"))?;
         // A class that is safe to repeat is asked for with GET, one that is not with POST.
         match (self.method.as_str(), told.module.classes[class].effect == Effect::Safe) {
-            ("GET", true) if self.body.is_empty() => {}
+            ("GET", true) if self.body.is_empty() && self.coming.is_none() => {}
             ("GET", true) => return Err((400, "GET takes no body")),
             ("POST", false) => {}
             _ => return Err((405, "not the method of this class")),
@@ -196,8 +222,8 @@
             Read::Is(ms) => ms as f64,
         };
         let gateways = told.module.gateways;
-        let mut terms =
-            Terms { class, plan, customer, spread: gateways, units: 1.0, wait, resent: self.own.resent };
+        let (spread, resent, coming) = (gateways, self.own.resent, self.coming.is_some());
+        let mut terms = Terms { class, plan, customer, spread, units: 1.0, wait, resent, coming };
         match &self.own.terms {
             Read::Missing => {}
             Read::Bad => return Err(BAD_TERMS),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -15,6 +15,7 @@
 mod http2;
 mod http2_down;
 mod http2_up;
+mod relay;
 mod store;
 mod upstream;
 
@@ -124,6 +125,17 @@
     deadline: Millis,
     /// It must not run twice, so nothing that may have run is sent again.
     once: bool,
+    /// How long its client waits, from the request's last byte.
+    wait: Millis,
+    /// Its body is long and passes on as it comes.
+    passing: Option<relay::Passing>,
+}
+
+impl Exchange {
+    /// Whether all of its request can be sent, now or as it comes.
+    fn is_at_hand(&self) -> bool {
+        self.passing.as_ref().is_none_or(|passing| !passing.gone && passing.to.is_none())
+    }
 }
 
 /// What is due in the loop itself.
@@ -162,6 +174,9 @@
     /// The ids that clients gave to the requests that are open.
     open_ids: HashSet<u64>,
     in_flight: HashMap<UpstreamId, Token>,
+    /// Connections whose long request can go on being read, and those whose long answer can.
+    resumed: Vec<Token>,
+    hungry: Vec<Token>,
     held_bytes: usize,
     most_held: usize,
     /// Where bytes that nobody wants are received to; never read.
@@ -234,6 +249,8 @@
             exchanges: HashMap::new(),
             open_ids: HashSet::new(),
             in_flight: HashMap::new(),
+            resumed: Vec::new(),
+            hungry: Vec::new(),
             held_bytes: 0,
             most_held,
             dropped: Box::new_uninit_slice(downstream::DROPPED),
@@ -319,7 +336,11 @@
                 [self.core.next_due(), self.timers.next_due(), self.door.as_ref().and_then(AtDoor::next_due)];
             let due = due.into_iter().flatten().fold(f64::INFINITY, f64::min);
             let wait = (due - self.clock.now()).clamp(0.0, SWEEP);
-            let wait = if self.inputs.is_empty() && self.woken.is_empty() { wait } else { 0.0 };
+            let quiet = self.inputs.is_empty()
+                && self.woken.is_empty()
+                && self.resumed.is_empty()
+                && self.hungry.is_empty();
+            let wait = if quiet { wait } else { 0.0 };
             self.poll.wait(Duration::from_micros((wait * 1000.0).ceil() as u64), &mut ready)?;
             self.now = self.clock.now();
             // Operators first, whatever else there is to do.
@@ -341,6 +362,12 @@
             for token in self.woken.take() {
                 self.ready(token, false, false);
             }
+            for token in std::mem::take(&mut self.resumed) {
+                self.go_on_uploading(token);
+            }
+            for token in std::mem::take(&mut self.hungry) {
+                self.go_on_feeding(token);
+            }
         }
         Ok(())
     }
@@ -436,7 +463,7 @@
             }
             Command::Refuse(stream, hold_off, why) => {
                 let at_door = self.door.as_mut().and_then(|at| at.refused_behind(self.now, stream, why));
-                let Some(exchange) = self.take_exchange(stream) else { return };
+                let Some(exchange) = self.drop_exchange(stream) else { return };
                 let answer = match at_door {
                     Some(appointment) => door::told(&appointment, exchange.downstream),
                     None => refusal(hold_off, exchange.downstream),
@@ -445,7 +472,7 @@
             }
             Command::Fail(stream, late) => {
                 self.told_door(stream, if late { Ended::Pressed } else { Ended::Otherwise });
-                let Some(exchange) = self.take_exchange(stream) else { return };
+                let Some(exchange) = self.drop_exchange(stream) else { return };
                 let answer = local(if late { 504 } else { 502 }, b"");
                 self.answer(exchange.downstream, exchange.deadline, answer);
             }
@@ -466,7 +493,7 @@
 
     fn answer(&mut self, downstream: Downstream, deadline: Millis, answer: Answer) {
         match downstream {
-            Downstream::Http1(token) => self.answer_http1(token, deadline, &answer),
+            Downstream::Http1(token) => self.answer_http1(token, deadline, answer),
             Downstream::Http2(token, key) => self.answer_http2(token, key, deadline, &answer),
         }
     }
@@ -489,6 +516,15 @@
         Some(exchange)
     }
 
+    /// Forgets a stream's exchange, and an answer to it that is on its way.
+    fn drop_exchange(&mut self, stream: StreamId) -> Option<Exchange> {
+        let exchange = self.take_exchange(stream)?;
+        if let Some(long) = exchange.answer.as_ref().and_then(|(_, answer)| answer.long) {
+            self.drop_feed(long.from);
+        }
+        Some(exchange)
+    }
+
     /// Takes in a whole request, however it was spoken.
     fn stream_arrived(
         &mut self,
@@ -506,7 +542,10 @@
         let deadline = self.now + terms.wait;
         let once = self.told.module.classes[terms.class].effect == Effect::Unsafe;
         self.held_bytes += message.size();
-        self.exchanges.insert(id, Exchange { downstream, message, answer: None, deadline, once });
+        let wait = terms.wait;
+        let passing = message.coming.map(|_| relay::Passing::default());
+        self.exchanges
+            .insert(id, Exchange { downstream, message, answer: None, deadline, once, wait, passing });
         self.at_door(id, terms);
         Ok(id)
     }
@@ -570,7 +609,10 @@
     /// What operators fetch, a line a figure.
     fn figures(&self) -> String {
         let (hosts_listed, hosts_down) = self.core.hosts_listed_and_down();
-        self.core.figures.render(Now { inflight: self.exchanges.len(), hosts_listed, hosts_down })
+        let feeding =
+            self.slots.iter().filter(|conn| matches!(conn, Conn::Down(down) if down.feed.is_some()));
+        let inflight = self.exchanges.len() + feeding.count();
+        self.core.figures.render(Now { inflight, hosts_listed, hosts_down })
     }
 
     /// Counts a request that a front turned away before the core heard of it.
@@ -581,16 +623,24 @@
         }
     }
 
-    /// An upstream request has ended on the wire.
-    fn upstream_ended(&mut self, id: UpstreamId, end: End, answer: Option<Answer>) {
+    /// An upstream request has ended on the wire. False where its answer is not wanted.
+    fn upstream_ended(&mut self, id: UpstreamId, end: End, answer: Option<Answer>) -> bool {
         self.in_flight.remove(&id);
         let usage = answer.as_ref().and_then(|a| a.used);
         let report = answer.as_ref().and_then(|a| a.report(&self.told.report_names));
-        if let (End::Served, Some(exchange), Some(answer)) = (end, self.exchanges.get_mut(&id.0), answer) {
-            // Of two that come together, the core delivers the first.
-            exchange.answer.get_or_insert((id.1, answer));
+        let mut taken = false;
+        if let Some(exchange) = self.exchanges.get_mut(&id.0) {
+            if let (End::Served, Some(answer), None) = (end, answer, &exchange.answer) {
+                // Of two that come together, the core delivers the first.
+                exchange.answer = Some((id.1, answer));
+                taken = true;
+            }
+            if let Some(passing) = exchange.passing.as_mut().filter(|p| p.to == Some(id) && !p.gone) {
+                passing.to = None;
+            }
         }
         self.inputs.push(Input::UpstreamEnded { id, end, usage, report });
+        taken
     }
 
     fn take_list(&mut self, list: List, kind: ListKind) {
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,9 +1,10 @@
 //! HTTP/1.1 connections to upstream hosts: one upstream request at a time on each.
 
 use super::http1::{self, Parsed};
-use super::message::{Answer, Message, MOST_BODY, MOST_HEAD};
+use super::message::{Answer, Coming, Message, MOST_BODY, MOST_HEAD};
 use super::poll::Interest;
-use super::{Conn, Due, Gateway};
+use super::relay::{Feed, BRINGS_WITHIN};
+use super::{Conn, Downstream, Due, Gateway};
 use crate::core::{End, UpstreamId};
 use crate::interface::{BackendId, Code, Millis};
 use crate::memory::buffer::{Got, Inbound, Outbound};
@@ -79,19 +80,25 @@
 
 /// One connection to an upstream host.
 pub(super) struct Up {
-    socket: TcpStream,
+    pub(super) socket: TcpStream,
     token: Token,
     host: BackendId,
     address: SocketAddr,
     connecting: bool,
     job: Option<Job>,
-    inbound: Inbound,
-    outbound: Outbound,
+    pub(super) inbound: Inbound,
+    pub(super) outbound: Outbound,
     interest: Interest,
+    /// A long answer that it brings.
+    pub(super) feed: Option<Feed>,
+    /// More of its request's body is to come.
+    pub(super) wants_body: bool,
+    /// It has more of that body than it can write, and its reader waits.
+    pub(super) full: bool,
     /// When it began to connect, was given its job, or became idle.
     since: Millis,
     /// When it last brought anything, and bytes of interim answers to its job.
-    read_at: Millis,
+    pub(super) read_at: Millis,
     interim: usize,
     /// It has served before.
     reused: bool,
@@ -125,7 +132,13 @@
     /// Puts a job on an idle connection, or opens one for it.
     fn start(&mut self, host: &BackendId, job: Job) {
         if self.hosts.get(host).is_some_and(|h| h.http2) {
-            return self.start_http2(host, job);
+            let long = matches!(&job, Job::Stream(id, _) if self.exchanges.get(&id.0).is_some_and(|e| e.passing.is_some()));
+            // Long bodies pass on over HTTP/1.1 only.
+            return if long {
+                self.job_over(host, job, End::NeverSent, None)
+            } else {
+                self.start_http2(host, job)
+            };
         }
         let reuse = match &job {
             Job::Stream(id, _) => {
@@ -180,6 +193,9 @@
             inbound: Inbound::default(),
             outbound: Outbound::default(),
             interest,
+            feed: None,
+            wants_body: false,
+            full: false,
             since: self.now,
             read_at: self.now,
             interim: 0,
@@ -195,15 +211,28 @@
         match up.job {
             Some(Job::Stream(id, until)) => {
                 // A connect takes time: whether the host drains is looked at again at the first byte.
-                let exchange = self.exchanges.get(&id.0).filter(|_| self.core.may_send_to(&up.host));
+                let may_send = self.core.may_send_to(&up.host);
+                let exchange = self.exchanges.get_mut(&id.0).filter(|e| may_send && e.is_at_hand());
                 let Some(exchange) = exchange else {
                     up.job = None;
-                    self.upstream_ended(id, End::NeverSent, None);
+                    let _ = self.upstream_ended(id, End::NeverSent, None);
                     return self.rest(token, up);
                 };
-                let wait = (until - self.now).max(1.0) as u64;
-                up.outbound.push(http1::request_head(&exchange.message, wait));
-                up.outbound.push(exchange.message.body.clone());
+                let wait = if exchange.passing.is_some() { exchange.wait } else { until - self.now };
+                up.outbound.push(http1::request_head(&exchange.message, wait.max(1.0) as u64));
+                let body = exchange.message.body.clone();
+                match &mut exchange.passing {
+                    Some(passing) => {
+                        passing.to = Some(id);
+                        up.wants_body = true;
+                        let chunks = exchange.message.coming == Some(Coming::Chunks);
+                        up.take_body(body, chunks, passing.whole);
+                        if let Downstream::Http1(token) = exchange.downstream {
+                            self.resumed.push(token);
+                        }
+                    }
+                    None => up.outbound.push(body),
+                }
             }
             Some(Job::Probe(since)) => {
                 if !self.core.may_send_to(&up.host) {
@@ -235,10 +264,22 @@
         }
         if !up.outbound.is_empty() {
             match up.outbound.write(&mut up.socket) {
-                Ok(true) if matches!(up.job, Some(Job::Stream(..))) => self.core.figures.backend_calls += 1,
+                Ok(true) if matches!(up.job, Some(Job::Stream(..))) && !up.wants_body => {
+                    self.core.figures.backend_calls += 1;
+                }
                 Ok(_) => {}
                 Err(_) => return self.close_up(up, End::NotConnected),
             }
+            if up.full && up.outbound.len() <= self.room() / 2 {
+                up.full = false;
+                let exchange = up.stream().and_then(|id| self.exchanges.get(&id.0));
+                if let Some(Downstream::Http1(token)) = exchange.map(|exchange| exchange.downstream) {
+                    self.resumed.push(token);
+                }
+            }
+        }
+        if up.feed.is_some() {
+            return self.feed_ready(token, up, read);
         }
         if read {
             up.read_at = self.now;
@@ -261,6 +302,7 @@
                     return self.close_up(up, End::Error)
                 }
                 Parsed::Partial(_) => {}
+                Parsed::Bad(413, _) => return self.long_answer(token, up),
                 Parsed::Bad(..) => return self.close_up(up, End::Error),
                 Parsed::Whole(answer, used, reusable) => {
                     if up.job.is_none() {
@@ -283,8 +325,8 @@
         self.watch_up(token, up)
     }
 
-    fn watch_up(&mut self, token: Token, mut up: Up) -> Option<Up> {
-        let interest = Interest { read: true, write: !up.outbound.is_empty() };
+    pub(super) fn watch_up(&mut self, token: Token, mut up: Up) -> Option<Up> {
+        let interest = up.wanted();
         if interest != up.interest {
             if self.poll.change(&up.socket, token, interest).is_err() {
                 return self.close_up(up, End::Reset);
@@ -307,19 +349,24 @@
     /// A whole answer has come for the job at hand.
     fn answered(&mut self, up: &mut Up, answer: Answer) {
         let Some(job) = up.job.take() else { return };
+        self.heard_from(up);
+        let end = end_of(&answer);
+        self.job_over(&up.host.clone(), job, end, Some(answer));
+    }
+
+    /// A host has answered on this connection.
+    pub(super) fn heard_from(&mut self, up: &Up) {
         if up.reused {
             self.reuse.told(false);
         }
         if let Some(host) = self.hosts.get_mut(&up.host) {
             host.heard = self.now;
         }
-        let end = end_of(&answer);
-        self.job_over(&up.host.clone(), job, end, Some(answer));
     }
 
     pub(super) fn job_over(&mut self, host: &BackendId, job: Job, end: End, answer: Option<Answer>) {
         match job {
-            Job::Stream(id, _) => self.upstream_ended(id, end, answer),
+            Job::Stream(id, _) => drop(self.upstream_ended(id, end, answer)),
             Job::Probe(since) => {
                 let code = match end {
                     End::Served => Code::Success,
@@ -335,14 +382,17 @@
     }
 
     /// Closes a connection; a job on it ends as `end`, or as never run if its last byte was not written.
-    fn close_up(&mut self, mut up: Up, end: End) -> Option<Up> {
+    pub(super) fn close_up(&mut self, mut up: Up, end: End) -> Option<Up> {
         self.poll.remove(&up.socket);
         self.upstreams -= 1;
+        if let Some(feed) = up.feed.take() {
+            self.cut(&feed);
+        }
         if let Some(host) = self.hosts.get_mut(&up.host) {
             host.idle.retain(|token| *token != up.token);
         }
         if let Some(job) = up.job.take() {
-            let unsent = up.connecting || !up.outbound.is_empty();
+            let unsent = up.connecting || !up.outbound.is_empty() || up.wants_body;
             let end = if unsent { End::NotConnected } else { end };
             if up.reused {
                 self.reuse.told(end == End::Reset && self.now - up.since < STALE_WITHIN);
@@ -353,7 +403,7 @@
     }
 
     /// Lays a connection without a job by for the next one.
-    fn rest(&mut self, token: Token, mut up: Up) -> Option<Up> {
+    pub(super) fn rest(&mut self, token: Token, mut up: Up) -> Option<Up> {
         let known = self.hosts.get(&up.host).is_some_and(|h| h.address == up.address);
         if !known
             || !self.core.may_send_to(&up.host)
@@ -463,7 +513,10 @@
     }
 
     pub(super) fn sweep_up(&mut self, up: Up) -> Option<Up> {
-        let idle = up.job.is_none() && !up.connecting;
+        let idle = up.job.is_none() && !up.connecting && up.feed.is_none();
+        if up.feed.as_ref().is_some_and(Feed::reads) && self.now - up.read_at > BRINGS_WITHIN {
+            return self.close_up(up, End::Error);
+        }
         let old = self.now - up.since > self.told.conn_idle * IDLE_SHARE;
         if idle && (old || !self.core.may_send_to(&up.host)) {
             return self.close_up(up, End::Reset);
@@ -477,6 +530,23 @@
     }
 }
 
+impl Up {
+    /// The upstream request that it has in work.
+    pub(super) fn stream(&self) -> Option<UpstreamId> {
+        match self.job {
+            Some(Job::Stream(id, _)) => Some(id),
+            _ => None,
+        }
+    }
+
+    /// Its upstream request has an answer.
+    pub(super) fn take_stream(&mut self) -> Option<UpstreamId> {
+        let id = self.stream()?;
+        self.job = None;
+        Some(id)
+    }
+}
+
 /// What an upstream host's answer says of its request.
 pub(super) fn end_of(answer: &Answer) -> End {
     match answer.status {
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -652,3 +652,35 @@
     // All of them are warm for ever, as the list says.
     assert_eq!(format!("{:?}", driver.brain).matches("ramp_from: -inf").count(), 4);
 }
+
+#[test]
+fn a_slow_upload_is_no_slow_backend() {
+    // Guarded against: a body that comes in for a minute looks like silence, puts its backend to rest, and its
+    // latency squared prices all out.
+    let mut told = settings();
+    told.classes = vec![class(Effect::Safe), class(Effect::Unsafe)];
+    let mut driver = Driver::new(told, 2);
+    for id in 0..20 {
+        driver.request(request(id));
+        driver.advance(driver.now + 50.0);
+        driver.outcome(id, 0, Code::Success);
+    }
+    let upload = Request { class: 1, coming: true, ..request(100) };
+    assert!(sent(&driver.request(upload)).is_some());
+    driver.log.clear();
+    driver.advance(driver.now + 60_000.0);
+    let told = |action: &Action| matches!(action, Action::Trace(line) if line.contains("resting"));
+    assert!(!driver.log.iter().any(|(_, action)| told(action) || matches!(action, Action::Fail(_))));
+    driver.event(Event::Whole { request: RequestId(100), budget: 2000.0 });
+    driver.advance(driver.now + 60.0);
+    driver.outcome(100, 0, Code::Success);
+    driver.advance(driver.now + 1000.0);
+    let admitted = (200..220).filter(|id| sent(&driver.request(request(*id))).is_some()).count();
+    assert_eq!(admitted, 20, "nothing is priced out");
+    // Without its answer it fails in the time that counts from the last byte.
+    driver.request(Request { class: 1, coming: true, ..request(300) });
+    driver.advance(driver.now + 10_000.0);
+    driver.event(Event::Whole { request: RequestId(300), budget: 2000.0 });
+    assert!(!failed(&driver.advance(driver.now + 1900.0)));
+    assert!(failed(&driver.advance(driver.now + 200.0)));
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -65,6 +65,7 @@
         budget: 2000.0,
         units: 1.0,
         is_retry: false,
+        coming: false,
     }
 }
 
