Give a host put back a first request within seconds where few gateways share it

Seen: with 98 requests admitted in 5 s a host at 16% has its turn by chance once or twice, and not at all in one case of eight (cold_turn). Ruled out: a late call (none of 41), and a host taken for draining still (the list event comes in the same round).

Change: in cold_turn, a backend without an answered request since its start gets one after 1.5 to 3 s, spread by the told number, not again if it fails, and only where at most 20 gateways share it: one from each of hundreds would be a burst.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,6 +26,8 @@
 const FEW: usize = 8;
 /// Gateways that share a backend where there are many: more even out the load, fewer know their backends.
 const SHARED_BY: f64 = 20.0;
+/// A started backend that chance leaves unused is used this long after its start, twice that at the latest.
+const FIRST_USE: Millis = 1500.0;
 /// Golden ratio: multiples of it, less their whole part, lie evenly on a ring whichever numbers are missing.
 const GOLDEN: f64 = 0.618_033_988_749_894_9;
 /// Answers of late below which one failed connect is reason enough to leave a backend alone.
@@ -34,8 +36,7 @@
 const CROSS_ZONE: f64 = 1.1;
 /// Chance in what backends are compared by.
 const DITHER: f64 = 0.3;
-/// A race costs two probes and saves half of the wait at most: it pays where the wait, as a share of the aim,
-/// is above this many times the price of one probe.
+/// A race pays where the wait, as a share of the aim, is above this many times the price of one probe.
 const RACE: f64 = 4.0;
 /// Faults in a row after which a backend is left alone.
 const FAULTS: u32 = 3;
@@ -43,15 +44,13 @@
 const SILENCE: f64 = 10.0;
 /// How long it is left alone the first time; doubled up to eight times that.
 const REST: Millis = 1000.0;
-/// Further attempts earned by one admission, and the most saved up; one is lent at a start. Danger: what
-/// each of hundreds of gateways holds adds up to a burst of copies into a jam.
+/// Further attempts earned by one admission, and the most saved up: many gateways' add up to a burst.
 const EXTRA_EARNED: f64 = 0.1;
 const EXTRA_MOST: f64 = 3.0;
 /// Share of the aim after which an attempt is looked into.
 const CHECK_SHARE: f64 = 0.3;
-/// Share of the quota that slices aim at together, and how fast one may double (times a second). Readings are
-/// periods old, and the floors of gateways that see little of a customer come on top: aimed at the whole,
-/// what all grant in a burst passes it. May hurt: a customer just under its quota is refused now and then.
+/// Share of the quota that slices aim at together, and how fast one may double (times a second): readings are
+/// old, and floors come on top. May hurt: a customer just under its quota is refused now and then.
 const SLICE_AIM: f64 = 0.85;
 const DOUBLING: f64 = 0.5;
 /// Least chance to be inside its quota, and the first, that a customer has of whom nothing is known here.
@@ -60,8 +59,7 @@
 const SLOTS: usize = 32;
 /// Requests that tell a customer's own rate here; fewer are looked for further back.
 const COUNT: f64 = 6.0;
-/// A client that has been away this long is forgotten, and so is one that came but once: its share of the
-/// quota has filled up again by then. Danger: of those there may be thousands a second.
+/// A client that has been away this long is forgotten, and so is one that came but once.
 const FORGET: Millis = 60_000.0;
 const FORGET_ONCE: Millis = 10_000.0;
 
@@ -224,8 +222,7 @@
     pub fn handle(&mut self, now: Millis, event: Event, act: &mut Vec<Action>) {
         // A clock that steps back must not undo what was granted.
         self.now = if now.is_finite() { now.max(self.now) } else { self.now };
-        // Danger: a gateway that stood still finds all that came meanwhile at once, however fast it was.
-        // Ticks come more often than this, so such a gap is its own; what it finds then tells no latency.
+        // Danger: a gateway that stood still, longer than a tick, finds all at once: that tells no latency.
         if self.now - self.seen > 2.5 * TICK {
             self.stalled = self.now;
         }
@@ -257,8 +254,7 @@
     fn reprice(&mut self) {
         let seconds = (self.now - self.priced_at) / 1000.0;
         self.priced_at = self.now;
-        // Waits are pooled over the classes, which share the backends' queues. Danger: a class that is
-        // seldom asked for has few answers, and the spread of its work alone would look like waiting.
+        // Waits are pooled over the classes: of a seldom one the spread of its work would look like waiting.
         let mut sum: f64 = self.classes.iter().map(|c| c.waits).sum();
         let mut count: f64 = self.classes.iter().map(|c| c.answers).sum();
         // Danger: a hung backend tells nothing until its time-outs; a longer age than usual is wait so far.
@@ -408,8 +404,7 @@
         let needed = if broken { request.units * chance } else { request.units };
         let inside = room
             || (plan.rate <= 0.0 || customer.store.max(0.0) >= needed)
-            // Danger: a cap smaller than the gateways it is split over, when each rounds its part up; the
-            // broken part of one is granted by chance instead.
+            // Danger: many gateways that round their part of a cap up; a broken part is granted by chance.
             && (plan.at_once <= 0.0 || customer.out + chance < plan.at_once * customer.share);
         let unsure = broken && plan.rate > 0.0 && customer.reading <= 1.0 && inside != read;
         let under = plan.ceiling_rate <= 0.0 || customer.ceiling >= request.units;
@@ -494,8 +489,7 @@
 
     /// Whether its backend has answered something that was sent after this attempt.
     fn overtaken(&self, out: &Out) -> bool {
-        // Danger: an answer that got lost looks like a queue. Queues are served about in turn: what others
-        // have overtaken is lost, and tells of that connection alone.
+        // Danger: an answer that got lost looks like a queue; queues are served in turn: overtaken is lost.
         self.servers[out.server].reached > out.sent
     }
 
@@ -513,6 +507,15 @@
     fn cold_turn(&mut self) -> Option<usize> {
         // Danger: what hundreds of gateways save up is a burst; chance adds up to the warmed part.
         let weigh = |s: &Server| if s.told.state == BackendState::Ready { s.size() } else { 0.0 };
+        // Danger: where little is admitted, chance leaves a started one unused. Few gateways give it one,
+        // spread by their numbers and not again if it fails; of many that would be a burst.
+        let due = FIRST_USE * (1.0 + (f64::from(self.set.ordinal) * GOLDEN).fract());
+        let untried = |s: &Server| s.out == 0 && s.ratio <= 1.0 && s.reached < s.ramp_from;
+        let unused = |s: &Server| untried(s) && self.now - s.ramp_from > due;
+        let few = f64::from(self.set.gateways) <= SHARED_BY;
+        if let Some(first) = self.servers.iter().position(|s| few && self.may_take(s) && unused(s)) {
+            return Some(first);
+        }
         let size: f64 = self.servers.iter().map(weigh).sum();
         let warm: f64 = self.servers.iter().map(|s| weigh(s) * self.warmth(s)).sum();
         // Where most of the fleet is cold its load must not fall on it: a part has no turn.
@@ -582,8 +585,7 @@
         if able.len() > 1 {
             able.retain(|&i| Some(i) != but);
         }
-        // Danger: a gateway that sees a request a second never learns which backends are small; drawn by
-        // the size they are registered with, they get what they can do.
+        // Danger: at a request a second nobody learns which backends are small; drawn by size they get it.
         let all: f64 = able.iter().map(|&i| self.servers[i].size()).sum();
         let mut drawn = |_| {
             let mut left = self.rng.f64() * all;
@@ -593,8 +595,7 @@
             })
         };
         let few: Vec<usize> = (0..FEW).filter_map(&mut drawn).collect();
-        // Danger: where all look alike a fixed preference for the own zone would let it drown while others
-        // idle. A little chance in each cost keeps all of them in use and known.
+        // Danger: a fixed preference for the own zone would let it drown; chance keeps all in use and known.
         let cost = |i: &usize| {
             let s = &self.servers[*i];
             let far = if s.told.zone == self.set.zone { 1.0 } else { CROSS_ZONE };
@@ -779,8 +780,7 @@
         let elapsed = self.now - out.sent;
         self.servers[out.server].out = self.servers[out.server].out.saturating_sub(1);
         self.judge(&out, told.code, elapsed, act);
-        // Danger: one silent part of the fleet would price out what the rest could serve well. What a
-        // backend in doubt holds or lets time out tells of that backend, not of waiting.
+        // Danger: what a backend in doubt holds or lets time out tells of that backend, not of waiting.
         let overtaken = self.overtaken(&out);
         let tells = self.tells(out.server);
         let sound = told.code == Code::TimedOut && tells && !overtaken;
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -684,3 +684,40 @@
     assert!(!failed(&driver.advance(driver.now + 1900.0)));
     assert!(failed(&driver.advance(driver.now + 200.0)));
 }
+
+#[test]
+fn a_backend_put_back_is_used_within_seconds_by_a_few_gateways_and_not_by_each_of_many() {
+    // Guarded against: a cold backend whose turn comes by chance, where next to nothing is admitted; and hundreds
+    // of gateways that give it one request each.
+    let mut used = [0; 2];
+    for (many, used) in used.iter_mut().enumerate() {
+        for ordinal in 0..4 {
+            let mut told = settings();
+            told.gateways = if many == 1 { 300 } else { 4 };
+            told.ordinal = ordinal;
+            told.rules = Rules { cold_share: 0.0, warm_up: 60_000.0, ..told.rules };
+            let mut driver = Driver::new(told, 9);
+            driver.advance(20_000.0);
+            driver.list(ListKind::Changes, vec![Backend { born: 20_000.0, ..backend(1) }]);
+            // Two requests a second for five seconds.
+            for id in 0..10 {
+                driver.advance(driver.now + 500.0);
+                let to = sent(&driver.request(request(id))).map(String::from);
+                *used += usize::from(to.as_deref() == Some("10.0.0.1:80"));
+                driver.event(Event::Outcome(Outcome {
+                    request: RequestId(id),
+                    attempt: 0,
+                    backend: to.as_deref().unwrap_or("").into(),
+                    code: Code::Success,
+                    finished: true,
+                    elapsed: 0.0,
+                    settled_units: None,
+                    usage: None,
+                    report: None,
+                }));
+            }
+        }
+    }
+    assert!((4..=7).contains(&used[0]), "{used:?}");
+    assert!(used[1] <= 3, "{used:?}");
+}
