Leave no socket behind at a regular end

It is removed unless another process has the place. Measured: the folder is empty after the last stop (tests/upgrade.rs).

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -301,6 +301,15 @@
         }
     }
 
+    /// Leaves nothing behind at a regular end, unless the place is another process's by now.
+    pub(super) fn leave_place(&mut self) {
+        let ours = self.beside.door.is_some() && self.beside.left().is_none();
+        self.close_door();
+        if let Some(place) = self.beside.place.as_ref().filter(|_| ours) {
+            let _ = std::fs::remove_file(place);
+        }
+    }
+
     /// Somebody asks at the place.
     pub(super) fn accept_successor(&mut self, door: &UnixListener) {
         while let Ok((socket, _)) = door.accept() {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -369,6 +369,7 @@
                 self.go_on_feeding(token);
             }
         }
+        self.leave_place();
         Ok(())
     }
 
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -148,6 +148,9 @@
     assert_eq!(running.figure("hosts_down"), 0);
     assert_eq!(load.end(), Vec::<String>::new());
     assert_eq!(site.seen.most(), 1, "nothing ran twice");
+    running.terminate();
+    assert_eq!(running.wait().status.code(), Some(0));
+    assert_eq!(std::fs::read_dir(&site.folder).expect("readable").count(), 0, "nothing is left behind");
 }
 
 #[test]
