Refuse chunk sizes that add up past what a number holds

Change: the sum saturates. Measured: a test for it; it panics or passes the bound without the change.

--- a/src/net/http1.rs
+++ b/src/net/http1.rs
@@ -291,7 +291,8 @@
                 ChunkState::Size => match httparse::parse_chunk_size(left) {
                     Ok(httparse::Status::Complete((skip, size))) => {
                         at += skip;
-                        self.data += size;
+                        // Danger: added up past what a number holds, a size without end would pass for a small one.
+                        self.data = self.data.saturating_add(size);
                         if self.data > MOST_LONG {
                             return Err("the body is too large");
                         }
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -105,6 +105,13 @@
     use proptest::prelude::*;
     use switchhill::net::http1::{Chunks, Rest};
 
+    #[test]
+    fn sizes_that_add_up_past_any_number_are_too_large() {
+        let mut rest = Rest::Chunked(Chunks::default());
+        let wire = b"5\r\nhello\r\nffffffffffffffff\r\nmore";
+        assert!(rest.take(wire, &mut Vec::new()).is_err());
+    }
+
     proptest! {
         #[test]
         fn chunks_come_back_however_they_are_cut(
