Say once what was written twice: chunks, body pieces, names, positions, tables

Change: http1::chunks calls Chunks, whose waiting framing Rest bounds as before; push_piece, Told::class_names, settings::positions, Gateway::settle, carry_over and Beside::decides serve both sides each; the meeting place is worked out once. Behaviour, bounds and tests stay as they are.

--- a/src/brain/standing.rs
+++ b/src/brain/standing.rs
@@ -49,48 +49,19 @@
         held: &[bool],
     ) -> Result<Vec<Option<usize>>, SettingsError> {
         set.validate()?;
-        let used = |n: usize| held.get(n).copied().unwrap_or(false);
-        let class_used: Vec<bool> = (0..self.classes.len())
-            .map(|n| {
-                used(n)
-                    || self.open.values().any(|open| open.class == n)
-                    || self.out.values().any(|out| out.class == n)
-            })
-            .collect();
-        let mut states = vec![ClassState::default(); set.classes.len()];
-        let mut class_at = Vec::with_capacity(self.classes.len());
-        for (n, state) in self.classes.iter().enumerate() {
-            let named = classes.get(n).copied().flatten().filter(|at| *at < states.len());
-            if let Some(at) = named {
-                states[at] = state.clone();
-            }
-            let same = named.filter(|at| set.classes[*at] == self.set.classes[n]);
-            class_at.push(same.or_else(|| {
-                class_used[n].then(|| {
-                    set.classes.push(self.set.classes[n].clone());
-                    states.push(state.clone());
-                    states.len() - 1
-                })
-            }));
-        }
-        let mut within = vec![super::UNREAD; set.plans.len()];
         let named_plans = set.plans.len();
-        let mut plan_at = Vec::with_capacity(self.within.len());
-        for (n, own) in self.within.iter().enumerate() {
-            let named = plans.get(n).copied().flatten().filter(|at| *at < named_plans);
-            if let Some(at) = named {
-                within[at] = *own;
-            }
-            let same = named.filter(|at| set.plans[*at] == self.set.plans[n]);
-            let open = self.open.values().any(|open| open.plan == n);
-            plan_at.push(same.or_else(|| {
-                open.then(|| {
-                    set.plans.push(self.set.plans[n].clone());
-                    within.push(*own);
-                    within.len() - 1
-                })
-            }));
-        }
+        let class_used = |n: usize| {
+            held.get(n).copied().unwrap_or(false)
+                || self.open.values().any(|open| open.class == n)
+                || self.out.values().any(|out| out.class == n)
+        };
+        let plan_used = |n: usize| self.open.values().any(|open| open.plan == n);
+        let mut states = vec![ClassState::default(); set.classes.len()];
+        let mut within = vec![super::UNREAD; named_plans];
+        let old = (&self.set.classes[..], &self.classes[..]);
+        let class_at = carry_over(old, (&mut set.classes, &mut states), classes, class_used);
+        let old = (&self.set.plans[..], &self.within[..]);
+        let plan_at = carry_over(old, (&mut set.plans, &mut within), plans, plan_used);
         // Every index below is in use, so it has a place.
         for open in self.open.values_mut() {
             open.class = class_at[open.class].unwrap_or(0);
@@ -188,3 +159,28 @@
         (self.missing, self.usual_out) = (learnt.missing, learnt.usual_out);
     }
 }
+
+/// Takes what was learnt under old rules over to the new ones of the same name, and keeps old rules that are in
+/// use and dropped or changed behind the new ones. Tells where each of the old stands now.
+fn carry_over<R: Clone + PartialEq, S: Clone>(
+    (old_rules, old): (&[R], &[S]),
+    (rules, learnt): (&mut Vec<R>, &mut Vec<S>),
+    named: &[Option<usize>],
+    used: impl Fn(usize) -> bool,
+) -> Vec<Option<usize>> {
+    let count = rules.len();
+    let place = |(n, (rule, own)): (usize, (&R, &S))| {
+        let named = named.get(n).copied().flatten().filter(|at| *at < count);
+        if let Some(at) = named {
+            learnt[at] = own.clone();
+        }
+        named.filter(|at| rules[*at] == *rule).or_else(|| {
+            used(n).then(|| {
+                rules.push(rule.clone());
+                learnt.push(own.clone());
+                rules.len() - 1
+            })
+        })
+    };
+    old_rules.iter().zip(old).enumerate().map(place).collect()
+}
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -3,6 +3,7 @@
 use super::{BackendId, Core, Millis};
 use crate::brain::standing::Learnt;
 use crate::interface::{Backend, BackendState};
+use crate::settings::positions;
 use serde::{Deserialize, Serialize};
 
 /// Customers that are handed over at the most. Danger: the state is held twice while it is written out; at some
@@ -82,14 +83,11 @@
 
     /// Goes on from another core's state, under the classes and plans of the settings here.
     pub fn go_on(&mut self, state: State, classes: &[String], plans: &[String]) {
-        let here = |names: &[String], all: &[String]| -> Vec<Option<usize>> {
-            names.iter().map(|name| all.iter().position(|own| own == name)).collect()
-        };
         for (id, since) in state.cordons.into_iter().take(super::MOST_CORDONS) {
             let id: BackendId = id.into();
             self.cordons.entry(id.clone()).or_insert(since);
             self.events_called.push(id);
         }
-        self.brain.learn(state.learnt, &here(&state.classes, classes), &here(&state.plans, plans));
+        self.brain.learn(state.learnt, &positions(&state.classes, classes), &positions(&state.plans, plans));
     }
 }
--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -156,7 +156,7 @@
     pub(super) fn watch_listener(&mut self) {
         let Some(token) = self.listener else { return };
         // Only the process that decides takes clients.
-        let read = !self.beside.waits() && self.beside.left().is_none();
+        let read = self.beside.decides();
         if let Some(Conn::Listener(listener)) = self.slots.get(token) {
             let _ = self.poll.change(listener, token, Interest { read, write: false });
         }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -233,11 +233,21 @@
         Self { place, door: None, link: None, role: Role::Alone, theirs: 0, complaints: Vec::new() }
     }
 
+    /// Where processes of this gateway meet.
+    pub(super) fn place(&self) -> Option<&Path> {
+        self.place.as_deref()
+    }
+
     /// Whether another process still decides.
     pub(super) fn waits(&self) -> bool {
         matches!(self.role, Role::Waiting(_))
     }
 
+    /// Whether this process takes new work.
+    pub(super) fn decides(&self) -> bool {
+        !matches!(self.role, Role::Waiting(_) | Role::Left(_))
+    }
+
     /// Since when another process decides in this one's place.
     pub(super) fn left(&self) -> Option<Millis> {
         match self.role {
@@ -410,8 +420,7 @@
             self.close_idle(host);
         }
         let place = |id: &crate::interface::BackendId| self.hosts.get(id).map(|h| (h.address, h.http2));
-        let classes = self.told.classes.iter().map(|(name, _)| name.clone()).collect();
-        let mut state = self.core.state(classes, self.told.plans.clone(), place);
+        let mut state = self.core.state(self.told.class_names(), self.told.plans.clone(), place);
         state.revision = self.discovery.revision();
         state.descriptors = self.downstreams + self.upstreams + RESERVE;
         let bytes = frame(Kind::State, &postcard::to_stdvec(&state).ok()?)?;
@@ -431,11 +440,9 @@
             let members = state.list.iter().map(member).collect();
             let list = List { revision: state.revision.unwrap_or(0), complete: true, members };
             self.take_list(list, ListKind::Full);
-            let mut commands = Vec::new();
-            self.core.advance(self.now, &mut self.inputs, &mut commands);
-            commands.into_iter().for_each(|command| self.carry_out(command));
+            self.settle();
         }
-        let names: Vec<String> = self.told.classes.iter().map(|(name, _)| name.clone()).collect();
+        let names = self.told.class_names();
         self.core.go_on(state, &names, &self.told.plans);
         self.go_ahead("its state is taken");
     }
--- a/src/net/http1.rs
+++ b/src/net/http1.rs
@@ -4,6 +4,9 @@
 use std::io::Write;
 
 const MOST_HEADERS: usize = 64;
+/// What is wrong with a body.
+pub const TOO_LARGE: &str = "the body is too large";
+const MALFORMED: &str = "a chunk is malformed";
 /// Bytes of the line in front of a chunk, its extensions included.
 const MOST_LINE: usize = 4096;
 
@@ -161,7 +164,7 @@
 /// # Errors
 /// The status to answer with, and why.
 pub fn long_request(bytes: &[u8]) -> Result<Long<Message>, (u16, &'static str)> {
-    let head = read_request_head(bytes)?.ok_or((413, "the body is too large"))?;
+    let head = read_request_head(bytes)?.ok_or((413, TOO_LARGE))?;
     let (mut rest, length) = Rest::of(head.framing)?;
     let Head { mut message, used, reusable, expects, .. } = head;
     let taken = rest.take(&bytes[used..], &mut message.body).map_err(|why| (400, why))?;
@@ -195,7 +198,7 @@
 impl Rest {
     fn of(framing: Framing) -> Result<(Self, Option<u64>), (u16, &'static str)> {
         match framing {
-            Framing::Length(length) if length as u64 > MOST_LONG => Err((413, "the body is too large")),
+            Framing::Length(length) if length as u64 > MOST_LONG => Err((413, TOO_LARGE)),
             Framing::Length(length) => Ok((Self::Length(length as u64), Some(length as u64))),
             Framing::Chunked => Ok((Self::Chunked(Chunks::default()), None)),
             Framing::UntilEnd => Ok((Self::UntilEnd(0), None)),
@@ -214,11 +217,19 @@
                 *left -= n as u64;
                 Ok(n)
             }
-            Self::Chunked(chunks) => chunks.take(bytes, body),
+            Self::Chunked(chunks) => {
+                let used = chunks.take(bytes, body)?;
+                // What is left is a line or trailers whose end has not come.
+                let most = if chunks.state == ChunkState::Trailers { MOST_HEAD } else { MOST_LINE };
+                if chunks.state != ChunkState::Over && bytes.len() - used > most {
+                    return Err(MALFORMED);
+                }
+                Ok(used)
+            }
             Self::UntilEnd(got) => {
                 *got += bytes.len() as u64;
                 if *got > MOST_LONG {
-                    return Err("the body is too large");
+                    return Err(TOO_LARGE);
                 }
                 body.extend_from_slice(bytes);
                 Ok(bytes.len())
@@ -254,7 +265,8 @@
     Over,
 }
 
-/// Reads a body in chunks, however it is cut into pieces (RFC 9112, 7.1). Extensions and trailers are dropped.
+/// Reads a body in chunks, however it is cut into pieces (RFC 9112, 7.1). Extensions and trailers are dropped; how
+/// much of them may wait for its end is the caller's to bound.
 #[derive(Debug, Default)]
 pub struct Chunks {
     state: ChunkState,
@@ -264,7 +276,6 @@
 
 impl Chunks {
     fn take(&mut self, bytes: &[u8], body: &mut Vec<u8>) -> Result<usize, &'static str> {
-        const BAD: &str = "a chunk is malformed";
         let mut at = 0;
         loop {
             let left = &bytes[at..];
@@ -286,7 +297,7 @@
                         self.state = ChunkState::Size;
                     }
                     [] | [b'\r'] => return Ok(at),
-                    _ => return Err(BAD),
+                    _ => return Err(MALFORMED),
                 },
                 ChunkState::Size => match httparse::parse_chunk_size(left) {
                     Ok(httparse::Status::Complete((skip, size))) => {
@@ -294,12 +305,12 @@
                         // Danger: added up past what a number holds, a size without end would pass for a small one.
                         self.data = self.data.saturating_add(size);
                         if self.data > MOST_LONG {
-                            return Err("the body is too large");
+                            return Err(TOO_LARGE);
                         }
                         self.state = if size == 0 { ChunkState::Trailers } else { ChunkState::Data(size) };
                     }
-                    Ok(httparse::Status::Partial) if left.len() <= MOST_LINE => return Ok(at),
-                    _ => return Err(BAD),
+                    Ok(httparse::Status::Partial) => return Ok(at),
+                    Err(_) => return Err(MALFORMED),
                 },
                 ChunkState::Trailers => {
                     let mut trailers = [httparse::EMPTY_HEADER; 16];
@@ -308,8 +319,8 @@
                             at += used;
                             self.state = ChunkState::Over;
                         }
-                        Ok(httparse::Status::Partial) if left.len() <= MOST_HEAD => return Ok(at),
-                        _ => return Err(BAD),
+                        Ok(httparse::Status::Partial) => return Ok(at),
+                        Err(_) => return Err(MALFORMED),
                     }
                 }
             }
@@ -414,10 +425,10 @@
 /// The body that starts at `from`, and where the message ends.
 fn body(bytes: &[u8], from: usize, framing: Framing, ended: bool) -> Body {
     match framing {
-        Framing::Length(length) if length > MOST_BODY => Err((413, "the body is too large")),
+        Framing::Length(length) if length > MOST_BODY => Err((413, TOO_LARGE)),
         Framing::Length(length) if bytes.len() - from < length => Ok(None),
         Framing::Length(length) => Ok(Some((bytes[from..from + length].to_vec(), from + length))),
-        Framing::UntilEnd if bytes.len() - from > MOST_BODY => Err((413, "the body is too large")),
+        Framing::UntilEnd if bytes.len() - from > MOST_BODY => Err((413, TOO_LARGE)),
         Framing::UntilEnd if !ended => Ok(None),
         Framing::UntilEnd => Ok(Some((bytes[from..].to_vec(), bytes.len()))),
         Framing::Chunked => chunks(bytes, from),
@@ -425,40 +436,17 @@
 }
 
 fn chunks(bytes: &[u8], from: usize) -> Body {
-    const BAD: (u16, &str) = (400, "a chunk is malformed");
-    let (mut body, mut at) = (Vec::new(), from);
     // Sizes and extensions may not outgrow what they frame without bound.
     if bytes.len() - from > 2 * MOST_BODY + MOST_HEAD {
-        return Err((413, "the body is too large"));
-    }
-    loop {
-        let (skip, size) = match httparse::parse_chunk_size(&bytes[at..]) {
-            Ok(httparse::Status::Complete(found)) => found,
-            Ok(httparse::Status::Partial) => return Ok(None),
-            Err(_) => return Err(BAD),
-        };
-        at += skip;
-        if size == 0 {
-            break;
-        }
-        let size = usize::try_from(size).unwrap_or(usize::MAX);
-        if size > MOST_BODY - body.len() {
-            return Err((413, "the body is too large"));
-        }
-        let Some(end) = bytes.get(at + size..at + size + 2) else { return Ok(None) };
-        if end != b"\r\n" {
-            return Err(BAD);
-        }
-        body.extend_from_slice(&bytes[at..at + size]);
-        at += size + 2;
+        return Err((413, TOO_LARGE));
     }
-    // Trailers are read past and dropped.
-    let mut trailers = [httparse::EMPTY_HEADER; 16];
-    match httparse::parse_headers(&bytes[at..], &mut trailers) {
-        Ok(httparse::Status::Complete((used, _))) => Ok(Some((body, at + used))),
-        Ok(httparse::Status::Partial) => Ok(None),
-        Err(_) => Err(BAD),
+    let (mut body, mut chunks) = (Vec::new(), Chunks::default());
+    let status = |why| if why == TOO_LARGE { 413 } else { 400 };
+    let used = chunks.take(&bytes[from..], &mut body).map_err(|why| (status(why), why))?;
+    if chunks.data > MOST_BODY as u64 {
+        return Err((413, TOO_LARGE));
     }
+    Ok((chunks.state == ChunkState::Over).then_some((body, from + used)))
 }
 
 /// Whether `bytes` may begin the preface of HTTP/2 with prior knowledge; `Some` once it is certain.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -29,7 +29,7 @@
 use crate::process::config::{Config, Files, List};
 use crate::process::logs::Logs;
 use crate::process::signals::{self, Asked, Signals};
-use crate::settings::Told;
+use crate::settings::{positions, Told};
 use control::{Caller, Control};
 use discovery::Discovery;
 use door::AtDoor;
@@ -273,7 +273,7 @@
         if let Some(control) = config.control {
             gateway.open_control(control)?;
         }
-        let found = handover::find(handover::place(config.listen).as_deref(), config.listen)?;
+        let found = handover::find(gateway.beside.place(), config.listen)?;
         let token = gateway.slots.reserve();
         gateway.poll.add(&found.listener, token, Interest { read: false, write: false })?;
         gateway.slots.put(token, Conn::Listener(found.listener));
@@ -565,11 +565,7 @@
     }
 
     fn is_ready(&self) -> bool {
-        self.stopping.is_none()
-            && self.drained.is_none()
-            && !self.beside.waits()
-            && self.beside.left().is_none()
-            && self.knows_enough()
+        self.stopping.is_none() && self.drained.is_none() && self.beside.decides() && self.knows_enough()
     }
 
     /// Whether hosts are known, or as well as they will be.
@@ -666,25 +662,26 @@
         }
     }
 
+    /// Hands the core what this round has brought so far, and carries out what comes back.
+    fn settle(&mut self) {
+        let mut commands = Vec::new();
+        self.core.advance(self.now, &mut self.inputs, &mut commands);
+        commands.into_iter().for_each(|command| self.carry_out(command));
+    }
+
     fn take_config(&mut self, config: Config) -> Result<(), String> {
         config.may_follow(&self.text)?;
         let mut told = config.told;
         if self.account.is_some() && told.module.meter_period <= 0.0 {
             told.module.meter_period = STORE_PERIOD;
         }
-        let names =
-            |told: &Told| -> Vec<String> { told.classes.iter().map(|(name, _)| name.clone()).collect() };
-        let (before, after) = (names(&self.told), names(&told));
-        let position = |names: &[String], name: &String| names.iter().position(|own| own == name);
-        let classes: Vec<_> = before.iter().map(|name| position(&after, name)).collect();
-        let plans: Vec<_> = self.told.plans.iter().map(|name| position(&told.plans, name)).collect();
+        let (before, after) = (self.told.class_names(), told.class_names());
+        let (classes, plans) = (positions(&before, &after), positions(&self.told.plans, &told.plans));
         if self.door.is_some() && (before != after || self.told.plans != told.plans) {
             return Err("field `settings`: with a door, classes and plans change only with a restart".into());
         }
         // Danger: what this round has brought so far is numbered by the settings that it came under.
-        let mut commands = Vec::new();
-        self.core.advance(self.now, &mut self.inputs, &mut commands);
-        commands.into_iter().for_each(|command| self.carry_out(command));
+        self.settle();
         let retuned = self.core.retune(told.module.clone(), &classes, &plans);
         retuned.map_err(|e| format!("field `settings`: {e}"))?;
         self.core.figures.name(after.iter().map(String::as_str));
@@ -728,7 +725,7 @@
             if let Some(token) = self.listener.take() {
                 if let Some(Conn::Listener(listener)) = self.slots.take(token) {
                     // What the system has accepted already is ours to answer, unless another process has the queue.
-                    if self.beside.left().is_none() && !self.beside.waits() {
+                    if self.beside.decides() {
                         self.accept(&listener);
                     }
                     self.poll.remove(&listener);
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -12,7 +12,7 @@
 use super::{Conn, Downstream, Gateway};
 use crate::core::{End, Input, StreamId, UpstreamId};
 use crate::interface::Millis;
-use crate::memory::buffer::Got;
+use crate::memory::buffer::{Got, Outbound};
 use crate::memory::pool::Token;
 use socket2::SockRef;
 use std::time::Duration;
@@ -263,7 +263,7 @@
             match upload.rest.take(down.inbound.bytes(), &mut data) {
                 Ok(used) => down.inbound.consume(used),
                 Err(why) => {
-                    let status = if why.contains("too large") { 413 } else { 400 };
+                    let status = if why == http1::TOO_LARGE { 413 } else { 400 };
                     self.call_off(stream);
                     (down.stream, down.upload) = (None, None);
                     self.bad_message(&mut down, status, why);
@@ -399,13 +399,7 @@
     }
 
     fn feed_with(&mut self, data: Vec<u8>, chunks: bool) {
-        if chunks {
-            self.outbound.push(http1::chunk_line(data.len()));
-            self.outbound.push(data);
-            self.outbound.push(b"\r\n".to_vec());
-        } else {
-            self.outbound.push(data);
-        }
+        push_piece(&mut self.outbound, data, chunks);
     }
 
     /// The long answer is over; where it is not whole, its client can tell by the connection's end.
@@ -424,17 +418,22 @@
     }
 }
 
+/// Adds a piece of a body, as a chunk where its end is told by the last one.
+fn push_piece(to: &mut Outbound, data: Vec<u8>, chunks: bool) {
+    if chunks {
+        to.push(http1::chunk_line(data.len()));
+    }
+    to.push(data);
+    if chunks {
+        to.push(b"\r\n".to_vec());
+    }
+}
+
 impl Up {
     /// Adds some of its request's body.
     pub(super) fn take_body(&mut self, data: Vec<u8>, chunks: bool, over: bool) {
         if !data.is_empty() {
-            if chunks {
-                self.outbound.push(http1::chunk_line(data.len()));
-                self.outbound.push(data);
-                self.outbound.push(b"\r\n".to_vec());
-            } else {
-                self.outbound.push(data);
-            }
+            push_piece(&mut self.outbound, data, chunks);
         }
         if over {
             if chunks {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -172,6 +172,12 @@
     }
 }
 
+/// For each name of `before`, its position in `after`.
+#[must_use]
+pub fn positions(before: &[String], after: &[String]) -> Vec<Option<usize>> {
+    before.iter().map(|name| after.iter().position(|own| own == name)).collect()
+}
+
 /// The first key, by its path, that `before` has and `after` lacks. Elements of a list need what all of the former
 /// ones had; `but` names members of the root whose inside may change freely.
 #[must_use]
@@ -292,6 +298,12 @@
 }
 
 impl Told {
+    /// The classes' names.
+    #[must_use]
+    pub fn class_names(&self) -> Vec<String> {
+        self.classes.iter().map(|(name, _)| name.clone()).collect()
+    }
+
     /// What a gateway in service needs beyond what the module can work with.
     ///
     /// # Errors
