Take no connection whose event came before a hand-over in the same round

Cause: read again, the listener's event of a round was carried out although the round had handed the queue over before it, so a connection could still be accepted by the process that leaves. A test of the first process being killed failed once without an answer; whether by this or by two tests that were given one port (SO_REUSEPORT lets both have it) was not told apart.

Change: the listener is accepted from only while this process decides; the tests' sites have host addresses of their own.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -385,7 +385,10 @@
         let Some(conn) = self.slots.take(token) else { return };
         let kept = match conn {
             Conn::Listener(listener) => {
-                self.accept(&listener);
+                // Danger: what was readable before a hand-over in this very round is the other process's to take.
+                if self.beside.decides() {
+                    self.accept(&listener);
+                }
                 Some(Conn::Listener(listener))
             }
             Conn::Control(listener) => {
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -23,9 +23,12 @@
         let seen = Arc::new(Seen::default());
         let at = |seen: &Arc<Seen>| host(seen, move |_| act);
         let discovery = Discovery::new(vec![member("s-1", at(&seen)), member("s-2", at(&seen))]);
-        // Two processes can share an address only if it is known.
-        let config = with_door(&config(discovery.address))
-            .replace("127.0.0.1:0\",\"disc", &format!("{}\",\"disc", nowhere()));
+        // Two processes can share an address only if it is known. Danger: the port of one test may be given to
+        // another in the meantime, and both would share it; each has a host address of its own.
+        static SITES: AtomicU64 = AtomicU64::new(1);
+        let (place, port) = (SITES.fetch_add(1, Ordering::SeqCst), nowhere().port());
+        let listen = format!("127.77.{}.{place}:{port}\",\"disc", std::process::id() % 250);
+        let config = with_door(&config(discovery.address)).replace("127.0.0.1:0\",\"disc", &listen);
         let folder = std::env::temp_dir().join(format!(
             "switchhill-place-{}-{}",
             std::process::id(),
