Agreement's decisions: a register's versions, lease, safe mode and members, no I/O

Change: crates/agreement. Register: reads of the store's pointer and announcement, activation at the store's moment (received + PTTL), lease, Safe mode never looser than a known version, proposals by compare-and-set, an old epoch refused and the highest given back. Members: renewed keys, suspected, alone.

Found by the model and mended before landing: a version given back after the store was emptied came with a fresh announcement and moved its moment later at gateways that read again (1,255 ms apart; then 430 ms where one gateway learnt it only from what was given back). A moment known is kept, and a restore gives back what is left of it; the bound is thus 2R = 500 ms across a loss of the store, R otherwise.

A lease longer than the announcement breaks it (the test).

--- /dev/null
+++ b/crates/agreement/src/lib.rs
@@ -0,0 +1,411 @@
+//! Versions of settings and host lists that every gateway acts on together, through a register in the shared store.
+//!
+//! A register holds one kind of shared state under a version `(epoch, digest)`. A change is announced in the
+//! store for [`Settings::announce_ms`] and becomes active, at every gateway that confirmed it, at the moment the
+//! announcement runs out, as the store's `PTTL` tells: the store's clock is the only common moment, so no two
+//! processes' clocks need to agree. A gateway that has not confirmed the register within its lease goes to
+//! [`Mode::Safe`], which is never looser than any version it knows. The bound on disagreement follows:
+//! two gateways both [`Mode::Active`] on different versions for at most [`Settings::bound_ms`].
+//!
+//! Everything here is a state machine without I/O. The caller tells what happened and when (milliseconds of its
+//! monotonic clock) and carries out what comes back; see `docs/design/agreement.md`.
+//!
+//! ```
+//! use switchhill_agreement::{Answer, Mode, Register, Settings, Version};
+//!
+//! let mut register = Register::new(Settings::default(), 0);
+//! assert_eq!(register.acting(0).mode, Mode::Starting);
+//! let sent = 0;
+//! let current = Version { epoch: 4, digest: 9 };
+//! register.read(10, sent, Answer { pointer: Some(current), settle_ms: None, content: true });
+//! assert_eq!(register.acting(10).mode, Mode::Active);
+//! assert_eq!(register.acting(10).active, Some(current));
+//! ```
+
+mod members;
+
+pub use members::{Listed, Members, Told};
+use siphasher::sip::SipHasher13;
+use std::hash::Hasher;
+
+/// A moment or a span on the caller's monotonic clock, in milliseconds.
+pub type Ms = u64;
+
+/// One version of a register's content: the epoch only grows, the digest names the content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Version {
+    /// Grows by one with each change; an epoch lower than one seen is never taken again.
+    pub epoch: u64,
+    /// [`digest`] of the content.
+    pub digest: u64,
+}
+
+impl std::fmt::Display for Version {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}:{:016x}", self.epoch, self.digest)
+    }
+}
+
+impl Version {
+    /// Reads the store's form, `EPOCH DIGEST` with the digest in hexadecimal.
+    pub fn parse(text: &str) -> Option<Version> {
+        let (epoch, digest) = text.trim().split_once(' ')?;
+        Some(Version { epoch: epoch.parse().ok()?, digest: u64::from_str_radix(digest, 16).ok()? })
+    }
+
+    /// The store's form, read by [`Version::parse`].
+    pub fn stored(&self) -> String {
+        format!("{} {:016x}", self.epoch, self.digest)
+    }
+}
+
+/// The digest of a content: SipHash-1-3 with fixed keys, the same at every gateway and in every release.
+pub fn digest(content: &[u8]) -> u64 {
+    let mut hasher = SipHasher13::new_with_keys(0x7377_6974_6368_6869, 0x6c6c_2d61_6772_6565);
+    hasher.write(content);
+    hasher.finish()
+}
+
+/// The protocol's times. All are milliseconds of each process's monotonic clock.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// How often the register is read. Range 10 to 10,000.
+    pub period_ms: Ms,
+    /// A read answered later than this after it was sent confirms nothing: its moment is too uncertain.
+    /// At most `period_ms`. This is the bound on disagreement.
+    pub slowest_read_ms: Ms,
+    /// How long a confirmation holds. At least `2 * period_ms`.
+    pub lease_ms: Ms,
+    /// How long an announcement lives before its version is active. Over `lease_ms + period_ms`.
+    pub announce_ms: Ms,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings { period_ms: 250, slowest_read_ms: 250, lease_ms: 1000, announce_ms: 1500 }
+    }
+}
+
+impl Settings {
+    /// Checks the relations that the bound rests on; the error names the field.
+    pub fn check(&self) -> Result<(), String> {
+        if !(10..=10_000).contains(&self.period_ms) {
+            return Err(format!("period_ms: {} is not within 10 to 10000", self.period_ms));
+        }
+        if self.slowest_read_ms == 0 || self.slowest_read_ms > self.period_ms {
+            return Err(format!("slowest_read_ms: {} is not within 1 to period_ms", self.slowest_read_ms));
+        }
+        if self.lease_ms < 2 * self.period_ms {
+            return Err(format!("lease_ms: {} is under twice period_ms", self.lease_ms));
+        }
+        if self.announce_ms <= self.lease_ms + self.period_ms {
+            return Err(format!("announce_ms: {} is not over lease_ms + period_ms", self.announce_ms));
+        }
+        Ok(())
+    }
+
+    /// The longest that two gateways act on contradicting versions, as the design proves it: one read's round trip
+    /// (`slowest_read_ms`), and one more where the store lost the register during an announcement and it was given
+    /// back with what was left of it.
+    pub fn bound_ms(&self) -> Ms {
+        2 * self.slowest_read_ms
+    }
+}
+
+/// What a gateway acts on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Not yet confirmed once since the start: safe, and nothing known to be current.
+    Starting,
+    /// Acting on [`Acting::active`], confirmed within the lease.
+    Active,
+    /// Not confirmed within the lease, or content that could not be had: the stricter of all versions known.
+    Safe,
+}
+
+/// The state a gateway's decisions read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Acting {
+    /// Active, safe or starting.
+    pub mode: Mode,
+    /// The version acted on while Active; in Safe mode the last one that was.
+    pub active: Option<Version>,
+    /// A version announced and not yet active; in Safe mode it counts beside `active`, the stricter of the two.
+    pub pending: Option<Version>,
+}
+
+/// One read of the register: `GET agreement:K`, `PTTL agreement:K:settle` and, for a version not yet held, its
+/// content, fetched and checked against its digest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The pointer, or `None` where the key is gone.
+    pub pointer: Option<Version>,
+    /// Milliseconds the announcement still lives, or `None` where it has run out (`PTTL` below 0).
+    pub settle_ms: Option<Ms>,
+    /// Whether the content of `pointer` is held and matches its digest.
+    pub content: bool,
+}
+
+/// What the caller is to do against the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Read the register (see [`Answer`]) and tell [`Register::read`] or [`Register::read_failed`], with `sent`.
+    Read {
+        /// The moment the read was asked for; given back with its answer.
+        sent: Ms,
+    },
+    /// Write the content under its epoch, then compare-and-set the pointer from `over` to `version` and set the
+    /// announcement with `PX announce_ms`, refusing while an announcement lives. Tell [`Register::proposed`].
+    Propose {
+        /// The new version.
+        version: Version,
+        /// The version the pointer must still hold; `None` where it is to be absent.
+        over: Option<Version>,
+    },
+    /// The pointer is gone or older than a version seen: where it holds less, or nothing, set it to `version`
+    /// and set the announcement with `PX settle_ms`, so that nobody joins on what was given back before it settles.
+    Restore {
+        /// The highest version this gateway has seen.
+        version: Version,
+        /// What is left of its announcement where it is still pending here, else `announce_ms`.
+        settle_ms: Ms,
+    },
+}
+
+/// How a proposal fared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Proposed {
+    /// The pointer holds it, announced.
+    Won,
+    /// The pointer had moved, an announcement lived, or the store did not answer: read and try again.
+    Lost,
+}
+
+/// A change of what a gateway acts on, for its structured log: one JSON event each.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// When, on the caller's clock.
+    pub at: Ms,
+    /// The mode from then on.
+    pub mode: Mode,
+    /// The version acted on from then on (the last active one in Safe mode).
+    pub version: Option<Version>,
+    /// Why, in a few words.
+    pub why: &'static str,
+}
+
+/// One register at one gateway.
+#[derive(Debug)]
+pub struct Register {
+    settings: Settings,
+    mode: Mode,
+    active: Option<Version>,
+    pending: Option<(Version, Ms)>,
+    highest: Option<Version>,
+    confirmed: Option<Ms>,
+    reading: Option<Ms>,
+    next_read: Ms,
+    wanted: Option<u64>,
+    proposing: bool,
+    restore: bool,
+    changes: Vec<Change>,
+}
+
+/// Changes kept for the log before the oldest are dropped; the caller drains them each round.
+const MOST_CHANGES: usize = 64;
+
+impl Register {
+    /// A register at a process that started at `now`: Starting until a first confirmed read.
+    pub fn new(settings: Settings, now: Ms) -> Register {
+        Register {
+            settings,
+            mode: Mode::Starting,
+            active: None,
+            pending: None,
+            highest: None,
+            confirmed: None,
+            reading: None,
+            next_read: now,
+            wanted: None,
+            proposing: false,
+            restore: false,
+            changes: Vec::new(),
+        }
+    }
+
+    /// What decisions act on at `now`. Danger: a decision taken without this call (or [`Register::tick`]) in the
+    /// same round would act on a version whose lease ran out while the process was stopped.
+    pub fn acting(&mut self, now: Ms) -> Acting {
+        self.tick(now);
+        Acting { mode: self.mode, active: self.active, pending: self.pending.map(|(version, _)| version) }
+    }
+
+    /// The highest version seen here, active or not.
+    pub fn highest(&self) -> Option<Version> {
+        self.highest
+    }
+
+    /// Moves time on: activates what is due, then ends a lease that has run out.
+    pub fn tick(&mut self, now: Ms) {
+        if let Some((version, at)) = self.pending {
+            if now >= at {
+                self.pending = None;
+                self.active = Some(version);
+                if self.mode == Mode::Active {
+                    self.note(at, "announcement ran out");
+                }
+            }
+        }
+        if self.mode == Mode::Active && !self.leased(now) {
+            self.mode = Mode::Safe;
+            self.note(now, "lease ran out");
+        }
+    }
+
+    fn leased(&self, now: Ms) -> bool {
+        self.confirmed.is_some_and(|at| now <= at + self.settings.lease_ms)
+    }
+
+    /// The earliest moment at which [`Register::tick`] or [`Register::poll_action`] has something to do.
+    pub fn next_due(&self) -> Ms {
+        let mut due = if self.reading.is_some() { Ms::MAX } else { self.next_read };
+        if let Some((_, at)) = self.pending {
+            due = due.min(at);
+        }
+        if self.mode == Mode::Active {
+            if let Some(at) = self.confirmed {
+                due = due.min(at + self.settings.lease_ms + 1);
+            }
+        }
+        due
+    }
+
+    /// The next thing to do against the store, if any. One read at a time; a read whose answer never comes is
+    /// given up after `slowest_read_ms` and the next one goes out.
+    pub fn poll_action(&mut self, now: Ms) -> Option<Action> {
+        self.tick(now);
+        if let Some(sent) = self.reading {
+            if now < sent + self.settings.slowest_read_ms.max(self.settings.period_ms) {
+                return None;
+            }
+            self.reading = None;
+        }
+        if self.restore {
+            if let Some(version) = self.highest {
+                self.restore = false;
+                // Danger: a fresh announcement for a version others already wait for would move its moment later
+                // at those that read again; what is left of it is given back instead.
+                let left =
+                    self.pending.filter(|(pending, _)| *pending == version).map(|(_, at)| at - now.min(at));
+                let settle_ms = left.unwrap_or(self.settings.announce_ms).max(1);
+                return Some(Action::Restore { version, settle_ms });
+            }
+        }
+        if let Some(digest) = self.wanted {
+            if !self.proposing && self.mode == Mode::Active && self.pending.is_none() {
+                if self.active.is_some_and(|version| version.digest == digest) {
+                    self.wanted = None;
+                } else {
+                    self.proposing = true;
+                    let epoch = self.highest.map_or(1, |version| version.epoch + 1);
+                    return Some(Action::Propose { version: Version { epoch, digest }, over: self.highest });
+                }
+            }
+        }
+        if now >= self.next_read {
+            self.reading = Some(now);
+            self.next_read = now + self.settings.period_ms;
+            return Some(Action::Read { sent: now });
+        }
+        None
+    }
+
+    /// This gateway loaded a content whole, whose digest is `digest`, and asks for it to become the version.
+    /// A second wish before the first was announced replaces it: the last file loaded is the one meant.
+    pub fn propose(&mut self, digest: u64) {
+        self.wanted = Some(digest);
+    }
+
+    /// How the proposal fared.
+    pub fn proposed(&mut self, _now: Ms, outcome: Proposed) {
+        self.proposing = false;
+        if outcome == Proposed::Won {
+            self.wanted = None;
+        }
+    }
+
+    /// A read sent at `sent` failed or was not answered.
+    pub fn read_failed(&mut self, _now: Ms, sent: Ms) {
+        if self.reading == Some(sent) {
+            self.reading = None;
+        }
+    }
+
+    /// The answer of a read sent at `sent`, received at `now`.
+    pub fn read(&mut self, now: Ms, sent: Ms, answer: Answer) {
+        if self.reading == Some(sent) {
+            self.reading = None;
+        }
+        self.tick(now);
+        let Some(pointer) = answer.pointer else {
+            // The key is gone: the store lost it or came back empty. Give back the highest version seen.
+            self.restore = self.highest.is_some();
+            return;
+        };
+        if let Some(highest) = self.highest {
+            if pointer.epoch < highest.epoch || (pointer.epoch == highest.epoch && pointer != highest) {
+                // Danger: an old version offered again would be a looser rule taken back; it comes only as a new
+                // epoch.
+                self.restore = true;
+                return;
+            }
+        }
+        self.highest = Some(pointer);
+        if now.saturating_sub(sent) > self.settings.slowest_read_ms || !answer.content {
+            return;
+        }
+        match answer.settle_ms {
+            Some(left) => {
+                // Danger: a gateway not Active that joined during an announcement could take the old version
+                // (or a stale one given back after a loss) while others hold the new: it waits until it settles.
+                if self.mode != Mode::Active {
+                    return;
+                }
+                // Danger: a version given back after a loss comes with a fresh announcement; a moment already
+                // known for it is kept, or gateways that read again would take it later than those that did not.
+                let known = self.pending.filter(|(version, _)| *version == pointer).map(|(_, at)| at);
+                let at = known.map_or(now + left, |at| at.min(now + left));
+                self.pending = (Some(pointer) != self.active).then_some((pointer, at));
+            }
+            None => {
+                self.pending = None;
+                if self.active != Some(pointer) {
+                    self.active = Some(pointer);
+                    if self.mode == Mode::Active {
+                        self.note(now, "taken as settled");
+                    }
+                }
+            }
+        }
+        self.confirmed = Some(sent);
+        if self.mode != Mode::Active {
+            self.mode = Mode::Active;
+            self.note(now, "confirmed");
+        }
+    }
+
+    /// The changes since the last call, oldest first.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    fn note(&mut self, at: Ms, why: &'static str) {
+        if self.changes.len() == MOST_CHANGES {
+            self.changes.remove(0);
+        }
+        self.changes.push(Change { at, mode: self.mode, version: self.active, why });
+    }
+}
+
+#[cfg(test)]
+mod tests;
