--- /dev/null
+++ b/lab/src/rig/store.rs
@@ -0,0 +1,278 @@
+//! A stand-in for the shared store over RESP2, with what agreement uses: `GET`, `SET` with `NX` and `PX`, `PTTL`,
+//! `DEL`, `KEYS` with a trailing `*`, `WATCH`/`UNWATCH`/`MULTI`/`EXEC`/`DISCARD`, `PING` and `FLUSHALL`, as the
+//! published command reference describes them. Expiry is on the stand-in's monotonic clock.
+
+use redis_protocol::resp2::decode::decode;
+use redis_protocol::resp2::types::OwnedFrame;
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Bytes of commands that one connection may send before it is closed: a stand-in, not a store.
+const MOST_PENDING: usize = 1024 * 1024;
+
+#[derive(Default)]
+struct Kept {
+    values: HashMap<String, (Vec<u8>, Option<Instant>)>,
+    /// Per key, how often it changed; with `flushes`, what `WATCH` compares.
+    changes: HashMap<String, u64>,
+    flushes: u64,
+    commands: u64,
+}
+
+impl Kept {
+    fn live(&mut self, key: &str) -> Option<&(Vec<u8>, Option<Instant>)> {
+        if self.values.get(key).is_some_and(|(_, until)| until.is_some_and(|until| until <= Instant::now())) {
+            self.values.remove(key);
+            *self.changes.entry(key.to_owned()).or_default() += 1;
+        }
+        self.values.get(key)
+    }
+
+    fn touch(&mut self, key: &str) {
+        *self.changes.entry(key.to_owned()).or_default() += 1;
+    }
+
+    fn stamp(&mut self, key: &str) -> (u64, u64) {
+        self.live(key);
+        (self.changes.get(key).copied().unwrap_or(0), self.flushes)
+    }
+}
+
+/// A running stand-in store.
+pub struct Store {
+    /// Where it listens, on loopback.
+    pub address: SocketAddr,
+    kept: Arc<Mutex<Kept>>,
+}
+
+enum Reply {
+    Ok,
+    Nil,
+    NilArray,
+    Queued,
+    Int(i64),
+    Bulk(Vec<u8>),
+    Array(Vec<Reply>),
+    Error(String),
+}
+
+impl Reply {
+    fn write(&self, out: &mut Vec<u8>) {
+        match self {
+            Reply::Ok => out.extend_from_slice(b"+OK\r\n"),
+            Reply::Queued => out.extend_from_slice(b"+QUEUED\r\n"),
+            Reply::Nil => out.extend_from_slice(b"$-1\r\n"),
+            Reply::NilArray => out.extend_from_slice(b"*-1\r\n"),
+            Reply::Int(n) => out.extend_from_slice(format!(":{n}\r\n").as_bytes()),
+            Reply::Bulk(bytes) => {
+                out.extend_from_slice(format!("${}\r\n", bytes.len()).as_bytes());
+                out.extend_from_slice(bytes);
+                out.extend_from_slice(b"\r\n");
+            }
+            Reply::Array(all) => {
+                out.extend_from_slice(format!("*{}\r\n", all.len()).as_bytes());
+                all.iter().for_each(|reply| reply.write(out));
+            }
+            Reply::Error(text) => out.extend_from_slice(format!("-{text}\r\n").as_bytes()),
+        }
+    }
+}
+
+/// One connection's transaction state.
+#[derive(Default)]
+struct Session {
+    watched: Vec<(String, (u64, u64))>,
+    queued: Option<Vec<Vec<Vec<u8>>>>,
+}
+
+impl Store {
+    /// Starts a store on a port of loopback that the system picks.
+    pub fn start() -> Store {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port on loopback");
+        let address = listener.local_addr().expect("its address");
+        let kept = Arc::new(Mutex::new(Kept::default()));
+        let shared = kept.clone();
+        thread::spawn(move || {
+            for socket in listener.incoming().flatten() {
+                let kept = shared.clone();
+                thread::spawn(move || serve(socket, &kept));
+            }
+        });
+        Store { address, kept }
+    }
+
+    /// Forgets everything, as a store restarted empty.
+    pub fn empty(&self) {
+        let mut kept = self.kept.lock().expect("lock");
+        kept.values.clear();
+        kept.flushes += 1;
+    }
+
+    /// Commands served so far.
+    pub fn commands(&self) -> u64 {
+        self.kept.lock().expect("lock").commands
+    }
+
+    /// A key's value as it stands, for the tests' checks.
+    pub fn peek(&self, key: &str) -> Option<Vec<u8>> {
+        self.kept.lock().expect("lock").live(key).map(|(value, _)| value.clone())
+    }
+}
+
+fn serve(mut socket: TcpStream, kept: &Mutex<Kept>) {
+    let _ = socket.set_nodelay(true);
+    let (mut bytes, mut some) = (Vec::new(), [0; 4096]);
+    let mut session = Session::default();
+    while let Ok(n @ 1..) = socket.read(&mut some) {
+        bytes.extend_from_slice(&some[..n]);
+        if bytes.len() > MOST_PENDING {
+            return;
+        }
+        let mut out = Vec::new();
+        loop {
+            let (frame, used) = match decode(&bytes) {
+                Ok(Some(whole)) => whole,
+                Ok(None) => break,
+                Err(_) => return,
+            };
+            bytes.drain(..used);
+            let OwnedFrame::Array(words) = frame else { return };
+            let words: Option<Vec<Vec<u8>>> = words
+                .into_iter()
+                .map(|word| match word {
+                    OwnedFrame::BulkString(bytes) => Some(bytes),
+                    _ => None,
+                })
+                .collect();
+            let Some(words) = words.filter(|words| !words.is_empty()) else { return };
+            let mut kept = kept.lock().expect("lock");
+            kept.commands += 1;
+            command(&mut kept, &mut session, words).write(&mut out);
+        }
+        if !out.is_empty() && socket.write_all(&out).is_err() {
+            return;
+        }
+    }
+}
+
+fn text(word: &[u8]) -> String {
+    String::from_utf8_lossy(word).into_owned()
+}
+
+fn command(kept: &mut Kept, session: &mut Session, words: Vec<Vec<u8>>) -> Reply {
+    let name = text(&words[0]).to_ascii_uppercase();
+    if let Some(queued) = session.queued.as_mut() {
+        match name.as_str() {
+            "EXEC" => {
+                let queued = session.queued.take().unwrap_or_default();
+                let broken = session.watched.drain(..).any(|(key, stamp)| kept.stamp(&key) != stamp);
+                if broken {
+                    return Reply::NilArray;
+                }
+                return Reply::Array(queued.into_iter().map(|words| one(kept, words)).collect());
+            }
+            "DISCARD" => {
+                session.queued = None;
+                session.watched.clear();
+                return Reply::Ok;
+            }
+            "MULTI" | "WATCH" => return Reply::Error(format!("ERR {name} inside MULTI is not allowed")),
+            _ => {
+                queued.push(words);
+                return Reply::Queued;
+            }
+        }
+    }
+    match name.as_str() {
+        "MULTI" => {
+            session.queued = Some(Vec::new());
+            Reply::Ok
+        }
+        "WATCH" => {
+            for key in &words[1..] {
+                let key = text(key);
+                let stamp = kept.stamp(&key);
+                session.watched.push((key, stamp));
+            }
+            Reply::Ok
+        }
+        "UNWATCH" => {
+            session.watched.clear();
+            Reply::Ok
+        }
+        "EXEC" | "DISCARD" => Reply::Error(format!("ERR {name} without MULTI")),
+        _ => one(kept, words),
+    }
+}
+
+fn one(kept: &mut Kept, words: Vec<Vec<u8>>) -> Reply {
+    let name = text(&words[0]).to_ascii_uppercase();
+    let key = words.get(1).map(|key| text(key)).unwrap_or_default();
+    match (name.as_str(), words.len()) {
+        ("PING", _) => Reply::Ok,
+        ("GET", 2) => kept.live(&key).map_or(Reply::Nil, |(value, _)| Reply::Bulk(value.clone())),
+        ("PTTL", 2) => match kept.live(&key) {
+            None => Reply::Int(-2),
+            Some((_, None)) => Reply::Int(-1),
+            Some((_, Some(until))) => {
+                Reply::Int(until.saturating_duration_since(Instant::now()).as_millis().max(1) as i64)
+            }
+        },
+        ("DEL", 2..) => {
+            let mut gone = 0;
+            for key in &words[1..] {
+                let key = text(key);
+                if kept.live(&key).is_some() {
+                    kept.values.remove(&key);
+                    kept.touch(&key);
+                    gone += 1;
+                }
+            }
+            Reply::Int(gone)
+        }
+        ("SET", 3..) => {
+            let (mut nx, mut px) = (false, None);
+            let mut options = words[3..].iter();
+            while let Some(option) = options.next() {
+                match text(option).to_ascii_uppercase().as_str() {
+                    "NX" => nx = true,
+                    "PX" => {
+                        match options.next().and_then(|ms| text(ms).parse::<u64>().ok()).filter(|ms| *ms > 0)
+                        {
+                            Some(ms) => px = Some(ms),
+                            None => return Reply::Error("ERR invalid expire time in 'set' command".into()),
+                        }
+                    }
+                    _ => return Reply::Error("ERR syntax error".into()),
+                }
+            }
+            if nx && kept.live(&key).is_some() {
+                return Reply::Nil;
+            }
+            let until = px.map(|ms| Instant::now() + Duration::from_millis(ms));
+            kept.values.insert(key.clone(), (words[2].clone(), until));
+            kept.touch(&key);
+            Reply::Ok
+        }
+        ("KEYS", 2) => {
+            let Some(prefix) = key.strip_suffix('*') else {
+                return Reply::Error("ERR this stand-in takes only patterns ending in *".into());
+            };
+            let mut keys: Vec<String> =
+                kept.values.keys().filter(|each| each.starts_with(prefix)).cloned().collect();
+            keys.retain(|each| kept.live(each).is_some());
+            keys.sort();
+            Reply::Array(keys.into_iter().map(|key| Reply::Bulk(key.into_bytes())).collect())
+        }
+        ("FLUSHALL", 1) => {
+            kept.values.clear();
+            kept.flushes += 1;
+            Reply::Ok
+        }
+        _ => Reply::Error(format!("ERR unknown command or wrong number of arguments for '{name}'")),
+    }
+}
