Agreement in the gateway: the settings register through the store, off unless named

Each gateway took its configuration alone; now, where the operator's file names agreement (store, id), a thread of its own behind a bounded queue keeps the settings register and the members' keys, and the loop works out what it acts on from their state on its own clock, each round before any event (a process woken from SIGSTOP sees its lease ran out first).

A gateway whose own file is not the agreed version counts as safe until it has it: taking the agreed content is next.

Found on the way: a fresh store has no pointer and a Starting register never proposed, so nobody made the first version (all three stayed at epoch 0, safe). A read in time that finds none, with nothing ever seen, now proposes epoch 1 over nothing; the compare-and-set lets one win. Test in the crate.

--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -40,6 +40,16 @@
     pub digest: u64,
 }
 
+impl std::fmt::Display for Mode {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Mode::Starting => "starting",
+            Mode::Active => "active",
+            Mode::Safe => "safe",
+        })
+    }
+}
+
 impl std::fmt::Display for Version {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "{}:{:016x}", self.epoch, self.digest)
@@ -113,9 +123,10 @@
 }
 
 /// What a gateway acts on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mode {
     /// Not yet confirmed once since the start: safe, and nothing known to be current.
+    #[default]
     Starting,
     /// Acting on [`Acting::active`], confirmed within the lease.
     Active,
@@ -134,6 +145,35 @@
     pub pending: Option<Version>,
 }
 
+/// A register's state as of its last event, for a reader on another thread whose clock runs on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct State {
+    /// The mode as of the last event.
+    pub mode: Mode,
+    /// The version acted on as of the last event.
+    pub active: Option<Version>,
+    /// A version announced and the moment it becomes active.
+    pub pending: Option<(Version, Ms)>,
+    /// The end of the lease.
+    pub lease_until: Option<Ms>,
+}
+
+impl State {
+    /// What the register acts on at `now`, by the same rules as [`Register::tick`]: what is due is active, and a
+    /// lease that ran out means Safe mode, however late the register's own thread is.
+    pub fn at(&self, now: Ms) -> Acting {
+        let (mut active, mut pending) = (self.active, self.pending.map(|(version, _)| version));
+        if let Some((version, at)) = self.pending {
+            if now >= at {
+                (active, pending) = (Some(version), None);
+            }
+        }
+        let leased = self.lease_until.is_some_and(|until| now <= until);
+        let mode = if self.mode == Mode::Active && !leased { Mode::Safe } else { self.mode };
+        Acting { mode, active, pending }
+    }
+}
+
 /// One read of the register: `GET agreement:K`, `PTTL agreement:K:settle` and, for a version not yet held, its
 /// content, fetched and checked against its digest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -208,6 +248,8 @@
     wanted: Option<u64>,
     proposing: bool,
     restore: bool,
+    /// The last read in time found no pointer.
+    absent: bool,
     changes: Vec<Change>,
 }
 
@@ -229,6 +271,7 @@
             wanted: None,
             proposing: false,
             restore: false,
+            absent: false,
             changes: Vec::new(),
         }
     }
@@ -240,6 +283,16 @@
         Acting { mode: self.mode, active: self.active, pending: self.pending.map(|(version, _)| version) }
     }
 
+    /// What another thread needs to tell, at any moment, what this register acts on: see [`State::at`].
+    pub fn state(&self) -> State {
+        State {
+            mode: self.mode,
+            active: self.active,
+            pending: self.pending,
+            lease_until: self.confirmed.map(|at| at + self.settings.lease_ms),
+        }
+    }
+
     /// The highest version seen here, active or not.
     pub fn highest(&self) -> Option<Version> {
         self.highest
@@ -302,7 +355,10 @@
             }
         }
         if let Some(digest) = self.wanted {
-            if !self.proposing && self.mode == Mode::Active && self.pending.is_none() {
+            // A fleet's first version: nothing was ever seen here and the store holds none; the compare-and-set
+            // over an absent pointer lets one proposal win.
+            let first = self.absent && self.highest.is_none();
+            if !self.proposing && (first || self.mode == Mode::Active && self.pending.is_none()) {
                 if self.active.is_some_and(|version| version.digest == digest) {
                     self.wanted = None;
                 } else {
@@ -347,6 +403,7 @@
             self.reading = None;
         }
         self.tick(now);
+        self.absent = answer.pointer.is_none() && now.saturating_sub(sent) <= self.settings.slowest_read_ms;
         let Some(pointer) = answer.pointer else {
             // The key is gone: the store lost it or came back empty. Give back the highest version seen.
             self.restore = self.highest.is_some();
--- a/crates/agreement/src/tests.rs
+++ b/crates/agreement/src/tests.rs
@@ -117,3 +117,12 @@
     assert_eq!(members.told(10), Told { gateways: 3, suspected: 1, alone: false });
     assert!(members.told(1001).alone, "the listing's lease ran out");
 }
+
+#[test]
+fn a_fleets_first_version_is_proposed_over_nothing() {
+    let mut register = Register::new(Settings::default(), 0);
+    register.propose(11);
+    assert_eq!(register.poll_action(0), Some(Action::Read { sent: 0 }));
+    register.read(5, 0, Answer { pointer: None, settle_ms: None, content: false });
+    assert_eq!(register.poll_action(5), Some(Action::Propose { version: V1, over: None }));
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod message;
 pub mod poll;
 
+pub mod agreement;
 pub mod control;
 mod discovery;
 mod door;
@@ -166,6 +167,7 @@
     hosts: BTreeMap<BackendId, Host>,
     account: Option<Account>,
     door: Option<AtDoor>,
+    agreement: Option<agreement::Agreement>,
     reuse: upstream::Reuse,
     http2_hosts: BTreeSet<String>,
     http2_downstream: bool,
@@ -242,6 +244,11 @@
             hosts: BTreeMap::new(),
             account,
             door,
+            agreement: config
+                .operator
+                .agreement
+                .as_ref()
+                .map(|at| agreement::Agreement::start(at.store, &at.id)),
             reuse: upstream::Reuse::default(),
             http2_downstream: config.operator.http2_downstream,
             http2_hosts: config.operator.http2_hosts,
@@ -296,6 +303,9 @@
         if let Some(known) = config.known {
             gateway.take_list(known, ListKind::Saved);
         }
+        if let Some(agreement) = &mut gateway.agreement {
+            agreement.offer(gateway.text.as_bytes());
+        }
         gateway.timers.push(now + SWEEP, Due::Sweep);
         gateway.account_due();
         gateway.ask_discovery();
@@ -343,6 +353,10 @@
             let wait = if quiet { wait } else { 0.0 };
             self.poll.wait(Duration::from_micros((wait * 1000.0).ceil() as u64), &mut ready)?;
             self.now = self.clock.now();
+            // Danger: a process woken from SIGSTOP has a lease that ran out; it is seen before any event is.
+            if let Some(agreement) = &mut self.agreement {
+                agreement.round();
+            }
             // Operators first, whatever else there is to do.
             ready.sort_by_key(|event| !self.control.concerns(event.0));
             for (token, readable, writable) in ready.drain(..) {
@@ -657,7 +671,12 @@
     /// address and the limits, all of it or nothing. Streams and connections stay.
     fn reload(&mut self) {
         match Config::from_files(&self.files).and_then(|config| self.take_config(config)) {
-            Ok(()) => self.core.figures.reconfig_ok += 1,
+            Ok(()) => {
+                self.core.figures.reconfig_ok += 1;
+                if let Some(agreement) = &mut self.agreement {
+                    agreement.offer(self.text.as_bytes());
+                }
+            }
             Err(why) => {
                 self.core.figures.reconfig_failed += 1;
                 tracing::warn!("the new configuration is not taken, the old one stays: {why}");
@@ -708,7 +727,9 @@
     fn told_counters(&self) -> String {
         let dropped = self.logs.as_ref().map_or(0, Logs::dropped);
         let door = self.door.as_ref().map_or(String::new(), AtDoor::figures);
-        format!("{}switchhill_log_lines_dropped {dropped}\n{door}{}", self.core.counters, self.figures())
+        let agreed = self.agreement.as_ref().map_or(String::new(), agreement::Agreement::figures);
+        let counters = &self.core.counters;
+        format!("{counters}switchhill_log_lines_dropped {dropped}\n{door}{agreed}{}", self.figures())
     }
 
     fn begin_stop(&mut self) {
--- a/src/process/config.rs
+++ b/src/process/config.rs
@@ -109,6 +109,17 @@
     pub log: Wanted,
     /// Fair queues before the decisions.
     pub door: Option<Door>,
+    /// Versions agreed with the other gateways through a store; off where absent.
+    pub agreement: Option<Agreement>,
+}
+
+/// What an operator says of agreement: where its register is, and who this gateway is there.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Agreement {
+    /// The store that holds the register.
+    pub store: SocketAddr,
+    /// This gateway's member id: letters, digits, `-` and `_`, 1 to 64 of them.
+    pub id: String,
 }
 
 /// What an operator says of the door.
@@ -358,7 +369,7 @@
     /// Every fault in it.
     pub fn read(text: &str) -> Result<Self, Faults> {
         Node::parse(text)?.read(|root| {
-            root.only(&["http2", "store", "log", "door"]);
+            root.only(&["http2", "store", "log", "door", "agreement"]);
             let http2 = root.at("http2");
             http2.only(&["downstream", "upstream_hosts"]);
             Self {
@@ -367,6 +378,7 @@
                 store: read_store(&root.at("store")),
                 log: read_log(&root.at("log")),
                 door: read_door(&root.at("door")),
+                agreement: read_agreement(&root.at("agreement")),
             }
         })
     }
@@ -381,6 +393,16 @@
     })
 }
 
+fn read_agreement(from: &Reader<'_>) -> Option<Agreement> {
+    from.only(&["store", "id"]);
+    let id = from.at("id").text("");
+    let fits = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
+    if from.given() && (id.is_empty() || id.len() > 64 || !id.chars().all(fits)) {
+        from.at("id").fault(format!("`{id}` is not 1 to 64 letters, digits, `-` or `_`"));
+    }
+    from.given().then(|| Agreement { store: from.at("store").address(), id })
+}
+
 fn read_door(from: &Reader<'_>) -> Option<Door> {
     from.only(&["longest_wait_ms", "per_subscriber", "weights", "limit", "appointments"]);
     let (limit, appointments) = (from.at("limit"), from.at("appointments"));
--- /dev/null
+++ b/tests/agreement.rs
@@ -0,0 +1,53 @@
+//! Agreement between real gateway processes, through a stand-in store and a fault proxy for each of them.
+#![allow(missing_docs)]
+
+use switchhill_lab::rig::proxy::{Fault, Proxy};
+use switchhill_lab::rig::store::Store;
+use switchhill_lab::stand_in::*;
+
+fn operator(store: std::net::SocketAddr, id: &str) -> String {
+    format!("agreement: {{store: \"{store}\", id: \"{id}\"}}\n")
+}
+
+fn acts(gateway: &Gateway) -> (u64, u64) {
+    (gateway.counter("agreement_settings_epoch"), gateway.counter("agreement_settings_safe"))
+}
+
+/// Three gateways: one cut off from the store during a change goes to safe mode and says it is alone; one whose
+/// file was not changed says safe on the agreed version; each comes to the agreed version once it has it.
+#[test]
+fn three_gateways_agree_and_the_one_cut_off_or_behind_says_safe() {
+    let store = Store::start();
+    let seen = std::sync::Arc::new(Seen::default());
+    let discovery = Discovery::new(vec![member("s-1", host(&seen, |_| Act::Serve))]);
+    let first = config(discovery.address);
+    let proxies: Vec<Proxy> = (0..3).map(|seed| Proxy::start(store.address, seed)).collect();
+    let gateways: Vec<Gateway> = proxies
+        .iter()
+        .enumerate()
+        .map(|(n, proxy)| Gateway::start_with(&first, Some(&operator(proxy.address, &format!("g{n}")))))
+        .collect();
+    wait_for("all active on the first version", || gateways.iter().all(|gateway| acts(gateway) == (1, 0)));
+    wait_for("three members", || gateways.iter().all(|gateway| gateway.counter("agreement_members") == 3));
+
+    proxies[2].set(Fault::Cut);
+    wait_for("the cut one safe and alone", || {
+        acts(&gateways[2]).1 == 1 && gateways[2].counter("agreement_alone") == 1
+    });
+    assert_eq!(acts(&gateways[0]), (1, 0), "the others go on");
+
+    let second = first.replace("\"meterMs\": 2000.0", "\"meterMs\": 1500.0");
+    assert_ne!(first, second, "the change changes something");
+    gateways[0].reload(&second);
+    wait_for("the change active where it was made", || acts(&gateways[0]) == (2, 0));
+    wait_for("the one behind safe on the new version", || acts(&gateways[1]) == (2, 1));
+    assert_eq!(acts(&gateways[2]).1, 1, "still cut off: still safe");
+    gateways[1].reload(&second);
+    wait_for("the one behind active once it has the file", || acts(&gateways[1]) == (2, 0));
+
+    proxies[2].set(Fault::Pass);
+    wait_for("the healed one knows the version and is safe", || acts(&gateways[2]) == (2, 1));
+    gateways[2].reload(&second);
+    wait_for("all active on the change", || gateways.iter().all(|gateway| acts(gateway) == (2, 0)));
+    assert_eq!(store.peek("agreement:settings").map(|bytes| bytes[0]), Some(b'2'));
+}
