Take the agreed version's content where a gateway's own file is another

Need: a gateway whose reload failed, or that missed a change while cut off, said safe on the agreed version and kept its own rules until someone put the file in place.

Change: the agreement thread hands the loop the content of the agreed version it holds (checked against the digest); the loop takes it as a reload would, whole or not at all (Config::with_text beside from_files). Taken: the gateway is active on it. Refused: it stays safe on it and does not try again until another version comes, with a warning that names the version and why.

--- a/src/net/agreement.rs
+++ b/src/net/agreement.rs
@@ -246,6 +246,9 @@
 
 /// Contents that may wait to be proposed; a newer one replaces what waits, so one is enough beside the one sent.
 const WAITING: usize = 2;
+/// The content of the latest agreed version that the thread holds, handed to the loop.
+type Handed = Arc<Mutex<Option<(Version, Vec<u8>)>>>;
+
 /// How long the thread rests when there is nothing to do.
 const REST: Duration = Duration::from_millis(5);
 
@@ -266,6 +269,10 @@
     settings: Settings,
     /// The digest of the configuration this gateway has taken itself.
     own: Option<u64>,
+    /// Contents of agreed versions, as the thread fetched them; the loop takes the one it needs.
+    contents: Handed,
+    /// An agreed version that could not be taken here: not tried again.
+    refused: Option<Version>,
 }
 
 impl Agreement {
@@ -276,13 +283,24 @@
         let told = Arc::new(Mutex::new(Shared::default()));
         let start = Instant::now();
         let (shared, id) = (told.clone(), id.to_owned());
+        let contents: Handed = Arc::new(Mutex::new(None));
+        let handed = contents.clone();
         let spawned = thread::Builder::new()
             .name("agreement".into())
-            .spawn(move || keep(store, &id, settings, start, &asked, &shared));
+            .spawn(move || keep(store, &id, settings, start, &asked, &shared, &handed));
         if let Err(why) = spawned {
             tracing::warn!("agreement cannot start its thread, and stays in safe mode: {why}");
         }
-        Agreement { asks, told, start, logged: (Mode::Starting, None), settings, own: None }
+        Agreement {
+            asks,
+            told,
+            start,
+            logged: (Mode::Starting, None),
+            settings,
+            own: None,
+            contents,
+            refused: None,
+        }
     }
 
     fn now(&self) -> Ms {
@@ -295,6 +313,28 @@
         let _ = self.asks.try_send(content.to_vec());
     }
 
+    /// The agreed version's content where it is not what this gateway took itself: to be taken, then told with
+    /// [`Agreement::took`] or [`Agreement::refuse`].
+    pub fn to_take(&self) -> Option<(Version, Vec<u8>)> {
+        let told = *self.told.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let active = told.state.at(self.now()).active?;
+        if Some(active.digest) == self.own || Some(active) == self.refused {
+            return None;
+        }
+        let contents = self.contents.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        contents.as_ref().filter(|(version, _)| *version == active).cloned()
+    }
+
+    /// The agreed content was taken whole: this gateway acts on it as its own.
+    pub fn took(&mut self, version: Version) {
+        self.own = Some(version.digest);
+    }
+
+    /// The agreed content could not be taken here: this gateway stays safe on it until another version comes.
+    pub fn refuse(&mut self, version: Version) {
+        self.refused = Some(version);
+    }
+
     /// What this gateway acts on now.
     pub fn acting(&self) -> Acting {
         let told = *self.told.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
@@ -352,6 +392,7 @@
     start: Instant,
     asked: &Receiver<Vec<u8>>,
     told: &Mutex<Shared>,
+    contents: &Mutex<Option<(Version, Vec<u8>)>>,
 ) {
     let clock = || start.elapsed().as_millis() as Ms;
     let timeout = Duration::from_millis(settings.slowest_read_ms);
@@ -376,6 +417,14 @@
             }
         }
         let state = register.state();
+        for version in [state.active, state.pending.map(|(version, _)| version)].into_iter().flatten() {
+            if let Some(bytes) = wire.content(version) {
+                let mut handed = contents.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+                if handed.as_ref().is_none_or(|(before, _)| *before != version) {
+                    *handed = Some((version, bytes.to_vec()));
+                }
+            }
+        }
         let mut shared = told.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         *shared = Shared { state, members: Some(members.told(clock())) };
         drop(shared);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -357,6 +357,7 @@
             if let Some(agreement) = &mut self.agreement {
                 agreement.round();
             }
+            self.take_agreed();
             // Operators first, whatever else there is to do.
             ready.sort_by_key(|event| !self.control.concerns(event.0));
             for (token, readable, writable) in ready.drain(..) {
@@ -684,6 +685,30 @@
         }
     }
 
+    /// Takes the agreed version's content where this gateway's own configuration is another, as a reload would,
+    /// all of it or nothing. The files stay as they are: the next SIGHUP offers what they hold as a new change.
+    fn take_agreed(&mut self) {
+        let Some((version, content)) = self.agreement.as_ref().and_then(agreement::Agreement::to_take) else {
+            return;
+        };
+        let text = String::from_utf8(content).map_err(|_| "the agreed content is not UTF-8".to_owned());
+        let source = format!("the agreed version {version}");
+        let taken = text
+            .and_then(|text| Config::with_text(&self.files, text, &source))
+            .and_then(|config| self.take_config(config));
+        let Some(agreement) = &mut self.agreement else { return };
+        match taken {
+            Ok(()) => {
+                agreement.took(version);
+                tracing::info!(version = %version, "configuration taken from the agreed version");
+            }
+            Err(why) => {
+                agreement.refuse(version);
+                tracing::warn!(version = %version, "the agreed version is not taken, this gateway stays safe: {why}");
+            }
+        }
+    }
+
     /// Hands the core what this round has brought so far, and carries out what comes back.
     fn settle(&mut self) {
         let mut commands = Vec::new();
--- a/src/process/config.rs
+++ b/src/process/config.rs
@@ -253,12 +253,20 @@
     /// # Errors
     /// One line that names what is at fault.
     pub fn from_files(files: &Files) -> Result<Self, String> {
+        Self::with_text(files, text_of(&files.config)?, &files.config.display().to_string())
+    }
+
+    /// As [`Config::from_files`], with the platform's configuration given as `text` rather than read from its file;
+    /// `source` names it in errors.
+    ///
+    /// # Errors
+    /// One line that names what is at fault.
+    pub fn with_text(files: &Files, text: String, source: &str) -> Result<Self, String> {
         let operator = match &files.operator {
             Some(path) => Operator::read(&text_of(path)?).map_err(|faults| in_one_line(&faults, path))?,
             None => Operator::default(),
         };
-        let text = text_of(&files.config)?;
-        let config = Self::read(&text).map_err(|why| format!("{}: {why}", files.config.display()))?;
+        let config = Self::read(&text).map_err(|why| format!("{source}: {why}"))?;
         let mut config = Self { operator, files: files.clone(), ..config };
         if let Some(door) = &mut config.operator.door {
             if let Some(path) = &door.key_file {
