Check the bound from the gateways' own logs; a gateway stopped across a change

Change: each agreement event carries the moment of the change itself (an announcement's end, a lease's end) rather than the later round at which the loop saw it, which could be up to 250 ms late and would have measured windows that never were. lab/src/rig/checker.rs reads the events and gives the longest window in which two gateways were Active on different versions. Gateway::freeze and wake in the stand-ins.

--- /dev/null
+++ b/lab/src/rig/checker.rs
@@ -0,0 +1,85 @@
+//! Reads the `agreement` events of several gateways' JSON logs and finds the longest window in which two of them
+//! were Active on different versions.
+
+/// One change of what a gateway acts on, as its log tells it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Which gateway.
+    pub gateway: usize,
+    /// The moment of the change, in Unix milliseconds.
+    pub unix_ms: u64,
+    /// `active`, `safe` or `starting`.
+    pub mode: String,
+    /// `EPOCH:DIGEST`, empty before any.
+    pub version: String,
+}
+
+/// Reads one log line; `None` for lines that are not agreement events.
+pub fn event(gateway: usize, line: &str) -> Option<Event> {
+    let value: serde_json::Value = serde_json::from_str(line).ok()?;
+    if value.get("message")?.as_str()? != "agreement" {
+        return None;
+    }
+    Some(Event {
+        gateway,
+        unix_ms: value.get("unix_ms")?.as_u64()?,
+        mode: value.get("mode")?.as_str()?.to_owned(),
+        version: value.get("version")?.as_str()?.to_owned(),
+    })
+}
+
+/// The longest window, in milliseconds, in which two gateways were Active on different versions, with its start.
+pub fn longest_disagreement(events: &[Event]) -> (u64, Option<u64>) {
+    let mut events = events.to_vec();
+    events.sort_by_key(|event| event.unix_ms);
+    let gateways = events.iter().map(|event| event.gateway + 1).max().unwrap_or(0);
+    let mut acting: Vec<Option<String>> = vec![None; gateways];
+    let (mut longest, mut worst, mut since) = (0, None, None::<u64>);
+    for event in &events {
+        acting[event.gateway] = (event.mode == "active").then(|| event.version.clone());
+        let mut versions: Vec<&String> = acting.iter().flatten().collect();
+        versions.sort();
+        versions.dedup();
+        match (versions.len() > 1, since) {
+            (true, None) => since = Some(event.unix_ms),
+            (false, Some(from)) => {
+                if event.unix_ms - from > longest {
+                    (longest, worst) = (event.unix_ms - from, Some(from));
+                }
+                since = None;
+            }
+            _ => {}
+        }
+    }
+    if let (Some(from), Some(last)) = (since, events.last()) {
+        // Still disagreeing at the end of the logs: counted to their end, and said by a start without an end.
+        if last.unix_ms - from >= longest {
+            (longest, worst) = (last.unix_ms - from, Some(from));
+        }
+    }
+    (longest, worst)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn at(gateway: usize, unix_ms: u64, mode: &str, version: &str) -> Event {
+        Event { gateway, unix_ms, mode: mode.into(), version: version.into() }
+    }
+
+    #[test]
+    fn two_active_on_different_versions_make_a_window_and_safe_ends_it() {
+        let events = [
+            at(0, 100, "active", "1:a"),
+            at(1, 110, "active", "1:a"),
+            at(0, 1000, "active", "2:b"),
+            at(1, 1040, "safe", "1:a"),
+            at(1, 1500, "active", "2:b"),
+        ];
+        assert_eq!(longest_disagreement(&events), (40, Some(1000)));
+        let line = r#"{"timestamp":"x","level":"INFO","message":"agreement","register":"settings","mode":"active","version":"2:b","unix_ms":7,"bound_ms":500}"#;
+        assert_eq!(event(3, line), Some(at(3, 7, "active", "2:b")));
+        assert_eq!(event(3, r#"{"message":"counters"}"#), None);
+    }
+}
--- a/lab/src/rig/mod.rs
+++ b/lab/src/rig/mod.rs
@@ -4,6 +4,7 @@
 //!
 //! See `docs/operators/laboratory.md` and `docs/design/agreement.md`.
 
+pub mod checker;
 pub mod proxy;
 pub mod register;
 pub mod store;
--- a/lab/src/stand_in/mod.rs
+++ b/lab/src/stand_in/mod.rs
@@ -386,6 +386,16 @@
         self.child.as_ref().expect("running").id()
     }
 
+    /// SIGSTOP: nothing of the process runs until [`Gateway::wake`]; its clocks go on.
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+    }
+
+    /// SIGCONT after [`Gateway::freeze`].
+    pub fn wake(&self) {
+        self.signal("-CONT");
+    }
+
     /// The memory that the program holds.
     pub fn memory_kb(&self) -> u64 {
         resident_kb(self.id()).expect("a size")
--- a/src/net/agreement.rs
+++ b/src/net/agreement.rs
@@ -273,6 +273,8 @@
     contents: Handed,
     /// An agreed version that could not be taken here: not tried again.
     refused: Option<Version>,
+    /// Unix time in milliseconds at `start`: the events' moments are told in it.
+    unix_start: Ms,
 }
 
 impl Agreement {
@@ -300,6 +302,9 @@
             own: None,
             contents,
             refused: None,
+            unix_start: std::time::SystemTime::now()
+                .duration_since(std::time::UNIX_EPOCH)
+                .map_or(0, |since| since.as_millis() as Ms),
         }
     }
 
@@ -347,15 +352,20 @@
         acting
     }
 
-    /// What this gateway acts on now; logs one JSON event where that changed.
+    /// What this gateway acts on now; logs one JSON event where that changed. The event's `unix_ms` is the moment
+    /// of the change itself (an announcement's end, a lease's end), not the later one at which the loop saw it, so
+    /// that windows measured from the logs of several processes are true.
     pub fn round(&mut self) -> Acting {
         let acting = self.acting();
         if (acting.mode, acting.active) != self.logged {
             self.logged = (acting.mode, acting.active);
             let version = acting.active.map(|version| version.to_string()).unwrap_or_default();
-            let unix_ms = std::time::SystemTime::now()
-                .duration_since(std::time::UNIX_EPOCH)
-                .map_or(0, |since| since.as_millis() as u64);
+            let state = self.told.lock().unwrap_or_else(std::sync::PoisonError::into_inner).state;
+            let now = self.now();
+            let due = state.pending.map(|(_, at)| at).filter(|at| *at <= now);
+            let ended = state.lease_until.filter(|until| *until < now && acting.mode == Mode::Safe);
+            let at = due.or(ended.map(|until| until + 1)).unwrap_or(now);
+            let unix_ms = self.unix_start + at;
             tracing::info!(
                 register = "settings",
                 mode = %acting.mode,
--- a/tests/agreement.rs
+++ b/tests/agreement.rs
@@ -1,6 +1,9 @@
 //! Agreement between real gateway processes, through a stand-in store and a fault proxy for each of them.
 #![allow(missing_docs)]
 
+use std::io::{BufRead, BufReader};
+use std::sync::{Arc, Mutex};
+use switchhill_lab::rig::checker::{event, longest_disagreement, Event};
 use switchhill_lab::rig::proxy::{Fault, Proxy};
 use switchhill_lab::rig::store::Store;
 use switchhill_lab::stand_in::*;
@@ -47,3 +50,48 @@
     wait_for("all active on the change", || gateways.iter().all(|gateway| acts(gateway) == (2, 0)));
     assert_eq!(store.peek("agreement:settings").map(|bytes| bytes[0]), Some(b'2'));
 }
+
+/// Keeps reading a gateway's log in a thread of its own, gathering its agreement events.
+fn gather(gateway: &mut Gateway, number: usize, events: &Arc<Mutex<Vec<Event>>>) {
+    let (log, events) = (gateway.take_log(), events.clone());
+    std::thread::spawn(move || {
+        for line in BufReader::new(log).lines().map_while(Result::ok) {
+            if let Some(event) = event(number, &line) {
+                events.lock().expect("lock").push(event);
+            }
+        }
+    });
+}
+
+/// A gateway stopped (SIGSTOP) before a change and woken after it: its lease ran out while it was stopped, so by
+/// the logs of all three no two were Active on different versions beyond the bound, and it comes to the change.
+#[test]
+fn a_gateway_stopped_across_a_change_wakes_safe_and_the_logs_show_the_bound_held() {
+    let store = Store::start();
+    let seen = std::sync::Arc::new(Seen::default());
+    let discovery = Discovery::new(vec![member("s-1", host(&seen, |_| Act::Serve))]);
+    let first = config(discovery.address);
+    let events = Arc::new(Mutex::new(Vec::new()));
+    let mut gateways: Vec<Gateway> = (0..3)
+        .map(|n| {
+            let operator = format!("{}log: {{format: json}}\n", operator(store.address, &format!("g{n}")));
+            Gateway::start_with(&first, Some(&operator))
+        })
+        .collect();
+    for (number, gateway) in gateways.iter_mut().enumerate() {
+        gather(gateway, number, &events);
+    }
+    wait_for("all active on the first version", || gateways.iter().all(|gateway| acts(gateway) == (1, 0)));
+    gateways[2].freeze();
+    let second = first.replace("\"meterMs\": 2000.0", "\"meterMs\": 1500.0");
+    gateways[0].reload(&second);
+    wait_for("the change active at the two that run", || (0..2).all(|n| acts(&gateways[n]) == (2, 0)));
+    gateways[2].wake();
+    wait_for("the woken one on the change", || acts(&gateways[2]) == (2, 0));
+    let events = events.lock().expect("lock").clone();
+    let (longest, from) = longest_disagreement(&events);
+    assert!(longest <= 500, "disagreement for {longest} ms from {from:?}: {events:?}");
+    let woken: Vec<&str> = events.iter().filter(|e| e.gateway == 2).map(|e| e.mode.as_str()).collect();
+    assert!(woken.windows(2).any(|pair| pair == ["active", "safe"]), "woke safe: {woken:?}");
+    assert!(events.iter().any(|e| e.gateway == 0 && e.version.starts_with("2:")), "the logs tell the change");
+}
