The lab plays agreement's faults over seeds with three gateway processes

Change: switchhill-lab agreement [--seeds N] [--together K]: for each of cut, stop, emptied, two changes within a lease, and a file left behind, three gateway processes with JSON logs, each through its own proxy to the store; the seed draws which gateway, when the fault begins (up to 1.5 s before the change) and how long it lasts (1 to 3 s). Prints a Markdown table; exit 1 where the bound or convergence failed.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -55,6 +55,15 @@
         #[arg(long, default_value = "")]
         only: String,
     },
+    /// Plays agreement's faults with three gateway processes over many seeds; prints fault x longest disagreement.
+    Agreement {
+        /// How many seeds, from 1.
+        #[arg(long, default_value_t = 20)]
+        seeds: u64,
+        /// Runs at a time.
+        #[arg(long, default_value_t = 4)]
+        together: usize,
+    },
     /// The least relay, to these addresses in turn.
     Bare {
         /// Boxes.
@@ -169,6 +178,10 @@
         Task::Compare { first, second, seeds, gateway, only } => {
             run_pairs(&first, &second, seeds, gateway.as_deref(), &only).map(|()| true)
         }
+        Task::Agreement { seeds, together } => {
+            let bound = switchhill_agreement::Settings::default().bound_ms();
+            Ok(switchhill_lab::rig::table::table(seeds, together, bound))
+        }
         Task::Bare { to } => {
             let relay = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let relayed = relay.and_then(|runtime| runtime.block_on(bare::relay(to)));
--- a/lab/src/rig/mod.rs
+++ b/lab/src/rig/mod.rs
@@ -8,3 +8,5 @@
 pub mod proxy;
 pub mod register;
 pub mod store;
+#[cfg(feature = "bench")]
+pub mod table;
