--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -63,6 +63,9 @@
         /// Runs at a time.
         #[arg(long, default_value_t = 4)]
         together: usize,
+        /// Only this fault: cut, stop, emptied, two or behind.
+        #[arg(long, default_value = "")]
+        only: String,
     },
     /// The least relay, to these addresses in turn.
     Bare {
@@ -178,9 +181,9 @@
         Task::Compare { first, second, seeds, gateway, only } => {
             run_pairs(&first, &second, seeds, gateway.as_deref(), &only).map(|()| true)
         }
-        Task::Agreement { seeds, together } => {
+        Task::Agreement { seeds, together, only } => {
             let bound = switchhill_agreement::Settings::default().bound_ms();
-            Ok(switchhill_lab::rig::table::table(seeds, together, bound))
+            Ok(switchhill_lab::rig::table::table(seeds, together, bound, &only))
         }
         Task::Bare { to } => {
             let relay = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- a/lab/src/rig/table.rs
+++ b/lab/src/rig/table.rs
@@ -126,16 +126,23 @@
     let deadline = Instant::now() + CONVERGE;
     let converged = started && until(deadline, || gateways.iter().all(|gateway| acts(gateway) == (last, 0)));
     thread::sleep(Duration::from_millis(100));
+    if !converged {
+        let said: Vec<_> =
+            gateways.iter().map(|gateway| (acts(gateway), gateway.counter("agreement_alone"))).collect();
+        eprintln!("{kind:?} seed {seed}: not all on epoch {last} (started {started}); (epoch, safe), alone: {said:?}");
+    }
     let events = events.lock().expect("lock").clone();
     Run { longest_ms: longest_disagreement(&events).0, converged }
 }
 
 /// Plays every kind over `seeds` seeds from 1, `together` runs at a time, and prints the table in Markdown.
-pub fn table(seeds: u64, together: usize, bound_ms: u64) -> bool {
+pub fn table(seeds: u64, together: usize, bound_ms: u64, only: &str) -> bool {
     println!("| fault | runs | longest ms | median ms | bound {bound_ms} ms met | all on the last version |");
     println!("| --- | --- | --- | --- | --- | --- |");
     let mut all_held = true;
-    for kind in KINDS {
+    for kind in
+        KINDS.into_iter().filter(|kind| only.is_empty() || format!("{kind:?}").eq_ignore_ascii_case(only))
+    {
         let mut runs: Vec<Run> = Vec::new();
         let seeds: Vec<u64> = (1..=seeds).collect();
         for chunk in seeds.chunks(together.max(1)) {
