A proposal that lost waits for a read before the next: no livelock at a fleet's start

Register::poll_action looks at a wish before a read; a first proposal over an absent pointer that lost the race left 'absent, nothing seen' true, so it proposed again at once, lost again, and never read. The same held for a proposal lost to a living announcement (two changes within a lease): only the lease running out, to Safe mode, broke the loop. Ruled out: the store's WATCH (the winner's EXEC came through, the loser's gave nil), the content (present under epoch 1), the network (members were listed).

Change: after a proposal's outcome, the next proposal waits until a read has come back. Test: a lost proposal, first or during an announcement, is followed by a read, not another proposal (fails without the change).

--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -250,6 +250,8 @@
     restore: bool,
     /// The last read in time found no pointer.
     absent: bool,
+    /// A read has come back since the last proposal's outcome.
+    fresh: bool,
     changes: Vec<Change>,
 }
 
@@ -272,6 +274,7 @@
             proposing: false,
             restore: false,
             absent: false,
+            fresh: true,
             changes: Vec::new(),
         }
     }
@@ -358,7 +361,10 @@
             // A fleet's first version: nothing was ever seen here and the store holds none; the compare-and-set
             // over an absent pointer lets one proposal win.
             let first = self.absent && self.highest.is_none();
-            if !self.proposing && (first || self.mode == Mode::Active && self.pending.is_none()) {
+            // Danger: without a read between two proposals, one that lost would be made again at once and lose
+            // again, and no read would ever go out.
+            let may = !self.proposing && self.fresh;
+            if may && (first || self.mode == Mode::Active && self.pending.is_none()) {
                 if self.active.is_some_and(|version| version.digest == digest) {
                     self.wanted = None;
                 } else {
@@ -385,6 +391,7 @@
     /// How the proposal fared.
     pub fn proposed(&mut self, _now: Ms, outcome: Proposed) {
         self.proposing = false;
+        self.fresh = false;
         if outcome == Proposed::Won {
             self.wanted = None;
         }
@@ -402,6 +409,7 @@
         if self.reading == Some(sent) {
             self.reading = None;
         }
+        self.fresh = true;
         self.tick(now);
         self.absent = answer.pointer.is_none() && now.saturating_sub(sent) <= self.settings.slowest_read_ms;
         let Some(pointer) = answer.pointer else {
--- a/crates/agreement/src/tests.rs
+++ b/crates/agreement/src/tests.rs
@@ -126,3 +126,22 @@
     register.read(5, 0, Answer { pointer: None, settle_ms: None, content: false });
     assert_eq!(register.poll_action(5), Some(Action::Propose { version: V1, over: None }));
 }
+
+#[rstest]
+#[case::first_version(None)]
+#[case::during_an_announcement(Some(V1))]
+fn a_lost_proposal_waits_for_a_read_before_the_next(#[case] over: Option<Version>) {
+    let mut register = match over {
+        Some(version) => active_on(version),
+        None => Register::new(Settings::default(), 0),
+    };
+    register.propose(99);
+    if over.is_none() {
+        assert_eq!(register.poll_action(0), Some(Action::Read { sent: 0 }));
+        register.read(5, 0, Answer { pointer: None, settle_ms: None, content: false });
+    }
+    assert!(matches!(register.poll_action(6), Some(Action::Propose { .. })));
+    register.proposed(7, Proposed::Lost);
+    assert_eq!(register.poll_action(8), None, "no second proposal before a read");
+    assert_eq!(register.poll_action(250), Some(Action::Read { sent: 250 }));
+}
