A version won is known at once: a store lost before anyone read it gives it back

Change: a proposal won makes its version the highest seen and, where the proposer is Active, pending until its announcement ends (now + D, the latest the store can end it), so a restore gives it back with what is left of it. Test: a version won and lost with the store before a read is given back, with 1,250 ms left, and is active at its moment (fails without the change).

--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -246,7 +246,7 @@
     reading: Option<Ms>,
     next_read: Ms,
     wanted: Option<u64>,
-    proposing: bool,
+    proposing: Option<Version>,
     restore: bool,
     /// The last read in time found no pointer.
     absent: bool,
@@ -271,7 +271,7 @@
             reading: None,
             next_read: now,
             wanted: None,
-            proposing: false,
+            proposing: None,
             restore: false,
             absent: false,
             fresh: true,
@@ -363,14 +363,15 @@
             let first = self.absent && self.highest.is_none();
             // Danger: without a read between two proposals, one that lost would be made again at once and lose
             // again, and no read would ever go out.
-            let may = !self.proposing && self.fresh;
+            let may = self.proposing.is_none() && self.fresh;
             if may && (first || self.mode == Mode::Active && self.pending.is_none()) {
                 if self.active.is_some_and(|version| version.digest == digest) {
                     self.wanted = None;
                 } else {
-                    self.proposing = true;
                     let epoch = self.highest.map_or(1, |version| version.epoch + 1);
-                    return Some(Action::Propose { version: Version { epoch, digest }, over: self.highest });
+                    let version = Version { epoch, digest };
+                    self.proposing = Some(version);
+                    return Some(Action::Propose { version, over: self.highest });
                 }
             }
         }
@@ -389,11 +390,17 @@
     }
 
     /// How the proposal fared.
-    pub fn proposed(&mut self, _now: Ms, outcome: Proposed) {
-        self.proposing = false;
+    pub fn proposed(&mut self, now: Ms, outcome: Proposed) {
+        let proposed = self.proposing.take();
         self.fresh = false;
-        if outcome == Proposed::Won {
+        if let (Proposed::Won, Some(version)) = (outcome, proposed) {
             self.wanted = None;
+            // Danger: known only from a later read, a version won would be forgotten if the store lost it before
+            // then, and the older one given back in its place. Its announcement ends at the latest now + D.
+            self.highest = Some(version);
+            if self.mode == Mode::Active {
+                self.pending = Some((version, now + self.settings.announce_ms));
+            }
         }
     }
 
--- a/crates/agreement/src/tests.rs
+++ b/crates/agreement/src/tests.rs
@@ -145,3 +145,14 @@
     assert_eq!(register.poll_action(8), None, "no second proposal before a read");
     assert_eq!(register.poll_action(250), Some(Action::Read { sent: 250 }));
 }
+
+#[test]
+fn a_version_won_is_given_back_if_the_store_loses_it_before_anyone_read_it() {
+    let mut register = active_on(V1);
+    register.propose(V2.digest);
+    assert_eq!(register.poll_action(6), Some(Action::Propose { version: V2, over: Some(V1) }));
+    register.proposed(10, Proposed::Won);
+    register.read(260, 250, Answer { pointer: None, settle_ms: None, content: false });
+    assert_eq!(register.poll_action(260), Some(Action::Restore { version: V2, settle_ms: 1250 }));
+    assert_eq!(register.acting(1510).active, Some(V2), "at the end of its announcement");
+}
