--- a/crates/agreement/src/members.rs
+++ b/crates/agreement/src/members.rs
@@ -22,6 +22,11 @@
     pub alone: bool,
 }
 
+impl Told {
+    /// What a gateway that knows nobody counts: itself alone, at its own share.
+    pub const ALONE: Told = Told { gateways: 1, suspected: 0, alone: true };
+}
+
 /// The view of members at one gateway.
 #[derive(Debug)]
 pub struct Members {
@@ -57,7 +62,7 @@
     pub fn told(&self, now: Ms) -> Told {
         let fresh = self.listed_at.is_some_and(|at| now <= at + self.settings.lease_ms);
         if !fresh {
-            return Told { gateways: 1, suspected: 0, alone: true };
+            return Told::ALONE;
         }
         let overdue = self.settings.lease_ms.saturating_sub(2 * self.settings.period_ms);
         let suspected = self.seen.iter().filter(|member| member.left_ms < overdue).count() as u32;
--- a/src/net/agreement.rs
+++ b/src/net/agreement.rs
@@ -10,7 +10,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 use switchhill_agreement::{
@@ -27,7 +27,8 @@
     timeout: Duration,
     kind: String,
     socket: Option<TcpStream>,
-    contents: BTreeMap<u64, Vec<u8>>,
+    /// Contents by epoch, each kept only where it matched its version's digest.
+    contents: BTreeMap<u64, (Version, Vec<u8>)>,
     /// The content this participant wants to propose, by its digest.
     pub offered: BTreeMap<u64, Vec<u8>>,
 }
@@ -45,9 +46,12 @@
         }
     }
 
-    /// The content of `version` if it is held here and matches its digest.
+    /// The content of `version` if it is held here; it matched its digest when it was kept.
     pub fn content(&self, version: Version) -> Option<&[u8]> {
-        self.contents.get(&version.epoch).filter(|bytes| digest(bytes) == version.digest).map(Vec::as_slice)
+        self.contents
+            .get(&version.epoch)
+            .filter(|(kept, _)| *kept == version)
+            .map(|(_, bytes)| bytes.as_slice())
     }
 
     fn call(&mut self, commands: &[Vec<&[u8]>]) -> Result<Vec<OwnedFrame>, String> {
@@ -123,7 +127,7 @@
             if self.content(version).is_none() {
                 let key = self.content_key(version.epoch);
                 if let Some(bytes) = bulk(&self.call(&[vec![b"GET", key.as_bytes()]])?[0]) {
-                    self.keep(version.epoch, bytes);
+                    self.keep(version, bytes);
                 }
             }
             content = self.content(version).is_some();
@@ -131,8 +135,12 @@
         Ok(Answer { pointer, settle_ms, content })
     }
 
-    fn keep(&mut self, epoch: u64, bytes: Vec<u8>) {
-        self.contents.insert(epoch, bytes);
+    /// Keeps a content where it matches `version`'s digest: the only place it is hashed.
+    fn keep(&mut self, version: Version, bytes: Vec<u8>) {
+        if digest(&bytes) != version.digest {
+            return;
+        }
+        self.contents.insert(version.epoch, (version, bytes));
         while self.contents.len() > KEPT {
             self.contents.pop_first();
         }
@@ -184,7 +192,7 @@
         ]);
         match done.as_deref() {
             Ok([.., OwnedFrame::Array(_)]) => {
-                self.keep(version.epoch, bytes.to_vec());
+                self.keep(version, bytes.to_vec());
                 Proposed::Won
             }
             _ => Proposed::Lost,
@@ -252,6 +260,11 @@
 /// How long the thread rests when there is nothing to do.
 const REST: Duration = Duration::from_millis(5);
 
+/// A lock's contents, also after a panic elsewhere while it was held: what is inside is whole values only.
+fn held<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
 /// What the thread tells the loop.
 #[derive(Clone, Copy, Default)]
 struct Shared {
@@ -321,12 +334,12 @@
     /// The agreed version's content where it is not what this gateway took itself: to be taken, then told with
     /// [`Agreement::took`] or [`Agreement::refuse`].
     pub fn to_take(&self) -> Option<(Version, Vec<u8>)> {
-        let told = *self.told.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let told = *held(&self.told);
         let active = told.state.at(self.now()).active?;
         if Some(active.digest) == self.own || Some(active) == self.refused {
             return None;
         }
-        let contents = self.contents.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let contents = held(&self.contents);
         contents.as_ref().filter(|(version, _)| *version == active).cloned()
     }
 
@@ -342,7 +355,7 @@
 
     /// What this gateway acts on now.
     pub fn acting(&self) -> Acting {
-        let told = *self.told.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let told = *held(&self.told);
         let mut acting = told.state.at(self.now());
         // Danger: a version agreed that is not the configuration taken here (a bad or missed file) would be
         // claimed while the old rules are kept: until the agreed content is taken, this gateway counts as safe.
@@ -360,7 +373,7 @@
         if (acting.mode, acting.active) != self.logged {
             self.logged = (acting.mode, acting.active);
             let version = acting.active.map(|version| version.to_string()).unwrap_or_default();
-            let state = self.told.lock().unwrap_or_else(std::sync::PoisonError::into_inner).state;
+            let state = held(&self.told).state;
             let now = self.now();
             let due = state.pending.map(|(_, at)| at).filter(|at| *at <= now);
             let ended = state.lease_until.filter(|until| *until < now && acting.mode == Mode::Safe);
@@ -381,8 +394,8 @@
     /// The figures: the register's mode and epoch, and the members counted.
     pub fn figures(&self) -> String {
         let acting = self.acting();
-        let told = self.told.lock().unwrap_or_else(std::sync::PoisonError::into_inner).members;
-        let told = told.unwrap_or(Told { gateways: 1, suspected: 0, alone: true });
+        let told = held(&self.told).members;
+        let told = told.unwrap_or(Told::ALONE);
         let (safe, epoch) = (acting.mode != Mode::Active, acting.active.map_or(0, |version| version.epoch));
         format!(
             "switchhill_agreement_settings_epoch {epoch}\nswitchhill_agreement_settings_safe {}\n\
@@ -429,13 +442,13 @@
         let state = register.state();
         for version in [state.active, state.pending.map(|(version, _)| version)].into_iter().flatten() {
             if let Some(bytes) = wire.content(version) {
-                let mut handed = contents.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+                let mut handed = held(contents);
                 if handed.as_ref().is_none_or(|(before, _)| *before != version) {
                     *handed = Some((version, bytes.to_vec()));
                 }
             }
         }
-        let mut shared = told.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut shared = held(told);
         *shared = Shared { state, members: Some(members.told(clock())) };
         drop(shared);
         if !busy {
