--- a/lab/src/rig/checker.rs
+++ b/lab/src/rig/checker.rs
@@ -1,6 +1,22 @@
 //! Reads the `agreement` events of several gateways' JSON logs and finds the longest window in which two of them
 //! were Active on different versions.
 
+use std::io::{BufRead, BufReader, Read};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+/// Reads a gateway's log in a thread of its own until it ends, gathering its agreement events as gateway `number`.
+pub fn gather(log: impl Read + Send + 'static, number: usize, events: &Arc<Mutex<Vec<Event>>>) {
+    let events = events.clone();
+    thread::spawn(move || {
+        for line in BufReader::new(log).lines().map_while(Result::ok) {
+            if let Some(event) = event(number, &line) {
+                events.lock().expect("lock").push(event);
+            }
+        }
+    });
+}
+
 /// One change of what a gateway acts on, as its log tells it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
--- a/lab/src/rig/mod.rs
+++ b/lab/src/rig/mod.rs
@@ -10,3 +10,39 @@
 pub mod store;
 #[cfg(feature = "bench")]
 pub mod table;
+
+use crate::stand_in::{config, host, member, Act, Discovery, Seen};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use store::Store;
+
+/// What every run of agreement starts from: the store stand-in, one upstream host behind discovery, and the
+/// platform's configuration that every gateway is started with.
+pub struct Site {
+    /// The store that holds the register.
+    pub store: Store,
+    /// What the host has seen.
+    pub seen: Arc<Seen>,
+    /// Discovery, listing the one host.
+    pub discovery: Discovery,
+    /// The configuration every gateway starts with.
+    pub first: String,
+}
+
+impl Site {
+    /// Starts the store, the host and discovery.
+    pub fn start() -> Site {
+        let store = Store::start();
+        let seen = Arc::new(Seen::default());
+        let discovery = Discovery::new(vec![member("s-1", host(&seen, |_| Act::Serve))]);
+        let first = config(discovery.address);
+        Site { store, seen, discovery, first }
+    }
+}
+
+/// The operator's file that switches agreement on against the store at `store` for member `id`, with the log in
+/// JSON where `json`, so that [`checker::event`] can read it.
+pub fn operator(store: SocketAddr, id: &str, json: bool) -> String {
+    let log = if json { "log: {format: json}\n" } else { "" };
+    format!("agreement: {{store: \"{store}\", id: \"{id}\"}}\n{log}")
+}
--- a/lab/src/rig/table.rs
+++ b/lab/src/rig/table.rs
@@ -5,11 +5,10 @@
 //! switchhill-lab agreement --seeds 20
 //! ```
 
-use super::checker::{event, longest_disagreement, Event};
+use super::checker::{gather, longest_disagreement, Event};
 use super::proxy::{Fault, Proxy};
-use super::store::Store;
-use crate::stand_in::{config, host, member, Act, Discovery, Gateway, Seen};
-use std::io::{BufRead, BufReader};
+use super::{operator, Site};
+use crate::stand_in::Gateway;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -44,10 +43,6 @@
 /// How long a run waits for all to be Active on the last version.
 const CONVERGE: Duration = Duration::from_secs(20);
 
-fn acts(gateway: &Gateway) -> (u64, u64) {
-    (gateway.counter("agreement_settings_epoch"), gateway.counter("agreement_settings_safe"))
-}
-
 fn until(deadline: Instant, mut done: impl FnMut() -> bool) -> bool {
     while !done() {
         if Instant::now() > deadline {
@@ -61,33 +56,20 @@
 /// Plays one kind of fault under one seed.
 pub fn play(kind: Kind, seed: u64) -> Run {
     let mut chance = fastrand::Rng::with_seed(seed);
-    let store = Store::start();
-    let seen = Arc::new(Seen::default());
-    let discovery = Discovery::new(vec![member("s-1", host(&seen, |_| Act::Serve))]);
-    let first = config(discovery.address);
+    let site = Site::start();
+    let (store, first) = (&site.store, &site.first);
     let proxies: Vec<Proxy> = (0..3).map(|n| Proxy::start(store.address, seed * 3 + n)).collect();
     let events: Arc<Mutex<Vec<Event>>> = Arc::new(Mutex::new(Vec::new()));
     let mut gateways: Vec<Gateway> = proxies
         .iter()
         .enumerate()
-        .map(|(n, proxy)| {
-            let operator =
-                format!("agreement: {{store: \"{}\", id: \"g{n}\"}}\nlog: {{format: json}}\n", proxy.address);
-            Gateway::start_with(&first, Some(&operator))
-        })
+        .map(|(n, proxy)| Gateway::start_with(first, Some(&operator(proxy.address, &format!("g{n}"), true))))
         .collect();
     for (number, gateway) in gateways.iter_mut().enumerate() {
-        let (log, events) = (gateway.take_log(), events.clone());
-        thread::spawn(move || {
-            for line in BufReader::new(log).lines().map_while(Result::ok) {
-                if let Some(event) = event(number, &line) {
-                    events.lock().expect("lock").push(event);
-                }
-            }
-        });
+        gather(gateway.take_log(), number, &events);
     }
     let deadline = Instant::now() + CONVERGE;
-    let started = until(deadline, || gateways.iter().all(|gateway| acts(gateway) == (1, 0)));
+    let started = until(deadline, || gateways.iter().all(|gateway| gateway.agreed() == (1, 0)));
     let second = first.replace("\"meterMs\": 2000.0", "\"meterMs\": 1500.0");
     let third = first.replace("\"meterMs\": 2000.0", "\"meterMs\": 1000.0");
     let target = 1 + chance.usize(0..2);
@@ -124,11 +106,12 @@
         Kind::Behind => gateways[0].reload(&second),
     }
     let deadline = Instant::now() + CONVERGE;
-    let converged = started && until(deadline, || gateways.iter().all(|gateway| acts(gateway) == (last, 0)));
+    let converged =
+        started && until(deadline, || gateways.iter().all(|gateway| gateway.agreed() == (last, 0)));
     thread::sleep(Duration::from_millis(100));
     if !converged {
         let said: Vec<_> =
-            gateways.iter().map(|gateway| (acts(gateway), gateway.counter("agreement_alone"))).collect();
+            gateways.iter().map(|gateway| (gateway.agreed(), gateway.counter("agreement_alone"))).collect();
         eprintln!("{kind:?} seed {seed}: not all on epoch {last} (started {started}); (epoch, safe), alone: {said:?}");
     }
     let events = events.lock().expect("lock").clone();
--- a/lab/src/stand_in/mod.rs
+++ b/lab/src/stand_in/mod.rs
@@ -386,6 +386,11 @@
         self.child.as_ref().expect("running").id()
     }
 
+    /// The epoch its settings' agreement acts on, and 1 where it is safe (`agreement_settings_epoch`, `_safe`).
+    pub fn agreed(&self) -> (u64, u64) {
+        (self.counter("agreement_settings_epoch"), self.counter("agreement_settings_safe"))
+    }
+
     /// SIGSTOP: nothing of the process runs until [`Gateway::wake`]; its clocks go on.
     pub fn freeze(&self) {
         self.signal("-STOP");
