--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -22,6 +22,7 @@
 //! assert_eq!(register.acting(10).active, Some(current));
 //! ```
 
+pub mod hosts;
 mod members;
 
 pub use members::{Listed, Members, Told};
@@ -156,24 +157,41 @@
     pub pending: Option<(Version, Ms)>,
     /// The end of the lease.
     pub lease_until: Option<Ms>,
+    /// The last change of mode or version: when, and why in a few words.
+    pub changed: (Ms, &'static str),
 }
 
 impl State {
     /// What the register acts on at `now`, by the same rules as [`Register::tick`]: what is due is active, and a
     /// lease that ran out means Safe mode, however late the register's own thread is.
     pub fn at(&self, now: Ms) -> Acting {
-        let (mut active, mut pending) = (self.active, self.pending.map(|(version, _)| version));
-        if let Some((version, at)) = self.pending {
-            if now >= at {
-                (active, pending) = (Some(version), None);
-            }
+        self.told_at(now).0
+    }
+
+    /// As [`State::at`], with the moment of the last change and why it came. Both are of the change itself, however
+    /// late the caller looks: an announcement's end, a lease's end.
+    pub fn told_at(&self, now: Ms) -> (Acting, (Ms, &'static str)) {
+        let mut acting = Acting {
+            mode: self.mode,
+            active: self.active,
+            pending: self.pending.map(|(version, _)| version),
+        };
+        let mut changed = self.changed;
+        if let Some((version, at)) = self.pending.filter(|(_, at)| now >= *at) {
+            (acting.active, acting.pending, changed) = (Some(version), None, (at, ACTIVATED));
+        }
+        if let (Mode::Active, Some(until)) = (self.mode, self.lease_until.filter(|until| now > *until)) {
+            (acting.mode, changed) = (Mode::Safe, (until + 1, LAPSED));
         }
-        let leased = self.lease_until.is_some_and(|until| now <= until);
-        let mode = if self.mode == Mode::Active && !leased { Mode::Safe } else { self.mode };
-        Acting { mode, active, pending }
+        (acting, changed)
     }
 }
 
+/// Why a version became active: its announcement's end.
+const ACTIVATED: &str = "announcement ran out";
+/// Why a gateway went to Safe mode.
+const LAPSED: &str = "lease ran out";
+
 /// One read of the register: `GET agreement:K`, `PTTL agreement:K:settle` and, for a version not yet held, its
 /// content, fetched and checked against its digest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -221,19 +239,6 @@
     Lost,
 }
 
-/// A change of what a gateway acts on, for its structured log: one JSON event each.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Change {
-    /// When, on the caller's clock.
-    pub at: Ms,
-    /// The mode from then on.
-    pub mode: Mode,
-    /// The version acted on from then on (the last active one in Safe mode).
-    pub version: Option<Version>,
-    /// Why, in a few words.
-    pub why: &'static str,
-}
-
 /// One register at one gateway.
 #[derive(Debug)]
 pub struct Register {
@@ -252,12 +257,9 @@
     absent: bool,
     /// A read has come back since the last proposal's outcome.
     fresh: bool,
-    changes: Vec<Change>,
+    changed: (Ms, &'static str),
 }
 
-/// Changes kept for the log before the oldest are dropped; the caller drains them each round.
-const MOST_CHANGES: usize = 64;
-
 impl Register {
     /// A register at a process that started at `now`: Starting until a first confirmed read.
     pub fn new(settings: Settings, now: Ms) -> Register {
@@ -275,7 +277,7 @@
             restore: false,
             absent: false,
             fresh: true,
-            changes: Vec::new(),
+            changed: (now, "started"),
         }
     }
 
@@ -293,6 +295,7 @@
             active: self.active,
             pending: self.pending,
             lease_until: self.confirmed.map(|at| at + self.settings.lease_ms),
+            changed: self.changed,
         }
     }
 
@@ -308,20 +311,17 @@
                 self.pending = None;
                 self.active = Some(version);
                 if self.mode == Mode::Active {
-                    self.note(at, "announcement ran out");
+                    self.changed = (at, ACTIVATED);
                 }
             }
         }
-        if self.mode == Mode::Active && !self.leased(now) {
+        let ended = self.confirmed.map(|at| at + self.settings.lease_ms + 1).filter(|end| now >= *end);
+        if let (Mode::Active, Some(end)) = (self.mode, ended) {
             self.mode = Mode::Safe;
-            self.note(now, "lease ran out");
+            self.changed = (end, LAPSED);
         }
     }
 
-    fn leased(&self, now: Ms) -> bool {
-        self.confirmed.is_some_and(|at| now <= at + self.settings.lease_ms)
-    }
-
     /// The earliest moment at which [`Register::tick`] or [`Register::poll_action`] has something to do.
     pub fn next_due(&self) -> Ms {
         let mut due = if self.reading.is_some() { Ms::MAX } else { self.next_read };
@@ -389,6 +389,11 @@
         self.wanted = Some(digest);
     }
 
+    /// Nothing is asked for any more; a proposal that is out already stands.
+    pub fn withdraw(&mut self) {
+        self.wanted = None;
+    }
+
     /// How the proposal fared.
     pub fn proposed(&mut self, now: Ms, outcome: Proposed) {
         let proposed = self.proposing.take();
@@ -454,7 +459,7 @@
                 if self.active != Some(pointer) {
                     self.active = Some(pointer);
                     if self.mode == Mode::Active {
-                        self.note(now, "taken as settled");
+                        self.changed = (now, "taken as settled");
                     }
                 }
             }
@@ -462,20 +467,8 @@
         self.confirmed = Some(sent);
         if self.mode != Mode::Active {
             self.mode = Mode::Active;
-            self.note(now, "confirmed");
-        }
-    }
-
-    /// The changes since the last call, oldest first.
-    pub fn take_changes(&mut self) -> Vec<Change> {
-        std::mem::take(&mut self.changes)
-    }
-
-    fn note(&mut self, at: Ms, why: &'static str) {
-        if self.changes.len() == MOST_CHANGES {
-            self.changes.remove(0);
+            self.changed = (now, "confirmed");
         }
-        self.changes.push(Change { at, mode: self.mode, version: self.active, why });
     }
 }
 
--- a/crates/agreement/src/members.rs
+++ b/crates/agreement/src/members.rs
@@ -1,30 +1,36 @@
-//! Who else is live: each gateway renews `agreement:member:ID` with `PX lease_ms` every period and lists the others.
+//! Who else is live: each gateway renews `agreement:member:ID` with a beat and `PX lease_ms` every period, and reads
+//! the others' beats.
 
 use crate::{Ms, Settings};
+use std::collections::BTreeMap;
 
-/// One member as a listing shows it: its id and how long its key still lives.
+/// One member as a listing shows it: its id and the beat it last wrote.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listed {
     /// The member's id, as it renews it.
     pub id: String,
-    /// Milliseconds its key still lives (`PTTL`).
-    pub left_ms: Ms,
+    /// A number that it changes with each renewal.
+    pub beat: u64,
 }
 
 /// How many gateways share the quotas, as this one sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Told {
-    /// Live and suspected members, this one among them: at least 1, never rounded up per member.
+    /// Live and suspected members, this one among them: at least 1, never rounded up per member. While `alone`, the
+    /// last number known.
     pub gateways: u32,
-    /// Members whose renewal is overdue by more than two periods, counted in `gateways`.
+    /// This gateway's rank among them by id, from 0.
+    pub ordinal: u32,
+    /// Members whose beat has stood still for more than two periods, counted in `gateways`.
     pub suspected: u32,
     /// No listing within the lease: this gateway knows nobody and keeps to its own share.
     pub alone: bool,
 }
 
 impl Told {
-    /// What a gateway that knows nobody counts: itself alone, at its own share.
-    pub const ALONE: Told = Told { gateways: 1, suspected: 0, alone: true };
+    /// Before any listing: nobody known. Danger: as a divisor of quotas this would grant one gateway all of them; who
+    /// is alone divides by the last number known, or by the configured one if that is more.
+    pub const ALONE: Told = Told { gateways: 1, ordinal: 0, suspected: 0, alone: true };
 }
 
 /// The view of members at one gateway.
@@ -32,7 +38,8 @@
 pub struct Members {
     settings: Settings,
     me: String,
-    seen: Vec<Listed>,
+    /// Per member: its beat, and since when it has stood there.
+    seen: BTreeMap<String, (u64, Ms)>,
     listed_at: Option<Ms>,
 }
 
@@ -42,30 +49,36 @@
 impl Members {
     /// A view for the member `me`.
     pub fn new(settings: Settings, me: &str) -> Members {
-        Members { settings, me: me.to_owned(), seen: Vec::new(), listed_at: None }
+        Members { settings, me: me.to_owned(), seen: BTreeMap::new(), listed_at: None }
     }
 
-    /// A listing sent at `sent` came back at `now`. `me` need not be in it: a gateway counts itself.
-    pub fn listed(&mut self, now: Ms, sent: Ms, mut listed: Vec<Listed>) {
+    /// A listing sent at `sent` came back at `now`: every member whose key lives. `me` need not be in it: a gateway
+    /// counts itself.
+    pub fn listed(&mut self, now: Ms, sent: Ms, listed: Vec<Listed>) {
         if now.saturating_sub(sent) > self.settings.slowest_read_ms {
             return;
         }
-        listed.retain(|member| member.id != self.me);
-        listed.sort_by(|a, b| a.id.cmp(&b.id));
-        listed.dedup_by(|a, b| a.id == b.id);
-        listed.truncate(MOST_MEMBERS);
-        self.seen = listed;
+        let mut seen = BTreeMap::new();
+        for Listed { id, beat } in listed {
+            if id != self.me && (seen.len() < MOST_MEMBERS || seen.contains_key(&id)) {
+                let since =
+                    self.seen.get(&id).filter(|(before, _)| *before == beat).map_or(now, |(_, at)| *at);
+                seen.insert(id, (beat, since));
+            }
+        }
+        self.seen = seen;
         self.listed_at = Some(sent);
     }
 
     /// The count that divides quotas at `now`.
     pub fn told(&self, now: Ms) -> Told {
+        let overdue = |since: Ms| now.saturating_sub(since) > 2 * self.settings.period_ms;
         let fresh = self.listed_at.is_some_and(|at| now <= at + self.settings.lease_ms);
-        if !fresh {
-            return Told::ALONE;
+        Told {
+            gateways: 1 + self.seen.len() as u32,
+            ordinal: self.seen.keys().filter(|id| **id < self.me).count() as u32,
+            suspected: self.seen.values().filter(|(_, since)| overdue(*since)).count() as u32,
+            alone: !fresh,
         }
-        let overdue = self.settings.lease_ms.saturating_sub(2 * self.settings.period_ms);
-        let suspected = self.seen.iter().filter(|member| member.left_ms < overdue).count() as u32;
-        Told { gateways: 1 + self.seen.len() as u32, suspected, alone: false }
     }
 }
--- a/lab/src/rig/store.rs
+++ b/lab/src/rig/store.rs
@@ -1,10 +1,10 @@
 //! A stand-in for the shared store over RESP2, with what agreement uses: `GET`, `SET` with `NX` and `PX`, `PTTL`,
-//! `DEL`, `KEYS` with a trailing `*`, `WATCH`/`UNWATCH`/`MULTI`/`EXEC`/`DISCARD`, `PING` and `FLUSHALL`, as the
+//! `DEL`, `MGET`, the set commands `SADD`, `SREM`, `SMEMBERS`, for the meter `INCRBYFLOAT` and `PEXPIRE`, `WATCH`/`UNWATCH`/`MULTI`/`EXEC`/`DISCARD`, `PING` and `FLUSHALL`, as the
 //! published command reference describes them. Expiry is on the stand-in's monotonic clock.
 
 use redis_protocol::resp2::decode::decode;
 use redis_protocol::resp2::types::OwnedFrame;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -16,6 +16,7 @@
 
 #[derive(Default)]
 struct Kept {
+    sets: HashMap<String, BTreeSet<String>>,
     values: HashMap<String, (Vec<u8>, Option<Instant>)>,
     /// Per key, how often it changed; with `flushes`, what `WATCH` compares.
     changes: HashMap<String, u64>,
@@ -109,9 +110,24 @@
     pub fn empty(&self) {
         let mut kept = self.kept.lock().expect("lock");
         kept.values.clear();
+        kept.sets.clear();
         kept.flushes += 1;
     }
 
+    /// Forgets one key, as a store that lost it.
+    pub fn lose(&self, key: &str) {
+        let mut kept = self.kept.lock().expect("lock");
+        kept.values.remove(key);
+        kept.touch(key);
+    }
+
+    /// Puts a value under a key, as one restored from an old copy.
+    pub fn put(&self, key: &str, value: &[u8]) {
+        let mut kept = self.kept.lock().expect("lock");
+        kept.values.insert(key.to_owned(), (value.to_vec(), None));
+        kept.touch(key);
+    }
+
     /// Commands served so far.
     pub fn commands(&self) -> u64 {
         self.kept.lock().expect("lock").commands
@@ -258,18 +274,55 @@
             kept.touch(&key);
             Reply::Ok
         }
-        ("KEYS", 2) => {
-            let Some(prefix) = key.strip_suffix('*') else {
-                return Reply::Error("ERR this stand-in takes only patterns ending in *".into());
+        ("MGET", 2..) => {
+            let value = |key: &Vec<u8>| match kept.live(&text(key)) {
+                Some((value, _)) => Reply::Bulk(value.clone()),
+                None => Reply::Nil,
+            };
+            Reply::Array(words[1..].iter().map(value).collect())
+        }
+        ("SADD" | "SREM", 3..) => {
+            let set = kept.sets.entry(key).or_default();
+            let members = words[2..].iter().map(|word| text(word));
+            let changed = members.filter(|member| match name.as_str() {
+                "SADD" => set.insert(member.clone()),
+                _ => set.remove(member),
+            });
+            Reply::Int(changed.count() as i64)
+        }
+        ("SMEMBERS", 2) => {
+            let members = kept.sets.get(&key).into_iter().flatten();
+            Reply::Array(members.map(|member| Reply::Bulk(member.clone().into_bytes())).collect())
+        }
+        ("INCRBYFLOAT", 3) => {
+            let Ok(by) = text(&words[2]).parse::<f64>() else {
+                return Reply::Error("ERR value is not a valid float".into());
+            };
+            let (old, until) = kept.live(&key).cloned().unwrap_or_default();
+            let Ok(old) = (if old.is_empty() { Ok(0.0) } else { text(&old).parse::<f64>() }) else {
+                return Reply::Error("ERR value is not a valid float".into());
+            };
+            let sum = (old + by).to_string().into_bytes();
+            kept.values.insert(key.clone(), (sum.clone(), until));
+            kept.touch(&key);
+            Reply::Bulk(sum)
+        }
+        ("PEXPIRE", 3) => {
+            let Ok(ms) = text(&words[2]).parse::<u64>() else {
+                return Reply::Error("ERR value is not an integer or out of range".into());
             };
-            let mut keys: Vec<String> =
-                kept.values.keys().filter(|each| each.starts_with(prefix)).cloned().collect();
-            keys.retain(|each| kept.live(each).is_some());
-            keys.sort();
-            Reply::Array(keys.into_iter().map(|key| Reply::Bulk(key.into_bytes())).collect())
+            match kept.live(&key).cloned() {
+                Some((value, _)) => {
+                    let until = Instant::now() + Duration::from_millis(ms);
+                    kept.values.insert(key, (value, Some(until)));
+                    Reply::Int(1)
+                }
+                None => Reply::Int(0),
+            }
         }
         ("FLUSHALL", 1) => {
             kept.values.clear();
+            kept.sets.clear();
             kept.flushes += 1;
             Reply::Ok
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -18,7 +18,7 @@
 use crate::memory::counters::Counters;
 use crate::memory::figures::{Figures, Outcome as Ending};
 use crate::Brain;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 pub(crate) use timers::Timers;
 
 /// Names a stream; a front never uses one twice.
@@ -320,6 +320,28 @@
         true
     }
 
+    /// Whether an operator, or an agreed version, holds this upstream host out.
+    #[must_use]
+    pub fn is_called_out(&self, host: &str) -> bool {
+        self.cordons.contains_key(host)
+    }
+
+    /// Exactly these upstream hosts are left out from now on, as agreed with the other gateways, whether this one has
+    /// them in its list yet or not.
+    pub fn hold_out(&mut self, out: BTreeSet<BackendId>) {
+        let back: Vec<BackendId> = self.cordons.keys().filter(|id| !out.contains(*id)).cloned().collect();
+        for id in back {
+            self.uncordon(&id);
+        }
+        let now = self.now;
+        for id in out {
+            if !self.cordons.contains_key(&id) {
+                self.cordons.insert(id.clone(), now);
+                self.events_called.push(id);
+            }
+        }
+    }
+
     fn called(&self, host: &str) -> Option<BackendId> {
         let listed = self.hosts.get_key_value(host).map(|(id, _)| id);
         listed.or_else(|| self.cordons.get_key_value(host).map(|(id, _)| id)).cloned()
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -27,6 +27,12 @@
 }
 
 impl Listed {
+    /// Whether it takes requests.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.ready
+    }
+
     /// The entry as the module reads it.
     #[must_use]
     pub fn backend(&self) -> Backend {
@@ -65,14 +71,8 @@
         plans: Vec<String>,
         place: impl Fn(&BackendId) -> Option<(std::net::SocketAddr, bool)>,
     ) -> State {
-        let listed = |told: &Backend| {
-            let (address, http2) = place(&told.id)?;
-            let (id, ready) = (told.id.to_string(), told.state == BackendState::Ready);
-            let Backend { zone, cell, rating, born, .. } = *told;
-            Some(Listed { id, address, http2, zone, cell, ready, rating, born })
-        };
         State {
-            list: self.hosts.values().filter_map(listed).collect(),
+            list: self.list(place),
             classes,
             plans,
             cordons: self.cordons.iter().map(|(id, since)| (id.to_string(), *since)).collect(),
@@ -81,6 +81,18 @@
         }
     }
 
+    /// The list as it was told, cordons left aside.
+    #[must_use]
+    pub fn list(&self, place: impl Fn(&BackendId) -> Option<(std::net::SocketAddr, bool)>) -> Vec<Listed> {
+        let listed = |told: &Backend| {
+            let (address, http2) = place(&told.id)?;
+            let (id, ready) = (told.id.to_string(), told.state == BackendState::Ready);
+            let Backend { zone, cell, rating, born, .. } = *told;
+            Some(Listed { id, address, http2, zone, cell, ready, rating, born })
+        };
+        self.hosts.values().filter_map(listed).collect()
+    }
+
     /// Goes on from another core's state, under the classes and plans of the settings here.
     pub fn go_on(&mut self, state: State, classes: &[String], plans: &[String]) {
         for (id, since) in state.cordons.into_iter().take(super::MOST_CORDONS) {
--- a/src/net/agreement.rs
+++ b/src/net/agreement.rs
@@ -1,18 +1,19 @@
-//! Agreement's wire: a blocking link to the store in a thread of its own, behind a bounded queue, and the one
-//! handle that the loop keeps. The thread carries out what a `Register` and `Members` ask of the store; the loop
-//! reads their state and works out, on its own clock, what it acts on. The rig's tests use the same `Wire`.
-//! Keys: `agreement:K` (`EPOCH DIGEST`), `agreement:K:settle` (the announcement,
-//! `PX`), `agreement:K:EPOCH` (the content), `agreement:member:ID` (`PX lease_ms`).
+//! Agreement's wire: a blocking link to the store in a thread of its own, and the one handle that the loop keeps.
+//! The thread carries out what the `Register`s (settings, hosts) and `Members` ask of the store; the loop reads what
+//! it publishes and works out, on its own clock, what it acts on. What the loop asks lies on a desk of one slot each.
+//! The rig's tests use the same `Wire`.
+//! Keys: `agreement:K` (`EPOCH DIGEST`), `agreement:K:settle` (the announcement, `PX`), `agreement:K:EPOCH` (the
+//! content), `agreement:members` (a set of ids), `agreement:member:ID` (a beat, `PX lease_ms`).
 
 use redis_protocol::resp2::decode::decode;
 use redis_protocol::resp2::types::OwnedFrame;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
+use switchhill_agreement::hosts::{compose, unmet, Hosts, Listing, Stamp, Stamper, Wishes};
 use switchhill_agreement::{
     digest, Acting, Action, Answer, Listed, Members, Mode, Ms, Proposed, Register, Settings, State, Told,
     Version,
@@ -21,83 +22,54 @@
 /// Contents kept per register: the active, the pending and a few before.
 const KEPT: usize = 4;
 
-/// A blocking link to the store for one register of one participant.
-pub struct Wire {
+/// One connection to the store, made anew after a failure.
+struct Link {
     address: SocketAddr,
     timeout: Duration,
-    kind: String,
     socket: Option<TcpStream>,
+}
+
+/// A blocking link to the store for one register of one participant.
+pub struct Wire {
+    link: Arc<Mutex<Link>>,
+    kind: String,
     /// Contents by epoch, each kept only where it matched its version's digest.
-    contents: BTreeMap<u64, (Version, Vec<u8>)>,
+    contents: BTreeMap<u64, (Version, Arc<Vec<u8>>)>,
+    /// What a content must pass beyond its digest to count as held.
+    valid: fn(&[u8]) -> bool,
     /// The content this participant wants to propose, by its digest.
     pub offered: BTreeMap<u64, Vec<u8>>,
+    /// Members seen in the last listing, whose beats are asked for with the next.
+    known: BTreeSet<String>,
+    beat: u64,
 }
 
 impl Wire {
     /// A wire to the store at `address` for register `kind`; each call gives up after `timeout`.
     pub fn new(address: SocketAddr, kind: &str, timeout: Duration) -> Wire {
+        let link = Arc::new(Mutex::new(Link { address, timeout, socket: None }));
+        Wire::over(link, kind, |_| true)
+    }
+
+    fn over(link: Arc<Mutex<Link>>, kind: &str, valid: fn(&[u8]) -> bool) -> Wire {
         Wire {
-            address,
-            timeout,
+            link,
             kind: kind.to_owned(),
-            socket: None,
             contents: BTreeMap::new(),
+            valid,
             offered: BTreeMap::new(),
+            known: BTreeSet::new(),
+            beat: 0,
         }
     }
 
     /// The content of `version` if it is held here; it matched its digest when it was kept.
-    pub fn content(&self, version: Version) -> Option<&[u8]> {
-        self.contents
-            .get(&version.epoch)
-            .filter(|(kept, _)| *kept == version)
-            .map(|(_, bytes)| bytes.as_slice())
-    }
-
-    fn call(&mut self, commands: &[Vec<&[u8]>]) -> Result<Vec<OwnedFrame>, String> {
-        if self.socket.is_none() {
-            let socket =
-                TcpStream::connect_timeout(&self.address, self.timeout).map_err(|e| e.to_string())?;
-            socket.set_read_timeout(Some(self.timeout)).map_err(|e| e.to_string())?;
-            socket.set_write_timeout(Some(self.timeout)).map_err(|e| e.to_string())?;
-            let _ = socket.set_nodelay(true);
-            self.socket = Some(socket);
-        }
-        let result = self.exchange(commands);
-        if result.is_err() {
-            // Danger: answers of a call given up could be read as those of the next one; the connection goes.
-            self.socket = None;
-        }
-        result
+    pub fn content(&self, version: Version) -> Option<&Arc<Vec<u8>>> {
+        self.contents.get(&version.epoch).filter(|(kept, _)| *kept == version).map(|(_, bytes)| bytes)
     }
 
-    fn exchange(&mut self, commands: &[Vec<&[u8]>]) -> Result<Vec<OwnedFrame>, String> {
-        let socket = self.socket.as_mut().ok_or("no connection")?;
-        let mut out = Vec::new();
-        for words in commands {
-            out.extend_from_slice(format!("*{}\r\n", words.len()).as_bytes());
-            for word in words {
-                out.extend_from_slice(format!("${}\r\n", word.len()).as_bytes());
-                out.extend_from_slice(word);
-                out.extend_from_slice(b"\r\n");
-            }
-        }
-        socket.write_all(&out).map_err(|e| e.to_string())?;
-        let (mut bytes, mut some, mut answers) = (Vec::new(), [0; 4096], Vec::new());
-        while answers.len() < commands.len() {
-            match decode(&bytes).map_err(|e| e.to_string())? {
-                Some((frame, used)) => {
-                    bytes.drain(..used);
-                    answers.push(frame);
-                }
-                None => match socket.read(&mut some) {
-                    Ok(0) => return Err("closed".into()),
-                    Ok(n) => bytes.extend_from_slice(&some[..n]),
-                    Err(e) => return Err(e.to_string()),
-                },
-            }
-        }
-        Ok(answers)
+    fn call(&self, commands: &[Vec<&[u8]>]) -> Result<Vec<OwnedFrame>, String> {
+        held(&self.link).call(commands)
     }
 
     fn pointer_key(&self) -> String {
@@ -127,7 +99,7 @@
             if self.content(version).is_none() {
                 let key = self.content_key(version.epoch);
                 if let Some(bytes) = bulk(&self.call(&[vec![b"GET", key.as_bytes()]])?[0]) {
-                    self.keep(version, bytes);
+                    self.keep(version, Arc::new(bytes));
                 }
             }
             content = self.content(version).is_some();
@@ -136,8 +108,8 @@
     }
 
     /// Keeps a content where it matches `version`'s digest: the only place it is hashed.
-    fn keep(&mut self, version: Version, bytes: Vec<u8>) {
-        if digest(&bytes) != version.digest {
+    fn keep(&mut self, version: Version, bytes: Arc<Vec<u8>>) {
+        if digest(&bytes) != version.digest || !(self.valid)(&bytes) {
             return;
         }
         self.contents.insert(version.epoch, (version, bytes));
@@ -154,7 +126,7 @@
 
     /// Gives the pointer back where it holds less than `version`, with an announcement of `settle_ms`.
     pub fn restore(&mut self, version: Version, settle_ms: Ms) -> bool {
-        let Some(bytes) = self.content(version).map(<[u8]>::to_vec) else { return false };
+        let Some(bytes) = self.content(version).cloned() else { return false };
         let lower = |stored: Option<Version>, _| stored.is_none_or(|stored| stored.epoch < version.epoch);
         self.change(version, settle_ms, &bytes, lower) == Proposed::Won
     }
@@ -192,36 +164,111 @@
         ]);
         match done.as_deref() {
             Ok([.., OwnedFrame::Array(_)]) => {
-                self.keep(version, bytes.to_vec());
+                self.keep(version, Arc::new(bytes.to_vec()));
                 Proposed::Won
             }
             _ => Proposed::Lost,
         }
     }
 
-    /// Renews this member's key and lists every member with what its key has left.
+    /// Renews this member's key and lists the members whose keys live, in one round trip: the beats of those that
+    /// the listing before named; who is new comes with the next.
     pub fn members(&mut self, me: &str, lease_ms: Ms) -> Result<Vec<Listed>, String> {
-        let key = format!("agreement:member:{me}");
-        let lease = lease_ms.to_string();
-        let answers = self.call(&[
-            vec![b"SET", key.as_bytes(), b"1", b"PX", lease.as_bytes()],
-            vec![b"KEYS", b"agreement:member:*"],
-        ])?;
-        let OwnedFrame::Array(keys) = &answers[1] else { return Err("KEYS gave no list".into()) };
-        let keys: Vec<Vec<u8>> = keys.iter().filter_map(bulk).collect();
-        let asks: Vec<Vec<&[u8]>> = keys.iter().map(|key| vec![b"PTTL".as_slice(), key.as_slice()]).collect();
-        let lefts = if asks.is_empty() { Vec::new() } else { self.call(&asks)? };
-        Ok(keys
-            .iter()
-            .zip(lefts)
-            .filter_map(|(key, left)| match left {
-                OwnedFrame::Integer(left) if left > 0 => Some(Listed {
-                    id: String::from_utf8_lossy(&key["agreement:member:".len()..]).into_owned(),
-                    left_ms: left as Ms,
-                }),
-                _ => None,
-            })
-            .collect())
+        let (mine, lease) = (member_key(me), lease_ms.to_string());
+        self.beat += 1;
+        let beat = self.beat.to_string();
+        let keys: Vec<String> = self.known.iter().map(|id| member_key(id)).collect();
+        let mut asks: Vec<Vec<&[u8]>> = vec![
+            vec![b"SET", mine.as_bytes(), beat.as_bytes(), b"PX", lease.as_bytes()],
+            vec![b"SADD", MEMBERS, me.as_bytes()],
+            vec![b"SMEMBERS", MEMBERS],
+        ];
+        if !keys.is_empty() {
+            asks.push(std::iter::once(b"MGET".as_slice()).chain(keys.iter().map(|k| k.as_bytes())).collect());
+        }
+        let answers = self.call(&asks)?;
+        let OwnedFrame::Array(ids) = &answers[2] else { return Err("SMEMBERS gave no list".into()) };
+        let ids: BTreeSet<String> =
+            ids.iter().filter_map(bulk).map(|id| String::from_utf8_lossy(&id).into_owned()).collect();
+        let beats = match answers.get(3) {
+            Some(OwnedFrame::Array(beats)) if beats.len() == self.known.len() => beats.as_slice(),
+            Some(_) => return Err("MGET gave no list of its length".into()),
+            None => &[],
+        };
+        let (mut listed, mut gone) = (Vec::new(), Vec::new());
+        for (id, beat) in self.known.iter().zip(beats) {
+            match bulk(beat).and_then(|beat| String::from_utf8_lossy(&beat).parse().ok()) {
+                Some(beat) => listed.push(Listed { id: id.clone(), beat }),
+                None if id != me => gone.push(id.as_bytes()),
+                None => {}
+            }
+        }
+        if !gone.is_empty() {
+            // Who lives is back in the set with its next renewal; ids seen once do not stay in the store.
+            let words: Vec<&[u8]> = [b"SREM".as_slice(), MEMBERS].into_iter().chain(gone).collect();
+            self.call(&[words])?;
+        }
+        self.known = ids;
+        Ok(listed)
+    }
+
+    /// Takes this member out at once, so that the others need not wait for its key to run out.
+    fn leave(&mut self, me: &str) {
+        let _ = self.call(&[vec![b"DEL", member_key(me).as_bytes()], vec![b"SREM", MEMBERS, me.as_bytes()]]);
+    }
+}
+
+const MEMBERS: &[u8] = b"agreement:members";
+
+fn member_key(id: &str) -> String {
+    format!("agreement:member:{id}")
+}
+
+impl Link {
+    fn call(&mut self, commands: &[Vec<&[u8]>]) -> Result<Vec<OwnedFrame>, String> {
+        if self.socket.is_none() {
+            let socket =
+                TcpStream::connect_timeout(&self.address, self.timeout).map_err(|e| e.to_string())?;
+            socket.set_read_timeout(Some(self.timeout)).map_err(|e| e.to_string())?;
+            socket.set_write_timeout(Some(self.timeout)).map_err(|e| e.to_string())?;
+            let _ = socket.set_nodelay(true);
+            self.socket = Some(socket);
+        }
+        let result = self.exchange(commands);
+        if result.is_err() {
+            // Danger: answers of a call given up could be read as those of the next one; the connection goes.
+            self.socket = None;
+        }
+        result
+    }
+
+    fn exchange(&mut self, commands: &[Vec<&[u8]>]) -> Result<Vec<OwnedFrame>, String> {
+        let socket = self.socket.as_mut().ok_or("no connection")?;
+        let mut out = Vec::new();
+        for words in commands {
+            out.extend_from_slice(format!("*{}\r\n", words.len()).as_bytes());
+            for word in words {
+                out.extend_from_slice(format!("${}\r\n", word.len()).as_bytes());
+                out.extend_from_slice(word);
+                out.extend_from_slice(b"\r\n");
+            }
+        }
+        socket.write_all(&out).map_err(|e| e.to_string())?;
+        let (mut bytes, mut some, mut answers) = (Vec::new(), [0; 4096], Vec::new());
+        while answers.len() < commands.len() {
+            match decode(&bytes).map_err(|e| e.to_string())? {
+                Some((frame, used)) => {
+                    bytes.drain(..used);
+                    answers.push(frame);
+                }
+                None => match socket.read(&mut some) {
+                    Ok(0) => return Err("closed".into()),
+                    Ok(n) => bytes.extend_from_slice(&some[..n]),
+                    Err(e) => return Err(e.to_string()),
+                },
+            }
+        }
+        Ok(answers)
     }
 }
 
@@ -252,11 +299,6 @@
     true
 }
 
-/// Contents that may wait to be proposed; a newer one replaces what waits, so one is enough beside the one sent.
-const WAITING: usize = 2;
-/// The content of the latest agreed version that the thread holds, handed to the loop.
-type Handed = Arc<Mutex<Option<(Version, Vec<u8>)>>>;
-
 /// How long the thread rests when there is nothing to do.
 const REST: Duration = Duration::from_millis(5);
 
@@ -265,194 +307,330 @@
     mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
+/// One register as the thread publishes it, with the contents of its active and pending versions where held.
+#[derive(Clone, Debug)]
+pub(super) struct Published<T> {
+    pub(super) state: State,
+    contents: Vec<(Version, Arc<T>)>,
+}
+
+impl<T> Default for Published<T> {
+    fn default() -> Self {
+        Self { state: State::default(), contents: Vec::new() }
+    }
+}
+
+impl<T> Published<T> {
+    /// The content of a version, where it is held.
+    pub(super) fn content(&self, version: Option<Version>) -> Option<&Arc<T>> {
+        self.contents.iter().find(|(held, _)| Some(*held) == version).map(|(_, content)| content)
+    }
+
+    /// Contents of a register's active and pending versions, made by `make` where they were not published before.
+    fn next(&self, register: &Register, wire: &Wire, make: impl Fn(&Arc<Vec<u8>>) -> Option<Arc<T>>) -> Self {
+        let state = register.state();
+        let versions = [state.active, state.pending.map(|(version, _)| version), register.highest()];
+        let mut contents: Vec<(Version, Arc<T>)> = Vec::new();
+        for version in versions.into_iter().flatten() {
+            let kept = self.content(Some(version)).cloned();
+            let content = kept.or_else(|| wire.content(version).and_then(&make));
+            if let Some(content) = content.filter(|_| contents.iter().all(|(held, _)| *held != version)) {
+                contents.push((version, content));
+            }
+        }
+        Self { state, contents }
+    }
+}
+
 /// What the thread tells the loop.
-#[derive(Clone, Copy, Default)]
-struct Shared {
-    state: State,
+#[derive(Clone, Debug, Default)]
+pub(super) struct View {
+    pub(super) settings: Published<Vec<u8>>,
+    pub(super) hosts: Published<Hosts>,
     members: Option<Told>,
 }
 
+/// What the loop asks of the thread: one slot each, so nothing piles up.
+#[derive(Default)]
+struct Desk {
+    /// Settings that an operator offered; the last offer counts.
+    offer: Option<Vec<u8>>,
+    /// Settings as this gateway was started with: proposed only where there is no version at all.
+    first: Option<Vec<u8>>,
+    listing: Option<Arc<Listing>>,
+    wishes: Wishes,
+    leaving: bool,
+}
+
 /// Agreement at one gateway: its one field in the loop.
 pub struct Agreement {
-    asks: SyncSender<Vec<u8>>,
-    told: Arc<Mutex<Shared>>,
+    desk: Arc<Mutex<Desk>>,
+    told: Arc<Mutex<Arc<View>>>,
     start: Instant,
-    /// What was last logged: mode and version.
-    logged: (Mode, Option<Version>),
+    /// What was last logged, by register.
+    logged: [(Mode, Option<Version>); 2],
     settings: Settings,
-    /// The digest of the configuration this gateway has taken itself.
-    own: Option<u64>,
-    /// Contents of agreed versions, as the thread fetched them; the loop takes the one it needs.
-    contents: Handed,
-    /// An agreed version that could not be taken here: not tried again.
-    refused: Option<Version>,
     /// Unix time in milliseconds at `start`: the events' moments are told in it.
     unix_start: Ms,
+    /// What the loop has taken of the versions.
+    pub(super) taken: super::agreed::Taken,
+    /// Orders discovery's lists against the agreed one.
+    pub(super) stamper: Stamper,
 }
 
+/// The registers' names, in the order of what is logged.
+const REGISTERS: [&str; 2] = ["settings", "hosts"];
+
 impl Agreement {
-    /// Starts the thread that keeps the `settings` register at `store` for member `id`.
-    pub fn start(store: std::net::SocketAddr, id: &str) -> Agreement {
+    /// Starts the thread that keeps both registers at `store` for member `id`; `first` is this gateway's own shared
+    /// settings, the fleet's first version where there is none.
+    pub fn start(store: std::net::SocketAddr, id: &str, first: Vec<u8>) -> Agreement {
         let settings = Settings::default();
-        let (asks, asked) = sync_channel(WAITING);
-        let told = Arc::new(Mutex::new(Shared::default()));
+        let desk = Arc::new(Mutex::new(Desk { first: Some(first), ..Desk::default() }));
+        let told = Arc::new(Mutex::new(Arc::new(View::default())));
         let start = Instant::now();
-        let (shared, id) = (told.clone(), id.to_owned());
-        let contents: Handed = Arc::new(Mutex::new(None));
-        let handed = contents.clone();
+        let (id, asked, shared) = (id.to_owned(), desk.clone(), told.clone());
         let spawned = thread::Builder::new()
             .name("agreement".into())
-            .spawn(move || keep(store, &id, settings, start, &asked, &shared, &handed));
+            .spawn(move || keep(store, &id, settings, start, &asked, &shared));
         if let Err(why) = spawned {
             tracing::warn!("agreement cannot start its thread, and stays in safe mode: {why}");
         }
         Agreement {
-            asks,
+            desk,
             told,
             start,
-            logged: (Mode::Starting, None),
+            logged: [(Mode::Starting, None); 2],
             settings,
-            own: None,
-            contents,
-            refused: None,
             unix_start: std::time::SystemTime::now()
                 .duration_since(std::time::UNIX_EPOCH)
                 .map_or(0, |since| since.as_millis() as Ms),
+            taken: super::agreed::Taken::default(),
+            stamper: Stamper::default(),
         }
     }
 
-    fn now(&self) -> Ms {
+    /// Milliseconds on the clock that the registers keep: monotonic, going on while the process is stopped.
+    pub(super) fn now(&self) -> Ms {
         self.start.elapsed().as_millis() as Ms
     }
 
-    /// Offers a configuration taken whole as the next version. A full queue drops it: a newer one follows.
-    pub fn offer(&mut self, content: &[u8]) {
-        self.own = Some(digest(content));
-        let _ = self.asks.try_send(content.to_vec());
+    /// What the thread last published.
+    pub(super) fn view(&self) -> Arc<View> {
+        held(&self.told).clone()
+    }
+
+    /// How long until an announcement or a lease ends, so that the loop looks in time.
+    pub(super) fn due_in(&self) -> Option<Ms> {
+        let (view, now) = (self.view(), self.now());
+        let ends =
+            |state: &State| [state.pending.map(|(_, at)| at), state.lease_until.map(|until| until + 1)];
+        let both = [ends(&view.settings.state), ends(&view.hosts.state)];
+        both.into_iter().flatten().flatten().filter(|at| *at > now).min().map(|at| at - now)
     }
 
-    /// The agreed version's content where it is not what this gateway took itself: to be taken, then told with
-    /// [`Agreement::took`] or [`Agreement::refuse`].
-    pub fn to_take(&self) -> Option<(Version, Vec<u8>)> {
-        let told = *held(&self.told);
-        let active = told.state.at(self.now()).active?;
-        if Some(active.digest) == self.own || Some(active) == self.refused {
-            return None;
+    /// Offers settings as the next version. A later offer replaces one that was not announced yet.
+    pub(super) fn offer(&self, shared: Vec<u8>) {
+        held(&self.desk).offer = Some(shared);
+    }
+
+    /// Tells which hosts discovery lists here.
+    pub(super) fn list(&self, listing: Listing) {
+        held(&self.desk).listing = Some(Arc::new(listing));
+    }
+
+    /// An operator wants a host left out or put back, at every gateway. False where too many wishes wait.
+    pub(super) fn wish(&self, host: &str, out: bool) -> bool {
+        let mut desk = held(&self.desk);
+        let room = desk.wishes.len() < switchhill_agreement::hosts::MOST_CORDONS;
+        if room || desk.wishes.contains_key(host) {
+            desk.wishes.insert(host.to_owned(), out);
+            return true;
         }
-        let contents = held(&self.contents);
-        contents.as_ref().filter(|(version, _)| *version == active).cloned()
+        false
+    }
+
+    /// The wishes that no version fulfils yet.
+    pub(super) fn wishes(&self) -> Wishes {
+        held(&self.desk).wishes.clone()
     }
 
-    /// The agreed content was taken whole: this gateway acts on it as its own.
-    pub fn took(&mut self, version: Version) {
-        self.own = Some(version.digest);
+    /// This gateway stops: the others are to know at once.
+    pub(super) fn leave(&self) {
+        held(&self.desk).leaving = true;
     }
 
-    /// The agreed content could not be taken here: this gateway stays safe on it until another version comes.
-    pub fn refuse(&mut self, version: Version) {
-        self.refused = Some(version);
+    /// The stamp of the newest list that this gateway acts on by agreement.
+    pub(super) fn agreed_stamp(&self) -> Option<Stamp> {
+        let view = self.view();
+        let active = view.hosts.state.at(self.now()).active;
+        view.hosts.content(active).map(|hosts| hosts.stamp)
     }
 
-    /// What this gateway acts on now.
-    pub fn acting(&self) -> Acting {
-        let told = *held(&self.told);
-        let mut acting = told.state.at(self.now());
-        // Danger: a version agreed that is not the configuration taken here (a bad or missed file) would be
-        // claimed while the old rules are kept: until the agreed content is taken, this gateway counts as safe.
-        if acting.mode == Mode::Active && acting.active.map(|version| version.digest) != self.own {
-            acting.mode = Mode::Safe;
+    /// How many gateways share the quotas and this one's number among them, given what the configuration says. While
+    /// alone, and at first, never under the configured number: the looser share is taken only on evidence.
+    pub(super) fn told_number(&self, configured: (u32, u32)) -> (u32, u32) {
+        let view = self.view();
+        let told = view.members.unwrap_or(Told::ALONE);
+        if told.alone
+            || self.now() < 2 * self.settings.lease_ms
+            || self.acting(&view)[0].0.mode == Mode::Starting
+        {
+            return (told.gateways.max(configured.0), configured.1);
         }
-        acting
+        (told.gateways, told.ordinal)
     }
 
-    /// What this gateway acts on now; logs one JSON event where that changed. The event's `unix_ms` is the moment
-    /// of the change itself (an announcement's end, a lease's end), not the later one at which the loop saw it, so
-    /// that windows measured from the logs of several processes are true.
-    pub fn round(&mut self) -> Acting {
-        let acting = self.acting();
-        if (acting.mode, acting.active) != self.logged {
-            self.logged = (acting.mode, acting.active);
+    /// What this gateway acts on by each register, and when and why that last changed.
+    pub(super) fn acting(&self, view: &View) -> [(Acting, (Ms, &'static str)); 2] {
+        let now = self.now();
+        let mut settings = view.settings.state.told_at(now);
+        // Danger: a version agreed that is not the one acted on here (it could not be taken) would be claimed while
+        // other rules are kept: this gateway counts as safe.
+        if settings.0.mode == Mode::Active && settings.0.active != self.taken.settings {
+            (settings.0.mode, settings.1 .1) = (Mode::Safe, "the agreed version cannot be taken here");
+        }
+        [settings, view.hosts.state.told_at(now)]
+    }
+
+    /// Logs one JSON event for each register whose mode or version changed. The event's `unix_ms` is the moment of
+    /// the change itself: every round looks before it decides anything, so nothing was decided by the old state
+    /// after it, and windows measured from the logs of several processes are true.
+    pub(super) fn log_changes(&mut self) {
+        let view = self.view();
+        for (n, (acting, (at, why))) in self.acting(&view).into_iter().enumerate() {
+            if (acting.mode, acting.active) == self.logged[n] {
+                continue;
+            }
+            self.logged[n] = (acting.mode, acting.active);
             let version = acting.active.map(|version| version.to_string()).unwrap_or_default();
-            let state = held(&self.told).state;
-            let now = self.now();
-            let due = state.pending.map(|(_, at)| at).filter(|at| *at <= now);
-            let ended = state.lease_until.filter(|until| *until < now && acting.mode == Mode::Safe);
-            let at = due.or(ended.map(|until| until + 1)).unwrap_or(now);
-            let unix_ms = self.unix_start + at;
-            tracing::info!(
-                register = "settings",
-                mode = %acting.mode,
-                version = %version,
-                unix_ms,
-                bound_ms = self.settings.bound_ms(),
-                "agreement"
-            );
+            let (unix_ms, bound_ms) = (self.unix_start + at, self.settings.bound_ms());
+            tracing::info!(register = REGISTERS[n], mode = %acting.mode, version = %version, unix_ms, bound_ms, why, "agreement");
         }
-        acting
-    }
-
-    /// The figures: the register's mode and epoch, and the members counted.
-    pub fn figures(&self) -> String {
-        let acting = self.acting();
-        let told = held(&self.told).members;
-        let told = told.unwrap_or(Told::ALONE);
-        let (safe, epoch) = (acting.mode != Mode::Active, acting.active.map_or(0, |version| version.epoch));
-        format!(
-            "switchhill_agreement_settings_epoch {epoch}\nswitchhill_agreement_settings_safe {}\n\
-             switchhill_agreement_members {}\nswitchhill_agreement_alone {}\n",
-            u8::from(safe),
-            told.gateways,
-            u8::from(told.alone)
+    }
+
+    /// What operators are told when they ask for versions: a line a register, then the members.
+    pub(super) fn versions(&self, number: (u32, u32)) -> String {
+        let view = self.view();
+        let told = view.members.unwrap_or(Told::ALONE);
+        let mut text = String::new();
+        for (name, (acting, (at, why))) in REGISTERS.iter().zip(self.acting(&view)) {
+            let version =
+                |version: Option<Version>| version.map_or("none".into(), |version| version.to_string());
+            let since = self.now().saturating_sub(at);
+            let (mode, active, pending) = (acting.mode, version(acting.active), version(acting.pending));
+            text += &format!("{name} {mode} {active} pending {pending} for {since} ms: {why}\n");
+        }
+        let (alone, (gateways, ordinal)) = (u8::from(told.alone), number);
+        text + &format!(
+            "members {} suspected {} alone {alone} quotas divided by {gateways} own number {ordinal}\n",
+            told.gateways, told.suspected
         )
     }
+
+    /// The figures: each register's mode, epoch and digest, and the members counted.
+    pub(super) fn figures(&self, number: (u32, u32)) -> String {
+        let view = self.view();
+        let mut text = String::new();
+        for (name, (acting, _)) in REGISTERS.iter().zip(self.acting(&view)) {
+            let (epoch, digest) = acting.active.map_or((0, 0), |version| (version.epoch, version.digest));
+            let safe = u8::from(acting.mode != Mode::Active);
+            let start = format!("switchhill_agreement_{name}");
+            text += &format!("{start}_epoch {epoch}\n{start}_digest {digest}\n{start}_safe {safe}\n");
+        }
+        let told = view.members.unwrap_or(Told::ALONE);
+        let figures = [
+            ("members", told.gateways),
+            ("suspected", told.suspected),
+            ("alone", u32::from(told.alone)),
+            ("told_number", number.0),
+            ("told_ordinal", number.1),
+        ];
+        figures.iter().fold(text, |text, (name, n)| text + &format!("switchhill_agreement_{name} {n}\n"))
+    }
 }
 
-/// The thread: the register's reads and proposals, and the members' renewals, one call at a time.
+/// The thread: the registers' reads and proposals, and the members' renewals, one call at a time.
 fn keep(
     store: std::net::SocketAddr,
     id: &str,
     settings: Settings,
     start: Instant,
-    asked: &Receiver<Vec<u8>>,
-    told: &Mutex<Shared>,
-    contents: &Mutex<Option<(Version, Vec<u8>)>>,
+    desk: &Mutex<Desk>,
+    told: &Mutex<Arc<View>>,
 ) {
     let clock = || start.elapsed().as_millis() as Ms;
     let timeout = Duration::from_millis(settings.slowest_read_ms);
-    let mut register = Register::new(settings, clock());
-    let (mut wire, mut links) =
-        (Wire::new(store, "settings", timeout), Wire::new(store, "settings", timeout));
+    let link = Arc::new(Mutex::new(Link { address: store, timeout, socket: None }));
+    let mut registers = [Register::new(settings, clock()), Register::new(settings, clock())];
+    let mut wires = [
+        Wire::over(link.clone(), REGISTERS[0], |_| true),
+        Wire::over(link, REGISTERS[1], |bytes| Hosts::read(bytes).is_ok()),
+    ];
     let mut members = Members::new(settings, id);
     let mut next_listing = clock();
+    let mut view = View::default();
+    let mut composed_from = (None, false, None, Wishes::new());
     loop {
-        while let Ok(content) = asked.try_recv() {
-            let digest = digest(&content);
-            wire.offered.clear();
-            wire.offered.insert(digest, content);
-            register.propose(digest);
+        let (offer, first, listing, mut wishes) = {
+            let mut desk = held(desk);
+            if desk.leaving {
+                wires[0].leave(id);
+                return;
+            }
+            if registers[0].highest().is_some() {
+                // There is a version: what a process was started with is no change.
+                desk.first = None;
+            }
+            (desk.offer.take(), desk.first.clone(), desk.listing.clone(), desk.wishes.clone())
+        };
+        if let Some(content) = offer.or(first) {
+            want(&mut registers[0], &mut wires[0], Some(content));
+        }
+        let newest = view.hosts.content(registers[1].highest()).cloned();
+        if !wishes.is_empty() {
+            wishes = unmet(newest.as_deref(), wishes);
+            let mut desk = held(desk);
+            desk.wishes = unmet(newest.as_deref(), std::mem::take(&mut desk.wishes));
+        }
+        let from = (registers[1].highest(), newest.is_some(), listing.clone(), wishes.clone());
+        if from != composed_from {
+            // Without the newest content nothing is composed: it would undo what that content says.
+            let knows = newest.is_some() || registers[1].highest().is_none();
+            let next = knows.then(|| compose(newest.as_deref(), listing.as_deref(), &wishes)).flatten();
+            want(&mut registers[1], &mut wires[1], next.map(|hosts| hosts.stored()));
+            composed_from = from;
+        }
+        let mut busy = false;
+        for (register, wire) in registers.iter_mut().zip(&mut wires) {
+            busy |= drive(register, wire, clock, settings.announce_ms);
         }
-        let busy = drive(&mut register, &mut wire, clock, settings.announce_ms);
         if clock() >= next_listing {
             let sent = clock();
             next_listing = sent + settings.period_ms;
-            if let Ok(listed) = links.members(id, settings.lease_ms) {
+            if let Ok(listed) = wires[0].members(id, settings.lease_ms) {
                 members.listed(clock(), sent, listed);
             }
         }
-        let state = register.state();
-        for version in [state.active, state.pending.map(|(version, _)| version)].into_iter().flatten() {
-            if let Some(bytes) = wire.content(version) {
-                let mut handed = held(contents);
-                if handed.as_ref().is_none_or(|(before, _)| *before != version) {
-                    *handed = Some((version, bytes.to_vec()));
-                }
-            }
-        }
-        let mut shared = held(told);
-        *shared = Shared { state, members: Some(members.told(clock())) };
-        drop(shared);
+        view = View {
+            settings: view.settings.next(&registers[0], &wires[0], |bytes| Some(bytes.clone())),
+            hosts: view.hosts.next(&registers[1], &wires[1], |bytes| Hosts::read(bytes).ok().map(Arc::new)),
+            members: Some(members.told(clock())),
+        };
+        *held(told) = Arc::new(view.clone());
         if !busy {
             thread::sleep(REST);
         }
     }
 }
+
+/// Makes `content` what the register is to propose, or nothing.
+fn want(register: &mut Register, wire: &mut Wire, content: Option<Vec<u8>>) {
+    let Some(content) = content else { return register.withdraw() };
+    let digest = digest(&content);
+    if !wire.offered.contains_key(&digest) {
+        wire.offered.clear();
+        wire.offered.insert(digest, content);
+    }
+    register.propose(digest);
+}
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -34,6 +34,10 @@
     Quiesce,
     /// Take clients again.
     Resume,
+    /// Which versions this process acts on, and who else is there.
+    Versions,
+    /// Offer the settings of this process's file to all gateways.
+    Offer,
 }
 
 /// Reads one line, without its end.
@@ -56,11 +60,15 @@
         ("counters", None) => Ok(Call::Counters),
         ("quiesce", None) => Ok(Call::Quiesce),
         ("resume", None) => Ok(Call::Resume),
+        ("versions", None) => Ok(Call::Versions),
+        ("offer", None) => Ok(Call::Offer),
         ("cordon", Some(id)) => Ok(Call::Cordon(id.into())),
         ("uncordon", Some(id)) => Ok(Call::Uncordon(id.into())),
         ("cordon" | "uncordon", None) => Err("names no upstream host"),
-        ("health" | "counters" | "quiesce" | "resume", Some(_)) => Err("takes no argument"),
-        _ => Err("no such call; there are health, counters, cordon ID, uncordon ID, quiesce, resume"),
+        ("health" | "counters" | "quiesce" | "resume" | "versions" | "offer", Some(_)) => {
+            Err("takes no argument")
+        }
+        _ => Err("no such call; there are health, counters, cordon ID, uncordon ID, quiesce, resume, versions, offer"),
     }
 }
 
@@ -257,13 +265,29 @@
             Ok(call) => call,
             Err(why) => return no(why),
         };
-        if !matches!(call, Call::Health | Call::Counters) {
+        if !matches!(call, Call::Health | Call::Counters | Call::Versions) {
             tracing::info!(?call, "called by an operator");
         }
         match call {
             Call::Health if self.is_ready() => "200 ready\n".into(),
             Call::Health => no(self.why_not_ready()),
             Call::Counters => format!("{}EOF\n", self.figures()),
+            Call::Cordon(id) | Call::Uncordon(id) if self.agreement.is_some() => {
+                let out = line.starts_with(b"cordon");
+                match self.wish(&id, out) {
+                    Some(true) if out => "200 left out here; everywhere once agreed\n".into(),
+                    Some(true) => "200 put back once agreed\n".into(),
+                    _ => no("no upstream host has this id, or too many calls wait to be agreed"),
+                }
+            }
+            Call::Versions => match &self.agreement {
+                Some(agreement) => format!("200 versions\n{}EOF\n", agreement.versions(self.told_number())),
+                None => no("agreement is off"),
+            },
+            Call::Offer => match self.offer_own_file() {
+                Ok(said) => format!("200 {said}\n"),
+                Err(why) => no(&why),
+            },
             Call::Cordon(id) if self.core.cordon(&id) => {
                 self.repeat_call(&format!("cordon {id}"));
                 "200 left out\n".into()
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -18,6 +18,8 @@
 const HANGS: Millis = 700.0;
 /// After a failure the next try waits this long; a watch that resumes within 200 ms is the same watch.
 const AGAIN: Millis = 100.0;
+/// A list older than the agreed one is asked for again after this long.
+const OLDER_AGAIN: Millis = 1000.0;
 
 /// What is known of discovery.
 pub(super) struct Discovery {
@@ -28,11 +30,13 @@
     pub(super) whole_next: bool,
     /// Counts calls, so that a timer of an earlier one does nothing.
     turn: u64,
+    /// How long the next try waits after a failure.
+    rest: Millis,
 }
 
 impl Discovery {
     pub(super) fn new(address: SocketAddr) -> Self {
-        Self { address, token: None, revision: None, whole_next: true, turn: 0 }
+        Self { address, token: None, revision: None, whole_next: true, turn: 0, rest: AGAIN }
     }
 
     /// The version of the list as it stands.
@@ -139,6 +143,11 @@
                 if let Some(why) = skipped {
                     tracing::warn!("discovery's answer, entry left out: {why}");
                 }
+                if !self.may_take_list(&list) {
+                    self.discovery.rest = OLDER_AGAIN;
+                    return false;
+                }
+                self.discovery.rest = AGAIN;
                 self.discovery.revision = Some(list.revision);
                 self.listed = true;
                 let kind = if list.complete { ListKind::Full } else { ListKind::Changes };
@@ -163,7 +172,7 @@
 
     fn discovery_again(&mut self) {
         self.discovery.turn += 1;
-        self.timers.push(self.now + AGAIN, Due::Discovery(self.discovery.turn));
+        self.timers.push(self.now + self.discovery.rest, Due::Discovery(self.discovery.turn));
     }
 
     /// Discovery is to be found at this address from now on; `anew` asks again even where it is the same. The whole list is asked for there at once;
@@ -177,6 +186,12 @@
         }
     }
 
+    /// Zones have moved: the whole list is asked for, where it was.
+    pub(super) fn move_discovery_if(&mut self, moved_zones: bool) {
+        let address = self.discovery.address;
+        self.move_discovery(address, moved_zones);
+    }
+
     /// A call hangs, or it is time to try again.
     pub(super) fn discovery_due(&mut self, turn: u64) {
         if turn != self.discovery.turn {
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -505,7 +505,7 @@
     }
 }
 
-fn member(listed: &Listed) -> Member {
+pub(super) fn member(listed: &Listed) -> Member {
     Member { backend: listed.backend(), address: listed.address, http2: listed.http2 }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod message;
 pub mod poll;
 
+mod agreed;
 pub mod agreement;
 pub mod control;
 mod discovery;
@@ -210,6 +211,7 @@
     /// When the address cannot be listened on or the poller cannot be had.
     pub fn new(config: Config, signals: Option<Signals>) -> io::Result<Self> {
         let invalid = |e: crate::interface::SettingsError| io::Error::new(io::ErrorKind::InvalidInput, e);
+        let agreement = agreed::begin(&config).map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, e))?;
         let mut told = config.told;
         let clock = Clock::new();
         let now = clock.now();
@@ -244,11 +246,7 @@
             hosts: BTreeMap::new(),
             account,
             door,
-            agreement: config
-                .operator
-                .agreement
-                .as_ref()
-                .map(|at| agreement::Agreement::start(at.store, &at.id)),
+            agreement,
             reuse: upstream::Reuse::default(),
             http2_downstream: config.operator.http2_downstream,
             http2_hosts: config.operator.http2_hosts,
@@ -303,9 +301,6 @@
         if let Some(known) = config.known {
             gateway.take_list(known, ListKind::Saved);
         }
-        if let Some(agreement) = &mut gateway.agreement {
-            agreement.offer(gateway.text.as_bytes());
-        }
         gateway.timers.push(now + SWEEP, Due::Sweep);
         gateway.account_due();
         gateway.ask_discovery();
@@ -345,7 +340,8 @@
             let due =
                 [self.core.next_due(), self.timers.next_due(), self.door.as_ref().and_then(AtDoor::next_due)];
             let due = due.into_iter().flatten().fold(f64::INFINITY, f64::min);
-            let wait = (due - self.clock.now()).clamp(0.0, SWEEP);
+            let agreed = self.agreement.as_ref().and_then(agreement::Agreement::due_in);
+            let wait = (due - self.clock.now()).min(agreed.map_or(SWEEP, |ms| ms as f64)).clamp(0.0, SWEEP);
             let quiet = self.inputs.is_empty()
                 && self.woken.is_empty()
                 && self.resumed.is_empty()
@@ -354,10 +350,7 @@
             self.poll.wait(Duration::from_micros((wait * 1000.0).ceil() as u64), &mut ready)?;
             self.now = self.clock.now();
             // Danger: a process woken from SIGSTOP has a lease that ran out; it is seen before any event is.
-            if let Some(agreement) = &mut self.agreement {
-                agreement.round();
-            }
-            self.take_agreed();
+            self.conform();
             // Operators first, whatever else there is to do.
             ready.sort_by_key(|event| !self.control.concerns(event.0));
             for (token, readable, writable) in ready.drain(..) {
@@ -550,7 +543,11 @@
         downstream: Downstream,
         message: Message,
     ) -> Result<StreamId, (u16, &'static str)> {
-        let terms = message.terms(&self.told)?;
+        let mut terms = message.terms(&self.told)?;
+        if let Some(agreement) = &self.agreement {
+            // Through gateways that are gone nothing comes in.
+            terms.spread = terms.spread.min(agreement.taken.number());
+        }
         // Danger: a copy under the id of an open request would be that request's second copy at a box, and
         // the box's answer to one could end the other. The one that owns the id goes on untouched.
         if !self.open_ids.insert(message.id()?) {
@@ -583,7 +580,8 @@
     }
 
     fn is_ready(&self) -> bool {
-        self.stopping.is_none() && self.drained.is_none() && self.beside.decides() && self.knows_enough()
+        let knows = self.knows_enough() && self.knows_rules();
+        self.stopping.is_none() && self.drained.is_none() && self.beside.decides() && knows
     }
 
     /// Whether hosts are known, or as well as they will be.
@@ -597,6 +595,7 @@
             (Some(_), _) => "stopping",
             (None, Some(_)) => "drained",
             (None, None) if self.beside.waits() => "waiting for the state of another process",
+            (None, None) if self.knows_enough() => "the agreed versions are not confirmed yet",
             (None, None) => "no list of upstream hosts yet",
         }
     }
@@ -671,13 +670,12 @@
     /// Takes over what a running gateway can from the configuration as it is now: the settings, discovery's
     /// address and the limits, all of it or nothing. Streams and connections stay.
     fn reload(&mut self) {
-        match Config::from_files(&self.files).and_then(|config| self.take_config(config)) {
-            Ok(()) => {
-                self.core.figures.reconfig_ok += 1;
-                if let Some(agreement) = &mut self.agreement {
-                    agreement.offer(self.text.as_bytes());
-                }
-            }
+        let taken = Config::from_files(&self.files).and_then(|config| match self.agreement {
+            Some(_) => self.reload_agreed(config),
+            None => self.take_config(config),
+        });
+        match taken {
+            Ok(()) => self.core.figures.reconfig_ok += 1,
             Err(why) => {
                 self.core.figures.reconfig_failed += 1;
                 tracing::warn!("the new configuration is not taken, the old one stays: {why}");
@@ -685,30 +683,6 @@
         }
     }
 
-    /// Takes the agreed version's content where this gateway's own configuration is another, as a reload would,
-    /// all of it or nothing. The files stay as they are: the next SIGHUP offers what they hold as a new change.
-    fn take_agreed(&mut self) {
-        let Some((version, content)) = self.agreement.as_ref().and_then(agreement::Agreement::to_take) else {
-            return;
-        };
-        let text = String::from_utf8(content).map_err(|_| "the agreed content is not UTF-8".to_owned());
-        let source = format!("the agreed version {version}");
-        let taken = text
-            .and_then(|text| Config::with_text(&self.files, text, &source))
-            .and_then(|config| self.take_config(config));
-        let Some(agreement) = &mut self.agreement else { return };
-        match taken {
-            Ok(()) => {
-                agreement.took(version);
-                tracing::info!(version = %version, "configuration taken from the agreed version");
-            }
-            Err(why) => {
-                agreement.refuse(version);
-                tracing::warn!(version = %version, "the agreed version is not taken, this gateway stays safe: {why}");
-            }
-        }
-    }
-
     /// Hands the core what this round has brought so far, and carries out what comes back.
     fn settle(&mut self) {
         let mut commands = Vec::new();
@@ -718,22 +692,8 @@
 
     fn take_config(&mut self, config: Config) -> Result<(), String> {
         config.may_follow(&self.text)?;
-        let mut told = config.told;
-        if self.account.is_some() && told.module.meter_period <= 0.0 {
-            told.module.meter_period = STORE_PERIOD;
-        }
-        let (before, after) = (self.told.class_names(), told.class_names());
-        let (classes, plans) = (positions(&before, &after), positions(&self.told.plans, &told.plans));
-        if self.door.is_some() && (before != after || self.told.plans != told.plans) {
-            return Err("field `settings`: with a door, classes and plans change only with a restart".into());
-        }
-        // Danger: what this round has brought so far is numbered by the settings that it came under.
-        self.settle();
-        let retuned = self.core.retune(told.module.clone(), &classes, &plans);
-        retuned.map_err(|e| format!("field `settings`: {e}"))?;
-        self.core.figures.name(after.iter().map(String::as_str));
-        let moved_zones = self.told.zones != told.zones;
-        self.told = told;
+        let moved_zones = self.told.zones != config.told.zones;
+        self.adopt(config.told)?;
         self.limits = (config.sockets, config.memory);
         self.share_out();
         tracing::info!(discovery = %config.discovery, "configuration read again");
@@ -748,11 +708,42 @@
         Ok(())
     }
 
+    /// Whether settings may take the place of those in force as far as the door is concerned.
+    fn fits_door(&self, told: &Told) -> Result<(), String> {
+        if self.door.is_some()
+            && (self.told.class_names() != told.class_names() || self.told.plans != told.plans)
+        {
+            return Err("field `settings`: with a door, classes and plans change only with a restart".into());
+        }
+        Ok(())
+    }
+
+    /// Goes on under other settings, all of them or none; `number` is how many gateways there are and which this
+    /// one is, where that is not for the settings to say.
+    fn adopt_under(&mut self, mut told: Told, number: Option<(u32, u32)>) -> Result<(), String> {
+        if self.account.is_some() && told.module.meter_period <= 0.0 {
+            told.module.meter_period = STORE_PERIOD;
+        }
+        let (before, after) = (self.told.class_names(), told.class_names());
+        let (classes, plans) = (positions(&before, &after), positions(&self.told.plans, &told.plans));
+        self.fits_door(&told)?;
+        // Danger: what this round has brought so far is numbered by the settings that it came under.
+        self.settle();
+        let mut module = told.module.clone();
+        (module.gateways, module.ordinal) = number.unwrap_or((module.gateways, module.ordinal));
+        let retuned = self.core.retune(module, &classes, &plans);
+        retuned.map_err(|e| format!("field `settings`: {e}"))?;
+        self.core.figures.name(after.iter().map(String::as_str));
+        self.told = told;
+        Ok(())
+    }
+
     /// The counters as operators read them, with what the log had to drop.
     fn told_counters(&self) -> String {
         let dropped = self.logs.as_ref().map_or(0, Logs::dropped);
         let door = self.door.as_ref().map_or(String::new(), AtDoor::figures);
-        let agreed = self.agreement.as_ref().map_or(String::new(), agreement::Agreement::figures);
+        let number = self.told_number();
+        let agreed = self.agreement.as_ref().map_or(String::new(), |at| at.figures(number));
         let counters = &self.core.counters;
         format!("{counters}switchhill_log_lines_dropped {dropped}\n{door}{agreed}{}", self.figures())
     }
@@ -764,6 +755,10 @@
                 "stopping: not ready, finishing what was taken"
             );
             self.stopping = Some(self.now);
+            // One that has taken over goes on under the same name.
+            if let Some(agreement) = self.agreement.as_ref().filter(|_| self.beside.left().is_none()) {
+                agreement.leave();
+            }
             self.timers.push(self.now + ACCEPT_ON, Due::Close);
         }
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -335,6 +335,137 @@
     }
 }
 
+/// Fields of the settings that are a gateway's own; the others are the same at every gateway.
+const OWN: [&str; 2] = ["ordinal", "az"];
+
+/// The settings of a configuration that are the same at every gateway: JSON with its keys sorted, so that equal
+/// settings are equal bytes.
+///
+/// # Errors
+/// When the configuration is not JSON or has no settings.
+pub fn shared_settings(text: &str) -> Result<String, String> {
+    let mut config: serde_json::Value =
+        serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
+    let settings = config.get_mut("settings").and_then(serde_json::Value::as_object_mut);
+    let settings = settings.ok_or("field `settings`: missing")?;
+    OWN.iter().for_each(|name| drop(settings.remove(*name)));
+    settings.sort_keys();
+    settings.values_mut().for_each(serde_json::Value::sort_all_objects);
+    serde_json::to_string(settings).map_err(|e| e.to_string())
+}
+
+/// A configuration with `shared` in the place of what [`shared_settings`] gives of it; what is a gateway's own stays.
+///
+/// # Errors
+/// When either is not JSON, or the configuration has no settings.
+pub fn with_shared_settings(text: &str, shared: &[u8]) -> Result<String, String> {
+    let mut config: serde_json::Value =
+        serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
+    let mut shared: serde_json::Map<String, serde_json::Value> =
+        serde_json::from_slice(shared).map_err(|e| format!("agreed settings: {e}"))?;
+    let settings = config.get_mut("settings").and_then(serde_json::Value::as_object_mut);
+    let settings = settings.ok_or("field `settings`: missing")?;
+    for name in OWN {
+        shared.remove(name);
+        if let Some(own) = settings.remove(name) {
+            shared.insert(name.into(), own);
+        }
+    }
+    *settings = shared;
+    serde_json::to_string(&config).map_err(|e| e.to_string())
+}
+
+/// The lower of two limits, where 0 is none.
+fn lower(a: f64, b: f64) -> f64 {
+    if a > 0.0 && b > 0.0 {
+        a.min(b)
+    } else {
+        a.max(b)
+    }
+}
+
+/// The stronger of two effects: what may be repeated under one and not under the other may not.
+fn stronger(a: face::Effect, b: face::Effect) -> face::Effect {
+    use face::{Effect, KeyScope};
+    let width =
+        |scope: KeyScope| [KeyScope::Cell, KeyScope::Zone, KeyScope::All].iter().position(|s| *s == scope);
+    match (a, b) {
+        (Effect::Unsafe, _) | (_, Effect::Unsafe) => Effect::Unsafe,
+        (Effect::Safe, other) | (other, Effect::Safe) => other,
+        (Effect::Keyed { scope: s, window: v }, Effect::Keyed { scope: t, window: w }) => {
+            Effect::Keyed { scope: if width(s) <= width(t) { s } else { t }, window: v.min(w) }
+        }
+    }
+}
+
+impl Told {
+    /// The stricter of two settings, for a gateway that cannot tell which of them the others act on: classes and
+    /// plans that both name (these ones' where they share none), the stronger effect, the lower of every limit.
+    /// What is no limit (worth, prices, the shape of reports) stays as here.
+    #[must_use]
+    pub fn stricter(&self, other: &Told) -> Told {
+        let mut told = self.clone();
+        let both = |own: &str, theirs: &[String]| theirs.iter().position(|name| name == own);
+        let names = (self.class_names(), other.class_names());
+        let classes: Vec<(usize, usize)> =
+            names.0.iter().enumerate().filter_map(|(n, name)| Some((n, both(name, &names.1)?))).collect();
+        if !classes.is_empty() {
+            told.classes = classes
+                .iter()
+                .map(|&(n, m)| {
+                    let (name, wait) = &self.classes[n];
+                    (name.clone(), lower(*wait, other.classes[m].1))
+                })
+                .collect();
+            told.module.classes = classes
+                .iter()
+                .map(|&(n, m)| {
+                    let (own, theirs) = (&self.module.classes[n], &other.module.classes[m]);
+                    face::Class { effect: stronger(own.effect, theirs.effect), ..own.clone() }
+                })
+                .collect();
+        }
+        let plans: Vec<(usize, usize)> = self
+            .plans
+            .iter()
+            .enumerate()
+            .filter_map(|(n, name)| Some((n, both(name, &other.plans)?)))
+            .collect();
+        if !plans.is_empty() {
+            told.plans = plans.iter().map(|&(n, _)| self.plans[n].clone()).collect();
+            told.module.plans = plans
+                .iter()
+                .map(|&(n, m)| {
+                    let (own, theirs) = (&self.module.plans[n], &other.module.plans[m]);
+                    face::Plan {
+                        price: own.price,
+                        rate: lower(own.rate, theirs.rate),
+                        burst: lower(own.burst, theirs.burst),
+                        at_once: lower(own.at_once, theirs.at_once),
+                        beyond_earns: own.beyond_earns.min(theirs.beyond_earns),
+                        overrun_cost: own.overrun_cost.max(theirs.overrun_cost),
+                        ceiling_rate: lower(own.ceiling_rate, theirs.ceiling_rate),
+                        ceiling_depth: lower(own.ceiling_depth, theirs.ceiling_depth),
+                    }
+                })
+                .collect();
+        }
+        let (limits, theirs) = (&mut told.module.limits, &other.module.limits);
+        limits.max_attempts = limits.max_attempts.min(theirs.max_attempts);
+        limits.may_duplicate &= theirs.may_duplicate;
+        limits.may_probe &= theirs.may_probe;
+        let (rules, theirs) = (&mut told.module.rules, &other.module.rules);
+        rules.cold_share = rules.cold_share.min(theirs.cold_share);
+        rules.warm_up = rules.warm_up.max(theirs.warm_up);
+        rules.fall_multiple = rules.fall_multiple.min(theirs.fall_multiple);
+        rules.fall_span = rules.fall_span.max(theirs.fall_span);
+        told.module.most_units = lower(told.module.most_units, other.module.most_units);
+        told.max_open = told.max_open.min(other.max_open);
+        told.drain_grace = told.drain_grace.min(other.drain_grace);
+        told
+    }
+}
+
 fn read_class(class: &Field<'_>) -> Result<face::Class, String> {
     let effect = class.at("effect");
     let scope = match class.at("keyScope").text_or_empty()? {
