--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -251,6 +251,8 @@
     reading: Option<Ms>,
     next_read: Ms,
     wanted: Option<u64>,
+    /// `wanted` is for a fleet that has no version yet, and for none that has one.
+    only_first: bool,
     proposing: Option<Version>,
     restore: bool,
     /// The last read in time found no pointer.
@@ -273,6 +275,7 @@
             reading: None,
             next_read: now,
             wanted: None,
+            only_first: false,
             proposing: None,
             restore: false,
             absent: false,
@@ -357,6 +360,11 @@
                 return Some(Action::Restore { version, settle_ms });
             }
         }
+        if self.only_first && self.highest.is_some() {
+            // Danger: what a process was started with is no change; proposed over a version it would turn a fleet
+            // back to the file of whoever restarts.
+            (self.wanted, self.only_first) = (None, false);
+        }
         if let Some(digest) = self.wanted {
             // A fleet's first version: nothing was ever seen here and the store holds none; the compare-and-set
             // over an absent pointer lets one proposal win.
@@ -386,7 +394,14 @@
     /// This gateway loaded a content whole, whose digest is `digest`, and asks for it to become the version.
     /// A second wish before the first was announced replaces it: the last file loaded is the one meant.
     pub fn propose(&mut self, digest: u64) {
-        self.wanted = Some(digest);
+        (self.wanted, self.only_first) = (Some(digest), false);
+    }
+
+    /// This gateway was started with a content whose digest is `digest`: it becomes the version where there is none.
+    pub fn propose_first(&mut self, digest: u64) {
+        if self.wanted.is_none() && self.highest.is_none() {
+            (self.wanted, self.only_first) = (Some(digest), true);
+        }
     }
 
     /// Nothing is asked for any more; a proposal that is out already stands.
--- a/crates/agreement/src/tests.rs
+++ b/crates/agreement/src/tests.rs
@@ -188,6 +188,29 @@
     assert_eq!(register.poll_action(5), Some(Action::Propose { version: V1, over: None }));
 }
 
+#[test]
+fn what_a_process_was_started_with_is_proposed_over_nothing_and_never_over_a_version() {
+    let mut register = Register::new(Settings::default(), 0);
+    register.propose_first(11);
+    assert_eq!(register.poll_action(0), Some(Action::Read { sent: 0 }));
+    register.read(5, 0, settled(V2));
+    assert_eq!(register.poll_action(6), None, "the fleet has a version");
+    register.propose_first(11);
+    assert_eq!(register.poll_action(7), None);
+    register.propose(11);
+    let version = Version { epoch: 3, digest: 11 };
+    assert_eq!(
+        register.poll_action(8),
+        Some(Action::Propose { version, over: Some(V2) }),
+        "an operator's wish"
+    );
+    let mut fresh = Register::new(Settings::default(), 0);
+    fresh.propose_first(11);
+    assert_eq!(fresh.poll_action(0), Some(Action::Read { sent: 0 }));
+    fresh.read(5, 0, Answer { pointer: None, settle_ms: None, content: false });
+    assert_eq!(fresh.poll_action(6), Some(Action::Propose { version: V1, over: None }));
+}
+
 #[rstest]
 #[case::first_version(None)]
 #[case::during_an_announcement(Some(V1))]
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -55,17 +55,23 @@
         #[arg(long, default_value = "")]
         only: String,
     },
-    /// Plays agreement's faults with three gateway processes over many seeds; prints fault x longest disagreement.
-    Agreement {
+    /// Plays scenarios with faults between processes over many seeds; prints a table, a row a scenario.
+    Faults {
+        /// The scenarios' files, such as lab/scenarios/agreement-*.yaml.
+        #[arg(required = true)]
+        scenarios: Vec<PathBuf>,
         /// How many seeds, from 1.
         #[arg(long, default_value_t = 20)]
         seeds: u64,
         /// Runs at a time.
-        #[arg(long, default_value_t = 4)]
+        #[arg(long, default_value_t = 2)]
         together: usize,
-        /// Only this fault: cut, stop, emptied, two or behind.
-        #[arg(long, default_value = "")]
-        only: String,
+        /// Figures of the table, by path; each with its median and its greatest.
+        #[arg(long, default_value = "agreement.longest_ms,agreement.settled_after_ms")]
+        figures: String,
+        /// The gateway's program [default: beside this one].
+        #[arg(long)]
+        gateway: Option<PathBuf>,
     },
     /// The least relay, to these addresses in turn.
     Bare {
@@ -173,6 +179,59 @@
     Ok(())
 }
 
+/// Every scenario over all seeds, so many runs at a time; a row each. True where all that was expected held.
+fn faults(
+    paths: &[PathBuf],
+    seeds: u64,
+    together: usize,
+    figures: &str,
+    gateway: Option<&Path>,
+) -> Result<bool, Failed> {
+    let names: Vec<&str> = figures.split(',').map(str::trim).filter(|name| !name.is_empty()).collect();
+    let columns = names.iter().map(|name| format!("{name} median, most")).collect::<Vec<_>>().join(" | ");
+    println!("| fault | runs | {columns} | all expected held |");
+    println!("| --- | --- | {}--- |", "--- | ".repeat(names.len()));
+    let mut all_held = true;
+    for path in paths {
+        let scenario = read(path)?;
+        let (mut outcomes, all) = (Vec::new(), (1..=seeds).collect::<Vec<_>>());
+        for some in all.chunks(together.max(1)) {
+            let run = |seed: u64| {
+                let folder = Path::new("lab-out").join(format!("{}-{seed}", scenario.name));
+                play(&scenario, seed, &folder, gateway)
+            };
+            let played: Vec<_> = std::thread::scope(|scope| {
+                let handles: Vec<_> = some.iter().map(|seed| (*seed, scope.spawn(|| run(*seed)))).collect();
+                handles.into_iter().filter_map(|(seed, handle)| Some((seed, handle.join().ok()?))).collect()
+            });
+            for (seed, outcome) in played {
+                let outcome = outcome?;
+                for (what, value, least, most, held) in &outcome.expect {
+                    if !held {
+                        eprintln!(
+                            "{} seed {seed}: {what} is {value}, not from {least} to {most}",
+                            scenario.name
+                        );
+                    }
+                }
+                outcomes.push(outcome);
+            }
+        }
+        let held = outcomes.iter().filter(|outcome| outcome.expect.iter().all(|(.., held)| *held)).count();
+        all_held &= held as u64 == seeds;
+        let cells = names.iter().map(|name| {
+            let mut values: Vec<f64> =
+                outcomes.iter().filter_map(|outcome| outcome.figures.get(*name).copied()).collect();
+            values.sort_by(f64::total_cmp);
+            let at = |n: usize| values.get(n).copied().unwrap_or(f64::NAN);
+            format!("{:.0}, {:.0}", at(values.len() / 2), at(values.len().saturating_sub(1)))
+        });
+        let cells = cells.collect::<Vec<_>>().join(" | ");
+        println!("| {} | {} | {cells} | {held} of {seeds} |", scenario.name, outcomes.len());
+    }
+    Ok(all_held)
+}
+
 fn main() -> ExitCode {
     let done = match Line::parse().command {
         Task::Run { scenario, seed, out, gateway, bare } => {
@@ -181,9 +240,8 @@
         Task::Compare { first, second, seeds, gateway, only } => {
             run_pairs(&first, &second, seeds, gateway.as_deref(), &only).map(|()| true)
         }
-        Task::Agreement { seeds, together, only } => {
-            let bound = switchhill_agreement::Settings::default().bound_ms();
-            Ok(switchhill_lab::rig::table::table(seeds, together, bound, &only))
+        Task::Faults { scenarios, seeds, together, figures, gateway } => {
+            faults(&scenarios, seeds, together, &figures, gateway.as_deref())
         }
         Task::Bare { to } => {
             let relay = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- a/lab/src/rig/checker.rs
+++ b/lab/src/rig/checker.rs
@@ -22,9 +22,11 @@
 pub struct Event {
     /// Which gateway.
     pub gateway: usize,
+    /// `settings` or `hosts`.
+    pub register: String,
     /// The moment of the change, in Unix milliseconds.
     pub unix_ms: u64,
-    /// `active`, `safe` or `starting`.
+    /// `active`, `safe`, `starting`, or `gone` where the process was ended.
     pub mode: String,
     /// `EPOCH:DIGEST`, empty before any.
     pub version: String,
@@ -38,15 +40,28 @@
     }
     Some(Event {
         gateway,
+        register: value.get("register")?.as_str()?.to_owned(),
         unix_ms: value.get("unix_ms")?.as_u64()?,
         mode: value.get("mode")?.as_str()?.to_owned(),
         version: value.get("version")?.as_str()?.to_owned(),
     })
 }
 
-/// The longest window, in milliseconds, in which two gateways were Active on different versions, with its start.
-pub fn longest_disagreement(events: &[Event]) -> (u64, Option<u64>) {
-    let mut events = events.to_vec();
+/// The event of a process's end, for both registers: what is no more acts on nothing.
+pub fn gone(gateway: usize, unix_ms: u64) -> [Event; 2] {
+    ["settings", "hosts"].map(|register| Event {
+        gateway,
+        register: register.into(),
+        unix_ms,
+        mode: "gone".into(),
+        version: String::new(),
+    })
+}
+
+/// The longest window, in milliseconds, in which two gateways were Active on different versions of `register`, with
+/// its start.
+pub fn longest_disagreement(events: &[Event], register: &str) -> (u64, Option<u64>) {
+    let mut events: Vec<Event> = events.iter().filter(|event| event.register == register).cloned().collect();
     events.sort_by_key(|event| event.unix_ms);
     let gateways = events.iter().map(|event| event.gateway + 1).max().unwrap_or(0);
     let mut acting: Vec<Option<String>> = vec![None; gateways];
@@ -81,7 +96,7 @@
     use super::*;
 
     fn at(gateway: usize, unix_ms: u64, mode: &str, version: &str) -> Event {
-        Event { gateway, unix_ms, mode: mode.into(), version: version.into() }
+        Event { gateway, register: "settings".into(), unix_ms, mode: mode.into(), version: version.into() }
     }
 
     #[test]
@@ -93,7 +108,14 @@
             at(1, 1040, "safe", "1:a"),
             at(1, 1500, "active", "2:b"),
         ];
-        assert_eq!(longest_disagreement(&events), (40, Some(1000)));
+        assert_eq!(longest_disagreement(&events, "settings"), (40, Some(1000)));
+        assert_eq!(longest_disagreement(&events, "hosts"), (0, None));
+        let ended = [&events[..3], &gone(1, 1010)].concat();
+        assert_eq!(
+            longest_disagreement(&ended, "settings"),
+            (10, Some(1000)),
+            "a process that ended acts no more"
+        );
         let line = r#"{"timestamp":"x","level":"INFO","message":"agreement","register":"settings","mode":"active","version":"2:b","unix_ms":7,"bound_ms":500}"#;
         assert_eq!(event(3, line), Some(at(3, 7, "active", "2:b")));
         assert_eq!(event(3, r#"{"message":"counters"}"#), None);
--- /dev/null
+++ b/lab/src/rig/faults.rs
@@ -0,0 +1,265 @@
+//! Plays a scenario's faults between processes: the store, the proxies of every gateway, its processes' ends and
+//! starts, and what their logs tell of agreement.
+
+use super::checker::{gone, longest_disagreement, Event};
+use super::proxy::{Fault, Proxy};
+use super::store::Store;
+use crate::scenario::{Links, RigFault, RigPlan, RigTrouble, Whom};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// The settings that changes put in the files, one after the other: `familyInfo.meterMs`, from the one in place.
+const METER_MS: [f64; 6] = [2000.0, 1900.0, 1800.0, 1700.0, 1600.0, 1500.0];
+
+/// What the run is to do to a gateway's process or files.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Deed {
+    /// SIGSTOP.
+    Freeze,
+    /// SIGCONT.
+    Wake,
+    /// SIGKILL.
+    Kill,
+    /// A start with the same files.
+    Start,
+    /// The file with this `familyInfo.meterMs`, then SIGHUP.
+    File(f64),
+    /// The file cut off in the middle, then SIGHUP.
+    CutFile,
+    /// The call `cordon` or `uncordon` for a box.
+    Cordon(usize, bool),
+}
+
+/// A running rig.
+pub struct Rig {
+    /// The store.
+    pub store: Store,
+    store_links: Vec<Proxy>,
+    discovery_links: Vec<Proxy>,
+    /// What the gateways' logs told of agreement.
+    pub events: Arc<Mutex<Vec<Event>>>,
+    /// What is still to happen: when, at whom, what; `true` begins it and `false` ends it.
+    plan: Vec<(f64, Vec<usize>, RigFault, bool)>,
+    changes: usize,
+    /// Each gateway's file as it is.
+    files: Vec<f64>,
+    old: Option<Vec<u8>>,
+    /// When the last fault ended, by the system's clock.
+    quiet_since: u64,
+    last_epoch: u64,
+    /// The store's commands by second of the run.
+    pub commands: Vec<u64>,
+}
+
+/// Unix milliseconds.
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+}
+
+impl Rig {
+    /// Starts the store and the proxies of `gateways` gateways, and draws the faults' moments from `seed`.
+    #[must_use]
+    pub fn start(plan: &RigPlan, gateways: usize, discovery: SocketAddr, seed: u64) -> Self {
+        let mut chance = fastrand::Rng::with_seed(seed ^ 0x5157_4954_4348_4849);
+        let store = Store::start();
+        let links = |target, from: u64| {
+            (0..gateways as u64).map(|n| Proxy::start(target, seed.wrapping_mul(64) + from + n)).collect()
+        };
+        let mut moments = Vec::new();
+        for trouble in &plan.troubles {
+            let RigTrouble { at, lasts, whom, fault } = *trouble;
+            let draw =
+                |chance: &mut fastrand::Rng, (low, high): (f64, f64)| low + chance.f64() * (high - low);
+            let (from, long) = (draw(&mut chance, at), draw(&mut chance, lasts));
+            let whom = match whom {
+                Whom::Number(number) => vec![number],
+                Whom::Pick(count) => chance.choose_multiple(1..gateways, count),
+                Whom::All => (0..gateways).collect(),
+            };
+            moments.push((from, whom.clone(), fault, true));
+            let ends = matches!(
+                fault,
+                RigFault::Link(..)
+                    | RigFault::Freeze
+                    | RigFault::Kill
+                    | RigFault::BadFile
+                    | RigFault::StoreDown
+            );
+            if ends {
+                moments.push((from + long, whom, fault, false));
+            }
+        }
+        moments.sort_by(|a, b| a.0.total_cmp(&b.0));
+        Self {
+            store_links: links(store.address, 0),
+            discovery_links: links(discovery, 32),
+            store,
+            events: Arc::default(),
+            plan: moments,
+            changes: 0,
+            files: vec![METER_MS[0]; gateways],
+            old: None,
+            quiet_since: 0,
+            last_epoch: plan.last_epoch,
+            commands: Vec::new(),
+        }
+    }
+
+    /// Where gateway `number` reaches discovery.
+    #[must_use]
+    pub fn discovery(&self, number: usize) -> SocketAddr {
+        self.discovery_links[number].address
+    }
+
+    /// The operator's file of gateway `number`, behind what the scenario names.
+    #[must_use]
+    pub fn operator(&self, number: usize, given: Option<&str>) -> String {
+        let agreement = super::operator(self.store_links[number].address, &format!("g{number:02}"), true);
+        format!("{}\n{agreement}", given.unwrap_or(""))
+    }
+
+    /// The next moment at which something happens.
+    #[must_use]
+    pub fn next_due(&self) -> Option<f64> {
+        self.plan.first().map(|(at, ..)| *at)
+    }
+
+    /// Brings what is due at `now` seconds and tells what is to be done to the gateways.
+    pub fn due(&mut self, now: f64) -> Vec<(usize, Deed)> {
+        let mut deeds = Vec::new();
+        while self.plan.first().is_some_and(|(at, ..)| *at <= now) {
+            let (_, whom, fault, begins) = self.plan.remove(0);
+            self.quiet_since = unix_ms();
+            self.bring(&whom, fault, begins, &mut deeds);
+        }
+        deeds
+    }
+
+    fn bring(&mut self, whom: &[usize], fault: RigFault, begins: bool, deeds: &mut Vec<(usize, Deed)>) {
+        let mut each = |deed: Deed| deeds.extend(whom.iter().map(|number| (*number, deed)));
+        match (fault, begins) {
+            (RigFault::Link(links, fault), _) => {
+                let fault = if begins { fault } else { Fault::Pass };
+                for number in whom {
+                    if links != Links::Discovery {
+                        self.store_links[*number].set(fault);
+                    }
+                    if links != Links::Store {
+                        self.discovery_links[*number].set(fault);
+                    }
+                }
+            }
+            (RigFault::StoreDown, _) => {
+                let fault = if begins { Fault::Reset } else { Fault::Pass };
+                self.store_links.iter().for_each(|link| link.set(fault));
+            }
+            (RigFault::Freeze, true) => each(Deed::Freeze),
+            (RigFault::Freeze, false) => each(Deed::Wake),
+            (RigFault::Kill, true) => {
+                let at = unix_ms();
+                let mut events = self.events.lock().expect("lock");
+                whom.iter().for_each(|number| events.extend(gone(*number, at)));
+                each(Deed::Kill);
+            }
+            (RigFault::Kill, false) => each(Deed::Start),
+            (RigFault::Change, _) => {
+                if self.old.is_none() {
+                    self.old = self.store.peek("agreement:settings");
+                }
+                self.changes = (self.changes + 1) % METER_MS.len();
+                let next = METER_MS[self.changes];
+                whom.iter().for_each(|number| self.files[*number] = next);
+                each(Deed::File(next));
+            }
+            (RigFault::BadFile, true) => each(Deed::CutFile),
+            (RigFault::BadFile, false) => {
+                deeds.extend(whom.iter().map(|number| (*number, Deed::File(self.files[*number]))));
+            }
+            (RigFault::Cordon(number), _) => each(Deed::Cordon(number, true)),
+            (RigFault::Uncordon(number), _) => each(Deed::Cordon(number, false)),
+            (RigFault::EmptyStore, _) => self.store.empty(),
+            (RigFault::LoseKeys, _) => {
+                ["agreement:settings", "agreement:hosts"].iter().for_each(|key| self.store.lose(key));
+            }
+            (RigFault::OldVersion, _) => {
+                if let Some(old) = &self.old {
+                    self.store.put("agreement:settings", old);
+                }
+            }
+        }
+    }
+
+    /// What each gateway's log last told of each register.
+    fn last(&self) -> BTreeMap<(usize, String), Event> {
+        let mut events = self.events.lock().expect("lock").clone();
+        // As they came: two of one moment stand in the log's own order.
+        events.sort_by_key(|event| event.unix_ms);
+        events.into_iter().map(|event| ((event.gateway, event.register.clone()), event)).collect()
+    }
+
+    /// Whether every gateway is Active on one version of each register, the settings' on the last epoch.
+    #[must_use]
+    pub fn converged(&self, gateways: usize) -> bool {
+        let last = self.last();
+        let all = last.len() == 2 * gateways && last.values().all(|event| event.mode == "active");
+        let one = |register: &str| {
+            let mut versions: Vec<&str> =
+                last.values().filter(|e| e.register == register).map(|e| e.version.as_str()).collect();
+            versions.dedup();
+            versions.len() == 1
+        };
+        let epoch = format!("{}:", self.last_epoch);
+        let on_last = last.values().all(|e| e.register != "settings" || e.version.starts_with(&epoch));
+        all && one("settings") && one("hosts") && on_last
+    }
+
+    /// Waits until all act on one version, before the load and the faults begin.
+    ///
+    /// # Errors
+    /// When they do not within ten seconds.
+    pub async fn first_agreed(&mut self, gateways: usize) -> Result<(), String> {
+        let last_epoch = std::mem::replace(&mut self.last_epoch, 1);
+        let mut left = 500;
+        while !self.converged(gateways) {
+            if left == 0 {
+                return Err(format!(
+                    "no first version in 10 s: {:?}",
+                    self.last().values().collect::<Vec<_>>()
+                ));
+            }
+            left -= 1;
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+        self.last_epoch = last_epoch;
+        self.quiet_since = unix_ms();
+        Ok(())
+    }
+
+    /// What the logs say, as figures of the run.
+    #[must_use]
+    pub fn figures(&self, gateways: usize, bound_ms: u64) -> BTreeMap<String, f64> {
+        let events = self.events.lock().expect("lock").clone();
+        let longest = ["settings", "hosts"].map(|register| longest_disagreement(&events, register).0);
+        let worst = longest[0].max(longest[1]);
+        let settled = events.iter().map(|event| event.unix_ms).max().unwrap_or(0);
+        let peak = self.commands.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap_or(0);
+        let epochs =
+            |event: &Event| event.version.split(':').next().and_then(|epoch| epoch.parse::<u64>().ok());
+        let highest = events.iter().filter(|e| e.register == "settings").filter_map(epochs).max();
+        BTreeMap::from(
+            [
+                ("settings_longest_ms", longest[0] as f64),
+                ("hosts_longest_ms", longest[1] as f64),
+                ("longest_ms", worst as f64),
+                ("bound_met", f64::from(u8::from(worst <= bound_ms))),
+                ("converged", f64::from(u8::from(self.converged(gateways)))),
+                ("settled_after_ms", settled.saturating_sub(self.quiet_since) as f64),
+                ("settings_epoch", highest.unwrap_or(0) as f64),
+                ("store_commands_peak", peak as f64),
+            ]
+            .map(|(name, value)| (format!("agreement.{name}"), value)),
+        )
+    }
+}
--- a/lab/src/rig/mod.rs
+++ b/lab/src/rig/mod.rs
@@ -5,11 +5,11 @@
 //! See `docs/operators/laboratory.md` and `docs/design/agreement.md`.
 
 pub mod checker;
+#[cfg(feature = "bench")]
+pub mod faults;
 pub mod proxy;
 pub mod register;
 pub mod store;
-#[cfg(feature = "bench")]
-pub mod table;
 
 use crate::stand_in::{config, host, member, Act, Discovery, Seen};
 use std::net::SocketAddr;
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -2,6 +2,8 @@
 
 use crate::boxes::{Portal, Records, Registry};
 use crate::load::{self, Fate, Live, Planned, Try, AIM_MS, GIVE_UP_MS, PLANS};
+use crate::rig::checker;
+use crate::rig::faults::{Deed, Rig};
 use crate::scenario::{Scenario, Trouble};
 use crate::stand_in::{resident_kb, signal};
 use serde_json::{json, Value};
@@ -19,6 +21,8 @@
 /// A gateway has so long to be ready, and to end.
 const STARTS_WITHIN: Duration = Duration::from_secs(10);
 const ENDS_WITHIN: Duration = Duration::from_secs(15);
+/// After the load, gateways on the rig have so long to act on one version.
+const AGREES_WITHIN: Duration = Duration::from_secs(15);
 /// Who comes back is met when it is handed on within this of the time told.
 const MET_WITHIN_MS: f64 = 500.0;
 /// Keys of the scenarios' key files: nothing secret lies behind them.
@@ -62,10 +66,62 @@
 struct Running {
     child: Child,
     address: SocketAddr,
+    /// Where operators call, where the configuration names a place.
+    control: Option<SocketAddr>,
+    /// How it is started: its files name the addresses that it got at first.
+    files: Option<Place>,
     rss: Vec<u64>,
     cpu_at_start: u64,
 }
 
+/// A gateway's files.
+#[derive(Clone)]
+struct Place {
+    gateway: PathBuf,
+    config: PathBuf,
+    operator: Option<PathBuf>,
+    log: PathBuf,
+}
+
+impl Place {
+    fn command(&self) -> Command {
+        let mut command = Command::new(&self.gateway);
+        command.current_dir(self.config.parent().unwrap_or(Path::new(".")));
+        for name in ["RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_CONTROL", "SWITCHHILL_OPERATOR"] {
+            command.env_remove(name);
+        }
+        // Danger: with one place for all, a gateway started again would be taken for an upgrade of another one.
+        command.env("RELAY_CONFIG", &self.config).env("TMPDIR", self.config.with_extension("tmp"));
+        if let Some(operator) = &self.operator {
+            command.env("SWITCHHILL_OPERATOR", operator);
+        }
+        command
+    }
+
+    /// Replaces the configuration's text in one step.
+    fn write(&self, text: &str) -> Result<(), String> {
+        let next = self.config.with_extension("next");
+        let written = std::fs::write(&next, text).and_then(|()| std::fs::rename(next, &self.config));
+        written.map_err(|e| format!("{}: {e}", self.config.display()))
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Value)) -> Result<(), String> {
+        let text = std::fs::read_to_string(self.whole()).map_err(|e| e.to_string())?;
+        let mut config: Value = serde_json::from_str(&text).map_err(|e| e.to_string())?;
+        change(&mut config);
+        std::fs::write(self.whole(), config.to_string()).map_err(|e| e.to_string())?;
+        self.write(&config.to_string())
+    }
+
+    /// The last whole text, beside the one in place, which may be cut off.
+    fn whole(&self) -> PathBuf {
+        self.config.with_extension("whole")
+    }
+}
+
+/// Where a gateway's log goes beside its file: as gateway `number`, its agreement events.
+type Sink = Option<(usize, Arc<Mutex<Vec<checker::Event>>>)>;
+
 impl Drop for Running {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -99,11 +155,15 @@
     number: usize,
     registry: &Registry,
     seed: u64,
+    rig: Option<&Rig>,
 ) -> Result<String, String> {
     let mut config: Value = serde_json::from_str(crate::stand_in::CONFIG).map_err(|e| e.to_string())?;
     config["name"] = json!(format!("n{number}"));
     config["listen"] = json!("127.0.0.1:0");
-    config["discovery"] = json!(registry.address.to_string());
+    config["discovery"] = json!(rig.map_or(registry.address, |rig| rig.discovery(number)).to_string());
+    if rig.is_some() {
+        config["control"] = json!("127.0.0.1:0");
+    }
     config["seed"] = json!(format!("{:016x}", seed.wrapping_add(number as u64)));
     config["limits"] = json!({"cores": 1.0, "memory_mb": scenario.memory_mb, "sockets": scenario.sockets});
     config["known"] = serde_json::from_str(&registry.list(0)).map_err(|e| e.to_string())?;
@@ -139,7 +199,7 @@
     Some((status, text.split_once("\r\n\r\n")?.1.to_string()))
 }
 
-async fn begin(command: &mut Command, log: &Path) -> Result<Running, String> {
+async fn begin(command: &mut Command, log: &Path, control: bool, sink: Sink) -> Result<Running, String> {
     let mut child = command
         .stdin(Stdio::null())
         .stdout(Stdio::null())
@@ -147,21 +207,34 @@
         .spawn()
         .map_err(|e| format!("{}: {e}", command.get_program().to_string_lossy()))?;
     let stderr = child.stderr.take().ok_or("no log")?;
-    let mut log = std::fs::File::create(log).map_err(|e| format!("{}: {e}", log.display()))?;
+    let opened = std::fs::OpenOptions::new().create(true).append(true).open(log);
+    let mut log = opened.map_err(|e| format!("{}: {e}", log.display()))?;
     let (tell, told) = tokio::sync::oneshot::channel();
     // A thread of its own reads the log to its end, whatever the load does.
     std::thread::spawn(move || {
         let mut lines = BufReader::new(stderr);
         let mut first = String::new();
         let _ = lines.read_line(&mut first);
+        if control {
+            let _ = lines.read_line(&mut first);
+        }
         let _ = tell.send(first.clone());
         let _ = log.write_all(first.as_bytes());
-        let _ = std::io::copy(&mut lines, &mut log);
+        for line in lines.lines().map_while(Result::ok) {
+            if let Some((number, events)) = &sink {
+                let event = checker::event(*number, &line);
+                events.lock().unwrap_or_else(PoisonError::into_inner).extend(event);
+            }
+            let _ = writeln!(log, "{line}");
+        }
     });
     let first = tokio::time::timeout(STARTS_WITHIN, told).await.ok().and_then(Result::ok).unwrap_or_default();
-    let address = first.trim().strip_prefix("listening on ").and_then(|text| text.parse().ok());
+    let told = |start: &str| first.lines().find_map(|line| line.strip_prefix(start)?.trim().parse().ok());
+    let address = told("listening on ");
+    let control = told("operators call at ");
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
     let mut running =
-        Running { child, address: SocketAddr::from(([127, 0, 0, 1], 0)), rss: Vec::new(), cpu_at_start: 0 };
+        Running { child, address: nowhere, control, files: None, rss: Vec::new(), cpu_at_start: 0 };
     // Dropped on the way out, it ends its process.
     running.address = address.ok_or(format!("a gateway did not start: {}", first.trim()))?;
     Ok(running)
@@ -181,38 +254,59 @@
     wanted: &Wanted,
     registry: &Registry,
     boxes: &[Arc<Portal>],
+    rig: Option<&Rig>,
 ) -> Result<Vec<Running>, String> {
     let folder = &wanted.folder;
     std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
     let mut running = Vec::new();
     for number in 0..scenario.gateways {
         let log = folder.join(format!("gateway-{number}.log"));
+        let _ = std::fs::remove_file(&log);
         if scenario.bare {
             let mut command = Command::new(&wanted.own);
             command.arg("bare").args(boxes.iter().map(|portal| portal.address.to_string()));
-            running.push(begin(&mut command, &log).await?);
+            running.push(begin(&mut command, &log, false, None).await?);
             continue;
         }
         let config = folder.join(format!("config-{number}.json"));
-        let text = configuration(scenario, number, registry, wanted.seed)?;
-        std::fs::write(&config, text).map_err(|e| e.to_string())?;
-        let mut command = Command::new(&wanted.gateway);
-        command.current_dir(folder).env_remove("RELAY_LISTEN").env_remove("RELAY_DISCOVERY");
-        command.env_remove("SWITCHHILL_OPERATOR").env("RELAY_CONFIG", &config);
-        if let Some(operator) = &scenario.operator {
-            let path = folder.join("operator.yaml");
-            std::fs::write(&path, operator).map_err(|e| e.to_string())?;
-            command.env("SWITCHHILL_OPERATOR", path);
+        let operator = match rig {
+            Some(rig) => Some(rig.operator(number, scenario.operator.as_deref())),
+            None => scenario.operator.clone(),
+        };
+        let place = Place {
+            gateway: wanted.gateway.clone(),
+            operator: operator.is_some().then(|| folder.join(format!("operator-{number}.yaml"))),
+            log,
+            config,
+        };
+        std::fs::create_dir_all(place.config.with_extension("tmp")).map_err(|e| e.to_string())?;
+        let text = configuration(scenario, number, registry, wanted.seed, rig)?;
+        std::fs::write(place.whole(), &text).map_err(|e| e.to_string())?;
+        place.write(&text)?;
+        if let (Some(path), Some(operator)) = (&place.operator, &operator) {
+            std::fs::write(path, operator).map_err(|e| e.to_string())?;
         }
         if scenario.keys && number == 0 {
             write_keys(folder, &KEYS[..1])?;
         }
-        let one = begin(&mut command, &log).await?;
-        if !ready(one.address).await {
-            return Err(format!("gateway {number} was not ready in {STARTS_WITHIN:?}"));
+        let sink = rig.map(|rig| (number, rig.events.clone()));
+        let mut one = begin(&mut place.command(), &place.log, rig.is_some(), sink).await?;
+        if rig.is_some() {
+            // Started again, it is to be where its clients know it.
+            place.change(|config| {
+                config["listen"] = json!(one.address.to_string());
+                config["control"] = json!(one.control.map(|control| control.to_string()));
+            })?;
         }
+        one.files = Some(place);
         running.push(one);
     }
+    // All are started before the first is waited for, as a site is.
+    for (number, one) in running.iter().enumerate() {
+        if !scenario.bare && !ready(one.address).await {
+            return Err(format!("gateway {number} was not ready in {STARTS_WITHIN:?}"));
+        }
+    }
     Ok(running)
 }
 
@@ -231,7 +325,12 @@
     }
     let registry =
         Registry::start(boxes.clone()).await.map_err(|e| format!("discovery cannot start: {e}"))?;
-    let mut gateways = start_gateways(scenario, wanted, &registry, &boxes).await?;
+    let plan = scenario.rig.as_ref().filter(|_| !scenario.bare);
+    let mut rig = plan.map(|plan| Rig::start(plan, scenario.gateways, registry.address, wanted.seed));
+    let mut gateways = start_gateways(scenario, wanted, &registry, &boxes, rig.as_ref()).await?;
+    if let Some(rig) = &mut rig {
+        rig.first_agreed(scenario.gateways).await?;
+    }
     let planned = Arc::new(load::plan(scenario, wanted.seed));
     for gateway in &mut gateways {
         gateway.cpu_at_start = gateway.cpu_us();
@@ -254,8 +353,17 @@
         while let Some((_, trouble)) = troubles.next_if(|(at, _)| *at <= now) {
             bring(trouble, &boxes, &registry, &gateways, wanted, &addresses)?;
         }
+        if let Some(rig) = &mut rig {
+            for (number, deed) in rig.due(now) {
+                do_to(&mut gateways[number], number, deed, rig).await?;
+            }
+        }
         if now >= f64::from(second) {
             second += 1;
+            if let Some(rig) = &mut rig {
+                let commands = rig.store.commands();
+                rig.commands.push(commands);
+            }
             for gateway in &mut gateways {
                 let rss = gateway.rss_kb();
                 gateway.rss.push(rss);
@@ -263,6 +371,20 @@
         }
     }
     let tries = playing.await.map_err(|e| format!("the load failed: {e}"))?;
+    let mut rig_figures = BTreeMap::new();
+    if let Some(rig) = &mut rig {
+        // What the scenario still has to end is ended now, and the gateways get their time to agree.
+        for (number, deed) in rig.due(f64::INFINITY) {
+            do_to(&mut gateways[number], number, deed, rig).await?;
+        }
+        let asked = Instant::now();
+        while asked.elapsed() < AGREES_WITHIN && !rig.converged(scenario.gateways) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let bound = switchhill_agreement::Settings::default().bound_ms();
+        rig_figures = rig.figures(scenario.gateways, bound);
+    }
     let mut counters: BTreeMap<String, f64> = BTreeMap::new();
     for address in &addresses {
         let Some((_, text)) = get(*address, "/health/counters").await else { continue };
@@ -286,13 +408,52 @@
     }
     drop(gateways);
     let records = records.lock().unwrap_or_else(PoisonError::into_inner);
-    Ok(Account { scenario, planned: &planned, tries: &tries, records: &records, start }.outcome(
-        wanted.seed,
-        counters,
-        &cpu,
-        memory,
-        crashed,
-    ))
+    Ok(Account { scenario, planned: &planned, tries: &tries, records: &records, start, rig: rig_figures }
+        .outcome(wanted.seed, counters, &cpu, memory, crashed))
+}
+
+/// Does to a gateway what the rig's plan says.
+async fn do_to(gateway: &mut Running, number: usize, deed: Deed, rig: &Rig) -> Result<(), String> {
+    let Some(place) = gateway.files.clone() else { return Ok(()) };
+    match deed {
+        Deed::Freeze => gateway.signal("-STOP"),
+        Deed::Wake => gateway.signal("-CONT"),
+        Deed::Kill => {
+            let _ = gateway.child.kill();
+            let _ = gateway.child.wait();
+        }
+        Deed::Start => {
+            let sink = Some((number, rig.events.clone()));
+            let mut again = begin(&mut place.command(), &place.log, true, sink).await?;
+            (again.files, again.rss) = (Some(place), std::mem::take(&mut gateway.rss));
+            *gateway = again;
+        }
+        Deed::File(meter) => {
+            place.change(|config| config["settings"]["familyInfo"]["meterMs"] = json!(meter))?;
+            gateway.signal("-HUP");
+        }
+        Deed::CutFile => {
+            let text = std::fs::read_to_string(place.whole()).map_err(|e| e.to_string())?;
+            place.write(&text[..text.len() / 2])?;
+            gateway.signal("-HUP");
+        }
+        Deed::Cordon(host, out) => {
+            let Some(control) = gateway.control else { return Ok(()) };
+            let call = format!("{} box-{host}\n", if out { "cordon" } else { "uncordon" });
+            let said = async {
+                let mut socket = TcpStream::connect(control).await.ok()?;
+                socket.write_all(call.as_bytes()).await.ok()?;
+                let mut text = String::new();
+                socket.read_to_string(&mut text).await.ok()?;
+                Some(text)
+            };
+            let said = tokio::time::timeout(Duration::from_secs(2), said).await.ok().flatten();
+            if !said.as_ref().is_some_and(|text| text.starts_with("200")) {
+                return Err(format!("gateway {number}: `{}` was answered {said:?}", call.trim()));
+            }
+        }
+    }
+    Ok(())
 }
 
 fn bring(
@@ -417,6 +578,7 @@
     tries: &'a [Try],
     records: &'a Records,
     start: Instant,
+    rig: BTreeMap<String, f64>,
 }
 
 impl Account<'_> {
@@ -535,6 +697,7 @@
         figures.insert("gateways.rss_growth_kb".into(), growth.fold(0.0, f64::max));
         let most = memory.iter().flatten().max().copied().unwrap_or(0);
         figures.insert("gateways.rss_most_kb".into(), most as f64);
+        figures.extend(self.rig.clone());
         let customers: HashSet<u64> = self.planned.iter().map(|planned| planned.customer).collect();
         figures.insert("all.subscribers".into(), customers.len() as f64);
         figures.extend(counters.into_iter().map(|(name, value)| (format!("counters.{name}"), value)));
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -1,8 +1,10 @@
 //! Scenarios: what is started, what comes, what goes wrong, and what must hold.
 
 use crate::load::PLANS;
+use crate::rig::proxy::Fault;
 use std::path::{Path, PathBuf};
-use switchhill::process::document::{Fault, Faults, Node, Reader};
+use std::time::Duration;
+use switchhill::process::document::{Fault as Wrong, Faults, Node, Reader};
 
 /// How clients take a refusal.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -82,6 +84,80 @@
     Silent(usize, f64),
 }
 
+/// A moment or a span in seconds that the seed draws from a range.
+pub type Range = (f64, f64);
+
+/// Which links of a gateway a fault is on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Links {
+    /// To the store.
+    Store,
+    /// To discovery.
+    Discovery,
+    /// To both: it is cut off from everything that tells it anything.
+    Both,
+}
+
+/// Which gateways a fault between processes meets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Whom {
+    /// This one.
+    Number(usize),
+    /// So many, drawn by the seed among all but gateway 0.
+    Pick(usize),
+    /// Every one.
+    All,
+}
+
+/// What goes wrong between processes, or is done to them.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum RigFault {
+    /// A fault on their links.
+    Link(Links, Fault),
+    /// SIGSTOP, and SIGCONT at the end.
+    Freeze,
+    /// SIGKILL, and a start with the same files at the end.
+    Kill,
+    /// Other settings in the file and SIGHUP, the next of a row.
+    Change,
+    /// A file cut off in the middle and SIGHUP; the whole one is put back at the end.
+    BadFile,
+    /// An operator's call at this gateway: leave the box out.
+    Cordon(usize),
+    /// And put it back.
+    Uncordon(usize),
+    /// The store comes back empty.
+    EmptyStore,
+    /// The store loses the pointers to the versions.
+    LoseKeys,
+    /// The store is given back the settings' pointer as it was at the start, as from an old copy.
+    OldVersion,
+    /// The store answers nobody.
+    StoreDown,
+}
+
+/// A fault between processes: when, for how long, at whom.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RigTrouble {
+    /// Seconds from the start of the load.
+    pub at: Range,
+    /// How long it lasts, where it has an end.
+    pub lasts: Range,
+    /// Whom it meets.
+    pub whom: Whom,
+    /// What.
+    pub fault: RigFault,
+}
+
+/// The fault rig: a store with agreement over it, and a proxy between each gateway and the store and discovery.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct RigPlan {
+    /// What goes wrong between processes.
+    pub troubles: Vec<RigTrouble>,
+    /// The settings' epoch that every gateway is to end on.
+    pub last_epoch: u64,
+}
+
 /// What must hold at the end.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Expect {
@@ -102,7 +178,7 @@
     pub seconds: f64,
     /// What comes before this is not counted.
     pub counted_from: f64,
-    /// Gateways, 1 to 5.
+    /// Gateways, 1 to 16.
     pub gateways: usize,
     /// Each one's limit on memory.
     pub memory_mb: u64,
@@ -124,6 +200,8 @@
     pub groups: Vec<Group>,
     /// What goes wrong, in order of time.
     pub troubles: Vec<(f64, Trouble)>,
+    /// The fault rig, where the scenario has one.
+    pub rig: Option<RigPlan>,
     /// What must hold.
     pub expect: Vec<Expect>,
 }
@@ -134,7 +212,7 @@
     /// # Errors
     /// Every fault in it.
     pub fn from_file(path: &Path) -> Result<Self, Faults> {
-        let whole = |problem: String| Faults(vec![Fault { line: 0, field: String::new(), problem }]);
+        let whole = |problem: String| Faults(vec![Wrong { line: 0, field: String::new(), problem }]);
         let text = std::fs::read_to_string(path).map_err(|e| whole(format!("cannot be read: {e}")))?;
         let name = path.file_stem().map_or(String::new(), |name| name.to_string_lossy().into_owned());
         let folder = path.parent().unwrap_or(Path::new("."));
@@ -155,6 +233,7 @@
                 "boxes",
                 "groups",
                 "troubles",
+                "rig",
                 "expect",
             ]);
             let gateways = root.at("gateways");
@@ -167,7 +246,7 @@
                 name: name.into(),
                 seconds,
                 counted_from: root.at("counted_from").number(0.0..=600.0, 0.0),
-                gateways: gateways.at("count").count(1..=5, 1) as usize,
+                gateways: gateways.at("count").count(1..=16, 1) as usize,
                 memory_mb: gateways.at("memory_mb").count(32..=192, 64),
                 sockets: gateways.at("sockets").count(256..=1024, 1024),
                 operator: read_operator(&gateways.at("operator"), folder),
@@ -177,6 +256,7 @@
                 connections: clients.at("connections").count(1..=1000, 200) as usize,
                 groups: root.at("groups").list().iter().map(|group| read_group(group, seconds)).collect(),
                 troubles: read_troubles(&root.at("troubles"), boxes.count),
+                rig: read_rig(&root.at("rig"), gateways.at("count").count(1..=16, 1) as usize, boxes.count),
                 boxes,
                 expect: root.at("expect").list().iter().map(read_expect).collect(),
             }
@@ -290,6 +370,94 @@
     troubles
 }
 
+fn read_range(from: &Reader<'_>, absent: f64) -> Range {
+    let list = if from.given() { from.list_or_one() } else { Vec::new() };
+    let number = |n: usize, absent: f64| list.get(n).map_or(absent, |each| each.number(0.0..=600.0, absent));
+    if list.len() > 2 {
+        from.fault("is neither a number nor a range of two");
+    }
+    let low = number(0, absent);
+    let high = number(1, low);
+    if high < low {
+        from.fault("the range ends before it begins");
+    }
+    (low, high.max(low))
+}
+
+fn read_rig(from: &Reader<'_>, gateways: usize, boxes: usize) -> Option<RigPlan> {
+    from.only(&["faults", "last_epoch"]);
+    from.given().then(|| RigPlan {
+        troubles: from
+            .at("faults")
+            .list()
+            .iter()
+            .map(|each| read_rig_trouble(each, gateways, boxes))
+            .collect(),
+        last_epoch: from.at("last_epoch").count(1..=1000, 1),
+    })
+}
+
+fn read_rig_trouble(from: &Reader<'_>, gateways: usize, boxes: usize) -> RigTrouble {
+    from.only(&["at", "for", "what", "gateway", "pick", "links", "ms", "bytes", "percent", "box"]);
+    let links = match from.at("links").word(&["store", "discovery", "both"]) {
+        "discovery" => Links::Discovery,
+        "both" => Links::Both,
+        _ => Links::Store,
+    };
+    let which = from.at("box").count(0..=boxes as u64 - 1, 0) as usize;
+    let words = [
+        "cut",
+        "cut-up",
+        "cut-down",
+        "reset",
+        "delay",
+        "slow",
+        "lose",
+        "freeze",
+        "kill",
+        "change",
+        "bad-file",
+        "cordon",
+        "uncordon",
+        "empty-store",
+        "lose-keys",
+        "old-version",
+        "store-down",
+    ];
+    let fault = match from.at("what").word(&words) {
+        "cut-up" => RigFault::Link(links, Fault::CutUp),
+        "cut-down" => RigFault::Link(links, Fault::CutDown),
+        "reset" => RigFault::Link(links, Fault::Reset),
+        "delay" => {
+            RigFault::Link(links, Fault::Delay(Duration::from_millis(from.at("ms").count(1..=10_000, 100))))
+        }
+        "slow" => RigFault::Link(links, Fault::SlowRead(from.at("bytes").count(1..=65_536, 16) as usize)),
+        "lose" => RigFault::Link(links, Fault::LoseConnections(from.at("percent").count(1..=100, 50) as u8)),
+        "freeze" => RigFault::Freeze,
+        "kill" => RigFault::Kill,
+        "change" => RigFault::Change,
+        "bad-file" => RigFault::BadFile,
+        "cordon" => RigFault::Cordon(which),
+        "uncordon" => RigFault::Uncordon(which),
+        "empty-store" => RigFault::EmptyStore,
+        "lose-keys" => RigFault::LoseKeys,
+        "old-version" => RigFault::OldVersion,
+        "store-down" => RigFault::StoreDown,
+        _ => RigFault::Link(links, Fault::Cut),
+    };
+    let (pick, gateway) = (from.at("pick"), from.at("gateway"));
+    let whom = match (pick.given(), gateway.given()) {
+        (true, true) => {
+            gateway.fault("either gateway or pick");
+            Whom::All
+        }
+        (true, _) => Whom::Pick(pick.count(1..=gateways.max(2) as u64 - 1, 1) as usize),
+        (_, true) => Whom::Number(gateway.count(0..=gateways as u64 - 1, 0) as usize),
+        _ => Whom::All,
+    };
+    RigTrouble { at: read_range(&from.at("at"), 0.0), lasts: read_range(&from.at("for"), 1.0), whom, fault }
+}
+
 fn read_expect(from: &Reader<'_>) -> Expect {
     from.only(&["what", "at_least", "at_most"]);
     let (least, most) = (from.at("at_least"), from.at("at_most"));
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -326,6 +326,12 @@
         self.cordons.contains_key(host)
     }
 
+    /// How many upstream hosts an operator, or an agreed version, holds out.
+    #[must_use]
+    pub fn called_out(&self) -> usize {
+        self.cordons.len()
+    }
+
     /// Exactly these upstream hosts are left out from now on, as agreed with the other gateways, whether this one has
     /// them in its list yet or not.
     pub fn hold_out(&mut self, out: BTreeSet<BackendId>) {
--- a/src/net/agreed.rs
+++ b/src/net/agreed.rs
@@ -25,6 +25,8 @@
     refused: Option<Version>,
     /// What the rules in force were made of: the version, a version or offer beside it, the told number.
     rules: Option<Rules>,
+    /// The shared settings of this gateway's file when it was last read.
+    file: String,
     /// Settings offered here and not agreed yet.
     offered: Option<Vec<u8>>,
     /// What the hosts held out were made of.
@@ -242,7 +244,10 @@
 
     /// What a reload of the files comes to under agreement: what is this gateway's own counts at once, what is shared
     /// is offered to all and counts when it is active.
-    pub(super) fn reload_agreed(&mut self, config: Config) -> Result<(), String> {
+    ///
+    /// Danger: a file that is behind the agreed version and was not changed since it was read says nothing new; offered
+    /// at a SIGHUP meant for something else, it would turn every gateway back. `asked` offers it all the same.
+    pub(super) fn reload_agreed(&mut self, config: Config, asked: bool) -> Result<(), String> {
         config.may_follow(&self.text)?;
         self.fits_door(&config.told)?;
         let shared = shared_settings(&config.text)?;
@@ -255,7 +260,10 @@
         self.take_config(own)?;
         let Some(agreement) = &mut self.agreement else { return Ok(()) };
         agreement.taken.rules = None;
-        if shared != in_force {
+        let changed = std::mem::replace(&mut agreement.taken.file, shared.clone()) != shared;
+        if shared != in_force && !changed && !asked {
+            tracing::warn!("the file's settings are not the agreed ones and were not changed: not offered; the call `offer` does");
+        } else if shared != in_force {
             agreement.taken.offered = Some(shared.clone().into_bytes());
             agreement.offer(shared.into_bytes());
             tracing::info!("settings offered to all gateways; in force once they are agreed");
@@ -270,7 +278,7 @@
         }
         let config = Config::from_files(&self.files)?;
         let same = shared_settings(&config.text)? == shared_settings(&self.text)?;
-        self.reload_agreed(config)?;
+        self.reload_agreed(config, true)?;
         Ok(if same { "the settings in force are those of the file" } else { "offered to all gateways" })
     }
 
@@ -287,6 +295,8 @@
 /// Starts agreement where the operator's file names it.
 pub(super) fn begin(config: &Config) -> Result<Option<Agreement>, String> {
     let Some(at) = &config.operator.agreement else { return Ok(None) };
-    let first = shared_settings(&config.text)?.into_bytes();
-    Ok(Some(Agreement::start(at.store, &at.id, first)))
+    let first = shared_settings(&config.text)?;
+    let mut agreement = Agreement::start(at.store, &at.id, first.clone().into_bytes());
+    agreement.taken.file = first;
+    Ok(Some(agreement))
 }
--- a/src/net/agreement.rs
+++ b/src/net/agreement.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 use switchhill_agreement::hosts::{compose, unmet, Hosts, Listing, Stamp, Stamper, Wishes};
@@ -299,12 +299,12 @@
     true
 }
 
-/// How long the thread rests when there is nothing to do.
-const REST: Duration = Duration::from_millis(5);
+/// The longest that the thread rests when there is nothing to do; what the loop asks wakes it.
+const LONGEST_REST: Ms = 100;
 
 /// A lock's contents, also after a panic elsewhere while it was held: what is inside is whole values only.
 fn held<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// One register as the thread publishes it, with the contents of its active and pending versions where held.
@@ -364,11 +364,11 @@
 
 /// Agreement at one gateway: its one field in the loop.
 pub struct Agreement {
-    desk: Arc<Mutex<Desk>>,
+    desk: Arc<(Mutex<Desk>, Condvar)>,
     told: Arc<Mutex<Arc<View>>>,
     start: Instant,
-    /// What was last logged, by register.
-    logged: [(Mode, Option<Version>); 2],
+    /// What was last logged, by register, and the moment that it told.
+    logged: [(Mode, Option<Version>, Ms); 2],
     settings: Settings,
     /// Unix time in milliseconds at `start`: the events' moments are told in it.
     unix_start: Ms,
@@ -386,7 +386,7 @@
     /// settings, the fleet's first version where there is none.
     pub fn start(store: std::net::SocketAddr, id: &str, first: Vec<u8>) -> Agreement {
         let settings = Settings::default();
-        let desk = Arc::new(Mutex::new(Desk { first: Some(first), ..Desk::default() }));
+        let desk = Arc::new((Mutex::new(Desk { first: Some(first), ..Desk::default() }), Condvar::new()));
         let told = Arc::new(Mutex::new(Arc::new(View::default())));
         let start = Instant::now();
         let (id, asked, shared) = (id.to_owned(), desk.clone(), told.clone());
@@ -400,7 +400,7 @@
             desk,
             told,
             start,
-            logged: [(Mode::Starting, None); 2],
+            logged: [(Mode::Starting, None, 0); 2],
             settings,
             unix_start: std::time::SystemTime::now()
                 .duration_since(std::time::UNIX_EPOCH)
@@ -429,35 +429,43 @@
         both.into_iter().flatten().flatten().filter(|at| *at > now).min().map(|at| at - now)
     }
 
+    /// Puts something on the thread's desk and wakes it.
+    fn ask<T>(&self, what: impl FnOnce(&mut Desk) -> T) -> T {
+        let done = what(&mut held(&self.desk.0));
+        self.desk.1.notify_one();
+        done
+    }
+
     /// Offers settings as the next version. A later offer replaces one that was not announced yet.
     pub(super) fn offer(&self, shared: Vec<u8>) {
-        held(&self.desk).offer = Some(shared);
+        self.ask(|desk| desk.offer = Some(shared));
     }
 
     /// Tells which hosts discovery lists here.
     pub(super) fn list(&self, listing: Listing) {
-        held(&self.desk).listing = Some(Arc::new(listing));
+        self.ask(|desk| desk.listing = Some(Arc::new(listing)));
     }
 
     /// An operator wants a host left out or put back, at every gateway. False where too many wishes wait.
     pub(super) fn wish(&self, host: &str, out: bool) -> bool {
-        let mut desk = held(&self.desk);
-        let room = desk.wishes.len() < switchhill_agreement::hosts::MOST_CORDONS;
-        if room || desk.wishes.contains_key(host) {
-            desk.wishes.insert(host.to_owned(), out);
-            return true;
-        }
-        false
+        self.ask(|desk| {
+            let room = desk.wishes.len() < switchhill_agreement::hosts::MOST_CORDONS;
+            let may = room || desk.wishes.contains_key(host);
+            if may {
+                desk.wishes.insert(host.to_owned(), out);
+            }
+            may
+        })
     }
 
     /// The wishes that no version fulfils yet.
     pub(super) fn wishes(&self) -> Wishes {
-        held(&self.desk).wishes.clone()
+        held(&self.desk.0).wishes.clone()
     }
 
     /// This gateway stops: the others are to know at once.
     pub(super) fn leave(&self) {
-        held(&self.desk).leaving = true;
+        self.ask(|desk| desk.leaving = true);
     }
 
     /// The stamp of the newest list that this gateway acts on by agreement.
@@ -499,10 +507,13 @@
     pub(super) fn log_changes(&mut self) {
         let view = self.view();
         for (n, (acting, (at, why))) in self.acting(&view).into_iter().enumerate() {
-            if (acting.mode, acting.active) == self.logged[n] {
+            let (mode, active, before) = self.logged[n];
+            if (acting.mode, acting.active) == (mode, active) {
                 continue;
             }
-            self.logged[n] = (acting.mode, acting.active);
+            // What is told later happened later: a renewal may come to the loop after it took the lease for run out.
+            let at = at.max(before);
+            self.logged[n] = (acting.mode, acting.active, at);
             let version = acting.active.map(|version| version.to_string()).unwrap_or_default();
             let (unix_ms, bound_ms) = (self.unix_start + at, self.settings.bound_ms());
             tracing::info!(register = REGISTERS[n], mode = %acting.mode, version = %version, unix_ms, bound_ms, why, "agreement");
@@ -529,7 +540,7 @@
     }
 
     /// The figures: each register's mode, epoch and digest, and the members counted.
-    pub(super) fn figures(&self, number: (u32, u32)) -> String {
+    pub(super) fn figures(&self, number: (u32, u32), held_out: usize) -> String {
         let view = self.view();
         let mut text = String::new();
         for (name, (acting, _)) in REGISTERS.iter().zip(self.acting(&view)) {
@@ -545,6 +556,7 @@
             ("alone", u32::from(told.alone)),
             ("told_number", number.0),
             ("told_ordinal", number.1),
+            ("hosts_held_out", held_out as u32),
         ];
         figures.iter().fold(text, |text, (name, n)| text + &format!("switchhill_agreement_{name} {n}\n"))
     }
@@ -556,7 +568,7 @@
     id: &str,
     settings: Settings,
     start: Instant,
-    desk: &Mutex<Desk>,
+    (desk, asked): &(Mutex<Desk>, Condvar),
     told: &Mutex<Arc<View>>,
 ) {
     let clock = || start.elapsed().as_millis() as Ms;
@@ -578,13 +590,14 @@
                 wires[0].leave(id);
                 return;
             }
-            if registers[0].highest().is_some() {
-                // There is a version: what a process was started with is no change.
-                desk.first = None;
-            }
-            (desk.offer.take(), desk.first.clone(), desk.listing.clone(), desk.wishes.clone())
+            (desk.offer.take(), desk.first.take(), desk.listing.clone(), desk.wishes.clone())
         };
-        if let Some(content) = offer.or(first) {
+        if let Some(content) = first {
+            let digest = digest(&content);
+            wires[0].offered.insert(digest, content);
+            registers[0].propose_first(digest);
+        }
+        if let Some(content) = offer {
             want(&mut registers[0], &mut wires[0], Some(content));
         }
         let newest = view.hosts.content(registers[1].highest()).cloned();
@@ -599,11 +612,24 @@
             let knows = newest.is_some() || registers[1].highest().is_none();
             let next = knows.then(|| compose(newest.as_deref(), listing.as_deref(), &wishes)).flatten();
             want(&mut registers[1], &mut wires[1], next.map(|hosts| hosts.stored()));
-            composed_from = from;
         }
+        composed_from = from;
+        // Danger: what one blocking call has confirmed must not wait for the next one to be published: the loop would
+        // take a lease for run out that was renewed.
+        let mut publish = |registers: &[Register; 2], wires: &[Wire; 2], members: &Members| {
+            view = View {
+                settings: view.settings.next(&registers[0], &wires[0], |bytes| Some(bytes.clone())),
+                hosts: view
+                    .hosts
+                    .next(&registers[1], &wires[1], |bytes| Hosts::read(bytes).ok().map(Arc::new)),
+                members: Some(members.told(clock())),
+            };
+            *held(told) = Arc::new(view.clone());
+        };
         let mut busy = false;
-        for (register, wire) in registers.iter_mut().zip(&mut wires) {
-            busy |= drive(register, wire, clock, settings.announce_ms);
+        for n in 0..registers.len() {
+            busy |= drive(&mut registers[n], &mut wires[n], clock, settings.announce_ms);
+            publish(&registers, &wires, &members);
         }
         if clock() >= next_listing {
             let sent = clock();
@@ -611,19 +637,32 @@
             if let Ok(listed) = wires[0].members(id, settings.lease_ms) {
                 members.listed(clock(), sent, listed);
             }
+            publish(&registers, &wires, &members);
         }
-        view = View {
-            settings: view.settings.next(&registers[0], &wires[0], |bytes| Some(bytes.clone())),
-            hosts: view.hosts.next(&registers[1], &wires[1], |bytes| Hosts::read(bytes).ok().map(Arc::new)),
-            members: Some(members.told(clock())),
-        };
-        *held(told) = Arc::new(view.clone());
         if !busy {
-            thread::sleep(REST);
+            let due = registers.iter().map(Register::next_due).fold(next_listing, Ms::min);
+            let rest = Duration::from_millis(due.saturating_sub(clock()).clamp(1, LONGEST_REST));
+            let desk = held(desk);
+            // What was asked since this round looked is not slept over.
+            let old = |desk: &mut Desk| {
+                desk.offer.is_none()
+                    && !desk.leaving
+                    && desk.wishes == composed_from.3
+                    && same(&desk.listing, &composed_from.2)
+            };
+            drop(asked.wait_timeout_while(desk, rest, old));
         }
     }
 }
 
+/// Whether two listings are one and the same.
+fn same(a: &Option<Arc<Listing>>, b: &Option<Arc<Listing>>) -> bool {
+    match (a, b) {
+        (Some(a), Some(b)) => Arc::ptr_eq(a, b),
+        (a, b) => a.is_none() && b.is_none(),
+    }
+}
+
 /// Makes `content` what the register is to propose, or nothing.
 fn want(register: &mut Register, wire: &mut Wire, content: Option<Vec<u8>>) {
     let Some(content) = content else { return register.withdraw() };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -671,7 +671,7 @@
     /// address and the limits, all of it or nothing. Streams and connections stay.
     fn reload(&mut self) {
         let taken = Config::from_files(&self.files).and_then(|config| match self.agreement {
-            Some(_) => self.reload_agreed(config),
+            Some(_) => self.reload_agreed(config, false),
             None => self.take_config(config),
         });
         match taken {
@@ -743,7 +743,8 @@
         let dropped = self.logs.as_ref().map_or(0, Logs::dropped);
         let door = self.door.as_ref().map_or(String::new(), AtDoor::figures);
         let number = self.told_number();
-        let agreed = self.agreement.as_ref().map_or(String::new(), |at| at.figures(number));
+        let agreed =
+            self.agreement.as_ref().map_or(String::new(), |at| at.figures(number, self.core.called_out()));
         let counters = &self.core.counters;
         format!("{counters}switchhill_log_lines_dropped {dropped}\n{door}{agreed}{}", self.figures())
     }
--- a/src/process/document.rs
+++ b/src/process/document.rs
@@ -351,6 +351,20 @@
         })
     }
 
+    /// The elements of a list, or the place itself where it is no list.
+    #[must_use]
+    pub fn list_or_one(&self) -> Vec<Reader<'a>> {
+        match self.node.map(|node| &node.kind) {
+            Some(Kind::List(_)) => self.list(),
+            node => vec![Reader {
+                node: node.and(self.node),
+                line: self.line,
+                path: self.path.clone(),
+                faults: self.faults,
+            }],
+        }
+    }
+
     /// The elements of a list; none where absent.
     #[must_use]
     pub fn list(&self) -> Vec<Reader<'a>> {
