Design of recovery, its bound stated beforehand; its decisions in crates/recovery

Change: the design with four options weighed and the overshoot's bound; backoff, first contact, ages and phases as a crate without I/O, not wired yet. Measured: its 15 tests (tables, virtual time, proptest) pass; nothing runs it yet.

--- /dev/null
+++ b/crates/recovery/src/tests.rs
@@ -0,0 +1,80 @@
+//! The decisions in virtual time.
+
+use super::*;
+use proptest::prelude::*;
+use rstest::rstest;
+
+#[rstest]
+#[case::fresh(Part::Slices, 4_000, true, Use::Whole)]
+#[case::missed_more_than_a_period(Part::Slices, 4_001, true, Use::AsBound)]
+#[case::other_settings(Part::Slices, 10, false, Use::AsBound)]
+#[case::too_old_even_for_a_bound(Part::Slices, 60_001, true, Use::Not)]
+#[case::price_of_seconds_ago(Part::Prices, 5_001, true, Use::Not)]
+#[case::price_of_another_load(Part::Prices, 10, false, Use::Not)]
+#[case::cordon_of_yesterday(Part::Cordons, 80_000_000, false, Use::AsBound)]
+#[case::list(Part::List, 10, true, Use::AsBound)]
+#[case::list_too_old(Part::List, 600_001, true, Use::Not)]
+#[case::evidence(Part::Evidence, 60_000, false, Use::Whole)]
+#[case::evidence_too_old(Part::Evidence, 60_001, false, Use::Not)]
+fn a_part_is_used_by_its_age_and_the_settings_it_was_made_under(
+    #[case] part: Part,
+    #[case] age: Ms,
+    #[case] same: bool,
+    #[case] how: Use,
+) {
+    assert_eq!(Ages::default().judge(part, age, same), how);
+}
+
+#[test]
+fn phases_come_in_order_each_once_and_pressure_holds_full_service_back() {
+    let mut back = Return::new(1000);
+    let mut seen = Seen { warm: true, versions: true, ..Seen::default() };
+    assert_eq!(back.observe(1500, seen), [], "nothing counts before the store");
+    seen.store = true;
+    let phases = [Phase::StoreReached, Phase::VersionsAgreed, Phase::HostsWarm];
+    assert_eq!(back.observe(1600, seen), phases.map(|phase| (phase, 600)));
+    seen.pressed_at = Some(1900);
+    assert_eq!(back.observe(2800, seen), []);
+    seen.store = false;
+    assert_eq!(back.observe(2900, seen), [(Phase::FullService, 1900)], "what was reached stays");
+    assert_eq!((back.phase(), back.observe(9000, seen)), (Phase::FullService, vec![]));
+}
+
+#[test]
+fn gateways_that_fail_together_try_again_apart_and_begin_apart() {
+    let after = |tries: usize| -> Vec<Ms> {
+        (0..300u64)
+            .map(|seed| {
+                let mut backoff = Backoff::new(50, 1000, seed);
+                (0..tries).map(|_| backoff.failed()).sum()
+            })
+            .collect()
+    };
+    // Of 300 after six failures, no 100 ms of the last wait's second holds more than a fifth.
+    let moments = after(6);
+    let most = (0..30).map(|n| moments.iter().filter(|at| **at / 100 == n).count()).max();
+    assert!(most.is_some_and(|most| most <= 60), "{most:?}");
+    let mut first: Vec<Ms> = (0..16).map(|n| first_at(500, 16, n, 7 + u64::from(n))).collect();
+    first.dedup();
+    assert!(first.is_sorted() && first.len() >= 15 && first[15] >= 468, "{first:?}");
+}
+
+proptest! {
+    #[test]
+    fn a_wait_is_never_over_its_ceiling_and_success_forgets(first in 1..500u64, longest in 1..5000u64, seed: u64) {
+        let mut backoff = Backoff::new(first, longest.max(first), seed);
+        let mut ceiling = first;
+        for _ in 0..12 {
+            let wait = backoff.failed();
+            prop_assert!((1..=ceiling.min(longest.max(first))).contains(&wait), "{wait} over {ceiling}");
+            ceiling = ceiling.saturating_mul(2);
+        }
+        backoff.succeeded();
+        prop_assert!(backoff.failed() <= first);
+    }
+
+    #[test]
+    fn everyone_begins_within_the_spread(spread in 0..10_000u64, gateways in 0..400u32, ordinal: u32, seed: u64) {
+        prop_assert!(first_at(spread, gateways, ordinal, seed) <= spread);
+    }
+}
