--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -159,6 +159,9 @@
     pub lease_until: Option<Ms>,
     /// The last change of mode or version: when, and why in a few words.
     pub changed: (Ms, &'static str),
+    /// When a lease last ran out. A process woken from a stop may be confirmed again before its loop has looked: it
+    /// decided nothing in between, and was safe from this moment on.
+    pub lapsed: Option<Ms>,
 }
 
 impl State {
@@ -260,6 +263,7 @@
     /// A read has come back since the last proposal's outcome.
     fresh: bool,
     changed: (Ms, &'static str),
+    lapsed: Option<Ms>,
 }
 
 impl Register {
@@ -281,6 +285,7 @@
             absent: false,
             fresh: true,
             changed: (now, "started"),
+            lapsed: None,
         }
     }
 
@@ -299,6 +304,7 @@
             pending: self.pending,
             lease_until: self.confirmed.map(|at| at + self.settings.lease_ms),
             changed: self.changed,
+            lapsed: self.lapsed,
         }
     }
 
@@ -322,6 +328,7 @@
         if let (Mode::Active, Some(end)) = (self.mode, ended) {
             self.mode = Mode::Safe;
             self.changed = (end, LAPSED);
+            self.lapsed = Some(end);
         }
     }
 
--- a/crates/agreement/src/tests.rs
+++ b/crates/agreement/src/tests.rs
@@ -27,6 +27,14 @@
     assert_eq!(register.poll_action(300), Some(Action::Restore { version: V2, settle_ms: 1500 }));
 }
 
+#[test]
+fn a_lease_that_ran_out_unseen_during_a_stop_is_still_told_after_the_next_confirmation() {
+    let mut register = active_on(V1);
+    register.read(5000, 4990, settled(V2));
+    let state = register.state();
+    assert_eq!((state.mode, state.active, state.lapsed), (Mode::Active, Some(V2), Some(1001)));
+}
+
 #[test]
 fn a_lost_key_is_given_back_and_confirms_nothing() {
     let mut register = active_on(V1);
--- a/lab/src/boxes.rs
+++ b/lab/src/boxes.rs
@@ -66,6 +66,12 @@
         (self.beyond.values().sum(), self.beyond.values().copied().fold(0.0, f64::max))
     }
 
+    /// From now on counts what is served beyond the quotas anew: the first fault begins.
+    pub fn mark(&mut self) {
+        self.beyond.clear();
+        self.peak_load = 0.0;
+    }
+
     /// One unit served to a customer of a plan with this rate and burst.
     fn take_from_quota(&mut self, now: Instant, customer: u64, (rate, burst): (f64, f64)) {
         let (left, at) = self.quotas.entry(customer).or_insert((burst, now));
--- a/lab/src/rig/checker.rs
+++ b/lab/src/rig/checker.rs
@@ -32,6 +32,30 @@
     pub version: String,
 }
 
+/// A phase of a gateway's return, as its log tells it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Returned {
+    /// Which gateway.
+    pub gateway: usize,
+    /// Which phase.
+    pub phase: String,
+    /// Milliseconds after its start.
+    pub after_ms: u64,
+    /// When, in Unix milliseconds.
+    pub unix_ms: u64,
+}
+
+/// Reads one log line; `None` for lines that tell no phase.
+pub fn returned(gateway: usize, line: &str) -> Option<Returned> {
+    let value: serde_json::Value = serde_json::from_str(line).ok()?;
+    if value.get("message")?.as_str()? != "return" {
+        return None;
+    }
+    let phase = value.get("phase")?.as_str()?.to_owned();
+    let number = |name: &str| value.get(name).and_then(serde_json::Value::as_u64);
+    Some(Returned { gateway, phase, after_ms: number("after_ms")?, unix_ms: number("unix_ms")? })
+}
+
 /// Reads one log line; `None` for lines that are not agreement events.
 pub fn event(gateway: usize, line: &str) -> Option<Event> {
     let value: serde_json::Value = serde_json::from_str(line).ok()?;
--- a/lab/src/rig/faults.rs
+++ b/lab/src/rig/faults.rs
@@ -1,10 +1,10 @@
 //! Plays a scenario's faults between processes: the store, the proxies of every gateway, its processes' ends and
 //! starts, and what their logs tell of agreement.
 
-use super::checker::{gone, longest_disagreement, Event};
+use super::checker::{gone, longest_disagreement, Event, Returned};
 use super::proxy::{Fault, Proxy};
 use super::store::Store;
-use crate::scenario::{Links, RigFault, RigPlan, RigTrouble, Whom};
+use crate::scenario::{Links, RigFault, RigPlan, RigTrouble, Spoil, Whom};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -30,6 +30,8 @@
     CutFile,
     /// Discovery goes back to its first list, or forward again.
     Stale(bool),
+    /// Something happens to its snapshot.
+    Spoil(Spoil),
     /// The call `cordon` or `uncordon` for a box.
     Cordon(usize, bool),
 }
@@ -42,6 +44,8 @@
     discovery_links: Vec<Proxy>,
     /// What the gateways' logs told of agreement.
     pub events: Arc<Mutex<Vec<Event>>>,
+    /// And of their returns.
+    pub returns: Arc<Mutex<Vec<Returned>>>,
     /// What is still to happen: when, at whom, what; `true` begins it and `false` ends it.
     plan: Vec<(f64, Vec<usize>, RigFault, bool)>,
     changes: usize,
@@ -52,6 +56,8 @@
     quiet_since: u64,
     last_epoch: u64,
     meter: bool,
+    recovery: bool,
+    first_unix: u64,
     /// When the first fault began and the last one began or ended, in seconds of the run.
     faults_at: Option<(f64, f64)>,
     /// By second of the run, the store's commands and the connections made to it.
@@ -102,6 +108,9 @@
             discovery_links: links(discovery, 32),
             store,
             events: Arc::default(),
+            returns: Arc::default(),
+            first_unix: u64::MAX,
+            recovery: plan.recovery,
             plan: moments,
             changes: 0,
             files: vec![METER_MS[0]; gateways],
@@ -126,7 +135,15 @@
         let agreement = super::operator(self.store_links[number].address, &format!("g{number:02}"), true);
         let address = self.store_links[number].address;
         let meter = if self.meter { format!("store: {{address: \"{address}\"}}\n") } else { String::new() };
-        format!("{}\n{agreement}{meter}", given.unwrap_or(""))
+        let recovery = format!("recovery: {{snapshot: {}}}\n", Self::snapshot(number));
+        let recovery = if self.recovery { recovery } else { String::new() };
+        format!("{}\n{agreement}{meter}{recovery}", given.unwrap_or(""))
+    }
+
+    /// The file of a gateway's snapshot, in the run's folder.
+    #[must_use]
+    pub fn snapshot(number: usize) -> String {
+        format!("gateway-{number}.state")
     }
 
     /// A second of the run has passed.
@@ -164,6 +181,7 @@
             let (at, whom, fault, begins) = self.plan.remove(0);
             self.faults_at = Some((self.faults_at.map_or(at, |(first, _)| first), at));
             self.quiet_since = unix_ms();
+            self.first_unix = self.first_unix.min(self.quiet_since);
             self.bring(&whom, fault, begins, &mut deeds);
         }
         deeds
@@ -188,6 +206,7 @@
                 self.store_links.iter().for_each(|link| link.set(fault));
             }
             (RigFault::StaleList, _) => deeds.push((0, Deed::Stale(begins))),
+            (RigFault::Spoil(how), _) => each(Deed::Spoil(how)),
             (RigFault::Freeze, true) => each(Deed::Freeze),
             (RigFault::Freeze, false) => each(Deed::Wake),
             (RigFault::Kill, true) => {
@@ -280,6 +299,11 @@
         let [calm, peak, connections] = self.store_load();
         let epochs =
             |event: &Event| event.version.split(':').next().and_then(|epoch| epoch.parse::<u64>().ok());
+        let returns = self.returns.lock().expect("lock");
+        let full = returns.iter().filter(|r| r.phase == "full service" && r.unix_ms >= self.first_unix);
+        let mut full: Vec<u64> = full.map(|r| r.after_ms).collect();
+        full.sort_unstable();
+        let full_at = |n: usize| full.get(n).map_or(f64::NAN, |ms| *ms as f64);
         let highest = events.iter().filter(|e| e.register == "settings").filter_map(epochs).max();
         BTreeMap::from(
             [
@@ -290,6 +314,9 @@
                 ("converged", f64::from(u8::from(self.converged(gateways)))),
                 ("settled_after_ms", settled.saturating_sub(self.quiet_since) as f64),
                 ("settings_epoch", highest.unwrap_or(0) as f64),
+                ("returns_full", full.len() as f64),
+                ("full_service_p50_ms", full_at(full.len() / 2)),
+                ("full_service_most_ms", full_at(full.len().saturating_sub(1))),
                 ("store_commands_calm", calm),
                 ("store_commands_peak", peak),
                 ("store_commands_ratio", peak / calm),
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -4,7 +4,7 @@
 use crate::load::{self, Fate, Live, Planned, Try, AIM_MS, GIVE_UP_MS, PLANS};
 use crate::rig::checker;
 use crate::rig::faults::{Deed, Rig};
-use crate::scenario::{Scenario, Trouble};
+use crate::scenario::{Scenario, Spoil, Trouble};
 use crate::stand_in::{resident_kb, signal};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -120,7 +120,7 @@
 }
 
 /// Where a gateway's log goes beside its file: as gateway `number`, its agreement events.
-type Sink = Option<(usize, Arc<Mutex<Vec<checker::Event>>>)>;
+type Sink = Option<(usize, Arc<Mutex<Vec<checker::Event>>>, Arc<Mutex<Vec<checker::Returned>>>)>;
 
 impl Drop for Running {
     fn drop(&mut self) {
@@ -221,9 +221,13 @@
         let _ = tell.send(first.clone());
         let _ = log.write_all(first.as_bytes());
         for line in lines.lines().map_while(Result::ok) {
-            if let Some((number, events)) = &sink {
+            if let Some((number, events, returns)) = &sink {
                 let event = checker::event(*number, &line);
                 events.lock().unwrap_or_else(PoisonError::into_inner).extend(event);
+                returns
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .extend(checker::returned(*number, &line));
             }
             let _ = writeln!(log, "{line}");
         }
@@ -261,7 +265,7 @@
     let mut running = Vec::new();
     for number in 0..scenario.gateways {
         let log = folder.join(format!("gateway-{number}.log"));
-        let _ = std::fs::remove_file(&log);
+        let _ = (std::fs::remove_file(&log), std::fs::remove_file(folder.join(Rig::snapshot(number))));
         if scenario.bare {
             let mut command = Command::new(&wanted.own);
             command.arg("bare").args(boxes.iter().map(|portal| portal.address.to_string()));
@@ -289,7 +293,7 @@
         if scenario.keys && number == 0 {
             write_keys(folder, &KEYS[..1])?;
         }
-        let sink = rig.map(|rig| (number, rig.events.clone()));
+        let sink = rig.map(|rig| (number, rig.events.clone(), rig.returns.clone()));
         let mut one = begin(&mut place.command(), &place.log, rig.is_some(), sink).await?;
         if rig.is_some() {
             // Started again, it is to be where its clients know it.
@@ -348,6 +352,7 @@
     ));
     let mut troubles = scenario.troubles.iter().copied().peekable();
     let mut second = 1;
+    let mut marked = false;
     while !playing.is_finished() {
         tokio::time::sleep(Duration::from_millis(20)).await;
         let now = start.elapsed().as_secs_f64();
@@ -355,7 +360,11 @@
             bring(trouble, &boxes, &registry, &gateways, wanted, &addresses)?;
         }
         if let Some(rig) = &mut rig {
-            for (number, deed) in rig.due(now) {
+            let due = rig.due(now);
+            if rig.faults_at().is_some() && !std::mem::replace(&mut marked, true) {
+                records.lock().unwrap_or_else(PoisonError::into_inner).mark();
+            }
+            for (number, deed) in due {
                 do_to(&mut gateways[number], number, deed, rig, &registry).await?;
             }
         }
@@ -432,6 +441,23 @@
     let Some(place) = gateway.files.clone() else { return Ok(()) };
     match deed {
         Deed::Stale(on) => registry.go_back(on),
+        Deed::Spoil(how) => {
+            let folder = place.config.parent().unwrap_or(Path::new("."));
+            let path = folder.join(Rig::snapshot(number));
+            let mut bytes = std::fs::read(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+            match how {
+                Spoil::Cut => bytes.truncate(bytes.len() / 2),
+                Spoil::OldFormat => bytes[5] = 0,
+                Spoil::Foreign => {
+                    bytes =
+                        std::fs::read(folder.join(Rig::snapshot(number + 1))).map_err(|e| e.to_string())?;
+                }
+                Spoil::Missing => bytes.clear(),
+            }
+            let done =
+                if how == Spoil::Missing { std::fs::remove_file(path) } else { std::fs::write(path, bytes) };
+            done.map_err(|e| e.to_string())?;
+        }
         Deed::Freeze => gateway.signal("-STOP"),
         Deed::Wake => gateway.signal("-CONT"),
         Deed::Kill => {
@@ -439,7 +465,7 @@
             let _ = gateway.child.wait();
         }
         Deed::Start => {
-            let sink = Some((number, rig.events.clone()));
+            let sink = Some((number, rig.events.clone(), rig.returns.clone()));
             let mut again = begin(&mut place.command(), &place.log, true, sink).await?;
             (again.files, again.rss) = (Some(place), std::mem::take(&mut gateway.rss));
             *gateway = again;
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -138,6 +138,21 @@
     StoreDown,
     /// Discovery gives the list that it gave first, under its old revision.
     StaleList,
+    /// Something happens to the snapshots, best while the gateways are down.
+    Spoil(Spoil),
+}
+
+/// What happens to a snapshot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Spoil {
+    /// Its second half is lost.
+    Cut,
+    /// It is the next gateway's.
+    Foreign,
+    /// It is of an older format.
+    OldFormat,
+    /// It is gone.
+    Missing,
 }
 
 /// A fault between processes: when, for how long, at whom.
@@ -162,6 +177,8 @@
     pub last_epoch: u64,
     /// The store is the meter too.
     pub meter: bool,
+    /// The gateways keep snapshots and tell the phases of their return.
+    pub recovery: bool,
 }
 
 /// What must hold at the end.
@@ -392,7 +409,7 @@
 }
 
 fn read_rig(from: &Reader<'_>, gateways: usize, boxes: usize) -> Option<RigPlan> {
-    from.only(&["faults", "last_epoch", "meter"]);
+    from.only(&["faults", "last_epoch", "meter", "recovery"]);
     from.given().then(|| RigPlan {
         troubles: from
             .at("faults")
@@ -402,11 +419,12 @@
             .collect(),
         last_epoch: from.at("last_epoch").count(1..=1000, 1),
         meter: from.at("meter").flag(false),
+        recovery: from.at("recovery").flag(false),
     })
 }
 
 fn read_rig_trouble(from: &Reader<'_>, gateways: usize, boxes: usize) -> RigTrouble {
-    from.only(&["at", "for", "what", "gateway", "pick", "links", "ms", "bytes", "percent", "box"]);
+    from.only(&["at", "for", "what", "gateway", "pick", "links", "ms", "bytes", "percent", "box", "how"]);
     let links = match from.at("links").word(&["store", "discovery", "both"]) {
         "discovery" => Links::Discovery,
         "both" => Links::Both,
@@ -432,6 +450,7 @@
         "old-version",
         "store-down",
         "stale-list",
+        "spoil",
     ];
     let fault = match from.at("what").word(&words) {
         "cut-up" => RigFault::Link(links, Fault::CutUp),
@@ -453,6 +472,12 @@
         "old-version" => RigFault::OldVersion,
         "store-down" => RigFault::StoreDown,
         "stale-list" => RigFault::StaleList,
+        "spoil" => RigFault::Spoil(match from.at("how").word(&["cut", "foreign", "old-format", "missing"]) {
+            "foreign" => Spoil::Foreign,
+            "old-format" => Spoil::OldFormat,
+            "missing" => Spoil::Missing,
+            _ => Spoil::Cut,
+        }),
         _ => RigFault::Link(links, Fault::Cut),
     };
     let (pick, gateway) = (from.at("pick"), from.at("gateway"));
--- a/src/brain/standing.rs
+++ b/src/brain/standing.rs
@@ -3,6 +3,7 @@
 use super::{Brain, ClassState, Customer};
 use crate::interface::{Millis, Settings, SettingsError};
 use serde::{Deserialize, Serialize};
+use switchhill_recovery::Use;
 
 /// What a brain has learnt, for one that goes on in its place. Classes and plans stand in the order of the
 /// settings it was learnt under; times are those of the clock that both are told.
@@ -32,6 +33,35 @@
     rest_until: Millis,
 }
 
+impl Learnt {
+    /// Leaves of it what may be used; what is left may be the stricter for it, never the looser.
+    pub fn keep(&mut self, slices: Use, prices: Use, evidence: Use) {
+        match slices {
+            Use::Whole => {}
+            // Danger: a share or a reading of before may be far from what the others use now. The floor and an empty
+            // bucket's filling are all that is kept.
+            Use::AsBound => {
+                self.started = None;
+                for (_, customer) in &mut self.customers {
+                    customer.share = customer.share.min(1.0 / customer.entry.max(1.0));
+                    (customer.reading, customer.read_at) = (0.0, f64::NEG_INFINITY);
+                }
+            }
+            Use::Not => {
+                self.started = None;
+                self.customers.clear();
+            }
+        }
+        if prices != Use::Whole {
+            self.classes.clear();
+            self.within.clear();
+        }
+        if evidence != Use::Whole {
+            self.hosts.clear();
+        }
+    }
+}
+
 impl Brain {
     /// Goes on under other settings. `classes` and `plans` tell, for each of the present settings', its position in
     /// the new ones under its name. `held` marks classes that must stay for others' sake. What open requests came
@@ -129,6 +159,7 @@
     /// the settings here. What is known here already of hosts that have started since stays.
     pub fn learn(&mut self, learnt: Learnt, classes: &[Option<usize>], plans: &[Option<usize>]) {
         self.started = [self.started, learnt.started].into_iter().flatten().reduce(f64::min);
+        let priced = !learnt.classes.is_empty();
         for (state, here) in learnt.classes.into_iter().zip(classes) {
             if let Some(class) = here.and_then(|here| self.classes.get_mut(here)) {
                 *class = state;
@@ -155,8 +186,11 @@
                 (server.faults, server.rest, server.rest_until) = (host.faults, host.rest, host.rest_until);
             }
         }
-        (self.extra, self.wait, self.heard) = (learnt.extra, learnt.wait, learnt.heard);
-        (self.missing, self.usual_out) = (learnt.missing, learnt.usual_out);
+        // Without its prices the rest of what the load was is none of this one's either.
+        if priced {
+            (self.extra, self.wait, self.heard) = (learnt.extra, learnt.wait, learnt.heard);
+            (self.missing, self.usual_out) = (learnt.missing, learnt.usual_out);
+        }
     }
 }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -185,6 +185,7 @@
     rates: Vec<f64>,
     max_attempts: u32,
     meter_period: Millis,
+    warm_up: Millis,
     now: Millis,
     streams: HashMap<StreamId, Stream>,
     upstream: HashMap<UpstreamId, Upstream>,
@@ -220,6 +221,7 @@
             rates: settings.plans.iter().map(|plan| plan.rate).collect(),
             max_attempts: settings.limits.max_attempts,
             meter_period: settings.meter_period,
+            warm_up: settings.rules.warm_up,
             brain: Brain::new(settings, seed)?,
             now: 0.0,
             streams: HashMap::new(),
@@ -255,6 +257,7 @@
         let named = settings.classes.clone();
         let rates = settings.plans.iter().map(|plan| plan.rate).collect();
         let (max_attempts, meter_period) = (settings.limits.max_attempts, settings.meter_period);
+        let warm_up = settings.rules.warm_up;
         let places = self.brain.retune(settings, classes, plans, &held)?;
         let mut all = named;
         self.named = all.len();
@@ -265,7 +268,7 @@
         }
         self.streams.values_mut().for_each(|stream| stream.class = places[stream.class].unwrap_or(0));
         (self.classes, self.rates) = (all, rates);
-        (self.max_attempts, self.meter_period) = (max_attempts, meter_period);
+        (self.max_attempts, self.meter_period, self.warm_up) = (max_attempts, meter_period, warm_up);
         Ok(())
     }
 
@@ -332,6 +335,13 @@
         self.cordons.len()
     }
 
+    /// Whether every upstream host that takes requests has been up for as long as the settings let it warm.
+    #[must_use]
+    pub fn none_is_cold(&self) -> bool {
+        let cold = |told: &Backend| told.born > 0.0 && self.now < told.born + self.warm_up;
+        !self.hosts.values().any(|told| told.state == BackendState::Ready && cold(told))
+    }
+
     /// Exactly these upstream hosts are left out from now on, as agreed with the other gateways, whether this one has
     /// them in its list yet or not.
     pub fn hold_out(&mut self, out: BTreeSet<BackendId>) {
--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -5,6 +5,7 @@
 use crate::interface::{Backend, BackendState};
 use crate::settings::positions;
 use serde::{Deserialize, Serialize};
+use switchhill_recovery::Use;
 
 /// Customers that are handed over at the most. Danger: the state is held twice while it is written out; at some
 /// 300 bytes each these are 2.5 MB.
@@ -62,6 +63,18 @@
     learnt: Learnt,
 }
 
+impl State {
+    /// Leaves the cordons out.
+    pub fn drop_cordons(&mut self) {
+        self.cordons.clear();
+    }
+
+    /// Leaves of what was learnt what may be used.
+    pub fn keep_learnt(&mut self, slices: Use, prices: Use, evidence: Use) {
+        self.learnt.keep(slices, prices, evidence);
+    }
+}
+
 impl Core {
     /// Everything that another core needs to go on in this one's place.
     #[must_use]
--- a/src/memory/counters.rs
+++ b/src/memory/counters.rs
@@ -70,4 +70,6 @@
     store_batches,
     /// Calls to the shared store that failed.
     store_failures,
+    /// Times that the shared store was found to have lost what it held.
+    store_lives,
 }
--- a/src/net/agreed.rs
+++ b/src/net/agreed.rs
@@ -296,7 +296,9 @@
 pub(super) fn begin(config: &Config) -> Result<Option<Agreement>, String> {
     let Some(at) = &config.operator.agreement else { return Ok(None) };
     let first = shared_settings(&config.text)?;
-    let mut agreement = Agreement::start(at.store, &at.id, first.clone().into_bytes());
+    let module = &config.told.module;
+    let own = ((module.gateways, module.ordinal), config.seed);
+    let mut agreement = Agreement::start(at.store, &at.id, first.clone().into_bytes(), own);
     agreement.taken.file = first;
     Ok(Some(agreement))
 }
--- a/src/net/agreement.rs
+++ b/src/net/agreement.rs
@@ -18,17 +18,25 @@
     digest, Acting, Action, Answer, Listed, Members, Mode, Ms, Proposed, Register, Settings, State, Told,
     Version,
 };
+use switchhill_recovery::{first_at, Backoff};
 
 /// Contents kept per register: the active, the pending and a few before.
 const KEPT: usize = 4;
 
-/// One connection to the store, made anew after a failure.
+/// One connection to the store, made anew after a failure, after a wait that gateways do not share.
 struct Link {
     address: SocketAddr,
     timeout: Duration,
     socket: Option<TcpStream>,
+    backoff: Backoff,
+    try_at: Instant,
 }
 
+/// After a failed connect the next try waits a random part of a ceiling that doubles from the first to the longest.
+const CONNECTS_AGAIN: (Ms, Ms) = (50, 500);
+/// The first words of gateways that start together are spread over this long.
+const SPREAD: Ms = 500;
+
 /// A blocking link to the store for one register of one participant.
 pub struct Wire {
     link: Arc<Mutex<Link>>,
@@ -47,8 +55,7 @@
 impl Wire {
     /// A wire to the store at `address` for register `kind`; each call gives up after `timeout`.
     pub fn new(address: SocketAddr, kind: &str, timeout: Duration) -> Wire {
-        let link = Arc::new(Mutex::new(Link { address, timeout, socket: None }));
-        Wire::over(link, kind, |_| true)
+        Wire::over(Link::new(address, timeout, 0, 0), kind, |_| true)
     }
 
     fn over(link: Arc<Mutex<Link>>, kind: &str, valid: fn(&[u8]) -> bool) -> Wire {
@@ -225,17 +232,34 @@
 }
 
 impl Link {
+    fn new(address: SocketAddr, timeout: Duration, seed: u64, first: Ms) -> Arc<Mutex<Link>> {
+        let backoff = Backoff::new(CONNECTS_AGAIN.0, CONNECTS_AGAIN.1, seed);
+        let try_at = Instant::now() + Duration::from_millis(first);
+        Arc::new(Mutex::new(Link { address, timeout, socket: None, backoff, try_at }))
+    }
+
+    fn connect(&mut self) -> Result<TcpStream, String> {
+        if Instant::now() < self.try_at {
+            return Err("waits to connect again".into());
+        }
+        let made = TcpStream::connect_timeout(&self.address, self.timeout);
+        // Danger: every gateway would be back within one period of each other when a store returns.
+        self.try_at = Instant::now() + Duration::from_millis(self.backoff.failed());
+        made.map_err(|e| e.to_string())
+    }
+
     fn call(&mut self, commands: &[Vec<&[u8]>]) -> Result<Vec<OwnedFrame>, String> {
         if self.socket.is_none() {
-            let socket =
-                TcpStream::connect_timeout(&self.address, self.timeout).map_err(|e| e.to_string())?;
+            let socket = self.connect()?;
             socket.set_read_timeout(Some(self.timeout)).map_err(|e| e.to_string())?;
             socket.set_write_timeout(Some(self.timeout)).map_err(|e| e.to_string())?;
             let _ = socket.set_nodelay(true);
             self.socket = Some(socket);
         }
         let result = self.exchange(commands);
-        if result.is_err() {
+        if result.is_ok() {
+            self.backoff.succeeded();
+        } else {
             // Danger: answers of a call given up could be read as those of the next one; the connection goes.
             self.socket = None;
         }
@@ -383,8 +407,9 @@
 
 impl Agreement {
     /// Starts the thread that keeps both registers at `store` for member `id`; `first` is this gateway's own shared
-    /// settings, the fleet's first version where there is none.
-    pub fn start(store: std::net::SocketAddr, id: &str, first: Vec<u8>) -> Agreement {
+    /// settings, the fleet's first version where there is none. `own` is the configured number of gateways and this
+    /// one's, and its seed: what spreads the gateways' first words and their returns.
+    pub fn start(store: std::net::SocketAddr, id: &str, first: Vec<u8>, own: ((u32, u32), u64)) -> Agreement {
         let settings = Settings::default();
         let desk = Arc::new((Mutex::new(Desk { first: Some(first), ..Desk::default() }), Condvar::new()));
         let told = Arc::new(Mutex::new(Arc::new(View::default())));
@@ -392,7 +417,7 @@
         let (id, asked, shared) = (id.to_owned(), desk.clone(), told.clone());
         let spawned = thread::Builder::new()
             .name("agreement".into())
-            .spawn(move || keep(store, &id, settings, start, &asked, &shared));
+            .spawn(move || keep(store, &id, settings, own, start, &asked, &shared));
         if let Err(why) = spawned {
             tracing::warn!("agreement cannot start its thread, and stays in safe mode: {why}");
         }
@@ -514,12 +539,24 @@
             // What is told later happened later: a renewal may come to the loop after it took the lease for run out.
             let at = at.max(before);
             self.logged[n] = (acting.mode, acting.active, at);
-            let version = acting.active.map(|version| version.to_string()).unwrap_or_default();
-            let (unix_ms, bound_ms) = (self.unix_start + at, self.settings.bound_ms());
-            tracing::info!(register = REGISTERS[n], mode = %acting.mode, version = %version, unix_ms, bound_ms, why, "agreement");
+            let lapsed = [&view.settings.state, &view.hosts.state][n].lapsed;
+            if let Some(lapsed) =
+                lapsed.filter(|lapsed| mode == Mode::Active && (before..at).contains(lapsed))
+            {
+                // Woken from a stop and confirmed before this loop looked: it was safe meanwhile, and decided nothing.
+                self.log(n, Mode::Safe, active, lapsed, "lease ran out");
+            }
+            self.log(n, acting.mode, acting.active, at, why);
         }
     }
 
+    fn log(&self, register: usize, mode: Mode, version: Option<Version>, at: Ms, why: &str) {
+        let version = version.map(|version| version.to_string()).unwrap_or_default();
+        let (unix_ms, bound_ms) = (self.unix_start + at, self.settings.bound_ms());
+        let register = REGISTERS[register];
+        tracing::info!(register, mode = %mode, version = %version, unix_ms, bound_ms, why, "agreement");
+    }
+
     /// What operators are told when they ask for versions: a line a register, then the members.
     pub(super) fn versions(&self, number: (u32, u32)) -> String {
         let view = self.view();
@@ -567,13 +604,14 @@
     store: std::net::SocketAddr,
     id: &str,
     settings: Settings,
+    (number, seed): ((u32, u32), u64),
     start: Instant,
     (desk, asked): &(Mutex<Desk>, Condvar),
     told: &Mutex<Arc<View>>,
 ) {
     let clock = || start.elapsed().as_millis() as Ms;
     let timeout = Duration::from_millis(settings.slowest_read_ms);
-    let link = Arc::new(Mutex::new(Link { address: store, timeout, socket: None }));
+    let link = Link::new(store, timeout, seed, first_at(SPREAD, number.0, number.1, seed));
     let mut registers = [Register::new(settings, clock()), Register::new(settings, clock())];
     let mut wires = [
         Wire::over(link.clone(), REGISTERS[0], |_| true),
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -148,6 +148,9 @@
                     return false;
                 }
                 self.discovery.rest = AGAIN;
+                if let Some(returning) = &mut self.returning {
+                    returning.discovery.succeeded();
+                }
                 self.discovery.revision = Some(list.revision);
                 self.listed = true;
                 let kind = if list.complete { ListKind::Full } else { ListKind::Changes };
@@ -172,7 +175,11 @@
 
     fn discovery_again(&mut self) {
         self.discovery.turn += 1;
-        self.timers.push(self.now + self.discovery.rest, Due::Discovery(self.discovery.turn));
+        let rest = match &mut self.returning {
+            Some(returning) if self.discovery.rest == AGAIN => returning.discovery.failed() as Millis,
+            _ => self.discovery.rest,
+        };
+        self.timers.push(self.now + rest, Due::Discovery(self.discovery.turn));
     }
 
     /// Discovery is to be found at this address from now on; `anew` asks again even where it is the same. The whole list is asked for there at once;
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -413,15 +413,21 @@
         self.keep(token, kept);
     }
 
+    /// Everything that another process needs to go on in this one's place.
+    pub(super) fn state(&self) -> State {
+        let place = |id: &crate::interface::BackendId| self.hosts.get(id).map(|h| (h.address, h.http2));
+        let mut state = self.core.state(self.told.class_names(), self.told.plans.clone(), place);
+        state.revision = self.discovery.revision();
+        state
+    }
+
     /// The state's frame; from here on nothing new is taken.
     fn hand_over(&mut self) -> Option<Vec<u8>> {
         let hosts: Vec<_> = self.hosts.keys().cloned().collect();
         for host in &hosts {
             self.close_idle(host);
         }
-        let place = |id: &crate::interface::BackendId| self.hosts.get(id).map(|h| (h.address, h.http2));
-        let mut state = self.core.state(self.told.class_names(), self.told.plans.clone(), place);
-        state.revision = self.discovery.revision();
+        let mut state = self.state();
         state.descriptors = self.downstreams + self.upstreams + RESERVE;
         let bytes = frame(Kind::State, &postcard::to_stdvec(&state).ok()?)?;
         self.beside.role = Role::Left(self.now);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -17,6 +17,7 @@
 mod http2;
 mod http2_down;
 mod http2_up;
+mod recovery;
 mod relay;
 mod store;
 mod upstream;
@@ -169,6 +170,7 @@
     account: Option<Account>,
     door: Option<AtDoor>,
     agreement: Option<agreement::Agreement>,
+    returning: Option<recovery::Returning>,
     reuse: upstream::Reuse,
     http2_hosts: BTreeSet<String>,
     http2_downstream: bool,
@@ -212,15 +214,17 @@
     pub fn new(config: Config, signals: Option<Signals>) -> io::Result<Self> {
         let invalid = |e: crate::interface::SettingsError| io::Error::new(io::ErrorKind::InvalidInput, e);
         let agreement = agreed::begin(&config).map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, e))?;
-        let mut told = config.told;
         let clock = Clock::new();
         let now = clock.now();
+        let returning = recovery::Returning::begin(&config, now);
+        let mut told = config.told;
         let account = config.operator.store.map(|store| {
             // Where the platform has no meter, the store's period is the module's.
             if told.module.meter_period <= 0.0 {
                 told.module.meter_period = STORE_PERIOD;
             }
-            Account::new(store, told.module.meter_period, now)
+            let number = (told.module.gateways, told.module.ordinal);
+            Account::new(store, told.module.meter_period, now, number, config.seed)
         });
         let mut core = Core::new(told.module.clone(), config.seed).map_err(invalid)?;
         if account.is_some() {
@@ -247,6 +251,7 @@
             account,
             door,
             agreement,
+            returning,
             reuse: upstream::Reuse::default(),
             http2_downstream: config.operator.http2_downstream,
             http2_hosts: config.operator.http2_hosts,
@@ -336,6 +341,7 @@
     pub fn run(&mut self) -> io::Result<()> {
         let mut ready = Vec::new();
         let mut commands = Vec::new();
+        self.take_snapshot();
         while !self.finished() {
             let due =
                 [self.core.next_due(), self.timers.next_due(), self.door.as_ref().and_then(AtDoor::next_due)];
@@ -351,6 +357,7 @@
             self.now = self.clock.now();
             // Danger: a process woken from SIGSTOP has a lease that ran out; it is seen before any event is.
             self.conform();
+            self.recovery_round();
             // Operators first, whatever else there is to do.
             ready.sort_by_key(|event| !self.control.concerns(event.0));
             for (token, readable, writable) in ready.drain(..) {
@@ -377,6 +384,7 @@
                 self.go_on_feeding(token);
             }
         }
+        self.last_snapshot();
         self.leave_place();
         Ok(())
     }
@@ -474,6 +482,9 @@
                 }
             }
             Command::Refuse(stream, hold_off, why) => {
+                if let Some(returning) = &mut self.returning {
+                    returning.turned_away(self.now, why);
+                }
                 let at_door = self.door.as_mut().and_then(|at| at.refused_behind(self.now, stream, why));
                 let Some(exchange) = self.drop_exchange(stream) else { return };
                 let answer = match at_door {
@@ -745,8 +756,12 @@
         let number = self.told_number();
         let agreed =
             self.agreement.as_ref().map_or(String::new(), |at| at.figures(number, self.core.called_out()));
+        let returned = self.returning.as_ref().map_or(String::new(), recovery::Returning::figures);
         let counters = &self.core.counters;
-        format!("{counters}switchhill_log_lines_dropped {dropped}\n{door}{agreed}{}", self.figures())
+        format!(
+            "{counters}switchhill_log_lines_dropped {dropped}\n{door}{agreed}{returned}{}",
+            self.figures()
+        )
     }
 
     fn begin_stop(&mut self) {
--- a/src/process/config.rs
+++ b/src/process/config.rs
@@ -111,6 +111,15 @@
     pub door: Option<Door>,
     /// Versions agreed with the other gateways through a store; off where absent.
     pub agreement: Option<Agreement>,
+    /// What helps to come back after a restart; off where absent.
+    pub recovery: Option<Recovery>,
+}
+
+/// What an operator says of coming back.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Recovery {
+    /// Where this gateway's state is written, for its next start.
+    pub snapshot: Option<PathBuf>,
 }
 
 /// What an operator says of agreement: where its register is, and who this gateway is there.
@@ -377,7 +386,7 @@
     /// Every fault in it.
     pub fn read(text: &str) -> Result<Self, Faults> {
         Node::parse(text)?.read(|root| {
-            root.only(&["http2", "store", "log", "door", "agreement"]);
+            root.only(&["http2", "store", "log", "door", "agreement", "recovery"]);
             let http2 = root.at("http2");
             http2.only(&["downstream", "upstream_hosts"]);
             Self {
@@ -387,6 +396,7 @@
                 log: read_log(&root.at("log")),
                 door: read_door(&root.at("door")),
                 agreement: read_agreement(&root.at("agreement")),
+                recovery: read_recovery(&root.at("recovery")),
             }
         })
     }
@@ -411,6 +421,15 @@
     from.given().then(|| Agreement { store: from.at("store").address(), id })
 }
 
+fn read_recovery(from: &Reader<'_>) -> Option<Recovery> {
+    from.only(&["snapshot"]);
+    let snapshot = from.at("snapshot");
+    if snapshot.given() && snapshot.text("").is_empty() {
+        snapshot.fault("is empty: a path, such as /var/lib/switchhill/gw-1.state");
+    }
+    from.given().then(|| Recovery { snapshot: snapshot.given().then(|| snapshot.text("").into()) })
+}
+
 fn read_door(from: &Reader<'_>) -> Option<Door> {
     from.only(&["longest_wait_ms", "per_subscriber", "weights", "limit", "appointments"]);
     let (limit, appointments) = (from.at("limit"), from.at("appointments"));
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -4,3 +4,4 @@
 pub mod document;
 pub mod logs;
 pub mod signals;
+pub mod snapshot;
--- a/tests/agreed_settings.rs
+++ b/tests/agreed_settings.rs
@@ -54,3 +54,10 @@
     assert_eq!(safe.stricter(&once).module.classes[0].effect, Effect::Unsafe);
     assert_eq!(once.stricter(&safe).module.classes[0].effect, Effect::Unsafe);
 }
+
+#[test]
+fn settings_put_in_the_place_of_equal_ones_change_nothing() {
+    let shared = shared_settings(CONFIG).expect("settings");
+    let merged = with_shared_settings(CONFIG, shared.as_bytes()).expect("merged");
+    assert_eq!(shared_settings(&merged).expect("settings"), shared);
+}
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -31,7 +31,7 @@
     reads: usize,
 }
 
-/// A store that knows three commands.
+/// A store that knows the meter's commands.
 fn store(mood: Mood) -> (SocketAddr, Arc<Mutex<Kept>>) {
     let kept = Arc::new(Mutex::new(Kept::default()));
     let shared = kept.clone();
@@ -73,6 +73,8 @@
             let text = number.to_string();
             format!("${}\r\n{text}\r\n", text.len())
         }
+        "SET" => "+OK\r\n".into(),
+        "GET" => "$4\r\nlife\r\n".into(),
         "PEXPIRE" => {
             assert!(words[2].parse::<u64>().expect("a time") > 0);
             kept.expiring.insert(words[1].clone());
