Agreement keeps its keys behind a prefix, so that fleets can share a store

Excluded: the epochs and digests, which held as designed. Change: agreement.prefix, checked; default as before.

--- a/src/net/agreed.rs
+++ b/src/net/agreed.rs
@@ -298,7 +298,7 @@
     let first = shared_settings(&config.text)?;
     let module = &config.told.module;
     let own = ((module.gateways, module.ordinal), config.seed);
-    let mut agreement = Agreement::start(at.store, &at.id, first.clone().into_bytes(), own);
+    let mut agreement = Agreement::start(at, first.clone().into_bytes(), own);
     agreement.taken.file = first;
     Ok(Some(agreement))
 }
--- a/src/net/agreement.rs
+++ b/src/net/agreement.rs
@@ -2,8 +2,8 @@
 //! The thread carries out what the `Register`s (settings, hosts) and `Members` ask of the store; the loop reads what
 //! it publishes and works out, on its own clock, what it acts on. What the loop asks lies on a desk of one slot each.
 //! The rig's tests use the same `Wire`.
-//! Keys: `agreement:K` (`EPOCH DIGEST`), `agreement:K:settle` (the announcement, `PX`), `agreement:K:EPOCH` (the
-//! content), `agreement:members` (a set of ids), `agreement:member:ID` (a beat, `PX lease_ms`).
+//! Keys, behind the fleet's prefix (`agreement`): `:K` (`EPOCH DIGEST`), `:K:settle` (the announcement, `PX`), `:K:EPOCH`
+//! (the content), `:members` (a set of ids), `:member:ID` (a beat, `PX lease_ms`).
 
 use redis_protocol::resp2::decode::decode;
 use redis_protocol::resp2::types::OwnedFrame;
@@ -40,6 +40,7 @@
 /// A blocking link to the store for one register of one participant.
 pub struct Wire {
     link: Arc<Mutex<Link>>,
+    prefix: String,
     kind: String,
     /// Contents by epoch, each kept only where it matched its version's digest.
     contents: BTreeMap<u64, (Version, Arc<Vec<u8>>)>,
@@ -55,12 +56,13 @@
 impl Wire {
     /// A wire to the store at `address` for register `kind`; each call gives up after `timeout`.
     pub fn new(address: SocketAddr, kind: &str, timeout: Duration) -> Wire {
-        Wire::over(Link::new(address, timeout, 0, 0), kind, |_| true)
+        Wire::over(Link::new(address, timeout, 0, 0), PREFIX, kind, |_| true)
     }
 
-    fn over(link: Arc<Mutex<Link>>, kind: &str, valid: fn(&[u8]) -> bool) -> Wire {
+    fn over(link: Arc<Mutex<Link>>, prefix: &str, kind: &str, valid: fn(&[u8]) -> bool) -> Wire {
         Wire {
             link,
+            prefix: prefix.to_owned(),
             kind: kind.to_owned(),
             contents: BTreeMap::new(),
             valid,
@@ -80,15 +82,15 @@
     }
 
     fn pointer_key(&self) -> String {
-        format!("agreement:{}", self.kind)
+        format!("{}:{}", self.prefix, self.kind)
     }
 
     fn settle_key(&self) -> String {
-        format!("agreement:{}:settle", self.kind)
+        format!("{}:{}:settle", self.prefix, self.kind)
     }
 
     fn content_key(&self, epoch: u64) -> String {
-        format!("agreement:{}:{epoch}", self.kind)
+        format!("{}:{}:{epoch}", self.prefix, self.kind)
     }
 
     /// `GET` the pointer and `PTTL` the announcement, then fetch a content not yet held.
@@ -181,14 +183,15 @@
     /// Renews this member's key and lists the members whose keys live, in one round trip: the beats of those that
     /// the listing before named; who is new comes with the next.
     pub fn members(&mut self, me: &str, lease_ms: Ms) -> Result<Vec<Listed>, String> {
-        let (mine, lease) = (member_key(me), lease_ms.to_string());
+        let (mine, lease) = (self.member_key(me), lease_ms.to_string());
+        let set = self.members_key();
         self.beat += 1;
         let beat = self.beat.to_string();
-        let keys: Vec<String> = self.known.iter().map(|id| member_key(id)).collect();
+        let keys: Vec<String> = self.known.iter().map(|id| self.member_key(id)).collect();
         let mut asks: Vec<Vec<&[u8]>> = vec![
             vec![b"SET", mine.as_bytes(), beat.as_bytes(), b"PX", lease.as_bytes()],
-            vec![b"SADD", MEMBERS, me.as_bytes()],
-            vec![b"SMEMBERS", MEMBERS],
+            vec![b"SADD", set.as_bytes(), me.as_bytes()],
+            vec![b"SMEMBERS", set.as_bytes()],
         ];
         if !keys.is_empty() {
             asks.push(std::iter::once(b"MGET".as_slice()).chain(keys.iter().map(|k| k.as_bytes())).collect());
@@ -212,7 +215,7 @@
         }
         if !gone.is_empty() {
             // Who lives is back in the set with its next renewal; ids seen once do not stay in the store.
-            let words: Vec<&[u8]> = [b"SREM".as_slice(), MEMBERS].into_iter().chain(gone).collect();
+            let words: Vec<&[u8]> = [b"SREM".as_slice(), set.as_bytes()].into_iter().chain(gone).collect();
             self.call(&[words])?;
         }
         self.known = ids;
@@ -221,16 +224,22 @@
 
     /// Takes this member out at once, so that the others need not wait for its key to run out.
     fn leave(&mut self, me: &str) {
-        let _ = self.call(&[vec![b"DEL", member_key(me).as_bytes()], vec![b"SREM", MEMBERS, me.as_bytes()]]);
+        let (mine, set) = (self.member_key(me), self.members_key());
+        let _ = self.call(&[vec![b"DEL", mine.as_bytes()], vec![b"SREM", set.as_bytes(), me.as_bytes()]]);
     }
-}
 
-const MEMBERS: &[u8] = b"agreement:members";
+    fn members_key(&self) -> String {
+        format!("{}:members", self.prefix)
+    }
 
-fn member_key(id: &str) -> String {
-    format!("agreement:member:{id}")
+    fn member_key(&self, id: &str) -> String {
+        format!("{}:member:{id}", self.prefix)
+    }
 }
 
+/// What begins every key where an operator names nothing else.
+pub const PREFIX: &str = "agreement";
+
 impl Link {
     fn new(address: SocketAddr, timeout: Duration, seed: u64, first: Ms) -> Arc<Mutex<Link>> {
         let backoff = Backoff::new(CONNECTS_AGAIN.0, CONNECTS_AGAIN.1, seed);
@@ -406,18 +415,23 @@
 const REGISTERS: [&str; 2] = ["settings", "hosts"];
 
 impl Agreement {
-    /// Starts the thread that keeps both registers at `store` for member `id`; `first` is this gateway's own shared
+    /// Starts the thread that keeps both registers where and as who the operator says; `first` is this gateway's own shared
     /// settings, the fleet's first version where there is none. `own` is the configured number of gateways and this
     /// one's, and its seed: what spreads the gateways' first words and their returns.
-    pub fn start(store: std::net::SocketAddr, id: &str, first: Vec<u8>, own: ((u32, u32), u64)) -> Agreement {
+    pub fn start(
+        at: &crate::process::config::Agreement,
+        first: Vec<u8>,
+        own: ((u32, u32), u64),
+    ) -> Agreement {
         let settings = Settings::default();
         let desk = Arc::new((Mutex::new(Desk { first: Some(first), ..Desk::default() }), Condvar::new()));
         let told = Arc::new(Mutex::new(Arc::new(View::default())));
         let start = Instant::now();
-        let (id, asked, shared) = (id.to_owned(), desk.clone(), told.clone());
+        let (prefix, id) = (at.prefix.clone(), at.id.clone());
+        let (store, asked, shared) = (at.store, desk.clone(), told.clone());
         let spawned = thread::Builder::new()
             .name("agreement".into())
-            .spawn(move || keep(store, &id, settings, own, start, &asked, &shared));
+            .spawn(move || keep((store, &prefix, &id), settings, own, start, &asked, &shared));
         if let Err(why) = spawned {
             tracing::warn!("agreement cannot start its thread, and stays in safe mode: {why}");
         }
@@ -601,8 +615,7 @@
 
 /// The thread: the registers' reads and proposals, and the members' renewals, one call at a time.
 fn keep(
-    store: std::net::SocketAddr,
-    id: &str,
+    (store, prefix, id): (std::net::SocketAddr, &str, &str),
     settings: Settings,
     (number, seed): ((u32, u32), u64),
     start: Instant,
@@ -614,8 +627,8 @@
     let link = Link::new(store, timeout, seed, first_at(SPREAD, number.0, number.1, seed));
     let mut registers = [Register::new(settings, clock()), Register::new(settings, clock())];
     let mut wires = [
-        Wire::over(link.clone(), REGISTERS[0], |_| true),
-        Wire::over(link, REGISTERS[1], |bytes| Hosts::read(bytes).is_ok()),
+        Wire::over(link.clone(), prefix, REGISTERS[0], |_| true),
+        Wire::over(link, prefix, REGISTERS[1], |bytes| Hosts::read(bytes).is_ok()),
     ];
     let mut members = Members::new(settings, id);
     let mut next_listing = clock();
--- a/src/process/config.rs
+++ b/src/process/config.rs
@@ -127,6 +127,8 @@
 pub struct Agreement {
     /// The store that holds the register.
     pub store: SocketAddr,
+    /// Begins every key: fleets that share a store have one each.
+    pub prefix: String,
     /// This gateway's member id: letters, digits, `-` and `_`, 1 to 64 of them.
     pub id: String,
 }
@@ -412,13 +414,17 @@
 }
 
 fn read_agreement(from: &Reader<'_>) -> Option<Agreement> {
-    from.only(&["store", "id"]);
+    from.only(&["store", "prefix", "id"]);
     let id = from.at("id").text("");
     let fits = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
     if from.given() && (id.is_empty() || id.len() > 64 || !id.chars().all(fits)) {
         from.at("id").fault(format!("`{id}` is not 1 to 64 letters, digits, `-` or `_`"));
     }
-    from.given().then(|| Agreement { store: from.at("store").address(), id })
+    let prefix = from.at("prefix").text(crate::net::agreement::PREFIX);
+    if prefix.is_empty() || prefix.len() > 64 || !prefix.chars().all(|c| fits(c) || c == ':') {
+        from.at("prefix").fault(format!("`{prefix}` is not 1 to 64 letters, digits, `-`, `_` or `:`"));
+    }
+    from.given().then(|| Agreement { store: from.at("store").address(), prefix, id })
 }
 
 fn read_recovery(from: &Reader<'_>) -> Option<Recovery> {
