--- a/lab/tests/agreement.rs
+++ b/lab/tests/scenarios.rs
@@ -1,4 +1,4 @@
-//! Every scenario of agreement under one seed, with real gateway processes: what each expects is in its file.
+//! The scenarios with faults between processes under one seed, with real gateway processes: what each expects is in its file.
 #![allow(missing_docs)]
 
 use std::path::Path;
@@ -31,25 +31,30 @@
 #[rstest::rstest]
 fn what_a_scenario_expects_holds(
     #[values(
-        "bad-file",
-        "cordon",
-        "cut",
-        "killed",
-        "old-version",
-        "one-way-down",
-        "one-way-up",
-        "sixteen",
-        "slow",
-        "stopped",
-        "store-emptied",
-        "store-keys",
-        "two-changes"
+        "agreement-bad-file",
+        "agreement-cordon",
+        "agreement-cut",
+        "agreement-killed",
+        "agreement-old-version",
+        "agreement-one-way-down",
+        "agreement-one-way-up",
+        "agreement-sixteen",
+        "agreement-slow",
+        "agreement-stopped",
+        "agreement-store-emptied",
+        "agreement-store-keys",
+        "agreement-two-changes",
+        "recovery-most",
+        "recovery-rolling",
+        "recovery-snapshots",
+        "recovery-stale-list",
+        "recovery-store-emptied",
     )]
     name: &str,
 ) {
     let _turn = Turn::wait();
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
-    let file = root.join(format!("scenarios/agreement-{name}.yaml"));
+    let file = root.join(format!("scenarios/{name}.yaml"));
     let scenario = Arc::new(Scenario::from_file(&file).expect("a sound scenario"));
     let folder = std::env::temp_dir().join(format!("switchhill-lab-{}-{name}", std::process::id()));
     let own = std::env::current_exe().expect("a program");
