--- a/src/net/agreed.rs
+++ b/src/net/agreed.rs
@@ -34,6 +34,8 @@
     /// The list in force here, and whether it was taken from the agreed version and no whole one has come since.
     stamp: Option<Stamp>,
     needs_whole: bool,
+    /// The list that a snapshot brought: until a version is confirmed, discovery's may not be older.
+    known: Option<Stamp>,
     /// The list has changed since it was last told.
     relist: bool,
 }
@@ -202,10 +204,17 @@
         }
     }
 
+    /// A list of this revision is known from before the start.
+    pub(super) fn knows_list(&mut self, revision: Option<u64>) {
+        if let (Some(agreement), Some(revision)) = (&mut self.agreement, revision) {
+            agreement.taken.known = Some((0, revision));
+        }
+    }
+
     /// Whether a list of discovery's may be taken; marks it to be told to the others.
     pub(super) fn may_take_list(&mut self, list: &List) -> bool {
         let Some(agreement) = &mut self.agreement else { return true };
-        let (now, agreed) = (agreement.now(), agreement.agreed_stamp());
+        let (now, agreed) = (agreement.now(), agreement.agreed_stamp().or(agreement.taken.known));
         match agreement.stamper.judge(now, list.revision, agreed) {
             Verdict::Take(stamp) => {
                 let taken = &mut agreement.taken;
--- a/src/net/recovery.rs
+++ b/src/net/recovery.rs
@@ -122,6 +122,7 @@
         let how = |part| ages.judge(part, age, same);
         if how(Part::List) != Use::Not && !self.listed && !state.list.is_empty() {
             let members = state.list.iter().map(super::handover::member).collect();
+            self.knows_list(state.revision);
             let list = List { revision: state.revision.unwrap_or(0), complete: true, members };
             self.take_list(list, ListKind::Saved);
             self.settle();
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -1,6 +1,7 @@
 //! Coming back from a snapshot: what is used of it, and what is not.
 #![allow(missing_docs)]
 
+use proptest::prelude::*;
 use rstest::rstest;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -47,6 +48,17 @@
     let _ = (std::fs::remove_file(place.with_extension("new")), std::fs::remove_file(place));
 }
 
+proptest! {
+    #[test]
+    fn whatever_lies_there_is_no_state_and_no_panic(noise: Vec<u8>, at: prop::sample::Index, turned in 1..=255u8) {
+        prop_assert!(parse(&noise, "n0").is_err());
+        let mut whole = bytes(&stamp(), &State::default()).expect("fits");
+        let at = at.index(whole.len());
+        whole[at] ^= turned;
+        prop_assert!(parse(&whole, "n0").is_err(), "byte {at}");
+    }
+}
+
 struct Site {
     seen: std::sync::Arc<Seen>,
     _discovery: Discovery,
