What gathers while the store is away is told at the rate of all, and only for periods still asked

Change: gathered parts go to the paced queue, parts of periods whose totals were read are not told; longest waits 2 s and 1 s, totals wait 3.5 s.

--- a/src/net/agreement.rs
+++ b/src/net/agreement.rs
@@ -33,7 +33,7 @@
 }
 
 /// After a failed connect the next try waits a random part of a ceiling that doubles from the first to the longest.
-const CONNECTS_AGAIN: (Ms, Ms) = (50, 500);
+const CONNECTS_AGAIN: (Ms, Ms) = (50, 1000);
 /// The first words of gateways that start together are spread over this long.
 const SPREAD: Ms = 500;
 
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -31,14 +31,14 @@
 const LIVES: f64 = 4.0;
 /// After a failure the next try waits a random part of a ceiling that doubles from this to the longest.
 const FIRST_AGAIN: u64 = 50;
-const LONGEST_AGAIN: u64 = 1000;
+const LONGEST_AGAIN: u64 = 2000;
 /// What gateways that start together do first is spread over this long.
 const SPREAD: u64 = 500;
 /// What all gateways together add again a second to a store that was lost; each its part, by the told number.
 const REBUILD_PER_SECOND: f64 = 400.0;
 /// By this long after a new life of the store was seen, every gateway that reaches it has seen it too and has added its
 /// parts again: the longest wait for another try, a batch, and some 600 parts over all of them.
-const REBUILT_WITHIN: Millis = 2500.0;
+const REBUILT_WITHIN: Millis = 3500.0;
 /// Customers asked for in one call.
 const MOST_KEYS: usize = 256;
 /// Bytes of answers that may pile up.
@@ -138,8 +138,7 @@
     fn lives(&mut self, now: Millis, life: String, added: &[Add]) -> bool {
         let new = self.life.as_ref().is_some_and(|known| *known != life);
         if new {
-            // Of a period whose totals have been read nothing is asked any more.
-            let oldest = self.unread.unwrap_or(self.current);
+            let oldest = self.oldest();
             let told = |period: i64, customer: u64| {
                 let same = added.iter().filter(|(p, c, _)| (*p, *c) == (period, customer));
                 same.map(|(_, _, units)| units).sum::<f64>()
@@ -148,27 +147,45 @@
                 self.sent.range(oldest..).flat_map(|(period, parts)| parts.iter().map(|p| (*period, p)));
             let lost = parts
                 .map(|(period, (customer, part))| (period, *customer, part.told - told(period, *customer)));
-            self.again = lost.filter(|(_, _, units)| *units > 0.0).collect();
-            self.allowance = 0.0;
+            let lost: VecDeque<Add> = lost.filter(|(_, _, units)| *units > 0.0).collect();
+            (self.again, self.allowance) = (lost, 0.0);
             self.trusted_from = now + REBUILT_WITHIN;
         }
         self.life = Some(life);
         new
     }
 
-    /// What the store has not been told yet; from now on it counts as told. What was written and not answered may have
-    /// been added: it is not written again. Of what a lost store is told again, this gateway's part of what all may add.
-    fn untold(&mut self) -> Vec<Add> {
+    /// The oldest period of which totals are still asked; of the ones before nothing is told any more.
+    fn oldest(&self) -> i64 {
+        self.unread.unwrap_or(self.current)
+    }
+
+    /// What the store has not been told yet; from now on it counts as told.
+    fn news(&mut self) -> Vec<Add> {
+        let oldest = self.oldest();
         let mut adds = Vec::new();
         for (period, parts) in &mut self.sent {
             for (customer, part) in parts {
-                let left = part.units - part.told;
-                if left > 0.0 {
+                let left = part.units - std::mem::replace(&mut part.told, part.units);
+                if left > 0.0 && *period >= oldest {
                     adds.push((*period, *customer, left));
-                    part.told = part.units;
                 }
             }
         }
+        adds
+    }
+
+    /// The store is reached again: what has gathered meanwhile is told at the rate of a lost store's parts, since every
+    /// gateway that was cut off has as much.
+    fn back(&mut self) {
+        let gathered = self.news();
+        self.again.extend(gathered);
+    }
+
+    /// What is to be added now. What was written and not answered may have been added: it is not written again. Of what
+    /// has gathered or is told again, this gateway's part of what all may add.
+    fn untold(&mut self) -> Vec<Add> {
+        let mut adds = self.news();
         if !self.again.is_empty() {
             self.allowance += REBUILD_PER_SECOND / self.gateways * FLUSH / 1000.0;
             let some = (self.allowance as usize).min(self.again.len());
@@ -345,7 +362,11 @@
                     Ok(Some((frame, used))) => {
                         link.inbound.consume(used);
                         let Some((_, awaited)) = link.awaited.pop_front() else { return false };
-                        link.greeted |= matches!(awaited, Awaited::Life(_));
+                        let greeted = matches!(awaited, Awaited::Life(_))
+                            && !std::mem::replace(&mut link.greeted, true);
+                        if greeted {
+                            account.back();
+                        }
                         self.store_answered(account, awaited, &frame);
                     }
                     Ok(None) => break,
@@ -490,6 +511,20 @@
         assert_eq!(account.percent(6510.0 + REBUILT_WITHIN, 5, 7, Some(4.0)), Some(100.0));
     }
 
+    #[test]
+    fn what_gathers_while_the_store_is_away_is_told_at_the_rate_of_all_and_not_for_periods_that_are_over() {
+        let mut account = Account { gateways: 100.0, ..account(5000.0) };
+        let parts =
+            |from: u64| -> Sent { (from..from + 20).map(|customer| (customer, (1.0, 4.0))).collect() };
+        assert_eq!(account.turn(6400.0, parts(0)), Some((5, (0..20).collect())));
+        account.turn(6500.0, parts(100));
+        account.back();
+        let first: Vec<usize> = (0..4).map(|_| account.untold().len()).collect();
+        assert_eq!(first, [1; 4], "four a second of 400 over 100 gateways, none of the period that was read");
+        account.turn(6600.0, parts(100));
+        assert_eq!(account.untold().len(), 21, "what is new is told at once");
+    }
+
     #[test]
     fn many_gateways_tell_a_lost_store_again_no_faster_than_all_may_together() {
         let mut account = Account { gateways: 300.0, ..account(5000.0) };
