Memory taken is told apart from the program's own text in the test of halves of requests

Cause: halves_of_requests_do_not_fill_the_memory failed at 16,520 KB of 16,384 in each of four runs. Excluded: what the gateway holds. The bound was on the size of the text, which grows with every part. Change: the test looks at what is taken (RssAnon), 4,440 KB here, under 5 MiB; whole bodies would be 13 MB.

--- a/lab/src/stand_in/mod.rs
+++ b/lab/src/stand_in/mod.rs
@@ -406,6 +406,12 @@
         resident_kb(self.id()).expect("a size")
     }
 
+    /// The memory that the program has taken itself. What is mapped from files, its own text above all, is left aside:
+    /// in a build for tests that is 12 MB, and grows with every line of the program.
+    pub fn taken_kb(&self) -> u64 {
+        status_kb(self.id(), "RssAnon:").expect("a size")
+    }
+
     fn signal(&self, name: &str) {
         assert!(signal(self.id(), name), "kill runs");
     }
@@ -533,8 +539,12 @@
 
 /// The memory that a process holds, in KiB.
 pub fn resident_kb(process: u32) -> Option<u64> {
+    status_kb(process, "VmRSS:")
+}
+
+fn status_kb(process: u32, name: &str) -> Option<u64> {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let line = status.lines().find_map(|line| line.strip_prefix(name))?;
     line.trim().trim_end_matches(" kB").parse().ok()
 }
 
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -344,7 +344,8 @@
     let turned_away = clients.iter_mut().filter_map(Client::answer).filter(|a| a.status == 503).count();
     assert!(turned_away > 100, "{turned_away}");
     assert_eq!(gateway.counter("turned_away_descriptors"), 0);
-    assert!(gateway.memory_kb() < 16 * 1024, "{} KB", gateway.memory_kb());
+    // A fifth of 16 MiB for requests, and what the program takes for itself. As many bodies whole are 13 MB.
+    assert!(gateway.taken_kb() < 5 * 1024, "{} KB", gateway.taken_kb());
     assert_eq!(Client::connect(gateway.address).ask("usage-view", 1, 1, 5000).status, 200);
 }
 
