A return that is over looks at no host any more; one list of hosts held out

Cause: recovery_round asked every host whether it is cold in each round of the loop, also long after full service (src/net/recovery.rs); Hosts::holds_out said again what Hosts::out says and only a test called it. Change: phases are looked at until the last is reached; the test asks out(). Behaviour as before.

--- a/crates/agreement/src/hosts.rs
+++ b/crates/agreement/src/hosts.rs
@@ -59,11 +59,6 @@
         serde_json::to_vec(self).unwrap_or_default()
     }
 
-    /// Whether nothing may be sent to `id` under this content alone.
-    pub fn holds_out(&self, id: &str) -> bool {
-        self.cordons.contains(id) || self.hosts.get(id).is_some_and(|host| !host.ready)
-    }
-
     /// Every host that this content holds out.
     pub fn out(&self) -> impl Iterator<Item = &String> {
         let draining = self.hosts.iter().filter(|(_, host)| !host.ready).map(|(id, _)| id);
--- a/crates/agreement/src/tests.rs
+++ b/crates/agreement/src/tests.rs
@@ -167,7 +167,7 @@
         ["a", "b", "c", "d"],
         "the stricter of both"
     );
-    assert!(!back.holds_out("a") && back.holds_out("c"));
+    assert!(back.out().all(|id| id != "a") && back.out().any(|id| id == "c"));
 }
 
 #[test]
--- a/src/net/recovery.rs
+++ b/src/net/recovery.rs
@@ -140,27 +140,33 @@
 
     /// Looks how far the return has come, and writes the state when it is time.
     pub(super) fn recovery_round(&mut self) {
-        if self.returning.is_none() {
-            return;
+        let Some(returning) = &self.returning else { return };
+        // Each phase is reached once: after the last one nothing is looked at any more, hosts least of all.
+        if returning.back.phase() != Phase::FullService {
+            let seen = Seen {
+                store: self.account.as_ref().is_none_or(super::store::Account::is_reached),
+                versions: self.knows_rules(),
+                warm: self.knows_enough() && self.core.none_is_cold(),
+                pressed_at: returning.pressed.map(|at| at as u64),
+            };
+            self.observe_return(seen);
         }
-        let seen = Seen {
-            store: self.account.as_ref().is_none_or(super::store::Account::is_reached),
-            versions: self.knows_rules(),
-            warm: self.knows_enough() && self.core.none_is_cold(),
-            pressed_at: self.returning.as_ref().and_then(|r| r.pressed).map(|at| at as u64),
-        };
-        let now = self.now;
-        let decides = self.beside.decides();
+        let (now, decides) = (self.now, self.beside.decides());
         let Some(returning) = &mut self.returning else { return };
-        for (phase, after_ms) in returning.back.observe(now as u64, seen) {
-            tracing::info!(phase = %phase, after_ms, unix_ms = now as u64, "return");
-        }
         if decides && returning.writer.is_some() && now - returning.written >= EVERY {
             returning.written = now;
             self.write_snapshot();
         }
     }
 
+    fn observe_return(&mut self, seen: Seen) {
+        let now = self.now as u64;
+        let Some(returning) = &mut self.returning else { return };
+        for (phase, after_ms) in returning.back.observe(now, seen) {
+            tracing::info!(phase = %phase, after_ms, unix_ms = now, "return");
+        }
+    }
+
     /// Hands the state to the thread that writes it; while that is still at the last one, this one is left out.
     fn write_snapshot(&self) {
         let Some(returning) = &self.returning else { return };
