The shared store counts each batch once, marks who is missing, and knows its link's state

Each batch is a transaction with a number under WATCH, so that what may have been executed is asked for and never guessed; a lost store's batch is fenced off before its units are told again. Marks at a period's end tell how many gateways are in its totals; who is missing counts as granting its floor. Link states with hysteresis: sound, slow, split, forgetful, replaced, refusing, silent, as a figure and in the log. src/net/store.rs is the socket alone. Commands 'store bound' and 'store status'.

--- a/lab/src/rig/faults.rs
+++ b/lab/src/rig/faults.rs
@@ -40,6 +40,8 @@
 pub struct Rig {
     /// The store.
     pub store: Store,
+    /// One that stands beside it, while it is split or replaced.
+    other: Option<Store>,
     store_links: Vec<Proxy>,
     discovery_links: Vec<Proxy>,
     /// What the gateways' logs told of agreement.
@@ -97,6 +99,7 @@
                     | RigFault::Kill
                     | RigFault::BadFile
                     | RigFault::StoreDown
+                    | RigFault::SplitStore
             );
             if ends {
                 moments.push((from + long, whom, fault, false));
@@ -107,6 +110,7 @@
             store_links: links(store.address, 0),
             discovery_links: links(discovery, 32),
             store,
+            other: None,
             events: Arc::default(),
             returns: Arc::default(),
             first_unix: u64::MAX,
@@ -231,6 +235,21 @@
             }
             (RigFault::Cordon(number), _) => each(Deed::Cordon(number, true)),
             (RigFault::Uncordon(number), _) => each(Deed::Cordon(number, false)),
+            (RigFault::SplitStore, true) => {
+                // Both halves hold all of before, and from now on each hears of half of the gateways.
+                let half = self.store.copy();
+                self.store_links.iter().skip(1).step_by(2).for_each(|link| link.aim(half.address));
+                self.other = Some(half);
+            }
+            (RigFault::SplitStore, false) => {
+                self.store_links.iter().skip(1).step_by(2).for_each(|link| link.aim(self.store.address));
+            }
+            (RigFault::ReplaceStore, _) => {
+                let fresh = Store::start();
+                self.store_links.iter().for_each(|link| link.aim(fresh.address));
+                self.other = Some(fresh);
+            }
+            (RigFault::LoseHalf, _) => self.store.lose_half(),
             (RigFault::EmptyStore, _) => self.store.empty(),
             (RigFault::LoseKeys, _) => {
                 ["agreement:settings", "agreement:hosts"].iter().for_each(|key| self.store.lose(key));
--- a/lab/src/rig/proxy.rs
+++ b/lab/src/rig/proxy.rs
@@ -44,6 +44,13 @@
     pub address: SocketAddr,
     fault: Arc<Mutex<Fault>>,
     accepted: Arc<AtomicU64>,
+    aim: Arc<Aim>,
+}
+
+/// Where a proxy leads; a connection of an earlier aim is reset.
+struct Aim {
+    target: Mutex<SocketAddr>,
+    turn: AtomicU64,
 }
 
 impl Proxy {
@@ -53,7 +60,8 @@
         let address = listener.local_addr().expect("its address");
         let fault = Arc::new(Mutex::new(Fault::Pass));
         let accepted = Arc::new(AtomicU64::new(0));
-        let (shared, count) = (fault.clone(), accepted.clone());
+        let aim = Arc::new(Aim { target: Mutex::new(target), turn: AtomicU64::new(0) });
+        let (shared, count, aimed) = (fault.clone(), accepted.clone(), aim.clone());
         thread::spawn(move || {
             let mut chance = fastrand::Rng::with_seed(seed);
             for client in listener.incoming().flatten() {
@@ -64,6 +72,8 @@
                     reset(&client);
                     continue;
                 }
+                let turn = aimed.turn.load(Ordering::SeqCst);
+                let target = *aimed.target.lock().expect("lock");
                 let Ok(server) = TcpStream::connect_timeout(&target, CONNECT) else {
                     reset(&client);
                     continue;
@@ -72,11 +82,13 @@
                 let (up_from, up_to) = (client.try_clone(), server.try_clone());
                 let (Ok(up_from), Ok(up_to)) = (up_from, up_to) else { continue };
                 let (fault_up, fault_down) = (shared.clone(), shared.clone());
-                thread::spawn(move || pump(up_from, up_to, &fault_up, true));
-                thread::spawn(move || pump(server, client, &fault_down, false));
+                let (aim_up, aim_down) = (aimed.clone(), aimed.clone());
+                let gone = move |aim: &Aim| aim.turn.load(Ordering::SeqCst) != turn;
+                thread::spawn(move || pump(up_from, up_to, &fault_up, true, || gone(&aim_up)));
+                thread::spawn(move || pump(server, client, &fault_down, false, || gone(&aim_down)));
             }
         });
-        Proxy { address, fault, accepted }
+        Proxy { address, fault, accepted, aim }
     }
 
     /// Sets the fault from now on.
@@ -84,6 +96,12 @@
         *self.fault.lock().expect("lock") = fault;
     }
 
+    /// Leads to another target from now on; what is open is reset.
+    pub fn aim(&self, target: SocketAddr) {
+        *self.aim.target.lock().expect("lock") = target;
+        self.aim.turn.fetch_add(1, Ordering::SeqCst);
+    }
+
     /// The fault in force.
     pub fn fault(&self) -> Fault {
         *self.fault.lock().expect("lock")
@@ -101,12 +119,12 @@
 }
 
 /// Moves bytes one way until either side ends, doing to them what the fault says.
-fn pump(mut from: TcpStream, mut to: TcpStream, fault: &Mutex<Fault>, up: bool) {
+fn pump(mut from: TcpStream, mut to: TcpStream, fault: &Mutex<Fault>, up: bool, is_gone: impl Fn() -> bool) {
     let _ = from.set_read_timeout(Some(LOOK));
     let mut some = [0; 16 * 1024];
     loop {
         let now = *fault.lock().expect("lock");
-        if now == Fault::Reset {
+        if now == Fault::Reset || is_gone() {
             reset(&from);
             reset(&to);
             return;
--- a/lab/src/rig/store.rs
+++ b/lab/src/rig/store.rs
@@ -1,5 +1,5 @@
 //! A stand-in for the shared store over RESP2, with what agreement uses: `GET`, `SET` with `NX` and `PX`, `PTTL`,
-//! `DEL`, `MGET`, the set commands `SADD`, `SREM`, `SMEMBERS`, for the meter `INCRBYFLOAT` and `PEXPIRE`, `WATCH`/`UNWATCH`/`MULTI`/`EXEC`/`DISCARD`, `PING` and `FLUSHALL`, as the
+//! `DEL`, `MGET`, the set commands `SADD`, `SREM`, `SMEMBERS`, for the meter `INCR`, `INCRBYFLOAT` and `PEXPIRE`, `WATCH`/`UNWATCH`/`MULTI`/`EXEC`/`DISCARD`, `PING` and `FLUSHALL`, as the
 //! published command reference describes them. Expiry is on the stand-in's monotonic clock.
 
 use redis_protocol::resp2::decode::decode;
@@ -14,8 +14,29 @@
 /// Bytes of commands that one connection may send before it is closed: a stand-in, not a store.
 const MOST_PENDING: usize = 1024 * 1024;
 
-#[derive(Default)]
+/// What the stand-in does with what it is asked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mood {
+    /// As the command reference says.
+    #[default]
+    Works,
+    /// Does it, and says nothing.
+    Silent,
+    /// Does it, and answers this much later.
+    Slow(Duration),
+    /// Answers every command with this error, such as `OOM command not allowed`.
+    Refuses(&'static str),
+    /// Does it, and breaks the connection in the middle of the answer.
+    CutsAnswers,
+    /// Answers a number to everything.
+    WrongTypes,
+    /// Does it, and announces an answer of a length that no memory holds.
+    Huge,
+}
+
+#[derive(Clone, Default)]
 struct Kept {
+    mood: Mood,
     sets: HashMap<String, BTreeSet<String>>,
     values: HashMap<String, (Vec<u8>, Option<Instant>)>,
     /// Per key, how often it changed; with `flushes`, what `WATCH` compares.
@@ -93,9 +114,13 @@
 impl Store {
     /// Starts a store on a port of loopback that the system picks.
     pub fn start() -> Store {
+        Self::listen(Kept::default())
+    }
+
+    fn listen(kept: Kept) -> Store {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port on loopback");
         let address = listener.local_addr().expect("its address");
-        let kept = Arc::new(Mutex::new(Kept::default()));
+        let kept = Arc::new(Mutex::new(kept));
         let shared = kept.clone();
         thread::spawn(move || {
             for socket in listener.incoming().flatten() {
@@ -114,6 +139,37 @@
         kept.flushes += 1;
     }
 
+    /// From now on it does this.
+    pub fn behave(&self, mood: Mood) {
+        self.kept.lock().expect("lock").mood = mood;
+    }
+
+    /// Forgets every second key, as a store that came back with a part of itself.
+    pub fn lose_half(&self) {
+        let mut kept = self.kept.lock().expect("lock");
+        let mut keys: Vec<String> = kept.values.keys().cloned().collect();
+        keys.sort_unstable();
+        for key in keys.into_iter().step_by(2) {
+            kept.values.remove(&key);
+            kept.touch(&key);
+        }
+    }
+
+    /// A store of its own with all that this one holds: the other half of one that was split, or an old copy.
+    pub fn copy(&self) -> Store {
+        Self::listen(self.kept.lock().expect("lock").clone())
+    }
+
+    /// Every key that is there.
+    pub fn keys(&self) -> Vec<String> {
+        self.kept.lock().expect("lock").values.keys().cloned().collect()
+    }
+
+    /// Whether a key has been told how long to live.
+    pub fn expires(&self, key: &str) -> bool {
+        self.kept.lock().expect("lock").values.get(key).is_some_and(|(_, until)| until.is_some())
+    }
+
     /// Forgets one key, as a store that lost it.
     pub fn lose(&self, key: &str) {
         let mut kept = self.kept.lock().expect("lock");
@@ -149,6 +205,7 @@
             return;
         }
         let mut out = Vec::new();
+        let mood = kept.lock().expect("lock").mood;
         loop {
             let (frame, used) = match decode(&bytes) {
                 Ok(Some(whole)) => whole,
@@ -167,7 +224,21 @@
             let Some(words) = words.filter(|words| !words.is_empty()) else { return };
             let mut kept = kept.lock().expect("lock");
             kept.commands += 1;
-            command(&mut kept, &mut session, words).write(&mut out);
+            match mood {
+                Mood::Refuses(why) => Reply::Error(why.into()).write(&mut out),
+                Mood::WrongTypes => Reply::Int(7).write(&mut out),
+                _ => command(&mut kept, &mut session, words).write(&mut out),
+            }
+        }
+        match mood {
+            Mood::Silent => continue,
+            Mood::Slow(late) => thread::sleep(late),
+            Mood::CutsAnswers if !out.is_empty() => {
+                let _ = socket.write_all(&out[..out.len() / 2]);
+                return;
+            }
+            Mood::Huge if !out.is_empty() => out = b"$999999999999\r\n".to_vec(),
+            _ => {}
         }
         if !out.is_empty() && socket.write_all(&out).is_err() {
             return;
@@ -294,8 +365,9 @@
             let members = kept.sets.get(&key).into_iter().flatten();
             Reply::Array(members.map(|member| Reply::Bulk(member.clone().into_bytes())).collect())
         }
-        ("INCRBYFLOAT", 3) => {
-            let Ok(by) = text(&words[2]).parse::<f64>() else {
+        ("INCR", 2) | ("INCRBYFLOAT", 3) => {
+            let by = words.get(2).map_or_else(|| "1".into(), |by| text(by));
+            let Ok(by) = by.parse::<f64>() else {
                 return Reply::Error("ERR value is not a valid float".into());
             };
             let (old, until) = kept.live(&key).cloned().unwrap_or_default();
@@ -305,6 +377,9 @@
             let sum = (old + by).to_string().into_bytes();
             kept.values.insert(key.clone(), (sum.clone(), until));
             kept.touch(&key);
+            if name == "INCR" {
+                return Reply::Int((old + by) as i64);
+            }
             Reply::Bulk(sum)
         }
         ("PEXPIRE", 3) => {
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -136,6 +136,12 @@
     OldVersion,
     /// The store answers nobody.
     StoreDown,
+    /// Two halves of the store answer, each a half of the gateways; at the end all are back at the first.
+    SplitStore,
+    /// A fresh store stands in its place from now on.
+    ReplaceStore,
+    /// The store loses every second key.
+    LoseHalf,
     /// Discovery gives the list that it gave first, under its old revision.
     StaleList,
     /// Something happens to the snapshots, best while the gateways are down.
@@ -449,6 +455,9 @@
         "lose-keys",
         "old-version",
         "store-down",
+        "split-store",
+        "replace-store",
+        "lose-half",
         "stale-list",
         "spoil",
     ];
@@ -471,6 +480,9 @@
         "lose-keys" => RigFault::LoseKeys,
         "old-version" => RigFault::OldVersion,
         "store-down" => RigFault::StoreDown,
+        "split-store" => RigFault::SplitStore,
+        "replace-store" => RigFault::ReplaceStore,
+        "lose-half" => RigFault::LoseHalf,
         "stale-list" => RigFault::StaleList,
         "spoil" => RigFault::Spoil(match from.at("how").word(&["cut", "foreign", "old-format", "missing"]) {
             "foreign" => Spoil::Foreign,
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,12 +1,14 @@
 //! The gateway's program: reads its configuration and runs until it is told to stop.
 
 use clap::{Parser, Subcommand};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use switchhill::net::Gateway;
 use switchhill::process::config::{self, Config, Files};
 use switchhill::process::logs::Logs;
 use switchhill::process::signals::Signals;
+use switchhill::process::store;
 
 /// A gateway that keeps every customer's quota and decides at once what is worth sending on.
 ///
@@ -37,6 +39,30 @@
         #[arg(required = true, value_name = "FILE")]
         files: Vec<PathBuf>,
     },
+    /// The shared store: its error stated beforehand, and how a running gateway finds it.
+    Store {
+        #[command(subcommand)]
+        what: OfStore,
+    },
+}
+
+#[derive(Subcommand)]
+enum OfStore {
+    /// Prints what each fault of the store may let through beyond a quota, by plan.
+    Bound {
+        /// The platform's configuration, in JSON [default: what RELAY_CONFIG names].
+        #[arg(long, value_name = "FILE")]
+        config: Option<PathBuf>,
+        /// The operator's file, in YAML or JSON [default: what SWITCHHILL_OPERATOR names].
+        #[arg(long, value_name = "FILE")]
+        operator: Option<PathBuf>,
+    },
+    /// Prints how the gateway at an address finds the store, and what to do about it.
+    Status {
+        /// Where the gateway takes requests.
+        #[arg(long, value_name = "ADDRESS")]
+        at: SocketAddr,
+    },
 }
 
 fn serve(named: Option<PathBuf>, operator: Option<PathBuf>) -> Result<(), String> {
@@ -77,6 +103,10 @@
         None => serve(None, None),
         Some(Task::Serve { config, operator }) => serve(config, operator),
         Some(Task::Check { files }) => return check(&files),
+        Some(Task::Store { what: OfStore::Bound { config, operator } }) => {
+            Files::named(config, operator).and_then(|files| store::bound(&files)).map(|text| print!("{text}"))
+        }
+        Some(Task::Store { what: OfStore::Status { at } }) => store::status(at).map(|text| print!("{text}")),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/memory/counters.rs
+++ b/src/memory/counters.rs
@@ -66,7 +66,7 @@
     accept_rests,
     /// Downstream connections closed to free their descriptors.
     downstream_spared,
-    /// Batches written to the shared store.
+    /// Times that something was written to the shared store.
     store_batches,
     /// Calls to the shared store that failed.
     store_failures,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -66,7 +66,7 @@
 /// What a client is told that came while connections or memory are scarce.
 const SCARCE_HOLD_OFF: Millis = 500.0;
 /// The meter period of a shared store where the settings name none.
-const STORE_PERIOD: Millis = 2000.0;
+pub(crate) const STORE_PERIOD: Millis = 2000.0;
 /// Connections that the system takes for us before we accept them. Danger: past this it drops a client's first
 /// segment, which comes again a second later; the standard library's 128 are less than one crowd of silent ones.
 /// The system cuts it to its own limit.
@@ -742,9 +742,13 @@
         self.settle();
         let mut module = told.module.clone();
         (module.gateways, module.ordinal) = number.unwrap_or((module.gateways, module.ordinal));
+        let (period, gateways) = (module.meter_period, module.gateways);
         let retuned = self.core.retune(module, &classes, &plans);
         retuned.map_err(|e| format!("field `settings`: {e}"))?;
         self.core.figures.name(after.iter().map(String::as_str));
+        if let Some(account) = &mut self.account {
+            account.retune(period, gateways, self.now);
+        }
         self.told = told;
         Ok(())
     }
@@ -757,9 +761,10 @@
         let agreed =
             self.agreement.as_ref().map_or(String::new(), |at| at.figures(number, self.core.called_out()));
         let returned = self.returning.as_ref().map_or(String::new(), recovery::Returning::figures);
+        let store = self.account.as_ref().map_or(String::new(), Account::figures);
         let counters = &self.core.counters;
         format!(
-            "{counters}switchhill_log_lines_dropped {dropped}\n{door}{agreed}{returned}{}",
+            "{counters}switchhill_log_lines_dropped {dropped}\n{door}{agreed}{returned}{store}{}",
             self.figures()
         )
     }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -5,3 +5,4 @@
 pub mod logs;
 pub mod signals;
 pub mod snapshot;
+pub mod store;
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -62,3 +62,26 @@
     }
     std::fs::remove_dir_all(folder).expect("removed");
 }
+
+#[test]
+fn the_stores_bound_is_told_by_plan_with_its_terms_and_needs_a_store() {
+    let folder = std::env::temp_dir().join(format!("switchhill-bound-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let put = |name: &str, text: &str| {
+        std::fs::write(folder.join(name), text).expect("written");
+        folder.join(name).display().to_string()
+    };
+    let config = put("config.json", CONFIG);
+    let with = put("with.yaml", "store: {address: \"127.0.0.1:6379\", timeout_ms: 100}\n");
+    let without = put("without.yaml", "log: {format: json}\n");
+    let output = run(&["store", "bound", "--config", &config, "--operator", &with]);
+    let said = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert_eq!(output.status.code(), Some(0), "{said}");
+    for part in ["basic: 0.89 a second", "lost", "silent", "split", "use of the open period: rate x period"] {
+        assert!(said.contains(part), "{part} in {said}");
+    }
+    let output = run(&["store", "bound", "--config", &config, "--operator", &without]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("names no `store`"));
+    let _ = std::fs::remove_dir_all(folder);
+}
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -1,100 +1,18 @@
 //! The shared store as the meter, against a stand-in that speaks RESP.
 #![allow(missing_docs)]
 
-use redis_protocol::resp2::decode::decode;
-use redis_protocol::resp2::types::OwnedFrame;
 use rstest::rstest;
-use std::collections::{BTreeMap, BTreeSet};
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
+use switchhill_lab::rig::proxy::{Fault, Proxy};
+use switchhill_lab::rig::store::{Mood, Store};
 use switchhill_lab::stand_in::*;
 
 const RATE: f64 = 20.0;
 const BURST: f64 = 20.0;
 
-#[derive(Clone, Copy, PartialEq)]
-enum Mood {
-    Works,
-    Silent,
-    Refuses,
-    Slow,
-    Forgets,
-}
-
-#[derive(Default)]
-struct Kept {
-    numbers: BTreeMap<String, f64>,
-    expiring: BTreeSet<String>,
-    reads: usize,
-}
-
-/// A store that knows the meter's commands.
-fn store(mood: Mood) -> (SocketAddr, Arc<Mutex<Kept>>) {
-    let kept = Arc::new(Mutex::new(Kept::default()));
-    let shared = kept.clone();
-    let address = serve(move |mut socket: TcpStream| {
-        let (mut bytes, mut some) = (Vec::new(), [0; 4096]);
-        while let Ok(n @ 1..) = socket.read(&mut some) {
-            bytes.extend_from_slice(&some[..n]);
-            while let Ok(Some((frame, used))) = decode(&bytes) {
-                bytes.drain(..used);
-                let OwnedFrame::Array(words) = frame else { panic!("no command") };
-                let word = |w: &OwnedFrame| match w {
-                    OwnedFrame::BulkString(text) => String::from_utf8(text.clone()).expect("text"),
-                    other => panic!("{other:?}"),
-                };
-                let words: Vec<String> = words.iter().map(word).collect();
-                let answer = answer(&mut shared.lock().expect("lock"), &words, mood);
-                match mood {
-                    Mood::Silent => continue,
-                    Mood::Slow => thread::sleep(Duration::from_millis(400)),
-                    Mood::Works | Mood::Refuses | Mood::Forgets => {}
-                }
-                if socket.write_all(answer.as_bytes()).is_err() {
-                    return;
-                }
-            }
-        }
-    });
-    (address, kept)
-}
-
-fn answer(kept: &mut Kept, words: &[String], mood: Mood) -> String {
-    if mood == Mood::Refuses {
-        return "-OOM command not allowed\r\n".into();
-    }
-    match words[0].as_str() {
-        "INCRBYFLOAT" => {
-            let number = kept.numbers.entry(words[1].clone()).or_default();
-            *number += words[2].parse::<f64>().expect("a number");
-            let text = number.to_string();
-            format!("${}\r\n{text}\r\n", text.len())
-        }
-        "SET" => "+OK\r\n".into(),
-        "GET" => "$4\r\nlife\r\n".into(),
-        "PEXPIRE" => {
-            assert!(words[2].parse::<u64>().expect("a time") > 0);
-            kept.expiring.insert(words[1].clone());
-            ":1\r\n".into()
-        }
-        "MGET" => {
-            kept.reads += 1;
-            let mut text = format!("*{}\r\n", words.len() - 1);
-            for key in &words[1..] {
-                match kept.numbers.get(key).filter(|_| mood != Mood::Forgets) {
-                    Some(n) => text.push_str(&format!("${}\r\n{n}\r\n", n.to_string().len())),
-                    None => text.push_str("$-1\r\n"),
-                }
-            }
-            text
-        }
-        other => panic!("{other}"),
-    }
-}
-
 /// A gateway before a quick host without a meter, with a short meter period and one sharp quota.
 fn gateway(discovery: &Discovery, store: SocketAddr) -> Gateway {
     let config = config(discovery.address)
@@ -131,36 +49,77 @@
 
 #[test]
 fn a_customer_of_one_gateway_gets_its_whole_quota_and_every_key_expires() {
-    let ((_, discovery), (address, kept)) = (site(), store(Mood::Works));
-    let gateway = gateway(&discovery, address);
+    let ((_, discovery), store) = (site(), Store::start());
+    let gateway = gateway(&discovery, store.address);
     let (mut client, mut id) = (Client::connect(gateway.address), 0);
     // The floor is half the quota, since there are two gateways in the customer's set.
     press(&mut client, &mut id, Duration::from_secs(2));
     wait_for("more than the floor", || press(&mut client, &mut id, Duration::from_secs(1)) > 0.75 * RATE);
-    let kept = kept.lock().expect("lock");
-    assert!(kept.reads > 0 && kept.numbers.keys().all(|key| kept.expiring.contains(key)));
+    let keys = store.keys();
+    let counted = |what: &str| keys.iter().filter(|key| key.contains(what)).count();
+    assert!(counted(":5") > 0 && counted("closed") > 0 && counted("seq") == 1, "{keys:?}");
+    // Only the life's name stays for good.
+    assert!(keys.iter().all(|key| store.expires(key) || key == "t:life"), "{keys:?}");
+    assert_eq!(gateway.counter("store_state"), 0);
+    let at = gateway.address.to_string();
+    let status = std::process::Command::new(program()).args(["store", "status", "--at", &at]).output();
+    let status = status.expect("runs");
+    assert!(String::from_utf8_lossy(&status.stdout).starts_with("sound: "), "{status:?}");
     // In batches, not a call for each request.
     assert!(gateway.counter("store_batches") < gateway.counter("streams") / 2);
 }
 
 #[rstest]
-#[case::silent(Mood::Silent)]
-#[case::refusing(Mood::Refuses)]
-#[case::slow(Mood::Slow)]
-#[case::emptied(Mood::Forgets)]
-fn without_totals_the_slice_stays_at_its_floor_and_no_stream_waits(#[case] mood: Mood) {
-    let ((_, discovery), (address, _)) = (site(), store(mood));
-    let gateway = gateway(&discovery, address);
+#[case::silent(Mood::Silent, 6)]
+#[case::refusing(Mood::Refuses("OOM command not allowed"), 5)]
+#[case::read_only(Mood::Refuses("READONLY You can't write against a read only replica."), 5)]
+#[case::loading(Mood::Refuses("LOADING the dataset in memory"), 5)]
+#[case::moved(Mood::Refuses("MOVED 3999 127.0.0.1:1"), 5)]
+#[case::slow(Mood::Slow(Duration::from_millis(400)), 6)]
+#[case::cut(Mood::CutsAnswers, 6)]
+#[case::wrong_types(Mood::WrongTypes, 5)]
+#[case::huge(Mood::Huge, 6)]
+fn without_totals_the_slice_stays_at_its_floor_and_no_stream_waits(#[case] mood: Mood, #[case] state: u64) {
+    let ((_, discovery), store) = (site(), Store::start());
+    store.behave(mood);
+    let gateway = gateway(&discovery, store.address);
     let (mut client, mut id) = (Client::connect(gateway.address), 0);
     press(&mut client, &mut id, Duration::from_secs(2));
     let rate = press(&mut client, &mut id, Duration::from_secs(3));
     assert!(rate > 0.0 && rate < 0.65 * RATE, "{rate}");
+    wait_for("the state", || gateway.counter("store_state") == state);
+}
+
+#[test]
+fn what_a_cut_in_the_middle_of_a_batch_leaves_open_is_counted_once() {
+    let ((seen, discovery), store) = (site(), Store::start());
+    let link = Proxy::start(store.address, 7);
+    let gateway = gateway(&discovery, link.address);
+    let (mut client, mut id) = (Client::connect(gateway.address), 0);
+    wait_for("the store", || gateway.counter("store_state") == 0 && !store.keys().is_empty());
+    for fault in [Fault::CutDown, Fault::Reset, Fault::CutUp, Fault::CutDown] {
+        press(&mut client, &mut id, Duration::from_millis(400));
+        link.set(fault);
+        press(&mut client, &mut id, Duration::from_millis(300));
+        link.set(Fault::Reset);
+        thread::sleep(Duration::from_millis(30));
+        link.set(Fault::Pass);
+    }
+    press(&mut client, &mut id, Duration::from_millis(700));
+    let counted = |key: &String| {
+        let total = store.peek(key).filter(|_| key.ends_with(":5"));
+        total.map_or(0.0, |text| String::from_utf8_lossy(&text).parse().expect("a number"))
+    };
+    // Keys of periods that are over go; what is there is never more than was sent on.
+    let most = store.keys().iter().map(counted).sum::<f64>();
+    assert!(most > 0.0 && most <= seen.all() as f64, "{most} of {}", seen.all());
+    assert!(gateway.counter("store_failures") > 0 && gateway.counter("store_lives") == 0);
 }
 
 #[test]
 fn two_gateways_hold_one_customers_quota_together() {
-    let ((seen, discovery), (address, _)) = (site(), store(Mood::Works));
-    let gateways = [gateway(&discovery, address), gateway(&discovery, address)];
+    let ((seen, discovery), store) = (site(), Store::start());
+    let gateways = [gateway(&discovery, store.address), gateway(&discovery, store.address)];
     let start = Instant::now();
     // First one is busy alone until it has the whole quota, then the other comes too.
     let (mut first, mut id) = (Client::connect(gateways[0].address), 0);
