A customer's old reading lets no more requests in once answers come without one

Cause: src/brain.rs, request(): 'room' took the last reading for the customer's use however old it was, so a part of the tries was let in for as long as the store stayed away. Slices use the same reading only until four periods after (customer()).

Change: the same test of age in both places, no line more.

Where answers carry readings nothing changes until they stop.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -398,11 +398,11 @@
         self.classes[request.class].asked += 1.0;
         let plan = self.set.plans[request.plan].clone();
         let class = self.set.classes[request.class].clone();
-        let (chance, other) = (self.rng.f64(), self.rng.f64());
+        let (chance, other, stale) = (self.rng.f64(), self.rng.f64(), 4.0 * self.set.meter_period);
         let customer = self.customer(request);
         // Danger: a part below one request tells nothing of the whole: there the last reading decides more.
         let part = if plan.rate > 0.0 { plan.burst / request.units.max(0.1) } else { plan.at_once };
-        let read = customer.read_at.is_finite();
+        let read = customer.blind_at < customer.read_at + stale;
         let told = if read { (1.0 - customer.reading).max(0.0) } else { 0.0 };
         let room = other < told / (1.0 + part * customer.share).powi(4);
         let broken = part * customer.share < 1.0;
