An answer of arrays within arrays ends no gateway: the store's bytes have a guard

Observed: a test of what no store should say (src/net/resp.rs) ended the test process. 100,000 nested arrays, 400 kB, overflow the stack of the library that reads answers by recursion; in the gateway that is an abort, from the meter's loop as from agreement's thread. Attributes and streamed lengths of RESP3 do the same. Ruled out: huge lengths (waited for and dropped by the time-out) and wrong types.

Measured: stand-in stores that nest, cut, answer wrong types or announce 1 TB leave the gateway at its floor or in safe mode and serving, by test.

--- a/lab/src/rig/store.rs
+++ b/lab/src/rig/store.rs
@@ -30,6 +30,8 @@
     CutsAnswers,
     /// Answers a number to everything.
     WrongTypes,
+    /// Does it, and answers arrays within arrays without an end.
+    Nests,
     /// Does it, and announces an answer of a length that no memory holds.
     Huge,
 }
@@ -273,6 +275,7 @@
                 let _ = socket.write_all(&out[..out.len() / 2]);
                 return;
             }
+            Mood::Nests if !out.is_empty() => out = b"*1\r\n".repeat(100_000),
             Mood::Huge if !out.is_empty() => out = b"$999999999999\r\n".to_vec(),
             _ => {}
         }
--- a/src/net/agreement.rs
+++ b/src/net/agreement.rs
@@ -5,6 +5,7 @@
 //! Keys, behind the fleet's prefix (`agreement`): `:K` (`EPOCH DIGEST`), `:K:settle` (the announcement, `PX`), `:K:EPOCH`
 //! (the content), `:members` (a set of ids), `:member:ID` (a beat, `PX lease_ms`).
 
+use super::resp::is_too_deep;
 use redis_protocol::resp2::decode::decode;
 use redis_protocol::resp2::types::OwnedFrame;
 use std::collections::{BTreeMap, BTreeSet};
@@ -289,6 +290,9 @@
         socket.write_all(&out).map_err(|e| e.to_string())?;
         let (mut bytes, mut some, mut answers) = (Vec::new(), [0; 4096], Vec::new());
         while answers.len() < commands.len() {
+            if is_too_deep(&bytes) {
+                return Err("arrays within arrays".into());
+            }
             match decode(&bytes).map_err(|e| e.to_string())? {
                 Some((frame, used)) => {
                     bytes.drain(..used);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,6 +19,7 @@
 mod http2_up;
 mod recovery;
 mod relay;
+pub mod resp;
 mod store;
 mod upstream;
 
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -3,6 +3,7 @@
 //! No stream ever waits for the store: without totals the module's readings grow old and its slices fall to their floor.
 
 use super::poll::Interest;
+use super::resp::{decode, encode};
 use super::upstream::connect;
 use super::{Conn, Due, Gateway};
 use crate::core::Input;
@@ -10,15 +11,8 @@
 use crate::memory::buffer::{Got, Inbound, Outbound};
 use crate::memory::pool::Token;
 use crate::process::config::Store;
-use bytes::{Bytes, BytesMut};
-use redis_protocol::error::RedisProtocolError;
-use redis_protocol::resp2::decode as resp2;
-use redis_protocol::resp2::encode::extend_encode;
-use redis_protocol::resp2::types::{BytesFrame, OwnedFrame};
-use redis_protocol::resp3::decode::complete as resp3;
-use redis_protocol::resp3::types::OwnedFrame as Frame3;
 use std::net::{SocketAddr, TcpStream};
-use switchhill_store::{Action, Client, Command, Reply, State, Told};
+use switchhill_store::{Action, Client, State, Told};
 
 /// Bytes of answers that may pile up.
 const MOST_ANSWER: usize = 1024 * 1024;
@@ -74,58 +68,6 @@
     }
 }
 
-fn encode(commands: Vec<Command>) -> Vec<u8> {
-    let mut out = BytesMut::new();
-    for command in commands {
-        let words = command.into_iter().map(|word| BytesFrame::BulkString(Bytes::from(word))).collect();
-        // Only a frame that the protocol cannot say fails, and bulk strings it can.
-        let _ = extend_encode(&mut out, &BytesFrame::Array(words), false);
-    }
-    out.to_vec()
-}
-
-/// The next answer of a connection and how long it is; nothing where it has not all come.
-fn decode(bytes: &[u8], resp3: bool) -> Result<Option<(Reply, usize)>, RedisProtocolError> {
-    if resp3 {
-        Ok(resp3::decode(bytes)?.map(|(frame, used)| (reply3(frame), used)))
-    } else {
-        Ok(resp2::decode(bytes)?.map(|(frame, used)| (reply(frame), used)))
-    }
-}
-
-fn reply3(frame: Frame3) -> Reply {
-    let text = |bytes: Vec<u8>| Reply::Text(String::from_utf8_lossy(&bytes).into_owned());
-    match frame {
-        Frame3::BlobString { data, .. }
-        | Frame3::SimpleString { data, .. }
-        | Frame3::BigNumber { data, .. }
-        | Frame3::VerbatimString { data, .. }
-        | Frame3::ChunkedString(data) => text(data),
-        Frame3::Number { data, .. } => Reply::Text(data.to_string()),
-        Frame3::Double { data, .. } => Reply::Text(data.to_string()),
-        Frame3::Boolean { data, .. } => Reply::Text(data.to_string()),
-        Frame3::Array { data, .. } | Frame3::Push { data, .. } => {
-            Reply::Many(data.into_iter().map(reply3).collect())
-        }
-        // Nothing that is asked for here is answered by a set or a map but the hello, of which nothing is read.
-        Frame3::Set { .. } | Frame3::Map { .. } | Frame3::Hello { .. } => Reply::Many(Vec::new()),
-        Frame3::BlobError { data, .. } => Reply::Error(String::from_utf8_lossy(&data).into_owned()),
-        Frame3::SimpleError { data, .. } => Reply::Error(data),
-        Frame3::Null => Reply::Nil,
-    }
-}
-
-fn reply(frame: OwnedFrame) -> Reply {
-    let text = |bytes: Vec<u8>| Reply::Text(String::from_utf8_lossy(&bytes).into_owned());
-    match frame {
-        OwnedFrame::BulkString(bytes) | OwnedFrame::SimpleString(bytes) => text(bytes),
-        OwnedFrame::Integer(number) => Reply::Text(number.to_string()),
-        OwnedFrame::Array(all) => Reply::Many(all.into_iter().map(reply).collect()),
-        OwnedFrame::Error(why) => Reply::Error(why),
-        OwnedFrame::Null => Reply::Nil,
-    }
-}
-
 impl Gateway {
     /// Writes what was sent on and reads what is due.
     pub(super) fn account_due(&mut self) {
--- a/tests/agreement.rs
+++ b/tests/agreement.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 use switchhill_lab::rig::checker::{gather, longest_disagreement};
 use switchhill_lab::rig::proxy::{Fault, Proxy};
+use switchhill_lab::rig::store::Mood;
 use switchhill_lab::rig::{operator, Site};
 use switchhill_lab::stand_in::*;
 
@@ -190,3 +191,19 @@
     assert!(fleet.gateways[1].call("offer").starts_with("200 offered"));
     fleet.wait("turned back by who asked for it", |gateway| gateway.agreed() == (3, 0));
 }
+
+/// Whatever the store answers, the gateway goes on: safe while it lasts, and active again once the store makes sense.
+#[rstest::rstest]
+#[case::nested(Mood::Nests)]
+#[case::wrong_types(Mood::WrongTypes)]
+#[case::cut(Mood::CutsAnswers)]
+fn a_store_that_answers_nonsense_makes_a_gateway_safe_and_ends_nothing(#[case] mood: Mood) {
+    let site = Site::start();
+    let gateway = Gateway::start_with(&site.first, Some(&operator(site.store.address, "g0", false)));
+    wait_for("active on the first version", || gateway.agreed() == (1, 0));
+    site.store.behave(mood);
+    wait_for("safe", || gateway.agreed().1 == 1);
+    assert_eq!(Client::connect(gateway.address).ask("usage-view", 1, 1, 3000).status, 200);
+    site.store.behave(Mood::Works);
+    wait_for("active again", || gateway.agreed() == (1, 0));
+}
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -82,6 +82,7 @@
 #[case::slow(Mood::Slow(Duration::from_millis(400)), 6)]
 #[case::cut(Mood::CutsAnswers, 6)]
 #[case::wrong_types(Mood::WrongTypes, 5)]
+#[case::nests(Mood::Nests, 6)]
 #[case::huge(Mood::Huge, 6)]
 fn without_totals_the_slice_stays_at_its_floor_and_no_stream_waits(#[case] mood: Mood, #[case] state: u64) {
     let ((_, discovery), store) = (site(), Store::start());
