--- a/lab/tests/scenarios.rs
+++ b/lab/tests/scenarios.rs
@@ -48,7 +48,11 @@
         "recovery-rolling",
         "recovery-snapshots",
         "recovery-stale-list",
-        "recovery-store-emptied"
+        "recovery-store-emptied",
+        "store-alone",
+        "store-replaced",
+        "store-silent",
+        "store-split"
     )]
     name: &str,
 ) {
