Two gateways of one seed that start in the same millisecond count under two names

Read again: the name of a process in the store was its seed and start time. Two gateways configured with one seed could share it and take each other's batches for their own. Their told numbers differ, and are part of the name now.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -150,7 +150,8 @@
             awaited: VecDeque::new(),
             try_at: now + first_at(SPREAD, told.gateways, told.ordinal, told.seed) as Ms,
             backoff: Backoff::new(TRY_AGAIN.0, TRY_AGAIN.1, told.seed),
-            own: format!("{:016x}-{:x}", told.seed, now.max(0.0) as u64),
+            // Danger: two that count under one name would take each other's batches for their own.
+            own: format!("{:016x}-{}-{:x}", told.seed, told.ordinal, now.max(0.0) as u64),
             life: None,
             names: 0,
             address: 0,
