A batch from before another meter period is shut out, not said again

Read again: a period's length that changes at SIGHUP numbers periods anew, and a batch that was out would have been said again under numbers that other periods have now. It is fenced off, as one of a store that was lost; the test fails without it.

--- a/crates/store/src/account.rs
+++ b/crates/store/src/account.rs
@@ -109,6 +109,8 @@
         if period > 0.0 && (period - self.period).abs() > f64::EPSILON {
             self.parts.clear();
             self.again.clear();
+            // Danger: said again, it would be added under a number that another period has now.
+            self.out.iter_mut().for_each(|batch| batch.lost = true);
             (self.unread, self.unclosed) = (None, None);
             (self.period, self.current) = (period, (now / period).floor() as i64);
         }
--- a/crates/store/src/tests.rs
+++ b/crates/store/src/tests.rs
@@ -314,6 +314,20 @@
     assert_eq!(again(200), 39, "all of it in the end");
 }
 
+#[test]
+fn a_batch_from_before_another_period_is_not_said_again() {
+    let mut account = crate::account::Account::new(PERIOD, 2, 5000.0);
+    account.turn(5250.0, sent(7, 2.0));
+    assert_eq!(account.batch().map(|batch| batch.adds.len()), Some(1));
+    account.retune(2.0 * PERIOD, 2, 5300.0);
+    account.not_executed();
+    assert_eq!((account.fence(), account.batch()), (Some(2), None), "shut out first");
+    account.fenced(2);
+    account.turn(5500.0, sent(7, 1.0));
+    let batch = account.batch().expect("what came since");
+    assert_eq!((batch.number, batch.adds[0].period, batch.adds[0].units), (3, 2, 1.0));
+}
+
 #[test]
 fn the_bound_says_what_makes_it() {
     let plan = Plan { rate: 0.89, burst: 3.0, gateways: 5, period: 2000.0, timeout: 100.0 };
