--- a/crates/store/src/account.rs
+++ b/crates/store/src/account.rs
@@ -225,11 +225,11 @@
             let Some(part) = self.part(add.period, add.customer) else { continue };
             let gone = part.told - add.units;
             if total.is_some_and(|total| total < part.told - 1e-6) && gone > 0.0 {
-                (part.told, part.lives) = (add.units, false);
-                if part.held <= 0.0 {
+                let in_line = part.held > 0.0;
+                (part.told, part.lives, part.held) = (add.units, false, part.held + gone);
+                if !in_line {
                     self.again.push_back((add.period, add.customer));
                 }
-                self.part(add.period, add.customer).into_iter().for_each(|part| part.held += gone);
             }
         }
         self.again.len() > before
--- a/src/net/resp.rs
+++ b/src/net/resp.rs
@@ -29,6 +29,11 @@
 pub fn is_too_deep(bytes: &[u8]) -> bool {
     // Danger: the library reads what lies within by recursion; an answer of a thousand brackets ends the process.
     let mut open: Vec<u64> = Vec::new();
+    let read_one = |open: &mut Vec<u64>| {
+        if let Some(left) = open.last_mut() {
+            *left = left.saturating_sub(1);
+        }
+    };
     let mut rest = bytes;
     while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
         let line = &rest[..end];
@@ -45,16 +50,16 @@
                 let skip =
                     number().map_or(0, |long| usize::try_from(long).unwrap_or(usize::MAX).saturating_add(2));
                 rest = rest.get(skip..).unwrap_or(&[]);
-                open.iter_mut().next_back().into_iter().for_each(|left| *left = left.saturating_sub(1));
+                read_one(&mut open);
             }
-            _ => open.iter_mut().next_back().into_iter().for_each(|left| *left = left.saturating_sub(1)),
+            _ => read_one(&mut open),
         }
         if open.len() > DEEPEST {
             return true;
         }
         while open.last() == Some(&0) {
             open.pop();
-            open.iter_mut().next_back().into_iter().for_each(|left| *left = left.saturating_sub(1));
+            read_one(&mut open);
         }
         if open.is_empty() {
             return false;
