--- a/src/brain.rs
+++ b/src/brain.rs
@@ -53,7 +53,12 @@
 const SLICE_AIM: f64 = 0.85;
 const DOUBLING: f64 = 0.5;
 /// Least chance to be inside its quota, and the first, that a customer has of whom nothing is known here.
-const UNREAD: f64 = 0.65;
+const UNREAD: f64 = 0.6;
+/// Least chance that a first request is lent where a part is below one: with readings, and without.
+const LENT_READ: f64 = 0.25;
+const LENT_BLIND: f64 = 0.5;
+/// Bursts that all of a customer's gateways may lend together before the chance falls to that.
+const BURSTS: f64 = 4.0;
 /// Slots in which a gateway remembers what it let through; each is half a meter period.
 const SLOTS: usize = 32;
 /// Requests that tell a customer's own rate here; fewer are looked for further back.
@@ -343,11 +348,14 @@
         let since_start = (now - self.started.unwrap_or(now)) / 1000.0;
         // Danger: split over many gateways, a calm customer's first request would be refused: one is lent.
         let lent = if plan.at_once > 0.0 { (1.0 / plan.at_once).min(1.0) } else { 0.0 };
+        let lot = if self.set.meter_period > 0.0 { LENT_READ } else { LENT_BLIND };
+        let burst = plan.burst / entry;
         let customer = self.customers.entry(request.customer).or_insert_with(|| Customer {
             plan: request.plan,
             entry,
             share: lent.max(1.0 / entry),
-            store: (plan.burst / entry).max(request.units),
+            // Danger: what each of hundreds lends adds up; never one each, but a chance of one.
+            store: (BURSTS * burst).clamp(request.units * lot, request.units).max(burst),
             // Danger: a restarted gateway must not grant a fresh burst: the ceiling's store starts empty.
             ceiling: (plan.ceiling_rate / entry * since_start).min(plan.ceiling_depth / entry),
             filled: now,
@@ -399,6 +407,10 @@
         let plan = self.set.plans[request.plan].clone();
         let class = self.set.classes[request.class].clone();
         let (chance, other, stale) = (self.rng.f64(), self.rng.f64(), self.set.meter_period);
+        // Broken parts go to dear requests first; without readings that would starve the others.
+        let asked = self.classes.iter().zip(&self.set.classes);
+        let (n, sum) = asked.fold((0.0, 0.0), |(n, sum), (c, t)| (n + c.asked, sum + c.asked * t.worth));
+        let lot = if stale > 0.0 { (chance * sum / n / class.worth).min(1.0) } else { chance };
         let customer = self.customer(request);
         // Danger: a part below one request tells nothing of the whole: there the last reading decides more.
         let part = if plan.rate > 0.0 { plan.burst / request.units.max(0.1) } else { plan.at_once };
@@ -406,7 +418,7 @@
         let told = if read { (1.0 - customer.reading).max(0.0) } else { 0.0 };
         let room = other < told / (1.0 + part * customer.share).powi(4);
         let broken = part * customer.share < 1.0;
-        let needed = if broken { request.units * chance } else { request.units };
+        let needed = if broken { request.units * lot } else { request.units };
         let inside = room
             || (plan.rate <= 0.0 || customer.store.max(0.0) >= needed)
             // Danger: many gateways that round their part of a cap up; a broken part is granted by chance.
@@ -736,9 +748,7 @@
     }
 
     fn send(&mut self, id: RequestId, index: usize, act: &mut Vec<Action>) {
-        let Some(open) = self.open.get_mut(&id) else {
-            return;
-        };
+        let Some(open) = self.open.get_mut(&id) else { return };
         let (class, customer) = (open.class, open.customer);
         let told = &self.set.classes[class];
         // An answer that earns nothing is not worth the backend's work: stop waiting at the aim.
@@ -820,9 +830,7 @@
                 customer.blind_at = self.now;
             }
         }
-        let Some(open) = self.open.get_mut(&told.request) else {
-            return;
-        };
+        let Some(open) = self.open.get_mut(&told.request) else { return };
         open.out = open.out.saturating_sub(1);
         if told.finished || told.code == Code::Success {
             // Units told only with the answer: the difference is settled with the local store.
@@ -845,9 +853,7 @@
 
     /// Sends a further attempt if the effect, the budget, the time and the price allow one.
     fn further(&mut self, id: RequestId, but: usize, act: &mut Vec<Action>) -> bool {
-        let Some(open) = self.open.get(&id).cloned() else {
-            return false;
-        };
+        let Some(open) = self.open.get(&id).cloned() else { return false };
         let told = self.set.classes[open.class].clone();
         // What is still out may run as well.
         let still = self.out.range((id, 0)..=(id, u32::MAX)).map(|(_, o)| {
@@ -872,9 +878,7 @@
         if open.tries >= open.most || self.extra < 1.0 || self.now >= open.deadline {
             return false;
         }
-        let Some(server) = self.choose(scope, Some(but)) else {
-            return false;
-        };
+        let Some(server) = self.choose(scope, Some(but)) else { return false };
         let expected = self.expected(open.class, server);
         let late = self.now + expected - open.since > told.aim;
         let value = told.worth * self.set.plans[open.plan].price * if late { told.late_value } else { 1.0 };
@@ -1021,11 +1025,7 @@
 
 impl Server {
     fn size(&self) -> f64 {
-        if self.told.rating.is_finite() {
-            self.told.rating.clamp(0.1, 10.0)
-        } else {
-            1.0
-        }
+        Some(self.told.rating).filter(|r| r.is_finite()).map_or(1.0, |r| r.clamp(0.1, 10.0))
     }
 
     /// Has failed or been silent for so long that it gets single tries only.
