--- a/src/brain.rs
+++ b/src/brain.rs
@@ -54,9 +54,9 @@
 const DOUBLING: f64 = 0.5;
 /// Least chance to be inside its quota, and the first, that a customer has of whom nothing is known here.
 const UNREAD: f64 = 0.6;
-/// Least chance that a first request is lent where a part is below one: with readings, and without.
+/// Least chance that a first request is lent where a part is below one; without readings, by so much of its worth.
 const LENT_READ: f64 = 0.25;
-const LENT_BLIND: f64 = 0.5;
+const LENT_BLIND: f64 = 2.5;
 /// Bursts that all of a customer's gateways may lend together before the chance falls to that.
 const BURSTS: f64 = 4.0;
 /// Slots in which a gateway remembers what it let through; each is half a meter period.
@@ -345,11 +345,11 @@
         let plan = &self.set.plans[request.plan];
         let now = self.now;
         let entry = f64::from(request.entry_points.max(1));
-        let since_start = (now - self.started.unwrap_or(now)) / 1000.0;
+        let (burst, since_start) = (plan.burst / entry, (now - self.started.unwrap_or(now)) / 1000.0);
         // Danger: split over many gateways, a calm customer's first request would be refused: one is lent.
         let lent = if plan.at_once > 0.0 { (1.0 / plan.at_once).min(1.0) } else { 0.0 };
-        let lot = if self.set.meter_period > 0.0 { LENT_READ } else { LENT_BLIND };
-        let burst = plan.burst / entry;
+        let worth = UNREAD + (1.0 - UNREAD) * (plan.beyond_earns - plan.overrun_cost);
+        let lot = if self.set.meter_period > 0.0 { LENT_READ } else { (LENT_BLIND * worth).clamp(0.0, 1.0) };
         let customer = self.customers.entry(request.customer).or_insert_with(|| Customer {
             plan: request.plan,
             entry,
