--- a/src/brain.rs
+++ b/src/brain.rs
@@ -54,7 +54,7 @@
 const DOUBLING: f64 = 0.5;
 /// Least chance to be inside its quota, and the first, that a customer has of whom nothing is known here.
 const UNREAD: f64 = 0.6;
-/// Least chance that a first request is lent where a part is below one; without readings, by so much of its worth.
+/// Least chance of a first request where a part is below one; without readings, so many times its worth.
 const LENT_READ: f64 = 0.25;
 const LENT_BLIND: f64 = 2.5;
 /// Bursts that all of a customer's gateways may lend together before the chance falls to that.
