--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -321,3 +321,56 @@
         );
     }
 }
+
+/// Ends a connection with a reset.
+fn reset(socket: &TcpStream) {
+    socket2::SockRef::from(socket).set_linger(Some(Duration::ZERO)).expect("set");
+}
+
+#[rstest]
+#[case::in_its_body("HTTP/1.1 200 OK\r\nX-RateLimit-Used: 10\r\n\r\nhalf of it")]
+#[case::before_its_body("HTTP/1.1 200 OK\r\nX-RateLimit-Used: 10\r\n\r\n")]
+fn an_answer_without_length_that_is_reset_is_no_answer(#[case] begun: &'static str) {
+    // Guarded against: a reset taken for the end that tells such an answer's length.
+    let seen = Arc::new(Seen::default());
+    let noted = seen.clone();
+    let address = serve(move |mut socket| {
+        let mut bytes = Vec::new();
+        if let Some(message) = read_request(&mut socket, &mut bytes) {
+            noted.note(&id_of(&message));
+            let _ = socket.write_all(begun.as_bytes());
+            thread::sleep(Duration::from_millis(50));
+            reset(&socket);
+        }
+    });
+    let gateway = Gateway::start(&one(address));
+    let answer = Client::connect(gateway.address).ask("top-up", 1, 1, 5000);
+    assert_eq!((answer.status, seen.all(), gateway.counter("served")), (502, 1, 0));
+}
+
+#[rstest]
+#[case::silent(true)]
+#[case::refusing(false)]
+fn twenty_processes_started_at_once_without_discovery_are_ready_within_ten_seconds(#[case] listens: bool) {
+    let discovery = Discovery::new(vec![]);
+    discovery.silence(true);
+    let address = if listens { discovery.address } else { nowhere() };
+    let start = Instant::now();
+    let text = config(address);
+    let starts: Vec<_> = (0..20)
+        .map(|_| {
+            let text = text.clone();
+            thread::spawn(move || {
+                let gateway = Gateway::start_with(&text, None);
+                (start.elapsed(), gateway)
+            })
+        })
+        .collect();
+    let gateways: Vec<(Duration, Gateway)> = starts.into_iter().map(|t| t.join().expect("starts")).collect();
+    let late = gateways.iter().filter(|(after, _)| *after > Duration::from_secs(10)).count();
+    assert!(late <= 2, "{late} of 20 after more than 10 s");
+    // Without a list it knows of no host, and says so; it sends nothing anywhere.
+    for (_, gateway) in &gateways {
+        assert_eq!(Client::connect(gateway.address).ask("usage-view", 1, 1, 2000).status, 503);
+    }
+}
