--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -431,7 +431,7 @@
     // What was turned away unseen leaves no window.
     let first = bench.arrive(2, TOP_UP, 9_000.0);
     bench.ended(first, End::TurnedAway);
-    if let Some((repeat @ (2, 1), host)) = bench.last_send() {
-        assert!(bench.core.may_begin(repeat, &host, bench.now + 600.0));
-    }
+    let (repeat, host) = bench.last_send().expect("sent again");
+    assert_eq!(repeat, (2, 1));
+    assert!(bench.core.may_begin(repeat, &host, bench.now + 600.0));
 }
