--- a/lab/src/stand_in/mod.rs
+++ b/lab/src/stand_in/mod.rs
@@ -132,19 +132,19 @@
 }
 
 /// One entry of discovery's list.
-pub(crate) fn list_entry(id: &str, address: SocketAddr, phase: &str, protocol: &str) -> String {
+pub fn list_entry(id: &str, address: SocketAddr, phase: &str, protocol: &str) -> String {
     format!(
         r#"{{"id":"{id}","host_port":"{address}","locality":"room-a","flavor":"big-box","cell":0,"phase":"{phase}","size":1.0,"up_since_ms":0,"protocol":"{protocol}"}}"#
     )
 }
 
 /// Discovery's list.
-pub(crate) fn list_text(revision: u64, complete: bool, entries: &[String]) -> String {
+pub fn list_text(revision: u64, complete: bool, entries: &[String]) -> String {
     format!(r#"{{"revision":{revision},"complete":{complete},"members":[{}]}}"#, entries.join(","))
 }
 
 /// A whole answer's bytes.
-pub(crate) fn whole(status: u16, headers: &str, body: &[u8]) -> Vec<u8> {
+pub fn whole(status: u16, headers: &str, body: &[u8]) -> Vec<u8> {
     let mut bytes = http1::answer_head(status, headers.as_bytes(), body.len(), false);
     bytes.extend_from_slice(body);
     bytes
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -20,7 +20,7 @@
     serve(move |mut socket| {
         let mut bytes = Vec::new();
         while let Some(message) = read_request(&mut socket, &mut bytes) {
-            let answer = answer_text(&id_of(&message));
+            let answer = whole(200, "", id_of(&message).as_bytes());
             if socket.write_all(&answer).is_err() {
                 return;
             }
@@ -32,10 +32,6 @@
     })
 }
 
-fn answer_text(body: &str) -> Vec<u8> {
-    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
-}
-
 #[rstest]
 #[case::that_repeats("usage-view")]
 #[case::that_does_not("top-up")]
@@ -67,31 +63,23 @@
     assert_eq!(gateway.counter("upstream_stopped"), 1);
 }
 
-/// Discovery as a script says: each connection gets its turn's number, each call on it its own.
-fn scripted(calls: impl Fn(u64, &str, &mut TcpStream) -> bool + Send + Sync + 'static) -> SocketAddr {
-    let turns = AtomicU64::new(0);
+/// Discovery as a script says, which is told each call's target; a connection ends where it says false.
+fn scripted(call: impl Fn(&str, &mut TcpStream) -> bool + Send + Sync + 'static) -> SocketAddr {
     serve(move |mut socket| {
-        let turn = turns.fetch_add(1, Ordering::SeqCst);
         let mut bytes = Vec::new();
-        while let Some(call) = read_request(&mut socket, &mut bytes) {
-            if !calls(turn, &call.target, &mut socket) {
+        while let Some(message) = read_request(&mut socket, &mut bytes) {
+            if !call(&message.target, &mut socket) {
                 return;
             }
         }
     })
 }
 
-fn listing(revision: u64, complete: bool, entries: &[(&str, SocketAddr, &str)]) -> Vec<u8> {
-    let entry = |(id, address, phase): &(&str, SocketAddr, &str)| {
-        format!(
-            r#"{{"id":"{id}","host_port":"{address}","locality":"room-a","flavor":"big-box","cell":0,"phase":"{phase}","size":1.0,"up_since_ms":0}}"#
-        )
-    };
+/// The answer that brings a whole list.
+fn listing(revision: u64, entries: &[(&str, SocketAddr, &str)]) -> Vec<u8> {
+    let entry = |(id, address, phase): &(&str, SocketAddr, &str)| list_entry(id, *address, phase, "http/1.1");
     let entries: Vec<String> = entries.iter().map(entry).collect();
-    answer_text(&format!(
-        r#"{{"revision":{revision},"complete":{complete},"members":[{}]}}"#,
-        entries.join(",")
-    ))
+    whole(200, "", list_text(revision, true, &entries).as_bytes())
 }
 
 fn hold() -> bool {
@@ -147,7 +135,7 @@
     let (was, now) = (host(&old, |_| Act::Serve), host(&new, |_| Act::Serve));
     let slow = Arc::new(AtomicBool::new(false));
     let changed = slow.clone();
-    let discovery = scripted(move |_, target, socket| {
+    let discovery = scripted(move |target, socket| {
         if !changed.load(Ordering::SeqCst) {
             if target.contains("index") {
                 // The watch breaks once the list has changed.
@@ -157,10 +145,10 @@
                 return false;
             }
             return socket
-                .write_all(&listing(1, true, &[("s-1", was, "in_service"), ("s-2", now, "in_service")]))
+                .write_all(&listing(1, &[("s-1", was, "in_service"), ("s-2", now, "in_service")]))
                 .is_ok();
         }
-        let text = listing(2, true, &[("s-1", was, "terminating"), ("s-2", now, "in_service")]);
+        let text = listing(2, &[("s-1", was, "terminating"), ("s-2", now, "in_service")]);
         say(socket, &text)
     });
     let gateway = Gateway::start_with(&config(discovery), None);
@@ -177,9 +165,9 @@
     let (was, now) = (host(&old, |_| Act::Serve), host(&new, |_| Act::Serve));
     let older = Arc::new(AtomicU64::new(0));
     let told = older.clone();
-    let discovery = scripted(move |_, target, socket| {
-        let drained = listing(7, true, &[("s-1", was, "terminating"), ("s-2", now, "in_service")]);
-        let stale = listing(6, true, &[("s-1", was, "in_service"), ("s-2", now, "in_service")]);
+    let discovery = scripted(move |target, socket| {
+        let drained = listing(7, &[("s-1", was, "terminating"), ("s-2", now, "in_service")]);
+        let stale = listing(6, &[("s-1", was, "in_service"), ("s-2", now, "in_service")]);
         match (told.load(Ordering::SeqCst), target.contains("index")) {
             (0, true) => {
                 thread::sleep(Duration::from_millis(50));
@@ -218,8 +206,8 @@
     let anew = Arc::new(AtomicBool::new(false));
     let changed = anew.clone();
     let discovery =
-        scripted(move |_, target, socket| match (changed.load(Ordering::SeqCst), target.contains("index")) {
-            (false, false) => socket.write_all(&listing(900, true, &[("s-1", was, "in_service")])).is_ok(),
+        scripted(move |target, socket| match (changed.load(Ordering::SeqCst), target.contains("index")) {
+            (false, false) => socket.write_all(&listing(900, &[("s-1", was, "in_service")])).is_ok(),
             (false, true) => {
                 while !changed.load(Ordering::SeqCst) {
                     thread::sleep(Duration::from_millis(5));
@@ -227,7 +215,7 @@
                 false
             }
             (true, true) if target.contains("index=2") => hold(),
-            (true, _) => socket.write_all(&listing(2, true, &[("s-2", now, "in_service")])).is_ok(),
+            (true, _) => socket.write_all(&listing(2, &[("s-2", now, "in_service")])).is_ok(),
         });
     let gateway = Gateway::start_with(&config(discovery), None);
     let before = first_list(&gateway);
