Design note of the whole system, and the packages it will consist of

States programs, state, messages and the mechanism for each rule; adds empty packages and their dependencies so that parts can be written side by side.

--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Smoothed price of a route and the admission test.
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,1 @@
+//! Internal messages between the programs and their framing.
--- /dev/null
+++ b/crates/record_log/src/lib.rs
@@ -0,0 +1,1 @@
+//! Append-only file of checksummed records, rewritten when long.
--- /dev/null
+++ b/crates/register/src/lib.rs
@@ -0,0 +1,1 @@
+//! Compare-and-swap register over replicas: ballots, two quorum rounds, reconfiguration, read repair.
--- /dev/null
+++ b/crates/registration/src/lib.rs
@@ -0,0 +1,1 @@
+//! Workers: instances, heartbeats by sequence, draining, gone, suspected.
