--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,5 +72,6 @@
 pub mod net;
 pub mod process;
 pub mod settings;
+pub mod site_settings;
 
 pub use brain::Brain;
