--- /dev/null
+++ b/crates/membership/src/contacts.rs
@@ -0,0 +1,142 @@
+//! All other nodes that a node knows.
+
+use crate::contact::{Contact, Heard, SentHeartbeats};
+use std::collections::BTreeMap;
+
+/// Times of the membership, in milliseconds.
+#[derive(Debug, Clone, Copy)]
+pub struct ContactSettings {
+    /// Time between two heartbeats to the same node.
+    pub heartbeat_every: u64,
+    /// Age of the last confirmed contact beyond which a node counts as out of contact.
+    pub contact_for: u64,
+    /// Silence after which a node is taken for down.
+    pub down_after: u64,
+    /// Silence after which a node is forgotten.
+    pub forget_after: u64,
+}
+
+impl Default for ContactSettings {
+    /// Four heartbeats may be lost before contact is; a freeze shorter than `down_after` moves no role.
+    fn default() -> Self {
+        ContactSettings { heartbeat_every: 200, contact_for: 900, down_after: 1500, forget_after: 60_000 }
+    }
+}
+
+/// All other nodes that this node knows, by identity.
+#[derive(Debug)]
+pub struct Contacts {
+    settings: ContactSettings,
+    /// Identity of this node.
+    me: u64,
+    /// Random number of this life.
+    life: u64,
+    sequence: u64,
+    sent: SentHeartbeats,
+    contacts: BTreeMap<u64, Contact>,
+    next_heartbeat: u64,
+}
+
+impl Contacts {
+    /// A node that knows no other yet.
+    pub fn new(me: u64, life: u64, settings: ContactSettings) -> Contacts {
+        Contacts {
+            settings,
+            me,
+            life,
+            sequence: 0,
+            sent: SentHeartbeats::default(),
+            contacts: BTreeMap::new(),
+            next_heartbeat: 0,
+        }
+    }
+
+    /// Random number of this life.
+    pub fn life(&self) -> u64 {
+        self.life
+    }
+
+    /// Whether heartbeats are due; if so their sequence.
+    pub fn heartbeat_due(&mut self, now: u64) -> Option<u64> {
+        if now < self.next_heartbeat {
+            return None;
+        }
+        self.next_heartbeat = now + self.settings.heartbeat_every;
+        self.sequence += 1;
+        self.sent.record(self.sequence, now);
+        self.forget(now);
+        Some(self.sequence)
+    }
+
+    fn forget(&mut self, now: u64) {
+        let oldest = now.saturating_sub(self.settings.forget_after);
+        self.contacts.retain(|_, contact| contact.heard_at >= oldest);
+    }
+
+    /// Takes in a heartbeat. A late one of the same life changes nothing but the confirmation.
+    pub fn heard(&mut self, now: u64, heard: Heard) {
+        if heard.id == self.me {
+            return;
+        }
+        let confirmed_at = heard.echo.and_then(|sequence| self.sent.sent_at(sequence));
+        self.end_older_at_address(&heard);
+        let contact = self.contacts.entry(heard.id).or_insert_with(|| Contact {
+            address: heard.address.clone(),
+            node: heard.node.clone(),
+            life: heard.life,
+            sequence: 0,
+            heard_at: now,
+            confirmed_at: None,
+        });
+        if contact.life != heard.life {
+            contact.life = heard.life;
+            contact.sequence = 0;
+            contact.confirmed_at = None;
+        }
+        if heard.sequence > contact.sequence {
+            contact.sequence = heard.sequence;
+            contact.heard_at = now;
+            contact.address = heard.address;
+            contact.node = heard.node;
+        }
+        contact.confirmed_at = contact.confirmed_at.max(confirmed_at);
+    }
+
+    /// An address belongs to the identity heard there last: a disk that was lost gives a new one.
+    fn end_older_at_address(&mut self, heard: &Heard) {
+        let id = heard.id;
+        self.contacts.retain(|other, contact| *other == id || contact.address != heard.address);
+    }
+
+    /// What is to be echoed: identity, life and newest sequence of each node.
+    pub fn echoes(&self) -> impl Iterator<Item = (u64, &Contact)> {
+        self.contacts.iter().map(|(id, contact)| (*id, contact))
+    }
+
+    /// A node.
+    pub fn get(&self, id: u64) -> Option<&Contact> {
+        self.contacts.get(&id)
+    }
+
+    /// All nodes.
+    pub fn iter(&self) -> impl Iterator<Item = (u64, &Contact)> {
+        self.echoes()
+    }
+
+    /// Whether a node is heard.
+    pub fn is_up(&self, now: u64, id: u64) -> bool {
+        self.contacts.get(&id).is_some_and(|contact| now < contact.heard_at + self.settings.down_after)
+    }
+
+    /// How long a node has been silent, in milliseconds; `None` for one not known.
+    pub fn silent_for(&self, now: u64, id: u64) -> Option<u64> {
+        self.contacts.get(&id).map(|contact| now.saturating_sub(contact.heard_at))
+    }
+
+    /// Nodes that were certain to hear this node a short time ago, this node included.
+    pub fn in_contact(&self, now: u64) -> impl Iterator<Item = u64> + '_ {
+        let oldest = now.saturating_sub(self.settings.contact_for);
+        let others = self.contacts.iter().filter(move |(_, contact)| contact.confirmed_at.is_some_and(|at| at >= oldest));
+        others.map(|(id, _)| *id).chain(std::iter::once(self.me))
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/framing.rs
@@ -0,0 +1,69 @@
+//! Frames on a byte stream.
+
+use bytes::{BufMut, BytesMut};
+use prost::Message;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+
+/// Version of the messages that this program speaks.
+pub const FRAME_VERSION: u8 = 1;
+
+/// Longest message that is accepted, in bytes: a whole configuration with room to spare.
+pub const LARGEST_FRAME: usize = 32 << 20;
+
+/// Bytes before the message: length and version.
+const HEADER: usize = 5;
+
+/// Why a frame could not be read or written.
+#[derive(Debug, thiserror::Error)]
+pub enum FrameError {
+    /// The connection failed or ended.
+    #[error("connection: {0}")]
+    Connection(#[from] std::io::Error),
+    /// The sender speaks another version.
+    #[error("message of version {0}, this program speaks {FRAME_VERSION}")]
+    Version(u8),
+    /// The message is longer than any that this program sends.
+    #[error("message of {0} bytes, at most {LARGEST_FRAME} are accepted")]
+    TooLong(usize),
+    /// The bytes are no message.
+    #[error("message: {0}")]
+    Malformed(#[from] prost::DecodeError),
+}
+
+/// Reads one message.
+pub async fn read_frame<M, R>(reader: &mut R) -> Result<M, FrameError>
+where
+    M: Message + Default,
+    R: AsyncRead + Unpin,
+{
+    let length = reader.read_u32().await? as usize;
+    let version = reader.read_u8().await?;
+    if version != FRAME_VERSION {
+        return Err(FrameError::Version(version));
+    }
+    if length > LARGEST_FRAME {
+        return Err(FrameError::TooLong(length));
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).await?;
+    Ok(M::decode(body.as_slice())?)
+}
+
+/// Writes one message.
+pub async fn write_frame<M, W>(writer: &mut W, message: &M) -> Result<(), FrameError>
+where
+    M: Message,
+    W: AsyncWrite + Unpin,
+{
+    let length = message.encoded_len();
+    if length > LARGEST_FRAME {
+        return Err(FrameError::TooLong(length));
+    }
+    let mut frame = BytesMut::with_capacity(HEADER + length);
+    frame.put_u32(length as u32);
+    frame.put_u8(FRAME_VERSION);
+    frame.put(message.encode_to_vec().as_slice());
+    writer.write_all(&frame).await?;
+    writer.flush().await?;
+    Ok(())
+}
