Configuration: reading, checks, changes, deltas, and the register's value

The control plane needs one place that reads and checks the operator's orders. Documents keep the text of every member and item, so unknown fields are given back.

--- /dev/null
+++ b/crates/configuration/src/check.rs
@@ -0,0 +1,63 @@
+//! Checks of a whole configuration.
+
+use std::collections::{HashMap, HashSet};
+
+use garde::Validate;
+
+use crate::document::Document;
+use crate::error::{ConfigurationError, ResultCode};
+use crate::members::{ROUTES, SERVICES};
+use crate::route::Route;
+use crate::route_index::normal_host;
+
+/// Tells the first fault of a configuration.
+pub(crate) fn check(document: &Document) -> Result<(), ConfigurationError> {
+    for service in document.services() {
+        check_fields(service).map_err(|error| error.at_item(SERVICES, &service.name))?;
+    }
+    for route in document.routes() {
+        check_fields(route).map_err(|error| error.at_item(ROUTES, &route.name))?;
+    }
+    check_services_known(document)?;
+    check_places(document.routes())
+}
+
+fn check_fields<T: Validate<Context = ()>>(item: &T) -> Result<(), ConfigurationError> {
+    let Err(report) = item.validate() else { return Ok(()) };
+    let first = report.iter().next();
+    let (path, detail) = first.map(|(path, error)| (path.to_string(), error.to_string())).unwrap_or_default();
+    let (code, field) = match path.as_str() {
+        "timeout_ms" => (ResultCode::NoTimeout, "timeoutMs"),
+        "path_prefix" => (ResultCode::BadPathPrefix, "pathPrefix"),
+        "backends" => (ResultCode::NoWeight, "weightedBackends"),
+        path if path.starts_with("backends") => (ResultCode::BadField, "weightedBackends"),
+        path => (ResultCode::BadField, path),
+    };
+    Err(ConfigurationError::new(code, detail).at_field(field))
+}
+
+fn check_services_known(document: &Document) -> Result<(), ConfigurationError> {
+    let known: HashSet<&str> = document.services().iter().map(|service| service.name.as_str()).collect();
+    for route in document.routes() {
+        let mut backends = route.backends.iter();
+        if let Some(unknown) = backends.find(|backend| !known.contains(backend.service.as_str())) {
+            let detail = format!("there is no service {:?}", unknown.service);
+            let error = ConfigurationError::new(ResultCode::UnknownService, detail);
+            return Err(error.at_item(ROUTES, &route.name).at_field("service"));
+        }
+    }
+    Ok(())
+}
+
+fn check_places(routes: &[Route]) -> Result<(), ConfigurationError> {
+    let mut places = HashMap::with_capacity(routes.len());
+    for route in routes {
+        let place = (normal_host(&route.host), route.path_prefix.as_str());
+        if let Some(other) = places.insert(place, route.name.as_str()) {
+            let detail = format!("route {other:?} has the same host and prefix");
+            let error = ConfigurationError::new(ResultCode::SharedPlace, detail);
+            return Err(error.at_item(ROUTES, &route.name).at_field("pathPrefix"));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/configuration/src/document.rs
@@ -0,0 +1,146 @@
+//! A whole configuration: its text, and typed views of it.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::check::check;
+use crate::error::{ConfigurationError, ResultCode};
+use crate::fields;
+use crate::limits::ClientLimits;
+use crate::members::{Item, Members, LIMITS, REVISION, ROUTES, SERVICES};
+use crate::route::Route;
+use crate::route_index::RouteIndex;
+use crate::service::Service;
+
+/// A whole configuration. Cloning it is cheap; two are equal if their texts are, but for the white space
+/// between members and items.
+#[derive(Clone, Debug)]
+pub struct Document {
+    members: Arc<Members>,
+    revision: u64,
+    routes: Arc<[Route]>,
+    services: Arc<[Service]>,
+    limits: ClientLimits,
+    index: Arc<RouteIndex>,
+}
+
+impl PartialEq for Document {
+    fn eq(&self, other: &Document) -> bool {
+        self.members == other.members
+    }
+}
+
+impl Document {
+    /// Reads and checks the body of an order that replaces the configuration.
+    ///
+    /// # Errors
+    /// The first fault found, with the line of the item that has it.
+    pub fn parse(body: &[u8]) -> Result<Document, ConfigurationError> {
+        let parsed = Document::read(body).and_then(Document::checked);
+        parsed.map_err(|error| crate::members::located(error, body))
+    }
+
+    /// Reads a configuration that was checked before it was stored or sent.
+    ///
+    /// # Errors
+    /// The body cannot be read. What [`Document::parse`] checks beyond this is not checked again, so that a
+    /// later edition with more checks still reads what an earlier one took.
+    pub fn read(body: &[u8]) -> Result<Document, ConfigurationError> {
+        Document::from_members(Members::parse(body)?)
+    }
+
+    /// Builds the typed views over the members.
+    pub(crate) fn from_members(members: Members) -> Result<Document, ConfigurationError> {
+        let revision = read_revision(members.plain(REVISION))?;
+        let routes = read_items(members.items(ROUTES), ROUTES, Route::read)?;
+        let services = read_items(members.items(SERVICES), SERVICES, Service::read)?;
+        let limits = members.plain(LIMITS).map(ClientLimits::read).transpose();
+        let limits = limits.map_err(|mut error| {
+            error.list = Some(LIMITS.to_owned());
+            error
+        })?;
+        Ok(Document {
+            members: Arc::new(members),
+            revision,
+            index: Arc::new(RouteIndex::new(&routes)),
+            routes: routes.into(),
+            services: services.into(),
+            limits: limits.unwrap_or_default(),
+        })
+    }
+
+    /// The same document, if it is valid.
+    pub(crate) fn checked(self) -> Result<Document, ConfigurationError> {
+        check(&self)?;
+        Ok(self)
+    }
+
+    /// The members of the text.
+    pub(crate) fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// The version the operator gave it.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The routes, in the order of the text.
+    pub fn routes(&self) -> &[Route] {
+        &self.routes
+    }
+
+    /// The services, in the order of the text.
+    pub fn services(&self) -> &[Service] {
+        &self.services
+    }
+
+    /// The service with this name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|service| service.name == name)
+    }
+
+    /// The bounds on clients.
+    pub fn limits(&self) -> &ClientLimits {
+        &self.limits
+    }
+
+    /// The route for a request: among those of `host` (any case, with or without port) the one with the
+    /// longest prefix that begins `path`. What follows a `?` is not part of the path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        self.index.find(host, path).map(|place| &self.routes[place])
+    }
+
+    /// The whole text, with all fields that are not known here.
+    pub fn to_json(&self) -> Vec<u8> {
+        self.members.to_json()
+    }
+
+    /// A digest of the text, the same on every machine.
+    pub fn digest(&self) -> u64 {
+        xxh3_64(&self.to_json())
+    }
+}
+
+/// Reads a revision, which is a whole number.
+pub(crate) fn read_revision(raw: Option<&RawValue>) -> Result<u64, ConfigurationError> {
+    #[derive(Deserialize)]
+    struct Revision(#[serde(deserialize_with = "fields::whole")] Option<u64>);
+
+    let error = |detail: &str| ConfigurationError::new(ResultCode::BadRevision, detail).at_field(REVISION);
+    let raw = raw.ok_or_else(|| error("there is none"))?;
+    let Revision(revision) = serde_json::from_str(raw.get()).map_err(|cause| error(&cause.to_string()))?;
+    revision.ok_or_else(|| error("there is none"))
+}
+
+fn read_items<T>(
+    items: &[Arc<Item>],
+    list: &str,
+    read: fn(&RawValue) -> Result<T, ConfigurationError>,
+) -> Result<Vec<T>, ConfigurationError> {
+    let read_item = |item: &Arc<Item>| read(&item.raw).map_err(|error| error.at_item(list, &item.name));
+    items.iter().map(read_item).collect()
+}
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -1,1 +1,29 @@
 //! The operator's configuration: reading, checking, changes, differences, numbered result codes.
+//!
+//! A [`Document`] keeps the text of every member and item it was read from, so that it is given back with
+//! all its unknown fields, and offers typed views beside it. An [`Order`] replaces or updates the document
+//! held by a [`ControlState`], the value of the replicated register.
+
+mod change;
+mod check;
+mod delta;
+mod document;
+mod error;
+mod fields;
+mod limits;
+mod members;
+mod order;
+mod route;
+mod route_index;
+mod service;
+mod state;
+
+pub use change::Change;
+pub use delta::{Delta, DeltaError};
+pub use document::Document;
+pub use error::{ConfigurationError, ResultCode};
+pub use limits::ClientLimits;
+pub use order::{Order, OrderKind};
+pub use route::{Route, RouteKind, WeightedBackend};
+pub use service::{Engine, Model, Service};
+pub use state::{ControlState, Decision, PlacerGrant, StateError, TakenOrder, TAKEN_ORDERS_KEPT};
--- /dev/null
+++ b/crates/configuration/src/state.rs
@@ -0,0 +1,225 @@
+//! The value of the register: the configuration, the orders taken, and the placer's grant.
+
+use prost::Message;
+
+use crate::change::Change;
+use crate::document::Document;
+use crate::error::{ConfigurationError, ResultCode};
+use crate::order::{Order, OrderKind};
+
+/// How many of the newest orders taken are remembered: several times the changes of a long day.
+pub const TAKEN_ORDERS_KEPT: usize = 4_096;
+
+/// First byte of an encoded state: the layout of what follows.
+const LAYOUT_VERSION: u8 = 1;
+
+/// An order that was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TakenOrder {
+    /// The revision that it led to.
+    pub revision: u64,
+    /// The order's digest.
+    pub digest: u128,
+}
+
+/// Who may give placement orders.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlacerGrant {
+    /// The node.
+    pub holder: String,
+    /// The epoch, which workers check as a fencing token.
+    pub epoch: u64,
+}
+
+/// The value of the register.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ControlState {
+    /// The configuration in force.
+    pub document: Option<Document>,
+    /// The newest orders taken, the oldest first.
+    pub taken: Vec<TakenOrder>,
+    /// The newest placer.
+    pub placer: Option<PlacerGrant>,
+    /// The highest epoch granted so far.
+    pub next_epoch: u64,
+}
+
+/// Why an encoded state cannot be read.
+#[derive(Debug, thiserror::Error)]
+pub enum StateError {
+    /// There are no bytes.
+    #[error("the state is empty")]
+    Empty,
+    /// The layout is of another edition.
+    #[error("the layout version {0} is not known")]
+    UnknownLayout(u8),
+    /// The bytes do not decode.
+    #[error("the state does not decode: {0}")]
+    Malformed(#[from] prost::DecodeError),
+    /// The configuration cannot be read.
+    #[error("the configuration cannot be read: {0}")]
+    Configuration(#[from] ConfigurationError),
+}
+
+/// What becomes of an order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// The same order was taken before and led to this revision.
+    TakenBefore {
+        /// The revision it led to.
+        revision: u64,
+    },
+    /// The order is not taken.
+    Refused(ConfigurationError),
+    /// The order is taken if this state becomes the register's value.
+    Take(Box<ControlState>),
+}
+
+impl ControlState {
+    /// The revision of the configuration in force; 0 if there is none.
+    pub fn revision(&self) -> u64 {
+        self.document.as_ref().map_or(0, Document::revision)
+    }
+
+    /// Decides on an order: the same again, unreadable, on another base, not above, not valid, taken.
+    pub fn decide(&self, order: &Order) -> Decision {
+        let digest = order.digest();
+        if let Some(taken) = self.taken.iter().rev().find(|taken| taken.digest == digest) {
+            return Decision::TakenBefore { revision: taken.revision };
+        }
+        match self.result_of(order) {
+            Ok(document) => Decision::Take(Box::new(self.with_document(document, digest))),
+            Err(error) => Decision::Refused(error),
+        }
+    }
+
+    /// The state after a grant to `holder` under an epoch above all earlier ones.
+    pub fn grant_placer(&self, holder: &str) -> ControlState {
+        let epoch = self.next_epoch + 1;
+        let placer = Some(PlacerGrant { holder: holder.to_owned(), epoch });
+        ControlState { placer, next_epoch: epoch, ..self.clone() }
+    }
+
+    fn result_of(&self, order: &Order) -> Result<Document, ConfigurationError> {
+        match order.kind {
+            OrderKind::Replace => {
+                let document = Document::read(&order.body).map_err(|error| located(error, order))?;
+                self.check_versions(order.base_version, document.revision())?;
+                document.checked().map_err(|error| located(error, order))
+            }
+            OrderKind::Update => {
+                let change = Change::parse(&order.body)?;
+                self.check_versions(order.base_version, change.revision())?;
+                match &self.document {
+                    Some(document) => document.apply(&change),
+                    None => change.apply_to_nothing(),
+                }
+            }
+        }
+    }
+
+    fn check_versions(&self, base: u64, revision: u64) -> Result<(), ConfigurationError> {
+        let current = self.revision();
+        if base != current {
+            let detail = format!("the order builds on {base}, current is {current}");
+            return Err(ConfigurationError::new(ResultCode::BaseVersionDiffers, detail));
+        }
+        if revision <= current {
+            let detail = format!("the revision is {revision}, current is {current}");
+            return Err(ConfigurationError::new(ResultCode::RevisionNotAbove, detail).at_field("revision"));
+        }
+        Ok(())
+    }
+
+    fn with_document(&self, document: Document, digest: u128) -> ControlState {
+        let surplus = (self.taken.len() + 1).saturating_sub(TAKEN_ORDERS_KEPT);
+        let mut taken = self.taken[surplus..].to_vec();
+        taken.push(TakenOrder { revision: document.revision(), digest });
+        ControlState { document: Some(document), taken, ..self.clone() }
+    }
+
+    /// Encodes the state; equal states give equal bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        let record = StateRecord {
+            document: self.document.as_ref().map(Document::to_json),
+            taken: self.taken.iter().map(TakenRecord::from_taken).collect(),
+            placer: self.placer.as_ref().map(|placer| GrantRecord {
+                holder: placer.holder.clone(),
+                epoch: placer.epoch,
+            }),
+            next_epoch: self.next_epoch,
+        };
+        let mut encoded = vec![LAYOUT_VERSION];
+        encoded.extend(record.encode_to_vec());
+        encoded
+    }
+
+    /// Decodes a state.
+    ///
+    /// # Errors
+    /// The layout is not known or the bytes do not decode.
+    pub fn decode(encoded: &[u8]) -> Result<ControlState, StateError> {
+        let (version, record) = encoded.split_first().ok_or(StateError::Empty)?;
+        if *version != LAYOUT_VERSION {
+            return Err(StateError::UnknownLayout(*version));
+        }
+        let record = StateRecord::decode(record)?;
+        let document = record.document.as_deref().map(Document::read).transpose()?;
+        let grant = |placer: GrantRecord| PlacerGrant { holder: placer.holder, epoch: placer.epoch };
+        Ok(ControlState {
+            document,
+            taken: record.taken.iter().map(TakenRecord::to_taken).collect(),
+            placer: record.placer.map(grant),
+            next_epoch: record.next_epoch,
+        })
+    }
+}
+
+fn located(error: ConfigurationError, order: &Order) -> ConfigurationError {
+    crate::members::located(error, &order.body)
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct StateRecord {
+    #[prost(bytes = "vec", optional, tag = "1")]
+    document: Option<Vec<u8>>,
+    #[prost(message, repeated, tag = "2")]
+    taken: Vec<TakenRecord>,
+    #[prost(message, optional, tag = "3")]
+    placer: Option<GrantRecord>,
+    #[prost(uint64, tag = "4")]
+    next_epoch: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct TakenRecord {
+    #[prost(uint64, tag = "1")]
+    revision: u64,
+    #[prost(fixed64, tag = "2")]
+    digest_high: u64,
+    #[prost(fixed64, tag = "3")]
+    digest_low: u64,
+}
+
+impl TakenRecord {
+    fn from_taken(taken: &TakenOrder) -> TakenRecord {
+        TakenRecord {
+            revision: taken.revision,
+            digest_high: (taken.digest >> 64) as u64,
+            digest_low: taken.digest as u64,
+        }
+    }
+
+    fn to_taken(&self) -> TakenOrder {
+        let digest = u128::from(self.digest_high) << 64 | u128::from(self.digest_low);
+        TakenOrder { revision: self.revision, digest }
+    }
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct GrantRecord {
+    #[prost(string, tag = "1")]
+    holder: String,
+    #[prost(uint64, tag = "2")]
+    epoch: u64,
+}
