--- /dev/null
+++ b/crates/routing/src/choice.rs
@@ -0,0 +1,58 @@
+//! The request a worker is chosen for, and the answer.
+
+use crate::worker::WorkerKey;
+
+/// One part of a prompt. Requests with the same leading parts can share their prefilled state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Id of the part's content.
+    pub id: u64,
+    /// Its length in tokens.
+    pub tokens: u32,
+}
+
+/// What the router needs to know of a request.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RequestProfile {
+    /// Service that must run it.
+    pub service: String,
+    /// Model it names, if the service has models.
+    pub model: Option<String>,
+    /// Adapter of that model.
+    pub adapter: Option<String>,
+    /// Parts of its prompt in order; the last belongs to the request itself or to its session.
+    pub prompt_parts: Vec<PromptPart>,
+    /// Tokens of the whole prompt.
+    pub prompt_tokens: u32,
+    /// Most tokens it may put out.
+    pub output_tokens: u32,
+    /// Rank, 0 is the most urgent.
+    pub priority: u8,
+    /// Latency objective of its route in milliseconds.
+    pub aim_ms: u64,
+    /// Session it belongs to.
+    pub session: Option<u64>,
+}
+
+impl RequestProfile {
+    /// Tokens it occupies in a worker's memory at its end.
+    pub(crate) fn total_tokens(&self) -> u64 {
+        u64::from(self.prompt_tokens) + u64::from(self.output_tokens)
+    }
+}
+
+/// Result of [`crate::Router::choose`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Choice {
+    /// Send it to this worker.
+    Send(WorkerKey),
+    /// Workers of the service are ready, but none holds the model or the adapter.
+    Missing,
+    /// All workers that could run it are full, ejected or already tried.
+    Busy {
+        /// When to ask again, in milliseconds from now.
+        retry_after_ms: u64,
+    },
+    /// The service has no worker that may receive requests.
+    NoWorker,
+}
--- /dev/null
+++ b/crates/routing/src/cost.rs
@@ -0,0 +1,124 @@
+//! Estimate of what sending a request to a worker costs, in milliseconds of delay.
+
+use crate::choice::RequestProfile;
+use crate::pace::Baselines;
+use crate::prefix::Prefix;
+use crate::settings::RouterSettings;
+use crate::table::WorkerState;
+
+/// Duration assumed before any request has finished.
+const DEFAULT_DURATION_MS: f64 = 500.0;
+/// First-byte latency assumed before any answer has begun.
+const DEFAULT_FIRST_BYTE_MS: f64 = 40.0;
+/// How much slower a cold worker is taken to be.
+const COLD_FACTOR: f64 = 1.8;
+/// Silence of a worker with requests of ours that is nothing unusual; beyond it, silence counts as delay.
+const USUAL_SILENCE_MS: u64 = 250;
+/// Share of its memory up to which a worker is not short of it.
+const MEMORY_COMFORT: f64 = 0.8;
+/// Delay a worker with all its memory promised adds: preempted prompts are read again.
+const MEMORY_SHORT_MS: f64 = 400.0;
+/// Priorities up to this one avoid long queues more.
+const URGENT_PRIORITY: u8 = 0;
+/// How much more urgent requests mind other requests.
+const URGENT_FACTOR: f64 = 1.5;
+
+/// What the costs of all candidates for one request share.
+pub(crate) struct CostBasis<'a> {
+    pub now: u64,
+    pub settings: &'a RouterSettings,
+    pub baselines: &'a Baselines,
+    pub workload: u64,
+    pub profile: &'a RequestProfile,
+    pub prefixes: &'a [Prefix],
+    /// Memory of an engine of this service in tokens, if known.
+    pub cache_tokens: Option<u64>,
+    /// Mean of what others have outstanding at the candidates.
+    pub mean_elsewhere: f64,
+    /// Mean memory of one request of ours.
+    pub mean_tokens: f64,
+}
+
+impl CostBasis<'_> {
+    /// Requests at the worker: ours, and those of others as far as the figure can still be believed.
+    pub fn load(&self, worker: &WorkerState) -> f64 {
+        f64::from(worker.outstanding) + self.elsewhere(worker)
+    }
+
+    /// Whether the worker has as many requests as it should be given.
+    pub fn is_full(&self, worker: &WorkerState) -> bool {
+        let slots = f64::from(worker.view.slots.max(1));
+        let queue = (slots * self.settings.queue_ratio).max(2.0);
+        self.load(worker) >= slots + queue
+    }
+
+    /// Expected delay of the request at the worker, without what kept prompts save.
+    pub fn delay(&self, worker: &WorkerState) -> f64 {
+        let slots = f64::from(worker.view.slots.max(1));
+        let load = self.load(worker);
+        let urgency = if self.profile.priority <= URGENT_PRIORITY { URGENT_FACTOR } else { 1.0 };
+        let queued = (load + 1.0 - slots).max(0.0);
+        let duration = self.baselines.usual_duration(self.workload).unwrap_or(DEFAULT_DURATION_MS);
+        let waiting = queued * duration / slots + self.settings.full_batch_ms * load / slots;
+        let reading = self.reading(worker, load);
+        let slowness = worker.slowness.get(self.now) * self.coldness(worker);
+        let answering = self.baselines.usual_first_byte(self.workload).unwrap_or(DEFAULT_FIRST_BYTE_MS);
+        let work = (waiting * urgency + reading + answering) * slowness;
+        work + self.memory(worker, load) + self.silence(worker) + self.distance(worker)
+    }
+
+    /// What the worker saves by prompts it has read already.
+    pub fn saving(&self, worker: &WorkerState) -> f64 {
+        let kept = worker.prefixes.kept_tokens(self.prefixes) as f64;
+        kept / self.settings.prefill_tokens_per_ms * self.settings.kept_prompt_weight
+    }
+
+    /// Delay that one more request at the worker means for the next.
+    pub fn step(&self, worker: &WorkerState) -> f64 {
+        self.settings.full_batch_ms / f64::from(worker.view.slots.max(1))
+    }
+
+    fn elsewhere(&self, worker: &WorkerState) -> f64 {
+        let age = self.now.saturating_sub(worker.view.load_told_at) as f64;
+        let belief = (-age * std::f64::consts::LN_2 / self.settings.load_half_life_ms).exp();
+        belief * f64::from(worker.view.load_elsewhere) + (1.0 - belief) * self.mean_elsewhere
+    }
+
+    /// Time to read the prompts that are before this one; those of others are taken to be like ours.
+    fn reading(&self, worker: &WorkerState, load: f64) -> f64 {
+        let ours = f64::from(worker.outstanding).max(1.0);
+        let unread = worker.unread_tokens as f64 * (load / ours).clamp(1.0, 4.0);
+        unread / self.settings.prefill_tokens_per_ms
+    }
+
+    fn coldness(&self, worker: &WorkerState) -> f64 {
+        if worker.cold_until > self.now {
+            COLD_FACTOR
+        } else {
+            1.0
+        }
+    }
+
+    fn memory(&self, worker: &WorkerState, load: f64) -> f64 {
+        let Some(cache_tokens) = self.cache_tokens else { return 0.0 };
+        let others = (load - f64::from(worker.outstanding)).max(0.0) * self.mean_tokens;
+        let own = self.profile.total_tokens() as f64;
+        let share = (worker.outstanding_tokens as f64 + others + own) / cache_tokens.max(1) as f64;
+        (share - MEMORY_COMFORT).max(0.0) / (1.0 - MEMORY_COMFORT) * MEMORY_SHORT_MS
+    }
+
+    fn silence(&self, worker: &WorkerState) -> f64 {
+        if worker.outstanding == 0 {
+            return 0.0;
+        }
+        self.now.saturating_sub(worker.heard_at).saturating_sub(USUAL_SILENCE_MS) as f64
+    }
+
+    fn distance(&self, worker: &WorkerState) -> f64 {
+        if worker.view.zone == self.settings.zone {
+            0.0
+        } else {
+            self.settings.other_zone_ms
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/settings.rs
@@ -0,0 +1,53 @@
+//! Settings of the router.
+
+/// Settings of a [`crate::Router`]. `Default` fits engines with event intervals of about 35 ms.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RouterSettings {
+    /// Zone of this gatekeeper; its own zone's workers are preferred by `other_zone_ms`.
+    pub zone: String,
+    /// Prompt tokens an engine reads per millisecond.
+    pub prefill_tokens_per_ms: f64,
+    /// How much more a token kept is valued than the time to read it again.
+    pub kept_prompt_weight: f64,
+    /// Estimated delay in milliseconds a full batch adds; a part-full one adds its share.
+    pub full_batch_ms: f64,
+    /// Disadvantage in milliseconds of a worker in another zone.
+    pub other_zone_ms: f64,
+    /// Requests beyond its slots that a worker is given, as a share of its slots.
+    pub queue_ratio: f64,
+    /// Silence of all streams of a worker after which they should be resumed elsewhere.
+    pub silent_ms: u64,
+    /// Running streams a worker must have before its silence is believed.
+    pub silent_streams: usize,
+    /// Prompt prefixes remembered per worker.
+    pub prefixes_per_worker: usize,
+    /// Sessions remembered in all.
+    pub sessions: usize,
+    /// Age in milliseconds at which a load told by other gatekeepers counts half; the rest is the mean.
+    pub load_half_life_ms: f64,
+}
+
+impl Default for RouterSettings {
+    fn default() -> Self {
+        RouterSettings {
+            zone: String::new(),
+            prefill_tokens_per_ms: 40.0,
+            kept_prompt_weight: 3.0,
+            full_batch_ms: 60.0,
+            other_zone_ms: 2.0,
+            queue_ratio: 1.0,
+            silent_ms: 180,
+            silent_streams: 2,
+            prefixes_per_worker: 256,
+            sessions: 4096,
+            load_half_life_ms: 500.0,
+        }
+    }
+}
+
+impl RouterSettings {
+    /// Default settings for a gatekeeper of `zone`.
+    pub fn for_zone(zone: &str) -> Self {
+        RouterSettings { zone: zone.to_owned(), ..Self::default() }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/table.rs
@@ -0,0 +1,212 @@
+//! The workers of this router, indexed by id, service and model.
+
+use std::collections::{HashMap, HashSet};
+
+use slotmap::SlotMap;
+
+use crate::attempt::Attempt;
+use crate::health::Health;
+use crate::pace::Slowness;
+use crate::prefix::PrefixMemory;
+use crate::worker::{Availability, WorkerKey, WorkerView};
+
+/// How long a residency that a worker denied is disbelieved, unless its list of models changes before.
+const DENIAL_MS: u64 = 2_500;
+
+/// A worker and what this router knows of it from its own requests.
+#[derive(Debug)]
+pub(crate) struct WorkerState {
+    /// As last told.
+    pub view: WorkerView,
+    /// When it stops being cold.
+    pub cold_until: u64,
+    /// Our requests at it.
+    pub outstanding: u32,
+    /// Memory these occupy at their end.
+    pub outstanding_tokens: u64,
+    /// Prompt tokens of ours that it has not read yet.
+    pub unread_tokens: u64,
+    /// Last sign of life, or when it got its first request after having none.
+    pub heard_at: u64,
+    /// Health from outcomes.
+    pub health: Health,
+    /// Speed relative to others.
+    pub slowness: Slowness,
+    /// Prompt prefixes it has read.
+    pub prefixes: PrefixMemory,
+    denials: Vec<Denial>,
+}
+
+/// A model and adapter that the worker said it does not hold, against its list.
+#[derive(Debug)]
+struct Denial {
+    model: String,
+    adapter: Option<String>,
+    until: u64,
+}
+
+impl WorkerState {
+    fn new(now: u64, view: WorkerView) -> Self {
+        WorkerState {
+            cold_until: now + view.cold_remaining_ms,
+            view,
+            outstanding: 0,
+            outstanding_tokens: 0,
+            unread_tokens: 0,
+            heard_at: now,
+            health: Health::default(),
+            slowness: Slowness::default(),
+            prefixes: PrefixMemory::default(),
+            denials: Vec::new(),
+        }
+    }
+
+    fn update(&mut self, now: u64, view: WorkerView) {
+        if view.models != self.view.models {
+            self.denials.clear();
+        }
+        self.cold_until = now + view.cold_remaining_ms;
+        self.view = view;
+    }
+
+    /// Whether it holds the model and adapter, as told and not denied since.
+    pub fn holds(&self, now: u64, model: &str, adapter: Option<&str>) -> bool {
+        self.view.holds(model, adapter)
+            && !self.denials.iter().any(|denial| denial.covers(now, model, adapter))
+    }
+
+    /// Notes that it answered that it does not hold the model or adapter.
+    pub fn deny(&mut self, now: u64, model: &str, adapter: Option<&str>) {
+        self.denials.retain(|denial| denial.until > now);
+        let adapter = adapter.map(str::to_owned);
+        self.denials.push(Denial { model: model.to_owned(), adapter, until: now + DENIAL_MS });
+    }
+
+    /// Notes a sign of life.
+    pub fn heard(&mut self, now: u64) {
+        self.heard_at = now;
+        self.health.heard(now);
+    }
+
+    /// Adds an attempt to what is outstanding.
+    pub fn attempt_started(&mut self, now: u64, attempt: &Attempt) {
+        if self.outstanding == 0 {
+            self.heard_at = now;
+        }
+        self.outstanding += 1;
+        self.outstanding_tokens += attempt.total_tokens;
+        self.unread_tokens += attempt.prefill_tokens;
+    }
+
+    /// Notes that the attempt's prompt has been read.
+    pub fn prompt_read(&mut self, attempt: &Attempt) {
+        self.unread_tokens = self.unread_tokens.saturating_sub(attempt.prefill_tokens);
+    }
+
+    /// Takes an attempt out of what is outstanding.
+    pub fn attempt_ended(&mut self, attempt: &Attempt) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+        self.outstanding_tokens = self.outstanding_tokens.saturating_sub(attempt.total_tokens);
+        if attempt.first_byte_at.is_none() {
+            self.prompt_read(attempt);
+        }
+    }
+}
+
+impl Denial {
+    /// A denied model covers all its adapters; a denied adapter only itself.
+    fn covers(&self, now: u64, model: &str, adapter: Option<&str>) -> bool {
+        let adapter_covered = self.adapter.is_none() || self.adapter.as_deref() == adapter;
+        self.until > now && self.model == model && adapter_covered
+    }
+}
+
+/// Workers of one service.
+#[derive(Debug, Default)]
+pub(crate) struct ServiceIndex {
+    /// All that are not gone.
+    pub members: Vec<WorkerKey>,
+    /// Those that may hold a model.
+    holders: HashMap<String, Vec<WorkerKey>>,
+}
+
+impl ServiceIndex {
+    /// Members that hold the model as told, or all if no model is asked for.
+    pub fn holders(&self, model: Option<&str>) -> &[WorkerKey] {
+        match model {
+            Some(model) => self.holders.get(model).map_or(&[], Vec::as_slice),
+            None => &self.members,
+        }
+    }
+}
+
+/// All workers and their indexes.
+#[derive(Debug, Default)]
+pub(crate) struct WorkerTable {
+    workers: SlotMap<WorkerKey, WorkerState>,
+    by_id: HashMap<String, WorkerKey>,
+    services: HashMap<String, ServiceIndex>,
+}
+
+impl WorkerTable {
+    /// Replaces the list. State of workers whose id stays is kept.
+    pub fn replace(&mut self, now: u64, views: Vec<WorkerView>) {
+        let ids: HashSet<&str> = views.iter().map(|view| view.id.as_str()).collect();
+        self.workers.retain(|_, worker| ids.contains(worker.view.id.as_str()));
+        let workers = &self.workers;
+        self.by_id.retain(|_, key| workers.contains_key(*key));
+        for view in views {
+            self.put(now, view);
+        }
+        self.rebuild_indexes();
+    }
+
+    /// The worker, if it is still listed.
+    pub fn get(&self, key: WorkerKey) -> Option<&WorkerState> {
+        self.workers.get(key)
+    }
+
+    /// The worker, if it is still listed.
+    pub fn get_mut(&mut self, key: WorkerKey) -> Option<&mut WorkerState> {
+        self.workers.get_mut(key)
+    }
+
+    /// Index of a service that has workers.
+    pub fn service(&self, name: &str) -> Option<&ServiceIndex> {
+        self.services.get(name)
+    }
+
+    /// All workers.
+    pub fn iter(&self) -> impl Iterator<Item = (WorkerKey, &WorkerState)> {
+        self.workers.iter()
+    }
+
+    /// Key of the worker with this id.
+    pub fn key(&self, id: &str) -> Option<WorkerKey> {
+        self.by_id.get(id).copied()
+    }
+
+    fn put(&mut self, now: u64, view: WorkerView) {
+        if let Some(worker) = self.key(&view.id).and_then(|key| self.workers.get_mut(key)) {
+            worker.update(now, view);
+            return;
+        }
+        let id = view.id.clone();
+        let key = self.workers.insert(WorkerState::new(now, view));
+        self.by_id.insert(id, key);
+    }
+
+    fn rebuild_indexes(&mut self) {
+        self.services.clear();
+        for (key, worker) in &self.workers {
+            if worker.view.state == Availability::Gone {
+                continue;
+            }
+            let service = self.services.entry(worker.view.service.clone()).or_default();
+            service.members.push(key);
+            for model in &worker.view.models {
+                service.holders.entry(model.name.clone()).or_default().push(key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/choose.rs
@@ -0,0 +1,301 @@
+//! Choice of a worker: availability, residency, load, kept prompts, sessions.
+
+mod support;
+
+use googletest::prelude::*;
+use support::*;
+use switchhill_routing::*;
+
+#[gtest]
+fn a_service_without_workers_has_none() {
+    let mut router = Router::new(RouterSettings::default(), 1);
+    expect_that!(router.choose(0, &request(0), &[]), eq(Choice::NoWorker));
+}
+
+#[gtest]
+fn only_workers_that_are_ready_receive_requests() {
+    for state in [Availability::Draining, Availability::Gone, Availability::Suspected] {
+        let mut router = router(1, 2);
+        let mut views = workers(2);
+        views[0].state = state;
+        router.set_workers(0, views);
+        for serial in 0..50 {
+            let key = chosen(&mut router, 0, &request(serial), &[]);
+            expect_that!(id(&router, key), eq("w1"), "{state:?}");
+            router.sent(0, key, &request(serial));
+        }
+    }
+}
+
+#[gtest]
+fn a_worker_that_drains_after_the_choice_may_not_be_sent_to() {
+    let mut router = router(1, 1);
+    let key = chosen(&mut router, 0, &request(0), &[]);
+    expect_that!(router.may_send(0, key), eq(true));
+    let mut views = workers(1);
+    views[0].state = Availability::Draining;
+    router.set_workers(1, views);
+    expect_that!(router.may_send(1, key), eq(false));
+    router.set_workers(2, Vec::new());
+    expect_that!(router.may_send(2, key), eq(false));
+    expect_that!(router.worker(key), none());
+}
+
+#[gtest]
+fn a_model_or_adapter_held_nowhere_is_missing() {
+    let mut router = router(1, 3);
+    let mut other_model = request(0);
+    other_model.model = Some("small".to_owned());
+    expect_that!(router.choose(0, &other_model, &[]), eq(Choice::Missing));
+    let mut adapter = request(0);
+    adapter.adapter = Some("coarse".to_owned());
+    expect_that!(router.choose(0, &adapter, &[]), eq(Choice::Missing));
+    adapter.adapter = Some("fine".to_owned());
+    expect_that!(router.choose(0, &adapter, &[]), matches_pattern!(Choice::Send(_)));
+}
+
+#[gtest]
+fn a_draining_holder_counts_as_none() {
+    let mut router = router(1, 2);
+    let mut views = workers(2);
+    views[0].state = Availability::Draining;
+    views[1].models.clear();
+    router.set_workers(0, views);
+    expect_that!(router.choose(0, &request(0), &[]), eq(Choice::Missing));
+}
+
+#[gtest]
+fn excluded_workers_are_not_chosen_again() {
+    let mut router = router(1, 2);
+    let first = chosen(&mut router, 0, &request(0), &[]);
+    let second = chosen(&mut router, 0, &request(0), &[first]);
+    expect_that!(second, not(eq(first)));
+    let answer = router.choose(0, &request(0), &[first, second]);
+    expect_that!(answer, matches_pattern!(Choice::Busy { .. }));
+}
+
+#[gtest]
+fn a_denied_model_is_disbelieved_until_the_list_changes() {
+    let mut router = router(1, 1);
+    let key = chosen(&mut router, 0, &request(0), &[]);
+    router.missing_model(0, key, &request(0));
+    expect_that!(router.choose(1, &request(0), &[]), eq(Choice::Missing));
+    router.set_workers(2, workers(1));
+    expect_that!(router.choose(2, &request(0), &[]), eq(Choice::Missing), "the same list tells nothing new");
+    let mut views = workers(1);
+    views[0].models[0].adapters.clear();
+    router.set_workers(3, views);
+    expect_that!(router.choose(3, &request(0), &[]), eq(Choice::Send(key)));
+}
+
+#[gtest]
+fn a_denied_adapter_leaves_its_model() {
+    let mut router = router(1, 1);
+    let key = chosen(&mut router, 0, &request(0), &[]);
+    let mut adapter = request(0);
+    adapter.adapter = Some("fine".to_owned());
+    router.missing_model(0, key, &adapter);
+    expect_that!(router.choose(1, &adapter, &[]), eq(Choice::Missing));
+    expect_that!(router.choose(1, &request(0), &[]), eq(Choice::Send(key)));
+}
+
+#[gtest]
+fn a_suspected_worker_is_used_only_if_it_answered_lately() {
+    let mut router = router(1, 1);
+    let key = chosen(&mut router, 0, &request(0), &[]);
+    let mut views = workers(1);
+    views[0].state = Availability::Suspected;
+    router.set_workers(0, views);
+    expect_that!(router.choose(0, &request(0), &[]), eq(Choice::NoWorker));
+    let attempt = router.sent(0, key, &request(0));
+    router.first_byte(30, attempt);
+    expect_that!(router.choose(40, &request(0), &[]), eq(Choice::Send(key)));
+    expect_that!(router.choose(60_000, &request(0), &[]), eq(Choice::NoWorker));
+}
+
+#[gtest]
+fn the_worker_with_fewer_requests_is_chosen() {
+    let mut router = router(1, 2);
+    let first = chosen(&mut router, 0, &request(0), &[]);
+    for serial in 0..12 {
+        router.sent(0, first, &request(serial));
+    }
+    let second = chosen(&mut router, 0, &request(100), &[]);
+    expect_that!(second, not(eq(first)));
+}
+
+#[gtest]
+fn requests_of_other_gatekeepers_count_until_their_figure_is_old() {
+    let mut router = router(1, 2);
+    let mut views = workers(2);
+    views[0].load_elsewhere = 30;
+    router.set_workers(0, views);
+    let key = chosen(&mut router, 0, &request(0), &[]);
+    expect_that!(id(&router, key), eq("w1"));
+    let first: Vec<String> = (0..200)
+        .map(|serial| {
+            let key = chosen(&mut router, 60_000, &request(serial), &[]);
+            id(&router, key)
+        })
+        .collect();
+    expect_that!(first.iter().filter(|id| *id == "w0").count(), gt(50));
+}
+
+#[gtest]
+fn large_prompts_not_read_yet_weigh_more_than_small_ones() {
+    let mut router = router(1, 2);
+    let first = chosen(&mut router, 0, &request(0), &[]);
+    let second = chosen(&mut router, 0, &request(0), &[first]);
+    let mut large = request(1);
+    large.prompt_tokens = 7_000;
+    router.sent(0, first, &large);
+    for serial in 2..5 {
+        router.sent(0, second, &request(serial));
+    }
+    expect_that!(chosen(&mut router, 0, &request(9), &[]), eq(second));
+}
+
+#[gtest]
+fn memory_promised_spreads_large_requests() {
+    let mut router = router(1, 2);
+    router.set_cache_tokens(SERVICE, 20_000);
+    let first = chosen(&mut router, 0, &request(0), &[]);
+    let second = chosen(&mut router, 0, &request(0), &[first]);
+    let mut large = request(1);
+    large.output_tokens = 16_000;
+    let attempt = router.sent(0, first, &large);
+    router.first_byte(10, attempt);
+    for serial in 2..6 {
+        let attempt = router.sent(0, second, &request(serial));
+        router.first_byte(10, attempt);
+    }
+    expect_that!(chosen(&mut router, 20, &large, &[]), eq(second));
+}
+
+/// A request with a shared part, by serial.
+fn shared(serial: u64) -> RequestProfile {
+    let mut profile = request(serial);
+    profile.prompt_parts.insert(0, PromptPart { id: 7, tokens: 400 });
+    profile.prompt_tokens += 400;
+    profile
+}
+
+#[gtest]
+fn a_kept_prompt_draws_requests_until_the_load_differs_much() {
+    let mut router = router(1, 4);
+    let first = chosen(&mut router, 0, &shared(0), &[]);
+    let attempt = router.sent(0, first, &shared(0));
+    router.finished(50, attempt, AttemptOutcome::Success);
+    for serial in 1..5 {
+        expect_that!(chosen(&mut router, 60, &shared(serial), &[]), eq(first));
+    }
+    for serial in 100..130 {
+        router.sent(60, first, &request(serial));
+    }
+    expect_that!(chosen(&mut router, 60, &shared(9), &[]), not(eq(first)));
+}
+
+#[gtest]
+fn a_prompt_kept_for_another_adapter_does_not_count() {
+    let mut router = router(1, 8);
+    let first = chosen(&mut router, 0, &shared(0), &[]);
+    let attempt = router.sent(0, first, &shared(0));
+    router.finished(50, attempt, AttemptOutcome::Success);
+    let mut adapter = shared(1);
+    adapter.adapter = Some("fine".to_owned());
+    let elsewhere = (0..100).filter(|_| chosen(&mut router, 60, &adapter, &[]) != first).count();
+    expect_that!(elsewhere, gt(50));
+}
+
+#[gtest]
+fn a_session_stays_with_its_worker() {
+    let mut router = router(3, 8);
+    let mut profile = request(0);
+    profile.session = Some(42);
+    let first = chosen(&mut router, 0, &profile, &[]);
+    let attempt = router.sent(0, first, &profile);
+    router.finished(500, attempt, AttemptOutcome::Success);
+    for _ in 0..20 {
+        expect_that!(chosen(&mut router, 600, &profile, &[]), eq(first));
+    }
+    for serial in 0..32 {
+        router.sent(600, first, &request(serial));
+    }
+    expect_that!(chosen(&mut router, 600, &profile, &[]), not(eq(first)));
+}
+
+#[gtest]
+fn a_cold_worker_receives_less() {
+    let mut router = router(1, 2);
+    let mut views = workers(2);
+    views[0].cold_remaining_ms = 5_000;
+    router.set_workers(0, views.clone());
+    let cold = (0..100).filter(|serial| {
+        let key = chosen(&mut router, 0, &request(*serial), &[]);
+        id(&router, key) == "w0"
+    });
+    expect_that!(cold.count(), eq(0));
+    let warm = (0..100).filter(|serial| {
+        let key = chosen(&mut router, 6_000, &request(*serial), &[]);
+        id(&router, key) == "w0"
+    });
+    expect_that!(warm.count(), gt(20));
+}
+
+#[gtest]
+fn a_slow_worker_receives_less() {
+    let mut router = router(5, 2);
+    for round in 0..40 {
+        let now = round * 100;
+        for index in 0..2 {
+            let key = key_of(&mut router, now, &format!("w{index}"));
+            let attempt = router.sent(now, key, &request(round));
+            let latency = if index == 0 { 90 } else { 30 };
+            router.first_byte(now + latency, attempt);
+            router.finished(now + latency, attempt, AttemptOutcome::Success);
+        }
+    }
+    let mut sent = [0, 0];
+    for serial in 0..60 {
+        let key = chosen(&mut router, 4_000, &request(serial), &[]);
+        router.sent(4_000, key, &request(serial));
+        sent[usize::from(id(&router, key) == "w1")] += 1;
+    }
+    expect_that!(sent[1], gt(sent[0] * 5 / 4), "slow {} fast {}", sent[0], sent[1]);
+}
+
+#[gtest]
+fn a_worker_that_has_gone_quiet_is_avoided_before_it_times_out() {
+    let mut router = router(1, 2);
+    let quiet = chosen(&mut router, 0, &request(0), &[]);
+    router.sent(0, quiet, &request(0));
+    for serial in 0..50 {
+        expect_that!(chosen(&mut router, 800, &request(serial), &[]), not(eq(quiet)));
+    }
+}
+
+#[gtest]
+fn full_workers_make_the_service_busy() {
+    let mut router = router(1, 1);
+    let mut sent = 0;
+    while let Choice::Send(key) = router.choose(0, &plain_request(), &[]) {
+        router.sent(0, key, &plain_request());
+        sent += 1;
+        assert!(sent < 1_000, "a worker with 32 slots got {sent} requests");
+    }
+    expect_that!(sent, eq(64));
+    let answer = router.choose(0, &plain_request(), &[]);
+    expect_that!(answer, matches_pattern!(Choice::Busy { retry_after_ms: gt(0) }));
+}
+
+#[gtest]
+fn outstanding_tells_what_is_out() {
+    let mut router = router(1, 1);
+    let key = chosen(&mut router, 0, &request(0), &[]);
+    let attempt = router.sent(0, key, &request(0));
+    router.sent(0, key, &request(1));
+    expect_that!(router.outstanding(), elements_are![eq(&("w0".to_owned(), 2))]);
+    router.finished(5, attempt, AttemptOutcome::Cancelled);
+    router.finished(6, attempt, AttemptOutcome::Cancelled);
+    expect_that!(router.outstanding(), elements_are![eq(&("w0".to_owned(), 1))]);
+}
