--- /dev/null
+++ b/crates/admission/src/monotone.rs
@@ -0,0 +1,28 @@
+//! Weighted isotonic regression, by pooling of adjacent violators.
+
+/// A value and the weight with which it enters a mean.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Weighted {
+    /// The value.
+    pub value: f64,
+    /// Its weight, above 0.
+    pub weight: f64,
+}
+
+/// The non-decreasing sequence nearest to `values` in weighted squares; weighted sums are kept.
+pub fn non_decreasing(values: &[Weighted]) -> Vec<f64> {
+    let mut pools: Vec<(Weighted, usize)> = Vec::with_capacity(values.len());
+    for value in values {
+        let mut pool = (*value, 1);
+        while let Some(before) = pools.pop_if(|before| before.0.value > pool.0.value) {
+            pool = (merged(before.0, pool.0), before.1 + pool.1);
+        }
+        pools.push(pool);
+    }
+    pools.iter().flat_map(|(pool, length)| std::iter::repeat_n(pool.value, *length)).collect()
+}
+
+fn merged(a: Weighted, b: Weighted) -> Weighted {
+    let weight = a.weight + b.weight;
+    Weighted { value: (a.value * a.weight + b.value * b.weight) / weight, weight }
+}
--- /dev/null
+++ b/crates/admission/src/price.rs
@@ -0,0 +1,21 @@
+//! The congestion price of a unit, its smoothing, and the admission test; times in milliseconds.
+
+/// Delay cost a second: what `units` admitted within `seconds` lose for each second that they wait.
+pub fn delay_cost(worth: f64, aim: f64, units: f64, seconds: f64) -> f64 {
+    worth / (aim / 1000.0) * units / seconds
+}
+
+/// Price of a unit (Eq. 6): marginal wait, as the squared wait over ready workers, times the delay cost.
+pub fn congestion_price(wait: f64, ready: f64, delay_cost: f64) -> f64 {
+    (wait.max(0.0) / 1000.0).powi(2) / ready * delay_cost
+}
+
+/// Moves a price towards the newest one, which has the weight `alpha` (Eq. 7).
+pub fn smoothed(alpha: f64, newest: f64, old: f64) -> f64 {
+    alpha * newest + (1.0 - alpha) * old
+}
+
+/// The admission test: whether `value` exceeds the price and what the expected time costs of `worth`.
+pub fn pays(value: f64, worth: f64, aim: f64, expected: f64, price: f64) -> bool {
+    value - worth / aim * expected - price > 0.0
+}
--- /dev/null
+++ b/crates/admission/src/service.rs
@@ -0,0 +1,71 @@
+//! Load of one service: how full its workers are and how fast they drain what waits there.
+
+use crate::terms::{ServiceLoad, Settings};
+
+/// Weight of the newest second in the drain rate.
+const DRAIN_WEIGHT: f64 = 0.3;
+
+/// A service's newest load and the rate at which its requests end while all slots are taken.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Service {
+    load: ServiceLoad,
+    known_before: Option<f64>,
+    drain_per_s: f64,
+}
+
+impl Service {
+    /// Replaces the load.
+    pub(crate) fn set_load(&mut self, load: ServiceLoad) {
+        let known = if load.known.is_finite() { load.known.max(0.0) } else { 0.0 };
+        self.load = ServiceLoad { known, ..load };
+    }
+
+    /// Counts a request that goes there, until the next load replaces the count.
+    pub(crate) fn admit(&mut self) {
+        self.load.known += 1.0;
+    }
+
+    /// Ready workers, at least one.
+    pub(crate) fn ready(&self) -> f64 {
+        f64::from(self.load.ready_workers.max(1))
+    }
+
+    /// Share of the price that is charged: none in calm, all of it where nearly all slots are taken.
+    pub(crate) fn pressure(&self, settings: &Settings) -> f64 {
+        // Without known slots nothing tells congestion from a lack of news: nothing is refused.
+        let Some(occupancy) = self.load.occupancy() else { return 0.0 };
+        let span = settings.full_occupancy - settings.calm_occupancy;
+        ((occupancy - settings.calm_occupancy) / span.max(f64::EPSILON)).clamp(0.0, 1.0)
+    }
+
+    /// Time in which what waits now will have begun to run.
+    pub(crate) fn queue_wait_ms(&self) -> f64 {
+        self.drain_ms(self.load.queued())
+    }
+
+    /// Time in which the service falls back to a calm occupancy, if nothing came in.
+    pub(crate) fn calm_in_ms(&self, settings: &Settings) -> f64 {
+        let calm = f64::from(self.load.slots) * settings.calm_occupancy;
+        self.drain_ms((self.load.known - calm).max(0.0))
+    }
+
+    /// Ends a span of `seconds` in which all gatekeepers together admitted `admitted` requests.
+    pub(crate) fn end_second(&mut self, admitted: f64, seconds: f64) {
+        let known = self.load.known;
+        let before = self.known_before.replace(known).unwrap_or(known);
+        let ended = (admitted - (known - before)).max(0.0) / seconds;
+        // Below its capacity a service ends what comes in, which is a lower bound only.
+        let full = self.load.occupancy().is_some_and(|occupancy| occupancy >= 1.0);
+        if full || ended > self.drain_per_s {
+            self.drain_per_s += (ended - self.drain_per_s) * DRAIN_WEIGHT;
+        }
+    }
+
+    fn drain_ms(&self, requests: f64) -> f64 {
+        // Until a rate is known the measured waits alone tell.
+        if self.drain_per_s <= 0.0 {
+            return 0.0;
+        }
+        requests / self.drain_per_s * 1000.0
+    }
+}
