Record log: checksummed append-only file, rewritten when long

The register's replicas need a file that survives loss of power, full disks and failing syncs. Records are framed with chained checksums; a torn or garbled tail is cut at open, a failed write or sync is rolled back, a rewrite is a synced new file renamed over the old one.

--- /dev/null
+++ b/crates/record_log/tests/record_log.rs
@@ -0,0 +1,304 @@
+//! The record log on disks that fail and machines that lose power.
+
+mod fault;
+
+use std::path::{Path, PathBuf};
+
+use fault::{Faults, FaultyFileSystem};
+use googletest::prelude::*;
+use switchhill_record_log::{LogError, Options, RecordLog};
+
+const FOLDER: &str = "/data";
+const OPTIONS: Options = Options { rewrite_above_bytes: 200 };
+
+type FaultyLog = RecordLog<FaultyFileSystem>;
+
+fn open(disk: &FaultyFileSystem) -> (FaultyLog, Vec<Vec<u8>>) {
+    RecordLog::open_with(disk.clone(), Path::new(FOLDER), "register", OPTIONS).expect("log opens")
+}
+
+fn path() -> PathBuf {
+    Path::new(FOLDER).join("register.log")
+}
+
+#[gtest]
+fn records_come_back_in_order_from_a_real_folder() -> Result<()> {
+    let folder = tempfile::tempdir()?;
+    let folder = folder.path().join("deep").join("data");
+    let (mut log, records) = RecordLog::open(&folder, "register", OPTIONS)?;
+    verify_that!(records, is_empty())?;
+    log.append(b"one")?;
+    log.append(b"")?;
+    log.append(b"three")?;
+    log.sync()?;
+    drop(log);
+
+    let (mut log, records) = RecordLog::open(&folder, "register", OPTIONS)?;
+    verify_that!(records, eq(&vec![b"one".to_vec(), b"".to_vec(), b"three".to_vec()]))?;
+    log.rewrite(&[b"compact".to_vec()])?;
+    log.append(b"later")?;
+    log.sync()?;
+    drop(log);
+
+    let (_, records) = RecordLog::open(&folder, "register", OPTIONS)?;
+    verify_that!(records, eq(&vec![b"compact".to_vec(), b"later".to_vec()]))
+}
+
+#[gtest]
+fn a_garbled_tail_is_cut_and_the_log_goes_on_behind_it() {
+    let disk = FaultyFileSystem::new(1);
+    let (mut log, _) = open(&disk);
+    log.append(b"good").unwrap();
+    log.append(b"garbled").unwrap();
+    log.sync().unwrap();
+    let end = log.length() as usize;
+    disk.corrupt(&path(), end - 1, b"X");
+
+    let (mut log, records) = open(&disk);
+    expect_that!(records, eq(&vec![b"good".to_vec()]));
+    log.append(b"next").unwrap();
+    log.sync().unwrap();
+    expect_that!(open(&disk).1, eq(&vec![b"good".to_vec(), b"next".to_vec()]));
+}
+
+#[gtest]
+fn a_tail_of_zeros_is_no_record() {
+    let disk = FaultyFileSystem::new(1);
+    let (mut log, _) = open(&disk);
+    log.append(b"good").unwrap();
+    log.sync().unwrap();
+    disk.corrupt(&path(), log.length() as usize, &[0; 64]);
+    expect_that!(open(&disk).1, eq(&vec![b"good".to_vec()]));
+}
+
+#[gtest]
+fn a_record_behind_a_gap_is_not_taken() {
+    let disk = FaultyFileSystem::new(1);
+    let (mut log, _) = open(&disk);
+    log.append(b"one").unwrap();
+    let second = log.length() as usize;
+    log.append(b"two").unwrap();
+    let third = log.length() as usize;
+    log.append(b"thr").unwrap();
+    log.sync().unwrap();
+    let (mut other, _) = RecordLog::open_with(disk.clone(), Path::new(FOLDER), "other", OPTIONS).unwrap();
+    other.append(b"one").unwrap();
+    other.append(b"TWO").unwrap();
+    other.sync().unwrap();
+    // A valid frame of another history in the gap: what follows continues a checksum that is not there.
+    let frame: Vec<u8> = {
+        use switchhill_record_log::{FileSystem, LogFile};
+        let mut file = disk.open(&Path::new(FOLDER).join("other.log")).unwrap();
+        file.read_all().unwrap()[second..third].to_vec()
+    };
+    disk.corrupt(&path(), second, &frame);
+    expect_that!(open(&disk).1, eq(&vec![b"one".to_vec(), b"TWO".to_vec()]));
+}
+
+#[gtest]
+fn a_full_disk_refuses_and_the_log_stays_usable() {
+    let disk = FaultyFileSystem::new(7);
+    let (mut log, _) = open(&disk);
+    log.append(b"first").unwrap();
+    log.sync().unwrap();
+    disk.set_faults(Faults { capacity: Some(log.length() as usize + 10), ..Faults::default() });
+    expect_that!(log.append(b"does not fit"), err(pat!(LogError::Append(_))));
+    expect_that!(log.append(b"nor does this"), err(pat!(LogError::Append(_))));
+    expect_that!(log.append(b"ok"), ok(anything()));
+    log.sync().unwrap();
+    disk.set_faults(Faults::default());
+    log.append(b"after").unwrap();
+    log.sync().unwrap();
+    expect_that!(open(&disk).1, eq(&vec![b"first".to_vec(), b"ok".to_vec(), b"after".to_vec()]));
+}
+
+#[gtest]
+fn a_failed_sync_gives_up_what_it_did_not_cover() {
+    let disk = FaultyFileSystem::new(7);
+    let (mut log, _) = open(&disk);
+    log.append(b"durable").unwrap();
+    log.sync().unwrap();
+    log.append(b"given up").unwrap();
+    disk.set_faults(Faults { sync: 100, ..Faults::default() });
+    expect_that!(log.sync(), err(pat!(LogError::Sync(_))));
+    disk.set_faults(Faults::default());
+    log.append(b"again").unwrap();
+    log.sync().unwrap();
+    expect_that!(open(&disk).1, eq(&vec![b"durable".to_vec(), b"again".to_vec()]));
+}
+
+#[gtest]
+fn what_an_interrupted_rewrite_left_is_removed() {
+    use switchhill_record_log::{FileSystem, LogFile};
+    let disk = FaultyFileSystem::new(7);
+    let (mut log, _) = open(&disk);
+    log.append(b"kept").unwrap();
+    log.sync().unwrap();
+    let mut left = disk.open(&Path::new(FOLDER).join("register.log.new")).unwrap();
+    left.write_at(0, b"half a rewrite").unwrap();
+    expect_that!(open(&disk).1, eq(&vec![b"kept".to_vec()]));
+    expect_that!(disk.names(), eq(&vec![path()]));
+}
+
+#[gtest]
+fn a_failed_rewrite_keeps_the_old_records() {
+    let disk = FaultyFileSystem::new(7);
+    let (mut log, _) = open(&disk);
+    log.append(b"old").unwrap();
+    log.sync().unwrap();
+    disk.set_faults(Faults { rename: 100, ..Faults::default() });
+    expect_that!(log.rewrite(&[b"new".to_vec()]), err(pat!(LogError::Rewrite(_))));
+    disk.set_faults(Faults::default());
+    log.append(b"more").unwrap();
+    log.sync().unwrap();
+    expect_that!(open(&disk).1, eq(&vec![b"old".to_vec(), b"more".to_vec()]));
+}
+
+#[gtest]
+fn a_rewrite_whose_name_is_not_durable_holds_up_later_syncs() {
+    let disk = FaultyFileSystem::new(7);
+    let (mut log, _) = open(&disk);
+    disk.set_faults(Faults { sync_folder: 100, ..Faults::default() });
+    expect_that!(log.rewrite(&[b"new".to_vec()]), err(pat!(LogError::Rewrite(_))));
+    log.append(b"more").unwrap();
+    expect_that!(log.sync(), err(pat!(LogError::Sync(_))));
+    disk.set_faults(Faults::default());
+    log.append(b"more").unwrap();
+    expect_that!(log.sync(), ok(anything()));
+    disk.lose_power(true);
+    expect_that!(open(&disk).1, eq(&vec![b"new".to_vec(), b"more".to_vec()]));
+}
+
+#[gtest]
+fn a_rewrite_is_wanted_above_the_bound_and_not_again_at_once() {
+    let disk = FaultyFileSystem::new(7);
+    let (mut log, _) = open(&disk);
+    log.append(&[1; 150]).unwrap();
+    expect_that!(log.wants_rewrite(), eq(false));
+    log.append(&[2; 150]).unwrap();
+    expect_that!(log.wants_rewrite(), eq(true));
+    log.rewrite(&[vec![2; 300]]).unwrap();
+    expect_that!(log.wants_rewrite(), eq(false));
+    log.append(&[3; 400]).unwrap();
+    expect_that!(log.wants_rewrite(), eq(true));
+}
+
+#[gtest]
+fn a_record_beyond_the_longest_is_refused() {
+    let disk = FaultyFileSystem::new(7);
+    let (mut log, _) = open(&disk);
+    let long = vec![0; switchhill_record_log::MAX_RECORD_BYTES + 1];
+    expect_that!(log.append(&long), err(pat!(LogError::TooLong { .. })));
+}
+
+/// A log under random faults beside what it must give back.
+struct Trial {
+    seed: u64,
+    random: fastrand::Rng,
+    disk: FaultyFileSystem,
+    log: FaultyLog,
+    /// Records the log holds, oldest first; the first `durable` are covered by a sync.
+    held: Vec<Vec<u8>>,
+    durable: usize,
+    /// Records refused, or given up by a failed sync. They may have reached the disk all the same.
+    given_up: Vec<Vec<u8>>,
+    next: u32,
+}
+
+impl Trial {
+    fn new(seed: u64) -> Trial {
+        let disk = FaultyFileSystem::new(seed);
+        let (log, _) = open(&disk);
+        let random = fastrand::Rng::with_seed(!seed);
+        Trial { seed, random, disk, log, held: Vec::new(), durable: 0, given_up: Vec::new(), next: 0 }
+    }
+
+    fn step(&mut self) {
+        self.draw_faults();
+        match self.random.u32(0..20) {
+            0..=9 => self.append(),
+            10..=14 => self.sync(),
+            15..=16 => self.rewrite(),
+            17 => self.restart(),
+            _ => self.lose_power(),
+        }
+    }
+
+    fn draw_faults(&mut self) {
+        let chance = if self.random.u32(0..4) == 0 { 50 } else { 0 };
+        let capacity = (self.random.u32(0..8) == 0).then(|| self.random.usize(0..1000));
+        self.disk.set_faults(Faults {
+            write: chance,
+            sync: chance,
+            rename: chance,
+            sync_folder: chance,
+            capacity,
+        });
+    }
+
+    fn append(&mut self) {
+        self.next += 1;
+        let mut record = self.next.to_le_bytes().to_vec();
+        record.resize(4 + self.random.usize(0..60), self.next as u8);
+        match self.log.append(&record) {
+            Ok(()) => self.held.push(record),
+            Err(_) => self.given_up.push(record),
+        }
+    }
+
+    fn sync(&mut self) {
+        match self.log.sync() {
+            Ok(()) => self.durable = self.held.len(),
+            Err(_) => self.given_up.extend(self.held.drain(self.durable..)),
+        }
+    }
+
+    fn rewrite(&mut self) {
+        // The compact state stands for all records: here they are all kept.
+        if self.log.rewrite(&self.held.clone()).is_ok() {
+            self.durable = self.held.len();
+        }
+    }
+
+    fn restart(&mut self) {
+        self.disk.set_faults(Faults::default());
+        self.reopen();
+    }
+
+    fn lose_power(&mut self) {
+        self.disk.set_faults(Faults::default());
+        let all = self.random.bool();
+        self.disk.lose_power(all);
+        self.reopen();
+    }
+
+    fn reopen(&mut self) {
+        let (log, records) = open(&self.disk);
+        let seed = self.seed;
+        let kept: Vec<&Vec<u8>> = records.iter().filter(|record| !self.given_up.contains(record)).collect();
+        let expected: Vec<&Vec<u8>> = self.held.iter().take(kept.len()).collect();
+        assert_eq!(kept, expected, "seed {seed}: not a prefix of what was appended");
+        assert!(kept.len() >= self.durable, "seed {seed}: a synced record is lost");
+        assert!(records.is_sorted_by_key(|record| number(record)), "seed {seed}: records out of order");
+        // What has reached the disk is held again, also where a sync had given it up.
+        self.given_up.retain(|record| !records.contains(record));
+        self.log = log;
+        self.held = records;
+        self.durable = self.held.len();
+    }
+}
+
+fn number(record: &[u8]) -> u32 {
+    u32::from_le_bytes(record[..4].try_into().expect("records of the trial start with their number"))
+}
+
+#[gtest]
+fn what_was_synced_survives_any_fault() {
+    for seed in 0..3000 {
+        let mut trial = Trial::new(seed);
+        for _ in 0..60 {
+            trial.step();
+        }
+        trial.lose_power();
+    }
+}
