Registration: workers' heartbeats and a table of them that nodes can merge

Core nodes and gatekeepers need the same view of the workers whatever the order in which they hear of them. Entries are totally ordered per instance.

--- /dev/null
+++ b/crates/registration/src/table.rs
@@ -0,0 +1,381 @@
+//! The table of all workers, as one node knows them.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use crate::worker::{Worker, WorkerState};
+
+/// Milliseconds for which an entry that is gone or suspected is kept and told to others. Long enough that a
+/// node cut off for a while still learns that the instance has ended.
+pub const FORGET_AFTER_MS: u64 = 60_000;
+/// Milliseconds for which a forgotten instance is still known by id and sequence. Far above
+/// [`FORGET_AFTER_MS`], so that nodes that forget at different times do not bring it back to each other.
+const REMEMBER_FORGOTTEN_MS: u64 = 10 * FORGET_AFTER_MS;
+
+/// Milliseconds without a heartbeat after which a worker is suspected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SuspectAfter(pub u64);
+
+/// What merging an entry did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Merge {
+    /// Nothing: the table holds the same or a newer entry that says the same.
+    Unchanged,
+    /// Only the sequence moved, and what counts down by itself.
+    Heard,
+    /// The entry is new or says something else: it is to be published.
+    Changed,
+    /// The table holds a newer entry that says something else. Who sent this one, or heard of it, may
+    /// hold the older entry for long: the table's entry is to be published.
+    Superseded,
+}
+
+/// What a heartbeat that came directly from a worker did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BeatOutcome {
+    /// What merging it did.
+    pub merge: Merge,
+    /// Other instances at the same address, now suspected: entries to publish.
+    pub displaced: Vec<Worker>,
+}
+
+/// A heartbeat that some node heard directly, in short.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeardBeat {
+    /// The instance.
+    pub id: String,
+    /// The heartbeat's number.
+    pub sequence: u64,
+    /// [`Worker::material_digest`] of what it said.
+    pub material: u64,
+}
+
+/// The heartbeats heard directly since a marker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeardSummary {
+    /// The marker for the next call.
+    pub marker: u64,
+    /// The newest heartbeat of each instance that was heard.
+    pub beats: Vec<HeardBeat>,
+}
+
+/// What a heartbeat that another node heard did here.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HeardOutcome {
+    /// The table has what it said.
+    Known,
+    /// The table has what it said, and it cleared a suspicion: the entry is to be published.
+    Cleared(Box<Worker>),
+    /// The table lacks what it said: the sender is to be asked for its entry.
+    Missing,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    worker: Worker,
+    /// [`Worker::material_digest`] of the worker.
+    material: u64,
+    /// When the newest sequence was heard of.
+    last_heard: u64,
+    /// When the heartbeat in `worker` was received; what counts down does so from here.
+    received_at: u64,
+    /// The marker of the newest heartbeat that came directly.
+    heard_mark: Option<u64>,
+    /// When the entry is forgotten, for one that is gone or suspected.
+    forget_at: Option<u64>,
+}
+
+impl Entry {
+    fn new(now: u64, worker: Worker) -> Entry {
+        let mut entry = Entry {
+            material: worker.material_digest(),
+            worker,
+            last_heard: now,
+            received_at: now,
+            heard_mark: None,
+            forget_at: None,
+        };
+        entry.arm_forgetting(now);
+        entry
+    }
+
+    /// Takes a newer entry of the same instance.
+    fn replace(&mut self, now: u64, worker: Worker) {
+        let rearm = worker.differs_materially(&self.worker);
+        if worker.sequence > self.worker.sequence && !worker.suspected {
+            self.last_heard = now;
+        }
+        if worker.sequence != self.worker.sequence {
+            self.received_at = now;
+        }
+        self.material = worker.material_digest();
+        self.worker = worker;
+        if rearm {
+            self.arm_forgetting(now);
+        }
+    }
+
+    fn arm_forgetting(&mut self, now: u64) {
+        let ends = self.worker.is_gone() || self.worker.suspected;
+        self.forget_at = ends.then(|| now.saturating_add(FORGET_AFTER_MS));
+    }
+
+    fn suspect(&mut self, now: u64) -> Worker {
+        self.worker.suspected = true;
+        self.arm_forgetting(now);
+        self.worker.clone()
+    }
+
+    fn may_be_suspected(&self) -> bool {
+        !self.worker.is_gone() && !self.worker.suspected
+    }
+}
+
+/// What is left of a forgotten entry.
+#[derive(Clone, Copy, Debug)]
+struct Forgotten {
+    gone: bool,
+    sequence: u64,
+    until: u64,
+}
+
+impl Forgotten {
+    /// Whether an entry or heartbeat with this sequence says nothing new of the instance.
+    fn covers(&self, sequence: u64) -> bool {
+        self.gone || sequence <= self.sequence
+    }
+}
+
+/// The table of all workers.
+#[derive(Clone, Debug)]
+pub struct WorkerTable {
+    suspect_after: u64,
+    entries: BTreeMap<String, Entry>,
+    forgotten: HashMap<String, Forgotten>,
+    /// Ids by address, to find an address that is used again.
+    by_address: HashMap<String, BTreeSet<String>>,
+    /// Number of heartbeats heard directly.
+    marker: u64,
+    last_tick: Option<u64>,
+    /// Silence counts from here at the earliest.
+    silence_from: u64,
+}
+
+impl WorkerTable {
+    /// An empty table.
+    pub fn new(suspect_after: SuspectAfter) -> WorkerTable {
+        WorkerTable {
+            suspect_after: suspect_after.0,
+            entries: BTreeMap::new(),
+            forgotten: HashMap::new(),
+            by_address: HashMap::new(),
+            marker: 0,
+            last_tick: None,
+            silence_from: 0,
+        }
+    }
+
+    /// Takes a heartbeat that came directly from a worker at `now`.
+    ///
+    /// Other instances at its address have ended, as only one can be there. They become suspected, not
+    /// gone: heartbeats may be read late and in the wrong order by a node that stood still, and a worker
+    /// that is suspected by mistake is cleared by its next heartbeat.
+    pub fn beat(&mut self, now: u64, worker: Worker) -> BeatOutcome {
+        let id = worker.id.clone();
+        let merge = self.merge(now, worker);
+        let accepted = matches!(merge, Merge::Heard | Merge::Changed);
+        if !accepted {
+            return BeatOutcome { merge, displaced: Vec::new() };
+        }
+        self.marker += 1;
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.heard_mark = Some(self.marker);
+        }
+        BeatOutcome { merge, displaced: self.displace(now, &id) }
+    }
+
+    /// Merges an entry of another node's table at `now`.
+    pub fn merge(&mut self, now: u64, worker: Worker) -> Merge {
+        if let Some(forgotten) = self.forgotten.get(&worker.id) {
+            if forgotten.covers(worker.sequence) && !(worker.is_gone() && !forgotten.gone) {
+                return Merge::Unchanged;
+            }
+            self.forgotten.remove(&worker.id);
+        }
+        let Some(entry) = self.entries.get_mut(&worker.id) else {
+            self.insert(now, worker);
+            return Merge::Changed;
+        };
+        let differs = worker.differs_materially(&entry.worker);
+        if !worker.supersedes(&entry.worker) {
+            return if differs { Merge::Superseded } else { Merge::Unchanged };
+        }
+        let moved = worker.address != entry.worker.address;
+        let previous_address = entry.worker.address.clone();
+        entry.replace(now, worker);
+        if moved {
+            let (id, address) = (entry.worker.id.clone(), entry.worker.address.clone());
+            self.unlink_address(&previous_address, &id);
+            self.by_address.entry(address).or_default().insert(id);
+        }
+        if differs {
+            Merge::Changed
+        } else {
+            Merge::Heard
+        }
+    }
+
+    /// Takes a heartbeat that another node heard directly.
+    pub fn heard(&mut self, now: u64, beat: &HeardBeat) -> HeardOutcome {
+        let Some(entry) = self.entries.get_mut(&beat.id) else {
+            let forgotten = self.forgotten.get(&beat.id);
+            return match forgotten.is_some_and(|forgotten| forgotten.covers(beat.sequence)) {
+                true => HeardOutcome::Known,
+                false => HeardOutcome::Missing,
+            };
+        };
+        if entry.worker.is_gone() || beat.sequence <= entry.worker.sequence {
+            return HeardOutcome::Known;
+        }
+        entry.last_heard = now;
+        if beat.material != entry.material {
+            return HeardOutcome::Missing;
+        }
+        entry.worker.sequence = beat.sequence;
+        if !entry.worker.suspected {
+            return HeardOutcome::Known;
+        }
+        entry.worker.suspected = false;
+        entry.arm_forgetting(now);
+        HeardOutcome::Cleared(Box::new(entry.worker.clone()))
+    }
+
+    /// Marks an instance as ended and gives the entry to publish, also for an id that is not known.
+    pub fn end(&mut self, now: u64, id: &str) -> Worker {
+        let known = self.entries.get(id);
+        let ended = known.map_or_else(|| Worker::gone(id), |entry| entry.worker.ended());
+        self.merge(now, ended.clone());
+        ended
+    }
+
+    /// Suspects workers that were silent for too long and gives their entries to publish; forgets old ones.
+    ///
+    /// `may_suspect` is false while this node has no contact with a quorum. Silence counts anew from the
+    /// time at which it last was false, and from the end of a pause between ticks so long that this node
+    /// itself must have stood still.
+    pub fn tick(&mut self, now: u64, may_suspect: bool) -> Vec<Worker> {
+        let longest_pause = self.suspect_after / 2;
+        let stood_still = self.last_tick.is_none_or(|last| now.saturating_sub(last) > longest_pause);
+        self.last_tick = Some(now);
+        if !may_suspect || stood_still {
+            self.silence_from = now;
+        }
+        self.forget(now);
+        self.suspect_silent(now)
+    }
+
+    /// The heartbeats heard directly since `marker`; 0 asks for all.
+    pub fn heard_since(&self, marker: u64) -> HeardSummary {
+        let is_newer = |entry: &&Entry| entry.heard_mark.is_some_and(|mark| mark > marker);
+        let beats = self.entries.values().filter(is_newer).map(|entry| HeardBeat {
+            id: entry.worker.id.clone(),
+            sequence: entry.worker.sequence,
+            material: entry.material,
+        });
+        HeardSummary { marker: self.marker, beats: beats.collect() }
+    }
+
+    /// The entry of an instance.
+    pub fn get(&self, id: &str) -> Option<&Worker> {
+        self.entries.get(id).map(|entry| &entry.worker)
+    }
+
+    /// All entries by id, those that are gone or suspected included.
+    pub fn iter(&self) -> impl Iterator<Item = &Worker> {
+        self.entries.values().map(|entry| &entry.worker)
+    }
+
+    /// The workers of a service that take requests and are not suspected, by id.
+    pub fn ready_of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Worker> {
+        self.iter().filter(move |worker| worker.is_ready() && worker.service == service)
+    }
+
+    /// All entries for a node that joins, with what counts down reduced to what is left at `now`.
+    pub fn snapshot(&self, now: u64) -> Vec<Worker> {
+        self.entries.values().map(|entry| counted_down(entry, now)).collect()
+    }
+
+    /// A digest of what the table says, suspicions included, but not of sequences. Tables that say the same
+    /// have the same digest, also where one has forgotten what the other still holds as gone or suspected:
+    /// such entries do not enter.
+    pub fn digest(&self) -> u64 {
+        let live = self.entries.values().filter(|entry| entry.may_be_suspected());
+        live.fold(0, |digest, entry| digest.wrapping_add(entry.material))
+    }
+
+    fn insert(&mut self, now: u64, worker: Worker) {
+        let ids = self.by_address.entry(worker.address.clone()).or_default();
+        ids.insert(worker.id.clone());
+        self.entries.insert(worker.id.clone(), Entry::new(now, worker));
+    }
+
+    fn unlink_address(&mut self, address: &str, id: &str) {
+        if let Some(ids) = self.by_address.get_mut(address) {
+            ids.remove(id);
+            if ids.is_empty() {
+                self.by_address.remove(address);
+            }
+        }
+    }
+
+    /// Suspects the other instances at the address of the instance `id`.
+    fn displace(&mut self, now: u64, id: &str) -> Vec<Worker> {
+        let Some(address) = self.get(id).map(|worker| worker.address.clone()) else { return Vec::new() };
+        let ids = self.by_address.get(&address).into_iter().flatten();
+        let others: Vec<String> = ids.filter(|other| *other != id).cloned().collect();
+        let mut displaced = Vec::new();
+        for other in others {
+            if let Some(entry) = self.entries.get_mut(&other).filter(|entry| entry.may_be_suspected()) {
+                displaced.push(entry.suspect(now));
+            }
+        }
+        displaced
+    }
+
+    fn forget(&mut self, now: u64) {
+        self.forgotten.retain(|_, forgotten| now < forgotten.until);
+        let is_due = |entry: &&Entry| entry.forget_at.is_some_and(|due| due <= now);
+        let due: Vec<String> =
+            self.entries.values().filter(is_due).map(|entry| entry.worker.id.clone()).collect();
+        for id in due {
+            let Some(entry) = self.entries.remove(&id) else { continue };
+            self.unlink_address(&entry.worker.address, &id);
+            let forgotten = Forgotten {
+                gone: entry.worker.is_gone(),
+                sequence: entry.worker.sequence,
+                until: now.saturating_add(REMEMBER_FORGOTTEN_MS),
+            };
+            self.forgotten.insert(id, forgotten);
+        }
+    }
+
+    fn suspect_silent(&mut self, now: u64) -> Vec<Worker> {
+        let mut suspected = Vec::new();
+        for entry in self.entries.values_mut().filter(|entry| entry.may_be_suspected()) {
+            let silent_from = entry.last_heard.max(self.silence_from);
+            if now.saturating_sub(silent_from) >= self.suspect_after {
+                suspected.push(entry.suspect(now));
+            }
+        }
+        suspected
+    }
+}
+
+fn counted_down(entry: &Entry, now: u64) -> Worker {
+    let elapsed = now.saturating_sub(entry.received_at);
+    let mut worker = entry.worker.clone();
+    worker.cold_remaining_ms = worker.cold_remaining_ms.saturating_sub(elapsed);
+    if let WorkerState::Draining { remaining_ms: Some(remaining) } = &mut worker.state {
+        *remaining = remaining.saturating_sub(elapsed);
+    }
+    worker
+}
