--- /dev/null
+++ b/crates/control/src/jobs.rs
@@ -0,0 +1,202 @@
+//! Work on the register, one job at a time: changes, reads, the placer's epoch, the electorate.
+
+use crate::input::{Answer, CallId};
+use crate::node::ControlNode;
+use bytes::Bytes;
+use std::collections::VecDeque;
+use switchhill_configuration::{ControlState, Decision, Order, PlacerGrant};
+use switchhill_register::{Accepted, Input, Member, RegisterError};
+
+/// Time in milliseconds within which a call's job may be begun again after it lost a race.
+const RETRY_WITHIN: u64 = 800;
+
+/// Pause in milliseconds before the register is read again at the start.
+const CATCH_UP_EVERY: u64 = 250;
+
+/// What is done with the register.
+#[derive(Debug, Clone)]
+pub(crate) enum Job {
+    /// The register is read once after the start.
+    CatchUp,
+    /// An operator's change.
+    Change { call: CallId, order: Order, since: u64, answer: Option<Answer> },
+    /// The operator reads the configuration.
+    Read { call: CallId },
+    /// This node becomes the placer, or takes a new epoch.
+    TakePlacer { grant: Option<PlacerGrant>, former: Option<String> },
+    /// The electorate changes.
+    Electorate { members: Vec<Member> },
+}
+
+/// Jobs that wait, and the one under way.
+#[derive(Debug, Default)]
+pub(crate) struct Jobs {
+    waiting: VecDeque<Job>,
+    current: Option<(u64, Job)>,
+    next_operation: u64,
+    next_catch_up: u64,
+}
+
+impl Jobs {
+    /// Adds a job at the end.
+    pub(crate) fn push(&mut self, job: Job) {
+        self.waiting.push_back(job);
+    }
+
+    /// Whether a job of the kind that a test tells waits or is under way.
+    pub(crate) fn has(&self, is_kind: impl Fn(&Job) -> bool) -> bool {
+        self.waiting.iter().any(&is_kind) || self.current.as_ref().is_some_and(|(_, job)| is_kind(job))
+    }
+
+    /// Jobs that wait.
+    pub(crate) fn waiting_count(&self) -> usize {
+        self.waiting.len()
+    }
+
+    fn take_current(&mut self, operation: u64) -> Option<Job> {
+        if self.current.as_ref().is_some_and(|(number, _)| *number == operation) {
+            return self.current.take().map(|(_, job)| job);
+        }
+        None
+    }
+}
+
+impl ControlNode {
+    /// Begins the next job if none is under way.
+    pub(crate) fn tick_jobs(&mut self, now: u64) {
+        self.queue_catch_up(now);
+        self.begin_next(now);
+    }
+
+    fn queue_catch_up(&mut self, now: u64) {
+        let pending = self.jobs.has(|job| matches!(job, Job::CatchUp));
+        if self.caught_up || pending || now < self.jobs.next_catch_up || !self.has_quorum(now) {
+            return;
+        }
+        self.jobs.next_catch_up = now + CATCH_UP_EVERY;
+        self.jobs.push(Job::CatchUp);
+    }
+
+    /// Begins the next job if none is under way.
+    pub(crate) fn begin_next(&mut self, now: u64) {
+        if self.jobs.current.is_some() {
+            return;
+        }
+        let Some(job) = self.jobs.waiting.pop_front() else { return };
+        self.jobs.next_operation += 1;
+        let operation = self.jobs.next_operation;
+        let input = match job {
+            Job::CatchUp | Job::Read { .. } => Input::Read { operation },
+            _ => Input::Begin { operation },
+        };
+        self.jobs.current = Some((operation, job));
+        self.register_input(now, input);
+    }
+
+    /// The register's present value is known to the job under way.
+    pub(crate) fn job_prepared(&mut self, now: u64, operation: u64, current: Option<Accepted>) {
+        let Some(mut job) = self.jobs.take_current(operation) else { return };
+        let decoded = match &current {
+            Some(accepted) => ControlState::decode(&accepted.value.data),
+            None => Ok(ControlState::default()),
+        };
+        let state = match decoded {
+            Ok(state) => state,
+            Err(error) => {
+                log::error!("the register's value can't be read: {error}");
+                self.abandon(now, operation, job);
+                return;
+            }
+        };
+        let data = current.map(|accepted| accepted.value.data);
+        let write = match &mut job {
+            Job::Change { call, order, answer, .. } => {
+                let (next, reply) = decide_change(&state, order, data);
+                *answer = Some(reply.clone());
+                if next.is_none() {
+                    let call = *call;
+                    self.answer(call, reply);
+                }
+                next.map(|data| (data, None))
+            }
+            Job::TakePlacer { grant, former } => {
+                let next = state.grant_placer(&self.settings.node_name);
+                *former = state.placer.map(|grant| grant.holder);
+                *grant = next.placer.clone();
+                Some((Bytes::from(next.encode()), None))
+            }
+            Job::Electorate { members } => data.map(|data| (data, Some(members.clone()))),
+            Job::CatchUp | Job::Read { .. } => None,
+        };
+        let Some((data, members)) = write else {
+            self.abandon(now, operation, Job::CatchUp);
+            return;
+        };
+        self.jobs.current = Some((operation, job));
+        self.register_input(now, Input::Write { operation, data, members });
+    }
+
+    fn abandon(&mut self, now: u64, operation: u64, job: Job) {
+        if let Job::Change { call, .. } = job {
+            self.answer(call, Answer::unavailable("the register could not be read"));
+        }
+        self.register_input(now, Input::Abandon { operation });
+        self.begin_next(now);
+    }
+
+    /// The job under way has ended.
+    pub(crate) fn job_done(&mut self, now: u64, operation: u64, result: Result<Accepted, RegisterError>) {
+        let Some(job) = self.jobs.take_current(operation) else { return };
+        match result {
+            Ok(accepted) => {
+                self.committed(now, &accepted);
+                self.job_succeeded(now, job);
+            }
+            Err(error) => self.job_failed(now, job, &error),
+        }
+        self.begin_next(now);
+    }
+
+    fn job_succeeded(&mut self, now: u64, job: Job) {
+        match job {
+            Job::CatchUp => self.caught_up = true,
+            Job::Change { call, answer, .. } => {
+                let answer = answer.unwrap_or_else(|| Answer::unavailable("the outcome is not known"));
+                self.answer(call, answer);
+            }
+            Job::Read { call } => self.answer_read(call),
+            Job::TakePlacer { grant, former } => self.placer_granted(now, grant, former),
+            Job::Electorate { .. } => {}
+        }
+    }
+
+    fn job_failed(&mut self, now: u64, job: Job, error: &RegisterError) {
+        log::debug!("work on the register failed: {error}");
+        match job {
+            Job::CatchUp if *error == RegisterError::Empty => self.caught_up = true,
+            Job::Read { call } if *error == RegisterError::Empty => self.answer_read(call),
+            Job::Change { call, order, since, .. } => {
+                if !error.outcome_unknown() && now < since + RETRY_WITHIN {
+                    self.jobs.waiting.push_front(Job::Change { call, order, since, answer: None });
+                } else {
+                    self.answer(call, Answer::unavailable("the change did not reach a quorum"));
+                }
+            }
+            Job::Read { call } => self.answer(call, Answer::unavailable("no quorum answered")),
+            Job::CatchUp | Job::TakePlacer { .. } | Job::Electorate { .. } => {}
+        }
+    }
+}
+
+/// What an order makes of a state: the value to write, if any, and the answer once it is written.
+fn decide_change(state: &ControlState, order: &Order, data: Option<Bytes>) -> (Option<Bytes>, Answer) {
+    match state.decide(order) {
+        Decision::Take(next) => {
+            let revision = next.document.as_ref().map_or(0, |document| document.revision());
+            (Some(Bytes::from(next.encode())), Answer::json(200, format!("{{\"revision\":{revision}}}")))
+        }
+        // Written once more, so that it is certain to be committed before it is acknowledged.
+        Decision::TakenBefore { revision } => (data, Answer::json(200, format!("{{\"revision\":{revision}}}"))),
+        Decision::Refused(error) => (None, Answer::refused(&error)),
+    }
+}
--- /dev/null
+++ b/crates/control/src/peers.rs
@@ -0,0 +1,143 @@
+//! Messages of other core nodes.
+
+use crate::input::Output;
+use crate::node::ControlNode;
+use std::collections::BTreeSet;
+use switchhill_membership::Heard;
+use switchhill_protocol::{Echo, PeerBody, PeerFrame, PeerHeartbeat, RegisterEnvelope};
+use switchhill_register::{Ballot, Input, Message, ReplicaId};
+
+impl ControlNode {
+    /// A message to the core node at an address.
+    pub(crate) fn send_peer(&mut self, address: String, body: PeerBody) {
+        if address == self.settings.address {
+            return;
+        }
+        let frame = PeerFrame {
+            from: self.settings.replica,
+            address: self.settings.address.clone(),
+            body: Some(body),
+        };
+        self.out.push(Output::Peer(address, frame));
+    }
+
+    /// A message to all core nodes that are heard.
+    pub(crate) fn send_all_peers(&mut self, now: u64, body: &PeerBody) {
+        for address in self.live_peer_addresses(now) {
+            self.send_peer(address, body.clone());
+        }
+    }
+
+    fn live_peer_addresses(&self, now: u64) -> Vec<String> {
+        let up = self.contacts.iter().filter(|(id, _)| self.contacts.is_up(now, *id));
+        up.map(|(_, contact)| contact.address.clone()).collect()
+    }
+
+    /// Addresses of all core nodes that the node knows of, its own included.
+    pub(crate) fn known_addresses(&self) -> BTreeSet<String> {
+        let mut known: BTreeSet<String> = self.settings.seeds.iter().cloned().collect();
+        known.extend(self.told_addresses.iter().cloned());
+        known.extend(self.core_addresses());
+        known
+    }
+
+    /// Addresses of the core nodes that are members or heard, the node's own included.
+    pub(crate) fn core_addresses(&self) -> BTreeSet<String> {
+        let mut addresses = BTreeSet::from([self.settings.address.clone()]);
+        addresses.extend(self.contacts.iter().map(|(_, contact)| contact.address.clone()));
+        if let Some(electorate) = self.replica.electorate() {
+            addresses.extend(electorate.members.iter().map(|member| member.address.clone()));
+        }
+        addresses
+    }
+
+    /// Sends heartbeats when they are due.
+    pub(crate) fn send_heartbeats(&mut self, now: u64) {
+        let Some(sequence) = self.contacts.heartbeat_due(now) else { return };
+        let committed = self.committed_ballot().unwrap_or(Ballot { counter: 0, proposer: ReplicaId(0) });
+        let echoes = self.contacts.echoes();
+        let echoes = echoes.map(|(from, contact)| Echo { from, life: contact.life, sequence: contact.sequence });
+        let heartbeat = PeerHeartbeat {
+            sequence,
+            node: self.settings.node_name.clone(),
+            echoes: echoes.collect(),
+            committed_counter: committed.counter,
+            committed_proposer: committed.proposer.0,
+            workers_digest: self.state.workers().digest(),
+            warm: self.warm,
+            home_gatekeepers: self.subscribers.home_count(),
+            known: self.core_addresses().into_iter().collect(),
+            life: self.contacts.life(),
+        };
+        for address in self.known_addresses() {
+            self.send_peer(address, PeerBody::Heartbeat(heartbeat.clone()));
+        }
+    }
+
+    /// Takes in a message of another core node.
+    pub(crate) fn peer_frame(&mut self, now: u64, frame: PeerFrame) {
+        let PeerFrame { from, address, body } = frame;
+        if from == self.settings.replica {
+            return;
+        }
+        match body {
+            Some(PeerBody::Heartbeat(heartbeat)) => self.peer_heartbeat(now, from, address, heartbeat),
+            Some(PeerBody::Register(envelope)) => self.register_message(now, from, &envelope),
+            Some(PeerBody::WorkerUpdate(update)) => self.worker_update(now, address, update),
+            Some(PeerBody::WorkerUpdateAck(ack)) => self.worker_update_acknowledged(now, from, ack.number),
+            Some(PeerBody::WorkersHeard(heard)) => self.workers_heard(now, &heard),
+            Some(PeerBody::Load(load)) => self.load.peer(now, from, load.summary.unwrap_or_default()),
+            Some(PeerBody::Missing(missing)) => self.missing(now, missing, false),
+            Some(PeerBody::Residency(residency)) => self.residency(&residency),
+            Some(PeerBody::Expectation(expectation)) => self.expectation(&expectation),
+            None => {}
+        }
+    }
+
+    fn peer_heartbeat(&mut self, now: u64, from: u64, address: String, heartbeat: PeerHeartbeat) {
+        let mine = |echo: &&Echo| echo.from == self.settings.replica && echo.life == self.contacts.life();
+        let echo = heartbeat.echoes.iter().find(mine).map(|echo| echo.sequence);
+        let heard = Heard {
+            id: from,
+            address: address.clone(),
+            node: heartbeat.node,
+            life: heartbeat.life,
+            sequence: heartbeat.sequence,
+            echo,
+        };
+        self.contacts.heard(now, heard);
+        self.told_addresses.extend(heartbeat.known);
+        self.load.peer_gatekeepers(now, from, heartbeat.home_gatekeepers);
+        let theirs = Ballot {
+            counter: heartbeat.committed_counter,
+            proposer: ReplicaId(heartbeat.committed_proposer),
+        };
+        self.bring_up_to_date(now, from, &address, theirs);
+        self.compare_workers(now, from, address, heartbeat.workers_digest, heartbeat.warm);
+    }
+
+    /// Sends the committed value to a node that knows an older one.
+    fn bring_up_to_date(&mut self, now: u64, to: u64, address: &str, theirs: Ballot) {
+        let Some(accepted) = self.replica.committed().filter(|accepted| accepted.ballot > theirs) else { return };
+        let message = Message::Committed(accepted.clone());
+        if self.updates.may_repair(now, to) {
+            self.send_register(ReplicaId(to), address.to_owned(), &message);
+        }
+    }
+
+    /// Sends a message of the register.
+    pub(crate) fn send_register(&mut self, to: ReplicaId, address: String, message: &Message) {
+        let envelope = RegisterEnvelope { to: to.0, message: message.encode() };
+        self.send_peer(address, PeerBody::Register(envelope));
+    }
+
+    fn register_message(&mut self, now: u64, from: u64, envelope: &RegisterEnvelope) {
+        if envelope.to != self.settings.replica {
+            return;
+        }
+        match Message::decode(&envelope.message) {
+            Ok(message) => self.register_input(now, Input::Message { from: ReplicaId(from), message }),
+            Err(error) => log::warn!("message of replica {from:016x}: {error}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/subscribers.rs
@@ -0,0 +1,175 @@
+//! Agents that subscribe to this node.
+
+use crate::input::{Output, SubscriberId};
+use crate::node::ControlNode;
+use std::collections::BTreeMap;
+use switchhill_distribution::{Published, Publisher};
+use switchhill_protocol::{Downstream, DownstreamBody, Expectation, Fetch, Hello, Residency, Status, Summary};
+use switchhill_protocol::{Upstream, UpstreamBody};
+
+/// Time in milliseconds between two statuses.
+const STATUS_EVERY: u64 = 250;
+
+/// Silence in milliseconds after which a subscriber's connection is dropped.
+const SILENT_AFTER: u64 = 3_000;
+
+/// One subscriber.
+#[derive(Debug)]
+pub(crate) struct Subscriber {
+    publisher: Publisher,
+    /// Name of its machine.
+    pub(crate) node: String,
+    heard_at: u64,
+    /// The last summary, with its time.
+    pub(crate) summary: Option<(u64, Summary)>,
+}
+
+/// All subscribers.
+#[derive(Debug, Default)]
+pub(crate) struct Subscribers {
+    connected: BTreeMap<SubscriberId, Subscriber>,
+    next_status: u64,
+}
+
+impl Subscribers {
+    /// Gatekeepers whose home this node is.
+    pub(crate) fn home_count(&self) -> u32 {
+        let homes = self.connected.values().filter(|subscriber| subscriber.publisher.home);
+        let names: std::collections::BTreeSet<&str> = homes.map(|subscriber| subscriber.node.as_str()).collect();
+        names.len() as u32
+    }
+
+    /// A connection ended.
+    pub(crate) fn gone(&mut self, id: SubscriberId) {
+        self.connected.remove(&id);
+    }
+
+    /// Subscribers whose home this node is.
+    pub(crate) fn homes(&self) -> impl Iterator<Item = (SubscriberId, &Subscriber)> {
+        self.connected.iter().filter(|(_, subscriber)| subscriber.publisher.home).map(|(id, s)| (*id, s))
+    }
+}
+
+impl ControlNode {
+    /// Takes in a message of a subscriber.
+    pub(crate) fn subscriber_message(&mut self, now: u64, id: SubscriberId, message: Upstream) {
+        if let Some(subscriber) = self.subscribers.connected.get_mut(&id) {
+            subscriber.heard_at = now;
+        }
+        match message.body {
+            Some(UpstreamBody::Hello(hello)) => self.hello(now, id, hello),
+            Some(UpstreamBody::Fetch(fetch)) => self.fetch(id, &fetch),
+            Some(UpstreamBody::Missing(missing)) => self.missing(now, missing, true),
+            Some(UpstreamBody::Summary(summary)) => {
+                if let Some(subscriber) = self.subscribers.connected.get_mut(&id) {
+                    subscriber.summary = Some((now, summary));
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn hello(&mut self, now: u64, id: SubscriberId, hello: Hello) {
+        if let Some(subscriber) = self.subscribers.connected.get_mut(&id) {
+            subscriber.publisher.home = hello.home;
+            subscriber.publisher.sent_revision = subscriber.publisher.sent_revision.max(hello.revision);
+            self.send_configuration(id, None);
+            return;
+        }
+        let publisher = Publisher::new(hello.revision, hello.home);
+        let subscriber = Subscriber { publisher, node: hello.node, heard_at: now, summary: None };
+        self.subscribers.connected.insert(id, subscriber);
+        let status = self.status(now);
+        self.to_subscriber(id, status);
+        self.send_configuration(id, None);
+        for message in self.state.whole() {
+            self.to_subscriber(id, message);
+        }
+    }
+
+    fn fetch(&mut self, id: SubscriberId, fetch: &Fetch) {
+        if fetch.workers {
+            for message in self.state.whole() {
+                self.to_subscriber(id, message);
+            }
+            return;
+        }
+        let mut publisher = Publisher::new(fetch.have_revision, true);
+        if let Some(message) = publisher.configuration(&self.state, None) {
+            self.to_subscriber(id, message);
+        }
+    }
+
+    /// Sends the configuration to a subscriber whose home this node is, if it lacks it.
+    fn send_configuration(&mut self, id: SubscriberId, change: Option<&Published>) {
+        let Some(subscriber) = self.subscribers.connected.get_mut(&id) else { return };
+        if !subscriber.publisher.home {
+            return;
+        }
+        if let Some(message) = subscriber.publisher.configuration(&self.state, change) {
+            self.to_subscriber(id, message);
+        }
+    }
+
+    /// Sends a new configuration: to home subscribers as a change, to the others its revision.
+    pub(crate) fn publish_configuration(&mut self, now: u64, change: Option<&Published>) {
+        let ids: Vec<SubscriberId> = self.subscribers.connected.keys().copied().collect();
+        let status = self.status(now);
+        for id in ids {
+            self.send_configuration(id, change);
+            self.to_subscriber(id, status.clone());
+        }
+    }
+
+    /// Sends a message to all subscribers.
+    pub(crate) fn publish(&mut self, message: &Downstream) {
+        let ids: Vec<SubscriberId> = self.subscribers.connected.keys().copied().collect();
+        for id in ids {
+            self.to_subscriber(id, message.clone());
+        }
+    }
+
+    /// Takes in what a worker holds, as a placer tells.
+    pub(crate) fn residency(&mut self, residency: &Residency) {
+        if let Some(message) = self.state.merge_residency(residency).and_then(|change| change.message()) {
+            self.publish(&message);
+        }
+    }
+
+    /// Passes on when a missing model will stand.
+    pub(crate) fn expectation(&mut self, expectation: &Expectation) {
+        let message = Downstream { body: Some(DownstreamBody::Expectation(expectation.clone())) };
+        let homes: Vec<SubscriberId> = self.subscribers.homes().map(|(id, _)| id).collect();
+        for id in homes {
+            self.to_subscriber(id, message.clone());
+        }
+    }
+
+    fn status(&self, now: u64) -> Downstream {
+        let status = Status {
+            quorum: self.has_quorum(now) && self.caught_up,
+            warm: self.warm,
+            revision: self.state.revision(),
+            workers_digest: self.state.workers().digest(),
+            gatekeepers: self.load.gatekeepers(now, self.subscribers.home_count()),
+            core: self.core_addresses().into_iter().collect(),
+        };
+        Downstream { body: Some(DownstreamBody::Status(status)) }
+    }
+
+    /// Sends statuses when they are due and drops silent subscribers.
+    pub(crate) fn tick_subscribers(&mut self, now: u64) {
+        if now < self.subscribers.next_status {
+            return;
+        }
+        self.subscribers.next_status = now + STATUS_EVERY;
+        let status = self.status(now);
+        self.publish(&status);
+        let silent = self.subscribers.connected.iter().filter(|(_, s)| now >= s.heard_at + SILENT_AFTER);
+        let silent: Vec<SubscriberId> = silent.map(|(id, _)| *id).collect();
+        for id in silent {
+            self.subscribers.gone(id);
+            self.out.push(Output::CloseSubscriber(id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/distribution/src/merged.rs
@@ -0,0 +1,153 @@
+//! What a subscriber holds, merged from all its publishers.
+
+use bytes::Bytes;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use switchhill_configuration::{Delta, Document};
+use switchhill_protocol::{Configuration, Residency, Workers};
+use switchhill_registration::{Merge, SuspectAfter, Worker, WorkerTable};
+
+/// What a message changed.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    /// A newer configuration is held.
+    Configuration,
+    /// Entries of the worker table changed.
+    Workers(Vec<Worker>),
+    /// What a worker holds changed.
+    Residency(Residency),
+    /// A change of the configuration did not fit what is held: the whole one is needed.
+    WholeConfigurationNeeded,
+}
+
+/// Configuration, worker table and residency: the highest revision, sequence and version win.
+#[derive(Debug)]
+pub struct MergedState {
+    document: Option<Arc<Document>>,
+    encoded: Bytes,
+    confirmed: bool,
+    workers: WorkerTable,
+    residency: BTreeMap<String, Residency>,
+}
+
+impl MergedState {
+    /// An empty state.
+    pub fn new(suspect_after: SuspectAfter) -> MergedState {
+        MergedState {
+            document: None,
+            encoded: Bytes::new(),
+            confirmed: false,
+            workers: WorkerTable::new(suspect_after),
+            residency: BTreeMap::new(),
+        }
+    }
+
+    /// The configuration.
+    pub fn document(&self) -> Option<&Arc<Document>> {
+        self.document.as_ref()
+    }
+
+    /// The configuration as JSON; empty if there is none.
+    pub fn encoded(&self) -> &Bytes {
+        &self.encoded
+    }
+
+    /// Revision of the configuration, 0 for none.
+    pub fn revision(&self) -> u64 {
+        self.document.as_ref().map_or(0, |document| document.revision())
+    }
+
+    /// Whether a publisher with quorum contact gave or repeated the configuration that is held.
+    pub fn confirmed(&self) -> bool {
+        self.confirmed
+    }
+
+    /// The worker table.
+    pub fn workers(&self) -> &WorkerTable {
+        &self.workers
+    }
+
+    /// The worker table, to be changed.
+    pub fn workers_mut(&mut self) -> &mut WorkerTable {
+        &mut self.workers
+    }
+
+    /// What workers hold, as the placer knows.
+    pub fn residency(&self) -> &BTreeMap<String, Residency> {
+        &self.residency
+    }
+
+    /// Notes that a publisher with quorum contact has a revision.
+    pub fn confirm(&mut self, revision: u64) -> bool {
+        let newly = !self.confirmed && revision > 0 && revision == self.revision();
+        self.confirmed |= newly;
+        newly
+    }
+
+    /// Takes in a configuration.
+    pub fn configuration(&mut self, message: &Configuration) -> Option<Change> {
+        if message.revision <= self.revision() {
+            return None;
+        }
+        let document = match self.read(message) {
+            Ok(document) => document,
+            Err(fault) => {
+                log::warn!("configuration {}: {fault}", message.revision);
+                return Some(Change::WholeConfigurationNeeded);
+            }
+        };
+        self.set_document(document, message.confirmed);
+        Some(Change::Configuration)
+    }
+
+    /// Replaces the configuration by a newer one.
+    pub fn set_document(&mut self, document: Document, confirmed: bool) {
+        self.encoded = Bytes::from(document.to_json());
+        self.document = Some(Arc::new(document));
+        self.confirmed = confirmed;
+    }
+
+    fn read(&self, message: &Configuration) -> Result<Document, String> {
+        if message.delta.is_empty() {
+            return Document::parse(&message.document).map_err(|error| error.to_string());
+        }
+        let delta = Delta::decode(&message.delta).map_err(|error| error.to_string())?;
+        let held = self.document.as_ref().ok_or("a change without a configuration to build on")?;
+        held.apply_delta(&delta).map_err(|error| error.to_string())
+    }
+
+    /// Takes in entries of the worker table.
+    pub fn merge_workers(&mut self, now: u64, message: &Workers) -> Option<Change> {
+        let entries = message.entries.iter().filter_map(|entry| Worker::from_bytes(entry).ok());
+        self.merge_entries(now, entries)
+    }
+
+    /// Takes in entries that are decoded already.
+    pub fn merge_entries(&mut self, now: u64, entries: impl Iterator<Item = Worker>) -> Option<Change> {
+        let mut changed = Vec::new();
+        for worker in entries {
+            let id = worker.id.clone();
+            if self.workers.merge(now, worker) == Merge::Changed {
+                changed.extend(self.workers.get(&id).cloned());
+            }
+        }
+        (!changed.is_empty()).then_some(Change::Workers(changed))
+    }
+
+    /// Takes in what a worker holds.
+    pub fn merge_residency(&mut self, message: &Residency) -> Option<Change> {
+        let newer = |held: &Residency| (message.epoch, message.version) > (held.epoch, held.version);
+        if !self.residency.get(&message.worker).is_none_or(newer) {
+            return None;
+        }
+        self.residency.insert(message.worker.clone(), message.clone());
+        Some(Change::Residency(message.clone()))
+    }
+
+    /// Forgets what ended long ago.
+    pub fn tick(&mut self, now: u64) {
+        self.workers.tick(now, false);
+        let workers = &self.workers;
+        self.residency.retain(|worker, _| workers.get(worker).is_some());
+    }
+}
--- /dev/null
+++ b/crates/distribution/src/relay.rs
@@ -0,0 +1,268 @@
+//! The agent's decisions: links to core nodes on one side, data planes on the other.
+
+use crate::links::{LinkAction, LinkId, LinkPlanner, LinkSettings};
+use crate::merged::{Change, MergedState};
+use crate::publisher::{Published, Publisher};
+use std::collections::BTreeMap;
+use switchhill_registration::SuspectAfter;
+use switchhill_protocol::{
+    Configuration, Downstream, DownstreamBody, Fetch, Hello, Missing, Status, Summary, Upstream, UpstreamBody,
+};
+
+/// Time in milliseconds between two statuses to a data plane.
+const STATUS_EVERY: u64 = 500;
+
+/// Suspicion of workers is told by the core; the agent has none of its own.
+const NEVER_SUSPECT: SuspectAfter = SuspectAfter(u64::MAX / 4);
+
+/// A connection of a data plane.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct FeedId(pub u64);
+
+/// What happens to an agent.
+#[derive(Debug, Clone)]
+pub enum RelayInput {
+    /// Time has passed.
+    Tick,
+    /// A connection to a core node came up.
+    LinkUp(LinkId),
+    /// A connection to a core node failed or ended.
+    LinkLost(LinkId),
+    /// A core node's message.
+    Link(LinkId, Downstream),
+    /// A data plane's message.
+    Feed(FeedId, Upstream),
+    /// A data plane's connection ended.
+    FeedGone(FeedId),
+}
+
+/// What an agent wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RelayOutput {
+    /// Connect to a core node.
+    Connect(LinkId, String),
+    /// Drop a link.
+    Close(LinkId),
+    /// Send a message to a core node.
+    ToLink(LinkId, Upstream),
+    /// Send a message to a data plane.
+    ToFeed(FeedId, Downstream),
+}
+
+/// An agent.
+pub struct Relay {
+    node: String,
+    zone: String,
+    links: LinkPlanner,
+    state: MergedState,
+    feeds: BTreeMap<FeedId, Publisher>,
+    gatekeepers: u32,
+    warm: bool,
+    core: Vec<String>,
+    next_status: u64,
+    out: Vec<RelayOutput>,
+}
+
+impl Relay {
+    /// An agent that knows these core nodes.
+    pub fn new(node: &str, zone: &str, seeds: Vec<String>, settings: LinkSettings) -> Relay {
+        Relay {
+            node: node.to_owned(),
+            zone: zone.to_owned(),
+            links: LinkPlanner::new(node, seeds, settings),
+            state: MergedState::new(NEVER_SUSPECT),
+            feeds: BTreeMap::new(),
+            gatekeepers: 0,
+            warm: false,
+            core: Vec::new(),
+            next_status: 0,
+            out: Vec::new(),
+        }
+    }
+
+    /// What the agent holds.
+    pub fn state(&self) -> &MergedState {
+        &self.state
+    }
+
+    /// Takes in what happened and returns what is to be done, in this order.
+    pub fn handle(&mut self, now: u64, input: RelayInput) -> Vec<RelayOutput> {
+        match input {
+            RelayInput::Tick => self.tick(now),
+            RelayInput::LinkUp(id) => {
+                let actions = self.links.connected(now, id);
+                self.act(actions);
+            }
+            RelayInput::LinkLost(id) => self.links.lost(now, id),
+            RelayInput::Link(id, message) => self.link_message(now, id, message),
+            RelayInput::Feed(id, message) => self.feed_message(now, id, message),
+            RelayInput::FeedGone(id) => {
+                self.feeds.remove(&id);
+            }
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn tick(&mut self, now: u64) {
+        let actions = self.links.tick(now);
+        self.act(actions);
+        self.state.tick(now);
+        if now >= self.next_status {
+            self.next_status = now + STATUS_EVERY;
+            self.publish_status();
+        }
+    }
+
+    fn act(&mut self, actions: Vec<LinkAction>) {
+        for action in actions {
+            let output = match action {
+                LinkAction::Connect(id, address) => RelayOutput::Connect(id, address),
+                LinkAction::Close(id) => RelayOutput::Close(id),
+                LinkAction::Hello(id, home) => self.hello(id, home),
+                LinkAction::Fetch(id, workers) => {
+                    let fetch = Fetch { have_revision: self.state.revision(), workers };
+                    RelayOutput::ToLink(id, Upstream { body: Some(UpstreamBody::Fetch(fetch)) })
+                }
+            };
+            self.out.push(output);
+        }
+    }
+
+    fn hello(&self, id: LinkId, home: bool) -> RelayOutput {
+        let hello =
+            Hello { node: self.node.clone(), zone: self.zone.clone(), revision: self.state.revision(), home };
+        RelayOutput::ToLink(id, Upstream { body: Some(UpstreamBody::Hello(hello)) })
+    }
+
+    fn link_message(&mut self, now: u64, id: LinkId, message: Downstream) {
+        self.links.heard(now, id);
+        match message.body {
+            Some(DownstreamBody::Status(status)) => self.link_status(now, id, status),
+            Some(DownstreamBody::Configuration(configuration)) => self.configuration(id, &configuration),
+            Some(DownstreamBody::Workers(workers)) => {
+                let change = self.state.merge_workers(now, &workers);
+                self.publish_change(change);
+            }
+            Some(DownstreamBody::Residency(residency)) => {
+                let change = self.state.merge_residency(&residency);
+                self.publish_change(change);
+            }
+            Some(body @ (DownstreamBody::Loads(_) | DownstreamBody::Expectation(_))) => {
+                self.publish(&Downstream { body: Some(body) });
+            }
+            None => {}
+        }
+    }
+
+    fn link_status(&mut self, now: u64, id: LinkId, status: Status) {
+        let (revision, digest) = (self.state.revision(), self.state.workers().digest());
+        let actions = self.links.status(now, id, &status, revision, digest);
+        self.act(actions);
+        if !status.quorum {
+            return;
+        }
+        let changed = self.gatekeepers != status.gatekeepers || self.warm != status.warm;
+        self.gatekeepers = status.gatekeepers;
+        self.warm = status.warm;
+        self.core = status.core;
+        if self.state.confirm(status.revision) || changed {
+            self.publish_status();
+        }
+    }
+
+    fn configuration(&mut self, id: LinkId, message: &Configuration) {
+        let old = self.state.document().cloned();
+        match self.state.configuration(message) {
+            Some(Change::Configuration) => {
+                let new = self.state.document();
+                let published = old.zip(new).map(|(old, new)| Published::between(&old, new));
+                self.publish_configuration(published.as_ref());
+            }
+            Some(Change::WholeConfigurationNeeded) => {
+                let fetch = Fetch { have_revision: 0, workers: false };
+                self.out.push(RelayOutput::ToLink(id, Upstream { body: Some(UpstreamBody::Fetch(fetch)) }));
+            }
+            _ => {}
+        }
+    }
+
+    fn publish_configuration(&mut self, change: Option<&Published>) {
+        for (id, publisher) in &mut self.feeds {
+            if let Some(message) = publisher.configuration(&self.state, change) {
+                self.out.push(RelayOutput::ToFeed(*id, message));
+            }
+        }
+    }
+
+    fn publish_change(&mut self, change: Option<Change>) {
+        if let Some(message) = change.and_then(|change| change.message()) {
+            self.publish(&message);
+        }
+    }
+
+    fn publish(&mut self, message: &Downstream) {
+        for id in self.feeds.keys() {
+            self.out.push(RelayOutput::ToFeed(*id, message.clone()));
+        }
+    }
+
+    fn publish_status(&mut self) {
+        let message = self.status();
+        self.publish(&message);
+    }
+
+    fn status(&self) -> Downstream {
+        let status = Status {
+            quorum: self.links.in_contact() && self.state.confirmed(),
+            warm: self.warm,
+            revision: self.state.revision(),
+            workers_digest: self.state.workers().digest(),
+            gatekeepers: self.gatekeepers,
+            core: self.core.clone(),
+        };
+        Downstream { body: Some(DownstreamBody::Status(status)) }
+    }
+
+    fn feed_message(&mut self, _now: u64, id: FeedId, message: Upstream) {
+        match message.body {
+            Some(UpstreamBody::Hello(hello)) => self.feed_hello(id, &hello),
+            Some(UpstreamBody::Fetch(fetch)) => self.feed_fetch(id, &fetch),
+            Some(UpstreamBody::Missing(missing)) => self.forward_missing(missing),
+            Some(UpstreamBody::Summary(summary)) => self.forward_summary(summary),
+            None => {}
+        }
+    }
+
+    fn feed_hello(&mut self, id: FeedId, hello: &Hello) {
+        if self.feeds.contains_key(&id) {
+            return;
+        }
+        let mut publisher = Publisher::new(hello.revision, true);
+        self.out.push(RelayOutput::ToFeed(id, self.status()));
+        let configuration = publisher.configuration(&self.state, None);
+        self.out.extend(configuration.map(|message| RelayOutput::ToFeed(id, message)));
+        let whole = self.state.whole().into_iter().map(|message| RelayOutput::ToFeed(id, message));
+        self.out.extend(whole);
+        self.feeds.insert(id, publisher);
+    }
+
+    fn feed_fetch(&mut self, id: FeedId, fetch: &Fetch) {
+        let mut publisher = Publisher::new(fetch.have_revision, true);
+        let configuration = publisher.configuration(&self.state, None);
+        self.out.extend(configuration.map(|message| RelayOutput::ToFeed(id, message)));
+    }
+
+    fn forward_missing(&mut self, missing: Missing) {
+        let link = self.links.home().or_else(|| self.links.up().next());
+        if let Some(link) = link {
+            let message = Upstream { body: Some(UpstreamBody::Missing(missing)) };
+            self.out.push(RelayOutput::ToLink(link, message));
+        }
+    }
+
+    fn forward_summary(&mut self, summary: Summary) {
+        if let Some(home) = self.links.home() {
+            self.out.push(RelayOutput::ToLink(home, Upstream { body: Some(UpstreamBody::Summary(summary)) }));
+        }
+    }
+}
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -153,6 +153,9 @@
     /// Sequence of its last heartbeat.
     #[prost(uint64, tag = "2")]
     pub sequence: u64,
+    /// Digest of what that heartbeat said.
+    #[prost(fixed64, tag = "3")]
+    pub material: u64,
 }
 
 /// Load and demand summed over the sender's home subscribers.
--- a/crates/protocol/src/subscription.rs
+++ b/crates/protocol/src/subscription.rs
@@ -45,12 +45,15 @@
     pub home: bool,
 }
 
-/// Asks for the newest configuration.
+/// Asks for the newest configuration, or the worker table.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Fetch {
     /// Revision that the subscriber holds, 0 for none.
     #[prost(uint64, tag = "1")]
     pub have_revision: u64,
+    /// Whether the worker table is wanted whole.
+    #[prost(bool, tag = "2")]
+    pub workers: bool,
 }
 
 /// Requests wait, or were refused, for a model or adapter that no worker holds.
--- /dev/null
+++ b/src/agent/links.rs
@@ -0,0 +1,64 @@
+//! Connections to core nodes.
+
+use crate::system::connection::{self, LinkKind};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use switchhill_distribution::{LinkId, RelayInput};
+use switchhill_protocol::{Downstream, Upstream};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+/// Time for a connection to come up.
+const CONNECT_WITHIN: Duration = Duration::from_millis(500);
+
+/// All links.
+pub(super) struct Links {
+    inputs: mpsc::UnboundedSender<RelayInput>,
+    open: BTreeMap<LinkId, (mpsc::UnboundedSender<Upstream>, JoinHandle<()>)>,
+}
+
+impl Links {
+    /// No link yet. What happens to links goes to `inputs`.
+    pub(super) fn new(inputs: mpsc::UnboundedSender<RelayInput>) -> Links {
+        Links { inputs, open: BTreeMap::new() }
+    }
+
+    /// Opens a link.
+    pub(super) fn connect(&mut self, id: LinkId, address: String) {
+        let (sender, messages) = mpsc::unbounded_channel();
+        let task = tokio::task::spawn_local(serve(id, address, messages, self.inputs.clone()));
+        self.open.insert(id, (sender, task));
+    }
+
+    /// Drops a link.
+    pub(super) fn close(&mut self, id: LinkId) {
+        if let Some((_, task)) = self.open.remove(&id) {
+            task.abort();
+        }
+    }
+
+    /// Sends a message on a link; one that has ended drops it.
+    pub(super) fn send(&mut self, id: LinkId, message: Upstream) {
+        if let Some((sender, _)) = self.open.get(&id) {
+            let _ = sender.send(message);
+        }
+    }
+}
+
+async fn serve(
+    id: LinkId,
+    address: String,
+    messages: mpsc::UnboundedReceiver<Upstream>,
+    inputs: mpsc::UnboundedSender<RelayInput>,
+) {
+    match connection::connect(&address, LinkKind::Subscriber, CONNECT_WITHIN).await {
+        Ok(stream) => {
+            let _ = inputs.send(RelayInput::LinkUp(id));
+            let received = |message: Downstream| inputs.send(RelayInput::Link(id, message)).is_ok();
+            let ended = connection::exchange(stream, messages, received).await;
+            log::debug!("link to {address} ended: {ended}");
+        }
+        Err(error) => log::debug!("no link to {address}: {error}"),
+    }
+    let _ = inputs.send(RelayInput::LinkLost(id));
+}
--- /dev/null
+++ b/src/agent/mod.rs
@@ -0,0 +1,48 @@
+//! The agent beside each data plane: keeps the links to the control plane and feeds the data plane over loopback.
+
+mod feeds;
+mod links;
+
+use crate::site_settings::SiteSettings;
+use crate::system::clock::Clock;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+use switchhill_distribution::{LinkSettings, Relay, RelayInput, RelayOutput};
+use tokio::sync::mpsc;
+
+/// Time between two ticks of the agent's decisions.
+const TICK_EVERY: Duration = Duration::from_millis(50);
+
+/// Links kept beyond the machines that may be lost at once: one is the home, one may be stale.
+const SPARE_LINKS: usize = 2;
+
+/// Runs until the process is told to stop.
+pub async fn run(settings: SiteSettings) -> anyhow::Result<()> {
+    let (inputs, mut received) = mpsc::unbounded_channel();
+    let feed_address = SocketAddr::from((Ipv4Addr::LOCALHOST, settings.feed_port()));
+    let mut feeds = feeds::Feeds::listen(feed_address, inputs.clone()).await?;
+    let mut links = links::Links::new(inputs.clone());
+    let seeds = crate::system::internal_addresses(&settings);
+    let link_settings =
+        LinkSettings { wanted: settings.fault_tolerance.machines + SPARE_LINKS, ..LinkSettings::default() };
+    let mut relay = Relay::new(&settings.node_name, &settings.zone, seeds, link_settings);
+    let clock = Clock::new();
+    let mut ticks = tokio::time::interval(TICK_EVERY);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut stop = crate::system::stop::Stop::new()?;
+    loop {
+        let input = tokio::select! {
+            _ = stop.requested() => return Ok(()),
+            _ = ticks.tick() => RelayInput::Tick,
+            Some(input) = received.recv() => input,
+        };
+        for output in relay.handle(clock.now(), input) {
+            match output {
+                RelayOutput::Connect(id, address) => links.connect(id, address),
+                RelayOutput::Close(id) => links.close(id),
+                RelayOutput::ToLink(id, message) => links.send(id, message),
+                RelayOutput::ToFeed(id, message) => feeds.send(id, message),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/system/command.rs
@@ -0,0 +1,80 @@
+//! Commands of the system's programs.
+
+use crate::site_settings::SiteSettings;
+use argh::FromArgs;
+use std::future::Future;
+use std::process::ExitCode;
+
+/// Commands that this module understands; all others are those of the gateway.
+const COMMANDS: [&str; 3] = ["data-plane", "agent", "control-plane"];
+
+/// Programs of the system. Settings come from the file that SWITCHHILL_CONFIG names.
+#[derive(FromArgs)]
+struct SystemCommand {
+    #[argh(subcommand)]
+    program: Program,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Program {
+    DataPlane(DataPlaneCommand),
+    Agent(AgentCommand),
+    ControlPlane(ControlPlaneCommand),
+}
+
+/// Serves clients: admission, routing, forwarding.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "data-plane")]
+struct DataPlaneCommand {}
+
+/// Keeps the link to the control plane and feeds the data plane of the same machine.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "agent")]
+struct AgentCommand {}
+
+/// Serves workers and the operator; replica of the register; places models.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "control-plane")]
+struct ControlPlaneCommand {}
+
+/// Whether the command line names a program of the system.
+pub fn is_system_command(first: Option<&str>) -> bool {
+    first.is_some_and(|first| COMMANDS.contains(&first))
+}
+
+/// Runs the program that the command line names.
+pub fn run(arguments: &[String]) -> ExitCode {
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let command = match SystemCommand::from_args(&["switchhill"], &arguments) {
+        Ok(command) => command,
+        Err(exit) => {
+            eprintln!("{}", exit.output);
+            return if exit.status.is_ok() { ExitCode::SUCCESS } else { ExitCode::from(2) };
+        }
+    };
+    let filter = env_logger::Env::default().default_filter_or("info");
+    env_logger::Builder::from_env(filter).format_timestamp(None).init();
+    match start(&command.program) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("{error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(program: &Program) -> anyhow::Result<()> {
+    let settings = SiteSettings::from_environment()?;
+    match program {
+        Program::DataPlane(_) => on_one_thread(crate::data_plane::feed::run(settings)),
+        Program::Agent(_) => on_one_thread(crate::agent::run(settings)),
+        Program::ControlPlane(_) => on_one_thread(crate::control_plane::run(settings)),
+    }
+}
+
+fn on_one_thread(program: impl Future<Output = anyhow::Result<()>>) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, program)
+}
--- /dev/null
+++ b/src/system/mod.rs
@@ -0,0 +1,15 @@
+//! What the programs of the system share: command line, clock, connections, signals.
+
+pub mod clock;
+pub mod command;
+pub mod connection;
+pub mod stop;
+
+use crate::site_settings::SiteSettings;
+use std::net::SocketAddr;
+
+/// Addresses of the seeds' internal listeners: the machines are told by their `control` addresses.
+pub fn internal_addresses(settings: &SiteSettings) -> Vec<String> {
+    let internal = |seed: &SocketAddr| SocketAddr::from((seed.ip(), settings.internal_port())).to_string();
+    settings.seeds.iter().map(internal).collect()
+}
