Routing: ejection bound, early trial of the last holder, tests of health and silence

A model held by one worker was out of reach for up to 8 s once that worker was ejected, and ejections outlived the workers they were made among. The last holder gets its trial after 1 s; excess ejections end when the list shrinks. A test found that a request's own exclusions counted as no other holder.

--- a/crates/routing/src/cost.rs
+++ b/crates/routing/src/cost.rs
@@ -18,10 +18,12 @@
 const MEMORY_COMFORT: f64 = 0.8;
 /// Delay a worker with all its memory promised adds: preempted prompts are read again.
 const MEMORY_SHORT_MS: f64 = 400.0;
-/// Priorities up to this one avoid long queues more.
-const URGENT_PRIORITY: u8 = 0;
+/// Priorities up to this one are urgent.
+const URGENT_PRIORITY: u8 = 1;
 /// How much more urgent requests mind other requests.
 const URGENT_FACTOR: f64 = 1.5;
+/// How much longer a queue urgent requests may join: workers let them pass the others in it.
+const URGENT_QUEUE_FACTOR: f64 = 1.5;
 
 /// What the costs of all candidates for one request share.
 pub(crate) struct CostBasis<'a> {
@@ -49,14 +51,15 @@
     pub fn is_full(&self, worker: &WorkerState) -> bool {
         let slots = f64::from(worker.view.slots.max(1));
         let queue = (slots * self.settings.queue_ratio).max(2.0);
-        self.load(worker) >= slots + queue
+        let most_queued = if self.is_urgent() { queue * URGENT_QUEUE_FACTOR } else { queue };
+        self.load(worker) >= slots + most_queued
     }
 
     /// Expected delay of the request at the worker, without what kept prompts save.
     pub fn delay(&self, worker: &WorkerState) -> f64 {
         let slots = f64::from(worker.view.slots.max(1));
         let load = self.load(worker);
-        let urgency = if self.profile.priority <= URGENT_PRIORITY { URGENT_FACTOR } else { 1.0 };
+        let urgency = if self.is_urgent() { URGENT_FACTOR } else { 1.0 };
         let queued = (load + 1.0 - slots).max(0.0);
         let duration = self.baselines.usual_duration(self.workload).unwrap_or(DEFAULT_DURATION_MS);
         let waiting = queued * duration / slots + self.settings.full_batch_ms * load / slots;
@@ -78,6 +81,10 @@
         self.settings.full_batch_ms / f64::from(worker.view.slots.max(1))
     }
 
+    fn is_urgent(&self) -> bool {
+        self.profile.priority <= URGENT_PRIORITY
+    }
+
     fn elsewhere(&self, worker: &WorkerState) -> f64 {
         let age = self.now.saturating_sub(worker.view.load_told_at) as f64;
         let belief = (-age * std::f64::consts::LN_2 / self.settings.load_half_life_ms).exp();
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -22,7 +22,7 @@
 const CONNECT_REST_MS: (u64, u64) = (300, 4_800);
 /// First and longest rest after a rejection by a full worker.
 const FULL_REST_MS: (u64, u64) = (50, 150);
-/// Successes after the last ejection that make the next one start short again.
+/// Time after an ejection from which the next one starts short again.
 const CALM_AFTER_MS: u64 = 20_000;
 /// How recently a suspected worker must have answered to be used.
 const GOOD_EVIDENCE_MS: u64 = 3_000;
@@ -126,6 +126,23 @@
         self.ejected_until.is_some()
     }
 
+    /// When its ejection ends, if it is ejected.
+    pub fn ejected_until(&self) -> Option<u64> {
+        self.ejected_until
+    }
+
+    /// Ends its ejection without a trial.
+    pub fn release(&mut self, now: u64) {
+        self.ejected_until = None;
+        self.trial = None;
+        self.counts = OutcomeCounts { at: now, ..OutcomeCounts::default() };
+    }
+
+    /// Whether a trial is allowed before the end of a long ejection, if no other worker is left.
+    pub fn early_trial_due(&self, now: u64) -> bool {
+        self.is_ejected() && self.trial.is_none() && now >= self.ejected_at + EJECTION_MS.0
+    }
+
     /// Whether an answer came lately and nothing has failed since.
     pub fn has_good_evidence(&self, now: u64) -> bool {
         let recent = self.last_good_at.is_some_and(|at| now.saturating_sub(at) <= GOOD_EVIDENCE_MS);
@@ -214,8 +231,7 @@
         }
         let answered = matches!(outcome, AttemptOutcome::Success | AttemptOutcome::WorkerError(_));
         if answered {
-            self.ejected_until = None;
-            self.counts = OutcomeCounts { at: now, ..OutcomeCounts::default() };
+            self.release(now);
         }
         false
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,8 +6,10 @@
 
 mod attempt;
 mod budget;
+mod candidates;
 mod choice;
 mod cost;
+mod ejection;
 mod health;
 mod pace;
 mod prefix;
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -8,15 +8,16 @@
 use slotmap::SlotMap;
 
 use crate::attempt::{Attempt, AttemptKey, AttemptOutcome};
+use crate::candidates::Candidates;
 use crate::choice::{Choice, RequestProfile};
 use crate::cost::CostBasis;
-use crate::health::Standing;
+use crate::ejection::{eject_within_bound, outcomes_of_others, release_beyond_bound};
 use crate::pace::Baselines;
 use crate::prefix::{shared_prefixes, Prefix};
 use crate::sessions::SessionMemory;
 use crate::settings::RouterSettings;
 use crate::silence::SilenceWatch;
-use crate::table::{ServiceIndex, WorkerState, WorkerTable};
+use crate::table::WorkerTable;
 use crate::worker::{Availability, WorkerKey, WorkerView};
 
 /// Bounds of the time a caller is told to wait when all workers are busy.
@@ -45,22 +46,12 @@
     cache_tokens: HashMap<String, u64>,
 }
 
-/// Workers that hold what a request needs, by what speaks for and against them.
-#[derive(Default)]
-struct Candidates {
-    good: Vec<WorkerKey>,
-    suspected: Vec<WorkerKey>,
-    unreachable: Vec<(u64, WorkerKey)>,
-    /// Earliest time at which one of those left out may be asked again.
-    back_at: Option<u64>,
-    /// Whether any worker holds what is needed, left out or not.
-    any_holder: bool,
-}
-
-impl Candidates {
-    fn left_out_until(&mut self, until: u64) {
-        self.back_at = Some(self.back_at.map_or(until, |at| at.min(until)));
-    }
+/// What sending a request to a worker would cost, in milliseconds.
+struct Offer {
+    worker: WorkerKey,
+    cost: f64,
+    /// What one request more at the worker adds.
+    step: f64,
 }
 
 impl Router {
@@ -83,6 +74,20 @@
     /// Replaces the list of workers. What was learnt of workers that stay in it is kept.
     pub fn set_workers(&mut self, now: u64, workers: Vec<WorkerView>) {
         self.table.replace(now, workers);
+        release_beyond_bound(&mut self.table, now);
+    }
+
+    /// Updates one figure of a worker: what other gatekeepers have outstanding at it, as told at `now`.
+    pub fn set_load_elsewhere(&mut self, now: u64, key: WorkerKey, load: u32) {
+        if let Some(worker) = self.table.get_mut(key) {
+            worker.view.load_elsewhere = load;
+            worker.view.load_told_at = now;
+        }
+    }
+
+    /// Key of the listed worker with this id.
+    pub fn key(&self, id: &str) -> Option<WorkerKey> {
+        self.table.key(id)
     }
 
     /// Tells how many gatekeepers share the workers.
@@ -95,21 +100,19 @@
         self.cache_tokens.insert(service.to_owned(), tokens);
     }
 
-    /// Chooses a worker that is not in `excluded`.
+    /// Chooses a worker that is not in `excluded`. A worker that is draining or gone is never chosen.
     pub fn choose(&mut self, now: u64, profile: &RequestProfile, excluded: &[WorkerKey]) -> Choice {
         let Some(service) = self.table.service(&profile.service) else { return Choice::NoWorker };
-        let mut candidates = self.candidates(now, service, profile, excluded);
-        let holders = std::mem::take(&mut candidates.good);
-        if let Some(worker) = self.cheapest(now, profile, &holders) {
-            return Choice::Send(worker);
+        let candidates = Candidates::collect(now, &self.table, service, profile, excluded);
+        let chosen = self
+            .cheapest(now, profile, &candidates.good)
+            .or_else(|| self.cheapest(now, profile, &candidates.suspected))
+            .or_else(|| candidates.unreachable.iter().min().map(|(_, key)| *key))
+            .or_else(|| self.cheapest(now, profile, &candidates.last_resort));
+        match chosen {
+            Some(worker) => Choice::Send(worker),
+            None => self.nobody(now, profile, &candidates),
         }
-        if let Some(worker) = self.cheapest(now, profile, &candidates.suspected) {
-            return Choice::Send(worker);
-        }
-        if let Some((_, worker)) = candidates.unreachable.iter().min() {
-            return Choice::Send(*worker);
-        }
-        self.nobody(now, profile, &candidates)
     }
 
     /// The worker, if it is still listed.
@@ -180,7 +183,7 @@
         if outcome == AttemptOutcome::Success {
             self.baselines.duration(attempt.workload, now.saturating_sub(attempt.sent_at));
         }
-        let others = self.outcomes_of_others(now, attempt.worker);
+        let others = outcomes_of_others(&self.table, now, attempt.worker);
         let Some(worker) = self.table.get_mut(attempt.worker) else { return };
         worker.attempt_ended(&attempt);
         if matches!(outcome, AttemptOutcome::NotExecuted(_) | AttemptOutcome::ConnectFailed) {
@@ -189,8 +192,8 @@
             worker.heard_at = now;
         }
         let looks_faulty = worker.health.finished(now, &attempt, outcome, others);
-        if looks_faulty && self.may_eject(attempt.worker) {
-            self.eject(now, attempt.worker);
+        if looks_faulty {
+            eject_within_bound(&mut self.table, now, attempt.worker);
         }
     }
 
@@ -207,57 +210,43 @@
     }
 
     /// Workers with several running streams of ours none of which has moved for a while. Their streams
-    /// should be resumed elsewhere. Call it at least every 100 ms: longer gaps count as a pause of our own.
+    /// should be resumed elsewhere. Call it every 50 ms or so: gaps over 150 ms count as a pause of our own.
     pub fn silent_workers(&mut self, now: u64) -> Vec<WorkerKey> {
         self.silence.silent(now, &self.attempts, self.settings.silent_ms, self.settings.silent_streams)
     }
 
-    fn candidates(
-        &self,
-        now: u64,
-        service: &ServiceIndex,
-        profile: &RequestProfile,
-        excluded: &[WorkerKey],
-    ) -> Candidates {
-        let mut candidates = Candidates::default();
-        for &key in service.holders(profile.model.as_deref()) {
-            let Some(worker) = self.table.get(key) else { continue };
-            if !can_run(now, worker, profile) {
-                continue;
-            }
-            candidates.any_holder |= worker.view.state == Availability::Ready;
-            if !excluded.contains(&key) {
-                sort_in(&mut candidates, now, key, worker);
+    /// The candidate with the lowest cost that is not full; near-equals are decided by chance, so that
+    /// gatekeepers with the same stale figures don't all choose the same worker.
+    fn cheapest(&mut self, now: u64, profile: &RequestProfile, keys: &[WorkerKey]) -> Option<WorkerKey> {
+        let tie_steps = TIE_STEPS * f64::from(self.gatekeepers).sqrt();
+        let mut best: Option<(f64, WorkerKey)> = None;
+        for offer in self.offers(now, profile, keys) {
+            let cost = offer.cost + self.rng.f64() * tie_steps * offer.step;
+            if best.is_none_or(|(lowest, _)| cost < lowest) {
+                best = Some((cost, offer.worker));
             }
         }
-        candidates
+        best.map(|(_, key)| key)
     }
 
-    /// The candidate with the lowest cost that is not full; near-equals are decided by chance, so that
-    /// gatekeepers with the same stale figures don't all choose the same worker.
-    fn cheapest(&mut self, now: u64, profile: &RequestProfile, keys: &[WorkerKey]) -> Option<WorkerKey> {
+    /// Cost of each worker that is not full.
+    fn offers(&self, now: u64, profile: &RequestProfile, keys: &[WorkerKey]) -> Vec<Offer> {
         let prefixes = shared_prefixes(profile);
         let basis = self.cost_basis(now, profile, &prefixes, keys);
         let session_worker = profile.session.and_then(|session| self.sessions.worker(session));
-        let tie_steps = TIE_STEPS * f64::from(self.gatekeepers).sqrt();
-        let mut best: Option<(f64, WorkerKey)> = None;
-        let mut rng = self.rng.clone();
+        let mut offers = Vec::with_capacity(keys.len());
         for &key in keys {
             let Some(worker) = self.table.get(key) else { continue };
             if basis.is_full(worker) {
                 continue;
             }
             let mut cost = basis.delay(worker) - basis.saving(worker);
-            cost += rng.f64() * tie_steps * basis.step(worker);
             if session_worker == Some(key) {
                 cost -= session_advantage(profile, &self.settings);
             }
-            if best.is_none_or(|(lowest, _)| cost < lowest) {
-                best = Some((cost, key));
-            }
+            offers.push(Offer { worker: key, cost, step: basis.step(worker) });
         }
-        self.rng = rng;
-        best.map(|(_, key)| key)
+        offers
     }
 
     fn cost_basis<'a>(
@@ -325,60 +314,6 @@
             new_prefixes: Vec::new(),
         }
     }
-
-    /// Failures and outcomes of the other workers of the same service.
-    fn outcomes_of_others(&self, now: u64, key: WorkerKey) -> (f64, f64) {
-        let Some(worker) = self.table.get(key) else { return (0.0, 0.0) };
-        let Some(service) = self.table.service(&worker.view.service) else { return (0.0, 0.0) };
-        let others = service.members.iter().filter(|other| **other != key);
-        others.filter_map(|other| self.table.get(*other)).fold((0.0, 0.0), |sum, other| {
-            let (failures, total) = other.health.failures_and_total(now);
-            (sum.0 + failures, sum.1 + total)
-        })
-    }
-
-    /// Whether one more worker of this service may be ejected: at most a third, but one of two.
-    fn may_eject(&self, key: WorkerKey) -> bool {
-        let Some(worker) = self.table.get(key) else { return false };
-        if worker.health.is_ejected() {
-            return true;
-        }
-        let Some(service) = self.table.service(&worker.view.service) else { return false };
-        let members = || service.members.iter().filter_map(|key| self.table.get(*key));
-        let ready = members().filter(|member| member.view.state == Availability::Ready).count();
-        let ejected = members().filter(|member| member.health.is_ejected()).count();
-        let most = if ready < 2 { 0 } else { (ready / 3).max(1) };
-        ejected < most
-    }
-
-    fn eject(&mut self, now: u64, key: WorkerKey) {
-        if let Some(worker) = self.table.get_mut(key) {
-            worker.health.eject(now);
-        }
-    }
-}
-
-fn can_run(now: u64, worker: &WorkerState, profile: &RequestProfile) -> bool {
-    let in_service = matches!(worker.view.state, Availability::Ready | Availability::Suspected);
-    let holds = match &profile.model {
-        Some(model) => worker.holds(now, model, profile.adapter.as_deref()),
-        None => true,
-    };
-    in_service && holds
-}
-
-fn sort_in(candidates: &mut Candidates, now: u64, key: WorkerKey, worker: &WorkerState) {
-    if worker.view.state == Availability::Suspected {
-        if worker.health.has_good_evidence(now) {
-            candidates.suspected.push(key);
-        }
-        return;
-    }
-    match worker.health.standing(now) {
-        Standing::Good => candidates.good.push(key),
-        Standing::Unreachable(until) => candidates.unreachable.push((until, key)),
-        Standing::Full(until) | Standing::Ejected(until) => candidates.left_out_until(until),
-    }
 }
 
 fn session_advantage(profile: &RequestProfile, settings: &RouterSettings) -> f64 {
--- a/crates/routing/src/silence.rs
+++ b/crates/routing/src/silence.rs
@@ -12,7 +12,7 @@
 use crate::worker::WorkerKey;
 
 /// A pause between two checks after which this process itself may have been stopped.
-const OWN_PAUSE_MS: u64 = 120;
+const OWN_PAUSE_MS: u64 = 150;
 
 /// Running streams of one worker.
 #[derive(Debug, Default, Clone, Copy)]
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -152,13 +152,18 @@
     /// Replaces the list. State of workers whose id stays is kept.
     pub fn replace(&mut self, now: u64, views: Vec<WorkerView>) {
         let ids: HashSet<&str> = views.iter().map(|view| view.id.as_str()).collect();
+        let listed_before = self.workers.len();
         self.workers.retain(|_, worker| ids.contains(worker.view.id.as_str()));
         let workers = &self.workers;
         self.by_id.retain(|_, key| workers.contains_key(*key));
+        let mut indexes_stale = self.workers.len() < listed_before;
         for view in views {
-            self.put(now, view);
+            indexes_stale |= self.put(now, view);
+        }
+        // Most lists change loads only.
+        if indexes_stale {
+            self.rebuild_indexes();
         }
-        self.rebuild_indexes();
     }
 
     /// The worker, if it is still listed.
@@ -176,6 +181,11 @@
         self.services.get(name)
     }
 
+    /// Indexes of all services that have workers.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceIndex> {
+        self.services.values()
+    }
+
     /// All workers.
     pub fn iter(&self) -> impl Iterator<Item = (WorkerKey, &WorkerState)> {
         self.workers.iter()
@@ -186,14 +196,17 @@
         self.by_id.get(id).copied()
     }
 
-    fn put(&mut self, now: u64, view: WorkerView) {
+    /// Adds or updates a worker and returns whether the indexes no longer fit.
+    fn put(&mut self, now: u64, view: WorkerView) -> bool {
         if let Some(worker) = self.key(&view.id).and_then(|key| self.workers.get_mut(key)) {
+            let reindex = !indexed_alike(&worker.view, &view);
             worker.update(now, view);
-            return;
+            return reindex;
         }
         let id = view.id.clone();
         let key = self.workers.insert(WorkerState::new(now, view));
         self.by_id.insert(id, key);
+        true
     }
 
     fn rebuild_indexes(&mut self) {
@@ -210,3 +223,9 @@
         }
     }
 }
+
+/// Whether two descriptions of a worker stand at the same places of the indexes.
+fn indexed_alike(one: &WorkerView, other: &WorkerView) -> bool {
+    let is_gone = |view: &WorkerView| view.state == Availability::Gone;
+    one.service == other.service && one.models == other.models && is_gone(one) == is_gone(other)
+}
