--- /dev/null
+++ b/crates/placement/src/catalogue.rs
@@ -0,0 +1,96 @@
+//! Names of models and their compact indices.
+
+use std::collections::BTreeMap;
+
+use crate::settings::{Engine, ModelSpec};
+
+/// Index of a model, stable for the life of a planner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct ModelIndex(usize);
+
+impl ModelIndex {
+    /// Position in per-model tables.
+    pub(crate) fn get(self) -> usize {
+        self.0
+    }
+}
+
+/// A known model.
+#[derive(Debug, Clone)]
+pub(crate) struct CatalogueEntry {
+    /// Its specification.
+    pub(crate) spec: ModelSpec,
+    /// Rank in the configuration, or none for a model that isn't configured (any more).
+    pub(crate) rank: Option<usize>,
+}
+
+/// All models that are configured or have been seen on a worker.
+#[derive(Debug, Default)]
+pub(crate) struct Catalogue {
+    by_name: BTreeMap<String, ModelIndex>,
+    entries: Vec<CatalogueEntry>,
+    worker_weights_mb: f64,
+}
+
+impl Catalogue {
+    /// Takes over a configuration. Models dropped from it stay known, since workers may still hold them.
+    pub(crate) fn update(&mut self, engine: &Engine) {
+        self.worker_weights_mb = engine.weights_mb;
+        for entry in &mut self.entries {
+            entry.rank = None;
+        }
+        for (rank, spec) in engine.models.iter().enumerate() {
+            let entry = CatalogueEntry { spec: spec.clone(), rank: Some(rank) };
+            match self.by_name.get(&spec.name) {
+                Some(index) => self.entries[index.0] = entry,
+                None => {
+                    self.push(entry);
+                }
+            }
+        }
+    }
+
+    /// Index of a configured model.
+    pub(crate) fn configured(&self, name: &str) -> Option<ModelIndex> {
+        let index = *self.by_name.get(name)?;
+        self.entries[index.0].rank.map(|_| index)
+    }
+
+    /// Index of a model found on a worker. One never configured counts as filling a whole worker, as its size isn't
+    /// known.
+    pub(crate) fn seen(&mut self, name: &str) -> ModelIndex {
+        if let Some(index) = self.by_name.get(name) {
+            return *index;
+        }
+        let spec = ModelSpec {
+            name: name.to_owned(),
+            weights_mb: self.worker_weights_mb,
+            load_ms: 0,
+            adapters: 0,
+            adapter_mb: 0.0,
+        };
+        self.push(CatalogueEntry { spec, rank: None })
+    }
+
+    /// The entry of a model.
+    pub(crate) fn entry(&self, model: ModelIndex) -> &CatalogueEntry {
+        &self.entries[model.0]
+    }
+
+    /// The specification of a model.
+    pub(crate) fn spec(&self, model: ModelIndex) -> &ModelSpec {
+        &self.entries[model.0].spec
+    }
+
+    /// Number of models known.
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    fn push(&mut self, entry: CatalogueEntry) -> ModelIndex {
+        let index = ModelIndex(self.entries.len());
+        self.by_name.insert(entry.spec.name.clone(), index);
+        self.entries.push(entry);
+        index
+    }
+}
--- /dev/null
+++ b/crates/placement/src/demand.rs
@@ -0,0 +1,131 @@
+//! Demand per model and adapter, smoothed.
+
+use std::collections::BTreeMap;
+
+/// An entry older than this no longer counts towards the current demand, in milliseconds; gatekeepers tell theirs
+/// every 500 ms, so two may be lost.
+const FRESH_MS: u64 = 1_600;
+/// Entries without demand for this long are forgotten, in milliseconds.
+const FORGET_MS: u64 = 120_000;
+/// Weight of the newest sample (taken every 500 ms) in the quick average.
+const QUICK: f64 = 0.5;
+/// Weight of the newest sample in the slow average, which spans about ten seconds.
+const SLOW: f64 = 0.05;
+/// Time a request is taken to occupy a slot where gatekeepers tell no outstanding requests, in seconds.
+const ASSUMED_SERVICE_S: f64 = 1.0;
+
+/// What one demand entry said last.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Sample {
+    pub(crate) requests_per_s: f64,
+    pub(crate) outstanding: u32,
+    pub(crate) waiting: u32,
+    pub(crate) urgency_ms: u64,
+}
+
+impl Sample {
+    /// Slots these requests occupy or would occupy.
+    fn slots(&self) -> f64 {
+        let held = f64::from(self.outstanding + self.waiting);
+        if self.outstanding > 0 {
+            return held;
+        }
+        held.max(self.requests_per_s * ASSUMED_SERVICE_S)
+    }
+}
+
+#[derive(Debug)]
+struct Entry {
+    sample: Sample,
+    told_at: u64,
+    wanted_at: u64,
+}
+
+/// Demand for one model over all its adapters.
+#[derive(Debug, Default)]
+pub(crate) struct ModelDemand {
+    entries: BTreeMap<Option<String>, Entry>,
+    wanted_at: Option<u64>,
+    /// Requests a second, averaged over about ten seconds.
+    pub(crate) slow_rate: f64,
+    /// Slots occupied, averaged over about a second.
+    pub(crate) slots: f64,
+    /// Slots that will be occupied a few seconds ahead if the rise goes on.
+    pub(crate) slots_ahead: f64,
+    /// Smallest latency aim of current requests, in milliseconds.
+    pub(crate) urgency_ms: u64,
+    /// Copies wanted.
+    pub(crate) target: usize,
+}
+
+impl ModelDemand {
+    /// Takes in what gatekeepers tell of one adapter, or of the bare model.
+    pub(crate) fn tell(&mut self, now: u64, adapter: Option<String>, sample: Sample) {
+        let wanted = sample.requests_per_s > 0.0 || sample.waiting > 0 || sample.outstanding > 0;
+        let entry = self.entries.entry(adapter).or_insert(Entry {
+            sample: Sample::default(),
+            told_at: now,
+            wanted_at: now,
+        });
+        entry.sample = sample;
+        entry.told_at = now;
+        if wanted {
+            entry.wanted_at = now;
+            self.wanted_at = Some(now);
+        }
+    }
+
+    /// Notes that requests ask for the model or adapter now.
+    pub(crate) fn ask(&mut self, now: u64, adapter: Option<String>) {
+        self.wanted_at = Some(now);
+        let entry = self.entries.entry(adapter).or_insert(Entry {
+            sample: Sample::default(),
+            told_at: now,
+            wanted_at: now,
+        });
+        entry.wanted_at = now;
+    }
+
+    /// Milliseconds since requests last asked for the model, or none if they never did.
+    pub(crate) fn idle_ms(&self, now: u64) -> Option<u64> {
+        self.wanted_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Milliseconds since requests last asked for an adapter, or none if they never did.
+    pub(crate) fn adapter_idle_ms(&self, now: u64, adapter: &str) -> Option<u64> {
+        let entry = self.entries.get(&Some(adapter.to_owned()))?;
+        Some(now.saturating_sub(entry.wanted_at))
+    }
+
+    /// Adapters asked for within the last `within_ms`, with the slots their requests occupy.
+    pub(crate) fn adapters(&self, now: u64, within_ms: u64) -> impl Iterator<Item = (&str, f64)> {
+        self.entries.iter().filter_map(move |(adapter, entry)| {
+            let recent = now.saturating_sub(entry.wanted_at) <= within_ms;
+            let fresh = now.saturating_sub(entry.told_at) <= FRESH_MS;
+            let slots = if fresh { entry.sample.slots() } else { 0.0 };
+            adapter.as_deref().filter(|_| recent).map(|name| (name, slots))
+        })
+    }
+
+    /// Updates the averages; called every 500 ms while the model is active. `ahead_s` is how far to look ahead.
+    pub(crate) fn sample(&mut self, now: u64, ahead_s: f64) {
+        self.entries.retain(|_, entry| now.saturating_sub(entry.wanted_at) <= FORGET_MS);
+        let fresh: Vec<&Entry> =
+            self.entries.values().filter(|entry| now.saturating_sub(entry.told_at) <= FRESH_MS).collect();
+        let rate: f64 = fresh.iter().map(|entry| entry.sample.requests_per_s).sum();
+        let slots: f64 = fresh.iter().map(|entry| entry.sample.slots()).sum();
+        let aims = fresh.iter().map(|entry| entry.sample.urgency_ms).filter(|aim| *aim > 0);
+        self.urgency_ms = aims.min().unwrap_or(self.urgency_ms);
+        let before = self.slots;
+        self.slots += QUICK * (slots - self.slots);
+        self.slow_rate += SLOW * (rate - self.slow_rate);
+        let rise_per_s = (self.slots - before) * 2.0;
+        let rise = (rise_per_s * ahead_s).clamp(0.0, self.slots);
+        self.slots_ahead = self.slots + rise;
+    }
+
+    /// Whether nothing about this model needs attention any more.
+    pub(crate) fn is_forgotten(&self, now: u64) -> bool {
+        self.idle_ms(now).is_none_or(|idle| idle > FORGET_MS)
+    }
+}
--- /dev/null
+++ b/crates/placement/src/planner.rs
@@ -0,0 +1,306 @@
+//! The planner's state, its entry point and the list of workers.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use fastrand::Rng;
+use slotmap::SlotMap;
+
+use crate::catalogue::{Catalogue, ModelIndex};
+use crate::demand::{ModelDemand, Sample};
+use crate::message::{Input, Operation, OrderId, Output, WorkerId, WorkerState, WorkerView};
+use crate::policy::{MissingTable, Want};
+use crate::settings::{Engine, PlannerSettings};
+use crate::store_rate::StoreRate;
+use crate::worker::{Knowledge, Phase, Worker, WorkerKey};
+
+/// Time between two rounds of the policy on ticks, in milliseconds.
+const POLICY_INTERVAL_MS: u64 = 100;
+/// Time between two samples of demand, in milliseconds; gatekeepers tell it as often.
+const SAMPLE_INTERVAL_MS: u64 = 500;
+/// Time after a change within which heartbeats may still show the state before it, in milliseconds.
+const HEARTBEAT_LAG_MS: u64 = 3_000;
+
+/// Workers that hold a model or will.
+#[derive(Debug, Default)]
+pub(crate) struct Copies {
+    /// Ready workers on which it stands and stays.
+    pub(crate) standing: BTreeSet<WorkerKey>,
+    /// Ready workers to which it has been ordered or is planned.
+    pub(crate) coming: BTreeSet<WorkerKey>,
+}
+
+impl Copies {
+    /// Copies that stand or will.
+    pub(crate) fn count(&self) -> usize {
+        self.standing.len() + self.coming.len()
+    }
+}
+
+/// Decides which worker of one service holds which model and adapter.
+#[derive(Debug)]
+pub struct Planner {
+    pub(crate) settings: PlannerSettings,
+    pub(crate) engine: Engine,
+    pub(crate) catalogue: Catalogue,
+    pub(crate) workers: SlotMap<WorkerKey, Worker>,
+    pub(crate) by_id: BTreeMap<WorkerId, WorkerKey>,
+    pub(crate) held_at_address: BTreeMap<String, BTreeSet<ModelIndex>>,
+    /// Per model, by its index.
+    pub(crate) copies: Vec<Copies>,
+    pub(crate) demand: BTreeMap<ModelIndex, ModelDemand>,
+    pub(crate) missing: MissingTable,
+    pub(crate) store: StoreRate,
+    pub(crate) random: Rng,
+    pub(crate) orders: BTreeMap<OrderId, WorkerKey>,
+    /// Workers with something planned, under way or to be asked.
+    pub(crate) attention: BTreeSet<WorkerKey>,
+    pub(crate) outputs: Vec<Output>,
+    next_order: u64,
+    next_policy_at: u64,
+    next_sample_at: u64,
+    superseded: bool,
+}
+
+impl Planner {
+    /// A planner that knows nothing yet. Its bucket of loads is empty, since a predecessor may just have used the
+    /// store's rate, and it orders nothing to a worker before that worker has reported. `seed` settles ties.
+    pub fn new(now: u64, settings: PlannerSettings, engine: Engine, seed: u64) -> Self {
+        let store = StoreRate::new(now, engine.loads_per_s * settings.store_share, settings.store_burst);
+        let mut catalogue = Catalogue::default();
+        catalogue.update(&engine);
+        Self {
+            settings,
+            engine,
+            catalogue,
+            workers: SlotMap::with_key(),
+            by_id: BTreeMap::new(),
+            held_at_address: BTreeMap::new(),
+            copies: Vec::new(),
+            demand: BTreeMap::new(),
+            missing: MissingTable::default(),
+            store,
+            random: Rng::with_seed(seed),
+            orders: BTreeMap::new(),
+            attention: BTreeSet::new(),
+            outputs: Vec::new(),
+            next_order: 1,
+            next_policy_at: now,
+            next_sample_at: now,
+            superseded: false,
+        }
+    }
+
+    /// Takes over a changed configuration of the engine.
+    pub fn set_engine(&mut self, now: u64, engine: Engine) {
+        self.store.set_rate(now, engine.loads_per_s * self.settings.store_share);
+        self.catalogue.update(&engine);
+        self.engine = engine;
+        let catalogue = &self.catalogue;
+        self.missing.retain_models(|model| catalogue.entry(model).rank.is_some());
+    }
+
+    /// Whether a worker has refused this planner's fencing token; it orders nothing any more.
+    pub fn is_superseded(&self) -> bool {
+        self.superseded
+    }
+
+    /// Takes one input and returns what is to be done for it. `now` is in milliseconds and never goes back.
+    pub fn handle(&mut self, now: u64, input: Input) -> Vec<Output> {
+        if self.superseded {
+            return Vec::new();
+        }
+        match input {
+            Input::Workers(views) => self.update_workers(now, &views),
+            Input::Demand {
+                model,
+                adapter,
+                requests_per_s,
+                tokens_per_s: _,
+                urgency_ms,
+                outstanding,
+                waiting,
+            } => {
+                let sample = Sample { requests_per_s, outstanding, waiting, urgency_ms };
+                self.tell_demand(now, &model, adapter, sample);
+            }
+            Input::Missing { model, adapter, waiting, aim_ms } => {
+                self.note_missing(now, model, adapter, waiting, aim_ms);
+            }
+            Input::Load { worker, running, queued, kv_used, kv_total } => {
+                self.note_load(&worker, running + queued, kv_used, kv_total);
+            }
+            Input::OrderResult { order, answer } => self.order_answered(now, order, answer),
+            Input::Report { worker, busy, sequence, models } => {
+                self.take_report(now, &worker, busy, sequence, &models);
+            }
+            Input::Tick => self.tick(now),
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// The copies of a model.
+    pub(crate) fn copies_of(&mut self, model: ModelIndex) -> &Copies {
+        self.grow_index();
+        &self.copies[model.get()]
+    }
+
+    /// Whether a model with its adapter stands on a worker that takes requests.
+    pub(crate) fn stands(&mut self, want: &Want) -> bool {
+        let standing = self.copies_of(want.model).standing.clone();
+        let Some(adapter) = want.adapter.as_deref() else { return !standing.is_empty() };
+        standing.iter().any(|key| {
+            let held = self.workers[*key].holding(want.model);
+            held.is_some_and(|holding| holding.adapters.get(adapter) == Some(&Phase::Resident))
+        })
+    }
+
+    /// Brings the index up to date with a worker's record, and tells routers what changed on it.
+    pub(crate) fn refresh(&mut self, key: WorkerKey) {
+        self.reindex(key);
+        let worker = &mut self.workers[key];
+        let servable = worker.servable(&self.catalogue);
+        if crate::worker::same_residents(&servable, &worker.announced) {
+            return;
+        }
+        worker.announced.clone_from(&servable);
+        self.outputs.push(Output::Resident { worker: worker.id.clone(), models: servable });
+    }
+
+    /// Notes that a worker refused the fencing token: gives up for good.
+    pub(crate) fn give_up(&mut self) {
+        self.superseded = true;
+        self.outputs.push(Output::Superseded);
+    }
+
+    /// A new order's identity.
+    pub(crate) fn new_order_id(&mut self, key: WorkerKey) -> OrderId {
+        let id = OrderId(self.next_order);
+        self.next_order += 1;
+        self.orders.insert(id, key);
+        id
+    }
+
+    fn tick(&mut self, now: u64) {
+        self.advance_all(now);
+        if now < self.next_policy_at {
+            return;
+        }
+        self.next_policy_at = now + POLICY_INTERVAL_MS;
+        self.serve_missing(now);
+        if now >= self.next_sample_at {
+            self.next_sample_at = now + SAMPLE_INTERVAL_MS;
+            self.sample_demand(now);
+            self.grow(now);
+        }
+    }
+
+    fn tell_demand(&mut self, now: u64, model: &str, adapter: Option<String>, sample: Sample) {
+        if let Some(model) = self.catalogue.configured(model) {
+            self.demand.entry(model).or_default().tell(now, adapter, sample);
+        }
+    }
+
+    fn note_load(&mut self, id: &WorkerId, occupied: u32, kv_used: u64, kv_total: u64) {
+        let Some(key) = self.by_id.get(id) else { return };
+        let worker = &mut self.workers[*key];
+        worker.occupied = occupied;
+        worker.memory_share = kv_used as f64 / kv_total.max(1) as f64;
+    }
+
+    fn update_workers(&mut self, now: u64, views: &[WorkerView]) {
+        let live = |view: &&WorkerView| view.state != WorkerState::Gone;
+        let listed: BTreeSet<&WorkerId> = views.iter().filter(live).map(|view| &view.id).collect();
+        let gone: Vec<WorkerId> = self.by_id.keys().filter(|id| !listed.contains(id)).cloned().collect();
+        for id in gone {
+            self.remove_worker(&id);
+        }
+        for view in views.iter().filter(live) {
+            match self.by_id.get(&view.id) {
+                Some(key) => self.update_worker(now, *key, view),
+                None => self.add_worker(now, view),
+            }
+        }
+    }
+
+    fn remove_worker(&mut self, id: &WorkerId) {
+        let Some(key) = self.by_id.remove(id) else { return };
+        let Some(worker) = self.workers.remove(key) else { return };
+        for model in &worker.indexed {
+            self.copies[model.get()].standing.remove(&key);
+            self.copies[model.get()].coming.remove(&key);
+        }
+        if let Some(order) = &worker.order {
+            self.orders.remove(&order.id);
+        }
+        self.attention.remove(&key);
+        let held = worker.held.union(&worker.held_before).copied();
+        self.held_at_address.entry(worker.address.clone()).or_default().extend(held);
+    }
+
+    fn add_worker(&mut self, now: u64, view: &WorkerView) {
+        let mut worker = Worker::new(now, view);
+        worker.adopt(now, &view.models, &mut self.catalogue, true);
+        if let Some(held) = self.held_at_address.get(&view.address) {
+            worker.held_before.clone_from(held);
+        }
+        let key = self.workers.insert(worker);
+        self.by_id.insert(view.id.clone(), key);
+        self.attention.insert(key);
+        self.reindex(key);
+        self.advance(now, key);
+    }
+
+    fn update_worker(&mut self, now: u64, key: WorkerKey, view: &WorkerView) {
+        let worker = &mut self.workers[key];
+        worker.state = view.state;
+        worker.zone.clone_from(&view.zone);
+        worker.address.clone_from(&view.address);
+        if view.as_of_sequence > worker.heard_sequence {
+            worker.heard_sequence = view.as_of_sequence;
+            let settled = now.saturating_sub(worker.changed_at) > HEARTBEAT_LAG_MS;
+            let unchecked = now.saturating_sub(worker.checked_at) > HEARTBEAT_LAG_MS;
+            let disagrees = !worker.agrees_with(&view.models, &self.catalogue);
+            if worker.is_free() && settled && unchecked && disagrees {
+                worker.checked_at = now;
+                worker.knowledge = Knowledge::Unknown { ask_at: now };
+            }
+        }
+        if !self.workers[key].is_ready() {
+            self.workers[key].plan.clear();
+        }
+        self.attention.insert(key);
+        self.refresh(key);
+        self.advance(now, key);
+    }
+
+    fn reindex(&mut self, key: WorkerKey) {
+        self.grow_index();
+        let worker = &mut self.workers[key];
+        for model in std::mem::take(&mut worker.indexed) {
+            self.copies[model.get()].standing.remove(&key);
+            self.copies[model.get()].coming.remove(&key);
+        }
+        if !worker.is_ready() {
+            return;
+        }
+        let planned = worker.plan.iter().filter(|step| step.adapter.is_none()).map(|step| step.model);
+        let models: BTreeSet<ModelIndex> =
+            worker.holdings.iter().map(|holding| holding.model).chain(planned).collect();
+        for model in models {
+            let comes = worker.holding(model).is_some_and(|holding| holding.phase == Phase::Loading)
+                || worker.is_planned(Operation::Load, model);
+            if worker.stands(model) {
+                self.copies[model.get()].standing.insert(key);
+            } else if comes {
+                self.copies[model.get()].coming.insert(key);
+            }
+            worker.indexed.push(model);
+        }
+    }
+
+    fn grow_index(&mut self) {
+        if self.copies.len() < self.catalogue.len() {
+            self.copies.resize_with(self.catalogue.len(), Copies::default);
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/policy/adapters.rs
@@ -0,0 +1,127 @@
+//! Which worker gets an adapter.
+
+use crate::catalogue::ModelIndex;
+use crate::message::Operation;
+use crate::planner::Planner;
+use crate::worker::{Phase, Step, WorkerKey};
+
+/// An adapter idle for less than this stays, in milliseconds.
+const ADAPTER_IDLE_MS: u64 = 1_500;
+/// Steps about adapters that may be queued on one worker.
+const QUEUED_STEPS: usize = 4;
+/// Cost of a full worker against an idle one.
+const LOAD_COST: f64 = 4.0;
+/// Cost of unloading another adapter first.
+const UNLOAD_COST: f64 = 2.0;
+/// Cost of each step queued before.
+const QUEUE_COST: f64 = 0.5;
+/// Range of the random part that settles ties.
+const TIE: f64 = 0.05;
+
+/// An adapter that may be unloaded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct AdapterVictim {
+    model: ModelIndex,
+    adapter: String,
+}
+
+impl Planner {
+    /// Plans an adapter on the best worker on which its model stands. Returns whether it stands or is planned.
+    pub(crate) fn place_adapter(&mut self, now: u64, model: ModelIndex, adapter: &str) -> bool {
+        let standing: Vec<WorkerKey> = self.copies_of(model).standing.iter().copied().collect();
+        if standing.iter().any(|key| self.workers[*key].has_adapter(model, adapter)) {
+            return true;
+        }
+        self.add_adapter_copy(now, model, adapter, &standing)
+    }
+
+    /// Plans an adapter on the best of the given workers that doesn't hold it.
+    pub(crate) fn add_adapter_copy(
+        &mut self,
+        now: u64,
+        model: ModelIndex,
+        adapter: &str,
+        holders: &[WorkerKey],
+    ) -> bool {
+        let mut best: Option<(f64, WorkerKey, Option<AdapterVictim>)> = None;
+        for key in holders {
+            if !self.may_load_adapter(*key) || self.workers[*key].has_adapter(model, adapter) {
+                continue;
+            }
+            let needs_slot = self.adapter_slots_left(now, *key) == 0;
+            let victim = if needs_slot { self.adapter_victim(now, *key) } else { None };
+            if needs_slot && victim.is_none() {
+                continue;
+            }
+            let worker = &self.workers[*key];
+            let mut score = LOAD_COST * worker.load(&self.engine) + TIE * self.random.f64();
+            score += QUEUE_COST * worker.plan.len() as f64;
+            score += if needs_slot { UNLOAD_COST } else { 0.0 };
+            if best.as_ref().is_none_or(|(least, _, _)| score < *least) {
+                best = Some((score, *key, victim));
+            }
+        }
+        let Some((_, key, victim)) = best else { return false };
+        self.plan_adapter(now, key, model, adapter, victim);
+        true
+    }
+
+    fn may_load_adapter(&self, key: WorkerKey) -> bool {
+        let worker = &self.workers[key];
+        let order_is_short = worker.order.as_ref().is_none_or(|order| order.step.adapter.is_some());
+        let plan_is_short = worker.plan.iter().all(|step| step.adapter.is_some());
+        let queue_left = worker.plan.len() < QUEUED_STEPS;
+        worker.is_ready() && worker.is_exact() && order_is_short && plan_is_short && queue_left
+    }
+
+    fn adapter_slots_left(&self, now: u64, key: WorkerKey) -> usize {
+        let worker = &self.workers[key];
+        let loads = |step: &&Step| step.operation == Operation::Load && step.adapter.is_some();
+        let planned = worker.plan.iter().filter(loads).count();
+        let used = worker.used_adapters(now) + planned;
+        (self.engine.adapter_slots as usize).saturating_sub(used)
+    }
+
+    /// The adapter on a worker that was asked for longest ago.
+    fn adapter_victim(&self, now: u64, key: WorkerKey) -> Option<AdapterVictim> {
+        let worker = &self.workers[key];
+        let mut oldest: Option<(u64, AdapterVictim)> = None;
+        for holding in &worker.holdings {
+            let resident = holding.adapters.iter().filter(|(_, phase)| **phase == Phase::Resident);
+            for (adapter, _) in resident {
+                let idle = self.adapter_idle_ms(now, holding.model, adapter);
+                let planned = worker.plan.iter().any(|step| step.adapter.as_ref() == Some(adapter));
+                let older = oldest.as_ref().is_none_or(|(most, _)| idle > *most);
+                if idle >= ADAPTER_IDLE_MS && !planned && older {
+                    oldest = Some((idle, AdapterVictim { model: holding.model, adapter: adapter.clone() }));
+                }
+            }
+        }
+        oldest.map(|(_, victim)| victim)
+    }
+
+    fn adapter_idle_ms(&self, now: u64, model: ModelIndex, adapter: &str) -> u64 {
+        let demand = self.demand.get(&model);
+        demand.and_then(|demand| demand.adapter_idle_ms(now, adapter)).unwrap_or(u64::MAX)
+    }
+
+    fn plan_adapter(
+        &mut self,
+        now: u64,
+        key: WorkerKey,
+        model: ModelIndex,
+        adapter: &str,
+        victim: Option<AdapterVictim>,
+    ) {
+        let worker = &mut self.workers[key];
+        if let Some(victim) = victim {
+            let AdapterVictim { model, adapter } = victim;
+            worker.plan.push_back(Step { operation: Operation::Unload, model, adapter: Some(adapter) });
+        }
+        let adapter = Some(adapter.to_owned());
+        worker.plan.push_back(Step { operation: Operation::Load, model, adapter });
+        self.attention.insert(key);
+        self.refresh(key);
+        self.advance(now, key);
+    }
+}
--- /dev/null
+++ b/crates/placement/src/policy/choice.rs
@@ -0,0 +1,128 @@
+//! Which worker gets a model.
+
+use std::collections::BTreeMap;
+
+use crate::catalogue::ModelIndex;
+use crate::message::Operation;
+use crate::orders::UNLOAD_MS;
+use crate::planner::Planner;
+use crate::policy::victims::Victims;
+use crate::worker::{Step, WorkerKey};
+
+/// Why a model is to be loaded.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Reason {
+    /// Requests wait for it and no worker holds it.
+    Missing {
+        /// How many wait.
+        waiting: u32,
+    },
+    /// Demand calls for another copy.
+    Growth,
+}
+
+/// How far ahead the store's tokens are counted when a load is planned: about the time an unload takes, in
+/// milliseconds.
+const STORE_LOOKAHEAD_MS: u64 = 300;
+/// Tokens that growth leaves for models that are missing.
+const TOKENS_KEPT_FOR_MISSING: f64 = 1.0;
+/// Cost of a busy worker, in milliseconds of delay for one whose slots are all in use.
+const LOAD_COST_MS: f64 = 2_000.0;
+/// Cost of a zone for each copy that stands there already, in milliseconds of delay.
+const ZONE_COST_MS: f64 = 500.0;
+/// Advantage of a worker that probably held the model before its restart, in milliseconds.
+const HELD_BEFORE_GAIN_MS: f64 = 1_500.0;
+/// Range of the random part that settles ties, in milliseconds.
+const TIE_MS: f64 = 20.0;
+
+impl Planner {
+    /// Plans a load of a model on the best worker. Returns whether there was one.
+    pub(crate) fn place_model(&mut self, now: u64, model: ModelIndex, reason: Reason) -> bool {
+        let kept = if reason == Reason::Growth { TOKENS_KEPT_FOR_MISSING } else { 0.0 };
+        let store_open = self.spare_tokens(now) >= 1.0 + kept;
+        let zones = self.copies_by_zone(model);
+        let mut best: Option<(f64, WorkerKey, Victims)> = None;
+        let keys: Vec<WorkerKey> = self.workers.keys().collect();
+        for key in keys {
+            if !self.may_load(now, key, model, store_open) {
+                continue;
+            }
+            let Some(victims) = self.choose_victims(now, key, model, reason) else { continue };
+            let score = self.delay_score(key, model, &victims, &zones);
+            if best.as_ref().is_none_or(|(least, _, _)| score < *least) {
+                best = Some((score, key, victims));
+            }
+        }
+        let Some((_, key, victims)) = best else { return false };
+        self.plan_model(now, key, model, victims);
+        true
+    }
+
+    /// Whether the store has a token for one more load, beside those planned.
+    pub(crate) fn store_allows(&self, now: u64) -> bool {
+        self.spare_tokens(now) >= 1.0
+    }
+
+    /// Loads from the store that are planned and not sent.
+    pub(crate) fn unsent_store_loads(&self) -> usize {
+        let draws =
+            |key: &&WorkerKey| self.workers[**key].plan.iter().any(|step| self.draws_on_store(**key, step));
+        self.attention.iter().filter(draws).count()
+    }
+
+    fn spare_tokens(&self, now: u64) -> f64 {
+        self.store.at(now + STORE_LOOKAHEAD_MS) - self.unsent_store_loads() as f64
+    }
+
+    fn may_load(&self, now: u64, key: WorkerKey, model: ModelIndex, store_open: bool) -> bool {
+        let worker = &self.workers[key];
+        let rejected = worker.rejected.get(&model).is_some_and(|until| now < *until);
+        let from_disk = worker.held.contains(&model);
+        worker.is_free() && !rejected && worker.holding(model).is_none() && (store_open || from_disk)
+    }
+
+    fn copies_by_zone(&mut self, model: ModelIndex) -> BTreeMap<String, usize> {
+        let copies = self.copies_of(model);
+        let holders: Vec<WorkerKey> = copies.standing.iter().chain(&copies.coming).copied().collect();
+        let mut zones = BTreeMap::new();
+        for key in holders {
+            *zones.entry(self.workers[key].zone.clone()).or_insert(0) += 1;
+        }
+        zones
+    }
+
+    /// Delay until the copy is of use, with the other drawbacks of a worker expressed as delay; in milliseconds.
+    fn delay_score(
+        &mut self,
+        key: WorkerKey,
+        model: ModelIndex,
+        victims: &Victims,
+        zones: &BTreeMap<String, usize>,
+    ) -> f64 {
+        let step = Step { operation: Operation::Load, model, adapter: None };
+        let mut delay = self.load_ms(key, &step) as f64;
+        let worker = &self.workers[key];
+        if !worker.held.contains(&model) && worker.held_before.contains(&model) {
+            delay -= HELD_BEFORE_GAIN_MS;
+        }
+        let unload_ms = (UNLOAD_MS + self.settings.report_lag_ms) as f64;
+        delay += unload_ms * victims.models.len() as f64 + victims.cost;
+        delay += LOAD_COST_MS * worker.load(&self.engine);
+        delay += ZONE_COST_MS * zones.get(&worker.zone).copied().unwrap_or(0) as f64;
+        delay + TIE_MS * self.random.f64()
+    }
+
+    fn plan_model(&mut self, now: u64, key: WorkerKey, model: ModelIndex, victims: Victims) {
+        let unloads = victims.models.into_iter().map(|victim| Step {
+            operation: Operation::Unload,
+            model: victim,
+            adapter: None,
+        });
+        let worker = &mut self.workers[key];
+        worker.plan.extend(unloads);
+        worker.plan.push_back(Step { operation: Operation::Load, model, adapter: None });
+        self.attention.insert(key);
+        self.refresh(key);
+        self.advance(now, key);
+    }
+}
--- /dev/null
+++ b/crates/placement/src/policy/missing.rs
@@ -0,0 +1,211 @@
+//! Models and adapters that requests wait for and no worker holds.
+
+use std::collections::BTreeMap;
+
+use crate::catalogue::ModelIndex;
+use crate::message::Output;
+use crate::planner::Planner;
+use crate::policy::choice::Reason;
+use crate::worker::{OrderPhase, Step, WorkerKey};
+
+/// A want that nobody has repeated for this long is dropped unless its model is on its way, in milliseconds.
+const FORGET_MS: u64 = 3_000;
+/// Wants tried in one round; bounds the work of a round.
+const TRIED_A_ROUND: usize = 32;
+/// Change of an expected time that is worth telling, in milliseconds.
+const NOTABLE_CHANGE_MS: u64 = 500;
+/// Urgency of a request with an aim of this length is that of the bare count, in milliseconds.
+const USUAL_AIM_MS: f64 = 1_000.0;
+
+/// A model, or an adapter of it, that requests need.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Want {
+    pub(crate) model: ModelIndex,
+    pub(crate) adapter: Option<String>,
+}
+
+#[derive(Debug)]
+struct MissingEntry {
+    waiting: u32,
+    aim_ms: u64,
+    first_at: u64,
+    last_at: u64,
+    /// When it was last told to stand, as a point in time.
+    told: Option<Option<u64>>,
+}
+
+/// All wants, by model and adapter.
+#[derive(Debug, Default)]
+pub(crate) struct MissingTable {
+    entries: BTreeMap<Want, MissingEntry>,
+}
+
+impl MissingTable {
+    /// Drops the wants of models the filter rejects.
+    pub(crate) fn retain_models(&mut self, mut keep: impl FnMut(ModelIndex) -> bool) {
+        self.entries.retain(|want, _| keep(want.model));
+    }
+
+    /// Requests that wait for a want.
+    pub(crate) fn waiting(&self, want: &Want) -> u32 {
+        self.entries.get(want).map_or(0, |entry| entry.waiting)
+    }
+
+    /// Number of wants.
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    fn note(&mut self, now: u64, want: &Want, waiting: u32, aim_ms: u64) {
+        let entry = self.entries.entry(want.clone()).or_insert(MissingEntry {
+            waiting: 0,
+            aim_ms: u64::MAX,
+            first_at: now,
+            last_at: now,
+            told: None,
+        });
+        entry.waiting = entry.waiting.max(waiting).max(1);
+        entry.aim_ms = entry.aim_ms.min(aim_ms.max(1));
+        entry.last_at = now;
+    }
+
+    /// Wants in the order in which they are tried: adapters, which are cheap, then by number waiting, aim and age.
+    fn ranked(&self, now: u64) -> Vec<Want> {
+        let mut ranked: Vec<(bool, f64, &Want)> = self
+            .entries
+            .iter()
+            .map(|(want, entry)| (want.adapter.is_none(), entry.pressure(now), want))
+            .collect();
+        ranked.sort_by(|left, right| left.0.cmp(&right.0).then(right.1.total_cmp(&left.1)));
+        ranked.into_iter().map(|(_, _, want)| want.clone()).collect()
+    }
+}
+
+impl MissingEntry {
+    fn pressure(&self, now: u64) -> f64 {
+        let urgency = 1.0 + USUAL_AIM_MS / self.aim_ms as f64;
+        let age_s = now.saturating_sub(self.first_at) as f64 / 1_000.0;
+        f64::from(self.waiting) * urgency + age_s
+    }
+}
+
+impl Planner {
+    /// Takes note of requests that wait, and plans for them at once if it can.
+    pub(crate) fn note_missing(
+        &mut self,
+        now: u64,
+        model: String,
+        adapter: Option<String>,
+        waiting: u32,
+        aim_ms: u64,
+    ) {
+        let Some(index) = self.catalogue.configured(&model) else {
+            self.outputs.push(Output::Expect { model, adapter, ready_in_ms: None });
+            return;
+        };
+        self.demand.entry(index).or_default().ask(now, adapter.clone());
+        let want = Want { model: index, adapter };
+        if self.stands(&want) {
+            self.tell_expected(&want, Some(0));
+            return;
+        }
+        self.missing.note(now, &want, waiting, aim_ms);
+        self.try_serve(now, &want);
+        let ready_in_ms = self.expected(now, &want);
+        self.tell_expected(&want, ready_in_ms);
+        if let Some(entry) = self.missing.entries.get_mut(&want) {
+            entry.told = Some(ready_in_ms.map(|wait| now + wait));
+        }
+    }
+
+    /// Drops what stands or nobody asks for any more, and tries to plan the rest.
+    pub(crate) fn serve_missing(&mut self, now: u64) {
+        let wants: Vec<Want> = self.missing.entries.keys().cloned().collect();
+        for want in wants {
+            let silent = now.saturating_sub(self.missing.entries[&want].last_at) > FORGET_MS;
+            let forgotten = silent && self.copies_of(want.model).coming.is_empty();
+            if forgotten || self.stands(&want) {
+                self.missing.entries.remove(&want);
+            }
+        }
+        let ranked = self.missing.ranked(now);
+        for want in ranked.iter().take(TRIED_A_ROUND) {
+            self.try_serve(now, want);
+            self.tell_changed(now, want);
+        }
+    }
+
+    fn try_serve(&mut self, now: u64, want: &Want) {
+        let waiting = self.missing.waiting(want);
+        let copies = self.copies_of(want.model);
+        if copies.count() == 0 {
+            self.place_model(now, want.model, Reason::Missing { waiting });
+            return;
+        }
+        let stands_somewhere = !copies.standing.is_empty();
+        if let (Some(adapter), true) = (&want.adapter, stands_somewhere) {
+            self.place_adapter(now, want.model, adapter);
+        }
+    }
+
+    fn tell_changed(&mut self, now: u64, want: &Want) {
+        let expected = self.expected(now, want);
+        let Some(entry) = self.missing.entries.get_mut(want) else { return };
+        let at = expected.map(|wait| now + wait);
+        let changed = match (entry.told, at) {
+            (Some(Some(told)), Some(at)) => told.abs_diff(at) > NOTABLE_CHANGE_MS,
+            (told, at) => told != Some(at),
+        };
+        if changed {
+            entry.told = Some(at);
+            self.tell_expected(want, expected);
+        }
+    }
+
+    fn tell_expected(&mut self, want: &Want, ready_in_ms: Option<u64>) {
+        let model = self.catalogue.spec(want.model).name.clone();
+        self.outputs.push(Output::Expect { model, adapter: want.adapter.clone(), ready_in_ms });
+    }
+
+    /// Time until a want should stand, in milliseconds, or none if nothing is planned for want of room.
+    fn expected(&mut self, now: u64, want: &Want) -> Option<u64> {
+        let copies = self.copies_of(want.model);
+        let (standing, coming) = (copies.standing.clone(), copies.coming.clone());
+        if standing.is_empty() && coming.is_empty() {
+            return self.expected_from_store(now, want.model);
+        }
+        let on_worker = |key: &WorkerKey| self.expected_on(now, *key, want);
+        standing.iter().chain(coming.iter()).filter_map(on_worker).min()
+    }
+
+    /// Nothing is planned: if only the store's rate is in the way, it is a matter of time.
+    fn expected_from_store(&self, now: u64, model: ModelIndex) -> Option<u64> {
+        if self.store_allows(now) {
+            return None;
+        }
+        let wait = self.store.wait_ms(now, self.unsent_store_loads() + self.missing.len());
+        Some(wait + self.catalogue.spec(model).load_ms + self.settings.report_lag_ms)
+    }
+
+    fn expected_on(&self, now: u64, key: WorkerKey, want: &Want) -> Option<u64> {
+        let worker = &self.workers[key];
+        let is_it = |step: &Step| {
+            step.model == want.model && (step.adapter == want.adapter || step.adapter.is_none())
+        };
+        let lag = self.settings.report_lag_ms;
+        let mut wait = 0;
+        if let Some(order) = &worker.order {
+            wait = order.done_at.max(now) - now + lag;
+            if order.phase == OrderPhase::Taken && is_it(&order.step) {
+                return Some(wait);
+            }
+        }
+        for step in &worker.plan {
+            wait += self.load_ms(key, step).max(lag);
+            if is_it(step) {
+                return Some(wait);
+            }
+        }
+        worker.order.as_ref().filter(|order| is_it(&order.step)).map(|_| wait)
+    }
+}
--- /dev/null
+++ b/crates/placement/src/policy/mod.rs
@@ -0,0 +1,9 @@
+//! What is loaded where: what is missing, copies for demand, and what gives way.
+
+mod adapters;
+mod choice;
+mod growth;
+mod missing;
+mod victims;
+
+pub(crate) use missing::{MissingTable, Want};
--- /dev/null
+++ b/crates/placement/src/settings.rs
@@ -0,0 +1,50 @@
+//! What the operator and the deployment set: bounds of orders, models and the room of a worker.
+
+/// Bounds that hold for every service of a deployment.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlannerSettings {
+    /// Share of `loads_per_s` that the planner uses over time.
+    pub store_share: f64,
+    /// Loads that may begin at once after a quiet time.
+    pub store_burst: f64,
+    /// How far a worker's report lags behind the truth, in milliseconds.
+    pub report_lag_ms: u64,
+}
+
+impl Default for PlannerSettings {
+    fn default() -> Self {
+        Self { store_share: 0.95, store_burst: 3.0, report_lag_ms: 200 }
+    }
+}
+
+/// One model of a service, as configured.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ModelSpec {
+    /// Name used in requests and orders.
+    pub name: String,
+    /// Size of its weights in megabytes.
+    pub weights_mb: f64,
+    /// Duration of a load from the weight store in milliseconds, on an idle worker.
+    pub load_ms: u64,
+    /// Number of adapters, named `a1`, `a2` and so on.
+    pub adapters: u32,
+    /// Size of each adapter in megabytes.
+    pub adapter_mb: f64,
+}
+
+/// The engine of a service: its models, and what each of its workers can hold and run.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Engine {
+    /// Models in the operator's order.
+    pub models: Vec<ModelSpec>,
+    /// Room of a worker for weights and adapters together, in megabytes.
+    pub weights_mb: f64,
+    /// Adapters that a worker holds at most.
+    pub adapter_slots: u32,
+    /// Loads a second that the weight store allows over all workers.
+    pub loads_per_s: f64,
+    /// Requests that a worker runs at once.
+    pub slots: u32,
+    /// Loads from the store at once beyond which each takes longer, where this is known.
+    pub loads_at_once: Option<u32>,
+}
--- /dev/null
+++ b/crates/placement/src/store_rate.rs
@@ -0,0 +1,62 @@
+//! Token bucket for loads from the weight store.
+
+/// Bucket that starts empty: a predecessor may have used all its loads just before.
+#[derive(Debug)]
+pub(crate) struct StoreRate {
+    per_ms: f64,
+    burst: f64,
+    tokens: f64,
+    as_of: u64,
+}
+
+impl StoreRate {
+    /// An empty bucket that fills with `per_s` tokens a second up to `burst`.
+    pub(crate) fn new(now: u64, per_s: f64, burst: f64) -> Self {
+        Self { per_ms: per_s / 1_000.0, burst, tokens: 0.0, as_of: now }
+    }
+
+    /// Changes the rate; tokens gathered so far stay.
+    pub(crate) fn set_rate(&mut self, now: u64, per_s: f64) {
+        self.refill(now);
+        self.per_ms = per_s / 1_000.0;
+    }
+
+    /// Takes the token of one load, or returns false.
+    pub(crate) fn take(&mut self, now: u64) -> bool {
+        self.refill(now);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Gives back the token of a load that provably didn't begin.
+    pub(crate) fn refund(&mut self, now: u64) {
+        self.refill(now);
+        self.tokens = (self.tokens + 1.0).min(self.burst);
+    }
+
+    /// Tokens there will be at `later` if none is taken.
+    pub(crate) fn at(&self, later: u64) -> f64 {
+        let elapsed = later.saturating_sub(self.as_of) as f64;
+        (self.tokens + elapsed * self.per_ms).min(self.burst)
+    }
+
+    /// Milliseconds from `now` until `count` more loads have their tokens.
+    pub(crate) fn wait_ms(&self, now: u64, count: usize) -> u64 {
+        let lacking = count as f64 - self.at(now);
+        if lacking <= 0.0 {
+            return 0;
+        }
+        if self.per_ms <= 0.0 {
+            return u64::MAX / 4;
+        }
+        (lacking / self.per_ms).ceil() as u64
+    }
+
+    fn refill(&mut self, now: u64) {
+        self.tokens = self.at(now);
+        self.as_of = self.as_of.max(now);
+    }
+}
--- /dev/null
+++ b/crates/placement/src/worker.rs
@@ -0,0 +1,308 @@
+//! What the planner knows of one worker: what it holds, the order under way, the steps planned.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use slotmap::new_key_type;
+
+use crate::catalogue::{Catalogue, ModelIndex};
+use crate::message::{Operation, OrderId, Resident, WorkerId, WorkerState, WorkerView};
+use crate::settings::Engine;
+
+new_key_type! {
+    /// Key of a worker's record.
+    pub(crate) struct WorkerKey;
+}
+
+/// Room counted as rounding of the configured sizes, in megabytes.
+const ROUNDING_MB: f64 = 1e-6;
+
+/// Phase of something on a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// Ordered and perhaps not there yet.
+    Loading,
+    /// There.
+    Resident,
+    /// Ordered away and perhaps still there.
+    Unloading,
+}
+
+/// A model on a worker.
+#[derive(Debug, Clone)]
+pub(crate) struct Holding {
+    pub(crate) model: ModelIndex,
+    pub(crate) phase: Phase,
+    /// When the planner saw it come, or none if it was there before.
+    pub(crate) since: Option<u64>,
+    pub(crate) adapters: BTreeMap<String, Phase>,
+}
+
+/// Something to do on a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Step {
+    pub(crate) operation: Operation,
+    pub(crate) model: ModelIndex,
+    pub(crate) adapter: Option<String>,
+}
+
+/// How far an order has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum OrderPhase {
+    /// Sent, no answer yet.
+    Sent,
+    /// Accepted and carried out.
+    Taken,
+}
+
+/// The order a worker has been sent.
+#[derive(Debug, Clone)]
+pub(crate) struct ActiveOrder {
+    pub(crate) id: OrderId,
+    pub(crate) step: Step,
+    pub(crate) phase: OrderPhase,
+    /// Whether it took a token of the store.
+    pub(crate) took_token: bool,
+    /// When the planner acts on it next.
+    pub(crate) due: u64,
+    /// When it should be done.
+    pub(crate) done_at: u64,
+}
+
+/// A load without an answer that may still arrive.
+#[derive(Debug, Clone)]
+pub(crate) struct Doubt {
+    pub(crate) model: ModelIndex,
+    pub(crate) adapter: Option<String>,
+    pub(crate) until: u64,
+}
+
+/// What the planner knows of the truth of its record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Knowledge {
+    /// Every order taken so far is known; the count of orders is exact.
+    Exact {
+        /// Orders the worker has taken.
+        sequence: u64,
+    },
+    /// A report has to tell first.
+    Unknown {
+        /// When to ask for the report.
+        ask_at: u64,
+    },
+}
+
+/// Record of one worker.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub(crate) id: WorkerId,
+    pub(crate) address: String,
+    pub(crate) zone: String,
+    pub(crate) state: WorkerState,
+    pub(crate) holdings: Vec<Holding>,
+    pub(crate) plan: VecDeque<Step>,
+    pub(crate) order: Option<ActiveOrder>,
+    pub(crate) knowledge: Knowledge,
+    /// Least sequence a report must show to be newer than all the planner knows.
+    pub(crate) least_sequence: u64,
+    pub(crate) doubts: Vec<Doubt>,
+    /// Reports asked for in a row without one that settles the matter.
+    pub(crate) asked: u32,
+    /// Models this incarnation provably held: they come from its own disk.
+    pub(crate) held: BTreeSet<ModelIndex>,
+    /// Models held at this address before the restart: they probably come from its own disk.
+    pub(crate) held_before: BTreeSet<ModelIndex>,
+    /// Orders the worker rejected, with the time until which they aren't tried again.
+    pub(crate) rejected: BTreeMap<ModelIndex, u64>,
+    pub(crate) announced: Vec<Resident>,
+    pub(crate) heard_sequence: u64,
+    pub(crate) changed_at: u64,
+    pub(crate) checked_at: u64,
+    pub(crate) occupied: u32,
+    pub(crate) memory_share: f64,
+    /// Models under which the record stands in the planner's index.
+    pub(crate) indexed: Vec<ModelIndex>,
+}
+
+impl Worker {
+    /// Record of a worker seen for the first time; its report is due at once.
+    pub(crate) fn new(now: u64, view: &WorkerView) -> Self {
+        Self {
+            id: view.id.clone(),
+            address: view.address.clone(),
+            zone: view.zone.clone(),
+            state: view.state,
+            holdings: Vec::new(),
+            plan: VecDeque::new(),
+            order: None,
+            knowledge: Knowledge::Unknown { ask_at: now },
+            least_sequence: 0,
+            doubts: Vec::new(),
+            asked: 0,
+            held: BTreeSet::new(),
+            held_before: BTreeSet::new(),
+            rejected: BTreeMap::new(),
+            announced: view.models.clone(),
+            heard_sequence: view.as_of_sequence,
+            changed_at: now,
+            checked_at: now,
+            occupied: 0,
+            memory_share: 0.0,
+            indexed: Vec::new(),
+        }
+    }
+
+    /// Whether it takes orders at all.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.state == WorkerState::Ready
+    }
+
+    /// Whether a plan about models may be made for it now.
+    pub(crate) fn is_free(&self) -> bool {
+        self.is_ready() && self.order.is_none() && self.plan.is_empty() && self.is_exact()
+    }
+
+    /// Whether all orders it has taken are known.
+    pub(crate) fn is_exact(&self) -> bool {
+        matches!(self.knowledge, Knowledge::Exact { .. })
+    }
+
+    /// Share of its slots or memory in use; above 1 when requests queue.
+    pub(crate) fn load(&self, engine: &Engine) -> f64 {
+        let slots = f64::from(engine.slots.max(1));
+        (f64::from(self.occupied) / slots).max(self.memory_share)
+    }
+
+    /// The record of a model on it.
+    pub(crate) fn holding(&self, model: ModelIndex) -> Option<&Holding> {
+        self.holdings.iter().find(|holding| holding.model == model)
+    }
+
+    /// The record of a model on it, to be changed.
+    pub(crate) fn holding_mut(&mut self, model: ModelIndex) -> Option<&mut Holding> {
+        self.holdings.iter_mut().find(|holding| holding.model == model)
+    }
+
+    /// Whether the plan or the order under way brings or removes the model itself.
+    pub(crate) fn is_planned(&self, operation: Operation, model: ModelIndex) -> bool {
+        let wanted =
+            |step: &Step| step.operation == operation && step.model == model && step.adapter.is_none();
+        self.plan.iter().any(wanted) || self.order.as_ref().is_some_and(|order| wanted(&order.step))
+    }
+
+    /// Whether requests for the model may be sent to it, and go on so.
+    pub(crate) fn stands(&self, model: ModelIndex) -> bool {
+        let resident = self.holding(model).is_some_and(|holding| holding.phase == Phase::Resident);
+        resident && !self.is_planned(Operation::Unload, model)
+    }
+
+    /// Whether an adapter stands, or is planned or under way.
+    pub(crate) fn has_adapter(&self, model: ModelIndex, adapter: &str) -> bool {
+        let held = self.holding(model).and_then(|holding| holding.adapters.get(adapter));
+        held.is_some_and(|phase| *phase != Phase::Unloading) || self.is_adapter_planned(model, adapter)
+    }
+
+    /// Whether the plan loads an adapter.
+    pub(crate) fn is_adapter_planned(&self, model: ModelIndex, adapter: &str) -> bool {
+        self.plan.iter().any(|step| {
+            step.operation == Operation::Load
+                && step.model == model
+                && step.adapter.as_deref() == Some(adapter)
+        })
+    }
+
+    /// Megabytes in use, counting everything that may be there.
+    pub(crate) fn used_mb(&self, now: u64, catalogue: &Catalogue) -> f64 {
+        let held: f64 = self.holdings.iter().map(|holding| holding_mb(holding, catalogue)).sum();
+        let doubted: f64 = self.open_doubts(now).map(|doubt| doubt_mb(doubt, catalogue)).sum();
+        held + doubted
+    }
+
+    /// Adapter slots in use, counting everything that may be there.
+    pub(crate) fn used_adapters(&self, now: u64) -> usize {
+        let held: usize = self.holdings.iter().map(|holding| holding.adapters.len()).sum();
+        held + self.open_doubts(now).filter(|doubt| doubt.adapter.is_some()).count()
+    }
+
+    /// Whether a step may be sent without going over the worker's room.
+    pub(crate) fn has_room(&self, now: u64, step: &Step, engine: &Engine, catalogue: &Catalogue) -> bool {
+        if step.operation == Operation::Unload {
+            return true;
+        }
+        let spec = catalogue.spec(step.model);
+        let size = if step.adapter.is_some() { spec.adapter_mb } else { spec.weights_mb };
+        let slot_free = step.adapter.is_none() || self.used_adapters(now) < engine.adapter_slots as usize;
+        slot_free && self.used_mb(now, catalogue) + size <= engine.weights_mb + ROUNDING_MB
+    }
+
+    /// What requests may be sent to it for.
+    pub(crate) fn servable(&self, catalogue: &Catalogue) -> Vec<Resident> {
+        let standing = self.holdings.iter().filter(|holding| holding.phase == Phase::Resident);
+        standing
+            .map(|holding| Resident {
+                name: catalogue.spec(holding.model).name.clone(),
+                adapters: resident_adapters(holding),
+            })
+            .collect()
+    }
+
+    /// Replaces the record by what the worker itself says; keeps since when a model stands.
+    pub(crate) fn adopt(&mut self, now: u64, models: &[Resident], catalogue: &mut Catalogue, first: bool) {
+        let adopted = models.iter().map(|resident| {
+            let model = catalogue.seen(&resident.name);
+            let known = self.holding(model).filter(|holding| holding.phase == Phase::Resident);
+            let since = if first { None } else { known.map_or(Some(now), |holding| holding.since) };
+            let adapters = resident.adapters.iter().map(|name| (name.clone(), Phase::Resident)).collect();
+            Holding { model, phase: Phase::Resident, since, adapters }
+        });
+        let adopted: Vec<Holding> = adopted.collect();
+        self.held.extend(adopted.iter().map(|holding| holding.model));
+        self.holdings = adopted;
+    }
+
+    /// Whether the heartbeat's list names the same models and adapters as the record.
+    pub(crate) fn agrees_with(&self, models: &[Resident], catalogue: &Catalogue) -> bool {
+        same_residents(&self.servable(catalogue), models)
+    }
+
+    fn open_doubts(&self, now: u64) -> impl Iterator<Item = &Doubt> {
+        self.doubts.iter().filter(move |doubt| now < doubt.until && !self.covers(doubt))
+    }
+
+    /// Whether what is doubted stands in the record already.
+    fn covers(&self, doubt: &Doubt) -> bool {
+        self.holding(doubt.model).is_some_and(|holding| {
+            doubt.adapter.as_ref().is_none_or(|adapter| holding.adapters.contains_key(adapter))
+        })
+    }
+}
+
+/// Whether two lists name the same models and adapters, whatever their order.
+pub(crate) fn same_residents(left: &[Resident], right: &[Resident]) -> bool {
+    let sorted = |residents: &[Resident]| {
+        let pairs = residents.iter().map(|resident| {
+            let adapters: BTreeSet<String> = resident.adapters.iter().cloned().collect();
+            (resident.name.clone(), adapters)
+        });
+        pairs.collect::<BTreeMap<_, _>>()
+    };
+    sorted(left) == sorted(right)
+}
+
+fn resident_adapters(holding: &Holding) -> Vec<String> {
+    let resident = holding.adapters.iter().filter(|(_, phase)| **phase == Phase::Resident);
+    resident.map(|(name, _)| name.clone()).collect()
+}
+
+fn holding_mb(holding: &Holding, catalogue: &Catalogue) -> f64 {
+    let spec = catalogue.spec(holding.model);
+    spec.weights_mb + spec.adapter_mb * holding.adapters.len() as f64
+}
+
+fn doubt_mb(doubt: &Doubt, catalogue: &Catalogue) -> f64 {
+    let spec = catalogue.spec(doubt.model);
+    if doubt.adapter.is_some() {
+        spec.adapter_mb
+    } else {
+        spec.weights_mb
+    }
+}
--- /dev/null
+++ b/crates/placement/tests/fleet/load.rs
@@ -0,0 +1,261 @@
+//! Requests, a router that follows what the planner announces, and what gatekeepers tell the planner.
+
+use std::collections::BTreeMap;
+
+use fastrand::Rng;
+use switchhill_placement::{Input, Resident, WorkerId};
+
+use super::checks::{RunsOn, Served, ServedTable};
+use super::worker::SimWorker;
+
+const TELL_MS: u64 = 500;
+const MISSING_MS: u64 = 250;
+
+/// Requests for a model and adapter.
+#[derive(Debug, Clone)]
+pub struct Stream {
+    pub model: String,
+    pub adapter: Option<String>,
+    pub per_s: f64,
+    pub aim_ms: u64,
+    pub deadline_ms: u64,
+    pub service_ms: u64,
+    pub from_ms: u64,
+    pub until_ms: u64,
+}
+
+impl Stream {
+    pub fn new(model: usize, per_s: f64, aim_ms: u64) -> Self {
+        Self {
+            model: format!("m{model}"),
+            adapter: None,
+            per_s,
+            aim_ms,
+            deadline_ms: aim_ms.max(3_000) * 4,
+            service_ms: 800,
+            from_ms: 0,
+            until_ms: u64::MAX,
+        }
+    }
+
+    pub fn with_adapter(mut self, adapter: u32) -> Self {
+        self.adapter = Some(format!("a{adapter}"));
+        self
+    }
+
+    pub fn between(mut self, from_ms: u64, until_ms: u64) -> Self {
+        self.from_ms = from_ms;
+        self.until_ms = until_ms;
+        self
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Request {
+    stream: usize,
+    at: u64,
+}
+
+/// All requests of a run.
+#[derive(Debug)]
+pub struct Load {
+    pub streams: Vec<Stream>,
+    pub served: ServedTable,
+    waiting: Vec<Request>,
+    running: BTreeMap<RunsOn, Vec<u64>>,
+    asked_for: BTreeMap<usize, u64>,
+    arrived: Vec<u32>,
+    random: Rng,
+    next_tell: u64,
+}
+
+impl Load {
+    pub fn new(seed: u64, streams: Vec<Stream>) -> Self {
+        let arrived = vec![0; streams.len()];
+        Self {
+            streams,
+            served: ServedTable::new(),
+            waiting: Vec::new(),
+            running: BTreeMap::new(),
+            asked_for: BTreeMap::new(),
+            arrived,
+            random: Rng::with_seed(seed),
+            next_tell: 0,
+        }
+    }
+
+    /// Requests running on a worker, of one model or of all.
+    pub fn running(&self, worker: &WorkerId, model: Option<&str>) -> usize {
+        let here = self
+            .running
+            .iter()
+            .filter(|((id, name), _)| id == worker && model.is_none_or(|model| model == name));
+        here.map(|(_, ends)| ends.len()).sum()
+    }
+
+    pub fn worker_lost(&mut self, worker: &WorkerId) {
+        self.running.retain(|(id, _), _| id != worker);
+    }
+
+    /// Share of requests served within their aim.
+    pub fn share_in_time(&self) -> f64 {
+        let (mut asked, mut in_time) = (0, 0);
+        for served in self.served.values() {
+            asked += served.asked;
+            in_time += served.in_time;
+        }
+        in_time as f64 / asked.max(1) as f64
+    }
+
+    pub fn total(&self) -> Served {
+        let mut total = Served::default();
+        for served in self.served.values() {
+            total.asked += served.asked;
+            total.in_time += served.in_time;
+            total.late += served.late;
+            total.lost += served.lost;
+            total.misrouted += served.misrouted;
+        }
+        total
+    }
+
+    /// Models and adapters asked for at least `times` and never served.
+    pub fn starved(&self, times: u64) -> Vec<(String, Option<String>)> {
+        let never = |served: &Served| served.asked >= times && served.in_time + served.late == 0;
+        self.served.iter().filter(|(_, served)| never(served)).map(|(what, _)| what.clone()).collect()
+    }
+
+    pub fn advance(
+        &mut self,
+        now: u64,
+        routed: &BTreeMap<WorkerId, Vec<Resident>>,
+        workers: &mut BTreeMap<WorkerId, SimWorker>,
+    ) -> Vec<Input> {
+        for ends in self.running.values_mut() {
+            ends.retain(|end| *end > now);
+        }
+        self.running.retain(|_, ends| !ends.is_empty());
+        self.arrive(now);
+        let mut inputs = self.route(now, routed, workers);
+        if now >= self.next_tell {
+            self.next_tell = now + TELL_MS;
+            inputs.extend(self.demand());
+            inputs.extend(workers.keys().map(|id| Input::Load {
+                worker: id.clone(),
+                running: self.running(id, None) as u32,
+                queued: 0,
+                kv_used: 0,
+                kv_total: 100_000,
+            }));
+        }
+        inputs
+    }
+
+    fn arrive(&mut self, now: u64) {
+        for index in 0..self.streams.len() {
+            let stream = &self.streams[index];
+            let open = now >= stream.from_ms && now < stream.until_ms;
+            if open && self.random.f64() < stream.per_s * 0.01 {
+                self.waiting.push(Request { stream: index, at: now });
+                self.arrived[index] += 1;
+                self.entry(index).asked += 1;
+            }
+        }
+    }
+
+    fn route(
+        &mut self,
+        now: u64,
+        routed: &BTreeMap<WorkerId, Vec<Resident>>,
+        workers: &BTreeMap<WorkerId, SimWorker>,
+    ) -> Vec<Input> {
+        let mut missing: BTreeMap<usize, u32> = BTreeMap::new();
+        for request in std::mem::take(&mut self.waiting) {
+            let stream = self.streams[request.stream].clone();
+            if now - request.at > stream.deadline_ms {
+                self.entry(request.stream).lost += 1;
+                continue;
+            }
+            let Some(id) = self.least_loaded(&stream, routed) else {
+                *missing.entry(request.stream).or_default() += 1;
+                self.waiting.push(request);
+                continue;
+            };
+            let serves = workers
+                .get(&id)
+                .is_some_and(|worker| worker.serves(&stream.model, stream.adapter.as_deref()));
+            if !serves {
+                self.entry(request.stream).misrouted += 1;
+                self.waiting.push(request);
+                continue;
+            }
+            let in_time = now - request.at <= stream.aim_ms;
+            let entry = self.entry(request.stream);
+            if in_time {
+                entry.in_time += 1;
+            } else {
+                entry.late += 1;
+            }
+            self.running.entry((id, stream.model.clone())).or_default().push(now + stream.service_ms);
+        }
+        self.missing_inputs(now, &missing)
+    }
+
+    fn missing_inputs(&mut self, now: u64, missing: &BTreeMap<usize, u32>) -> Vec<Input> {
+        let mut inputs = Vec::new();
+        for (index, waiting) in missing {
+            let last = self.asked_for.get(index).copied();
+            if last.is_some_and(|at| now - at < MISSING_MS) {
+                continue;
+            }
+            self.asked_for.insert(*index, now);
+            let stream = &self.streams[*index];
+            inputs.push(Input::Missing {
+                model: stream.model.clone(),
+                adapter: stream.adapter.clone(),
+                waiting: *waiting,
+                aim_ms: stream.aim_ms,
+            });
+        }
+        inputs
+    }
+
+    fn least_loaded(&self, stream: &Stream, routed: &BTreeMap<WorkerId, Vec<Resident>>) -> Option<WorkerId> {
+        let holds = |models: &[Resident]| {
+            models.iter().any(|resident| {
+                let adapter = stream.adapter.as_ref();
+                resident.name == stream.model
+                    && adapter.is_none_or(|adapter| resident.adapters.contains(adapter))
+            })
+        };
+        let holders = routed.iter().filter(|(_, models)| holds(models)).map(|(id, _)| id);
+        holders.min_by_key(|id| self.running(id, None)).cloned()
+    }
+
+    fn demand(&mut self) -> Vec<Input> {
+        let mut inputs = Vec::new();
+        for (index, stream) in self.streams.iter().enumerate() {
+            let waiting = self.waiting.iter().filter(|request| request.stream == index).count() as u32;
+            if self.arrived[index] == 0 && waiting == 0 {
+                continue;
+            }
+            let requests_per_s = f64::from(self.arrived[index]) * 1_000.0 / TELL_MS as f64;
+            inputs.push(Input::Demand {
+                model: stream.model.clone(),
+                adapter: stream.adapter.clone(),
+                requests_per_s,
+                tokens_per_s: requests_per_s * 1_000.0,
+                urgency_ms: stream.aim_ms,
+                outstanding: (requests_per_s * stream.service_ms as f64 / 1_000.0) as u32,
+                waiting,
+            });
+        }
+        self.arrived.fill(0);
+        inputs
+    }
+
+    fn entry(&mut self, stream: usize) -> &mut Served {
+        let stream = &self.streams[stream];
+        self.served.entry((stream.model.clone(), stream.adapter.clone())).or_default()
+    }
+}
