--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -125,7 +125,7 @@
 
     fn register_output(&mut self, now: u64, output: RegisterOutput) {
         match output {
-            RegisterOutput::Send { to, address, message } => self.send_register(to, address, &message),
+            RegisterOutput::Send { address, message, .. } => self.send_register(address, &message),
             RegisterOutput::Persist { token, record } => self.out.push(Output::Persist(token, record.encode().to_vec())),
             RegisterOutput::Prepared { operation, current } => self.job_prepared(now, operation, current),
             RegisterOutput::Done { operation, result } => self.job_done(now, operation, result),
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 use switchhill_membership::Heard;
 use switchhill_protocol::{Echo, PeerBody, PeerFrame, PeerHeartbeat, RegisterEnvelope};
-use switchhill_register::{Ballot, Input, Message, ReplicaId};
+use switchhill_register::{Ballot, Body, Input, Message, ReplicaId};
 
 impl ControlNode {
     /// A message to the core node at an address.
@@ -54,7 +54,7 @@
     /// Sends heartbeats when they are due.
     pub(crate) fn send_heartbeats(&mut self, now: u64) {
         let Some(sequence) = self.contacts.heartbeat_due(now) else { return };
-        let committed = self.committed_ballot().unwrap_or(Ballot { counter: 0, proposer: ReplicaId(0) });
+        let committed = self.committed_ballot().unwrap_or(Ballot::NONE);
         let echoes = self.contacts.echoes();
         let echoes = echoes.map(|(from, contact)| Echo { from, life: contact.life, sequence: contact.sequence });
         let heartbeat = PeerHeartbeat {
@@ -119,15 +119,19 @@
     /// Sends the committed value to a node that knows an older one.
     fn bring_up_to_date(&mut self, now: u64, to: u64, address: &str, theirs: Ballot) {
         let Some(accepted) = self.replica.committed().filter(|accepted| accepted.ballot > theirs) else { return };
-        let message = Message::Committed(accepted.clone());
-        if self.updates.may_repair(now, to) {
-            self.send_register(ReplicaId(to), address.to_owned(), &message);
+        let body = Body::Committed { ballot: accepted.ballot, value: Some(accepted.value.clone()) };
+        let message = Message { to: ReplicaId(to), body };
+        if self.updates.may_bring_up_to_date(now, to) {
+            self.send_register(address.to_owned(), &message);
         }
     }
 
-    /// Sends a message of the register.
-    pub(crate) fn send_register(&mut self, to: ReplicaId, address: String, message: &Message) {
-        let envelope = RegisterEnvelope { to: to.0, message: message.encode() };
+    /// Sends a message of the register. Without an address it goes where its receiver was last heard.
+    pub(crate) fn send_register(&mut self, address: String, message: &Message) {
+        let heard_at = || self.contacts.get(message.to.0).map(|contact| contact.address.clone());
+        let address = if address.is_empty() { heard_at() } else { Some(address) };
+        let Some(address) = address else { return };
+        let envelope = RegisterEnvelope { to: message.to.0, message: message.encode() };
         self.send_peer(address, PeerBody::Register(envelope));
     }
 
--- a/crates/control/src/workers.rs
+++ b/crates/control/src/workers.rs
@@ -45,18 +45,20 @@
     heard_marker: u64,
     differ_since: BTreeMap<u64, u64>,
     repaired_at: BTreeMap<u64, u64>,
+    brought_up_to_date_at: BTreeMap<u64, u64>,
     /// Workers whose end a majority has, with the state that it has.
     settled: BTreeMap<String, WorkerState>,
 }
 
 impl PendingUpdates {
-    /// Whether a node may be sent a repair now; counts as one if so.
-    pub(crate) fn may_repair(&mut self, now: u64, node: u64) -> bool {
-        let due = self.repaired_at.get(&node).is_none_or(|at| now >= at + REPAIR_EVERY);
-        if due {
-            self.repaired_at.insert(node, now);
-        }
-        due
+    /// Whether a node may be sent the whole worker table now; counts as done if so.
+    fn may_repair(&mut self, now: u64, node: u64) -> bool {
+        is_due(&mut self.repaired_at, now, node)
+    }
+
+    /// Whether a node may be sent the committed value now; counts as done if so.
+    pub(crate) fn may_bring_up_to_date(&mut self, now: u64, node: u64) -> bool {
+        is_due(&mut self.brought_up_to_date_at, now, node)
     }
 }
 
@@ -264,6 +266,14 @@
     }
 }
 
+fn is_due(done_at: &mut BTreeMap<u64, u64>, now: u64, node: u64) -> bool {
+    let due = done_at.get(&node).is_none_or(|at| now >= at + REPAIR_EVERY);
+    if due {
+        done_at.insert(node, now);
+    }
+    due
+}
+
 fn same_kind(one: &WorkerState, other: &WorkerState) -> bool {
     std::mem::discriminant(one) == std::mem::discriminant(other)
 }
--- /dev/null
+++ b/crates/distribution/tests/links.rs
@@ -0,0 +1,103 @@
+//! Links are replaced when silent, and one of them is the home.
+
+use googletest::prelude::*;
+use switchhill_distribution::{LinkAction, LinkId, LinkPlanner, LinkSettings};
+use switchhill_protocol::Status;
+
+const HELD: u64 = 7;
+const DIGEST: u64 = 11;
+
+fn planner(addresses: usize) -> LinkPlanner {
+    let seeds = (1..=addresses).map(|n| format!("10.0.0.{n}:1"));
+    LinkPlanner::new("edge-1", seeds, LinkSettings { wanted: 2, ..LinkSettings::default() })
+}
+
+fn connected(actions: &[LinkAction]) -> Vec<LinkId> {
+    let link = |action: &LinkAction| match action {
+        LinkAction::Connect(id, _) => Some(*id),
+        _ => None,
+    };
+    actions.iter().filter_map(link).collect()
+}
+
+fn status(quorum: bool, revision: u64) -> Status {
+    Status { quorum, warm: true, revision, workers_digest: DIGEST, ..Status::default() }
+}
+
+fn up(planner: &mut LinkPlanner, now: u64) -> Vec<LinkId> {
+    let links = connected(&planner.tick(now));
+    for link in &links {
+        planner.connected(now, *link);
+        planner.status(now, *link, &status(true, HELD), HELD, DIGEST);
+    }
+    links
+}
+
+#[gtest]
+fn as_many_links_as_wanted_are_opened_and_one_is_home() {
+    let mut planner = planner(3);
+    let links = up(&mut planner, 0);
+    expect_that!(links, len(eq(2)));
+    planner.tick(1);
+    expect_that!(planner.home(), some(anything()));
+}
+
+#[gtest]
+fn a_silent_home_is_replaced_by_the_other_link() {
+    let mut planner = planner(3);
+    let links = up(&mut planner, 0);
+    planner.tick(1);
+    let home = planner.home().unwrap();
+    let other = *links.iter().find(|link| **link != home).unwrap();
+    planner.status(850, other, &status(true, HELD), HELD, DIGEST);
+    let actions = planner.tick(900);
+    expect_that!(actions, contains(eq(&LinkAction::Close(home))));
+    expect_that!(actions, contains(eq(&LinkAction::Hello(other, true))));
+    expect_that!(connected(&actions), len(eq(1)));
+}
+
+#[gtest]
+fn a_publisher_without_quorum_is_no_home_and_another_link_is_opened() {
+    let mut planner = planner(3);
+    let links = up(&mut planner, 0);
+    planner.tick(1);
+    let home = planner.home().unwrap();
+    planner.status(100, home, &status(false, HELD), HELD, DIGEST);
+    let actions = planner.tick(101);
+    expect_that!(planner.home(), some(not(eq(home))));
+    expect_that!(links, contains(eq(&planner.home().unwrap())));
+    expect_that!(connected(&actions), len(eq(1)));
+}
+
+#[gtest]
+fn a_revision_that_the_home_does_not_deliver_is_fetched_elsewhere() {
+    let mut planner = planner(2);
+    let links = up(&mut planner, 0);
+    let newer = status(true, HELD + 1);
+    expect_that!(planner.status(10, links[1], &newer, HELD, DIGEST), is_empty());
+    expect_that!(planner.status(159, links[1], &newer, HELD, DIGEST), is_empty());
+    let actions = planner.status(160, links[1], &newer, HELD, DIGEST);
+    expect_that!(actions, elements_are![eq(&LinkAction::Fetch(links[1], false))]);
+}
+
+#[gtest]
+fn a_hole_in_the_worker_table_is_filled_after_a_while_and_a_delay_is_not_a_hole() {
+    let mut planner = planner(2);
+    let links = up(&mut planner, 0);
+    let same = status(true, HELD);
+    expect_that!(planner.status(10, links[0], &same, HELD, DIGEST + 1), is_empty());
+    expect_that!(planner.status(300, links[0], &same, HELD, DIGEST), is_empty());
+    expect_that!(planner.status(720, links[0], &same, HELD, DIGEST + 1), is_empty());
+    let actions = planner.status(1420, links[0], &same, HELD, DIGEST + 1);
+    expect_that!(actions, elements_are![eq(&LinkAction::Fetch(links[0], true))]);
+}
+
+#[gtest]
+fn a_connection_that_does_not_come_up_is_given_up_and_tried_again() {
+    let mut planner = planner(1);
+    let first = connected(&planner.tick(0));
+    let actions = planner.tick(500);
+    expect_that!(actions, contains(eq(&LinkAction::Close(first[0]))));
+    expect_that!(connected(&planner.tick(749)), is_empty());
+    expect_that!(connected(&planner.tick(750)), len(eq(1)));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -66,6 +66,8 @@
 //! ```
 
 mod brain;
+pub mod agent;
+pub mod control_plane;
 pub mod core;
 pub mod interface;
 pub mod memory;
@@ -73,5 +75,6 @@
 pub mod process;
 pub mod settings;
 pub mod site_settings;
+pub mod system;
 
 pub use brain::Brain;
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,6 +9,7 @@
 use switchhill::process::logs::Logs;
 use switchhill::process::signals::Signals;
 use switchhill::process::store;
+use switchhill::system::command;
 
 /// A gateway that keeps every customer's quota and decides at once what is worth sending on.
 ///
@@ -99,6 +100,10 @@
 }
 
 fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    if command::is_system_command(arguments.first().map(String::as_str)) {
+        return command::run(&arguments);
+    }
     let done = match Line::parse().command {
         None => serve(None, None),
         Some(Task::Serve { config, operator }) => serve(config, operator),
--- a/src/system/command.rs
+++ b/src/system/command.rs
@@ -67,7 +67,7 @@
 fn start(program: &Program) -> anyhow::Result<()> {
     let settings = SiteSettings::from_environment()?;
     match program {
-        Program::DataPlane(_) => on_one_thread(crate::data_plane::feed::run(settings)),
+        Program::DataPlane(_) => on_one_thread(crate::data_plane_feed::run(settings)),
         Program::Agent(_) => on_one_thread(crate::agent::run(settings)),
         Program::ControlPlane(_) => on_one_thread(crate::control_plane::run(settings)),
     }
