--- a/crates/configuration/src/state.rs
+++ b/crates/configuration/src/state.rs
@@ -143,10 +143,10 @@
         let record = StateRecord {
             document: self.document.as_ref().map(Document::to_json),
             taken: self.taken.iter().map(TakenRecord::from_taken).collect(),
-            placer: self.placer.as_ref().map(|placer| GrantRecord {
-                holder: placer.holder.clone(),
-                epoch: placer.epoch,
-            }),
+            placer: self
+                .placer
+                .as_ref()
+                .map(|placer| GrantRecord { holder: placer.holder.clone(), epoch: placer.epoch }),
             next_epoch: self.next_epoch,
         };
         let mut encoded = vec![LAYOUT_VERSION];
--- /dev/null
+++ b/crates/configuration/tests/state.rs
@@ -0,0 +1,124 @@
+//! The register's value: which orders are taken, and its encoding.
+
+mod common;
+
+use common::{example_state, example_with, many_routes, replace, taken, update, EXAMPLE};
+use googletest::prelude::*;
+use switchhill_configuration::{
+    ControlState, Decision, Order, PlacerGrant, ResultCode, StateError, TAKEN_ORDERS_KEPT,
+};
+
+fn refusal(state: &ControlState, order: &Order) -> ResultCode {
+    match state.decide(order) {
+        Decision::Refused(error) => error.code,
+        other => panic!("the order is not refused: {other:?}"),
+    }
+}
+
+fn idle_change(base: u64, revision: u64) -> Order {
+    update(base, &format!(r#"{{"revision":{revision},"limits":{{"idleTimeoutMs":{revision}}}}}"#))
+}
+
+#[gtest]
+fn first_order_builds_on_nothing() {
+    let state = example_state();
+    expect_that!(state.revision(), eq(7));
+    expect_that!(state.taken, len(eq(1)));
+    expect_that!(refusal(&ControlState::default(), &replace(3, EXAMPLE)), eq(ResultCode::BaseVersionDiffers));
+}
+
+#[gtest]
+fn same_order_is_acknowledged_again_also_after_later_changes() {
+    let first = replace(0, EXAMPLE);
+    let mut state = example_state();
+    expect_that!(state.decide(&first), eq(&Decision::TakenBefore { revision: 7 }));
+    let second = idle_change(7, 9);
+    state = taken(&state, &second);
+    state = taken(&state, &idle_change(9, 12));
+    expect_that!(state.decide(&first), eq(&Decision::TakenBefore { revision: 7 }));
+    expect_that!(state.decide(&second), eq(&Decision::TakenBefore { revision: 9 }));
+}
+
+#[gtest]
+fn other_change_under_the_same_number_loses() {
+    let state = taken(&example_state(), &idle_change(7, 9));
+    let rival = update(7, r#"{"revision":9,"remove":{"routes":["chat"]}}"#);
+    expect_that!(refusal(&state, &rival), eq(ResultCode::BaseVersionDiffers));
+    // The same body on another base is another order.
+    let rebased = Order { base_version: 9, ..idle_change(7, 9) };
+    expect_that!(refusal(&state, &rebased), eq(ResultCode::RevisionNotAbove));
+}
+
+#[gtest]
+fn each_bad_kind_is_refused_with_its_status() {
+    let state = example_state();
+    let newer = |old: &str, new: &str| example_with(old, new).replace(r#""revision": 7"#, r#""revision": 9"#);
+    let faults = [
+        (replace(7, &EXAMPLE[..EXAMPLE.len() / 2]), ResultCode::Unreadable, 400),
+        (replace(7, &newer(r#""service":"large""#, r#""service":"x""#)), ResultCode::UnknownService, 400),
+        (replace(7, &newer(r#""pathPrefix":"/""#, r#""pathPrefix":"/chat/""#)), ResultCode::SharedPlace, 400),
+        (replace(7, &newer("90", "0").replace("\"weight\":10", "\"weight\":0")), ResultCode::NoWeight, 400),
+        (replace(7, &newer("20000", "0")), ResultCode::NoTimeout, 400),
+        (replace(7, &newer("\"revision\": 7", "\"revision\": 3")), ResultCode::RevisionNotAbove, 400),
+        (replace(7, &example_with("day shift", "night shift")), ResultCode::RevisionNotAbove, 400),
+        (replace(5, &newer("day shift", "night shift")), ResultCode::BaseVersionDiffers, 412),
+        (update(7, r#"{"revision":9,"remove":{"services":["large"]}}"#), ResultCode::UnknownService, 400),
+        (update(7, r#"{"revision":7,"remove":{"routes":["chat"]}}"#), ResultCode::RevisionNotAbove, 400),
+        (update(6, r#"{"revision":9,"remove":{"routes":["chat"]}}"#), ResultCode::BaseVersionDiffers, 412),
+    ];
+    for (order, code, status) in faults {
+        expect_that!(refusal(&state, &order), eq(code), "{order:?}");
+        expect_that!(code.http_status(), eq(status));
+    }
+}
+
+#[gtest]
+fn digests_differ_by_kind_base_and_body() {
+    let order = replace(7, EXAMPLE);
+    let others = [update(7, EXAMPLE), replace(8, EXAMPLE), replace(7, &example_with("day", "late"))];
+    for other in others {
+        expect_that!(other.digest(), not(eq(order.digest())));
+    }
+    expect_that!(replace(7, EXAMPLE).digest(), eq(order.digest()));
+}
+
+#[gtest]
+fn oldest_orders_are_forgotten_past_the_bound() {
+    let mut state = example_state();
+    state.taken = vec![state.taken[0]; TAKEN_ORDERS_KEPT];
+    let state = taken(&state, &idle_change(7, 9));
+    expect_that!(state.taken, len(eq(TAKEN_ORDERS_KEPT)));
+    expect_that!(state.taken[TAKEN_ORDERS_KEPT - 1].revision, eq(9));
+}
+
+#[gtest]
+fn state_survives_its_encoding() {
+    let large = replace(7, &many_routes(8, 400));
+    let state = taken(&example_state(), &large).grant_placer("node-3");
+    let decoded = ControlState::decode(&state.encode()).unwrap();
+    expect_that!(decoded, eq(&state));
+    expect_that!(decoded.encode(), eq(&state.encode()));
+    expect_that!(decoded.decide(&large), eq(&Decision::TakenBefore { revision: 8 }));
+    let empty = ControlState::default();
+    expect_that!(ControlState::decode(&empty.encode()).unwrap(), eq(&empty));
+}
+
+#[gtest]
+fn unknown_layouts_and_broken_bytes_are_errors() {
+    let mut encoded = example_state().encode();
+    expect_true!(matches!(ControlState::decode(&[]), Err(StateError::Empty)));
+    encoded[0] = 200;
+    expect_true!(matches!(ControlState::decode(&encoded), Err(StateError::UnknownLayout(200))));
+    encoded[0] = 1;
+    encoded.truncate(encoded.len() / 2);
+    expect_that!(ControlState::decode(&encoded), err(anything()));
+}
+
+#[gtest]
+fn placer_epochs_rise_with_each_grant() {
+    let first = ControlState::default().grant_placer("node-1");
+    let second = first.grant_placer("node-1");
+    expect_that!(first.placer, some(eq(&PlacerGrant { holder: "node-1".to_owned(), epoch: 1 })));
+    expect_that!(second.placer, some(eq(&PlacerGrant { holder: "node-1".to_owned(), epoch: 2 })));
+    expect_that!(second.next_epoch, eq(2));
+}
