--- a/crates/registration/src/table.rs
+++ b/crates/registration/src/table.rs
@@ -139,10 +139,18 @@
 }
 
 impl Forgotten {
-    /// Whether an entry or heartbeat with this sequence says nothing new of the instance.
-    fn covers(&self, sequence: u64) -> bool {
+    /// Whether the heartbeat with this sequence says nothing new of the instance.
+    fn covers_beat(&self, sequence: u64) -> bool {
         self.gone || sequence <= self.sequence
     }
+
+    /// Whether the entry says nothing new of the instance; that it is gone is new unless it was known.
+    fn covers_entry(&self, worker: &Worker) -> bool {
+        match worker.is_gone() {
+            true => self.gone,
+            false => self.covers_beat(worker.sequence),
+        }
+    }
 }
 
 /// The table of all workers.
@@ -196,7 +204,7 @@
     /// Merges an entry of another node's table at `now`.
     pub fn merge(&mut self, now: u64, worker: Worker) -> Merge {
         if let Some(forgotten) = self.forgotten.get(&worker.id) {
-            if forgotten.covers(worker.sequence) && !(worker.is_gone() && !forgotten.gone) {
+            if forgotten.covers_entry(&worker) {
                 return Merge::Unchanged;
             }
             self.forgotten.remove(&worker.id);
@@ -228,7 +236,7 @@
     pub fn heard(&mut self, now: u64, beat: &HeardBeat) -> HeardOutcome {
         let Some(entry) = self.entries.get_mut(&beat.id) else {
             let forgotten = self.forgotten.get(&beat.id);
-            return match forgotten.is_some_and(|forgotten| forgotten.covers(beat.sequence)) {
+            return match forgotten.is_some_and(|forgotten| forgotten.covers_beat(beat.sequence)) {
                 true => HeardOutcome::Known,
                 false => HeardOutcome::Missing,
             };
