--- a/crates/control/src/load.rs
+++ b/crates/control/src/load.rs
@@ -62,7 +62,7 @@
         let message = Downstream { body: Some(DownstreamBody::Loads(loads)) };
         let homes: Vec<_> = self.subscribers.homes().map(|(id, _)| id).collect();
         for id in homes {
-            self.to_subscriber(id, message.clone());
+            self.send_subscriber(id, message.clone());
         }
     }
 
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -50,7 +50,7 @@
         let replica = match genesis {
             Some(seeds) if records.is_empty() => Replica::genesis(id, seeds, settings.seed),
             _ if records.is_empty() => Replica::joining(id, settings.seed),
-            _ => Replica::recover(id, records, settings.seed),
+            _ => Replica::recover(id, records.into_iter(), settings.seed),
         };
         let suspect_after = settings.worker_heartbeat_ms * SUSPECT_AFTER_TENTHS / 10;
         ControlNode {
@@ -157,7 +157,7 @@
     }
 
     /// Sends a message to a subscriber.
-    pub(crate) fn to_subscriber(&mut self, id: SubscriberId, message: switchhill_protocol::Downstream) {
+    pub(crate) fn send_subscriber(&mut self, id: SubscriberId, message: switchhill_protocol::Downstream) {
         self.out.push(Output::Subscriber(id, message));
     }
 }
--- a/crates/control/src/subscribers.rs
+++ b/crates/control/src/subscribers.rs
@@ -80,23 +80,23 @@
         let subscriber = Subscriber { publisher, node: hello.node, heard_at: now, summary: None };
         self.subscribers.connected.insert(id, subscriber);
         let status = self.status(now);
-        self.to_subscriber(id, status);
+        self.send_subscriber(id, status);
         self.send_configuration(id, None);
         for message in self.state.whole() {
-            self.to_subscriber(id, message);
+            self.send_subscriber(id, message);
         }
     }
 
     fn fetch(&mut self, id: SubscriberId, fetch: &Fetch) {
         if fetch.workers {
             for message in self.state.whole() {
-                self.to_subscriber(id, message);
+                self.send_subscriber(id, message);
             }
             return;
         }
         let mut publisher = Publisher::new(fetch.have_revision, true);
         if let Some(message) = publisher.configuration(&self.state, None) {
-            self.to_subscriber(id, message);
+            self.send_subscriber(id, message);
         }
     }
 
@@ -107,7 +107,7 @@
             return;
         }
         if let Some(message) = subscriber.publisher.configuration(&self.state, change) {
-            self.to_subscriber(id, message);
+            self.send_subscriber(id, message);
         }
     }
 
@@ -117,7 +117,7 @@
         let status = self.status(now);
         for id in ids {
             self.send_configuration(id, change);
-            self.to_subscriber(id, status.clone());
+            self.send_subscriber(id, status.clone());
         }
     }
 
@@ -125,7 +125,7 @@
     pub(crate) fn publish(&mut self, message: &Downstream) {
         let ids: Vec<SubscriberId> = self.subscribers.connected.keys().copied().collect();
         for id in ids {
-            self.to_subscriber(id, message.clone());
+            self.send_subscriber(id, message.clone());
         }
     }
 
@@ -141,7 +141,7 @@
         let message = Downstream { body: Some(DownstreamBody::Expectation(expectation.clone())) };
         let homes: Vec<SubscriberId> = self.subscribers.homes().map(|(id, _)| id).collect();
         for id in homes {
-            self.to_subscriber(id, message.clone());
+            self.send_subscriber(id, message.clone());
         }
     }
 
