--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -1,1 +1,48 @@
 //! Compare-and-swap register over replicas: ballots, two quorum rounds, reconfiguration, read repair.
+//!
+//! The register holds one [`Value`], replaced as a whole. A change prepares a [`Ballot`] at a quorum, learns the newest
+//! value from it, and has the next value accepted by a quorum (CASPaxos, Rystsov 2018). There is no log and no leader:
+//! any [`Replica`] may propose, and is acceptor at the same time.
+//!
+//! A replica is a state machine without socket, file or clock: [`Replica::handle`] takes an [`Input`] with the time in
+//! milliseconds of a monotonic clock and returns [`Output`]s. The shell delivers messages, writes records to the disk
+//! and tells when they are durable; the replica withholds each message until what it promises is durable.
+//!
+//! # Electorate
+//! The replicas that vote are part of the value. A change of them is two values: a joint one, whose quorums need a
+//! majority of the new and of the old members, and the final one. The final one is proposed only after the joint one has
+//! been chosen. So where a value with a plain electorate exists at all, a joint value with the same members has been
+//! accepted by a majority of the members before, and whoever starts from those meets it. From this follow the two
+//! rules of a proposer:
+//! - it needs promises from a quorum of the electorate it starts with and, repeatedly, of the electorate of the
+//!   highest value reported so far;
+//! - it needs acceptances from a quorum of the electorate of the value it replaces and of the one it proposes.
+//!
+//! # Identity of a value
+//! A value proposed anew under a higher ballot stays the same value: its [`Value::origin`] is the ballot of its first
+//! proposal. It also names the origins of the values it was built on, so that a proposer whose round was interrupted
+//! can tell whether its value has become part of the history ([`RegisterError::ConflictLost`] if certainly not).
+
+mod acceptor;
+mod api;
+mod ballots;
+mod catch_up;
+mod durability;
+mod error;
+mod message;
+mod operation;
+mod prepare;
+mod proposal;
+mod random;
+mod read;
+mod record;
+mod replica;
+mod types;
+mod wire;
+
+pub use api::{Input, Output};
+pub use error::{DecodeError, RegisterError};
+pub use message::{Body, Message};
+pub use record::Record;
+pub use replica::Replica;
+pub use types::{Accepted, Ballot, Electorate, Member, ReplicaId, Value};
--- /dev/null
+++ b/crates/register/src/operation.rs
@@ -0,0 +1,226 @@
+//! Operations and the rounds they go through.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+
+use crate::{Accepted, Ballot, Electorate, Member, ReplicaId};
+
+/// One operation of the caller, or the replica's own completion of a value not known to be chosen.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Operation {
+    /// The caller's number; `None` for a completion.
+    pub(crate) number: Option<u64>,
+    pub(crate) goal: Goal,
+    pub(crate) stage: Stage,
+    /// When to give up, in milliseconds.
+    pub(crate) deadline: u64,
+}
+
+/// What an operation is after.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Goal {
+    /// The newest chosen value.
+    Read,
+    /// A prepared ballot to write with.
+    Prepare,
+    /// The caller's value.
+    Write(Write),
+    /// The value is chosen; what remains is the second step of its change of the electorate.
+    Settle {
+        /// The value chosen.
+        chosen: Accepted,
+    },
+}
+
+/// A value to be written.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Write {
+    pub(crate) data: Bytes,
+    pub(crate) members: Option<Vec<Member>>,
+    /// Origin of the value it replaces.
+    pub(crate) predecessor: Ballot,
+    /// Its own origin: the ballot of its first proposal.
+    pub(crate) origin: Ballot,
+}
+
+/// Where an operation stands.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Stage {
+    /// Not started.
+    Queued,
+    /// Waiting for answers to an inspection.
+    Inspecting(InspectRound),
+    /// Waiting before a new prepare round.
+    Waiting {
+        /// When it starts, in milliseconds.
+        until: u64,
+    },
+    /// Waiting for promises.
+    Preparing(PrepareRound),
+    /// Prepared, waiting for the caller.
+    Prepared(Prepared),
+    /// Waiting for acceptances.
+    Proposing(AcceptRound),
+}
+
+/// A ballot promised by a quorum.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Prepared {
+    pub(crate) ballot: Ballot,
+    /// The electorate of the current value.
+    pub(crate) electorate: Electorate,
+    pub(crate) current: Option<Accepted>,
+    /// Whether the promises show that the current value is chosen.
+    pub(crate) chosen: bool,
+}
+
+/// When a round sends its messages again and when it is given up after a refusal.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct RoundTimes {
+    pub(crate) sent_at: u64,
+    /// Set once a replica has refused.
+    pub(crate) retry_at: Option<u64>,
+}
+
+impl RoundTimes {
+    pub(crate) fn started(now: u64) -> RoundTimes {
+        RoundTimes { sent_at: now, retry_at: None }
+    }
+}
+
+/// A prepare round.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct PrepareRound {
+    pub(crate) ballot: Ballot,
+    /// Electorates each of which must promise by a quorum; the last one is the newest met.
+    pub(crate) electorates: Vec<Electorate>,
+    /// Who has promised, and the ballot it had accepted.
+    pub(crate) promises: BTreeMap<ReplicaId, Ballot>,
+    /// The highest value held or reported.
+    pub(crate) highest: Option<Accepted>,
+    pub(crate) times: RoundTimes,
+}
+
+/// An accept round.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct AcceptRound {
+    pub(crate) proposal: Accepted,
+    /// Electorates each of which must accept by a quorum.
+    pub(crate) electorates: Vec<Electorate>,
+    pub(crate) accepted_by: BTreeSet<ReplicaId>,
+    pub(crate) times: RoundTimes,
+}
+
+/// An inspect round.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct InspectRound {
+    pub(crate) read: u64,
+    /// Electorates each of which must answer by a quorum.
+    pub(crate) electorates: Vec<Electorate>,
+    /// Who has answered, and the ballot it had accepted.
+    pub(crate) answers: BTreeMap<ReplicaId, Ballot>,
+    /// The last value fetched.
+    pub(crate) fetched: Option<Accepted>,
+    /// The ballot a fetch has been sent for.
+    pub(crate) fetching: Ballot,
+    pub(crate) times: RoundTimes,
+}
+
+/// The voters of all electorates, each once.
+pub(crate) fn voters(electorates: &[Electorate]) -> BTreeSet<ReplicaId> {
+    let members = electorates.iter().flat_map(Electorate::all_members);
+    members.map(|member| member.id).collect()
+}
+
+/// Whether every electorate has a quorum among the replicas heard.
+pub(crate) fn all_quorums(electorates: &[Electorate], heard: &BTreeSet<ReplicaId>) -> bool {
+    electorates.iter().all(|electorate| electorate.is_quorum(heard))
+}
+
+/// Each receiver with the newest electorate in which it votes.
+pub(crate) fn by_electorate(
+    electorates: &[Electorate],
+    receivers: Vec<ReplicaId>,
+) -> Vec<(ReplicaId, Electorate)> {
+    let electorate_of = |id| electorates.iter().rev().find(|electorate| electorate.contains(id));
+    receivers.into_iter().filter_map(|id| Some((id, electorate_of(id)?.clone()))).collect()
+}
+
+impl PrepareRound {
+    fn promised_by(&self) -> BTreeSet<ReplicaId> {
+        self.promises.keys().copied().collect()
+    }
+
+    pub(crate) fn is_complete(&self) -> bool {
+        all_quorums(&self.electorates, &self.promised_by())
+    }
+
+    pub(crate) fn unanswered(&self) -> Vec<ReplicaId> {
+        let answered = self.promised_by();
+        voters(&self.electorates).difference(&answered).copied().collect()
+    }
+
+    /// The electorate of the highest value if no quorum of it has been asked for yet.
+    pub(crate) fn missing_electorate(&self) -> Option<Electorate> {
+        let electorate = &self.highest.as_ref()?.value.electorate;
+        (!self.electorates.contains(electorate)).then(|| electorate.clone())
+    }
+
+    /// Whether a quorum had accepted the highest value under its ballot.
+    fn highest_is_chosen(&self) -> bool {
+        self.highest.as_ref().is_some_and(|highest| {
+            let holders = holders(&self.promises, highest.ballot);
+            highest.value.electorate.is_quorum(&holders)
+        })
+    }
+
+    /// The prepared state; `committed` is the highest ballot known to be chosen.
+    pub(crate) fn into_prepared(self, committed: Ballot) -> Prepared {
+        let known = self.highest.as_ref().is_some_and(|highest| highest.ballot == committed);
+        let chosen = known || self.highest_is_chosen();
+        let newest = self.highest.as_ref().map(|highest| highest.value.electorate.clone());
+        let electorate = newest.unwrap_or_else(|| self.electorates[0].clone());
+        Prepared { ballot: self.ballot, electorate, current: self.highest, chosen }
+    }
+}
+
+impl AcceptRound {
+    pub(crate) fn is_complete(&self) -> bool {
+        all_quorums(&self.electorates, &self.accepted_by)
+    }
+
+    pub(crate) fn unanswered(&self) -> Vec<ReplicaId> {
+        voters(&self.electorates).difference(&self.accepted_by).copied().collect()
+    }
+}
+
+impl InspectRound {
+    fn answered_by(&self) -> BTreeSet<ReplicaId> {
+        self.answers.keys().copied().collect()
+    }
+
+    pub(crate) fn has_quorums(&self) -> bool {
+        all_quorums(&self.electorates, &self.answered_by())
+    }
+
+    pub(crate) fn unanswered(&self) -> Vec<ReplicaId> {
+        let answered = self.answered_by();
+        voters(&self.electorates).difference(&answered).copied().collect()
+    }
+
+    /// The highest ballot reported.
+    pub(crate) fn top(&self) -> Ballot {
+        self.answers.values().copied().max().unwrap_or(Ballot::NONE)
+    }
+
+    /// Who has accepted the value of this ballot.
+    pub(crate) fn holders(&self, ballot: Ballot) -> BTreeSet<ReplicaId> {
+        holders(&self.answers, ballot)
+    }
+}
+
+fn holders(reported: &BTreeMap<ReplicaId, Ballot>, ballot: Ballot) -> BTreeSet<ReplicaId> {
+    let holders = reported.iter().filter(|(_, accepted)| **accepted == ballot);
+    holders.map(|(id, _)| *id).collect()
+}
--- /dev/null
+++ b/crates/register/src/prepare.rs
@@ -0,0 +1,232 @@
+//! The prepare round, and what follows from it.
+
+use crate::operation::{by_electorate, Goal, Operation, PrepareRound, Prepared, RoundTimes, Stage, Write};
+use crate::replica::{Replica, RESEND_MS};
+use crate::{Accepted, Ballot, Body, Output, RegisterError, ReplicaId, Value};
+
+/// Bounds of the wait after a refused round, in milliseconds: from less than a round trip to a few of them, so that of
+/// several proposers one gets through.
+const BACKOFF_MS: (u64, u64) = (5, 80);
+
+/// What a prepared proposer does next.
+enum Step {
+    /// Ends the operation.
+    Finish(Result<Accepted, RegisterError>),
+    /// Hands the prepared state to the caller.
+    HandOver,
+    /// Proposes the current value again, unchanged.
+    ProposeCurrent,
+    /// Proposes the second step of a change of the electorate.
+    ProposeSettled,
+    /// Proposes the operation's own value.
+    ProposeOwn,
+}
+
+impl Replica {
+    /// Starts a prepare round, or waits while no ballot is reserved.
+    pub(crate) fn start_prepare(&mut self, now: u64) {
+        let Some(electorate) = self.electorate().cloned() else {
+            return;
+        };
+        let ballot = self.ballots.take(self.acceptor.durable_reservation());
+        let Some(ballot) = ballot else {
+            self.set_stage(Stage::Waiting { until: now });
+            return;
+        };
+        let round = PrepareRound {
+            ballot,
+            electorates: vec![electorate],
+            promises: Default::default(),
+            highest: self.acceptor.state.accepted.clone(),
+            times: RoundTimes::started(now),
+        };
+        self.set_stage(Stage::Preparing(round));
+        self.extend_prepare(now);
+        self.send_prepares();
+    }
+
+    pub(crate) fn set_stage(&mut self, stage: Stage) {
+        if let Some(active) = &mut self.active {
+            active.stage = stage;
+        }
+    }
+
+    fn prepare_round(&mut self) -> Option<&mut PrepareRound> {
+        match self.active.as_mut()?.stage {
+            Stage::Preparing(ref mut round) => Some(round),
+            _ => None,
+        }
+    }
+
+    fn send_prepares(&mut self) {
+        let Some(round) = self.prepare_round() else {
+            return;
+        };
+        let held = round.highest.as_ref().map_or(Ballot::NONE, |highest| highest.ballot);
+        let ballot = round.ballot;
+        for (to, electorate) in by_electorate(&round.electorates, round.unanswered()) {
+            self.send(to, Body::Prepare { ballot, held, electorate });
+        }
+    }
+
+    /// Extends the round to the electorate of the highest value. Returns whether it did.
+    fn extend_prepare(&mut self, now: u64) -> bool {
+        let Some(round) = self.prepare_round() else {
+            return false;
+        };
+        let Some(electorate) = round.missing_electorate() else {
+            return false;
+        };
+        round.electorates.push(electorate.clone());
+        round.times.sent_at = now;
+        self.learn_electorate(&electorate);
+        true
+    }
+
+    pub(crate) fn on_promise(
+        &mut self,
+        now: u64,
+        from: ReplicaId,
+        ballot: Ballot,
+        accepted: Ballot,
+        value: Option<Value>,
+    ) {
+        let committed = self.committed_ballot();
+        let Some(round) = self.prepare_round().filter(|round| round.ballot == ballot) else {
+            self.repair(from, accepted);
+            return;
+        };
+        round.promises.insert(from, accepted);
+        let held = round.highest.as_ref().map_or(Ballot::NONE, |highest| highest.ballot);
+        if let Some(value) = value.filter(|_| accepted > held) {
+            round.highest = Some(Accepted { ballot: accepted, value });
+        }
+        if self.extend_prepare(now) {
+            self.send_prepares();
+        }
+        if let Some(round) = self.prepare_round().filter(|round| round.is_complete()) {
+            let prepared = round.clone().into_prepared(committed);
+            self.on_prepared(now, prepared);
+        }
+    }
+
+    pub(crate) fn tick_prepare(&mut self, now: u64) {
+        let Some(round) = self.prepare_round() else {
+            return;
+        };
+        if round.times.retry_at.is_some_and(|retry_at| now >= retry_at) {
+            self.start_prepare(now);
+        } else if now >= round.times.sent_at + RESEND_MS {
+            round.times.sent_at = now;
+            self.send_prepares();
+        }
+    }
+
+    /// A refused round goes on for a moment, in case a quorum answers all the same, and then starts anew above.
+    pub(crate) fn on_reject(&mut self, now: u64, ballot: Ballot) {
+        let retry_at = now + self.random.between(BACKOFF_MS.0, BACKOFF_MS.1);
+        let Some(active) = &mut self.active else {
+            return;
+        };
+        let (refused, times) = match &mut active.stage {
+            Stage::Preparing(round) => (round.ballot, &mut round.times),
+            Stage::Proposing(round) => (round.proposal.ballot, &mut round.times),
+            _ => return,
+        };
+        if refused == ballot {
+            times.retry_at.get_or_insert(retry_at);
+        }
+    }
+
+    fn on_prepared(&mut self, now: u64, prepared: Prepared) {
+        if let Some(current) = prepared.current.clone().filter(|_| prepared.chosen) {
+            self.note_committed(current);
+        }
+        let Some(active) = &self.active else {
+            return;
+        };
+        match next_step(active, &prepared) {
+            Step::Finish(result) => self.finish(result),
+            Step::HandOver => self.hand_over(prepared),
+            Step::ProposeCurrent => self.propose_current(now, prepared),
+            Step::ProposeSettled => self.propose_settled(now, prepared),
+            Step::ProposeOwn => self.propose_own(now, prepared),
+        }
+    }
+
+    fn hand_over(&mut self, prepared: Prepared) {
+        let current = prepared.current.clone();
+        let number = self.active.as_ref().and_then(|active| active.number);
+        self.set_stage(Stage::Prepared(prepared));
+        if let Some(operation) = number {
+            self.outputs.push(Output::Prepared { operation, current });
+        }
+    }
+}
+
+fn next_step(operation: &Operation, prepared: &Prepared) -> Step {
+    match &operation.goal {
+        Goal::Read => next_step_of_read(prepared),
+        Goal::Prepare => next_step_of_settling(prepared).unwrap_or(Step::HandOver),
+        Goal::Settle { chosen } => {
+            let settled = || Step::Finish(Ok(settled_result(chosen, prepared)));
+            next_step_of_settling(prepared).unwrap_or_else(settled)
+        }
+        Goal::Write(write) => next_step_of_write(write, prepared),
+    }
+}
+
+fn next_step_of_read(prepared: &Prepared) -> Step {
+    match &prepared.current {
+        None => Step::Finish(Err(RegisterError::Empty)),
+        Some(current) if prepared.chosen => Step::Finish(Ok(current.clone())),
+        Some(_) => Step::ProposeCurrent,
+    }
+}
+
+/// A change of the electorate that is under way is finished first: the joint value is chosen, then the final one proposed.
+fn next_step_of_settling(prepared: &Prepared) -> Option<Step> {
+    let joint = prepared.current.as_ref().is_some_and(|current| current.value.electorate.is_joint());
+    match (joint, prepared.chosen) {
+        (false, _) => None,
+        (true, false) => Some(Step::ProposeCurrent),
+        (true, true) => Some(Step::ProposeSettled),
+    }
+}
+
+/// The newest value if it still has the content written, else the one chosen.
+fn settled_result(chosen: &Accepted, prepared: &Prepared) -> Accepted {
+    let newest = prepared.current.as_ref().filter(|current| current.value.data == chosen.value.data);
+    newest.unwrap_or(chosen).clone()
+}
+
+/// Finds out what has become of a write whose accept round was interrupted.
+///
+/// A quorum has promised the new ballot, so no lower one can be chosen any more. What can still be chosen, and what has
+/// been, is the highest value reported.
+/// - It is ours, or descends from ours: proposing it again (unless it is chosen already) makes ours part of the history.
+/// - It is the value ours replaces: ours has not been chosen, and can be proposed again as it stands.
+/// - It is another one: once that is chosen, ours is certainly lost if the lineage goes back to the value it would have
+///   replaced, for then that one has another successor. Ours can be proposed again by whoever met it, but not chosen: a
+///   quorum has accepted the other value under a higher ballot.
+fn next_step_of_write(write: &Write, prepared: &Prepared) -> Step {
+    let origin = prepared.current.as_ref().map_or(Ballot::NONE, |current| current.value.origin());
+    if origin == write.predecessor {
+        return Step::ProposeOwn;
+    }
+    match &prepared.current {
+        Some(current) if prepared.chosen => Step::Finish(verdict(write, current)),
+        _ => Step::ProposeCurrent,
+    }
+}
+
+/// The outcome of a write, given a chosen value that is not older.
+pub(crate) fn verdict(write: &Write, chosen: &Accepted) -> Result<Accepted, RegisterError> {
+    if chosen.value.descends_from(write.origin) {
+        Ok(chosen.clone())
+    } else if chosen.value.knows_history_since(write.predecessor) {
+        Err(RegisterError::ConflictLost)
+    } else {
+        Err(RegisterError::Conflict)
+    }
+}
