--- /dev/null
+++ b/src/data_plane/attempt.rs
@@ -0,0 +1,182 @@
+//! One attempt: a connection, the request, and the head of the answer.
+
+use super::exchange::Exchange;
+use super::forwarded_request::AttemptFields;
+use super::outcome::{judge, Verdict};
+use super::outstanding::OutstandingAttempt;
+use super::policy;
+use super::pool::{Lease, NoConnection};
+use super::worker_answer::{BodyStart, WorkerAnswer};
+use super::worker_connection::SendFailure;
+use hyper::body::Incoming;
+use hyper::{Response, StatusCode};
+use switchhill_routing::{AttemptOutcome, WorkerKey};
+
+/// What differs where a stream is taken up again.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct ResumePoint {
+    /// Last event that the client has.
+    pub(crate) last_event_id: Option<u64>,
+    /// Version that the rest should have.
+    pub(crate) expect_version: Option<u64>,
+}
+
+/// What became of an attempt.
+pub(crate) enum AttemptEnd {
+    /// The worker's own answer begins.
+    Answered(Box<WorkerAnswer>),
+    /// Nothing was sent.
+    NotSent,
+    /// The worker did not run the request and said so with this status.
+    NotRun(StatusCode),
+    /// The request may have run.
+    MayHaveRun,
+    /// The deadline passed after it was sent.
+    TimedOut,
+    /// It would be a repeat, and the budget has none left.
+    OutOfBudget,
+}
+
+enum Sent {
+    Answer(Response<Incoming>),
+    Failed(SendFailure),
+    /// All streams of the worker have stopped.
+    WorkerSilent,
+    DeadlinePassed,
+}
+
+impl Exchange {
+    /// Sends the request to the worker. The trail says afterwards what has been tried.
+    pub(crate) async fn attempt(&mut self, worker: WorkerKey, resume: ResumePoint) -> AttemptEnd {
+        let attempt = OutstandingAttempt::begin(&self.shared, worker, &self.profile);
+        let lease = match self.lease(worker).await {
+            Ok(lease) => lease,
+            Err(outcome) => {
+                self.not_sent(worker);
+                attempt.finish(outcome);
+                return AttemptEnd::NotSent;
+            }
+        };
+        if !self.shared.may_send(worker) {
+            self.not_sent(worker);
+            return AttemptEnd::NotSent;
+        }
+        if self.trail.sent > 0 && !self.take_repeat() {
+            return AttemptEnd::OutOfBudget;
+        }
+        self.trail.sent += 1;
+        self.trail.excluded.push(worker);
+        self.send(worker, lease, attempt, resume).await
+    }
+
+    fn not_sent(&mut self, worker: WorkerKey) {
+        self.trail.unsent += 1;
+        self.trail.excluded.push(worker);
+    }
+
+    fn take_repeat(&self) -> bool {
+        self.shared.budget.borrow_mut().try_repeat(self.shared.now(), &self.profile.service)
+    }
+
+    /// A connection to the worker, as long as requests may be sent to it.
+    async fn lease(&self, worker: WorkerKey) -> Result<Lease, AttemptOutcome> {
+        let place =
+            self.shared.router.borrow().worker(worker).map(|view| (view.id.clone(), view.address.clone()));
+        let Some((id, address)) = place else { return Err(AttemptOutcome::Cancelled) };
+        let limit = self.shared.connection_limit(&self.profile.service);
+        tokio::select! {
+            leased = self.shared.pool.lease(&id, &address, limit) => leased.map_err(|reason| match reason {
+                NoConnection::ConnectFailed => AttemptOutcome::ConnectFailed,
+                NoConnection::AllInUse => AttemptOutcome::NotExecuted(StatusCode::SERVICE_UNAVAILABLE.as_u16()),
+            }),
+            () = self.shared.worker_leaves(worker) => Err(AttemptOutcome::Cancelled),
+            () = tokio::time::sleep_until(self.deadline) => Err(AttemptOutcome::Cancelled),
+        }
+    }
+
+    async fn send(
+        &mut self,
+        worker: WorkerKey,
+        mut lease: Lease,
+        attempt: OutstandingAttempt,
+        resume: ResumePoint,
+    ) -> AttemptEnd {
+        match self.wait_for_head(worker, &mut lease, resume).await {
+            Sent::Answer(answer) => self.judge_answer(WorkerAnswer::new(answer, lease, attempt)).await,
+            Sent::Failed(SendFailure::NotSent) => {
+                self.trail.sent -= 1;
+                self.trail.unsent += 1;
+                self.give_back_repeat();
+                AttemptEnd::NotSent
+            }
+            Sent::Failed(SendFailure::Broken) => self.may_have_run(attempt, AttemptOutcome::Broken),
+            Sent::WorkerSilent => self.may_have_run(attempt, AttemptOutcome::TimedOut),
+            Sent::DeadlinePassed => {
+                self.may_have_run(attempt, AttemptOutcome::TimedOut);
+                AttemptEnd::TimedOut
+            }
+        }
+    }
+
+    fn give_back_repeat(&self) {
+        if self.trail.sent > 0 {
+            self.shared.budget.borrow_mut().give_back(self.shared.now(), &self.profile.service);
+        }
+    }
+
+    fn may_have_run(&mut self, attempt: OutstandingAttempt, outcome: AttemptOutcome) -> AttemptEnd {
+        self.trail.may_have_run = true;
+        attempt.finish(outcome);
+        AttemptEnd::MayHaveRun
+    }
+
+    async fn wait_for_head(&self, worker: WorkerKey, lease: &mut Lease, resume: ResumePoint) -> Sent {
+        let worker_id = self.shared.router.borrow().worker(worker).map(|view| view.id.clone());
+        let fields = AttemptFields {
+            worker_id: worker_id.unwrap_or_default(),
+            time_left: self.time_left(),
+            priority: self.rules.priority,
+            last_event_id: resume.last_event_id,
+            expect_version: resume.expect_version,
+        };
+        let request = self.request.for_worker(&fields);
+        tokio::select! {
+            biased;
+            sent = lease.connection().send(request) => match sent {
+                Ok(answer) => Sent::Answer(answer),
+                Err(failure) => Sent::Failed(failure),
+            },
+            () = self.shared.silent.wait_for(worker), if self.rules.idempotent => Sent::WorkerSilent,
+            () = tokio::time::sleep_until(self.deadline) => Sent::DeadlinePassed,
+        }
+    }
+
+    async fn judge_answer(&mut self, answer: WorkerAnswer) -> AttemptEnd {
+        match judge(&answer.head, self.request_id.as_ref(), self.request.method()) {
+            Verdict::Deliver => AttemptEnd::Answered(Box::new(answer)),
+            Verdict::NotRun(status) => {
+                self.refused(answer, status).await;
+                AttemptEnd::NotRun(status)
+            }
+            Verdict::MayHaveRun => {
+                self.trail.may_have_run = true;
+                answer.abandon(AttemptOutcome::Broken);
+                AttemptEnd::MayHaveRun
+            }
+        }
+    }
+
+    /// Notes a refusal. Its connection is kept if its body, which is short, is there.
+    async fn refused(&self, mut answer: WorkerAnswer, status: StatusCode) {
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            let worker = answer.attempt.worker();
+            self.shared.router.borrow_mut().missing_model(self.shared.now(), worker, &self.profile);
+        }
+        let outcome = AttemptOutcome::NotExecuted(status.as_u16());
+        let body = answer.read_start(policy::WHOLE_ANSWER_LIMIT);
+        match tokio::time::timeout(policy::REFUSAL_BODY_LIMIT, body).await {
+            Ok(BodyStart::Whole(_)) => answer.complete(outcome),
+            _ => answer.abandon(outcome),
+        }
+    }
+}
--- /dev/null
+++ b/src/data_plane/forwarded_request.rs
@@ -0,0 +1,85 @@
+//! A client's request as it is sent to workers: method, target and body unchanged.
+
+use super::connection_headers::remove_request_connection_headers;
+use super::request_head::{LAST_EVENT_ID, REQUEST_DEADLINE};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Uri};
+use std::time::Duration;
+
+/// Ranks that `Priority` may carry; 0 comes first.
+const LAST_PRIORITY: u8 = 9;
+
+/// A request whose body has been read.
+#[derive(Debug, Clone)]
+pub(crate) struct ForwardedRequest {
+    method: Method,
+    target: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// What differs from one attempt to the next.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct AttemptFields {
+    pub(crate) worker_id: String,
+    pub(crate) time_left: Duration,
+    pub(crate) priority: u8,
+    /// Replaces the client's own where a stream is taken up.
+    pub(crate) last_event_id: Option<u64>,
+    pub(crate) expect_version: Option<u64>,
+}
+
+impl ForwardedRequest {
+    /// Takes a request apart; `body` is its whole body.
+    pub(crate) fn new(parts: Parts, body: Bytes) -> ForwardedRequest {
+        let mut headers = parts.headers;
+        let had_body = headers.contains_key(CONTENT_LENGTH) || !body.is_empty();
+        remove_request_connection_headers(&mut headers);
+        headers.remove(CONTENT_LENGTH);
+        if had_body {
+            headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
+        }
+        ForwardedRequest { method: parts.method, target: origin_form(parts.uri), headers, body }
+    }
+
+    /// The method.
+    pub(crate) fn method(&self) -> &Method {
+        &self.method
+    }
+
+    /// The request as one worker gets it.
+    pub(crate) fn for_worker(&self, fields: &AttemptFields) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.target.clone();
+        *request.headers_mut() = self.headers.clone();
+        set_attempt_headers(request.headers_mut(), fields);
+        request
+    }
+}
+
+fn set_attempt_headers(headers: &mut HeaderMap, fields: &AttemptFields) {
+    let left = u64::try_from(fields.time_left.as_millis()).unwrap_or(u64::MAX).max(1);
+    headers.insert(REQUEST_DEADLINE, HeaderValue::from(left));
+    headers.insert("priority", HeaderValue::from(u16::from(fields.priority.min(LAST_PRIORITY))));
+    headers.remove("expect-instance");
+    if let Ok(worker_id) = HeaderValue::from_str(&fields.worker_id) {
+        headers.insert("expect-instance", worker_id);
+    }
+    if let Some(id) = fields.last_event_id {
+        headers.insert(LAST_EVENT_ID, HeaderValue::from(id));
+    }
+    if let Some(version) = fields.expect_version {
+        headers.insert("expect-version", HeaderValue::from(version));
+    }
+}
+
+fn origin_form(uri: Uri) -> Uri {
+    match uri.into_parts().path_and_query {
+        Some(target) => Uri::from(target),
+        None => Uri::from_static("/"),
+    }
+}
--- /dev/null
+++ b/src/data_plane/ingress.rs
@@ -0,0 +1,177 @@
+//! Connections of clients, and what happens to a request before it is sent to a worker.
+
+use super::answer_body::AnswerBody;
+use super::delivery;
+use super::exchange::{deadline, profile_of, service_of, Exchange, RouteRules, RunningRequest, Trail};
+use super::forwarded_request::ForwardedRequest;
+use super::policy;
+use super::replies::LocalReply;
+use super::request_head::RequestHead;
+use super::shared::Shared;
+use super::shutdown::Phase;
+use super::worker_connection::bound_silence;
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONNECTION};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use switchhill_configuration::{ClientLimits, Route};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::Instant;
+
+/// Accepts clients until the phase in which no new connection is taken.
+pub(crate) async fn accept(shared: Rc<Shared>, listener: TcpListener) {
+    let places = Arc::new(Semaphore::new(most_clients(&shared)));
+    let closing = shared.shutdown.clone();
+    tokio::select! {
+        () = accept_all(shared, listener, places) => {}
+        () = closing.reached(Phase::Closing) => {}
+    }
+}
+
+/// Connections of clients that the descriptors allow.
+fn most_clients(shared: &Shared) -> usize {
+    let descriptors = shared.settings.borrow().limits.max_fds;
+    let free = descriptors.saturating_sub(policy::RESERVED_DESCRIPTORS + policy::OWN_DESCRIPTORS);
+    ((free as f64 * policy::CLIENT_DESCRIPTOR_SHARE) as usize).max(1)
+}
+
+async fn accept_all(shared: Rc<Shared>, listener: TcpListener, places: Arc<Semaphore>) {
+    loop {
+        let Ok(place) = places.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _peer)) => {
+                tokio::task::spawn_local(serve_connection(shared.clone(), stream, place));
+            }
+            Err(error) => {
+                log::warn!("accepting a client: {error}");
+                tokio::time::sleep(policy::CONNECTION_REST).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(shared: Rc<Shared>, stream: TcpStream, _place: OwnedSemaphorePermit) {
+    let prepared = stream.set_nodelay(true).and_then(|()| bound_silence(&stream, policy::CLIENT_SILENCE));
+    if let Err(error) = prepared {
+        log::debug!("socket options of a client: {error}");
+    }
+    let limits = client_limits(&shared);
+    let service = service_fn(|request| respond(shared.clone(), request));
+    let connection = connection_settings(&limits).serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = shared.shutdown.reached(Phase::Closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("connection of a client: {error}");
+    }
+}
+
+fn client_limits(shared: &Shared) -> ClientLimits {
+    shared.document().map(|document| *document.limits()).unwrap_or_default()
+}
+
+fn connection_settings(limits: &ClientLimits) -> http1::Builder {
+    // One timer bounds both the rest between two requests and the time a head takes.
+    let idle = Duration::from_millis(limits.idle_timeout_ms) + policy::IDLE_GRACE;
+    let head = Duration::from_millis(limits.header_timeout_ms);
+    let head_buffer = usize::try_from(limits.max_header_bytes).unwrap_or(usize::MAX);
+    let mut settings = http1::Builder::new();
+    settings
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle.max(head))
+        .max_buf_size(head_buffer.max(policy::LEAST_HEAD_BUFFER));
+    settings
+}
+
+async fn respond(shared: Rc<Shared>, request: Request<Incoming>) -> Result<Response<AnswerBody>, Infallible> {
+    let mut answer = answer_request(&shared, request).await;
+    if shared.shutdown.phase() != Phase::Serving {
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(answer)
+}
+
+async fn answer_request(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let arrived = Instant::now();
+    let running = RunningRequest::begin(shared);
+    let (parts, body) = request.into_parts();
+    let head = RequestHead::read(&parts);
+    let request_id = head.request_id.clone();
+    let read = read_body(shared, body).await;
+    let admitted = read.and_then(|body| {
+        let route = find_route(shared, &head)?;
+        admit(shared, &route, &head, ForwardedRequest::new(parts, body), arrived, running)
+    });
+    match admitted {
+        Ok(exchange) => delivery::answer(exchange).await,
+        Err(reply) => reply.answer(request_id.as_ref()),
+    }
+}
+
+async fn read_body(shared: &Shared, body: Incoming) -> Result<Bytes, LocalReply> {
+    let limit = usize::try_from(client_limits(shared).max_body_bytes).unwrap_or(usize::MAX);
+    let collected = Limited::new(body, limit).collect().await;
+    collected.map(|body| body.to_bytes()).map_err(|error| match error.is::<LengthLimitError>() {
+        true => LocalReply::BodyTooLarge,
+        false => LocalReply::BodyUnreadable,
+    })
+}
+
+/// The route by the newest configuration.
+fn find_route(shared: &Shared, head: &RequestHead) -> Result<Route, LocalReply> {
+    let not_yet = LocalReply::NotRun { retry_after_ms: policy::RETRY_AFTER_NO_CONFIGURATION_MS };
+    let view = shared.view();
+    let document = view.document.as_ref().ok_or(not_yet)?;
+    let route = document.route(&head.host, &head.path);
+    // A configuration that nobody has confirmed may be too old to know the route.
+    let unknown = if view.confirmed { LocalReply::NoRoute } else { not_yet };
+    route.cloned().ok_or(unknown)
+}
+
+/// Admission: the one place where a request is refused for the sake of others.
+fn admit(
+    shared: &Rc<Shared>,
+    route: &Route,
+    head: &RequestHead,
+    request: ForwardedRequest,
+    arrived: Instant,
+    running: RunningRequest,
+) -> Result<Exchange, LocalReply> {
+    let profile = profile_of(route, head, service_of(route, head));
+    let now = shared.now();
+    let deadline = deadline(arrived, head, route);
+    shared.budget.borrow_mut().request(now, &profile.service);
+    shared.statistics.borrow_mut().arrived(&route.name, &profile);
+    let time_left = deadline.saturating_duration_since(Instant::now());
+    let time_left_ms = u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX);
+    let admitted = shared.admission.arrived(now, &route.name, &profile, time_left_ms);
+    let admitted = admitted.map_err(|retry_after_ms| LocalReply::NotRun { retry_after_ms })?;
+    shared.statistics.borrow_mut().admitted(&route.name);
+    Ok(Exchange {
+        shared: shared.clone(),
+        rules: RouteRules::of(route),
+        request,
+        request_id: head.request_id.clone(),
+        profile,
+        last_event_id: head.last_event_id,
+        arrived,
+        deadline,
+        admitted: Some(admitted),
+        trail: Trail::default(),
+        _running: running,
+    })
+}
--- /dev/null
+++ b/src/data_plane/outstanding.rs
@@ -0,0 +1,58 @@
+//! One request at one worker, as the router counts it.
+
+use super::shared::Shared;
+use std::rc::Rc;
+use switchhill_routing::{AttemptKey, AttemptOutcome, RequestProfile, WorkerKey};
+
+/// An attempt the router knows of. Dropped without an outcome, it counts as cancelled by the client.
+pub(crate) struct OutstandingAttempt {
+    shared: Rc<Shared>,
+    key: AttemptKey,
+    worker: WorkerKey,
+    ended: bool,
+}
+
+impl OutstandingAttempt {
+    /// Tells the router that the request is being written to a worker.
+    pub(crate) fn begin(
+        shared: &Rc<Shared>,
+        worker: WorkerKey,
+        profile: &RequestProfile,
+    ) -> OutstandingAttempt {
+        let key = shared.router.borrow_mut().sent(shared.now(), worker, profile);
+        OutstandingAttempt { shared: shared.clone(), key, worker, ended: false }
+    }
+
+    /// The worker.
+    pub(crate) fn worker(&self) -> WorkerKey {
+        self.worker
+    }
+
+    /// The answer has begun.
+    pub(crate) fn first_byte(&self) {
+        self.shared.router.borrow_mut().first_byte(self.shared.now(), self.key);
+    }
+
+    /// Further bytes of the answer have come.
+    pub(crate) fn progress(&self) {
+        self.shared.router.borrow_mut().progress(self.shared.now(), self.key);
+    }
+
+    /// The attempt has ended.
+    pub(crate) fn finish(mut self, outcome: AttemptOutcome) {
+        self.end(outcome);
+    }
+
+    fn end(&mut self, outcome: AttemptOutcome) {
+        if !self.ended {
+            self.ended = true;
+            self.shared.router.borrow_mut().finished(self.shared.now(), self.key, outcome);
+        }
+    }
+}
+
+impl Drop for OutstandingAttempt {
+    fn drop(&mut self) {
+        self.end(AttemptOutcome::Cancelled);
+    }
+}
--- /dev/null
+++ b/src/data_plane/policy.rs
@@ -0,0 +1,89 @@
+//! Figures of the data plane that are tuned rather than given by the settings or the configuration.
+
+use std::time::Duration;
+
+/// Longest time in which a connection to a worker has to come up: beyond it another worker is quicker.
+pub(crate) const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// Longest wait for one of a worker's connections to become free before another worker is chosen.
+pub(crate) const CONNECTION_WAIT: Duration = Duration::from_millis(100);
+/// Rest of a connection after an answer, in which surplus bytes of the worker would still show.
+pub(crate) const CONNECTION_REST: Duration = Duration::from_millis(30);
+/// An idle connection is dropped this long before the worker would close it.
+pub(crate) const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Idle time of a connection whose worker names none.
+pub(crate) const IDLE_DEFAULT: Duration = Duration::from_secs(5);
+/// Least number of connections a gatekeeper may hold to one worker, however many gatekeepers there are.
+pub(crate) const LEAST_CONNECTIONS: u32 = 4;
+/// Share of a worker's connections that the gatekeepers use together; the rest is for uneven shares.
+pub(crate) const CONNECTION_SHARE: f64 = 0.8;
+/// Time after which bytes that a worker's machine has not acknowledged end the connection.
+pub(crate) const WORKER_SILENCE: Duration = Duration::from_secs(3);
+/// Time after which bytes that a client's machine has not acknowledged end the connection.
+pub(crate) const CLIENT_SILENCE: Duration = Duration::from_secs(10);
+
+/// Answers up to this many bytes are read whole before they are passed on, so that a cut one can be repeated.
+pub(crate) const WHOLE_ANSWER_LIMIT: usize = 64 * 1024;
+/// Longest time spent on reading the body of a refusal so that its connection can be kept.
+pub(crate) const REFUSAL_BODY_LIMIT: Duration = Duration::from_millis(20);
+/// Longest time in which a broken stream has to be taken up by another worker.
+pub(crate) const RESUME_LIMIT: Duration = Duration::from_secs(2);
+/// Pause before a worker is looked for again while a stream is being taken up.
+pub(crate) const RESUME_PAUSE: Duration = Duration::from_millis(50);
+
+/// Latency objectives below this, in milliseconds, leave no time to load a model.
+pub(crate) const SHORT_AIM_MS: u64 = 2000;
+/// Longest hold of a request with a short objective for an adapter, which comes in milliseconds.
+pub(crate) const SHORT_HOLD_ADAPTER: Duration = Duration::from_millis(150);
+/// Share of a short objective for which a request is held for a model.
+pub(crate) const SHORT_HOLD_SHARE: f64 = 0.2;
+/// Share of a long objective for which a request is held.
+pub(crate) const LONG_HOLD_SHARE: f64 = 0.9;
+/// Share of the time left for which a request is held at most.
+pub(crate) const HOLD_LEFT_SHARE: f64 = 0.5;
+/// Share of the objective for which a request is held while no worker of its service is known.
+pub(crate) const NO_WORKER_HOLD_SHARE: f64 = 0.2;
+/// Least time between two reports that the same model is missing.
+pub(crate) const MISSING_INTERVAL_MS: u64 = 100;
+
+/// Advice for a request that was refused before any configuration was known.
+pub(crate) const RETRY_AFTER_NO_CONFIGURATION_MS: u64 = 500;
+/// Advice for a request for which no worker could be found.
+pub(crate) const RETRY_AFTER_NO_WORKER_MS: u64 = 300;
+/// Advice for a request that workers refused.
+pub(crate) const RETRY_AFTER_REFUSED_MS: u64 = 200;
+/// Advice for a request whose adapter is missing.
+pub(crate) const RETRY_AFTER_ADAPTER_MS: u64 = 200;
+/// Advice for a request whose model is missing and whose time to load is unknown.
+pub(crate) const RETRY_AFTER_MODEL_MS: u64 = 1500;
+
+/// Interval of the summaries, and of dropping idle connections.
+pub(crate) const TICK: Duration = Duration::from_secs(1);
+/// Interval at which silent workers are looked for; the router takes longer gaps for a pause of the process.
+pub(crate) const SILENCE_TICK: Duration = Duration::from_millis(80);
+
+/// Longest time after SIGTERM in which new requests are still answered: the platform misses two checks by then.
+pub(crate) const LEAVING_LIMIT: Duration = Duration::from_millis(2500);
+/// The same as a share of the time to SIGKILL, where that is short.
+pub(crate) const LEAVING_SHARE: f64 = 0.3;
+/// What is left of the time to SIGKILL when the process ends.
+pub(crate) const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Time without a running request after which connections that are still open are left.
+pub(crate) const LAST_BYTES: Duration = Duration::from_millis(300);
+/// A client's idle connection is kept this much longer than the configuration promises.
+pub(crate) const IDLE_GRACE: Duration = Duration::from_secs(1);
+/// Descriptors that settings reserve for files.
+pub(crate) const RESERVED_DESCRIPTORS: u64 = 200;
+/// Descriptors of the process itself: listeners, the agent's link, signals.
+pub(crate) const OWN_DESCRIPTORS: u64 = 64;
+/// Share of the remaining descriptors that clients may use; workers' connections have the rest.
+pub(crate) const CLIENT_DESCRIPTOR_SHARE: f64 = 0.6;
+/// Connections that wait to be accepted.
+pub(crate) const BACKLOG: u32 = 1024;
+/// Smallest buffer for a request head that the HTTP library takes.
+pub(crate) const LEAST_HEAD_BUFFER: usize = 8192;
+/// Attempts that were never sent (no connection, worker gone meanwhile) before a request is given up.
+pub(crate) const UNSENT_ATTEMPTS: u32 = 4;
+/// Size that admission assumes for a request that does not tell its tokens.
+pub(crate) const SIZE_WITHOUT_TOKENS: f64 = 1000.0;
+/// What a token put out weighs against one of the prompt.
+pub(crate) const OUTPUT_TOKEN_WEIGHT: f64 = 10.0;
--- /dev/null
+++ b/src/data_plane/pool.rs
@@ -0,0 +1,195 @@
+//! Connections to workers, kept for each incarnation of a worker.
+
+use super::policy;
+use super::worker_connection::WorkerConnection;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Why no connection could be had. Nothing was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NoConnection {
+    /// The address is not one, or the connection did not come up.
+    ConnectFailed,
+    /// All connections that this gatekeeper may hold to the worker are in use.
+    AllInUse,
+}
+
+/// Connections of all workers.
+#[derive(Debug, Default)]
+pub(crate) struct Pool {
+    workers: RefCell<HashMap<String, Rc<WorkerConnections>>>,
+}
+
+/// Connections of one worker.
+#[derive(Debug, Default)]
+struct WorkerConnections {
+    idle: RefCell<Vec<IdleConnection>>,
+    count: Rc<ConnectionCount>,
+}
+
+/// How many connections a worker has, in use or at rest.
+#[derive(Debug, Default)]
+struct ConnectionCount {
+    open: Cell<u32>,
+    /// Told when a connection comes to rest or closes.
+    released: Notify,
+}
+
+/// The place of one connection in the count.
+#[derive(Debug)]
+struct Place(Rc<ConnectionCount>);
+
+/// A connection and its place, which is given back after the connection has closed.
+#[derive(Debug)]
+struct CountedConnection {
+    connection: WorkerConnection,
+    _place: Place,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    counted: CountedConnection,
+    since: Instant,
+    until: Instant,
+}
+
+/// A connection in use. Dropping it closes the connection.
+#[derive(Debug)]
+pub(crate) struct Lease {
+    counted: CountedConnection,
+    home: Rc<WorkerConnections>,
+}
+
+impl Pool {
+    /// A connection to a worker: one at rest, a new one while fewer than `limit` are open, or the next that
+    /// comes free.
+    pub(crate) async fn lease(
+        &self,
+        worker_id: &str,
+        address: &str,
+        limit: u32,
+    ) -> Result<Lease, NoConnection> {
+        let home = self.home(worker_id);
+        let give_up = Instant::now() + policy::CONNECTION_WAIT;
+        loop {
+            if let Some(counted) = home.take_idle() {
+                return Ok(Lease { counted, home });
+            }
+            if home.count.open.get() < limit {
+                let counted = connect(Place::take(&home.count), address).await?;
+                return Ok(Lease { counted, home });
+            }
+            let released = home.count.released.notified();
+            tokio::time::timeout_at(give_up, released).await.map_err(|_| NoConnection::AllInUse)?;
+        }
+    }
+
+    /// Drops what is idle of workers that are not among these.
+    pub(crate) fn retain(&self, worker_ids: &HashSet<&str>) {
+        self.workers.borrow_mut().retain(|id, _| worker_ids.contains(id.as_str()));
+    }
+
+    /// Drops idle connections that are closed or that their workers are about to close.
+    pub(crate) fn drop_expired(&self) {
+        let now = Instant::now();
+        for home in self.workers.borrow().values() {
+            home.drop_expired(now);
+        }
+    }
+
+    fn home(&self, worker_id: &str) -> Rc<WorkerConnections> {
+        let mut workers = self.workers.borrow_mut();
+        if let Some(home) = workers.get(worker_id) {
+            return home.clone();
+        }
+        let home = Rc::new(WorkerConnections::default());
+        workers.insert(worker_id.to_owned(), home.clone());
+        home
+    }
+}
+
+impl WorkerConnections {
+    /// The connection used last among those that have rested, or else the one that has rested longest.
+    fn take_idle(&self) -> Option<CountedConnection> {
+        let now = Instant::now();
+        self.drop_expired(now);
+        let mut idle = self.idle.borrow_mut();
+        let place = idle.iter().rposition(|resting| resting.is_rested(now)).unwrap_or(0);
+        (place < idle.len()).then(|| idle.remove(place).counted)
+    }
+
+    fn drop_expired(&self, now: Instant) {
+        self.idle.borrow_mut().retain(|resting| resting.is_usable(now));
+    }
+
+    fn rest(&self, counted: CountedConnection, idle_for: Duration) {
+        let since = Instant::now();
+        self.idle.borrow_mut().push(IdleConnection { counted, since, until: since + idle_for });
+        self.count.released.notify_one();
+    }
+}
+
+impl IdleConnection {
+    fn is_usable(&self, now: Instant) -> bool {
+        now < self.until && self.counted.connection.is_ready()
+    }
+
+    /// Whether surplus bytes of the last answer would have shown by now.
+    fn is_rested(&self, now: Instant) -> bool {
+        now.duration_since(self.since) >= policy::CONNECTION_REST
+    }
+}
+
+impl Place {
+    fn take(count: &Rc<ConnectionCount>) -> Place {
+        count.open.set(count.open.get() + 1);
+        Place(count.clone())
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+        self.0.released.notify_one();
+    }
+}
+
+async fn connect(place: Place, address: &str) -> Result<CountedConnection, NoConnection> {
+    let address: SocketAddr = address.parse().map_err(|_| NoConnection::ConnectFailed)?;
+    let connecting = WorkerConnection::connect(address);
+    let connected = tokio::time::timeout(policy::CONNECT_LIMIT, connecting).await;
+    let connection = connected.map_err(|_| NoConnection::ConnectFailed)?;
+    let connection = connection.map_err(|_| NoConnection::ConnectFailed)?;
+    Ok(CountedConnection { connection, _place: place })
+}
+
+impl Lease {
+    /// The connection.
+    pub(crate) fn connection(&mut self) -> &mut WorkerConnection {
+        &mut self.counted.connection
+    }
+
+    /// Puts the connection to rest after a whole answer; `idle_for` is the time the worker keeps it.
+    pub(crate) fn keep(self, idle_for: Option<Duration>) {
+        let idle_for = idle_for.unwrap_or(policy::IDLE_DEFAULT).saturating_sub(policy::IDLE_MARGIN);
+        if idle_for.is_zero() {
+            return;
+        }
+        let Lease { mut counted, home } = self;
+        if counted.connection.is_ready() {
+            home.rest(counted, idle_for);
+            return;
+        }
+        tokio::task::spawn_local(async move {
+            let settled = tokio::time::timeout(policy::CONNECTION_REST, counted.connection.ready()).await;
+            if let Ok(Ok(())) = settled {
+                home.rest(counted, idle_for);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/data_plane/readiness.rs
@@ -0,0 +1,60 @@
+//! The endpoint of the platform's readiness checks.
+
+use super::answer_body::AnswerBody;
+use super::shared::Shared;
+use super::shutdown::Phase;
+use hyper::header::{HeaderValue, CONTENT_LENGTH};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Path of the checks.
+const READY_PATH: &str = "/api/ready";
+/// Time after which a connection without a check is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(10);
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers checks for as long as the process lives.
+pub(crate) async fn answer_checks(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _peer)) => {
+                tokio::task::spawn_local(serve_connection(shared.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!("accepting a readiness check: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(shared: Rc<Shared>, stream: TcpStream) {
+    let service = service_fn(|request: Request<_>| {
+        let answer = check(&shared, request.uri().path());
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    let mut settings = http1::Builder::new();
+    settings.timer(TokioTimer::new()).header_read_timeout(IDLE_LIMIT);
+    if let Err(error) = settings.serve_connection(TokioIo::new(stream), service).await {
+        log::debug!("connection of a readiness check: {error}");
+    }
+}
+
+fn check(shared: &Shared, path: &str) -> Response<AnswerBody> {
+    let is_ready = shared.shutdown.phase() == Phase::Serving && shared.view().is_ready();
+    let mut answer = Response::new(AnswerBody::empty());
+    *answer.status_mut() = match (path, is_ready) {
+        (READY_PATH, true) => StatusCode::OK,
+        (READY_PATH, false) => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::NOT_FOUND,
+    };
+    answer.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from(0));
+    answer
+}
--- /dev/null
+++ b/src/data_plane/server.rs
@@ -0,0 +1,144 @@
+//! The data plane as a whole: listeners, periodic work, shutdown.
+
+use super::feedback::Feedback;
+use super::ingress;
+use super::policy;
+use super::readiness;
+use super::shared::Shared;
+use super::shutdown::{Phase, ShutdownHandle, ShutdownTimes};
+use super::signals;
+use super::view::View;
+use crate::site_settings::SiteSettings;
+use anyhow::Context;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, MissedTickBehavior};
+
+/// Interval at which the end of the running requests is looked for during a shutdown.
+const END_CHECK: Duration = Duration::from_millis(20);
+
+/// A data plane whose listeners are open.
+pub struct DataPlane {
+    settings: SiteSettings,
+    http: TcpListener,
+    readiness: Option<TcpListener>,
+    shutdown: ShutdownHandle,
+}
+
+impl DataPlane {
+    /// Opens the listeners that the settings name.
+    ///
+    /// # Errors
+    /// An address cannot be listened on, or there is none for clients.
+    pub fn bind(settings: SiteSettings) -> anyhow::Result<DataPlane> {
+        let http = settings.bind.http.context("bind.http: the data plane needs an address")?;
+        Ok(DataPlane {
+            http: listen(http)?,
+            readiness: settings.bind.readiness.map(listen).transpose()?,
+            shutdown: ShutdownHandle::new(),
+            settings,
+        })
+    }
+
+    /// The address for clients.
+    ///
+    /// # Errors
+    /// The system does not tell it.
+    pub fn http_address(&self) -> std::io::Result<SocketAddr> {
+        self.http.local_addr()
+    }
+
+    /// The address for readiness checks, where there is one.
+    pub fn readiness_address(&self) -> Option<SocketAddr> {
+        self.readiness.as_ref()?.local_addr().ok()
+    }
+
+    /// Starts the shutdown from elsewhere.
+    pub fn shutdown_handle(&self) -> ShutdownHandle {
+        self.shutdown.clone()
+    }
+
+    /// Serves until a shutdown has been carried out. It runs inside a [`tokio::task::LocalSet`].
+    ///
+    /// # Errors
+    /// None at present; a caller ends the process with them.
+    pub async fn serve(
+        self,
+        views: watch::Receiver<Arc<View>>,
+        feedback: mpsc::UnboundedSender<Feedback>,
+    ) -> anyhow::Result<()> {
+        let times = ShutdownTimes::within(self.settings.grace());
+        let shared = Rc::new(Shared::new(self.settings, feedback, self.shutdown));
+        // Dropping the set at the end aborts the tasks.
+        let mut tasks = JoinSet::new();
+        tasks.spawn_local(take_views(shared.clone(), views));
+        tasks.spawn_local(tick(shared.clone()));
+        tasks.spawn_local(look_for_silence(shared.clone()));
+        tasks.spawn_local(signals::reload_at_sighup(shared.clone()));
+        tasks.spawn_local(ingress::accept(shared.clone(), self.http));
+        if let Some(listener) = self.readiness {
+            tasks.spawn_local(readiness::answer_checks(shared.clone(), listener));
+        }
+        shut_down(&shared, times).await;
+        Ok(())
+    }
+}
+
+fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    let open = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(policy::BACKLOG)
+    };
+    open().with_context(|| format!("listening on {address}"))
+}
+
+async fn take_views(shared: Rc<Shared>, mut views: watch::Receiver<Arc<View>>) {
+    loop {
+        let view = views.borrow_and_update().clone();
+        shared.take_view(view);
+        if views.changed().await.is_err() {
+            // The agent's side has gone: the newest view stays in force.
+            return;
+        }
+    }
+}
+
+async fn tick(shared: Rc<Shared>) {
+    let mut ticks = tokio::time::interval(policy::TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        shared.tick();
+    }
+}
+
+async fn look_for_silence(shared: Rc<Shared>) {
+    let mut ticks = tokio::time::interval(policy::SILENCE_TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        shared.look_for_silence();
+    }
+}
+
+/// Waits for the shutdown and carries it out.
+async fn shut_down(shared: &Shared, times: ShutdownTimes) {
+    shared.shutdown.reached(Phase::Leaving).await;
+    tokio::time::sleep(times.leaving).await;
+    shared.shutdown.advance(Phase::Closing);
+    let end = Instant::now() + times.closing;
+    let mut quiet_since = Instant::now();
+    while Instant::now() < end && quiet_since.elapsed() < policy::LAST_BYTES {
+        if shared.running.get() > 0 {
+            quiet_since = Instant::now();
+        }
+        tokio::time::sleep(END_CHECK).await;
+    }
+}
--- /dev/null
+++ b/src/data_plane/shared.rs
@@ -0,0 +1,177 @@
+//! State that all connections of the data plane share.
+
+use super::admission_stage::AdmissionStage;
+use super::clock::now_ms;
+use super::feedback::{Feedback, Summary, WorkerLoad};
+use super::missing::MissingModels;
+use super::policy;
+use super::pool::Pool;
+use super::shutdown::ShutdownHandle;
+use super::silence::SilentWorkers;
+use super::statistics::Statistics;
+use super::view::View;
+use crate::site_settings::SiteSettings;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use switchhill_configuration::Document;
+use switchhill_routing::{Availability, RetryBudget, Router, RouterSettings, WorkerKey};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::Notify;
+
+/// State of one data plane. It lives on one thread; no borrow is held across an await.
+pub(crate) struct Shared {
+    pub(crate) settings: RefCell<SiteSettings>,
+    pub(crate) router: RefCell<Router>,
+    pub(crate) budget: RefCell<RetryBudget>,
+    pub(crate) admission: Rc<AdmissionStage>,
+    pub(crate) pool: Pool,
+    pub(crate) statistics: RefCell<Statistics>,
+    pub(crate) missing: MissingModels,
+    pub(crate) silent: SilentWorkers,
+    pub(crate) shutdown: ShutdownHandle,
+    /// Told after the router has taken a new view.
+    pub(crate) view_changed: Notify,
+    /// Requests read whose answers are not complete.
+    pub(crate) running: Cell<u32>,
+    view: RefCell<Arc<View>>,
+    feedback: UnboundedSender<Feedback>,
+    summary_at: Cell<u64>,
+}
+
+impl Shared {
+    /// State before the first view.
+    pub(crate) fn new(
+        settings: SiteSettings,
+        feedback: UnboundedSender<Feedback>,
+        shutdown: ShutdownHandle,
+    ) -> Shared {
+        Shared {
+            router: RefCell::new(Router::new(RouterSettings::for_zone(&settings.zone), fastrand::u64(..))),
+            budget: RefCell::new(retry_budget(&settings)),
+            admission: Rc::new(AdmissionStage::new(fastrand::u64(..))),
+            settings: RefCell::new(settings),
+            pool: Pool::default(),
+            statistics: RefCell::default(),
+            missing: MissingModels::default(),
+            silent: SilentWorkers::default(),
+            shutdown,
+            view_changed: Notify::new(),
+            running: Cell::new(0),
+            view: RefCell::default(),
+            feedback,
+            summary_at: Cell::new(now_ms()),
+        }
+    }
+
+    /// Milliseconds of the clock that all decisions use.
+    pub(crate) fn now(&self) -> u64 {
+        now_ms()
+    }
+
+    /// The newest view.
+    pub(crate) fn view(&self) -> Arc<View> {
+        self.view.borrow().clone()
+    }
+
+    /// The newest configuration.
+    pub(crate) fn document(&self) -> Option<Arc<Document>> {
+        self.view.borrow().document.clone()
+    }
+
+    /// Takes a new view and wakes the requests that wait for one.
+    pub(crate) fn take_view(&self, view: Arc<View>) {
+        let now = self.now();
+        self.take_document(now, &view);
+        let mut router = self.router.borrow_mut();
+        router.set_workers(now, view.workers.clone());
+        if view.gatekeepers > 0 {
+            router.set_gatekeepers(view.gatekeepers);
+        }
+        let outstanding = router.outstanding();
+        drop(router);
+        self.budget.borrow_mut().set_gatekeepers(view.gatekeepers);
+        self.admission.set_view(now, &view, &outstanding);
+        let in_use = view.workers.iter().filter(|worker| worker.state != Availability::Gone);
+        self.pool.retain(&in_use.map(|worker| worker.id.as_str()).collect());
+        *self.view.borrow_mut() = view;
+        self.view_changed.notify_waiters();
+    }
+
+    fn take_document(&self, now: u64, view: &View) {
+        let Some(document) = &view.document else { return };
+        let present = self.document();
+        if present.is_some_and(|present| present.revision() == document.revision()) {
+            return;
+        }
+        self.admission.set_document(now, document);
+        let mut router = self.router.borrow_mut();
+        for service in document.services() {
+            if let Some(engine) = &service.engine {
+                router.set_cache_tokens(&service.name, engine.kv_cache_tokens);
+            }
+        }
+    }
+
+    /// Takes settings that were read again.
+    pub(crate) fn take_settings(&self, settings: SiteSettings) {
+        *self.settings.borrow_mut() = settings;
+    }
+
+    /// Whether a request may still be sent to the worker.
+    pub(crate) fn may_send(&self, worker: WorkerKey) -> bool {
+        self.router.borrow().may_send(self.now(), worker)
+    }
+
+    /// Waits until no request may be sent to the worker any more.
+    pub(crate) async fn worker_leaves(&self, worker: WorkerKey) {
+        while self.may_send(worker) {
+            self.view_changed.notified().await;
+        }
+    }
+
+    /// Connections that this gatekeeper may hold to a worker of the service.
+    pub(crate) fn connection_limit(&self, service: &str) -> u32 {
+        let view = self.view.borrow();
+        let service = view.document.as_ref().and_then(|document| document.service(service));
+        let Some(service) = service else { return policy::LEAST_CONNECTIONS };
+        let gatekeepers = f64::from(view.gatekeepers.max(1));
+        let share = f64::from(service.max_connections) * policy::CONNECTION_SHARE / gatekeepers;
+        policy::LEAST_CONNECTIONS.max(share as u32)
+    }
+
+    /// Tells the agent something. An agent that has gone hears nothing.
+    pub(crate) fn tell(&self, feedback: Feedback) {
+        let _ = self.feedback.send(feedback);
+    }
+
+    /// The work of each second.
+    pub(crate) fn tick(&self) {
+        let now = self.now();
+        self.pool.drop_expired();
+        self.missing.forget_old(now);
+        let view = self.view();
+        let outstanding = self.router.borrow().outstanding();
+        self.admission.set_view(now, &view, &outstanding);
+        self.admission.tick(now);
+        let span_ms = now.saturating_sub(self.summary_at.replace(now));
+        let mut statistics = self.statistics.borrow_mut();
+        let mut routes = statistics.take_routes();
+        self.admission.complete(now, &mut routes);
+        let demand = statistics.take_demand();
+        let outstanding = outstanding.into_iter().map(|(worker, requests)| WorkerLoad { worker, requests });
+        self.tell(Feedback::Summary(Summary { span_ms, demand, outstanding: outstanding.collect(), routes }));
+    }
+
+    /// Looks for workers whose streams have stopped.
+    pub(crate) fn look_for_silence(&self) {
+        let silent = self.router.borrow_mut().silent_workers(self.now());
+        self.silent.replace(silent);
+    }
+}
+
+fn retry_budget(settings: &SiteSettings) -> RetryBudget {
+    let bounds = &settings.bounds;
+    let window_ms = (bounds.budget_window_s * 1000.0) as u64;
+    RetryBudget::new(bounds.retry_budget_ratio, window_ms, bounds.retry_budget_slack)
+}
--- /dev/null
+++ b/src/data_plane/signals.rs
@@ -0,0 +1,29 @@
+//! Signals of the platform.
+
+use super::shared::Shared;
+use super::shutdown::ShutdownHandle;
+use crate::site_settings::SiteSettings;
+use std::rc::Rc;
+use tokio::signal::unix::{signal, SignalKind};
+
+/// Begins the shutdown at the first SIGTERM.
+pub(crate) async fn begin_shutdown_at_sigterm(shutdown: ShutdownHandle) {
+    match signal(SignalKind::terminate()) {
+        Ok(mut terminate) => {
+            terminate.recv().await;
+            shutdown.begin();
+        }
+        Err(error) => log::error!("SIGTERM cannot be taken: {error}"),
+    }
+}
+
+/// Reads the settings again at each SIGHUP. Settings that cannot be read leave the present ones in force.
+pub(crate) async fn reload_at_sighup(shared: Rc<Shared>) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else { return };
+    while hangup.recv().await.is_some() {
+        match SiteSettings::from_environment() {
+            Ok(settings) => shared.take_settings(settings),
+            Err(error) => log::warn!("settings are kept: {error}"),
+        }
+    }
+}
--- /dev/null
+++ b/src/data_plane/silence.rs
@@ -0,0 +1,34 @@
+//! Workers whose streams have all stopped, as the router sees it.
+
+use std::cell::RefCell;
+use std::collections::HashSet;
+use switchhill_routing::WorkerKey;
+use tokio::sync::Notify;
+
+/// The workers that are silent now, and who waits to hear of it.
+#[derive(Debug, Default)]
+pub(crate) struct SilentWorkers {
+    workers: RefCell<HashSet<WorkerKey>>,
+    changed: Notify,
+}
+
+impl SilentWorkers {
+    /// Replaces the set.
+    pub(crate) fn replace(&self, workers: Vec<WorkerKey>) {
+        let any = !workers.is_empty();
+        *self.workers.borrow_mut() = workers.into_iter().collect();
+        if any {
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Waits until the worker is silent.
+    pub(crate) async fn wait_for(&self, worker: WorkerKey) {
+        loop {
+            if self.workers.borrow().contains(&worker) {
+                return;
+            }
+            self.changed.notified().await;
+        }
+    }
+}
--- /dev/null
+++ b/src/data_plane/stream_answer.rs
@@ -0,0 +1,201 @@
+//! A series of events, passed on one by one and taken up at another worker where its own breaks.
+
+use super::answer_body::{AnswerBroken, Piece, PieceSource};
+use super::attempt::{AttemptEnd, ResumePoint};
+use super::event_stream::{Event, EventSplitter};
+use super::exchange::Exchange;
+use super::policy;
+use super::worker_answer::{BodyStep, WorkerAnswer};
+use bytes::{Bytes, BytesMut};
+use hyper::header::HeaderMap;
+use hyper::StatusCode;
+use std::pin::Pin;
+use switchhill_routing::{AttemptOutcome, Choice};
+use tokio::time::Sleep;
+
+/// The body of a stream of events.
+pub(crate) struct StreamAnswer {
+    exchange: Exchange,
+    answer: Option<WorkerAnswer>,
+    splitter: EventSplitter,
+    position: Position,
+    deadline: Pin<Box<Sleep>>,
+}
+
+/// How far the client has come in the stream.
+#[derive(Debug, Default)]
+struct Position {
+    /// Last event passed on, or that the client named at first.
+    last_id: Option<u64>,
+    /// Whether an event was passed on that has no id: it cannot be resumed after.
+    unnumbered: bool,
+    /// Version of what was passed on last.
+    versions: Option<u64>,
+    /// Version that the next event has to announce.
+    announce: Option<u64>,
+    /// Events at or below the last id are those the client has.
+    resumed: bool,
+}
+
+enum Step {
+    Body(BodyStep),
+    WorkerSilent,
+    DeadlinePassed,
+}
+
+impl StreamAnswer {
+    /// A stream that begins with this answer.
+    pub(crate) fn new(exchange: Exchange, answer: WorkerAnswer) -> StreamAnswer {
+        let deadline = Box::pin(tokio::time::sleep_until(exchange.deadline));
+        let position = Position {
+            last_id: exchange.last_event_id,
+            versions: versions(&answer.head.headers),
+            ..Position::default()
+        };
+        StreamAnswer {
+            exchange,
+            answer: Some(answer),
+            splitter: EventSplitter::default(),
+            position,
+            deadline,
+        }
+    }
+
+    async fn next_step(&mut self) -> Option<Step> {
+        let answer = self.answer.as_mut()?;
+        let worker = answer.attempt.worker();
+        let step = tokio::select! {
+            biased;
+            step = answer.next_step() => Step::Body(step),
+            () = self.exchange.shared.silent.wait_for(worker), if self.exchange.rules.resumable => {
+                Step::WorkerSilent
+            }
+            () = &mut self.deadline => Step::DeadlinePassed,
+        };
+        Some(step)
+    }
+
+    /// The whole events among the bytes that have come.
+    fn whole_events(&mut self, data: &[u8]) -> Bytes {
+        self.splitter.push(data);
+        let mut passed = BytesMut::new();
+        while let Some(event) = self.splitter.next_event() {
+            self.position.pass(&event, &mut passed);
+        }
+        passed.freeze()
+    }
+
+    /// The end of the body, with what is left of it.
+    fn end(&mut self) -> Piece {
+        let answer = self.answer.take()?;
+        let outcome = answer.outcome();
+        answer.complete(outcome);
+        let rest = self.splitter.take_rest();
+        (!rest.is_empty()).then_some(Ok(rest))
+    }
+
+    fn abort(&mut self, outcome: AttemptOutcome) -> Piece {
+        if let Some(answer) = self.answer.take() {
+            answer.abandon(outcome);
+        }
+        Some(Err(AnswerBroken))
+    }
+
+    /// Takes the stream up at another worker.
+    async fn take_up(&mut self, outcome: AttemptOutcome) -> bool {
+        if let Some(answer) = self.answer.take() {
+            answer.abandon(outcome);
+        }
+        self.splitter.clear();
+        self.exchange.trail.may_have_run = true;
+        if !self.exchange.rules.resumable || self.position.unnumbered {
+            return false;
+        }
+        let resumed = self.exchange.resume(self.position.last_id, self.position.versions);
+        let resumed = tokio::time::timeout(policy::RESUME_LIMIT, resumed).await;
+        let Ok(Some(answer)) = resumed else { return false };
+        self.position.resume_with(versions(&answer.head.headers));
+        self.answer = Some(answer);
+        true
+    }
+}
+
+impl PieceSource for StreamAnswer {
+    async fn next_piece(&mut self) -> Piece {
+        loop {
+            let outcome = match self.next_step().await? {
+                Step::Body(BodyStep::Data(data)) => {
+                    let events = self.whole_events(&data);
+                    if events.is_empty() {
+                        continue;
+                    }
+                    self.exchange.first_byte();
+                    if let Some(answer) = &self.answer {
+                        answer.attempt.progress();
+                    }
+                    return Some(Ok(events));
+                }
+                Step::Body(BodyStep::End) => return self.end(),
+                Step::Body(BodyStep::Broken) => AttemptOutcome::Broken,
+                Step::WorkerSilent => AttemptOutcome::TimedOut,
+                Step::DeadlinePassed => return self.abort(AttemptOutcome::TimedOut),
+            };
+            if !self.take_up(outcome).await {
+                return self.abort(outcome);
+            }
+        }
+    }
+}
+
+impl Position {
+    /// Adds an event to what is passed on, unless the client has it.
+    fn pass(&mut self, event: &Event, passed: &mut BytesMut) {
+        let is_known = event.id.is_some() && event.id <= self.last_id;
+        if self.resumed && is_known {
+            return;
+        }
+        if let Some(version) = self.announce.take().filter(|_| event.versions.is_none()) {
+            passed.extend_from_slice(format!("versions: {version}\n").as_bytes());
+            self.versions = Some(version);
+        }
+        self.versions = event.versions.or(self.versions);
+        self.unnumbered |= event.id.is_none();
+        self.last_id = event.id.or(self.last_id);
+        passed.extend_from_slice(&event.bytes);
+    }
+
+    /// The stream goes on with a worker of this version.
+    fn resume_with(&mut self, versions: Option<u64>) {
+        self.resumed = true;
+        self.announce = versions.filter(|version| Some(*version) != self.versions);
+    }
+}
+
+impl Exchange {
+    /// The rest of a stream from another worker; gives up when none may be asked.
+    async fn resume(&mut self, last_event_id: Option<u64>, versions: Option<u64>) -> Option<WorkerAnswer> {
+        let mut point = ResumePoint { last_event_id, expect_version: versions };
+        while self.may_try_again() {
+            let Choice::Send(worker) = self.choose() else {
+                tokio::time::sleep(policy::RESUME_PAUSE).await;
+                continue;
+            };
+            match self.attempt(worker, point).await {
+                AttemptEnd::Answered(answer) if answer.is_event_stream() => return Some(*answer),
+                AttemptEnd::Answered(_) | AttemptEnd::OutOfBudget | AttemptEnd::TimedOut => return None,
+                AttemptEnd::NotRun(StatusCode::MISDIRECTED_REQUEST) if point.expect_version.is_some() => {
+                    // Another version is better than a cut; this worker has not run the request.
+                    point.expect_version = None;
+                    self.trail.sent -= 1;
+                    self.trail.excluded.pop();
+                }
+                AttemptEnd::NotSent | AttemptEnd::NotRun(_) | AttemptEnd::MayHaveRun => {}
+            }
+        }
+        None
+    }
+}
+
+fn versions(headers: &HeaderMap) -> Option<u64> {
+    headers.get("versions")?.to_str().ok()?.trim().parse().ok()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,6 +67,7 @@
 
 mod brain;
 pub mod core;
+pub mod data_plane;
 pub mod interface;
 pub mod memory;
 pub mod net;
--- /dev/null
+++ b/tests/data_plane_holding.rs
@@ -0,0 +1,139 @@
+//! Requests for models that stand nowhere, workers that leave, and the end of the process.
+
+mod data_plane_support;
+
+use data_plane_support::client::{request, Client, Whole};
+use data_plane_support::worker::StandInWorker;
+use data_plane_support::{all_routes, on_one_thread, route, within, worker_view, Rig};
+use googletest::prelude::*;
+use hyper::Request;
+use serde_json::{json, Value};
+use switchhill::data_plane::{Feedback, Phase};
+use switchhill_routing::Availability;
+use tokio::task::JoinHandle;
+
+const MODEL: &[(&str, &str)] = &[("Model", "small"), ("Token-Usage", "100,10")];
+
+fn ask(rig: &Rig, kind: &'static str, headers: &'static [(&'static str, &'static str)]) -> JoinHandle<Whole> {
+    let address = rig.address;
+    tokio::task::spawn_local(async move {
+        Client::connect(address).await.whole(request(kind, "q1", headers, "")).await
+    })
+}
+
+fn patient_routes() -> Value {
+    json!([route("unsafe", json!({"targetLatencyMs": 4000, "timeoutMs": 8000}))])
+}
+
+#[gtest]
+fn a_request_for_a_missing_model_is_held_until_it_stands() -> Result<()> {
+    on_one_thread(async {
+        let mut worker = StandInWorker::start("w1").await;
+        let mut rig = Rig::start();
+        rig.tell(patient_routes(), vec![worker_view("w1", worker.address, &[])]);
+        let answer = ask(&rig, "unsafe", MODEL);
+        let missing = rig.next_missing().await;
+        let expected = Feedback::Missing {
+            service: "llm".into(),
+            model: "small".into(),
+            adapter: None,
+            waiting: 1,
+            aim_ms: 4000,
+        };
+        expect_that!(missing, eq(&expected));
+        expect_that!(worker.has_nothing_more(), eq(true));
+        rig.tell(patient_routes(), vec![worker.view()]);
+        worker.next().await.answer("200 OK", "", "pong").await;
+        verify_that!(answer.await?.status, eq(200))
+    })
+}
+
+#[gtest]
+fn a_request_for_a_missing_model_is_refused_when_it_cannot_be_in_time() -> Result<()> {
+    on_one_thread(async {
+        let mut worker = StandInWorker::start("w1").await;
+        let mut rig = Rig::start();
+        rig.tell(all_routes(), vec![worker_view("w1", worker.address, &[])]);
+        let answer = ask(&rig, "unsafe", MODEL);
+        rig.next_missing().await;
+        let answer = answer.await?;
+        expect_that!(answer.status, eq(503));
+        expect_that!(answer.header("retry-after"), eq("1.500"));
+        verify_that!(worker.has_nothing_more(), eq(true))
+    })
+}
+
+#[gtest]
+fn demand_and_load_are_told_each_second() -> Result<()> {
+    on_one_thread(async {
+        let mut worker = StandInWorker::start("w1").await;
+        let mut rig = Rig::with(patient_routes(), &[&worker]);
+        let answer = ask(&rig, "unsafe", MODEL);
+        let received = worker.next().await;
+        let summary = loop {
+            match within(rig.feedback.recv()).await {
+                Some(Feedback::Summary(summary)) if !summary.demand.is_empty() => break summary,
+                Some(_) => continue,
+                None => return fail!("the data plane has ended"),
+            }
+        };
+        expect_that!(summary.demand[0].model.as_deref(), some(eq("small")));
+        expect_that!((summary.demand[0].prompt_tokens, summary.demand[0].output_tokens), eq((100, 10)));
+        expect_that!((summary.routes[0].arrived, summary.routes[0].admitted), eq((1, 1)));
+        expect_that!(
+            (summary.outstanding[0].worker.as_str(), summary.outstanding[0].requests),
+            eq(("w1", 1))
+        );
+        received.answer("200 OK", "", "pong").await;
+        verify_that!(answer.await?.status, eq(200))
+    })
+}
+
+#[gtest]
+fn a_draining_worker_gets_no_request_and_ends_those_it_has() -> Result<()> {
+    on_one_thread(async {
+        let mut leaving = StandInWorker::start("w1").await;
+        let mut staying = StandInWorker::start("w2").await;
+        let rig = Rig::with(all_routes(), &[&leaving]);
+        let first = ask(&rig, "unsafe", &[]);
+        let received = leaving.next().await;
+        let mut view = leaving.view();
+        view.state = Availability::Draining;
+        rig.tell(all_routes(), vec![view, staying.view()]);
+        let second = ask(&rig, "unsafe", &[]);
+        staying.next().await.answer("200 OK", "", "new").await;
+        expect_that!(second.await?.body, eq("new"));
+        received.answer("200 OK", "", "old").await;
+        expect_that!(first.await?.body, eq("old"));
+        verify_that!(leaving.has_nothing_more(), eq(true))
+    })
+}
+
+#[gtest]
+fn a_process_that_ends_finishes_what_it_has_read() -> Result<()> {
+    on_one_thread(async {
+        let mut worker = StandInWorker::start("w1").await;
+        let rig = Rig::with(all_routes(), &[&worker]);
+        let mut idle = Client::connect(rig.address).await;
+        let begun = ask(&rig, "unsafe", &[]);
+        let running = worker.next().await;
+        rig.shutdown.begin();
+        let check = Request::get("/api/ready").header("Host", "x").body(Default::default())?;
+        expect_that!(Client::connect(rig.readiness).await.whole(check).await.status, eq(503));
+        let late = tokio::task::spawn_local(async move {
+            let answer = idle.whole(request("unsafe", "q2", &[], "")).await;
+            (idle, answer)
+        });
+        worker.next().await.answer("200 OK", "", "late").await;
+        let (mut idle, late) = late.await?;
+        expect_that!(late.status, eq(200));
+        expect_that!(late.header("connection"), eq("close"));
+        expect_that!(idle.closes().await, eq(true));
+        while rig.shutdown.phase() != Phase::Closing {
+            tokio::task::yield_now().await;
+        }
+        running.answer("200 OK", "", "begun").await;
+        expect_that!(begun.await?.body, eq("begun"));
+        verify_that!(within(rig.ended).await?.is_ok(), eq(true))
+    })
+}
