--- a/crates/routing/src/cost.rs
+++ b/crates/routing/src/cost.rs
@@ -4,7 +4,9 @@
 use crate::pace::Baselines;
 use crate::prefix::Prefix;
 use crate::settings::RouterSettings;
+use crate::shortlist::Homes;
 use crate::table::WorkerState;
+use crate::worker::WorkerKey;
 
 /// Duration assumed before any request has finished.
 const DEFAULT_DURATION_MS: f64 = 500.0;
@@ -22,6 +24,8 @@
 const URGENT_PRIORITY: u8 = 1;
 /// How much more urgent requests mind other requests.
 const URGENT_FACTOR: f64 = 1.5;
+/// Share of a shared prompt that its second home is taken to have kept.
+const SECOND_HOME_SHARE: f64 = 0.5;
 /// How much longer a queue urgent requests may join: workers let them pass the others in it.
 const URGENT_QUEUE_FACTOR: f64 = 1.5;
 
@@ -33,6 +37,8 @@
     pub workload: u64,
     pub profile: &'a RequestProfile,
     pub prefixes: &'a [Prefix],
+    /// Workers to which the request's shared prompt is assigned.
+    pub homes: Homes,
     /// Memory of an engine of this service in tokens, if known.
     pub cache_tokens: Option<u64>,
     /// Mean of what others have outstanding at the candidates.
@@ -70,10 +76,18 @@
         work + self.memory(worker, load) + self.silence(worker) + self.distance(worker)
     }
 
-    /// What the worker saves by prompts it has read already.
-    pub fn saving(&self, worker: &WorkerState) -> f64 {
+    /// What the worker saves by prompts it has read already, for us or, as their home, for others.
+    pub fn saving(&self, key: WorkerKey, worker: &WorkerState) -> f64 {
+        let shared = self.prefixes.last().map_or(0, |prefix| prefix.tokens) as f64;
         let kept = worker.prefixes.kept_tokens(self.prefixes) as f64;
-        kept / self.settings.prefill_tokens_per_ms * self.settings.kept_prompt_weight
+        let likely = if self.homes.first == Some(key) {
+            shared
+        } else if self.homes.second == Some(key) {
+            shared * SECOND_HOME_SHARE
+        } else {
+            0.0
+        };
+        kept.max(likely) / self.settings.prefill_tokens_per_ms * self.settings.kept_prompt_weight
     }
 
     /// Delay that one more request at the worker means for the next.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,6 +16,7 @@
 mod router;
 mod sessions;
 mod settings;
+mod shortlist;
 mod silence;
 mod table;
 mod worker;
--- a/crates/routing/src/pace.rs
+++ b/crates/routing/src/pace.rs
@@ -13,6 +13,9 @@
 /// Time in which half of what was learnt about a worker fades.
 const HALF_LIFE_MS: f64 = 4_000.0;
 
+/// Time constant of a rate of sends.
+const SEND_RATE_MS: f64 = 1_000.0;
+
 /// Running median of a positive quantity.
 #[derive(Debug, Default, Clone, Copy)]
 pub(crate) struct Median {
@@ -103,3 +106,27 @@
         self.log * (-age * std::f64::consts::LN_2 / HALF_LIFE_MS).exp()
     }
 }
+
+/// Rate of sends over about the last second.
+#[derive(Debug, Default, Clone, Copy)]
+pub(crate) struct SendRate {
+    count: f64,
+    at: u64,
+}
+
+impl SendRate {
+    /// Counts one send.
+    pub fn count(&mut self, now: u64) {
+        self.count = self.faded(now) + 1.0;
+        self.at = now;
+    }
+
+    /// Sends per millisecond.
+    pub fn per_ms(&self, now: u64) -> f64 {
+        self.faded(now) / SEND_RATE_MS
+    }
+
+    fn faded(&self, now: u64) -> f64 {
+        self.count * (-(now.saturating_sub(self.at) as f64) / SEND_RATE_MS).exp()
+    }
+}
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -16,6 +16,7 @@
 use crate::prefix::{shared_prefixes, Prefix};
 use crate::sessions::SessionMemory;
 use crate::settings::RouterSettings;
+use crate::shortlist::{shortlist, Homes};
 use crate::silence::SilenceWatch;
 use crate::table::WorkerTable;
 use crate::worker::{Availability, WorkerKey, WorkerView};
@@ -24,8 +25,10 @@
 const RETRY_AFTER_MS: (u64, u64) = (30, 1_000);
 /// Gatekeepers assumed before their count is told.
 const ASSUMED_GATEKEEPERS: u32 = 8;
-/// Costs this many steps apart count as equal, times the square root of the number of gatekeepers.
-const TIE_STEPS: f64 = 0.5;
+/// Difference in requests up to which workers count as equal even if all is known of them.
+const TIE_REQUESTS: f64 = 0.5;
+/// Age of the others' loads beyond which it no longer matters how old they are: they are hardly believed.
+const LONGEST_UNSEEN_MS: f64 = 1_000.0;
 /// Advantage of the session's last worker, on top of the time to read the session's part again.
 const SESSION_MS: f64 = 10.0;
 /// Greatest advantage of the session's last worker.
@@ -215,34 +218,53 @@
         self.silence.silent(now, &self.attempts, self.settings.silent_ms, self.settings.silent_streams)
     }
 
-    /// The candidate with the lowest cost that is not full; near-equals are decided by chance, so that
-    /// gatekeepers with the same stale figures don't all choose the same worker.
+    /// The candidate with the lowest cost that is not full, out of a random part of them if gatekeepers
+    /// with the same stale figures could otherwise all choose the same one. Near-equals are decided by chance.
     fn cheapest(&mut self, now: u64, profile: &RequestProfile, keys: &[WorkerKey]) -> Option<WorkerKey> {
-        let tie_steps = TIE_STEPS * f64::from(self.gatekeepers).sqrt();
-        let mut best: Option<(f64, WorkerKey)> = None;
-        for offer in self.offers(now, profile, keys) {
-            let cost = offer.cost + self.rng.f64() * tie_steps * offer.step;
-            if best.is_none_or(|(lowest, _)| cost < lowest) {
-                best = Some((cost, offer.worker));
-            }
+        let prefixes = shared_prefixes(profile);
+        let homes = Homes::of(&prefixes, keys, &self.table);
+        let session_worker = profile.session.and_then(|session| self.sessions.worker(session));
+        let count = self.compared(now, keys);
+        let favourites = [homes.first, homes.second, session_worker];
+        let compared = shortlist(&mut self.rng, keys, count, &favourites);
+        let basis = self.cost_basis(now, profile, &prefixes, homes, keys);
+        let offers = self.offers(&basis, session_worker, &compared);
+        let chosen = least(&mut self.rng, &offers);
+        if chosen.is_some() || compared.len() == keys.len() {
+            return chosen;
+        }
+        // All of the part were full: compare the rest as well.
+        let basis = self.cost_basis(now, profile, &prefixes, homes, keys);
+        let offers = self.offers(&basis, session_worker, keys);
+        least(&mut self.rng, &offers)
+    }
+
+    /// How many of the workers to compare: so few that what the other gatekeepers send to the best-looking
+    /// one before their loads are told again stays small. They are taken to send as much as this one.
+    fn compared(&self, now: u64, keys: &[WorkerKey]) -> usize {
+        let mut own_per_ms = 0.0;
+        let mut age_ms = 0.0;
+        for worker in keys.iter().filter_map(|key| self.table.get(*key)) {
+            own_per_ms += worker.sends.per_ms(now);
+            age_ms += now.saturating_sub(worker.view.load_told_at) as f64;
         }
-        best.map(|(_, key)| key)
+        let count = keys.len().max(1) as f64;
+        let unseen_ms = (age_ms / count).min(LONGEST_UNSEEN_MS);
+        let unseen = own_per_ms * f64::from(self.gatekeepers - 1) * unseen_ms / count;
+        (self.settings.unseen_requests / unseen.max(f64::MIN_POSITIVE)) as usize
     }
 
     /// Cost of each worker that is not full.
-    fn offers(&self, now: u64, profile: &RequestProfile, keys: &[WorkerKey]) -> Vec<Offer> {
-        let prefixes = shared_prefixes(profile);
-        let basis = self.cost_basis(now, profile, &prefixes, keys);
-        let session_worker = profile.session.and_then(|session| self.sessions.worker(session));
+    fn offers(&self, basis: &CostBasis, session_worker: Option<WorkerKey>, keys: &[WorkerKey]) -> Vec<Offer> {
         let mut offers = Vec::with_capacity(keys.len());
         for &key in keys {
             let Some(worker) = self.table.get(key) else { continue };
             if basis.is_full(worker) {
                 continue;
             }
-            let mut cost = basis.delay(worker) - basis.saving(worker);
+            let mut cost = basis.delay(worker) - basis.saving(key, worker);
             if session_worker == Some(key) {
-                cost -= session_advantage(profile, &self.settings);
+                cost -= session_advantage(basis.profile, &self.settings);
             }
             offers.push(Offer { worker: key, cost, step: basis.step(worker) });
         }
@@ -254,6 +276,7 @@
         now: u64,
         profile: &'a RequestProfile,
         prefixes: &'a [Prefix],
+        homes: Homes,
         keys: &[WorkerKey],
     ) -> CostBasis<'a> {
         let workers = || keys.iter().filter_map(|key| self.table.get(*key));
@@ -268,6 +291,7 @@
             workload: workload(profile),
             profile,
             prefixes,
+            homes,
             cache_tokens: self.cache_tokens.get(&profile.service).copied(),
             mean_elsewhere: f64::from(elsewhere) / keys.len().max(1) as f64,
             mean_tokens: (tokens as f64 + own_tokens) / f64::from(outstanding + 1),
@@ -316,6 +340,18 @@
     }
 }
 
+/// The offer with the lowest cost; near-equals are decided by chance.
+fn least(rng: &mut Rng, offers: &[Offer]) -> Option<WorkerKey> {
+    let mut best: Option<(f64, WorkerKey)> = None;
+    for offer in offers {
+        let cost = offer.cost + rng.f64() * TIE_REQUESTS * offer.step;
+        if best.is_none_or(|(lowest, _)| cost < lowest) {
+            best = Some((cost, offer.worker));
+        }
+    }
+    best.map(|(_, key)| key)
+}
+
 fn session_advantage(profile: &RequestProfile, settings: &RouterSettings) -> f64 {
     let own_tokens = profile.prompt_parts.last().map_or(0, |part| part.tokens);
     let reading = f64::from(own_tokens) / settings.prefill_tokens_per_ms * settings.kept_prompt_weight;
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -15,6 +15,8 @@
     pub other_zone_ms: f64,
     /// Requests beyond its slots that a worker is given, as a share of its slots.
     pub queue_ratio: f64,
+    /// Requests that the other gatekeepers together may send to a worker unseen, because all compare it.
+    pub unseen_requests: f64,
     /// Silence of all streams of a worker after which they should be resumed elsewhere.
     pub silent_ms: u64,
     /// Running streams a worker must have before its silence is believed.
@@ -32,10 +34,11 @@
         RouterSettings {
             zone: String::new(),
             prefill_tokens_per_ms: 40.0,
-            kept_prompt_weight: 3.0,
+            kept_prompt_weight: 5.0,
             full_batch_ms: 60.0,
             other_zone_ms: 2.0,
             queue_ratio: 1.0,
+            unseen_requests: 12.0,
             silent_ms: 180,
             silent_streams: 2,
             prefixes_per_worker: 256,
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -1,12 +1,14 @@
 //! The workers of this router, indexed by id, service and model.
 
+use std::collections::hash_map::DefaultHasher;
 use std::collections::{HashMap, HashSet};
+use std::hash::{Hash, Hasher};
 
 use slotmap::SlotMap;
 
 use crate::attempt::Attempt;
 use crate::health::Health;
-use crate::pace::Slowness;
+use crate::pace::{SendRate, Slowness};
 use crate::prefix::PrefixMemory;
 use crate::worker::{Availability, WorkerKey, WorkerView};
 
@@ -18,8 +20,12 @@
 pub(crate) struct WorkerState {
     /// As last told.
     pub view: WorkerView,
+    /// Hash of its id, the same in every process.
+    pub id_hash: u64,
     /// When it stops being cold.
     pub cold_until: u64,
+    /// How often we send to it.
+    pub sends: SendRate,
     /// Our requests at it.
     pub outstanding: u32,
     /// Memory these occupy at their end.
@@ -48,8 +54,10 @@
 impl WorkerState {
     fn new(now: u64, view: WorkerView) -> Self {
         WorkerState {
+            id_hash: id_hash(&view.id),
             cold_until: now + view.cold_remaining_ms,
             view,
+            sends: SendRate::default(),
             outstanding: 0,
             outstanding_tokens: 0,
             unread_tokens: 0,
@@ -93,6 +101,7 @@
         if self.outstanding == 0 {
             self.heard_at = now;
         }
+        self.sends.count(now);
         self.outstanding += 1;
         self.outstanding_tokens += attempt.total_tokens;
         self.unread_tokens += attempt.prefill_tokens;
@@ -229,3 +238,9 @@
     let is_gone = |view: &WorkerView| view.state == Availability::Gone;
     one.service == other.service && one.models == other.models && is_gone(one) == is_gone(other)
 }
+
+fn id_hash(id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -3,6 +3,8 @@
 
 use switchhill_routing::*;
 
+pub mod fleet;
+
 pub const SERVICE: &str = "chat";
 pub const MODEL: &str = "large";
 
