--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -12,8 +12,6 @@
 const SPREAD: f64 = 0.5;
 /// Share of the requests that is admitted at any price: without samples no price would fall again.
 const SAMPLED: f64 = 0.1;
-/// Worth of a request that has been refused before, as a multiple: refusing it again costs more.
-const SECOND_TRY: f64 = 1.3;
 /// Weight of a route that nobody asked for lately.
 const IDLE_WEIGHT: f64 = 1e-6;
 /// Shortest time between two computations of charges outside of ticks.
@@ -84,7 +82,7 @@
     pub fn arrived(&mut self, _now: u64, route: &str, size: f64, time_left_ms: f64) -> Decision {
         let Some(route) = self.routes.get_mut(route) else { return Decision::Admit };
         let units = route.sizes.units(size);
-        let second_try = route.arrived(units, time_left_ms);
+        route.ask(units);
         let service = self.services.entry(route.terms.service.clone()).or_default();
         let pressure = service.pressure(&self.settings);
         if pressure <= 0.0 {
@@ -95,7 +93,6 @@
         let wait = route.wait_ms(service.queue_wait_ms());
         let sampled = self.rng.f64() < SAMPLED;
         let draw = 1.0 + SPREAD * (2.0 * self.rng.f64() - 1.0);
-        let draw = if second_try { SECOND_TRY * draw } else { draw };
         let in_vain = route.waits.floor() + wait > time_left_ms;
         if sampled || !in_vain && pays(route, units, draw, wait, pressure) {
             route.admit(units);
--- a/crates/admission/src/route.rs
+++ b/crates/admission/src/route.rs
@@ -14,10 +14,6 @@
 const TOLD_FOR_MS: u64 = 5000;
 /// Most of the aim that the latency without any wait may cost: an answer beyond the aim has some worth left.
 const MOST_SERVED_SHARE: f64 = 0.7;
-/// Share of the longest time left from which on a request counts as a first try.
-const FIRST_TRY_SHARE: f64 = 0.95;
-/// Share of the longest time left that remains after a second, so that a shorter one takes its place.
-const LONGEST_FADE: f64 = 0.999;
 
 /// State of one route.
 #[derive(Debug, Clone)]
@@ -35,7 +31,6 @@
     asked_per_s: f64,
     admitted: f64,
     admitted_per_s: f64,
-    longest_left_ms: f64,
     told: Option<(u64, Summary)>,
 }
 
@@ -53,7 +48,6 @@
             asked_per_s: 0.0,
             admitted: 0.0,
             admitted_per_s: 0.0,
-            longest_left_ms: 0.0,
             told: None,
         }
     }
@@ -64,11 +58,9 @@
         self.worth = 1.0 - LEAST_URGENT_LESS * rank as f64 / last;
     }
 
-    /// Counts a request and says whether it is likely to have been refused before.
-    pub(crate) fn arrived(&mut self, units: f64, time_left_ms: f64) -> bool {
+    /// Counts what is asked for.
+    pub(crate) fn ask(&mut self, units: f64) {
         self.asked += units;
-        self.longest_left_ms = self.longest_left_ms.max(time_left_ms);
-        time_left_ms < FIRST_TRY_SHARE * self.longest_left_ms
     }
 
     /// Counts what goes on to routing.
@@ -128,7 +120,6 @@
         self.asked_per_s += (self.asked / seconds - self.asked_per_s) * RATE_WEIGHT;
         self.admitted_per_s += (self.admitted / seconds - self.admitted_per_s) * RATE_WEIGHT;
         (self.asked, self.admitted) = (0.0, 0.0);
-        self.longest_left_ms *= LONGEST_FADE;
     }
 
     /// Latency aim, at least a millisecond.
--- a/crates/admission/src/service.rs
+++ b/crates/admission/src/service.rs
@@ -9,6 +9,8 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Service {
     load: ServiceLoad,
+    /// Own requests that went there since the load was told.
+    since: f64,
     known_before: Option<f64>,
     drain_per_s: f64,
 }
@@ -18,11 +20,12 @@
     pub(crate) fn set_load(&mut self, load: ServiceLoad) {
         let known = if load.known.is_finite() { load.known.max(0.0) } else { 0.0 };
         self.load = ServiceLoad { known, ..load };
+        self.since = 0.0;
     }
 
     /// Counts a request that goes there, until the next load replaces the count.
     pub(crate) fn admit(&mut self) {
-        self.load.known += 1.0;
+        self.since += 1.0;
     }
 
     /// Ready workers, at least one.
@@ -33,20 +36,20 @@
     /// Share of the price that is charged: none in calm, all of it where nearly all slots are taken.
     pub(crate) fn pressure(&self, settings: &Settings) -> f64 {
         // Without known slots nothing tells congestion from a lack of news: nothing is refused.
-        let Some(occupancy) = self.load.occupancy() else { return 0.0 };
+        let Some(occupancy) = self.present().occupancy() else { return 0.0 };
         let span = settings.full_occupancy - settings.calm_occupancy;
         ((occupancy - settings.calm_occupancy) / span.max(f64::EPSILON)).clamp(0.0, 1.0)
     }
 
     /// Time in which what waits now will have begun to run.
     pub(crate) fn queue_wait_ms(&self) -> f64 {
-        self.drain_ms(self.load.queued())
+        self.drain_ms(self.present().queued())
     }
 
     /// Time in which the service falls back to a calm occupancy, if nothing came in.
     pub(crate) fn calm_in_ms(&self, settings: &Settings) -> f64 {
         let calm = f64::from(self.load.slots) * settings.calm_occupancy;
-        self.drain_ms((self.load.known - calm).max(0.0))
+        self.drain_ms((self.present().known - calm).max(0.0))
     }
 
     /// Ends a span of `seconds` in which all gatekeepers together admitted `admitted` requests.
@@ -61,6 +64,10 @@
         }
     }
 
+    fn present(&self) -> ServiceLoad {
+        ServiceLoad { known: self.load.known + self.since, ..self.load }
+    }
+
     fn drain_ms(&self, requests: f64) -> f64 {
         // Until a rate is known the measured waits alone tell.
         if self.drain_per_s <= 0.0 {
--- a/crates/admission/src/terms.rs
+++ b/crates/admission/src/terms.rs
@@ -15,8 +15,9 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        // No refusal may fall under half of the slots; reports are some hundred ms old, hence the margin.
-        Self { seed: 0, alpha: 0.1, calm_occupancy: 0.7, full_occupancy: 1.0 }
+        // Refusals under half of the slots are charged for, and reports are some hundred ms old. A queue of
+        // half the slots, at most, is borne before the price counts in full: chance alone makes short ones.
+        Self { seed: 0, alpha: 0.1, calm_occupancy: 0.9, full_occupancy: 1.6 }
     }
 }
 
--- a/crates/admission/src/wait.rs
+++ b/crates/admission/src/wait.rs
@@ -31,7 +31,8 @@
         if self.lows.is_empty() {
             self.floor = self.mean;
         }
-        self.sum += (latency - self.floor).max(0.0);
+        // Not cut off at nought: the spread of the work itself must not look like waiting.
+        self.sum += latency - self.floor;
         self.count += 1.0;
     }
 
@@ -62,7 +63,7 @@
 
     /// Present mean wait.
     pub(crate) fn wait(&self) -> f64 {
-        self.wait
+        self.wait.max(0.0)
     }
 
     fn note_low(&mut self, calm: bool) {
--- /dev/null
+++ b/crates/admission/tests/controller.rs
@@ -0,0 +1,252 @@
+//! Single properties of the controller.
+
+use googletest::prelude::*;
+use switchhill_admission::{
+    worker_hung, Controller, Decision, RouteTerms, Sample, ServiceLoad, Settings, Silence, Summary,
+};
+
+const FULL: ServiceLoad = ServiceLoad { ready_workers: 4, slots: 64, known: 64.0 };
+const FREE: ServiceLoad = ServiceLoad { ready_workers: 4, slots: 64, known: 5.0 };
+
+fn terms(route: &str, priority: u8, aim_ms: f64) -> RouteTerms {
+    let (route, service) = (route.to_owned(), "model".to_owned());
+    RouteTerms { route, service, aim_ms, priority, timeout_ms: 12_000.0 }
+}
+
+fn controller(routes: &[RouteTerms]) -> Controller {
+    let mut controller = Controller::new(Settings { seed: 5, full_occupancy: 1.0, ..Settings::default() });
+    controller.set_routes(0, routes);
+    controller.tick(0);
+    controller
+}
+
+fn answer(first_byte_ms: f64) -> Sample {
+    Sample { first_byte_ms: Some(first_byte_ms), waited_for_load: false, worker_hung: false, units: 1000.0 }
+}
+
+/// Seconds of 50 requests each on a route, answered after these times.
+fn seconds(
+    controller: &mut Controller,
+    route: &str,
+    from_s: u64,
+    until_s: u64,
+    load: ServiceLoad,
+    sample: Sample,
+) {
+    for second in from_s..until_s {
+        let now = second * 1000;
+        controller.set_service(now, "model", load);
+        for _ in 0..50 {
+            controller.arrived(now, route, 1000.0, 12_000.0);
+            controller.finished(now, route, sample);
+        }
+        controller.set_service(now + 1000, "model", load);
+        controller.tick(now + 1000);
+    }
+}
+
+/// A route with 10 calm seconds of 50 ms, then some of these answers while its service is full.
+fn after(sample: Sample) -> Controller {
+    let mut controller = controller(&[terms("live", 0, 400.0)]);
+    seconds(&mut controller, "live", 0, 10, FREE, answer(50.0));
+    seconds(&mut controller, "live", 10, 20, FULL, sample);
+    controller
+}
+
+fn price(controller: &Controller, route: &str) -> f64 {
+    controller.price(route).expect("a known route")
+}
+
+/// Share of a thousand requests that is refused.
+fn refused(controller: &mut Controller, route: &str, size: f64, left_ms: f64) -> f64 {
+    let now = 20_000;
+    let refused = |controller: &mut Controller| {
+        controller.set_service(now, "model", FULL);
+        controller.arrived(now, route, size, left_ms) != Decision::Admit
+    };
+    (0..1000).map(|_| f64::from(u8::from(refused(controller)))).sum::<f64>() / 1000.0
+}
+
+#[gtest]
+fn a_price_starts_at_nought_and_rises_with_waits() {
+    let fresh = controller(&[terms("live", 0, 400.0)]);
+    expect_that!(price(&fresh, "live"), eq(0.0));
+    let (short, long) = (after(answer(100.0)), after(answer(400.0)));
+    expect_that!(price(&long, "live"), gt(4.0 * price(&short, "live")));
+}
+
+#[gtest]
+fn waits_for_loads_and_hung_workers_move_no_price() {
+    let plain = price(&after(answer(900.0)), "live");
+    let loading = price(&after(Sample { waited_for_load: true, ..answer(900.0) }), "live");
+    let hung = price(&after(Sample { worker_hung: true, ..answer(900.0) }), "live");
+    expect_that!(plain, gt(1.0));
+    // Their queue alone is left in it.
+    expect_that!(loading, lt(plain / 2.0));
+    expect_that!(hung, eq(loading));
+}
+
+#[gtest]
+fn nothing_is_refused_without_pressure() {
+    let mut jammed = after(answer(900.0));
+    expect_that!(refused(&mut jammed, "live", 1000.0, 12_000.0), gt(0.5));
+    jammed.set_service(20_000, "model", FREE);
+    for _ in 0..30 {
+        expect_that!(jammed.arrived(20_000, "live", 1000.0, 12_000.0), eq(Decision::Admit));
+    }
+}
+
+#[gtest]
+fn nothing_is_refused_while_no_slots_are_known() {
+    let mut jammed = after(answer(900.0));
+    jammed.set_service(20_000, "model", ServiceLoad { slots: 0, ..FULL });
+    for _ in 0..100 {
+        expect_that!(jammed.arrived(20_000, "live", 1000.0, 12_000.0), eq(Decision::Admit));
+    }
+}
+
+#[gtest]
+fn own_admissions_count_until_the_next_load() {
+    let mut jammed = after(answer(900.0));
+    jammed.set_service(20_000, "model", FREE);
+    let decisions: Vec<Decision> =
+        (0..400).map(|_| jammed.arrived(20_000, "live", 1000.0, 12_000.0)).collect();
+    let first = decisions.iter().position(|decision| *decision != Decision::Admit);
+    expect_that!(first, some(all![ge(52), lt(110)]), "most slots are free for 52 more");
+}
+
+#[gtest]
+fn what_others_admit_raises_the_price_and_its_lack_is_made_up_for() {
+    let told = |summary: Option<Summary>, gatekeepers: u32| {
+        let mut controller = controller(&[terms("live", 0, 400.0)]);
+        controller.set_gatekeepers(gatekeepers);
+        seconds(&mut controller, "live", 0, 10, FREE, answer(50.0));
+        for second in 10..20 {
+            summary.into_iter().for_each(|told| controller.elsewhere(second * 1000, "live", told));
+            seconds(&mut controller, "live", second, second + 1, FREE, answer(150.0));
+        }
+        price(&controller, "live")
+    };
+    let alone = told(None, 1);
+    let ten_alike = told(None, 10);
+    let nine_told = told(Some(Summary { admitted_per_s: 450.0, delay_cost_per_s: 1125.0 }), 10);
+    let idle = told(Some(Summary::default()), 10);
+    expect_that!(ten_alike / alone, near(10.0, 0.01));
+    expect_that!(nine_told / alone, near(10.0, 0.5));
+    expect_that!(idle, near(alone, 1e-9));
+}
+
+#[gtest]
+fn old_news_of_others_no_longer_counts() {
+    let mut controller = controller(&[terms("live", 0, 400.0)]);
+    controller.set_gatekeepers(2);
+    controller.elsewhere(0, "live", Summary { admitted_per_s: 1e6, delay_cost_per_s: 1e6 });
+    seconds(&mut controller, "live", 0, 10, FREE, answer(50.0));
+    seconds(&mut controller, "live", 10, 60, FREE, answer(150.0));
+    let told_long_ago = price(&controller, "live");
+    expect_that!(told_long_ago, all![gt(0.1), lt(10.0)]);
+}
+
+#[gtest]
+fn a_summary_tells_what_is_admitted() {
+    let mut controller = controller(&[terms("live", 0, 400.0), terms("idle", 0, 400.0)]);
+    seconds(&mut controller, "live", 0, 30, FREE, answer(50.0));
+    let summary = controller.summary(30_000);
+    expect_that!(summary.len(), eq(1));
+    expect_that!(summary[0].0, eq("live"));
+    expect_that!(summary[0].1.admitted_per_s, near(50.0, 0.1));
+    expect_that!(summary[0].1.delay_cost_per_s, near(125.0, 0.5));
+}
+
+#[gtest]
+fn size_does_not_move_the_refused_share() {
+    let mut jammed = after(answer(200.0));
+    let small = refused(&mut jammed, "live", 1000.0, 12_000.0);
+    let large = refused(&mut jammed, "live", 4000.0, 12_000.0);
+    expect_that!(small, all![gt(0.1), lt(0.89)]);
+    expect_that!(large, near(small, 0.06));
+}
+
+#[gtest]
+fn a_more_urgent_route_with_a_tighter_aim_is_refused_less() {
+    let mut both = controller(&[terms("patient", 1, 6000.0), terms("live", 0, 400.0)]);
+    seconds(&mut both, "live", 0, 10, FREE, answer(50.0));
+    seconds(&mut both, "patient", 10, 20, FREE, answer(50.0));
+    for second in 20..26 {
+        seconds(&mut both, "patient", second, second + 1, FULL, answer(250.0));
+        seconds(&mut both, "live", second, second + 1, FULL, answer(250.0));
+    }
+    let live = refused(&mut both, "live", 1000.0, 12_000.0);
+    let patient = refused(&mut both, "patient", 1000.0, 12_000.0);
+    expect_that!(live, le(patient + 0.05));
+    expect_that!(patient, gt(0.1));
+}
+
+#[gtest]
+fn what_could_not_be_answered_any_more_is_refused_under_pressure() {
+    let mut jammed = after(answer(100.0));
+    let hopeful = refused(&mut jammed, "live", 1000.0, 12_000.0);
+    let in_vain = refused(&mut jammed, "live", 1000.0, 20.0);
+    expect_that!(hopeful, lt(0.5));
+    expect_that!(in_vain, gt(0.8));
+}
+
+#[gtest]
+fn a_part_is_admitted_at_any_price() {
+    let mut jammed = after(answer(11_000.0));
+    expect_that!(refused(&mut jammed, "live", 1000.0, 12_000.0), all![gt(0.85), lt(0.95)]);
+}
+
+#[gtest]
+fn a_route_keeps_its_price_under_new_terms_and_loses_it_with_its_removal() {
+    let mut jammed = after(answer(400.0));
+    let before = price(&jammed, "live");
+    jammed.set_routes(20_000, &[terms("live", 3, 900.0), terms("other", 0, 400.0)]);
+    expect_that!(price(&jammed, "live"), eq(before));
+    expect_that!(price(&jammed, "other"), eq(0.0));
+    jammed.set_routes(21_000, &[terms("other", 0, 400.0)]);
+    expect_that!(jammed.price("live"), none());
+    jammed.set_routes(22_000, &[terms("live", 0, 400.0)]);
+    expect_that!(price(&jammed, "live"), eq(0.0));
+}
+
+#[gtest]
+fn an_unknown_route_is_admitted() {
+    let mut jammed = after(answer(900.0));
+    expect_that!(jammed.arrived(20_000, "nowhere", 1000.0, 12_000.0), eq(Decision::Admit));
+}
+
+#[gtest]
+fn figures_that_are_no_numbers_do_no_harm() {
+    let mut jammed = after(answer(900.0));
+    let wrong = [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -1.0];
+    for (second, figure) in (20..).zip(wrong) {
+        let now = second * 1000;
+        jammed.set_service(now, "model", ServiceLoad { known: figure, ..FULL });
+        jammed.elsewhere(now, "live", Summary { admitted_per_s: figure, delay_cost_per_s: figure });
+        jammed.arrived(now, "live", figure, figure);
+        jammed.finished(now, "live", answer(figure));
+        jammed.tick(now);
+    }
+    expect_that!(price(&jammed, "live").is_finite(), eq(true));
+    seconds(&mut jammed, "live", 30, 60, FREE, answer(50.0));
+    expect_that!(price(&jammed, "live"), lt(1.0));
+}
+
+#[gtest]
+fn a_clock_that_stands_still_changes_nothing() {
+    let mut jammed = after(answer(900.0));
+    let before = price(&jammed, "live");
+    jammed.tick(20_000);
+    jammed.tick(19_000);
+    expect_that!(price(&jammed, "live"), eq(before));
+}
+
+#[gtest]
+fn silence_is_a_hung_worker_only_where_it_is_long_and_others_pass_or_none_is_heard() {
+    let long = Silence { age_ms: 2000.0, expected_ms: 100.0, overtaken: true, worker_heard: true };
+    expect_that!(worker_hung(long), eq(true));
+    expect_that!(worker_hung(Silence { overtaken: false, worker_heard: false, ..long }), eq(true));
+    expect_that!(worker_hung(Silence { overtaken: false, ..long }), eq(false), "a queue in turn");
+    expect_that!(worker_hung(Silence { age_ms: 500.0, ..long }), eq(false), "an ordinary wait");
+}
--- /dev/null
+++ b/crates/admission/tests/monotone.rs
@@ -0,0 +1,39 @@
+//! Isotonic regression against its definition.
+
+use googletest::prelude::*;
+use switchhill_admission::{non_decreasing, Weighted};
+
+fn weighted(values: &[(f64, f64)]) -> Vec<Weighted> {
+    values.iter().map(|&(value, weight)| Weighted { value, weight }).collect()
+}
+
+fn sum<'a>(values: impl Iterator<Item = (&'a f64, &'a Weighted)>) -> f64 {
+    values.map(|(value, told)| value * told.weight).sum()
+}
+
+#[gtest]
+fn an_ordered_sequence_stays() {
+    expect_that!(non_decreasing(&weighted(&[(1.0, 5.0), (1.0, 1.0), (3.0, 2.0)])), eq(&vec![1.0, 1.0, 3.0]));
+    expect_that!(non_decreasing(&[]), eq(&vec![]));
+}
+
+#[gtest]
+fn neighbours_out_of_order_share_their_weighted_mean() {
+    expect_that!(non_decreasing(&weighted(&[(4.0, 1.0), (1.0, 2.0), (3.0, 1.0)])), eq(&vec![2.0, 2.0, 3.0]));
+    expect_that!(non_decreasing(&weighted(&[(1.0, 1.0), (9.0, 1.0), (2.0, 1.0)])), eq(&vec![1.0, 5.5, 5.5]));
+}
+
+#[gtest]
+fn any_sequence_becomes_ordered_and_keeps_its_weighted_sum() {
+    for seed in 0..500 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let values: Vec<(f64, f64)> =
+            (0..rng.usize(..12)).map(|_| (rng.f64() * 10.0, 0.01 + rng.f64())).collect();
+        let told = weighted(&values);
+        let fitted = non_decreasing(&told);
+        expect_that!(fitted.len(), eq(told.len()), "seed {seed}");
+        expect_that!(fitted.is_sorted_by(|a, b| a <= b), eq(true), "seed {seed}: {fitted:?}");
+        let before: f64 = told.iter().map(|value| value.value * value.weight).sum();
+        expect_that!(sum(fitted.iter().zip(&told)), near(before, 1e-9), "seed {seed}");
+    }
+}
--- a/crates/admission/tests/overload.rs
+++ b/crates/admission/tests/overload.rs
@@ -19,6 +19,7 @@
 /// Slots for 76 requests a second; `load` is the calm part of it.
 fn scene(seed: u64, load: f64, burst: f64) -> Scene {
     Scene {
+        gatekeepers: 4,
         workers: 4,
         slots_each: 16,
         hold_ms: 800.0,
@@ -190,3 +191,38 @@
     expect_that!(decisions(3), eq(&decisions(3)));
     expect_that!(decisions(3), not(eq(&decisions(4))));
 }
+
+/// One line of the table in `docs/design/admission.md`: means over ten runs.
+#[derive(Default)]
+struct Figures {
+    in_time: f64,
+    in_time_admitting_all: f64,
+    served_by_kind: [f64; 3],
+}
+
+fn figures_at(load: f64, burst: f64) -> Figures {
+    const RUNS: f64 = 10.0;
+    let mut figures = Figures::default();
+    for seed in 0..RUNS as u64 {
+        let scene = scene(seed, load, burst);
+        let outcome = priced(&scene);
+        let in_burst = |outcome: &Outcome| outcome.in_time(BURST_FROM_MS, BURST_UNTIL_MS);
+        figures.in_time += in_burst(&outcome) / RUNS;
+        figures.in_time_admitting_all += in_burst(&admit_all(&scene)) / RUNS;
+        let served = served_by_kind(&outcome);
+        figures.served_by_kind.iter_mut().zip(served).for_each(|(sum, served)| *sum += served / RUNS);
+    }
+    figures
+}
+
+#[gtest]
+fn at_no_load_is_less_in_time_than_without_refusals() {
+    for (load, burst) in [(0.9, 1.0), (0.5, 2.0), (0.5, 2.5), (0.5, 4.0)] {
+        let Figures { in_time, in_time_admitting_all, served_by_kind } = figures_at(load, burst);
+        println!(
+            "| {:.2} | {in_time:.2} | {in_time_admitting_all:.2} | {served_by_kind:.2?} |",
+            load * burst
+        );
+        expect_that!(in_time, gt(in_time_admitting_all - 0.01), "load {load}, burst {burst}");
+    }
+}
--- a/crates/admission/tests/simulation/mod.rs
+++ b/crates/admission/tests/simulation/mod.rs
@@ -1,8 +1,8 @@
 //! A service of workers with a queue, clients that come back once, and one gatekeeper, in virtual time.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
-use switchhill_admission::{Controller, Decision, RouteTerms, Sample, ServiceLoad, Settings};
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use switchhill_admission::{Controller, Decision, RouteTerms, Sample, ServiceLoad, Settings, Summary};
 
 pub const SERVICE: &str = "model";
 /// Time between two reports of the workers' load.
@@ -20,6 +20,7 @@
 /// What the simulation is built of.
 #[derive(Debug, Clone)]
 pub struct Scene {
+    pub gatekeepers: u32,
     pub workers: u32,
     pub slots_each: u32,
     pub hold_ms: f64,
@@ -54,34 +55,69 @@
     fn tick(&mut self, now: u64);
 }
 
-/// The controller under test.
-pub struct Priced(pub Controller);
+/// The controllers under test, one a gatekeeper; requests fall to them by chance.
+pub struct Priced {
+    controllers: Vec<Controller>,
+    rng: fastrand::Rng,
+}
 
 impl Priced {
     pub fn new(scene: &Scene) -> Self {
-        let mut controller = Controller::new(Settings { seed: scene.seed, ..Settings::default() });
         let terms: Vec<RouteTerms> = scene.kinds.iter().map(|kind| kind.terms.clone()).collect();
-        controller.set_routes(0, &terms);
-        Self(controller)
+        let build = |number: u32| {
+            let seed = scene.seed * 1000 + u64::from(number);
+            let mut controller = Controller::new(Settings { seed, ..Settings::default() });
+            controller.set_routes(0, &terms);
+            controller.set_gatekeepers(scene.gatekeepers);
+            controller
+        };
+        Self {
+            controllers: (0..scene.gatekeepers).map(build).collect(),
+            rng: fastrand::Rng::with_seed(scene.seed + 1),
+        }
+    }
+
+    /// Gives each gatekeeper the sums of what the others tell.
+    fn exchange(&mut self, now: u64) {
+        let told: Vec<Vec<(String, Summary)>> = self.controllers.iter().map(|c| c.summary(now)).collect();
+        for (at, controller) in self.controllers.iter_mut().enumerate() {
+            let mut sums: BTreeMap<&str, Summary> = BTreeMap::new();
+            let others = told.iter().enumerate().filter(|(from, _)| *from != at);
+            for (route, summary) in others.flat_map(|(_, told)| told) {
+                let sum = sums.entry(route).or_default();
+                sum.admitted_per_s += summary.admitted_per_s;
+                sum.delay_cost_per_s += summary.delay_cost_per_s;
+            }
+            for (route, sum) in sums {
+                controller.elsewhere(now, route, sum);
+            }
+        }
     }
 }
 
 impl Policy for Priced {
     fn load(&mut self, now: u64, load: ServiceLoad) {
-        self.0.set_service(now, SERVICE, load);
+        for controller in &mut self.controllers {
+            controller.set_service(now, SERVICE, load);
+        }
     }
 
     fn arrived(&mut self, now: u64, kind: &RouteTerms, size: f64, left_ms: f64) -> Decision {
-        self.0.arrived(now, &kind.route, size, left_ms)
+        let at = self.rng.usize(..self.controllers.len());
+        self.controllers[at].arrived(now, &kind.route, size, left_ms)
     }
 
     fn finished(&mut self, now: u64, kind: &RouteTerms, first_byte_ms: Option<f64>, size: f64) {
         let sample = Sample { first_byte_ms, waited_for_load: false, worker_hung: false, units: size };
-        self.0.finished(now, &kind.route, sample);
+        let at = self.rng.usize(..self.controllers.len());
+        self.controllers[at].finished(now, &kind.route, sample);
     }
 
     fn tick(&mut self, now: u64) {
-        self.0.tick(now);
+        for controller in &mut self.controllers {
+            controller.tick(now);
+        }
+        self.exchange(now);
     }
 }
 
