--- a/crates/routing/src/cost.rs
+++ b/crates/routing/src/cost.rs
@@ -4,7 +4,9 @@
 use crate::pace::Baselines;
 use crate::prefix::Prefix;
 use crate::settings::RouterSettings;
+use crate::shortlist::Homes;
 use crate::table::WorkerState;
+use crate::worker::WorkerKey;
 
 /// Duration assumed before any request has finished.
 const DEFAULT_DURATION_MS: f64 = 500.0;
@@ -18,10 +20,14 @@
 const MEMORY_COMFORT: f64 = 0.8;
 /// Delay a worker with all its memory promised adds: preempted prompts are read again.
 const MEMORY_SHORT_MS: f64 = 400.0;
-/// Priorities up to this one avoid long queues more.
-const URGENT_PRIORITY: u8 = 0;
+/// Priorities up to this one are urgent.
+const URGENT_PRIORITY: u8 = 1;
 /// How much more urgent requests mind other requests.
 const URGENT_FACTOR: f64 = 1.5;
+/// Share of a shared prompt that its second home is taken to have kept.
+const SECOND_HOME_SHARE: f64 = 0.5;
+/// How much longer a queue urgent requests may join: workers let them pass the others in it.
+const URGENT_QUEUE_FACTOR: f64 = 1.5;
 
 /// What the costs of all candidates for one request share.
 pub(crate) struct CostBasis<'a> {
@@ -31,6 +37,8 @@
     pub workload: u64,
     pub profile: &'a RequestProfile,
     pub prefixes: &'a [Prefix],
+    /// Workers to which the request's shared prompt is assigned.
+    pub homes: Homes,
     /// Memory of an engine of this service in tokens, if known.
     pub cache_tokens: Option<u64>,
     /// Mean of what others have outstanding at the candidates.
@@ -49,14 +57,15 @@
     pub fn is_full(&self, worker: &WorkerState) -> bool {
         let slots = f64::from(worker.view.slots.max(1));
         let queue = (slots * self.settings.queue_ratio).max(2.0);
-        self.load(worker) >= slots + queue
+        let most_queued = if self.is_urgent() { queue * URGENT_QUEUE_FACTOR } else { queue };
+        self.load(worker) >= slots + most_queued
     }
 
     /// Expected delay of the request at the worker, without what kept prompts save.
     pub fn delay(&self, worker: &WorkerState) -> f64 {
         let slots = f64::from(worker.view.slots.max(1));
         let load = self.load(worker);
-        let urgency = if self.profile.priority <= URGENT_PRIORITY { URGENT_FACTOR } else { 1.0 };
+        let urgency = if self.is_urgent() { URGENT_FACTOR } else { 1.0 };
         let queued = (load + 1.0 - slots).max(0.0);
         let duration = self.baselines.usual_duration(self.workload).unwrap_or(DEFAULT_DURATION_MS);
         let waiting = queued * duration / slots + self.settings.full_batch_ms * load / slots;
@@ -67,10 +76,18 @@
         work + self.memory(worker, load) + self.silence(worker) + self.distance(worker)
     }
 
-    /// What the worker saves by prompts it has read already.
-    pub fn saving(&self, worker: &WorkerState) -> f64 {
+    /// What the worker saves by prompts it has read already, for us or, as their home, for others.
+    pub fn saving(&self, key: WorkerKey, worker: &WorkerState) -> f64 {
+        let shared = self.prefixes.last().map_or(0, |prefix| prefix.tokens) as f64;
         let kept = worker.prefixes.kept_tokens(self.prefixes) as f64;
-        kept / self.settings.prefill_tokens_per_ms * self.settings.kept_prompt_weight
+        let likely = if self.homes.first == Some(key) {
+            shared
+        } else if self.homes.second == Some(key) {
+            shared * SECOND_HOME_SHARE
+        } else {
+            0.0
+        };
+        kept.max(likely) / self.settings.prefill_tokens_per_ms * self.settings.kept_prompt_weight
     }
 
     /// Delay that one more request at the worker means for the next.
@@ -78,6 +95,10 @@
         self.settings.full_batch_ms / f64::from(worker.view.slots.max(1))
     }
 
+    fn is_urgent(&self) -> bool {
+        self.profile.priority <= URGENT_PRIORITY
+    }
+
     fn elsewhere(&self, worker: &WorkerState) -> f64 {
         let age = self.now.saturating_sub(worker.view.load_told_at) as f64;
         let belief = (-age * std::f64::consts::LN_2 / self.settings.load_half_life_ms).exp();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,14 +6,17 @@
 
 mod attempt;
 mod budget;
+mod candidates;
 mod choice;
 mod cost;
+mod ejection;
 mod health;
 mod pace;
 mod prefix;
 mod router;
 mod sessions;
 mod settings;
+mod shortlist;
 mod silence;
 mod table;
 mod worker;
