--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod agent;
 pub mod control_plane;
 pub mod core;
+pub mod data_plane;
 pub mod interface;
 pub mod memory;
 pub mod net;
