--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,6 +70,7 @@
 pub mod control_plane;
 pub mod core;
 pub mod data_plane;
+pub mod data_plane_feed;
 pub mod interface;
 pub mod memory;
 pub mod net;
