Data plane: bounds of descriptors, advice by the router, closed connections tried again

A worker whose kept connection had just closed was passed over, and a refusal's Retry-After did not depend on why.

The end of the process waits for its clients' connections instead of a fixed time; comments in a stream don't make it unresumable; connections to workers have a bound over all of them.

--- a/src/data_plane/attempt.rs
+++ b/src/data_plane/attempt.rs
@@ -5,7 +5,7 @@
 use super::outcome::{judge, Verdict};
 use super::outstanding::OutstandingAttempt;
 use super::policy;
-use super::pool::{Lease, NoConnection};
+use super::pool::{Lease, LeaseLimits, NoConnection};
 use super::worker_answer::{BodyStart, WorkerAnswer};
 use super::worker_connection::SendFailure;
 use hyper::body::Incoming;
@@ -52,28 +52,23 @@
         let lease = match self.lease(worker).await {
             Ok(lease) => lease,
             Err(outcome) => {
-                self.not_sent(worker);
+                self.trail.unsent += 1;
+                self.trail.excluded.push(worker);
                 attempt.finish(outcome);
                 return AttemptEnd::NotSent;
             }
         };
         if !self.shared.may_send(worker) {
-            self.not_sent(worker);
+            self.trail.unsent += 1;
             return AttemptEnd::NotSent;
         }
         if self.trail.sent > 0 && !self.take_repeat() {
             return AttemptEnd::OutOfBudget;
         }
         self.trail.sent += 1;
-        self.trail.excluded.push(worker);
         self.send(worker, lease, attempt, resume).await
     }
 
-    fn not_sent(&mut self, worker: WorkerKey) {
-        self.trail.unsent += 1;
-        self.trail.excluded.push(worker);
-    }
-
     fn take_repeat(&self) -> bool {
         self.shared.budget.borrow_mut().try_repeat(self.shared.now(), &self.profile.service)
     }
@@ -83,9 +78,13 @@
         let place =
             self.shared.router.borrow().worker(worker).map(|view| (view.id.clone(), view.address.clone()));
         let Some((id, address)) = place else { return Err(AttemptOutcome::Cancelled) };
-        let limit = self.shared.connection_limit(&self.profile.service);
+        let connect = self.rules.aim.mul_f64(policy::CONNECT_SHARE);
+        let limits = LeaseLimits {
+            connections: self.shared.connection_limit(&self.profile.service),
+            connect: connect.clamp(policy::LEAST_CONNECT_LIMIT, policy::CONNECT_LIMIT),
+        };
         tokio::select! {
-            leased = self.shared.pool.lease(&id, &address, limit) => leased.map_err(|reason| match reason {
+            leased = self.shared.pool.lease(&id, &address, limits) => leased.map_err(|reason| match reason {
                 NoConnection::ConnectFailed => AttemptOutcome::ConnectFailed,
                 NoConnection::AllInUse => AttemptOutcome::NotExecuted(StatusCode::SERVICE_UNAVAILABLE.as_u16()),
             }),
@@ -101,14 +100,11 @@
         attempt: OutstandingAttempt,
         resume: ResumePoint,
     ) -> AttemptEnd {
-        match self.wait_for_head(worker, &mut lease, resume).await {
+        let sent = self.wait_for_head(worker, &mut lease, resume).await;
+        self.trail.excluded.push(worker);
+        match sent {
             Sent::Answer(answer) => self.judge_answer(WorkerAnswer::new(answer, lease, attempt)).await,
-            Sent::Failed(SendFailure::NotSent) => {
-                self.trail.sent -= 1;
-                self.trail.unsent += 1;
-                self.give_back_repeat();
-                AttemptEnd::NotSent
-            }
+            Sent::Failed(SendFailure::NotSent) => self.take_back(),
             Sent::Failed(SendFailure::Broken) => self.may_have_run(attempt, AttemptOutcome::Broken),
             Sent::WorkerSilent => self.may_have_run(attempt, AttemptOutcome::TimedOut),
             Sent::DeadlinePassed => {
@@ -118,10 +114,15 @@
         }
     }
 
-    fn give_back_repeat(&self) {
+    /// Undoes the count of an attempt whose connection had closed. The worker may be tried on another one.
+    fn take_back(&mut self) -> AttemptEnd {
+        self.trail.excluded.pop();
+        self.trail.sent -= 1;
+        self.trail.unsent += 1;
         if self.trail.sent > 0 {
             self.shared.budget.borrow_mut().give_back(self.shared.now(), &self.profile.service);
         }
+        AttemptEnd::NotSent
     }
 
     fn may_have_run(&mut self, attempt: OutstandingAttempt, outcome: AttemptOutcome) -> AttemptEnd {
--- a/src/data_plane/delivery.rs
+++ b/src/data_plane/delivery.rs
@@ -51,7 +51,7 @@
 }
 
 fn give_up(exchange: &Exchange) -> Response<AnswerBody> {
-    exchange.give_up(policy::RETRY_AFTER_REFUSED_MS).answer(exchange.request_id.as_ref())
+    exchange.give_up().answer(exchange.request_id.as_ref())
 }
 
 async fn deliver(exchange: Exchange, answer: WorkerAnswer) -> Delivery {
--- a/src/data_plane/event_stream.rs
+++ b/src/data_plane/event_stream.rs
@@ -11,6 +11,8 @@
     pub(crate) id: Option<u64>,
     /// The number of its `versions` line.
     pub(crate) versions: Option<u64>,
+    /// It has no field, only comments.
+    pub(crate) is_comment: bool,
 }
 
 /// Collects bytes until an event is whole.
@@ -72,8 +74,9 @@
 }
 
 fn read_event(bytes: Bytes) -> Event {
-    let mut event = Event { bytes: bytes.clone(), id: None, versions: None };
+    let mut event = Event { bytes: bytes.clone(), id: None, versions: None, is_comment: true };
     for line in bytes.split(|byte| matches!(byte, b'\n' | b'\r')) {
+        event.is_comment &= line.is_empty() || line.starts_with(b":");
         if let Some(value) = line.strip_prefix(b"id:") {
             event.id = read_number(value);
         } else if let Some(value) = line.strip_prefix(b"versions:") {
--- a/src/data_plane/exchange.rs
+++ b/src/data_plane/exchange.rs
@@ -1,6 +1,7 @@
 //! One client request on its way to an answer.
 
 use super::admission_stage::AdmittedRequest;
+use super::counted::Counted;
 use super::forwarded_request::ForwardedRequest;
 use super::policy;
 use super::replies::LocalReply;
@@ -51,26 +52,7 @@
     pub(crate) deadline: Instant,
     pub(crate) admitted: Option<AdmittedRequest>,
     pub(crate) trail: Trail,
-    pub(crate) _running: RunningRequest,
-}
-
-/// Counts a request from its head to the end of its answer.
-pub(crate) struct RunningRequest {
-    shared: Rc<Shared>,
-}
-
-impl RunningRequest {
-    /// Counts one more.
-    pub(crate) fn begin(shared: &Rc<Shared>) -> RunningRequest {
-        shared.running.set(shared.running.get() + 1);
-        RunningRequest { shared: shared.clone() }
-    }
-}
-
-impl Drop for RunningRequest {
-    fn drop(&mut self) {
-        self.shared.running.set(self.shared.running.get() - 1);
-    }
+    pub(crate) _running: Counted,
 }
 
 impl RouteRules {
@@ -151,14 +133,6 @@
             && !self.time_left().is_zero()
     }
 
-    /// The answer of a request that is given up.
-    pub(crate) fn give_up(&self, retry_after_ms: u64) -> LocalReply {
-        match self.trail.may_have_run {
-            true => LocalReply::MayHaveRun,
-            false => LocalReply::NotRun { retry_after_ms },
-        }
-    }
-
     /// The answer of a request whose time is over.
     pub(crate) fn time_over(&self) -> LocalReply {
         match self.trail.may_have_run {
--- a/src/data_plane/ingress.rs
+++ b/src/data_plane/ingress.rs
@@ -1,8 +1,9 @@
 //! Connections of clients, and what happens to a request before it is sent to a worker.
 
 use super::answer_body::AnswerBody;
+use super::counted::Counted;
 use super::delivery;
-use super::exchange::{deadline, profile_of, service_of, Exchange, RouteRules, RunningRequest, Trail};
+use super::exchange::{deadline, profile_of, service_of, Exchange, RouteRules, Trail};
 use super::forwarded_request::ForwardedRequest;
 use super::policy;
 use super::replies::LocalReply;
@@ -29,7 +30,7 @@
 
 /// Accepts clients until the phase in which no new connection is taken.
 pub(crate) async fn accept(shared: Rc<Shared>, listener: TcpListener) {
-    let places = Arc::new(Semaphore::new(most_clients(&shared)));
+    let places = Arc::new(Semaphore::new(shared.descriptors.clients));
     let closing = shared.shutdown.clone();
     tokio::select! {
         () = accept_all(shared, listener, places) => {}
@@ -37,13 +38,6 @@
     }
 }
 
-/// Connections of clients that the descriptors allow.
-fn most_clients(shared: &Shared) -> usize {
-    let descriptors = shared.settings.borrow().limits.max_fds;
-    let free = descriptors.saturating_sub(policy::RESERVED_DESCRIPTORS + policy::OWN_DESCRIPTORS);
-    ((free as f64 * policy::CLIENT_DESCRIPTOR_SHARE) as usize).max(1)
-}
-
 async fn accept_all(shared: Rc<Shared>, listener: TcpListener, places: Arc<Semaphore>) {
     loop {
         let Ok(place) = places.clone().acquire_owned().await else { return };
@@ -60,6 +54,7 @@
 }
 
 async fn serve_connection(shared: Rc<Shared>, stream: TcpStream, _place: OwnedSemaphorePermit) {
+    let _open = Counted::one_more(&shared.client_connections);
     let prepared = stream.set_nodelay(true).and_then(|()| bound_silence(&stream, policy::CLIENT_SILENCE));
     if let Err(error) = prepared {
         log::debug!("socket options of a client: {error}");
@@ -92,6 +87,7 @@
     let mut settings = http1::Builder::new();
     settings
         .timer(TokioTimer::new())
+        .auto_date_header(false)
         .header_read_timeout(idle.max(head))
         .max_buf_size(head_buffer.max(policy::LEAST_HEAD_BUFFER));
     settings
@@ -107,7 +103,7 @@
 
 async fn answer_request(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<AnswerBody> {
     let arrived = Instant::now();
-    let running = RunningRequest::begin(shared);
+    let running = Counted::one_more(&shared.running);
     let (parts, body) = request.into_parts();
     let head = RequestHead::read(&parts);
     let request_id = head.request_id.clone();
@@ -149,7 +145,7 @@
     head: &RequestHead,
     request: ForwardedRequest,
     arrived: Instant,
-    running: RunningRequest,
+    running: Counted,
 ) -> Result<Exchange, LocalReply> {
     let profile = profile_of(route, head, service_of(route, head));
     let now = shared.now();
--- a/src/data_plane/policy.rs
+++ b/src/data_plane/policy.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-/// Longest time in which a connection to a worker has to come up: beyond it another worker is quicker.
+/// Share of the objective in which a connection to a worker has to come up: beyond it another is quicker.
+pub(crate) const CONNECT_SHARE: f64 = 0.5;
+/// Shortest such time: connecting takes a few milliseconds, and a busy process notices late.
+pub(crate) const LEAST_CONNECT_LIMIT: Duration = Duration::from_millis(100);
+/// Longest such time: an opening packet that was lost is sent again only after a second.
 pub(crate) const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 /// Longest wait for one of a worker's connections to become free before another worker is chosen.
 pub(crate) const CONNECTION_WAIT: Duration = Duration::from_millis(100);
@@ -67,8 +71,9 @@
 pub(crate) const LEAVING_SHARE: f64 = 0.3;
 /// What is left of the time to SIGKILL when the process ends.
 pub(crate) const EXIT_MARGIN: Duration = Duration::from_millis(400);
-/// Time without a running request after which connections that are still open are left.
-pub(crate) const LAST_BYTES: Duration = Duration::from_millis(300);
+/// Time without a running request after which connections that are still open are left: either they never
+/// carried a request, or their client reads its last answer too slowly.
+pub(crate) const LAST_BYTES: Duration = Duration::from_secs(1);
 /// A client's idle connection is kept this much longer than the configuration promises.
 pub(crate) const IDLE_GRACE: Duration = Duration::from_secs(1);
 /// Descriptors that settings reserve for files.
--- a/src/data_plane/pool.rs
+++ b/src/data_plane/pool.rs
@@ -20,22 +20,36 @@
 }
 
 /// Connections of all workers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Pool {
     workers: RefCell<HashMap<String, Rc<WorkerConnections>>>,
+    /// Connections to all workers together.
+    open: Rc<Cell<u32>>,
+    /// Bound of `open`, from the descriptors of the process.
+    most_open: u32,
+}
+
+/// Bounds of one lease.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LeaseLimits {
+    /// Connections that may be open to the worker.
+    pub(crate) connections: u32,
+    /// Time in which a new connection has to come up.
+    pub(crate) connect: Duration,
 }
 
 /// Connections of one worker.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct WorkerConnections {
     idle: RefCell<Vec<IdleConnection>>,
     count: Rc<ConnectionCount>,
 }
 
 /// How many connections a worker has, in use or at rest.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct ConnectionCount {
     open: Cell<u32>,
+    open_to_all: Rc<Cell<u32>>,
     /// Told when a connection comes to rest or closes.
     released: Notify,
 }
@@ -66,13 +80,18 @@
 }
 
 impl Pool {
-    /// A connection to a worker: one at rest, a new one while fewer than `limit` are open, or the next that
-    /// comes free.
+    /// A pool without connections, of which at most `most_open` may be open.
+    pub(crate) fn new(most_open: u32) -> Pool {
+        Pool { workers: RefCell::default(), open: Rc::default(), most_open }
+    }
+
+    /// A connection to a worker: one at rest, a new one while the limits allow it, or the next that comes
+    /// free.
     pub(crate) async fn lease(
         &self,
         worker_id: &str,
         address: &str,
-        limit: u32,
+        limits: LeaseLimits,
     ) -> Result<Lease, NoConnection> {
         let home = self.home(worker_id);
         let give_up = Instant::now() + policy::CONNECTION_WAIT;
@@ -80,8 +99,8 @@
             if let Some(counted) = home.take_idle() {
                 return Ok(Lease { counted, home });
             }
-            if home.count.open.get() < limit {
-                let counted = connect(Place::take(&home.count), address).await?;
+            if home.count.open.get() < limits.connections && self.has_room() {
+                let counted = connect(Place::take(&home.count), address, limits.connect).await?;
                 return Ok(Lease { counted, home });
             }
             let released = home.count.released.notified();
@@ -102,18 +121,44 @@
         }
     }
 
+    /// Whether one more connection may be opened; the one that has rested longest makes room for it.
+    fn has_room(&self) -> bool {
+        if self.open.get() >= self.most_open {
+            self.close_longest_idle();
+        }
+        self.open.get() < self.most_open
+    }
+
+    fn close_longest_idle(&self) {
+        let workers = self.workers.borrow();
+        let oldest = workers.values().filter_map(|home| home.idle_since().map(|since| (since, home)));
+        if let Some((_, home)) = oldest.min_by_key(|(since, _)| *since) {
+            home.idle.borrow_mut().remove(0);
+        }
+    }
+
     fn home(&self, worker_id: &str) -> Rc<WorkerConnections> {
         let mut workers = self.workers.borrow_mut();
         if let Some(home) = workers.get(worker_id) {
             return home.clone();
         }
-        let home = Rc::new(WorkerConnections::default());
+        let home = Rc::new(WorkerConnections::new(self.open.clone()));
         workers.insert(worker_id.to_owned(), home.clone());
         home
     }
 }
 
 impl WorkerConnections {
+    fn new(open_to_all: Rc<Cell<u32>>) -> WorkerConnections {
+        let count = ConnectionCount { open: Cell::new(0), open_to_all, released: Notify::new() };
+        WorkerConnections { idle: RefCell::default(), count: Rc::new(count) }
+    }
+
+    /// Since when the first of the idle connections has rested.
+    fn idle_since(&self) -> Option<Instant> {
+        self.idle.borrow().first().map(|resting| resting.since)
+    }
+
     /// The connection used last among those that have rested, or else the one that has rested longest.
     fn take_idle(&self) -> Option<CountedConnection> {
         let now = Instant::now();
@@ -148,6 +193,7 @@
 impl Place {
     fn take(count: &Rc<ConnectionCount>) -> Place {
         count.open.set(count.open.get() + 1);
+        count.open_to_all.set(count.open_to_all.get() + 1);
         Place(count.clone())
     }
 }
@@ -155,14 +201,15 @@
 impl Drop for Place {
     fn drop(&mut self) {
         self.0.open.set(self.0.open.get() - 1);
+        self.0.open_to_all.set(self.0.open_to_all.get() - 1);
         self.0.released.notify_one();
     }
 }
 
-async fn connect(place: Place, address: &str) -> Result<CountedConnection, NoConnection> {
+async fn connect(place: Place, address: &str, limit: Duration) -> Result<CountedConnection, NoConnection> {
     let address: SocketAddr = address.parse().map_err(|_| NoConnection::ConnectFailed)?;
     let connecting = WorkerConnection::connect(address);
-    let connected = tokio::time::timeout(policy::CONNECT_LIMIT, connecting).await;
+    let connected = tokio::time::timeout(limit, connecting).await;
     let connection = connected.map_err(|_| NoConnection::ConnectFailed)?;
     let connection = connection.map_err(|_| NoConnection::ConnectFailed)?;
     Ok(CountedConnection { connection, _place: place })
--- a/src/data_plane/server.rs
+++ b/src/data_plane/server.rs
@@ -135,7 +135,10 @@
     shared.shutdown.advance(Phase::Closing);
     let end = Instant::now() + times.closing;
     let mut quiet_since = Instant::now();
-    while Instant::now() < end && quiet_since.elapsed() < policy::LAST_BYTES {
+    while Instant::now() < end && shared.client_connections.get() > 0 {
+        if quiet_since.elapsed() >= policy::LAST_BYTES {
+            return;
+        }
         if shared.running.get() > 0 {
             quiet_since = Instant::now();
         }
--- a/src/data_plane/shared.rs
+++ b/src/data_plane/shared.rs
@@ -2,6 +2,7 @@
 
 use super::admission_stage::AdmissionStage;
 use super::clock::now_ms;
+use super::descriptors::DescriptorShares;
 use super::feedback::{Feedback, Summary, WorkerLoad};
 use super::missing::MissingModels;
 use super::policy;
@@ -10,7 +11,7 @@
 use super::silence::SilentWorkers;
 use super::statistics::Statistics;
 use super::view::View;
-use crate::site_settings::SiteSettings;
+use crate::site_settings::{Bounds, SiteSettings};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -32,8 +33,11 @@
     pub(crate) shutdown: ShutdownHandle,
     /// Told after the router has taken a new view.
     pub(crate) view_changed: Notify,
-    /// Requests read whose answers are not complete.
-    pub(crate) running: Cell<u32>,
+    /// Requests whose heads have been read and whose answers are not complete.
+    pub(crate) running: Rc<Cell<u32>>,
+    /// Open connections of clients.
+    pub(crate) client_connections: Rc<Cell<u32>>,
+    pub(crate) descriptors: DescriptorShares,
     view: RefCell<Arc<View>>,
     feedback: UnboundedSender<Feedback>,
     summary_at: Cell<u64>,
@@ -46,18 +50,21 @@
         feedback: UnboundedSender<Feedback>,
         shutdown: ShutdownHandle,
     ) -> Shared {
+        let descriptors = DescriptorShares::of(settings.limits.max_fds);
         Shared {
             router: RefCell::new(Router::new(RouterSettings::for_zone(&settings.zone), fastrand::u64(..))),
             budget: RefCell::new(retry_budget(&settings)),
             admission: Rc::new(AdmissionStage::new(fastrand::u64(..))),
             settings: RefCell::new(settings),
-            pool: Pool::default(),
+            pool: Pool::new(descriptors.workers),
             statistics: RefCell::default(),
             missing: MissingModels::default(),
             silent: SilentWorkers::default(),
             shutdown,
             view_changed: Notify::new(),
-            running: Cell::new(0),
+            running: Rc::default(),
+            client_connections: Rc::default(),
+            descriptors,
             view: RefCell::default(),
             feedback,
             summary_at: Cell::new(now_ms()),
@@ -115,6 +122,12 @@
 
     /// Takes settings that were read again.
     pub(crate) fn take_settings(&self, settings: SiteSettings) {
+        if !same_budget(&self.settings.borrow().bounds, &settings.bounds) {
+            // A new budget begins without slack, so repeats already made stay within the rule.
+            let mut budget = retry_budget(&settings);
+            budget.set_gatekeepers(self.view.borrow().gatekeepers);
+            *self.budget.borrow_mut() = budget;
+        }
         *self.settings.borrow_mut() = settings;
     }
 
@@ -170,6 +183,12 @@
     }
 }
 
+fn same_budget(one: &Bounds, other: &Bounds) -> bool {
+    one.retry_budget_ratio == other.retry_budget_ratio
+        && one.retry_budget_slack == other.retry_budget_slack
+        && one.budget_window_s == other.budget_window_s
+}
+
 fn retry_budget(settings: &SiteSettings) -> RetryBudget {
     let bounds = &settings.bounds;
     let window_ms = (bounds.budget_window_s * 1000.0) as u64;
--- a/src/data_plane/stream_answer.rs
+++ b/src/data_plane/stream_answer.rs
@@ -154,12 +154,13 @@
         if self.resumed && is_known {
             return;
         }
-        if let Some(version) = self.announce.take().filter(|_| event.versions.is_none()) {
+        let announced = if event.is_comment { None } else { self.announce.take() };
+        if let Some(version) = announced.filter(|_| event.versions.is_none()) {
             passed.extend_from_slice(format!("versions: {version}\n").as_bytes());
             self.versions = Some(version);
         }
         self.versions = event.versions.or(self.versions);
-        self.unnumbered |= event.id.is_none();
+        self.unnumbered |= event.id.is_none() && !event.is_comment;
         self.last_id = event.id.or(self.last_id);
         passed.extend_from_slice(&event.bytes);
     }
--- a/src/data_plane/tests.rs
+++ b/src/data_plane/tests.rs
@@ -1,11 +1,14 @@
 //! Tests of the parts without sockets.
 
+use super::descriptors::DescriptorShares;
 use super::event_stream::EventSplitter;
 use super::outcome::{judge, Verdict};
 use super::request_head::{ModelName, RequestHead};
+use super::shutdown::ShutdownTimes;
 use googletest::prelude::*;
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode};
+use std::time::Duration;
 
 fn head(headers: &[(&str, &str)]) -> RequestHead {
     let mut request = Request::builder().uri("/a/b?c=d");
@@ -105,3 +108,19 @@
         expect_that!(whole, eq(&body.to_vec()), "split at {split}");
     }
 }
+
+#[gtest]
+fn descriptors_are_shared_out_below_their_bound() {
+    let shares = DescriptorShares::of(4100);
+    expect_that!(shares.clients as u64 + u64::from(shares.workers), le(4100 - 200));
+    expect_that!(DescriptorShares::of(0), eq(DescriptorShares { clients: 1, workers: 1 }));
+}
+
+#[gtest]
+fn the_end_fits_before_sigkill() {
+    for grace_ms in [500, 1000, 4000, 8000, 30_000] {
+        let grace = Duration::from_millis(grace_ms);
+        let times = ShutdownTimes::within(grace);
+        expect_that!(times.leaving + times.closing, lt(grace), "grace {grace_ms} ms");
+    }
+}
--- a/src/data_plane/worker_choice.rs
+++ b/src/data_plane/worker_choice.rs
@@ -16,27 +16,43 @@
             if self.time_left().is_zero() {
                 return Err(self.time_over());
             }
-            let (hold_until, retry_after_ms) = match self.choose() {
+            let choice = self.choose();
+            let hold_until = match choice {
                 Choice::Send(worker) => return Ok(worker),
-                Choice::Busy { retry_after_ms } => return Err(self.give_up(retry_after_ms)),
-                Choice::Missing => (self.model_hold_end(), self.load_time_ms()),
-                Choice::NoWorker => (self.worker_hold_end(), policy::RETRY_AFTER_NO_WORKER_MS),
+                Choice::Busy { .. } => return Err(self.give_up_after(choice)),
+                Choice::Missing => self.model_hold_end(),
+                Choice::NoWorker => self.worker_hold_end(),
             };
-            if Instant::now() >= hold_until {
-                return Err(self.give_up(retry_after_ms));
-            }
-            if waiting.is_none() {
-                waiting = Some(self.shared.missing.begin(&self.profile));
+            if choice == Choice::Missing {
+                waiting = waiting.or_else(|| self.shared.missing.begin(&self.profile));
+                let report = waiting.as_ref().and_then(|request| request.report(self.shared.now()));
+                report.into_iter().for_each(|report| self.shared.tell(report));
             }
-            if let Some(report) =
-                waiting.iter().flatten().next().and_then(|wait| wait.report(self.shared.now()))
-            {
-                self.shared.tell(report);
+            if Instant::now() >= hold_until {
+                return Err(self.give_up_after(choice));
             }
             self.wait_for_view(hold_until).await;
         }
     }
 
+    /// The answer of a request that is given up, with advice by what the router says now.
+    pub(crate) fn give_up(&self) -> LocalReply {
+        self.give_up_after(self.choose())
+    }
+
+    fn give_up_after(&self, choice: Choice) -> LocalReply {
+        if self.trail.may_have_run {
+            return LocalReply::MayHaveRun;
+        }
+        let retry_after_ms = match choice {
+            Choice::Send(_) => policy::RETRY_AFTER_REFUSED_MS,
+            Choice::Busy { retry_after_ms } => retry_after_ms,
+            Choice::Missing => self.load_time_ms(),
+            Choice::NoWorker => policy::RETRY_AFTER_NO_WORKER_MS,
+        };
+        LocalReply::NotRun { retry_after_ms }
+    }
+
     /// Asks the router.
     pub(crate) fn choose(&self) -> Choice {
         let mut router = self.shared.router.borrow_mut();
--- a/tests/data_plane.rs
+++ b/tests/data_plane.rs
@@ -274,3 +274,82 @@
         Ok(())
     })
 }
+
+#[gtest]
+fn bytes_after_a_whole_answer_belong_to_no_request() -> Result<()> {
+    on_one_thread(async {
+        let mut worker = StandInWorker::start("w1").await;
+        let rig = Rig::with(all_routes(), &[&worker]);
+        let surplus =
+            "HTTP/1.1 200 OK\r\nRequest-Id: q2\r\nResponse-Stamp: s\r\nContent-Length: 3\r\n\r\nold";
+        let first = ask(&rig, request("unsafe", "q1", &[], ""));
+        let mut received = worker.next().await;
+        let whole = "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nResponse-Stamp: s\r\nContent-Length: 4\r\n\r\npong";
+        received.write(&format!("{whole}{surplus}")).await;
+        expect_that!(first.await?.body, eq("pong"));
+        received.closed().await;
+        let second = ask(&rig, request("unsafe", "q2", &[], ""));
+        worker.next().await.answer("200 OK", "", "new").await;
+        verify_that!(second.await?.body, eq("new"))
+    })
+}
+
+#[gtest]
+fn a_connection_that_the_worker_closes_is_not_used_again() -> Result<()> {
+    on_one_thread(async {
+        let mut worker = StandInWorker::start("w1").await;
+        let rig = Rig::with(all_routes(), &[&worker]);
+        for id in ["q1", "q2"] {
+            let answer = ask(&rig, request("unsafe", id, &[], ""));
+            let mut received = worker.next().await;
+            let head = "Response-Stamp: s\r\nContent-Length: 2\r\nConnection: close\r\n";
+            received.write_head("200 OK", head).await;
+            received.write("ok").await;
+            expect_that!(answer.await?.status, eq(200));
+        }
+        verify_that!(worker.connections(), eq(2))
+    })
+}
+
+#[gtest]
+fn a_chunked_body_is_sent_on_whole() -> Result<()> {
+    on_one_thread(async {
+        let mut worker = StandInWorker::start("w1").await;
+        let rig = Rig::with(all_routes(), &[&worker]);
+        let headers = [("Transfer-Encoding", "chunked")];
+        let answer = ask(&rig, request("unsafe", "q1", &headers, "some body"));
+        let received = worker.next().await;
+        expect_that!(received.body, eq(&b"some body".to_vec()));
+        expect_that!(received.header("transfer-encoding"), eq(""));
+        received.answer("200 OK", "", "").await;
+        let answer = answer.await?;
+        verify_that!((answer.status, answer.body.as_str()), eq((200, "")))
+    })
+}
+
+#[gtest]
+fn an_encoded_answer_is_not_passed_on() -> Result<()> {
+    on_one_thread(async {
+        let mut worker = StandInWorker::start("w1").await;
+        let rig = Rig::with(all_routes(), &[&worker]);
+        let answer = ask(&rig, request("unsafe", "q1", &[], ""));
+        worker.next().await.answer("200 OK", "Content-Encoding: gzip\r\n", "????").await;
+        let answer = answer.await?;
+        verify_that!((answer.status, answer.body.as_str()), eq((502, "")))
+    })
+}
+
+#[gtest]
+fn a_worker_without_room_makes_a_refusal_with_advice() -> Result<()> {
+    on_one_thread(async {
+        let mut worker = StandInWorker::start("w1").await;
+        let rig = Rig::with(all_routes(), &[&worker]);
+        let answer = ask(&rig, request("unsafe", "q1", &[], ""));
+        worker.next().await.refuse().await;
+        let answer = answer.await?;
+        expect_that!(answer.status, eq(503));
+        expect_that!(answer.header("retry-after"), not(eq("")));
+        expect_that!(answer.header("not-executed"), eq(""));
+        verify_that!(answer.header("response-stamp"), eq(""))
+    })
+}
--- a/tests/data_plane_streams.rs
+++ b/tests/data_plane_streams.rs
@@ -210,3 +210,31 @@
         verify_that!(rest(answer.body_mut()).await, eq(&(part, false)))
     })
 }
+
+#[gtest]
+fn streams_of_a_worker_that_falls_silent_go_on_elsewhere() -> Result<()> {
+    on_one_thread(async {
+        let mut silent = StandInWorker::start("w1").await;
+        let mut other = StandInWorker::start("w2").await;
+        let rig = Rig::with(all_routes(), &[&silent]);
+        let answers = [ask(&rig, &[]), ask(&rig, &[])];
+        let mut received = [silent.next().await, silent.next().await];
+        for request in &mut received {
+            request.begin_stream("").await;
+            request.write_chunk(&event(1)).await;
+        }
+        rig.tell(all_routes(), vec![silent.view(), other.view()]);
+        for _ in 0..2 {
+            let mut resumed = other.next().await;
+            expect_that!(resumed.header("last-event-id"), eq("1"));
+            resumed.begin_stream("").await;
+            resumed.write_chunk(&event(2)).await;
+            resumed.end_stream().await;
+        }
+        for answer in answers {
+            let (_client, mut answer) = answer.await?;
+            expect_that!(rest(answer.body_mut()).await, eq(&(format!("{}{}", event(1), event(2)), true)));
+        }
+        Ok(())
+    })
+}
