Data plane: bodies in time, idle times by the worker's word, missing models told on refusal

A body that never comes held its request without end; a worker that keeps connections for one second had each closed; a model that a worker denied holding was not reported when the request was given up.

--- a/src/data_plane/ingress.rs
+++ b/src/data_plane/ingress.rs
@@ -107,7 +107,9 @@
     let (parts, body) = request.into_parts();
     let head = RequestHead::read(&parts);
     let request_id = head.request_id.clone();
-    let read = read_body(shared, body).await;
+    let time = head.deadline.unwrap_or(policy::BODY_LIMIT).min(policy::BODY_LIMIT);
+    let read = tokio::time::timeout_at(arrived + time, read_body(shared, body)).await;
+    let read = read.unwrap_or(Err(LocalReply::NotRun { retry_after_ms: policy::RETRY_AFTER_REFUSED_MS }));
     let admitted = read.and_then(|body| {
         let route = find_route(shared, &head)?;
         admit(shared, &route, &head, ForwardedRequest::new(parts, body), arrived, running)
--- a/src/data_plane/policy.rs
+++ b/src/data_plane/policy.rs
@@ -14,8 +14,10 @@
 pub(crate) const CONNECTION_REST: Duration = Duration::from_millis(30);
 /// An idle connection is dropped this long before the worker would close it.
 pub(crate) const IDLE_MARGIN: Duration = Duration::from_secs(1);
-/// Idle time of a connection whose worker names none.
-pub(crate) const IDLE_DEFAULT: Duration = Duration::from_secs(5);
+/// The same as a share of the time the worker tells, where that is short.
+pub(crate) const IDLE_MARGIN_SHARE: f64 = 0.4;
+/// Idle time of a connection whose worker tells none, which then closes none on its own.
+pub(crate) const IDLE_DEFAULT: Duration = Duration::from_secs(30);
 /// Least number of connections a gatekeeper may hold to one worker, however many gatekeepers there are.
 pub(crate) const LEAST_CONNECTIONS: u32 = 4;
 /// Share of a worker's connections that the gatekeepers use together; the rest is for uneven shares.
@@ -38,6 +40,8 @@
 pub(crate) const SHORT_AIM_MS: u64 = 2000;
 /// Longest hold of a request with a short objective for an adapter, which comes in milliseconds.
 pub(crate) const SHORT_HOLD_ADAPTER: Duration = Duration::from_millis(150);
+/// The same as a share of the objective, where that is very short.
+pub(crate) const SHORT_HOLD_ADAPTER_SHARE: f64 = 0.5;
 /// Share of a short objective for which a request is held for a model.
 pub(crate) const SHORT_HOLD_SHARE: f64 = 0.2;
 /// Share of a long objective for which a request is held.
@@ -88,6 +92,8 @@
 pub(crate) const LEAST_HEAD_BUFFER: usize = 8192;
 /// Attempts that were never sent (no connection, worker gone meanwhile) before a request is given up.
 pub(crate) const UNSENT_ATTEMPTS: u32 = 4;
+/// Longest time a request's body may take to come; its deadline ends it earlier.
+pub(crate) const BODY_LIMIT: Duration = Duration::from_secs(30);
 /// Size that admission assumes for a request that does not tell its tokens.
 pub(crate) const SIZE_WITHOUT_TOKENS: f64 = 1000.0;
 /// What a token put out weighs against one of the prompt.
--- a/src/data_plane/pool.rs
+++ b/src/data_plane/pool.rs
@@ -223,10 +223,9 @@
 
     /// Puts the connection to rest after a whole answer; `idle_for` is the time the worker keeps it.
     pub(crate) fn keep(self, idle_for: Option<Duration>) {
-        let idle_for = idle_for.unwrap_or(policy::IDLE_DEFAULT).saturating_sub(policy::IDLE_MARGIN);
-        if idle_for.is_zero() {
-            return;
-        }
+        let idle_for = idle_for.unwrap_or(policy::IDLE_DEFAULT);
+        let margin = policy::IDLE_MARGIN.min(idle_for.mul_f64(policy::IDLE_MARGIN_SHARE));
+        let idle_for = idle_for - margin;
         let Lease { mut counted, home } = self;
         if counted.connection.is_ready() {
             home.rest(counted, idle_for);
--- a/src/data_plane/server.rs
+++ b/src/data_plane/server.rs
@@ -31,7 +31,7 @@
 }
 
 impl DataPlane {
-    /// Opens the listeners that the settings name.
+    /// Opens the listeners that the settings name. It needs the context of a runtime.
     ///
     /// # Errors
     /// An address cannot be listened on, or there is none for clients.
--- a/src/data_plane/shared.rs
+++ b/src/data_plane/shared.rs
@@ -99,7 +99,8 @@
         drop(router);
         self.budget.borrow_mut().set_gatekeepers(view.gatekeepers);
         self.admission.set_view(now, &view, &outstanding);
-        let in_use = view.workers.iter().filter(|worker| worker.state != Availability::Gone);
+        let takes_requests = |state| matches!(state, Availability::Ready | Availability::Suspected);
+        let in_use = view.workers.iter().filter(|worker| takes_requests(worker.state));
         self.pool.retain(&in_use.map(|worker| worker.id.as_str()).collect());
         *self.view.borrow_mut() = view;
         self.view_changed.notify_waiters();
--- a/src/data_plane/worker_choice.rs
+++ b/src/data_plane/worker_choice.rs
@@ -1,6 +1,7 @@
 //! Waiting for a worker that can run a request.
 
 use super::exchange::Exchange;
+use super::missing::WaitingRequest;
 use super::policy;
 use super::replies::LocalReply;
 use std::time::Duration;
@@ -25,8 +26,7 @@
             };
             if choice == Choice::Missing {
                 waiting = waiting.or_else(|| self.shared.missing.begin(&self.profile));
-                let report = waiting.as_ref().and_then(|request| request.report(self.shared.now()));
-                report.into_iter().for_each(|report| self.shared.tell(report));
+                self.report(waiting.as_ref());
             }
             if Instant::now() >= hold_until {
                 return Err(self.give_up_after(choice));
@@ -37,7 +37,18 @@
 
     /// The answer of a request that is given up, with advice by what the router says now.
     pub(crate) fn give_up(&self) -> LocalReply {
-        self.give_up_after(self.choose())
+        let choice = self.choose();
+        if choice == Choice::Missing {
+            self.report(self.shared.missing.begin(&self.profile).as_ref());
+        }
+        self.give_up_after(choice)
+    }
+
+    /// Tells the agent that the request's model is missing, unless it has just been told.
+    fn report(&self, waiting: Option<&WaitingRequest>) {
+        if let Some(report) = waiting.and_then(|request| request.report(self.shared.now())) {
+            self.shared.tell(report);
+        }
     }
 
     fn give_up_after(&self, choice: Choice) -> LocalReply {
@@ -75,7 +86,7 @@
         let is_short = aim < Duration::from_millis(policy::SHORT_AIM_MS);
         let by_aim = match (is_short, &self.profile.adapter) {
             (false, _) => aim.mul_f64(policy::LONG_HOLD_SHARE),
-            (true, Some(_)) => policy::SHORT_HOLD_ADAPTER,
+            (true, Some(_)) => policy::SHORT_HOLD_ADAPTER.min(aim.mul_f64(policy::SHORT_HOLD_ADAPTER_SHARE)),
             (true, None) => aim.mul_f64(policy::SHORT_HOLD_SHARE),
         };
         self.hold_end(by_aim)
--- a/tests/data_plane.rs
+++ b/tests/data_plane.rs
@@ -10,6 +10,8 @@
 use http_body_util::Full;
 use hyper::Request;
 use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Starts the exchange of one request while the test plays the workers.
 fn ask(
@@ -353,3 +355,19 @@
         verify_that!(answer.header("response-stamp"), eq(""))
     })
 }
+
+#[gtest]
+fn a_body_that_does_not_come_in_time_is_refused() -> Result<()> {
+    on_one_thread(async {
+        let mut worker = StandInWorker::start("w1").await;
+        let rig = Rig::with(all_routes(), &[&worker]);
+        let mut client = TcpStream::connect(rig.address).await?;
+        let head = "POST /unsafe/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: q1\r\n";
+        let rest = "Request-Deadline-Ms: 100\r\nContent-Length: 10\r\n\r\nhalf";
+        client.write_all(format!("{head}{rest}").as_bytes()).await?;
+        let mut answer = [0; 64];
+        let count = client.read(&mut answer).await?;
+        expect_that!(String::from_utf8_lossy(&answer[..count]), starts_with("HTTP/1.1 503"));
+        verify_that!(worker.has_nothing_more(), eq(true))
+    })
+}
