Routing: eject on failures in a row, let untold loads and cold times run down

A worker that served well until it froze kept a good failure share and got a request again as soon as its earlier ones had timed out. Three failures without a success between them now eject it, unless the rest of the service fails too. Loads that nobody tells any more fade, so they can't keep a service busy for good.

--- a/crates/routing/src/cost.rs
+++ b/crates/routing/src/cost.rs
@@ -24,6 +24,8 @@
 const URGENT_PRIORITY: u8 = 1;
 /// How much more urgent requests mind other requests.
 const URGENT_FACTOR: f64 = 1.5;
+/// Time in which the mean of the others' loads fades to a half once it is no longer told.
+const MEAN_HALF_LIFE_MS: f64 = 3_000.0;
 /// Share of a shared prompt that its second home is taken to have kept.
 const SECOND_HOME_SHARE: f64 = 0.5;
 /// How much longer a queue urgent requests may join: workers let them pass the others in it.
@@ -100,8 +102,7 @@
     }
 
     fn elsewhere(&self, worker: &WorkerState) -> f64 {
-        let age = self.now.saturating_sub(worker.view.load_told_at) as f64;
-        let belief = (-age * std::f64::consts::LN_2 / self.settings.load_half_life_ms).exp();
+        let belief = belief(self.now, worker, self.settings.load_half_life_ms);
         belief * f64::from(worker.view.load_elsewhere) + (1.0 - belief) * self.mean_elsewhere
     }
 
@@ -143,3 +144,21 @@
         }
     }
 }
+
+/// Mean of what others have outstanding at the workers. Figures that are no longer told fade out: should a
+/// worker be fuller than it seems then, it rejects the request unexecuted.
+pub(crate) fn mean_elsewhere<'a>(now: u64, workers: impl Iterator<Item = &'a WorkerState>) -> f64 {
+    let mut sum = 0.0;
+    let mut count = 0.0;
+    for worker in workers {
+        sum += f64::from(worker.view.load_elsewhere) * belief(now, worker, MEAN_HALF_LIFE_MS);
+        count += 1.0;
+    }
+    sum / f64::max(count, 1.0)
+}
+
+/// How far the load told of the worker still holds: a half after `half_life_ms`.
+fn belief(now: u64, worker: &WorkerState, half_life_ms: f64) -> f64 {
+    let age = now.saturating_sub(worker.view.load_told_at) as f64;
+    (-age * std::f64::consts::LN_2 / half_life_ms).exp()
+}
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -10,10 +10,17 @@
 const EJECTION_MS: (u64, u64) = (1_000, 8_000);
 /// Failures within the memory of the window that an ejection needs.
 const EJECTION_FAILURES: f64 = 2.6;
+/// Failures without a success between them that eject, whatever the share: a worker that served well until
+/// it froze would keep a good share for long.
+const EJECTION_IN_ROW: u32 = 3;
+/// Failure share of the rest of the service from which failures in a row say nothing of one worker.
+const SERVICE_FAILS_SHARE: f64 = 0.3;
 /// Least failure share of an ejected worker.
 const EJECTION_SHARE: f64 = 0.3;
 /// How many times the share of the rest of its service a worker's failure share must be.
 const EJECTION_TIMES_OTHERS: f64 = 3.0;
+/// A worker with this failure share may be ejected however badly the others fare.
+const MOST_SHARE_NEEDED: f64 = 0.95;
 /// Distinct clients or sessions that must have seen the failures.
 const EJECTION_ORIGINS: usize = 2;
 /// Time in which counts of the window halve.
@@ -97,7 +104,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Health {
     counts: OutcomeCounts,
+    /// Clients or sessions that saw failures since the last calm, up to as many as an ejection needs.
     origins: Vec<u64>,
+    in_row: u32,
     unreachable: Rest,
     full: Rest,
     ejected_until: Option<u64>,
@@ -134,8 +143,7 @@
     /// Ends its ejection without a trial.
     pub fn release(&mut self, now: u64) {
         self.ejected_until = None;
-        self.trial = None;
-        self.counts = OutcomeCounts { at: now, ..OutcomeCounts::default() };
+        self.forget_outcomes(now);
     }
 
     /// Whether a trial is allowed before the end of a long ejection, if no other worker is left.
@@ -201,24 +209,31 @@
         };
         self.ejected_at = now;
         self.ejected_until = Some(now + self.ejection_ms);
-        self.trial = None;
-        self.counts = OutcomeCounts::default();
-        self.origins.clear();
+        self.forget_outcomes(now);
     }
 
     fn succeeded(&mut self, now: u64) {
         self.counts.add(now, false);
+        self.in_row = 0;
         self.heard(now);
         self.full = Rest::default();
     }
 
     fn failed(&mut self, now: u64, origin: u64) {
         self.counts.add(now, true);
+        self.in_row += 1;
         if self.origins.len() < EJECTION_ORIGINS && !self.origins.contains(&origin) {
             self.origins.push(origin);
         }
     }
 
+    fn forget_outcomes(&mut self, now: u64) {
+        self.trial = None;
+        self.counts = OutcomeCounts { at: now, ..OutcomeCounts::default() };
+        self.origins.clear();
+        self.in_row = 0;
+    }
+
     fn unreachable(&mut self, now: u64) {
         self.unreachable.extend(now, CONNECT_REST_MS);
     }
@@ -241,8 +256,10 @@
         let (other_failures, other_total) = others;
         // One success is added to the others, so that a service with one worker has a share too.
         let others_share = other_failures / (other_total + 1.0);
-        let needed = EJECTION_SHARE.max(EJECTION_TIMES_OTHERS * others_share).min(0.95);
-        failures >= EJECTION_FAILURES && failures / total >= needed && self.origins.len() >= EJECTION_ORIGINS
+        let needed = EJECTION_SHARE.max(EJECTION_TIMES_OTHERS * others_share).min(MOST_SHARE_NEEDED);
+        let by_share = failures >= EJECTION_FAILURES && failures / total >= needed;
+        let by_row = self.in_row >= EJECTION_IN_ROW && others_share < SERVICE_FAILS_SHARE;
+        (by_share || by_row) && self.origins.len() >= EJECTION_ORIGINS
     }
 
     /// Failures and outcomes lately.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -10,7 +10,7 @@
 use crate::attempt::{Attempt, AttemptKey, AttemptOutcome};
 use crate::candidates::Candidates;
 use crate::choice::{Choice, RequestProfile};
-use crate::cost::CostBasis;
+use crate::cost::{mean_elsewhere, CostBasis};
 use crate::ejection::{eject_within_bound, outcomes_of_others, release_beyond_bound};
 use crate::pace::Baselines;
 use crate::prefix::{shared_prefixes, Prefix};
@@ -280,7 +280,6 @@
         keys: &[WorkerKey],
     ) -> CostBasis<'a> {
         let workers = || keys.iter().filter_map(|key| self.table.get(*key));
-        let elsewhere: u32 = workers().map(|worker| worker.view.load_elsewhere).sum();
         let outstanding: u32 = workers().map(|worker| worker.outstanding).sum();
         let tokens: u64 = workers().map(|worker| worker.outstanding_tokens).sum();
         let own_tokens = profile.total_tokens() as f64;
@@ -293,7 +292,7 @@
             prefixes,
             homes,
             cache_tokens: self.cache_tokens.get(&profile.service).copied(),
-            mean_elsewhere: f64::from(elsewhere) / keys.len().max(1) as f64,
+            mean_elsewhere: mean_elsewhere(now, workers()),
             mean_tokens: (tokens as f64 + own_tokens) / f64::from(outstanding + 1),
         }
     }
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -73,7 +73,10 @@
         if view.models != self.view.models {
             self.denials.clear();
         }
-        self.cold_until = now + view.cold_remaining_ms;
+        // The same figure again was told once and has been running down since.
+        if view.cold_remaining_ms != self.view.cold_remaining_ms {
+            self.cold_until = now + view.cold_remaining_ms;
+        }
         self.view = view;
     }
 
@@ -85,7 +88,8 @@
 
     /// Notes that it answered that it does not hold the model or adapter.
     pub fn deny(&mut self, now: u64, model: &str, adapter: Option<&str>) {
-        self.denials.retain(|denial| denial.until > now);
+        let is_same = |denial: &Denial| denial.model == model && denial.adapter.as_deref() == adapter;
+        self.denials.retain(|denial| denial.until > now && !is_same(denial));
         let adapter = adapter.map(str::to_owned);
         self.denials.push(Denial { model: model.to_owned(), adapter, until: now + DENIAL_MS });
     }
--- a/crates/routing/src/worker.rs
+++ b/crates/routing/src/worker.rs
@@ -42,7 +42,7 @@
     pub slots: u32,
     /// Whether it may receive requests.
     pub state: Availability,
-    /// How much longer it is slow from its start, in milliseconds at the time the list was set.
+    /// How much longer it is slow from its start, in milliseconds; counted from when the figure last changed.
     pub cold_remaining_ms: u64,
     /// Models in its memory; empty for services without models.
     pub models: Vec<ResidentModel>,
--- a/crates/routing/tests/choose.rs
+++ b/crates/routing/tests/choose.rs
@@ -299,3 +299,28 @@
     router.finished(6, attempt, AttemptOutcome::Cancelled);
     expect_that!(router.outstanding(), elements_are![eq(&("w0".to_owned(), 1))]);
 }
+
+#[gtest]
+fn loads_that_are_no_longer_told_do_not_keep_a_service_busy() {
+    let mut router = router(1, 2);
+    let mut views = workers(2);
+    views.iter_mut().for_each(|view| view.load_elsewhere = 500);
+    router.set_workers(0, views);
+    expect_that!(router.choose(0, &plain_request(), &[]), matches_pattern!(Choice::Busy { .. }));
+    expect_that!(router.choose(30_000, &plain_request(), &[]), matches_pattern!(Choice::Send(_)));
+}
+
+#[gtest]
+fn a_cold_time_told_again_unchanged_runs_down() {
+    let mut router = router(1, 2);
+    let mut views = workers(2);
+    views[0].cold_remaining_ms = 1_000;
+    for now in (0..5_000).step_by(200) {
+        router.set_workers(now, views.clone());
+    }
+    let chosen_again = (0..100).filter(|serial| {
+        let key = chosen(&mut router, 5_000, &request(*serial), &[]);
+        id(&router, key) == "w0"
+    });
+    expect_that!(chosen_again.count(), gt(20));
+}
--- a/crates/routing/tests/ejection.rs
+++ b/crates/routing/tests/ejection.rs
@@ -270,3 +270,14 @@
     router.finished(0, attempt, AttemptOutcome::NotExecuted(421));
     expect_that!(served_by(&mut router, 200), not(contains(eq("w1"))));
 }
+
+#[gtest]
+fn a_worker_that_served_well_and_froze_is_ejected() {
+    let mut router = router(1, 4);
+    let key = key_of(&mut router, 0, "w1");
+    let now = run_at(&mut router, 0, key, 50, AttemptOutcome::Success);
+    let now = run_at(&mut router, now, key, 2, AttemptOutcome::TimedOut);
+    expect_that!(served_by(&mut router, now), contains(eq("w1")));
+    let now = run_at(&mut router, now, key, 1, AttemptOutcome::TimedOut);
+    expect_that!(served_by(&mut router, now), not(contains(eq("w1"))));
+}
