--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -12,6 +12,7 @@
 use crate::choice::{Choice, RequestProfile};
 use crate::cost::{mean_elsewhere, CostBasis};
 use crate::ejection::{eject_within_bound, outcomes_of_others, release_beyond_bound};
+use crate::health::is_failure;
 use crate::pace::Baselines;
 use crate::prefix::{shared_prefixes, Prefix};
 use crate::sessions::SessionMemory;
@@ -186,7 +187,10 @@
         if outcome == AttemptOutcome::Success {
             self.baselines.duration(attempt.workload, now.saturating_sub(attempt.sent_at));
         }
-        let others = outcomes_of_others(&self.table, now, attempt.worker);
+        let others = match is_failure(outcome) {
+            true => outcomes_of_others(&self.table, now, attempt.worker),
+            false => (0.0, 0.0),
+        };
         let Some(worker) = self.table.get_mut(attempt.worker) else { return };
         worker.attempt_ended(&attempt);
         if matches!(outcome, AttemptOutcome::NotExecuted(_) | AttemptOutcome::ConnectFailed) {
