--- a/src/data_plane/shutdown.rs
+++ b/src/data_plane/shutdown.rs
@@ -65,7 +65,7 @@
     }
 
     /// Waits until the phase is reached.
-    pub(crate) async fn reached(&self, phase: Phase) {
+    pub async fn reached(&self, phase: Phase) {
         let mut phases = self.phase.subscribe();
         // The sender lives in `self`, so waiting cannot fail.
         let _ = phases.wait_for(|present| *present >= phase).await;
--- a/tests/data_plane_holding.rs
+++ b/tests/data_plane_holding.rs
@@ -129,9 +129,7 @@
         expect_that!(late.status, eq(200));
         expect_that!(late.header("connection"), eq("close"));
         expect_that!(idle.closes().await, eq(true));
-        while rig.shutdown.phase() != Phase::Closing {
-            tokio::task::yield_now().await;
-        }
+        within(rig.shutdown.reached(Phase::Closing)).await;
         running.answer("200 OK", "", "begun").await;
         expect_that!(begun.await?.body, eq("begun"));
         verify_that!(within(rig.ended).await?.is_ok(), eq(true))
