--- a/crates/placement/src/demand.rs
+++ b/crates/placement/src/demand.rs
@@ -11,6 +11,8 @@
 const QUICK: f64 = 0.5;
 /// Weight of the newest sample in the slow average, which spans about ten seconds.
 const SLOW: f64 = 0.05;
+/// Weight of the newest sample in the popularity, which spans about thirty seconds.
+const POPULAR: f64 = 0.017;
 /// Time a request is taken to occupy a slot where gatekeepers tell no outstanding requests, in seconds.
 const ASSUMED_SERVICE_S: f64 = 1.0;
 
@@ -46,8 +48,11 @@
 pub(crate) struct ModelDemand {
     entries: BTreeMap<Option<String>, Entry>,
     wanted_at: Option<u64>,
+    samples: u32,
     /// Requests a second, averaged over about ten seconds.
     pub(crate) slow_rate: f64,
+    /// Requests a second, averaged over about thirty seconds.
+    pub(crate) popularity: f64,
     /// Slots occupied, averaged over about a second.
     pub(crate) slots: f64,
     /// Slots that will be occupied a few seconds ahead if the rise goes on.
@@ -118,12 +123,19 @@
         self.urgency_ms = aims.min().unwrap_or(self.urgency_ms);
         let before = self.slots;
         self.slots += QUICK * (slots - self.slots);
-        self.slow_rate += SLOW * (rate - self.slow_rate);
+        self.samples = self.samples.saturating_add(1);
+        self.slow_rate += self.weight(SLOW) * (rate - self.slow_rate);
+        self.popularity += self.weight(POPULAR) * (rate - self.popularity);
         let rise_per_s = (self.slots - before) * 2.0;
         let rise = (rise_per_s * ahead_s).clamp(0.0, self.slots);
         self.slots_ahead = self.slots + rise;
     }
 
+    /// Weight of a sample in an average that is the plain mean as long as there are few.
+    fn weight(&self, at_length: f64) -> f64 {
+        at_length.max(1.0 / f64::from(self.samples))
+    }
+
     /// Whether nothing about this model needs attention any more.
     pub(crate) fn is_forgotten(&self, now: u64) -> bool {
         self.idle_ms(now).is_none_or(|idle| idle > FORGET_MS)
