Data plane: streams stay on busy workers; demand told with running requests

Silence is 900 ms now and a stream moves only where another worker can go on with it. Demand is averaged and told every 300 ms with running requests; refusals are logged by cause.

--- a/crates/control/src/load.rs
+++ b/crates/control/src/load.rs
@@ -105,12 +105,12 @@
 }
 
 fn empty_demand(of: &ModelDemand) -> ModelDemand {
-    ModelDemand { requests_per_s: 0.0, tokens_per_s: 0.0, waiting: 0, ..of.clone() }
+    ModelDemand { requests_per_s: 0.0, tokens_per_s: 0.0, outstanding: 0, ..of.clone() }
 }
 
 fn add_demand(total: &mut ModelDemand, entry: &ModelDemand) {
     total.requests_per_s += entry.requests_per_s;
     total.tokens_per_s += entry.tokens_per_s;
-    total.waiting += entry.waiting;
+    total.outstanding += entry.outstanding;
     total.aim_ms = total.aim_ms.min(entry.aim_ms);
 }
--- a/crates/control/src/placer.rs
+++ b/crates/control/src/placer.rs
@@ -179,8 +179,8 @@
                 requests_per_s: entry.requests_per_s,
                 tokens_per_s: entry.tokens_per_s,
                 urgency_ms: entry.aim_ms,
-                outstanding: 0,
-                waiting: entry.waiting,
+                outstanding: entry.outstanding,
+                waiting: 0,
             };
             self.planner(now, &entry.service.clone(), input);
         }
--- a/crates/protocol/src/subscription.rs
+++ b/crates/protocol/src/subscription.rs
@@ -122,9 +122,9 @@
     /// Smallest latency aim of the routes, in milliseconds.
     #[prost(uint64, tag = "6")]
     pub aim_ms: u64,
-    /// Requests that wait for it.
+    /// Requests without a complete answer, those that wait included.
     #[prost(uint32, tag = "7")]
-    pub waiting: u32,
+    pub outstanding: u32,
 }
 
 /// What one route lets through.
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -77,14 +77,19 @@
 
     /// Takes one repeat out of the budget if there is one; call it before each send after a request's first.
     pub fn try_repeat(&mut self, now: u64, service: &str) -> bool {
+        let allowed = self.may_repeat(now, service);
+        if allowed {
+            self.bucket(now, service).repeats += 1;
+        }
+        allowed
+    }
+
+    /// Whether there is a repeat in the budget, without taking it.
+    pub fn may_repeat(&mut self, now: u64, service: &str) -> bool {
         self.started_at.get_or_insert(now);
         let allowance = self.allowance(now, service);
         let repeats = self.services.get(service).map_or(0, |ledger| ledger.repeats());
-        if (repeats + 1) as f64 > allowance {
-            return false;
-        }
-        self.bucket(now, service).repeats += 1;
-        true
+        (repeats + 1) as f64 <= allowance
     }
 
     /// Gives back a repeat taken by [`RetryBudget::try_repeat`] that was never sent.
--- a/src/data_plane/attempt.rs
+++ b/src/data_plane/attempt.rs
@@ -100,8 +100,8 @@
         attempt: OutstandingAttempt,
         resume: ResumePoint,
     ) -> AttemptEnd {
-        let sent = self.wait_for_head(worker, &mut lease, resume).await;
         self.trail.excluded.push(worker);
+        let sent = self.wait_for_head(worker, &mut lease, resume).await;
         match sent {
             Sent::Answer(answer) => self.judge_answer(WorkerAnswer::new(answer, lease, attempt)).await,
             Sent::Failed(SendFailure::NotSent) => self.take_back(),
@@ -141,13 +141,19 @@
             expect_version: resume.expect_version,
         };
         let request = self.request.for_worker(&fields);
+        let elsewhere_after_silence = async {
+            self.shared.silent.wait_for(worker).await;
+            if !self.could_repeat_elsewhere() {
+                std::future::pending::<()>().await;
+            }
+        };
         tokio::select! {
             biased;
             sent = lease.connection().send(request) => match sent {
                 Ok(answer) => Sent::Answer(answer),
                 Err(failure) => Sent::Failed(failure),
             },
-            () = self.shared.silent.wait_for(worker), if self.rules.idempotent => Sent::WorkerSilent,
+            () = elsewhere_after_silence => Sent::WorkerSilent,
             () = tokio::time::sleep_until(self.deadline) => Sent::DeadlinePassed,
         }
     }
--- a/src/data_plane/exchange.rs
+++ b/src/data_plane/exchange.rs
@@ -7,11 +7,12 @@
 use super::replies::LocalReply;
 use super::request_head::RequestHead;
 use super::shared::Shared;
+use super::statistics::RunningDemand;
 use hyper::header::HeaderValue;
 use std::rc::Rc;
 use std::time::Duration;
 use switchhill_configuration::{Route, RouteKind};
-use switchhill_routing::{RequestProfile, WorkerKey};
+use switchhill_routing::{Choice, RequestProfile, WorkerKey};
 use tokio::time::Instant;
 
 /// What the request's route allows.
@@ -53,6 +54,7 @@
     pub(crate) admitted: Option<AdmittedRequest>,
     pub(crate) trail: Trail,
     pub(crate) _running: Counted,
+    pub(crate) _running_demand: RunningDemand,
 }
 
 impl RouteRules {
@@ -133,6 +135,13 @@
             && !self.time_left().is_zero()
     }
 
+    /// Whether the request may be sent once more and a worker other than those tried would take it.
+    pub(crate) fn could_repeat_elsewhere(&self) -> bool {
+        let allowed = self.rules.idempotent && self.trail.sent < self.rules.most_workers;
+        let in_budget = || self.shared.budget.borrow_mut().may_repeat(self.shared.now(), &self.profile.service);
+        allowed && in_budget() && matches!(self.choose(), Choice::Send(_))
+    }
+
     /// The answer of a request whose time is over.
     pub(crate) fn time_over(&self) -> LocalReply {
         match self.trail.may_have_run {
--- a/src/data_plane/feedback.rs
+++ b/src/data_plane/feedback.rs
@@ -42,12 +42,14 @@
     pub model: Option<String>,
     /// Adapter they named.
     pub adapter: Option<String>,
-    /// How many arrived.
-    pub requests: u32,
-    /// Tokens of their prompts.
-    pub prompt_tokens: u64,
-    /// Tokens they may put out.
-    pub output_tokens: u64,
+    /// Requests a second, averaged over about a second.
+    pub requests_per_s: f64,
+    /// Tokens a second, of prompts and of answers at the most.
+    pub tokens_per_s: f64,
+    /// Requests without a complete answer, those that wait included.
+    pub outstanding: u32,
+    /// Shortest latency objective among them, in milliseconds.
+    pub aim_ms: u64,
 }
 
 /// Requests of this gatekeeper that are out at a worker.
--- a/src/data_plane/ingress.rs
+++ b/src/data_plane/ingress.rs
@@ -153,11 +153,14 @@
     let now = shared.now();
     let deadline = deadline(arrived, head, route);
     shared.budget.borrow_mut().request(now, &profile.service);
-    shared.statistics.borrow_mut().arrived(&route.name, &profile);
+    let running_demand = shared.statistics.borrow_mut().arrived(&route.name, &profile);
     let time_left = deadline.saturating_duration_since(Instant::now());
     let time_left_ms = u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX);
     let admitted = shared.admission.arrived(now, &route.name, &profile, time_left_ms);
-    let admitted = admitted.map_err(|retry_after_ms| LocalReply::NotRun { retry_after_ms })?;
+    let admitted = admitted.map_err(|retry_after_ms| {
+        shared.statistics.borrow_mut().refusals.by_price += 1;
+        LocalReply::NotRun { retry_after_ms }
+    })?;
     shared.statistics.borrow_mut().admitted(&route.name);
     Ok(Exchange {
         shared: shared.clone(),
@@ -171,5 +174,6 @@
         admitted: Some(admitted),
         trail: Trail::default(),
         _running: running,
+        _running_demand: running_demand,
     })
 }
--- a/src/data_plane/policy.rs
+++ b/src/data_plane/policy.rs
@@ -66,6 +66,17 @@
 
 /// Interval of the summaries, and of dropping idle connections.
 pub(crate) const TICK: Duration = Duration::from_secs(1);
+/// Silence of all streams of a worker, in milliseconds, after which they are taken up elsewhere. Prompts that are read
+/// between the steps of a batch pause its streams for some hundred milliseconds.
+pub(crate) const STREAM_SILENCE_MS: u64 = 900;
+/// How often the agent is told of load and demand.
+pub(crate) const SUMMARY_TICK: Duration = Duration::from_millis(300);
+/// Time constant in milliseconds over which the rate of requests for a model is averaged.
+pub(crate) const DEMAND_OVER_MS: f64 = 1000.0;
+/// Rate in requests a second below which a model without running requests is no longer told of.
+pub(crate) const LEAST_DEMAND: f64 = 0.1;
+/// How often refusals are logged.
+pub(crate) const LOG_TICK: Duration = Duration::from_secs(10);
 /// Interval at which silent workers are looked for; the router takes longer gaps for a pause of the process.
 pub(crate) const SILENCE_TICK: Duration = Duration::from_millis(80);
 
--- a/src/data_plane/server.rs
+++ b/src/data_plane/server.rs
@@ -77,8 +77,16 @@
         // Dropping the set at the end aborts the tasks.
         let mut tasks = JoinSet::new();
         tasks.spawn_local(take_views(shared.clone(), views));
-        tasks.spawn_local(tick(shared.clone()));
-        tasks.spawn_local(look_for_silence(shared.clone()));
+        let repeated: [RepeatedWork; 4] = [
+            (policy::TICK, Shared::tick),
+            (policy::SUMMARY_TICK, Shared::summarize),
+            (policy::SILENCE_TICK, Shared::look_for_silence),
+            (policy::LOG_TICK, Shared::log_refusals),
+        ];
+        for (every, work) in repeated {
+            let shared = shared.clone();
+            tasks.spawn_local(repeat(every, move || work(&shared)));
+        }
         tasks.spawn_local(signals::reload_at_sighup(shared.clone()));
         tasks.spawn_local(ingress::accept(shared.clone(), self.http));
         if let Some(listener) = self.readiness {
@@ -89,6 +97,9 @@
     }
 }
 
+/// Work that is done again and again, and how often.
+type RepeatedWork = (Duration, fn(&Shared));
+
 fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
     let open = || {
         let socket = TcpSocket::new_v4()?;
@@ -110,21 +121,13 @@
     }
 }
 
-async fn tick(shared: Rc<Shared>) {
-    let mut ticks = tokio::time::interval(policy::TICK);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        ticks.tick().await;
-        shared.tick();
-    }
-}
-
-async fn look_for_silence(shared: Rc<Shared>) {
-    let mut ticks = tokio::time::interval(policy::SILENCE_TICK);
+/// Does something again and again.
+async fn repeat(every: Duration, mut work: impl FnMut()) {
+    let mut ticks = tokio::time::interval(every);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        shared.look_for_silence();
+        work();
     }
 }
 
--- a/src/data_plane/shared.rs
+++ b/src/data_plane/shared.rs
@@ -9,7 +9,7 @@
 use super::pool::Pool;
 use super::shutdown::ShutdownHandle;
 use super::silence::SilentWorkers;
-use super::statistics::Statistics;
+use super::statistics::{Refusals, Statistics};
 use super::view::View;
 use crate::site_settings::{Bounds, SiteSettings};
 use std::cell::{Cell, RefCell};
@@ -52,7 +52,7 @@
     ) -> Shared {
         let descriptors = DescriptorShares::of(settings.limits.max_fds);
         Shared {
-            router: RefCell::new(Router::new(RouterSettings::for_zone(&settings.zone), fastrand::u64(..))),
+            router: RefCell::new(Router::new(router_settings(&settings.zone), fastrand::u64(..))),
             budget: RefCell::new(retry_budget(&settings)),
             admission: Rc::new(AdmissionStage::new(fastrand::u64(..))),
             settings: RefCell::new(settings),
@@ -164,19 +164,32 @@
         let now = self.now();
         self.pool.drop_expired();
         self.missing.forget_old(now);
-        let view = self.view();
         let outstanding = self.router.borrow().outstanding();
-        self.admission.set_view(now, &view, &outstanding);
+        self.admission.set_view(now, &self.view(), &outstanding);
         self.admission.tick(now);
+    }
+
+    /// Tells the agent of load and demand.
+    pub(crate) fn summarize(&self) {
+        let now = self.now();
         let span_ms = now.saturating_sub(self.summary_at.replace(now));
         let mut statistics = self.statistics.borrow_mut();
         let mut routes = statistics.take_routes();
         self.admission.complete(now, &mut routes);
-        let demand = statistics.take_demand();
+        let demand = statistics.take_demand(span_ms);
+        let outstanding = self.router.borrow().outstanding();
         let outstanding = outstanding.into_iter().map(|(worker, requests)| WorkerLoad { worker, requests });
         self.tell(Feedback::Summary(Summary { span_ms, demand, outstanding: outstanding.collect(), routes }));
     }
 
+    /// Logs why requests were refused since the last time.
+    pub(crate) fn log_refusals(&self) {
+        let refusals = std::mem::take(&mut self.statistics.borrow_mut().refusals);
+        if refusals != Refusals::default() {
+            log::info!("refused: {refusals:?}");
+        }
+    }
+
     /// Looks for workers whose streams have stopped.
     pub(crate) fn look_for_silence(&self) {
         let silent = self.router.borrow_mut().silent_workers(self.now());
@@ -184,6 +197,10 @@
     }
 }
 
+fn router_settings(zone: &str) -> RouterSettings {
+    RouterSettings { silent_ms: policy::STREAM_SILENCE_MS, ..RouterSettings::for_zone(zone) }
+}
+
 fn same_budget(one: &Bounds, other: &Bounds) -> bool {
     one.retry_budget_ratio == other.retry_budget_ratio
         && one.retry_budget_slack == other.retry_budget_slack
--- a/src/data_plane/stream_answer.rs
+++ b/src/data_plane/stream_answer.rs
@@ -20,6 +20,8 @@
     splitter: EventSplitter,
     position: Position,
     deadline: Pin<Box<Sleep>>,
+    /// No other worker can take it up: it stays where it is, however long that pauses.
+    stays: bool,
 }
 
 /// How far the client has come in the stream.
@@ -58,6 +60,7 @@
             splitter: EventSplitter::default(),
             position,
             deadline,
+            stays: false,
         }
     }
 
@@ -67,7 +70,7 @@
         let step = tokio::select! {
             biased;
             step = answer.next_step() => Step::Body(step),
-            () = self.exchange.shared.silent.wait_for(worker), if self.exchange.rules.resumable => {
+            () = self.exchange.shared.silent.wait_for(worker), if !self.stays => {
                 Step::WorkerSilent
             }
             () = &mut self.deadline => Step::DeadlinePassed,
@@ -101,6 +104,11 @@
         Some(Err(AnswerBroken))
     }
 
+    /// Whether another worker could go on with the stream.
+    fn can_move(&self) -> bool {
+        self.exchange.rules.resumable && !self.position.unnumbered && self.exchange.could_repeat_elsewhere()
+    }
+
     /// Takes the stream up at another worker.
     async fn take_up(&mut self, outcome: AttemptOutcome) -> bool {
         if let Some(answer) = self.answer.take() {
@@ -137,6 +145,10 @@
                 }
                 Step::Body(BodyStep::End) => return self.end(),
                 Step::Body(BodyStep::Broken) => AttemptOutcome::Broken,
+                Step::WorkerSilent if !self.can_move() => {
+                    self.stays = true;
+                    continue;
+                }
                 Step::WorkerSilent => AttemptOutcome::TimedOut,
                 Step::DeadlinePassed => return self.abort(AttemptOutcome::TimedOut),
             };
--- a/src/data_plane/worker_choice.rs
+++ b/src/data_plane/worker_choice.rs
@@ -52,6 +52,7 @@
     }
 
     fn give_up_after(&self, choice: Choice) -> LocalReply {
+        self.count_refusal(choice);
         if self.trail.may_have_run {
             return LocalReply::MayHaveRun;
         }
@@ -64,6 +65,20 @@
         LocalReply::NotRun { retry_after_ms }
     }
 
+    fn count_refusal(&self, choice: Choice) {
+        let mut statistics = self.shared.statistics.borrow_mut();
+        let refusals = &mut statistics.refusals;
+        let counter = match choice {
+            _ if self.trail.may_have_run => &mut refusals.may_have_run,
+            Choice::Send(_) => &mut refusals.attempts,
+            Choice::Busy { .. } => &mut refusals.busy,
+            Choice::Missing if self.profile.adapter.is_some() => &mut refusals.missing_adapter,
+            Choice::Missing => &mut refusals.missing_model,
+            Choice::NoWorker => &mut refusals.no_worker,
+        };
+        *counter += 1;
+    }
+
     /// Asks the router.
     pub(crate) fn choose(&self) -> Choice {
         let mut router = self.shared.router.borrow_mut();
--- a/src/data_plane_feed.rs
+++ b/src/data_plane_feed.rs
@@ -229,21 +229,20 @@
         let admission: Vec<RouteAdmission> = routes.collect();
         self.own_loads = told.outstanding.iter().map(|load| (load.worker.clone(), load.requests)).collect();
         self.own_admission = admission.iter().map(|route| (route.route.clone(), route.clone())).collect();
-        let span_s = (told.span_ms.max(1) as f64) / 1000.0;
-        let demand = told.demand.iter().filter_map(|demand| model_demand(demand, span_s));
+        let demand = told.demand.iter().filter_map(model_demand);
         Summary { loads: loads.collect(), demand: demand.collect(), admission }
     }
 }
 
-fn model_demand(demand: &data_plane::ModelDemand, span_s: f64) -> Option<ModelDemand> {
+fn model_demand(demand: &data_plane::ModelDemand) -> Option<ModelDemand> {
     let model = demand.model.clone()?;
     Some(ModelDemand {
         service: demand.service.clone(),
         model,
         adapter: demand.adapter.clone().unwrap_or_default(),
-        requests_per_s: f64::from(demand.requests) / span_s,
-        tokens_per_s: (demand.prompt_tokens + demand.output_tokens) as f64 / span_s,
-        aim_ms: 0,
-        waiting: 0,
+        requests_per_s: demand.requests_per_s,
+        tokens_per_s: demand.tokens_per_s,
+        aim_ms: demand.aim_ms,
+        outstanding: demand.outstanding,
     })
 }
