Decision module: price, smoothing and admission test from crates/admission

Cause: the system's gatekeepers and the program in service are to compute the same price with the same code.

Change: src/brain/price.rs calls switchhill_admission::price; the shared file is named as policy, its crate as node.

--- a/src/brain/price.rs
+++ b/src/brain/price.rs
@@ -1,6 +1,7 @@
 //! Waits, the price that they make, and the times that it expects (DESIGN steps 1 to 4; paper 3.3 and 3.4).
 
 use super::*;
+use switchhill_admission::price::{congestion_price, delay_cost, pays, smoothed};
 
 /// Weight of the newest price (alpha of Eq. 7).
 const ALPHA: f64 = 0.2;
@@ -36,9 +37,9 @@
         }
         let ready = self.servers.iter().filter(|s| s.told.state == BackendState::Ready).count().max(1) as f64;
         let delay_cost: f64 = (self.classes.iter().zip(&self.set.classes))
-            .map(|(c, t)| f64::from(self.set.gateways) * t.worth / (t.aim / 1000.0) * c.admitted / seconds)
+            .map(|(c, t)| delay_cost(f64::from(self.set.gateways) * t.worth, t.aim, c.admitted, seconds))
             .sum();
-        let price = (self.wait.max(0.0) / 1000.0).powi(2) / ready * delay_cost;
+        let price = congestion_price(self.wait, ready, delay_cost);
         // Danger: with nothing admitted nothing is measured, and a bad figure would stand: it fades.
         if count <= 0.0 {
             self.wait *= 1.0 - FADE;
@@ -54,7 +55,7 @@
             class.lows.extend((class.known >= SURE).then_some(class.served));
             class.lows.drain(..class.lows.len().saturating_sub(RECENT));
             class.floor = class.lows.iter().copied().reduce(f64::min).unwrap_or(class.served);
-            class.price = ALPHA * price + (1.0 - ALPHA) * class.price;
+            class.price = smoothed(ALPHA, price, class.price);
             (class.waits, class.answers, class.admitted) = (0.0, 0.0, 0.0);
             class.asked *= 1.0 - FADE;
         }
@@ -88,7 +89,7 @@
     pub(super) fn pays(&mut self, class: usize, value: f64, expected: Millis) -> bool {
         let price = self.classes[class].price * self.load() * (0.5 + self.rng.f64());
         let told = &self.set.classes[class];
-        value - told.worth / told.aim * expected - price > 0.0
+        pays(value, told.worth, told.aim, expected, price)
     }
 
     /// What is out now against what was out when the waits at hand were measured.
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -61,3 +61,10 @@
     expect_that!(module.difference(&deciding).collect::<Vec<_>>(), is_empty());
     expect_that!(named("node"), contains(eq(NOT_DECIDING)));
 }
+
+#[gtest]
+fn the_shared_price_is_a_decision_and_its_crate_is_named() {
+    expect_that!(named("policy"), contains(eq("crates/admission/src/price.rs")));
+    expect_that!(named("node"), contains(eq("crates/admission")));
+    expect_that!(read("src/brain/price.rs"), contains_substring("switchhill_admission::price"));
+}
