Admission: others that tell nothing, stalls of the process, no lookup that allocates

Cause: a route that only this gatekeeper serves was priced as if all others served it alike; after a freeze the latencies found at once looked like waiting.

Change: `heard` notes that others were heard; latencies in the second after a gap of 1.5 s are left out; services are entered with the routes, so that an arrival allocates nothing.

--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -23,6 +23,13 @@
 /// Part of a retry delay that is drawn, so that those refused together do not come back together.
 const RETRY_SPREAD: f64 = 0.4;
 
+/// Gap between two inputs that only a process which stood still leaves: ticks come each second.
+const STALL_MS: u64 = 1500;
+/// Time after a stall in which latencies are left out: what came meanwhile is found all at once.
+const STALL_LASTS_MS: u64 = 1000;
+/// Age beyond which what others told no longer counts.
+const HEARD_FOR_MS: u64 = 5000;
+
 /// Services and routes of one gatekeeper, their prices, and the admission test.
 #[derive(Debug)]
 pub struct Controller {
@@ -33,6 +40,11 @@
     services: BTreeMap<String, Service>,
     recharged_at: BTreeMap<String, u64>,
     ticked_at: Option<u64>,
+    /// When others were last heard.
+    heard_at: Option<u64>,
+    /// When the last input came, and until when a stall is felt.
+    seen_at: u64,
+    stalled_until: u64,
 }
 
 impl Controller {
@@ -46,6 +58,9 @@
             services: BTreeMap::new(),
             recharged_at: BTreeMap::new(),
             ticked_at: None,
+            heard_at: None,
+            seen_at: 0,
+            stalled_until: 0,
         }
     }
 
@@ -57,6 +72,9 @@
             route.terms = told.clone();
             self.routes.insert(told.route.clone(), route);
         }
+        for told in terms {
+            self.services.entry(told.service.clone()).or_default();
+        }
         let used: BTreeSet<&str> = terms.iter().map(|t| t.service.as_str()).collect();
         self.services.retain(|name, _| used.contains(name.as_str()));
         self.recharged_at.retain(|name, _| used.contains(name.as_str()));
@@ -69,8 +87,11 @@
     }
 
     /// Replaces a service's load; the more often, the sooner a burst is met.
+    /// A service that no route names is ignored.
     pub fn set_service(&mut self, now: u64, service: &str, load: ServiceLoad) {
-        self.services.entry(service.to_owned()).or_default().set_load(load);
+        self.note(now);
+        let Some(known) = self.services.get_mut(service) else { return };
+        known.set_load(load);
         let last = self.recharged_at.get(service).copied();
         if last.is_none_or(|last| now.saturating_sub(last) >= RECHARGE_MS) {
             self.recharge(now, service);
@@ -79,11 +100,12 @@
 
     /// Decides on a request of this size (tokens, say) whose client waits `time_left_ms` more. A request of an
     /// unknown route is admitted: routing has an answer for it.
-    pub fn arrived(&mut self, _now: u64, route: &str, size: f64, time_left_ms: f64) -> Decision {
+    pub fn arrived(&mut self, now: u64, route: &str, size: f64, time_left_ms: f64) -> Decision {
+        self.note(now);
         let Some(route) = self.routes.get_mut(route) else { return Decision::Admit };
+        let Some(service) = self.services.get_mut(&route.terms.service) else { return Decision::Admit };
         let units = route.sizes.units(size);
         route.ask(units);
-        let service = self.services.entry(route.terms.service.clone()).or_default();
         let pressure = service.pressure(&self.settings);
         if pressure <= 0.0 {
             route.admit(units);
@@ -107,8 +129,13 @@
         Decision::Refuse { retry_after_ms: delay as u64 }
     }
 
-    /// Takes what a request tells that has had its first byte, or has ended without one.
-    pub fn finished(&mut self, _now: u64, route: &str, sample: Sample) {
+    /// Takes what a request tells that has had its first byte, or has ended without one. What is found
+    /// after a stall of this process tells nothing.
+    pub fn finished(&mut self, now: u64, route: &str, sample: Sample) {
+        self.note(now);
+        if now < self.stalled_until {
+            return;
+        }
         if let Some(route) = self.routes.get_mut(route) {
             route.finished(&sample);
         }
@@ -116,11 +143,18 @@
 
     /// Takes the sum of what the other gatekeepers tell of a route; it replaces the last one.
     pub fn elsewhere(&mut self, now: u64, route: &str, summary: Summary) {
+        self.heard(now);
         if let Some(route) = self.routes.get_mut(route) {
             route.elsewhere(now, summary);
         }
     }
 
+    /// Notes that the other gatekeepers were heard, also where they have nothing to tell. Until it is called
+    /// again within five seconds, each of them is taken to admit as much as this one.
+    pub fn heard(&mut self, now: u64) {
+        self.heard_at = Some(now);
+    }
+
     /// What this gatekeeper tells the others: its routes that admit anything.
     pub fn summary(&self, _now: u64) -> Vec<(String, Summary)> {
         let told = self.routes.iter().map(|(name, route)| (name.clone(), route.own()));
@@ -134,6 +168,7 @@
 
     /// Measures and prices the past second; to be called each second.
     pub fn tick(&mut self, now: u64) {
+        self.note(now);
         let Some(before) = self.ticked_at.replace(now) else { return };
         let seconds = now.saturating_sub(before) as f64 / 1000.0;
         if seconds <= 0.0 {
@@ -151,12 +186,13 @@
 
     /// Computes the newest price of each of a service's routes and smooths it.
     fn reprice(&mut self, now: u64, name: &str, seconds: f64) {
-        let gatekeepers = f64::from(self.gatekeepers);
+        let heard = self.heard_at.is_some_and(|at| now.saturating_sub(at) <= HEARD_FOR_MS);
+        let silent = if heard { 0.0 } else { f64::from(self.gatekeepers - 1) };
         let Some(service) = self.services.get_mut(name) else { return };
         let routes = || self.routes.values().filter(|route| route.terms.service == name);
         let (mut admitted, mut delay_cost, mut waits, mut samples) = (0.0, 0.0, 0.0, 0.0);
         for route in routes() {
-            let everywhere = route.everywhere(now, gatekeepers);
+            let everywhere = route.everywhere(now.saturating_sub(HEARD_FOR_MS), silent);
             admitted += everywhere.admitted_per_s;
             delay_cost += everywhere.delay_cost_per_s;
             let (sum, count) = route.waits.second();
@@ -194,6 +230,14 @@
         }
     }
 
+    /// Notes the time of an input, and a stall before it.
+    fn note(&mut self, now: u64) {
+        if now.saturating_sub(self.seen_at) > STALL_MS {
+            self.stalled_until = now + STALL_LASTS_MS;
+        }
+        self.seen_at = self.seen_at.max(now);
+    }
+
     /// Gives each route its rank among the priorities of its service.
     fn rank(&mut self) {
         let mut priorities: BTreeMap<String, BTreeSet<u8>> = BTreeMap::new();
--- a/crates/admission/src/route.rs
+++ b/crates/admission/src/route.rs
@@ -10,8 +10,6 @@
 const LEAST_URGENT_LESS: f64 = 0.3;
 /// Weight of the newest second in the rates of a route.
 const RATE_WEIGHT: f64 = 0.3;
-/// Age beyond which what others told no longer counts.
-const TOLD_FOR_MS: u64 = 5000;
 /// Most of the aim that the latency without any wait may cost: an answer beyond the aim has some worth left.
 const MOST_SERVED_SHARE: f64 = 0.7;
 
@@ -92,21 +90,13 @@
         Summary { admitted_per_s: rate, delay_cost_per_s }
     }
 
-    /// Own figures and those of the other gatekeepers; without fresh news of these they count as much as
-    /// this one each.
-    pub(crate) fn everywhere(&self, now: u64, gatekeepers: f64) -> Summary {
+    /// Own figures and what others told from `since` on; of others that are silent, each counts as this one.
+    pub(crate) fn everywhere(&self, since: u64, silent: f64) -> Summary {
         let own = self.own();
-        let fresh = self.told.filter(|(at, _)| now.saturating_sub(*at) <= TOLD_FOR_MS);
-        let others = fresh.map_or_else(
-            || Summary {
-                admitted_per_s: own.admitted_per_s * (gatekeepers - 1.0),
-                delay_cost_per_s: own.delay_cost_per_s * (gatekeepers - 1.0),
-            },
-            |(_, told)| told,
-        );
+        let told = self.told.filter(|(at, _)| *at >= since).map(|(_, told)| told).unwrap_or_default();
         Summary {
-            admitted_per_s: own.admitted_per_s + others.admitted_per_s,
-            delay_cost_per_s: own.delay_cost_per_s + others.delay_cost_per_s,
+            admitted_per_s: own.admitted_per_s * (1.0 + silent) + told.admitted_per_s,
+            delay_cost_per_s: own.delay_cost_per_s * (1.0 + silent) + told.delay_cost_per_s,
         }
     }
 
--- a/crates/admission/tests/controller.rs
+++ b/crates/admission/tests/controller.rs
@@ -147,6 +147,35 @@
     expect_that!(told_long_ago, all![gt(0.1), lt(10.0)]);
 }
 
+#[gtest]
+fn others_that_are_heard_and_tell_nothing_admit_nothing() {
+    let priced = |heard: bool| {
+        let mut controller = controller(&[terms("live", 0, 400.0)]);
+        controller.set_gatekeepers(10);
+        for second in 0..20 {
+            if heard {
+                controller.heard(second * 1000);
+            }
+            let latency = if second < 10 { 50.0 } else { 150.0 };
+            seconds(&mut controller, "live", second, second + 1, FREE, answer(latency));
+        }
+        price(&controller, "live")
+    };
+    expect_that!(priced(false) / priced(true), near(10.0, 0.01));
+}
+
+#[gtest]
+fn latencies_found_after_a_stall_of_the_process_are_left_out() {
+    let priced = |resumes_at_s: u64| {
+        let mut controller = controller(&[terms("live", 0, 400.0)]);
+        seconds(&mut controller, "live", 0, 10, FREE, answer(50.0));
+        seconds(&mut controller, "live", resumes_at_s, resumes_at_s + 1, FREE, answer(3000.0));
+        price(&controller, "live")
+    };
+    expect_that!(priced(13), lt(0.01));
+    expect_that!(priced(10), gt(1.0), "without a stall they count");
+}
+
 #[gtest]
 fn a_summary_tells_what_is_admitted() {
     let mut controller = controller(&[terms("live", 0, 400.0), terms("idle", 0, 400.0)]);
