Admission: tests of the usual latency's window, of rank and of delay cost

Cause: with the window moving on in overload, or the aim left out of the delay cost, all tests passed.

Change: four tests of the controller.

Result: cargo test -p switchhill-admission passes; each of the four fails when what it guards is taken out.

--- a/crates/admission/tests/controller.rs
+++ b/crates/admission/tests/controller.rs
@@ -279,3 +279,50 @@
     expect_that!(worker_hung(Silence { overtaken: false, ..long }), eq(false), "a queue in turn");
     expect_that!(worker_hung(Silence { age_ms: 500.0, ..long }), eq(false), "an ordinary wait");
 }
+
+#[gtest]
+fn a_long_overload_does_not_become_the_usual_latency() {
+    let mut jammed = controller(&[terms("live", 0, 400.0)]);
+    seconds(&mut jammed, "live", 0, 10, FREE, answer(50.0));
+    seconds(&mut jammed, "live", 10, 60, FULL, answer(250.0));
+    let before = price(&jammed, "live");
+    seconds(&mut jammed, "live", 60, 260, FULL, answer(250.0));
+    expect_that!(price(&jammed, "live"), ge(0.95 * before));
+}
+
+#[gtest]
+fn the_usual_latency_follows_a_lasting_change_in_calm() {
+    let mut moved = controller(&[terms("live", 0, 400.0)]);
+    seconds(&mut moved, "live", 0, 10, FREE, answer(50.0));
+    seconds(&mut moved, "live", 10, 40, FREE, answer(150.0));
+    expect_that!(price(&moved, "live"), gt(0.1));
+    seconds(&mut moved, "live", 40, 240, FREE, answer(150.0));
+    expect_that!(price(&moved, "live"), lt(0.01));
+}
+
+#[gtest]
+fn of_equal_aims_the_less_urgent_is_refused_more() {
+    let mut both = controller(&[terms("first", 0, 400.0), terms("second", 4, 400.0)]);
+    seconds(&mut both, "first", 0, 10, FREE, answer(50.0));
+    seconds(&mut both, "second", 10, 20, FREE, answer(50.0));
+    for second in 20..30 {
+        seconds(&mut both, "first", second, second + 1, FULL, answer(170.0));
+        seconds(&mut both, "second", second, second + 1, FULL, answer(170.0));
+    }
+    let first = refused(&mut both, "first", 1000.0, 12_000.0);
+    let second = refused(&mut both, "second", 1000.0, 12_000.0);
+    expect_that!(second, gt(first + 0.05), "{first} and {second}");
+}
+
+#[gtest]
+fn delay_cost_goes_by_rank_and_aim() {
+    let mut both = controller(&[terms("first", 0, 400.0), terms("second", 4, 200.0)]);
+    seconds(&mut both, "first", 0, 30, FREE, answer(50.0));
+    let cost = |controller: &Controller| {
+        let summary = controller.summary(0);
+        summary.last().map(|(_, told)| told.delay_cost_per_s / told.admitted_per_s)
+    };
+    expect_that!(cost(&both), some(near(2.5, 1e-6)));
+    seconds(&mut both, "second", 30, 60, FREE, answer(50.0));
+    expect_that!(cost(&both), some(near(0.7 * 5.0, 1e-6)));
+}
