--- a/crates/placement/src/demand.rs
+++ b/crates/placement/src/demand.rs
@@ -7,10 +7,18 @@
 const FRESH_MS: u64 = 1_600;
 /// Entries without demand for this long are forgotten, in milliseconds.
 const FORGET_MS: u64 = 120_000;
-/// Weight of the newest sample (taken every 500 ms) in the quick average.
+/// Weight of the newest sample (taken every 500 ms) in the quick average, which spans about a second.
 const QUICK: f64 = 0.5;
+/// Weight of the newest sample in the steady average, which spans about three seconds.
+const STEADY: f64 = 0.15;
+/// Lead of the quick average over the steady one that counts as chance, in standard deviations of a Poisson count.
+const CHANCE: f64 = 1.0;
+/// How many times the lead of the quick average demand is expected to go on rising while a load lasts.
+const LEAD: f64 = 2.0;
 /// Weight of the newest sample in the slow average, which spans about ten seconds.
 const SLOW: f64 = 0.05;
+/// Weight of the newest sample in the popularity, which spans about thirty seconds.
+const POPULAR: f64 = 0.017;
 /// Time a request is taken to occupy a slot where gatekeepers tell no outstanding requests, in seconds.
 const ASSUMED_SERVICE_S: f64 = 1.0;
 
@@ -46,16 +54,24 @@
 pub(crate) struct ModelDemand {
     entries: BTreeMap<Option<String>, Entry>,
     wanted_at: Option<u64>,
+    samples: u32,
     /// Requests a second, averaged over about ten seconds.
     pub(crate) slow_rate: f64,
-    /// Slots occupied, averaged over about a second.
+    /// Requests a second, averaged over about thirty seconds.
+    pub(crate) popularity: f64,
+    quick_slots: f64,
+    /// Slots occupied, averaged over about three seconds.
     pub(crate) slots: f64,
-    /// Slots that will be occupied a few seconds ahead if the rise goes on.
+    /// Slots that will be occupied a few seconds ahead if a rise beyond chance goes on.
     pub(crate) slots_ahead: f64,
     /// Smallest latency aim of current requests, in milliseconds.
     pub(crate) urgency_ms: u64,
-    /// Copies wanted.
+    /// Copies needed so that the adapters in use find slots.
+    pub(crate) for_adapters: usize,
+    /// Copies below which another is loaded.
     pub(crate) target: usize,
+    /// Copies beyond which one is surplus; at least the target, so that chance doesn't load and unload in turn.
+    pub(crate) keep: usize,
 }
 
 impl ModelDemand {
@@ -107,8 +123,8 @@
         })
     }
 
-    /// Updates the averages; called every 500 ms while the model is active. `ahead_s` is how far to look ahead.
-    pub(crate) fn sample(&mut self, now: u64, ahead_s: f64) {
+    /// Updates the averages; called every 500 ms while the model is active.
+    pub(crate) fn sample(&mut self, now: u64) {
         self.entries.retain(|_, entry| now.saturating_sub(entry.wanted_at) <= FORGET_MS);
         let fresh: Vec<&Entry> =
             self.entries.values().filter(|entry| now.saturating_sub(entry.told_at) <= FRESH_MS).collect();
@@ -116,12 +132,18 @@
         let slots: f64 = fresh.iter().map(|entry| entry.sample.slots()).sum();
         let aims = fresh.iter().map(|entry| entry.sample.urgency_ms).filter(|aim| *aim > 0);
         self.urgency_ms = aims.min().unwrap_or(self.urgency_ms);
-        let before = self.slots;
-        self.slots += QUICK * (slots - self.slots);
-        self.slow_rate += SLOW * (rate - self.slow_rate);
-        let rise_per_s = (self.slots - before) * 2.0;
-        let rise = (rise_per_s * ahead_s).clamp(0.0, self.slots);
-        self.slots_ahead = self.slots + rise;
+        self.samples = self.samples.saturating_add(1);
+        self.quick_slots += self.weight(QUICK) * (slots - self.quick_slots);
+        self.slots += self.weight(STEADY) * (slots - self.slots);
+        self.slow_rate += self.weight(SLOW) * (rate - self.slow_rate);
+        self.popularity += self.weight(POPULAR) * (rate - self.popularity);
+        let beyond_chance = self.quick_slots - self.slots - CHANCE * self.slots.sqrt();
+        self.slots_ahead = self.slots + LEAD * beyond_chance.max(0.0);
+    }
+
+    /// Weight of a sample in an average that is the plain mean as long as there are few.
+    fn weight(&self, at_length: f64) -> f64 {
+        at_length.max(1.0 / f64::from(self.samples))
     }
 
     /// Whether nothing about this model needs attention any more.
--- a/crates/placement/src/policy/adapters.rs
+++ b/crates/placement/src/policy/adapters.rs
@@ -7,6 +7,10 @@
 
 /// An adapter idle for less than this stays, in milliseconds.
 const ADAPTER_IDLE_MS: u64 = 1_500;
+/// An adapter idle for less than this stays even when another has waited for long, in milliseconds.
+const ADAPTER_BRIEFLY_IDLE_MS: u64 = 300;
+/// Requests have waited for long after this time, in milliseconds.
+const LONG_WAIT_MS: u64 = 1_000;
 /// Steps about adapters that may be queued on one worker.
 const QUEUED_STEPS: usize = 4;
 /// Cost of a full worker against an idle one.
@@ -27,21 +31,41 @@
 
 impl Planner {
     /// Plans an adapter on the best worker on which its model stands. Returns whether it stands or is planned.
-    pub(crate) fn place_adapter(&mut self, now: u64, model: ModelIndex, adapter: &str) -> bool {
+    /// The longer requests have waited for it, the less idle another adapter need be to give way.
+    pub(crate) fn place_adapter(
+        &mut self,
+        now: u64,
+        model: ModelIndex,
+        adapter: &str,
+        waited_ms: u64,
+    ) -> bool {
         let standing: Vec<WorkerKey> = self.copies_of(model).standing.iter().copied().collect();
         if standing.iter().any(|key| self.workers[*key].has_adapter(model, adapter)) {
             return true;
         }
-        self.add_adapter_copy(now, model, adapter, &standing)
+        let idle_ms = if waited_ms >= LONG_WAIT_MS { ADAPTER_BRIEFLY_IDLE_MS } else { ADAPTER_IDLE_MS };
+        self.add_adapter_copy(now, model, adapter, &standing, idle_ms)
+    }
+
+    /// Plans one more copy of an adapter, where that disturbs no other.
+    pub(crate) fn spread_adapter(
+        &mut self,
+        now: u64,
+        model: ModelIndex,
+        adapter: &str,
+        holders: &[WorkerKey],
+    ) {
+        self.add_adapter_copy(now, model, adapter, holders, ADAPTER_IDLE_MS);
     }
 
     /// Plans an adapter on the best of the given workers that doesn't hold it.
-    pub(crate) fn add_adapter_copy(
+    fn add_adapter_copy(
         &mut self,
         now: u64,
         model: ModelIndex,
         adapter: &str,
         holders: &[WorkerKey],
+        idle_ms: u64,
     ) -> bool {
         let mut best: Option<(f64, WorkerKey, Option<AdapterVictim>)> = None;
         for key in holders {
@@ -49,7 +73,7 @@
                 continue;
             }
             let needs_slot = self.adapter_slots_left(now, *key) == 0;
-            let victim = if needs_slot { self.adapter_victim(now, *key) } else { None };
+            let victim = if needs_slot { self.adapter_victim(now, *key, idle_ms) } else { None };
             if needs_slot && victim.is_none() {
                 continue;
             }
@@ -82,8 +106,8 @@
         (self.engine.adapter_slots as usize).saturating_sub(used)
     }
 
-    /// The adapter on a worker that was asked for longest ago.
-    fn adapter_victim(&self, now: u64, key: WorkerKey) -> Option<AdapterVictim> {
+    /// The adapter on a worker that was asked for longest ago, and not within `idle_ms`.
+    fn adapter_victim(&self, now: u64, key: WorkerKey, idle_ms: u64) -> Option<AdapterVictim> {
         let worker = &self.workers[key];
         let mut oldest: Option<(u64, AdapterVictim)> = None;
         for holding in &worker.holdings {
@@ -92,7 +116,7 @@
                 let idle = self.adapter_idle_ms(now, holding.model, adapter);
                 let planned = worker.plan.iter().any(|step| step.adapter.as_ref() == Some(adapter));
                 let older = oldest.as_ref().is_none_or(|(most, _)| idle > *most);
-                if idle >= ADAPTER_IDLE_MS && !planned && older {
+                if idle >= idle_ms && !planned && older {
                     oldest = Some((idle, AdapterVictim { model: holding.model, adapter: adapter.clone() }));
                 }
             }
--- a/crates/placement/src/policy/growth.rs
+++ b/crates/placement/src/policy/growth.rs
@@ -6,7 +6,9 @@
 use crate::worker::WorkerKey;
 
 /// Share of a worker's slots that requests for one model should occupy at most.
-const WANTED_OCCUPANCY: f64 = 0.2;
+const WANTED_OCCUPANCY: f64 = 0.25;
+/// Share of a worker's slots below which a copy is surplus.
+const SURPLUS_OCCUPANCY: f64 = 0.15;
 /// Requests a second from which a model should stand on two workers, so that the loss of one stops nothing.
 const TWO_COPIES_RATE: f64 = 2.0;
 /// A model asked for within this time is planned at once when its last holder is lost, in milliseconds.
@@ -29,13 +31,16 @@
         let adapter_slots = f64::from(self.engine.adapter_slots.max(1));
         for (model, demand) in &mut self.demand {
             let load_ms = self.catalogue.spec(*model).load_ms;
-            demand.sample(now, load_ms as f64 / 1_000.0);
+            demand.sample(now);
             let for_load = (demand.slots_ahead / (slots * WANTED_OCCUPANCY)).ceil() as usize;
             let active = demand.adapters(now, ACTIVE_ADAPTER_MS).count() as f64;
             let for_adapters = (active / (adapter_slots * ADAPTERS_PER_SLOT)).ceil() as usize;
             let urgent = demand.urgency_ms < load_ms;
             let for_loss = if urgent && demand.slow_rate >= TWO_COPIES_RATE { 2 } else { 0 };
+            demand.for_adapters = for_adapters;
             demand.target = for_load.max(for_adapters).max(for_loss).min(ready);
+            let kept = (demand.slots / (slots * SURPLUS_OCCUPANCY)).ceil() as usize;
+            demand.keep = kept.max(demand.target);
         }
     }
 
@@ -69,6 +74,13 @@
         short.then(|| (demand.slots_ahead / copies as f64, Reason::Growth))
     }
 
+    /// Whether the holders of a model have too few adapter slots for the adapters in use.
+    pub(crate) fn lacks_adapter_slots(&mut self, now: u64, model: ModelIndex) -> bool {
+        let slots = self.copies_of(model).count() * self.engine.adapter_slots as usize;
+        let Some(demand) = self.demand.get(&model) else { return false };
+        demand.adapters(now, ACTIVE_ADAPTER_MS).count() > slots
+    }
+
     /// Spreads adapters whose requests fill their holders.
     fn grow_adapters(&mut self, now: u64) {
         let crowded = f64::from(self.engine.slots.max(1)) * ADAPTER_OCCUPANCY;
@@ -82,7 +94,7 @@
             let holds = |key: &&WorkerKey| self.workers[**key].has_adapter(model, &adapter);
             let copies = standing.iter().filter(holds).count();
             if copies > 0 && slots / copies as f64 > crowded {
-                self.add_adapter_copy(now, model, &adapter, &standing);
+                self.spread_adapter(now, model, &adapter, &standing);
             }
         }
     }
--- a/crates/placement/src/policy/missing.rs
+++ b/crates/placement/src/policy/missing.rs
@@ -60,6 +60,18 @@
         self.entries.len()
     }
 
+    /// Time since requests first asked for a want, in milliseconds.
+    fn waited_ms(&self, now: u64, want: &Want) -> u64 {
+        self.entries.get(want).map_or(0, |entry| now.saturating_sub(entry.first_at))
+    }
+
+    /// Requests that wait for any adapter of a model.
+    fn adapter_pressure(&self, now: u64, model: ModelIndex) -> f64 {
+        let of_model = self.entries.range(Want { model, adapter: None }..);
+        let wants = of_model.take_while(|(want, _)| want.model == model).map(|(want, _)| want);
+        wants.filter(|want| want.adapter.is_some()).map(|want| self.pressure(now, want)).sum()
+    }
+
     fn note(&mut self, now: u64, want: &Want, waiting: u32, aim_ms: u64) {
         let entry = self.entries.entry(want.clone()).or_insert(MissingEntry {
             waiting: 0,
@@ -136,12 +148,27 @@
             }
         }
         let ranked = self.missing.ranked(now);
-        for want in ranked.iter().take(TRIED_A_ROUND) {
-            self.try_serve(now, want);
+        let mut tried = 0;
+        for want in &ranked {
+            if tried < TRIED_A_ROUND && !self.is_planned(want) {
+                self.try_serve(now, want);
+                tried += 1;
+            }
             self.tell_changed(now, want);
         }
     }
 
+    /// Whether nothing more can be planned for a want: it comes, or its model has to come first.
+    fn is_planned(&mut self, want: &Want) -> bool {
+        let copies = self.copies_of(want.model);
+        if copies.standing.is_empty() {
+            return !copies.coming.is_empty();
+        }
+        let standing = copies.standing.clone();
+        let Some(adapter) = want.adapter.as_deref() else { return true };
+        standing.iter().any(|key| self.workers[*key].has_adapter(want.model, adapter))
+    }
+
     fn try_serve(&mut self, now: u64, want: &Want) {
         let pressure = self.missing.pressure(now, want);
         let copies = self.copies_of(want.model);
@@ -149,9 +176,13 @@
             self.place_model(now, want.model, Reason::Missing { pressure });
             return;
         }
-        let stands_somewhere = !copies.standing.is_empty();
-        if let (Some(adapter), true) = (&want.adapter, stands_somewhere) {
-            self.place_adapter(now, want.model, adapter);
+        let (stands, comes) = (!copies.standing.is_empty(), !copies.coming.is_empty());
+        let Some(adapter) = want.adapter.as_deref().filter(|_| stands) else { return };
+        let waited_ms = self.missing.waited_ms(now, want);
+        let placed = self.place_adapter(now, want.model, adapter, waited_ms);
+        if !placed && !comes && self.lacks_adapter_slots(now, want.model) {
+            let pressure = self.missing.adapter_pressure(now, want.model);
+            self.place_model(now, want.model, Reason::Missing { pressure });
         }
     }
 
--- a/crates/placement/src/policy/victims.rs
+++ b/crates/placement/src/policy/victims.rs
@@ -1,6 +1,7 @@
 //! What gives way on a worker when room is needed.
 
 use crate::catalogue::ModelIndex;
+use crate::demand::ModelDemand;
 use crate::planner::Planner;
 use crate::policy::choice::Reason;
 use crate::worker::{Holding, Phase, WorkerKey};
@@ -30,7 +31,11 @@
     /// A copy that demand could use, though the others can carry it.
     pub(super) const USEFUL: f64 = 2_500.0;
     /// An only copy asked for a few seconds ago.
-    pub(super) const SHORT_IDLE: f64 = 3_000.0;
+    pub(super) const SHORT_IDLE: f64 = 1_500.0;
+    /// Each request that will probably miss an only copy during a reload, and can't wait that long.
+    pub(super) const MISSED_URGENT: f64 = 400.0;
+    /// Each request that will probably miss an only copy during a reload, but can wait.
+    pub(super) const MISSED_PATIENT: f64 = 100.0;
     /// An only copy in use.
     pub(super) const IN_USE: f64 = 6_000.0;
 }
@@ -88,45 +93,64 @@
         let copies = self.copies.get(holding.model.get()).map_or(0, |copies| copies.standing.len());
         if copies > 1 {
             let load = demand.map_or(0.0, |demand| demand.slots);
-            let target = demand.map_or(0, |demand| demand.target);
-            return self.cost_of_copy(copies, load, target, reason);
+            let keep = demand.map_or(0, |demand| demand.keep);
+            let for_adapters = demand.map_or(0, |demand| demand.for_adapters);
+            let cost = self.cost_of_copy(copies, load, keep, reason);
+            return cost.filter(|_| copies > for_adapters);
         }
-        let Some(idle) = idle else { return Some(self.cost_of_unused(rank)) };
+        let (Some(demand), Some(idle)) = (demand, idle) else { return Some(self.cost_of_unused(rank)) };
         let young = holding.since.is_some_and(|since| now.saturating_sub(since) < MIN_STAY_MS);
         if young {
             return None;
         }
-        let rate = demand.map_or(0.0, |demand| demand.slow_rate);
-        let missed = rate * entry.spec.load_ms as f64 / 1_000.0;
-        self.cost_of_only_copy(idle, missed, reason)
+        let only_copy = OnlyCopy::new(demand, idle, entry.spec.load_ms);
+        only_copy.cost(reason)
     }
 
     /// Models never asked for: those late in the operator's list go first.
     fn cost_of_unused(&self, rank: usize) -> f64 {
         let share = rank as f64 / self.engine.models.len().max(1) as f64;
-        cost::LONG_IDLE * (1.0 - share / 2.0)
+        cost::LONG_IDLE + cost::LONG_IDLE_RANGE * (1.0 - share)
     }
 
-    fn cost_of_copy(&self, copies: usize, load: f64, target: usize, reason: Reason) -> Option<f64> {
+    fn cost_of_copy(&self, copies: usize, load: f64, keep: usize, reason: Reason) -> Option<f64> {
         let slots = f64::from(self.engine.slots.max(1));
         let load_after = load / (copies - 1) as f64 / slots;
-        if copies > target {
+        if copies > keep {
             return Some(cost::SURPLUS + cost::LONG_IDLE * load_after);
         }
         let bearable = matches!(reason, Reason::Missing { .. }) && load_after <= CROWDED;
         bearable.then_some(cost::USEFUL + cost::LONG_IDLE * load_after)
     }
+}
+
+/// The only copy of a model that has been asked for.
+struct OnlyCopy {
+    idle_ms: u64,
+    /// Requests that will arrive during a reload if demand stays as it has been lately.
+    missed: f64,
+    /// What these are worth, as delay.
+    missed_cost: f64,
+}
+
+impl OnlyCopy {
+    fn new(demand: &ModelDemand, idle_ms: u64, load_ms: u64) -> Self {
+        let load_s = load_ms as f64 / 1_000.0;
+        let urgent = demand.urgency_ms < load_ms;
+        let each = if urgent { cost::MISSED_URGENT } else { cost::MISSED_PATIENT };
+        Self { idle_ms, missed: demand.slow_rate * load_s, missed_cost: demand.popularity * load_s * each }
+    }
 
-    fn cost_of_only_copy(&self, idle_ms: u64, missed: f64, reason: Reason) -> Option<f64> {
-        if idle_ms >= LONG_IDLE_MS {
-            let age = LONG_IDLE_MS as f64 / idle_ms as f64;
-            return Some(cost::LONG_IDLE + cost::LONG_IDLE_RANGE * age);
+    fn cost(&self, reason: Reason) -> Option<f64> {
+        if self.idle_ms >= LONG_IDLE_MS {
+            let age = LONG_IDLE_MS as f64 / self.idle_ms as f64;
+            return Some(cost::LONG_IDLE + cost::LONG_IDLE_RANGE * age + self.missed_cost);
         }
         let Reason::Missing { pressure } = reason else { return None };
-        if idle_ms >= SHORT_IDLE_MS {
-            return Some(cost::SHORT_IDLE);
+        if self.idle_ms >= SHORT_IDLE_MS {
+            return Some(cost::SHORT_IDLE + self.missed_cost);
         }
-        let clearly_greater = pressure > CLEARLY_GREATER * missed + 1.0;
-        clearly_greater.then_some(cost::IN_USE)
+        let clearly_greater = pressure > CLEARLY_GREATER * self.missed + 1.0;
+        clearly_greater.then_some(cost::IN_USE + self.missed_cost)
     }
 }
--- a/crates/placement/tests/fleet/load.rs
+++ b/crates/placement/tests/fleet/load.rs
@@ -177,11 +177,16 @@
     ) -> Vec<Input> {
         let mut missing: BTreeMap<usize, u32> = BTreeMap::new();
         for request in std::mem::take(&mut self.waiting) {
-            let stream = self.streams[request.stream].clone();
-            if now - request.at > stream.deadline_ms {
+            if now - request.at > self.streams[request.stream].deadline_ms {
                 self.entry(request.stream).lost += 1;
                 continue;
             }
+            if let Some(waiting) = missing.get_mut(&request.stream) {
+                *waiting += 1;
+                self.waiting.push(request);
+                continue;
+            }
+            let stream = self.streams[request.stream].clone();
             let Some(id) = self.least_loaded(&stream, routed) else {
                 *missing.entry(request.stream).or_default() += 1;
                 self.waiting.push(request);
