Placement: workers that fall silent, adapters that don't exist, relief of the busiest

A load ordered to a worker that then answers nothing counted as on its way for ever; it no longer does after three reports missed. A request for an adapter outside the model's list made orders the worker rejects; such wants are answered without an order. An unchanged entry of the worker list costs no work.

--- a/crates/placement/src/catalogue.rs
+++ b/crates/placement/src/catalogue.rs
@@ -56,6 +56,13 @@
         self.entries[index.0].rank.map(|_| index)
     }
 
+    /// Whether a model has the adapter named, or none is named. Adapters are named `a1`, `a2` and so on.
+    pub(crate) fn has_adapter(&self, model: ModelIndex, adapter: Option<&str>) -> bool {
+        let Some(adapter) = adapter else { return true };
+        let number = adapter.strip_prefix('a').and_then(|digits| digits.parse::<u32>().ok());
+        number.is_some_and(|number| (1..=self.spec(model).adapters).contains(&number))
+    }
+
     /// Index of a model found on a worker. One never configured counts as filling a whole worker, as its size isn't
     /// known.
     pub(crate) fn seen(&mut self, name: &str) -> ModelIndex {
--- a/crates/placement/src/demand.rs
+++ b/crates/placement/src/demand.rs
@@ -52,7 +52,8 @@
 /// Demand for one model over all its adapters.
 #[derive(Debug, Default)]
 pub(crate) struct ModelDemand {
-    entries: BTreeMap<Option<String>, Entry>,
+    /// By name of the adapter, which is empty for requests that name none.
+    entries: BTreeMap<String, Entry>,
     wanted_at: Option<u64>,
     samples: u32,
     /// Requests a second, averaged over about ten seconds.
@@ -78,7 +79,7 @@
     /// Takes in what gatekeepers tell of one adapter, or of the bare model.
     pub(crate) fn tell(&mut self, now: u64, adapter: Option<String>, sample: Sample) {
         let wanted = sample.requests_per_s > 0.0 || sample.waiting > 0 || sample.outstanding > 0;
-        let entry = self.entries.entry(adapter).or_insert(Entry {
+        let entry = self.entries.entry(adapter.unwrap_or_default()).or_insert(Entry {
             sample: Sample::default(),
             told_at: now,
             wanted_at: now,
@@ -94,7 +95,7 @@
     /// Notes that requests ask for the model or adapter now.
     pub(crate) fn ask(&mut self, now: u64, adapter: Option<String>) {
         self.wanted_at = Some(now);
-        let entry = self.entries.entry(adapter).or_insert(Entry {
+        let entry = self.entries.entry(adapter.unwrap_or_default()).or_insert(Entry {
             sample: Sample::default(),
             told_at: now,
             wanted_at: now,
@@ -109,7 +110,7 @@
 
     /// Milliseconds since requests last asked for an adapter, or none if they never did.
     pub(crate) fn adapter_idle_ms(&self, now: u64, adapter: &str) -> Option<u64> {
-        let entry = self.entries.get(&Some(adapter.to_owned()))?;
+        let entry = self.entries.get(adapter)?;
         Some(now.saturating_sub(entry.wanted_at))
     }
 
@@ -119,7 +120,7 @@
             let recent = now.saturating_sub(entry.wanted_at) <= within_ms;
             let fresh = now.saturating_sub(entry.told_at) <= FRESH_MS;
             let slots = if fresh { entry.sample.slots() } else { 0.0 };
-            adapter.as_deref().filter(|_| recent).map(|name| (name, slots))
+            (recent && !adapter.is_empty()).then_some((adapter.as_str(), slots))
         })
     }
 
--- a/crates/placement/src/message.rs
+++ b/crates/placement/src/message.rs
@@ -88,8 +88,6 @@
         adapter: Option<String>,
         /// Requests that arrive a second.
         requests_per_s: f64,
-        /// Prompt tokens and expected output tokens of these requests a second.
-        tokens_per_s: f64,
         /// Smallest latency aim among them, in milliseconds.
         urgency_ms: u64,
         /// Requests outstanding at workers, running or queued; 0 where it isn't known.
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -117,15 +117,7 @@
         }
         match input {
             Input::Workers(views) => self.update_workers(now, &views),
-            Input::Demand {
-                model,
-                adapter,
-                requests_per_s,
-                tokens_per_s: _,
-                urgency_ms,
-                outstanding,
-                waiting,
-            } => {
+            Input::Demand { model, adapter, requests_per_s, urgency_ms, outstanding, waiting } => {
                 let sample = Sample { requests_per_s, outstanding, waiting, urgency_ms };
                 self.tell_demand(now, &model, adapter, sample);
             }
@@ -197,11 +189,13 @@
             self.next_sample_at = now + SAMPLE_INTERVAL_MS;
             self.sample_demand(now);
             self.grow(now);
+            self.relieve(now);
         }
     }
 
     fn tell_demand(&mut self, now: u64, model: &str, adapter: Option<String>, sample: Sample) {
-        if let Some(model) = self.catalogue.configured(model) {
+        let known = self.catalogue.configured(model);
+        if let Some(model) = known.filter(|model| self.catalogue.has_adapter(*model, adapter.as_deref())) {
             self.demand.entry(model).or_default().tell(now, adapter, sample);
         }
     }
@@ -257,28 +251,41 @@
     }
 
     fn update_worker(&mut self, now: u64, key: WorkerKey, view: &WorkerView) {
+        self.compare_heartbeat(now, key, view);
         let worker = &mut self.workers[key];
+        if worker.state == view.state && worker.address == view.address {
+            return;
+        }
         worker.state = view.state;
-        worker.zone.clone_from(&view.zone);
         worker.address.clone_from(&view.address);
-        if view.as_of_sequence > worker.heard_sequence {
-            worker.heard_sequence = view.as_of_sequence;
-            let settled = now.saturating_sub(worker.changed_at) > HEARTBEAT_LAG_MS;
-            let unchecked = now.saturating_sub(worker.checked_at) > HEARTBEAT_LAG_MS;
-            let disagrees = !worker.agrees_with(&view.models, &self.catalogue);
-            if worker.is_free() && settled && unchecked && disagrees {
-                worker.checked_at = now;
-                worker.knowledge = Knowledge::Unknown { ask_at: now };
-            }
-        }
-        if !self.workers[key].is_ready() {
-            self.workers[key].plan.clear();
+        if !worker.is_ready() {
+            worker.plan.clear();
         }
         self.attention.insert(key);
         self.refresh(key);
         self.advance(now, key);
     }
 
+    /// Asks for a report where a newer heartbeat differs from the record long after the last order.
+    fn compare_heartbeat(&mut self, now: u64, key: WorkerKey, view: &WorkerView) {
+        let worker = &mut self.workers[key];
+        if view.as_of_sequence <= worker.heard_sequence {
+            return;
+        }
+        worker.heard_sequence = view.as_of_sequence;
+        let settled = now.saturating_sub(worker.changed_at) > HEARTBEAT_LAG_MS;
+        let unchecked = now.saturating_sub(worker.checked_at) > HEARTBEAT_LAG_MS;
+        if !worker.is_free() || !settled || !unchecked {
+            return;
+        }
+        if !worker.agrees_with(&view.models, &self.catalogue) {
+            worker.checked_at = now;
+            worker.knowledge = Knowledge::Unknown { ask_at: now };
+            self.attention.insert(key);
+            self.advance(now, key);
+        }
+    }
+
     fn reindex(&mut self, key: WorkerKey) {
         self.grow_index();
         let worker = &mut self.workers[key];
@@ -293,8 +300,8 @@
         let models: BTreeSet<ModelIndex> =
             worker.holdings.iter().map(|holding| holding.model).chain(planned).collect();
         for model in models {
-            let comes = worker.holding(model).is_some_and(|holding| holding.phase == Phase::Loading)
-                || worker.is_planned(Operation::Load, model);
+            let ordered = worker.holding(model).is_some_and(|holding| holding.phase == Phase::Loading);
+            let comes = worker.answers() && (ordered || worker.is_planned(Operation::Load, model));
             if worker.stands(model) {
                 self.copies[model.get()].standing.insert(key);
             } else if comes {
--- a/crates/placement/src/policy/adapters.rs
+++ b/crates/placement/src/policy/adapters.rs
@@ -69,7 +69,7 @@
     ) -> bool {
         let mut best: Option<(f64, WorkerKey, Option<AdapterVictim>)> = None;
         for key in holders {
-            if !self.may_load_adapter(*key) || self.workers[*key].has_adapter(model, adapter) {
+            if !self.may_load_adapter(now, *key, model) || self.workers[*key].has_adapter(model, adapter) {
                 continue;
             }
             let needs_slot = self.adapter_slots_left(now, *key) == 0;
@@ -90,12 +90,13 @@
         true
     }
 
-    fn may_load_adapter(&self, key: WorkerKey) -> bool {
+    fn may_load_adapter(&self, now: u64, key: WorkerKey, model: ModelIndex) -> bool {
         let worker = &self.workers[key];
+        let rejected = worker.rejected.get(&model).is_some_and(|until| now < *until);
         let order_is_short = worker.order.as_ref().is_none_or(|order| order.step.adapter.is_some());
         let plan_is_short = worker.plan.iter().all(|step| step.adapter.is_some());
         let queue_left = worker.plan.len() < QUEUED_STEPS;
-        worker.is_ready() && worker.is_exact() && order_is_short && plan_is_short && queue_left
+        !rejected && worker.is_ready() && worker.is_exact() && order_is_short && plan_is_short && queue_left
     }
 
     fn adapter_slots_left(&self, now: u64, key: WorkerKey) -> usize {
--- a/crates/placement/src/policy/missing.rs
+++ b/crates/placement/src/policy/missing.rs
@@ -118,7 +118,9 @@
         waiting: u32,
         aim_ms: u64,
     ) {
-        let Some(index) = self.catalogue.configured(&model) else {
+        let known = self.catalogue.configured(&model);
+        let offered = known.filter(|index| self.catalogue.has_adapter(*index, adapter.as_deref()));
+        let Some(index) = offered else {
             self.outputs.push(Output::Expect { model, adapter, ready_in_ms: None });
             return;
         };
--- a/crates/placement/src/policy/mod.rs
+++ b/crates/placement/src/policy/mod.rs
@@ -4,6 +4,7 @@
 mod choice;
 mod growth;
 mod missing;
+mod relief;
 mod victims;
 
 pub(crate) use missing::{MissingTable, Want};
--- a/crates/placement/src/reports.rs
+++ b/crates/placement/src/reports.rs
@@ -21,6 +21,7 @@
         worker.asked += 1;
         self.outputs.push(Output::AskReport { worker: worker.id.clone(), address: worker.address.clone() });
         self.wait_for_report(key, again_at);
+        self.refresh(key);
     }
 
     /// Takes a report. One that is as new as all the planner knows, with no order under way, is the truth.
--- a/crates/placement/src/settings.rs
+++ b/crates/placement/src/settings.rs
@@ -48,6 +48,4 @@
     pub loads_per_s: f64,
     /// Requests that a worker runs at once.
     pub slots: u32,
-    /// Loads from the store at once beyond which each takes longer, where this is known.
-    pub loads_at_once: Option<u32>,
 }
--- a/crates/placement/src/worker.rs
+++ b/crates/placement/src/worker.rs
@@ -16,6 +16,9 @@
 /// Room counted as rounding of the configured sizes, in megabytes.
 const ROUNDING_MB: f64 = 1e-6;
 
+/// Reports that may stay away before the planner no longer counts on what it ordered.
+const REPORTS_MISSED: u32 = 2;
+
 /// Phase of something on a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -119,6 +122,8 @@
     pub(crate) checked_at: u64,
     pub(crate) occupied: u32,
     pub(crate) memory_share: f64,
+    /// Until when no further copy is loaded elsewhere to relieve it.
+    pub(crate) relieved_until: u64,
     /// Models under which the record stands in the planner's index.
     pub(crate) indexed: Vec<ModelIndex>,
 }
@@ -147,6 +152,7 @@
             checked_at: now,
             occupied: 0,
             memory_share: 0.0,
+            relieved_until: 0,
             indexed: Vec::new(),
         }
     }
@@ -166,6 +172,11 @@
         matches!(self.knowledge, Knowledge::Exact { .. })
     }
 
+    /// Whether it has answered the planner lately, so that what was ordered can be expected to come.
+    pub(crate) fn answers(&self) -> bool {
+        self.asked <= REPORTS_MISSED
+    }
+
     /// Share of its slots or memory in use; above 1 when requests queue.
     pub(crate) fn load(&self, engine: &Engine) -> f64 {
         let slots = f64::from(engine.slots.max(1));
--- a/crates/placement/tests/fleet/load.rs
+++ b/crates/placement/tests/fleet/load.rs
@@ -256,7 +256,6 @@
                 model: stream.model.clone(),
                 adapter: stream.adapter.clone(),
                 requests_per_s,
-                tokens_per_s: requests_per_s * 1_000.0,
                 urgency_ms: stream.aim_ms,
                 outstanding: (requests_per_s * stream.service_ms as f64 / 1_000.0) as u32,
                 waiting,
--- a/crates/placement/tests/fleet/mod.rs
+++ b/crates/placement/tests/fleet/mod.rs
@@ -103,7 +103,6 @@
         adapter_slots: 8,
         loads_per_s: 4.0,
         slots: 32,
-        loads_at_once: Some(17),
     }
 }
 
--- a/crates/placement/tests/planner.rs
+++ b/crates/placement/tests/planner.rs
@@ -19,7 +19,6 @@
         adapter_slots: 2,
         loads_per_s: 4.0,
         slots: 32,
-        loads_at_once: None,
     }
 }
 
@@ -309,3 +308,58 @@
     };
     expect_that!(run(), eq(&run()));
 }
+
+#[gtest]
+fn an_adapter_the_model_does_not_have_is_not_ordered() {
+    let mut planner = planner(&[("w", vec![resident("a", &[])])]);
+    for adapter in ["a0", "a13", "b1", ""] {
+        let outputs = planner.handle(20_000, missing("a", Some(adapter)));
+        expect_that!(
+            outputs,
+            elements_are![matches_pattern!(Output::Expect { ready_in_ms: none(), .. })],
+            "{adapter}"
+        );
+    }
+}
+
+#[gtest]
+fn what_was_ordered_to_a_worker_that_no_longer_answers_is_ordered_elsewhere() {
+    let mut planner = planner(&[("v", vec![]), ("w", vec![])]);
+    let orders = sent(&planner.handle(20_000, missing("a", None)));
+    answer(&mut planner, 20_010, &orders[0], OrderAnswer::NoAnswer);
+    let mut elsewhere = Vec::new();
+    for now in (20_050..24_000).step_by(50) {
+        elsewhere.extend(sent(&planner.handle(now, Input::Tick)));
+        if now % 1_000 == 0 {
+            planner.handle(now, missing("a", None));
+        }
+    }
+    expect_that!(elsewhere.len(), eq(1));
+    expect_that!(elsewhere[0].worker, not(eq(&orders[0].worker)));
+}
+
+#[gtest]
+fn a_worker_with_far_more_to_do_than_the_others_is_relieved() {
+    let mut planner = planner(&[("u", vec![]), ("v", vec![]), ("w", vec![resident("b", &[])])]);
+    let mut orders = Vec::new();
+    for now in (20_000..23_000).step_by(100) {
+        if now % 500 == 0 {
+            planner.handle(
+                now,
+                Input::Demand {
+                    model: "b".to_owned(),
+                    adapter: None,
+                    requests_per_s: 1.0,
+                    urgency_ms: 6_000,
+                    outstanding: 4,
+                    waiting: 0,
+                },
+            );
+            let worker = WorkerId("w".to_owned());
+            planner.handle(now, Input::Load { worker, running: 4, queued: 0, kv_used: 90, kv_total: 100 });
+        }
+        orders.extend(sent(&planner.handle(now, Input::Tick)));
+    }
+    expect_that!(orders.len(), eq(1));
+    expect_that!(orders[0].what, eq("b"));
+}
--- a/crates/placement/tests/scale.rs
+++ b/crates/placement/tests/scale.rs
@@ -25,7 +25,6 @@
         adapter_slots: 8,
         loads_per_s: 100.0,
         slots: 32,
-        loads_at_once: None,
     }
 }
 
@@ -53,7 +52,6 @@
                 model: model.clone(),
                 adapter: adapter.clone(),
                 requests_per_s: 1.0,
-                tokens_per_s: 1_000.0,
                 urgency_ms: 500,
                 outstanding: 1,
                 waiting: 0,
