--- a/crates/placement/src/demand.rs
+++ b/crates/placement/src/demand.rs
@@ -7,8 +7,14 @@
 const FRESH_MS: u64 = 1_600;
 /// Entries without demand for this long are forgotten, in milliseconds.
 const FORGET_MS: u64 = 120_000;
-/// Weight of the newest sample (taken every 500 ms) in the quick average.
+/// Weight of the newest sample (taken every 500 ms) in the quick average, which spans about a second.
 const QUICK: f64 = 0.5;
+/// Weight of the newest sample in the steady average, which spans about three seconds.
+const STEADY: f64 = 0.15;
+/// Lead of the quick average over the steady one that counts as chance, in standard deviations of a Poisson count.
+const CHANCE: f64 = 1.0;
+/// How many times the lead of the quick average demand is expected to go on rising while a load lasts.
+const LEAD: f64 = 2.0;
 /// Weight of the newest sample in the slow average, which spans about ten seconds.
 const SLOW: f64 = 0.05;
 /// Weight of the newest sample in the popularity, which spans about thirty seconds.
@@ -46,28 +52,34 @@
 /// Demand for one model over all its adapters.
 #[derive(Debug, Default)]
 pub(crate) struct ModelDemand {
-    entries: BTreeMap<Option<String>, Entry>,
+    /// By name of the adapter, which is empty for requests that name none.
+    entries: BTreeMap<String, Entry>,
     wanted_at: Option<u64>,
     samples: u32,
     /// Requests a second, averaged over about ten seconds.
     pub(crate) slow_rate: f64,
     /// Requests a second, averaged over about thirty seconds.
     pub(crate) popularity: f64,
-    /// Slots occupied, averaged over about a second.
+    quick_slots: f64,
+    /// Slots occupied, averaged over about three seconds.
     pub(crate) slots: f64,
-    /// Slots that will be occupied a few seconds ahead if the rise goes on.
+    /// Slots that will be occupied a few seconds ahead if a rise beyond chance goes on.
     pub(crate) slots_ahead: f64,
     /// Smallest latency aim of current requests, in milliseconds.
     pub(crate) urgency_ms: u64,
-    /// Copies wanted.
+    /// Copies needed so that the adapters in use find slots.
+    pub(crate) for_adapters: usize,
+    /// Copies below which another is loaded.
     pub(crate) target: usize,
+    /// Copies beyond which one is surplus; at least the target, so that chance doesn't load and unload in turn.
+    pub(crate) keep: usize,
 }
 
 impl ModelDemand {
     /// Takes in what gatekeepers tell of one adapter, or of the bare model.
     pub(crate) fn tell(&mut self, now: u64, adapter: Option<String>, sample: Sample) {
         let wanted = sample.requests_per_s > 0.0 || sample.waiting > 0 || sample.outstanding > 0;
-        let entry = self.entries.entry(adapter).or_insert(Entry {
+        let entry = self.entries.entry(adapter.unwrap_or_default()).or_insert(Entry {
             sample: Sample::default(),
             told_at: now,
             wanted_at: now,
@@ -83,7 +95,7 @@
     /// Notes that requests ask for the model or adapter now.
     pub(crate) fn ask(&mut self, now: u64, adapter: Option<String>) {
         self.wanted_at = Some(now);
-        let entry = self.entries.entry(adapter).or_insert(Entry {
+        let entry = self.entries.entry(adapter.unwrap_or_default()).or_insert(Entry {
             sample: Sample::default(),
             told_at: now,
             wanted_at: now,
@@ -98,7 +110,7 @@
 
     /// Milliseconds since requests last asked for an adapter, or none if they never did.
     pub(crate) fn adapter_idle_ms(&self, now: u64, adapter: &str) -> Option<u64> {
-        let entry = self.entries.get(&Some(adapter.to_owned()))?;
+        let entry = self.entries.get(adapter)?;
         Some(now.saturating_sub(entry.wanted_at))
     }
 
@@ -108,12 +120,12 @@
             let recent = now.saturating_sub(entry.wanted_at) <= within_ms;
             let fresh = now.saturating_sub(entry.told_at) <= FRESH_MS;
             let slots = if fresh { entry.sample.slots() } else { 0.0 };
-            adapter.as_deref().filter(|_| recent).map(|name| (name, slots))
+            (recent && !adapter.is_empty()).then_some((adapter.as_str(), slots))
         })
     }
 
-    /// Updates the averages; called every 500 ms while the model is active. `ahead_s` is how far to look ahead.
-    pub(crate) fn sample(&mut self, now: u64, ahead_s: f64) {
+    /// Updates the averages; called every 500 ms while the model is active.
+    pub(crate) fn sample(&mut self, now: u64) {
         self.entries.retain(|_, entry| now.saturating_sub(entry.wanted_at) <= FORGET_MS);
         let fresh: Vec<&Entry> =
             self.entries.values().filter(|entry| now.saturating_sub(entry.told_at) <= FRESH_MS).collect();
@@ -121,14 +133,18 @@
         let slots: f64 = fresh.iter().map(|entry| entry.sample.slots()).sum();
         let aims = fresh.iter().map(|entry| entry.sample.urgency_ms).filter(|aim| *aim > 0);
         self.urgency_ms = aims.min().unwrap_or(self.urgency_ms);
-        let before = self.slots;
-        self.slots += QUICK * (slots - self.slots);
         self.samples = self.samples.saturating_add(1);
+        self.quick_slots += self.weight(QUICK) * (slots - self.quick_slots);
+        self.slots += self.weight(STEADY) * (slots - self.slots);
         self.slow_rate += self.weight(SLOW) * (rate - self.slow_rate);
         self.popularity += self.weight(POPULAR) * (rate - self.popularity);
-        let rise_per_s = (self.slots - before) * 2.0;
-        let rise = (rise_per_s * ahead_s).clamp(0.0, self.slots);
-        self.slots_ahead = self.slots + rise;
+        let beyond_chance = self.quick_slots - self.slots - CHANCE * self.slots.sqrt();
+        self.slots_ahead = self.slots + LEAD * beyond_chance.max(0.0);
+    }
+
+    /// Weight of a sample in an average that is the plain mean as long as there are few.
+    fn weight(&self, at_length: f64) -> f64 {
+        at_length.max(1.0 / f64::from(self.samples))
     }
 
     /// Weight of a sample in an average that is the plain mean as long as there are few.
--- a/crates/placement/src/policy/victims.rs
+++ b/crates/placement/src/policy/victims.rs
@@ -93,8 +93,10 @@
         let copies = self.copies.get(holding.model.get()).map_or(0, |copies| copies.standing.len());
         if copies > 1 {
             let load = demand.map_or(0.0, |demand| demand.slots);
-            let target = demand.map_or(0, |demand| demand.target);
-            return self.cost_of_copy(copies, load, target, reason);
+            let keep = demand.map_or(0, |demand| demand.keep);
+            let for_adapters = demand.map_or(0, |demand| demand.for_adapters);
+            let cost = self.cost_of_copy(copies, load, keep, reason);
+            return cost.filter(|_| copies > for_adapters);
         }
         let (Some(demand), Some(idle)) = (demand, idle) else { return Some(self.cost_of_unused(rank)) };
         let young = holding.since.is_some_and(|since| now.saturating_sub(since) < MIN_STAY_MS);
@@ -111,10 +113,10 @@
         cost::LONG_IDLE + cost::LONG_IDLE_RANGE * (1.0 - share)
     }
 
-    fn cost_of_copy(&self, copies: usize, load: f64, target: usize, reason: Reason) -> Option<f64> {
+    fn cost_of_copy(&self, copies: usize, load: f64, keep: usize, reason: Reason) -> Option<f64> {
         let slots = f64::from(self.engine.slots.max(1));
         let load_after = load / (copies - 1) as f64 / slots;
-        if copies > target {
+        if copies > keep {
             return Some(cost::SURPLUS + cost::LONG_IDLE * load_after);
         }
         let bearable = matches!(reason, Reason::Missing { .. }) && load_after <= CROWDED;
