--- a/crates/control/src/placer.rs
+++ b/crates/control/src/placer.rs
@@ -177,7 +177,6 @@
                 model: entry.model.clone(),
                 adapter: some_name(&entry.adapter),
                 requests_per_s: entry.requests_per_s,
-                tokens_per_s: entry.tokens_per_s,
                 urgency_ms: entry.aim_ms,
                 outstanding: entry.outstanding,
                 waiting: 0,
@@ -328,7 +327,6 @@
         adapter_slots: engine.adapter_slots,
         loads_per_s: engine.loads_per_s,
         slots: engine.slots,
-        loads_at_once: None,
     }
 }
 
--- a/crates/placement/src/demand.rs
+++ b/crates/placement/src/demand.rs
@@ -147,11 +147,6 @@
         at_length.max(1.0 / f64::from(self.samples))
     }
 
-    /// Weight of a sample in an average that is the plain mean as long as there are few.
-    fn weight(&self, at_length: f64) -> f64 {
-        at_length.max(1.0 / f64::from(self.samples))
-    }
-
     /// Whether nothing about this model needs attention any more.
     pub(crate) fn is_forgotten(&self, now: u64) -> bool {
         self.idle_ms(now).is_none_or(|idle| idle > FORGET_MS)
--- a/crates/placement/tests/scenarios.rs
+++ b/crates/placement/tests/scenarios.rs
@@ -74,11 +74,6 @@
         fleet.run(34_000);
         check_rules(&fleet);
         print_figures("shift", &fleet);
-        for ((m, _), e) in &fleet.load.served {
-            if e.late > 5 {
-                println!("DBG {seed} {m} {e:?} holders {:?}", fleet.holders(m).len());
-            }
-        }
         expect_that!(fleet.load.share_in_time(), ge(0.9), "seed {seed}: {:?}", fleet.load.total());
         expect_that!(fleet.load.starved(4), is_empty(), "seed {seed}");
     }
--- a/src/control_plane/workers.rs
+++ b/src/control_plane/workers.rs
@@ -75,7 +75,7 @@
                     OrderAnswer::NoAnswer
                 }
             };
-            log::debug!("order {:?} {} {:?} at {}: {answer:?}", call.operation, call.model, call.adapter, call.worker);
+            log::info!("order {:?} {} {:?} at {}: {answer:?}", call.operation, call.model, call.adapter, call.worker);
             let _ = inputs.send(Input::OrderAnswered(call.ticket, answer));
         });
     }
