--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -57,6 +57,8 @@
     pub(crate) outputs: Vec<Output>,
     /// When the planner may ask and order; it only watches before.
     pub(crate) orders_from: u64,
+    /// Tokens of the store that other loads leave to models whose copies are crowded.
+    pub(crate) tokens_kept_for_crowded: f64,
     next_order: u64,
     next_policy_at: u64,
     next_sample_at: u64,
@@ -89,6 +91,7 @@
             attention: BTreeSet::new(),
             outputs: Vec::new(),
             orders_from,
+            tokens_kept_for_crowded: 0.0,
             next_order: 1,
             next_policy_at: now,
             next_sample_at: now,
@@ -184,6 +187,7 @@
             return;
         }
         self.next_policy_at = now + POLICY_INTERVAL_MS;
+        self.relieve_crowded(now);
         self.serve_missing(now);
         if now >= self.next_sample_at {
             self.next_sample_at = now + SAMPLE_INTERVAL_MS;
--- a/crates/placement/src/policy/choice.rs
+++ b/crates/placement/src/policy/choice.rs
@@ -17,6 +17,11 @@
         /// How many wait, more for each second since the first came.
         pressure: f64,
     },
+    /// Its copies are crowded, or soon will be.
+    Crowded {
+        /// Requests beyond what the copies should run.
+        excess: f64,
+    },
     /// Demand calls for another copy.
     Growth,
 }
@@ -43,7 +48,11 @@
 impl Planner {
     /// Plans a load of a model on the best worker. Returns whether there was one.
     pub(crate) fn place_model(&mut self, now: u64, model: ModelIndex, reason: Reason) -> bool {
-        let kept = if reason == Reason::Growth { TOKENS_KEPT_FOR_MISSING } else { 0.0 };
+        let kept = match reason {
+            Reason::Crowded { .. } => 0.0,
+            Reason::Missing { .. } => self.tokens_kept_for_crowded,
+            Reason::Growth => self.tokens_kept_for_crowded + TOKENS_KEPT_FOR_MISSING,
+        };
         let store_open = self.spare_tokens(now) >= 1.0 + kept;
         let zones = self.copies_by_zone(model);
         let mut best: Option<(f64, WorkerKey, Victims)> = None;
--- a/crates/placement/src/policy/growth.rs
+++ b/crates/placement/src/policy/growth.rs
@@ -6,9 +6,11 @@
 use crate::worker::WorkerKey;
 
 /// Share of a worker's slots that requests for one model should occupy at most.
-const WANTED_OCCUPANCY: f64 = 0.25;
+pub(crate) const WANTED_OCCUPANCY: f64 = 0.2;
+/// Share of a worker's slots from which the copies of a model are crowded: further ones go before all other loads.
+const CROWDED_OCCUPANCY: f64 = 0.3;
 /// Share of a worker's slots below which a copy is surplus.
-const SURPLUS_OCCUPANCY: f64 = 0.15;
+const SURPLUS_OCCUPANCY: f64 = 0.12;
 /// Requests a second from which a model should stand on two workers, so that the loss of one stops nothing.
 const TWO_COPIES_RATE: f64 = 2.0;
 /// A model asked for within this time is planned at once when its last holder is lost, in milliseconds.
@@ -60,6 +62,27 @@
         self.grow_adapters(now);
     }
 
+    /// Plans copies for crowded models, those with the most load a copy first, as far as the store and room allow.
+    pub(crate) fn relieve_crowded(&mut self, now: u64) {
+        let slots = f64::from(self.engine.slots.max(1));
+        let models: Vec<ModelIndex> = self.demand.keys().copied().collect();
+        let mut crowded: Vec<(f64, ModelIndex, f64)> = Vec::new();
+        for model in models {
+            let copies = self.copies_of(model).count() as f64;
+            let ahead = self.demand[&model].slots_ahead;
+            let excess = ahead - copies * slots * CROWDED_OCCUPANCY;
+            if copies > 0.0 && excess > 0.0 {
+                crowded.push((ahead / copies, model, excess));
+            }
+        }
+        crowded.sort_by(|left, right| right.0.total_cmp(&left.0));
+        let mut unserved = false;
+        for (_, model, excess) in crowded.into_iter().take(PLANNED_A_ROUND) {
+            unserved |= !self.place_model(now, model, Reason::Crowded { excess });
+        }
+        self.tokens_kept_for_crowded = if unserved { 1.0 } else { 0.0 };
+    }
+
     /// How badly a model lacks copies, and why, or none if it has enough.
     fn shortage(&mut self, now: u64, model: ModelIndex) -> Option<(f64, Reason)> {
         self.catalogue.entry(model).rank?;
--- a/crates/placement/src/policy/victims.rs
+++ b/crates/placement/src/policy/victims.rs
@@ -4,6 +4,7 @@
 use crate::demand::ModelDemand;
 use crate::planner::Planner;
 use crate::policy::choice::Reason;
+use crate::policy::growth::WANTED_OCCUPANCY;
 use crate::worker::{Holding, Phase, WorkerKey};
 
 /// A model stays this long after its load unless it is never asked for, in milliseconds.
@@ -119,7 +120,11 @@
         if copies > keep {
             return Some(cost::SURPLUS + cost::LONG_IDLE * load_after);
         }
-        let bearable = matches!(reason, Reason::Missing { .. }) && load_after <= CROWDED;
+        let bearable = match reason {
+            Reason::Missing { .. } => load_after <= CROWDED,
+            Reason::Crowded { .. } => load_after <= WANTED_OCCUPANCY,
+            Reason::Growth => false,
+        };
         bearable.then_some(cost::USEFUL + cost::LONG_IDLE * load_after)
     }
 }
@@ -146,7 +151,11 @@
             let age = LONG_IDLE_MS as f64 / self.idle_ms as f64;
             return Some(cost::LONG_IDLE + cost::LONG_IDLE_RANGE * age + self.missed_cost);
         }
-        let Reason::Missing { pressure } = reason else { return None };
+        let pressure = match reason {
+            Reason::Missing { pressure } => pressure,
+            Reason::Crowded { excess } => excess,
+            Reason::Growth => return None,
+        };
         if self.idle_ms >= SHORT_IDLE_MS {
             return Some(cost::SHORT_IDLE + self.missed_cost);
         }
