Placement: copies ahead of demand, and a take-over that waits half a second

Cause: after each move of demand the next busy model had two copies until loads came 5 s later, and a frozen placer left 5.7 s without orders. Models that follow busy ones in the operator's list get copies before rare ones; where workers check fences, the new placer begins after 0.5 s, the old one stops 0.45 s after its last contact.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -91,7 +91,12 @@
 
     /// Whether a quorum of the electorate was certain to hear this node a short time ago.
     pub fn has_quorum(&self, now: u64) -> bool {
-        let contact: BTreeSet<ReplicaId> = self.contacts.in_contact(now).map(ReplicaId).collect();
+        self.has_quorum_within(now, self.contacts.settings().contact_for)
+    }
+
+    /// Whether a quorum of the electorate was certain to hear this node within a time in milliseconds.
+    pub(crate) fn has_quorum_within(&self, now: u64, within: u64) -> bool {
+        let contact: BTreeSet<ReplicaId> = self.contacts.in_contact_within(now, within).map(ReplicaId).collect();
         self.replica.electorate().is_some_and(|electorate| electorate.is_quorum(&contact))
     }
 
--- a/crates/control/src/placer.rs
+++ b/crates/control/src/placer.rs
@@ -12,8 +12,18 @@
 use switchhill_protocol::{Expectation, Missing, PeerBody, Residency, ResidentModel, Summary};
 use switchhill_registration::{Worker, WorkerState};
 
-/// Time in milliseconds that a former placer may go on after another took over: it stops without quorum contact.
-const FORMER_MAY_GO_ON: u64 = 1_000;
+/// Age in milliseconds of the contact with a quorum up to which the placer gives orders.
+const CONTACT_FOR_ORDERS: u64 = 450;
+
+/// Time in milliseconds that a former placer may go on after another took over: the contact that it relies on is no
+/// older than [`CONTACT_FOR_ORDERS`], and whoever echoed it later knew of the new grant.
+const FORMER_MAY_GO_ON: u64 = 500;
+
+/// Silence in milliseconds of the placer after which another node takes the role.
+const TAKE_OVER_AFTER: u64 = 800;
+
+/// Time in milliseconds by which the reports of workers may lag.
+const REPORTS_LAG: u64 = 500;
 
 /// Time in milliseconds after the start in which the present placer may still be heard.
 const LISTEN_FIRST: u64 = 2_000;
@@ -81,7 +91,12 @@
     /// This node was granted the role.
     pub(crate) fn placer_granted(&mut self, now: u64, grant: Option<PlacerGrant>, former: Option<String>) {
         let taken_over = former.is_some_and(|former| former != self.settings.node_name);
-        let pause = if taken_over { self.placer.lease_ms + FORMER_MAY_GO_ON } else { 0 };
+        let pause = match taken_over {
+            // Workers refuse the former placer's orders once they have seen one of the new epoch.
+            true if self.settings.fencing => FORMER_MAY_GO_ON,
+            true => self.placer.lease_ms + FORMER_MAY_GO_ON,
+            false => 0,
+        };
         log::info!("placer: granted {grant:?}, orders in {pause} ms");
         self.placer.planners.clear();
         self.placer.acts_from = now + pause;
@@ -97,7 +112,7 @@
             self.take_placer(now);
             return;
         }
-        if self.placer.acts(now).is_none() {
+        if self.placer.acts(now).is_none() || !self.has_quorum_within(now, CONTACT_FOR_ORDERS) {
             return;
         }
         self.ensure_planners(now);
@@ -125,7 +140,7 @@
     }
 
     fn node_is_up(&self, now: u64, node: &str) -> bool {
-        self.contacts.iter().any(|(id, contact)| contact.node == node && self.contacts.is_up(now, id))
+        self.contacts.iter().any(|(_, contact)| contact.node == node && now < contact.heard_at + TAKE_OVER_AFTER)
     }
 
     /// The configuration changed: engines may have.
@@ -138,12 +153,14 @@
     fn ensure_planners(&mut self, now: u64) {
         let Some(document) = self.state.document().cloned() else { return };
         let engines = engines(&document);
+        // Reports lag: those asked for before this time may not show a predecessor's last order.
+        let settings = PlannerSettings { watch_ms: REPORTS_LAG, ..PlannerSettings::default() };
         self.placer.planners.retain(|service, _| engines.contains_key(service));
         for (service, engine) in engines {
             match self.placer.planners.get_mut(&service) {
                 Some(planner) => planner.set_engine(now, engine),
                 None => {
-                    let planner = Planner::new(now, PlannerSettings::default(), engine, self.placer.seed);
+                    let planner = Planner::new(now, settings.clone(), engine, self.placer.seed);
                     self.placer.planners.insert(service, planner);
                     self.placer.next_workers = now;
                 }
@@ -200,7 +217,7 @@
 
     /// A model is missing: the placer acts, any other node passes it on to the placer.
     pub(crate) fn missing(&mut self, now: u64, missing: Missing, may_pass_on: bool) {
-        if self.placer.acts(now).is_some() && self.has_quorum(now) {
+        if self.placer.acts(now).is_some() && self.has_quorum_within(now, CONTACT_FOR_ORDERS) {
             let input = Input::Missing {
                 model: missing.model.clone(),
                 adapter: some_name(&missing.adapter),
--- a/crates/membership/src/contacts.rs
+++ b/crates/membership/src/contacts.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// The times.
+    pub fn settings(&self) -> &ContactSettings {
+        &self.settings
+    }
+
     /// Random number of this life.
     pub fn life(&self) -> u64 {
         self.life
@@ -135,7 +140,12 @@
 
     /// Nodes that were certain to hear this node a short time ago, this node included.
     pub fn in_contact(&self, now: u64) -> impl Iterator<Item = u64> + '_ {
-        let oldest = now.saturating_sub(self.settings.contact_for);
+        self.in_contact_within(now, self.settings.contact_for)
+    }
+
+    /// Nodes that were certain to hear this node within a time in milliseconds, this node included.
+    pub fn in_contact_within(&self, now: u64, within: u64) -> impl Iterator<Item = u64> + '_ {
+        let oldest = now.saturating_sub(within);
         let others = self.contacts.iter().filter(move |(_, contact)| contact.confirmed_at.is_some_and(|at| at >= oldest));
         others.map(|(id, _)| *id).chain(std::iter::once(self.me))
     }
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -57,6 +57,8 @@
     pub(crate) outputs: Vec<Output>,
     /// When the planner may ask and order; it only watches before.
     pub(crate) orders_from: u64,
+    /// Copies that models should have because of what is busy now.
+    pub(crate) anticipated: BTreeMap<ModelIndex, usize>,
     /// Tokens of the store that other loads leave to models whose copies are crowded.
     pub(crate) tokens_kept_for_crowded: f64,
     next_order: u64,
@@ -91,6 +93,7 @@
             attention: BTreeSet::new(),
             outputs: Vec::new(),
             orders_from,
+            anticipated: BTreeMap::new(),
             tokens_kept_for_crowded: 0.0,
             next_order: 1,
             next_policy_at: now,
@@ -188,6 +191,7 @@
         }
         self.next_policy_at = now + POLICY_INTERVAL_MS;
         self.relieve_crowded(now);
+        self.prepare(now);
         self.serve_missing(now);
         if now >= self.next_sample_at {
             self.next_sample_at = now + SAMPLE_INTERVAL_MS;
--- a/crates/placement/src/policy/choice.rs
+++ b/crates/placement/src/policy/choice.rs
@@ -24,6 +24,8 @@
     },
     /// Demand calls for another copy.
     Growth,
+    /// Demand may call for a copy soon.
+    Anticipated,
 }
 
 /// How far ahead the store's tokens are counted when a load is planned: about the time an unload takes, in
@@ -52,6 +54,7 @@
             Reason::Crowded { .. } => 0.0,
             Reason::Missing { .. } => self.tokens_kept_for_crowded,
             Reason::Growth => self.tokens_kept_for_crowded + TOKENS_KEPT_FOR_MISSING,
+            Reason::Anticipated => self.tokens_kept_for_crowded,
         };
         let store_open = self.spare_tokens(now) >= 1.0 + kept;
         let zones = self.copies_by_zone(model);
--- a/crates/placement/src/policy/growth.rs
+++ b/crates/placement/src/policy/growth.rs
@@ -31,6 +31,7 @@
         let ready = self.workers.values().filter(|worker| worker.is_ready()).count();
         let slots = f64::from(self.engine.slots.max(1));
         let adapter_slots = f64::from(self.engine.adapter_slots.max(1));
+        self.anticipate(ready);
         for (model, demand) in &mut self.demand {
             let load_ms = self.catalogue.spec(*model).load_ms;
             demand.sample(now);
--- a/crates/placement/src/policy/mod.rs
+++ b/crates/placement/src/policy/mod.rs
@@ -1,6 +1,7 @@
 //! What is loaded where: what is missing, copies for demand, and what gives way.
 
 mod adapters;
+mod anticipation;
 mod choice;
 mod growth;
 mod missing;
--- a/crates/placement/src/policy/victims.rs
+++ b/crates/placement/src/policy/victims.rs
@@ -94,7 +94,8 @@
         let copies = self.copies.get(holding.model.get()).map_or(0, |copies| copies.standing.len());
         if copies > 1 {
             let load = demand.map_or(0.0, |demand| demand.slots);
-            let keep = demand.map_or(0, |demand| demand.keep);
+            let anticipated = self.anticipated.get(&holding.model).copied().unwrap_or(0);
+            let keep = demand.map_or(0, |demand| demand.keep).max(anticipated);
             let for_adapters = demand.map_or(0, |demand| demand.for_adapters);
             let cost = self.cost_of_copy(copies, load, keep, reason);
             return cost.filter(|_| copies > for_adapters);
@@ -123,7 +124,7 @@
         let bearable = match reason {
             Reason::Missing { .. } => load_after <= CROWDED,
             Reason::Crowded { .. } => load_after <= WANTED_OCCUPANCY,
-            Reason::Growth => false,
+            Reason::Growth | Reason::Anticipated => false,
         };
         bearable.then_some(cost::USEFUL + cost::LONG_IDLE * load_after)
     }
@@ -154,7 +155,7 @@
         let pressure = match reason {
             Reason::Missing { pressure } => pressure,
             Reason::Crowded { excess } => excess,
-            Reason::Growth => return None,
+            Reason::Growth | Reason::Anticipated => 0.0,
         };
         if self.idle_ms >= SHORT_IDLE_MS {
             return Some(cost::SHORT_IDLE + self.missed_cost);
