--- a/crates/register/src/api.rs
+++ b/crates/register/src/api.rs
@@ -25,6 +25,8 @@
         token: u64,
     },
     /// Starts a change: [`Output::Prepared`] or [`Output::Done`] with an error follows.
+    ///
+    /// Operations of a replica run one after the other, so the caller of a prepared one writes or abandons it soon.
     Begin {
         /// The caller's number for the operation, not in use by another one.
         operation: u64,
@@ -87,7 +89,7 @@
     Done {
         /// The operation.
         operation: u64,
-        /// The value written or read.
+        /// The value read; for a write the newest value known to be chosen, which is the one written or descends from it.
         result: Result<Accepted, RegisterError>,
     },
     /// A newly known chosen value; ballots rise.
--- a/crates/register/src/replica.rs
+++ b/crates/register/src/replica.rs
@@ -5,28 +5,16 @@
 use crate::acceptor::Acceptor;
 use crate::ballots::Ballots;
 use crate::catch_up::MissingValue;
+use crate::completion::Since;
 use crate::durability::State;
-use crate::operation::{Goal, Operation, Stage, Write};
+use crate::operation::{Goal, Operation, Stage};
 use crate::random::Random;
-use crate::{
-    Accepted, Ballot, Body, Electorate, Input, Member, Message, Output, Record, RegisterError, ReplicaId,
-};
-
-/// How long an operation may take from its start, and again from its write, in milliseconds. Two of them and the way to
-/// the operator stay below the time in which a change must be acknowledged.
-const OPERATION_MS: u64 = 2_500;
+use crate::{Accepted, Ballot, Body, Electorate, Input, Member, Message, Output, Record, ReplicaId};
 
 /// How long unanswered messages of a round wait to be sent again, in milliseconds: a lost one costs a fraction of a
 /// second, a slow link no flood.
 pub(crate) const RESEND_MS: u64 = 250;
 
-/// How old an accepted value not known to be chosen must be before the first voter completes it, in milliseconds: longer
-/// than its proposer usually takes to say so.
-const COMPLETE_AFTER_MS: u64 = 120;
-
-/// How much longer each further voter waits before it completes a value, in milliseconds: one read round.
-const COMPLETE_RANK_MS: u64 = 80;
-
 /// One replica of the register: acceptor and proposer.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Replica {
@@ -36,9 +24,13 @@
     pub(crate) ballots: Ballots,
     pub(crate) random: Random,
     pub(crate) active: Option<Operation>,
-    queue: VecDeque<Operation>,
-    /// The last value seen accepted here, and since when in milliseconds.
-    accepted_since: Option<(Ballot, u64)>,
+    pub(crate) queue: VecDeque<Operation>,
+    /// The value accepted here, and since when.
+    pub(crate) accepted_since: Since,
+    /// The newest value known to be chosen, and since when.
+    pub(crate) committed_since: Since,
+    /// Until when records refused by the disk are not written again, in milliseconds.
+    persist_again_at: u64,
     addresses: BTreeMap<ReplicaId, String>,
     /// A value told to be chosen that is not held yet.
     pub(crate) missing: Option<MissingValue>,
@@ -82,7 +74,9 @@
             random: Random::new(seed),
             active: None,
             queue: VecDeque::new(),
-            accepted_since: None,
+            accepted_since: Since::default(),
+            committed_since: Since::default(),
+            persist_again_at: 0,
             addresses: BTreeMap::new(),
             missing: None,
             local: VecDeque::new(),
@@ -143,7 +137,7 @@
             }
             Input::Message { .. } => {}
             Input::Persisted { token } => self.persisted(now, token),
-            Input::PersistFailed { token } => self.acceptor.persist_failed(token),
+            Input::PersistFailed { token } => self.persist_failed(now, token),
             Input::Begin { operation } => self.enqueue(Some(operation), Goal::Prepare),
             Input::Read { operation } => self.enqueue(Some(operation), Goal::Read),
             Input::Write { operation, data, members } => self.write(now, operation, data, members),
@@ -155,7 +149,7 @@
 
     /// Goes on until nothing more follows from what has come in.
     fn settle(&mut self, now: u64) {
-        self.note_accepted(now);
+        self.note_times(now);
         self.reserve_ballots();
         loop {
             for (to, body) in self.acceptor.release() {
@@ -169,7 +163,7 @@
                 break;
             }
         }
-        self.note_accepted(now);
+        self.note_times(now);
     }
 
     fn receive(&mut self, now: u64, from: ReplicaId, body: Body) {
@@ -255,87 +249,21 @@
         }
     }
 
-    /// Queues an operation. One of the caller takes the place of a completion, which its own rounds make needless.
-    fn enqueue(&mut self, number: Option<u64>, goal: Goal) {
-        self.active.take_if(|active| active.number.is_none());
-        self.queue.push_back(Operation { number, goal, stage: Stage::Queued, deadline: 0 });
-    }
-
-    /// Starts the next operation if none is active. Returns whether it did.
-    fn start_next(&mut self, now: u64) -> bool {
-        if self.active.is_some() {
-            return false;
-        }
-        let Some(mut operation) = self.queue.pop_front() else {
-            return false;
-        };
-        if operation.number.is_none() && self.accepted_ballot() <= self.committed_ballot() {
-            return true;
-        }
-        operation.deadline = now + OPERATION_MS;
-        let reads = operation.goal == Goal::Read;
-        self.active = Some(operation);
-        if self.electorate().is_none() {
-            self.finish(Err(RegisterError::NoElectorate));
-        } else if reads {
-            self.start_inspect(now);
-        } else {
-            self.start_prepare(now);
-        }
-        true
-    }
-
-    fn write(&mut self, now: u64, operation: u64, data: bytes::Bytes, members: Option<Vec<Member>>) {
-        let active = self.active.take_if(|active| active.number == Some(operation));
-        let Some(Operation { stage: Stage::Prepared(prepared), .. }) = active else {
-            self.refuse_write(operation, active);
-            return;
-        };
-        let predecessor = prepared.current.as_ref().map_or(Ballot::NONE, |current| current.value.origin());
-        let write = Write { data, members, predecessor, origin: Ballot::NONE };
-        self.active = Some(Operation {
-            number: Some(operation),
-            goal: Goal::Write(write),
-            stage: Stage::Waiting { until: now },
-            deadline: now + OPERATION_MS,
-        });
-        self.propose_own(now, prepared);
-    }
-
-    /// Answers a write whose operation is unknown or not prepared.
-    fn refuse_write(&mut self, operation: u64, active: Option<Operation>) {
-        let already_writing =
-            matches!(&active, Some(Operation { goal: Goal::Write(_) | Goal::Settle { .. }, .. }));
-        if already_writing {
-            self.active = active;
-            return;
-        }
-        self.queue.retain(|queued| queued.number != Some(operation));
-        self.outputs.push(Output::Done { operation, result: Err(RegisterError::ConflictBefore) });
-    }
-
-    fn abandon(&mut self, operation: u64) {
-        self.queue.retain(|queued| queued.number != Some(operation));
-        if self.active.as_ref().is_some_and(|active| active.number == Some(operation)) {
-            self.active = None;
-        }
-    }
-
-    /// Ends the active operation.
-    pub(crate) fn finish(&mut self, result: Result<Accepted, RegisterError>) {
-        if let Some(operation) = self.active.take().and_then(|operation| operation.number) {
-            self.outputs.push(Output::Done { operation, result });
-        }
-    }
-
     fn persisted(&mut self, now: u64, token: u64) {
         self.acceptor.persisted(token);
         // A proposer may have waited for a reservation.
         self.tick_round(now);
     }
 
+    fn persist_failed(&mut self, now: u64, token: u64) {
+        self.acceptor.persist_failed(token);
+        self.persist_again_at = now + RESEND_MS;
+    }
+
     fn tick(&mut self, now: u64) {
-        self.acceptor.schedule(&mut self.outputs);
+        if now >= self.persist_again_at {
+            self.acceptor.schedule(&mut self.outputs);
+        }
         if self.active.as_ref().is_some_and(|active| now >= active.deadline) {
             self.expire();
         }
@@ -344,20 +272,6 @@
         self.complete_if_due(now);
     }
 
-    /// Ends the active operation at its deadline.
-    fn expire(&mut self) {
-        let Some(active) = &self.active else {
-            return;
-        };
-        let result = match &active.goal {
-            Goal::Settle { chosen } => Ok(chosen.clone()),
-            Goal::Prepare if matches!(active.stage, Stage::Prepared(_)) => Err(RegisterError::ConflictBefore),
-            Goal::Read | Goal::Prepare => Err(RegisterError::NoQuorum { outcome_unknown: false }),
-            Goal::Write(_) => Err(RegisterError::NoQuorum { outcome_unknown: true }),
-        };
-        self.finish(result);
-    }
-
     fn tick_round(&mut self, now: u64) {
         match self.active.as_ref().map(|active| &active.stage) {
             Some(Stage::Inspecting(_)) => self.tick_inspect(now),
@@ -368,36 +282,6 @@
         }
     }
 
-    fn note_accepted(&mut self, now: u64) {
-        let ballot = self.accepted_ballot();
-        if ballot != Ballot::NONE && self.accepted_since.is_none_or(|(noted, _)| noted != ballot) {
-            self.accepted_since = Some((ballot, now));
-        }
-    }
-
-    /// Reads the register in full when a value accepted here is not heard to be chosen: its proposer may be gone.
-    fn complete_if_due(&mut self, now: u64) {
-        let Some((ballot, since)) = self.accepted_since else {
-            return;
-        };
-        let Some(rank) = self.rank().filter(|_| ballot > self.committed_ballot()) else {
-            return;
-        };
-        let due = since + COMPLETE_AFTER_MS + rank as u64 * COMPLETE_RANK_MS;
-        let mut operations = self.active.iter().chain(&self.queue);
-        let under_way = operations.any(|operation| operation.goal == Goal::Read);
-        if now >= due && !under_way {
-            self.accepted_since = Some((ballot, now));
-            self.enqueue(None, Goal::Read);
-        }
-    }
-
-    /// This replica's position among the voters.
-    fn rank(&self) -> Option<usize> {
-        let voters = self.electorate()?.all_members();
-        voters.iter().position(|member| member.id == self.id)
-    }
-
     pub(crate) fn committed_ballot(&self) -> Ballot {
         self.committed.as_ref().map_or(Ballot::NONE, |committed| committed.ballot)
     }
