Register: a lost write is told for certain only once another is chosen above it

The verdict now needs a value chosen at or above the write's first ballot. A round now needs only the electorate of the highest value met.

--- a/crates/register/src/error.rs
+++ b/crates/register/src/error.rs
@@ -11,7 +11,7 @@
     /// Nothing was proposed: the prepared state was given up before the write, or never reached. Certainly not written.
     #[error("the prepared state is no longer held: nothing was written")]
     ConflictBefore,
-    /// Another value was chosen on the same predecessor. Certainly not written.
+    /// Another value was chosen above ours that does not build on it. Certainly not written.
     #[error("another change was chosen instead: nothing was written")]
     ConflictLost,
     /// No quorum answered in time.
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -10,13 +10,13 @@
 //!
 //! # Electorate
 //! The replicas that vote are part of the value. A change of them is two values: a joint one, whose quorums need a
-//! majority of the new and of the old members, and the final one. The final one is proposed only after the joint one has
-//! been chosen. So where a value with a plain electorate exists at all, a joint value with the same members has been
-//! accepted by a majority of the members before, and whoever starts from those meets it. From this follow the two
-//! rules of a proposer:
-//! - it needs promises from a quorum of the electorate it starts with and, repeatedly, of the electorate of the
-//!   highest value reported so far;
-//! - it needs acceptances from a quorum of the electorate of the value it replaces and of the one it proposes.
+//! majority of the new and of the old members, and the final one, proposed only after the joint one has been chosen.
+//!
+//! A proposer needs promises from a quorum of the electorate of the highest value it has met, and acceptances from a
+//! quorum of that electorate and of the one it proposes. To start from any value met, chosen or not, is enough:
+//! - If its electorate is plain, a value with the same members, plain or joint, has been chosen before. Whatever replaced
+//!   that was accepted by a majority of these members too, so a majority of them leads to it.
+//! - If its electorate is joint, its quorums contain a majority of the members before, for whom the same holds.
 //!
 //! # Identity of a value
 //! A value proposed anew under a higher ballot stays the same value: its [`Value::origin`] is the ballot of its first
--- a/crates/register/src/operation.rs
+++ b/crates/register/src/operation.rs
@@ -93,8 +93,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct PrepareRound {
     pub(crate) ballot: Ballot,
-    /// Electorates each of which must promise by a quorum; the last one is the newest met.
-    pub(crate) electorates: Vec<Electorate>,
+    /// The electorate of the highest value, a quorum of which must promise.
+    pub(crate) electorate: Electorate,
     /// Who has promised, and the ballot it had accepted.
     pub(crate) promises: BTreeMap<ReplicaId, Ballot>,
     /// The highest value held or reported.
@@ -116,8 +116,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct InspectRound {
     pub(crate) read: u64,
-    /// Electorates each of which must answer by a quorum.
-    pub(crate) electorates: Vec<Electorate>,
+    /// The electorate a quorum of which must answer: the one started with, then that of the highest value reported.
+    pub(crate) electorate: Electorate,
     /// Who has answered, and the ballot it had accepted.
     pub(crate) answers: BTreeMap<ReplicaId, Ballot>,
     /// The last value fetched.
@@ -133,45 +133,25 @@
     members.map(|member| member.id).collect()
 }
 
-/// Whether every electorate has a quorum among the replicas heard.
-pub(crate) fn all_quorums(electorates: &[Electorate], heard: &BTreeSet<ReplicaId>) -> bool {
-    electorates.iter().all(|electorate| electorate.is_quorum(heard))
-}
-
-/// Each receiver with the newest electorate in which it votes.
-pub(crate) fn by_electorate(
-    electorates: &[Electorate],
-    receivers: Vec<ReplicaId>,
-) -> Vec<(ReplicaId, Electorate)> {
-    let electorate_of = |id| electorates.iter().rev().find(|electorate| electorate.contains(id));
-    receivers.into_iter().filter_map(|id| Some((id, electorate_of(id)?.clone()))).collect()
-}
-
 impl PrepareRound {
     fn promised_by(&self) -> BTreeSet<ReplicaId> {
         self.promises.keys().copied().collect()
     }
 
     pub(crate) fn is_complete(&self) -> bool {
-        all_quorums(&self.electorates, &self.promised_by())
+        self.electorate.is_quorum(&self.promised_by())
     }
 
     pub(crate) fn unanswered(&self) -> Vec<ReplicaId> {
         let answered = self.promised_by();
-        voters(&self.electorates).difference(&answered).copied().collect()
-    }
-
-    /// The electorate of the highest value if no quorum of it has been asked for yet.
-    pub(crate) fn missing_electorate(&self) -> Option<Electorate> {
-        let electorate = &self.highest.as_ref()?.value.electorate;
-        (!self.electorates.contains(electorate)).then(|| electorate.clone())
+        voters(std::slice::from_ref(&self.electorate)).difference(&answered).copied().collect()
     }
 
     /// Whether a quorum had accepted the highest value under its ballot.
     fn highest_is_chosen(&self) -> bool {
         self.highest.as_ref().is_some_and(|highest| {
             let holders = holders(&self.promises, highest.ballot);
-            highest.value.electorate.is_quorum(&holders)
+            self.electorate.is_quorum(&holders)
         })
     }
 
@@ -179,15 +159,13 @@
     pub(crate) fn into_prepared(self, committed: Ballot) -> Prepared {
         let known = self.highest.as_ref().is_some_and(|highest| highest.ballot == committed);
         let chosen = known || self.highest_is_chosen();
-        let newest = self.highest.as_ref().map(|highest| highest.value.electorate.clone());
-        let electorate = newest.unwrap_or_else(|| self.electorates[0].clone());
-        Prepared { ballot: self.ballot, electorate, current: self.highest, chosen }
+        Prepared { ballot: self.ballot, electorate: self.electorate, current: self.highest, chosen }
     }
 }
 
 impl AcceptRound {
     pub(crate) fn is_complete(&self) -> bool {
-        all_quorums(&self.electorates, &self.accepted_by)
+        self.electorates.iter().all(|electorate| electorate.is_quorum(&self.accepted_by))
     }
 
     pub(crate) fn unanswered(&self) -> Vec<ReplicaId> {
@@ -200,13 +178,13 @@
         self.answers.keys().copied().collect()
     }
 
-    pub(crate) fn has_quorums(&self) -> bool {
-        all_quorums(&self.electorates, &self.answered_by())
+    pub(crate) fn has_quorum(&self) -> bool {
+        self.electorate.is_quorum(&self.answered_by())
     }
 
     pub(crate) fn unanswered(&self) -> Vec<ReplicaId> {
         let answered = self.answered_by();
-        voters(&self.electorates).difference(&answered).copied().collect()
+        voters(std::slice::from_ref(&self.electorate)).difference(&answered).copied().collect()
     }
 
     /// The highest ballot reported.
--- a/crates/register/src/prepare.rs
+++ b/crates/register/src/prepare.rs
@@ -1,6 +1,6 @@
 //! The prepare round, and what follows from it.
 
-use crate::operation::{by_electorate, Goal, Operation, PrepareRound, Prepared, RoundTimes, Stage, Write};
+use crate::operation::{Goal, Operation, PrepareRound, Prepared, RoundTimes, Stage, Write};
 use crate::replica::{Replica, RESEND_MS};
 use crate::{Accepted, Ballot, Body, Output, RegisterError, ReplicaId, Value};
 
@@ -25,7 +25,7 @@
 impl Replica {
     /// Starts a prepare round, or waits while no ballot is reserved.
     pub(crate) fn start_prepare(&mut self, now: u64) {
-        let Some(electorate) = self.electorate().cloned() else {
+        let Some(electorate) = self.voting_electorate().cloned() else {
             return;
         };
         let ballot = self.ballots.take(self.acceptor.durable_reservation());
@@ -35,13 +35,12 @@
         };
         let round = PrepareRound {
             ballot,
-            electorates: vec![electorate],
+            electorate,
             promises: Default::default(),
             highest: self.acceptor.state.accepted.clone(),
             times: RoundTimes::started(now),
         };
         self.set_stage(Stage::Preparing(round));
-        self.extend_prepare(now);
         self.send_prepares();
     }
 
@@ -64,23 +63,28 @@
         };
         let held = round.highest.as_ref().map_or(Ballot::NONE, |highest| highest.ballot);
         let ballot = round.ballot;
-        for (to, electorate) in by_electorate(&round.electorates, round.unanswered()) {
-            self.send(to, Body::Prepare { ballot, held, electorate });
-        }
+        let electorate = round.electorate.clone();
+        let receivers = round.unanswered();
+        self.send_to_all(receivers, &Body::Prepare { ballot, held, electorate });
     }
 
-    /// Extends the round to the electorate of the highest value. Returns whether it did.
-    fn extend_prepare(&mut self, now: u64) -> bool {
+    /// Takes a reported value as the highest one, if it is, and goes on to its electorate.
+    fn take_highest(&mut self, now: u64, reported: Accepted) {
         let Some(round) = self.prepare_round() else {
-            return false;
-        };
-        let Some(electorate) = round.missing_electorate() else {
-            return false;
+            return;
         };
-        round.electorates.push(electorate.clone());
-        round.times.sent_at = now;
-        self.learn_electorate(&electorate);
-        true
+        let held = round.highest.as_ref().map_or(Ballot::NONE, |highest| highest.ballot);
+        if reported.ballot <= held {
+            return;
+        }
+        let electorate = reported.value.electorate.clone();
+        round.highest = Some(reported);
+        if round.electorate != electorate {
+            round.electorate = electorate.clone();
+            round.times.sent_at = now;
+            self.learn_electorate(&electorate);
+            self.send_prepares();
+        }
     }
 
     pub(crate) fn on_promise(
@@ -97,12 +101,8 @@
             return;
         };
         round.promises.insert(from, accepted);
-        let held = round.highest.as_ref().map_or(Ballot::NONE, |highest| highest.ballot);
-        if let Some(value) = value.filter(|_| accepted > held) {
-            round.highest = Some(Accepted { ballot: accepted, value });
-        }
-        if self.extend_prepare(now) {
-            self.send_prepares();
+        if let Some(value) = value {
+            self.take_highest(now, Accepted { ballot: accepted, value });
         }
         if let Some(round) = self.prepare_round().filter(|round| round.is_complete()) {
             let prepared = round.clone().into_prepared(committed);
@@ -205,27 +205,32 @@
 ///
 /// A quorum has promised the new ballot, so no lower one can be chosen any more. What can still be chosen, and what has
 /// been, is the highest value reported.
-/// - It is ours, or descends from ours: proposing it again (unless it is chosen already) makes ours part of the history.
 /// - It is the value ours replaces: ours has not been chosen, and can be proposed again as it stands.
-/// - It is another one: once that is chosen, ours is certainly lost if the lineage goes back to the value it would have
-///   replaced, for then that one has another successor. Ours can be proposed again by whoever met it, but not chosen: a
-///   quorum has accepted the other value under a higher ballot.
+/// - It is chosen under a ballot not below that of our first proposal: that decides; see [`verdict`].
+/// - Otherwise it is proposed again, so that it is chosen under a ballot above ours. That includes values older than the
+///   one ours replaces, which then had not been chosen: others may still hold ours and choose it, unless something else is
+///   chosen above it.
 fn next_step_of_write(write: &Write, prepared: &Prepared) -> Step {
     let origin = prepared.current.as_ref().map_or(Ballot::NONE, |current| current.value.origin());
     if origin == write.predecessor {
         return Step::ProposeOwn;
     }
     match &prepared.current {
-        Some(current) if prepared.chosen => Step::Finish(verdict(write, current)),
+        Some(current) if prepared.chosen && current.ballot >= write.origin => {
+            Step::Finish(verdict(write, current))
+        }
         _ => Step::ProposeCurrent,
     }
 }
 
-/// The outcome of a write, given a chosen value that is not older.
+/// The outcome of a write, given a value chosen under a ballot that is not below the one of the first proposal.
+///
+/// If that value descends from ours, ours is part of the history. If not, ours never will be: whoever prepares a higher
+/// ballot meets the chosen value or a later one, and nobody has met ours above the chosen value's ballot before.
 pub(crate) fn verdict(write: &Write, chosen: &Accepted) -> Result<Accepted, RegisterError> {
     if chosen.value.descends_from(write.origin) {
         Ok(chosen.clone())
-    } else if chosen.value.knows_history_since(write.predecessor) {
+    } else if chosen.value.knows_history_since(write.origin) {
         Err(RegisterError::ConflictLost)
     } else {
         Err(RegisterError::Conflict)
--- a/crates/register/src/read.rs
+++ b/crates/register/src/read.rs
@@ -4,7 +4,7 @@
 //! chosen before the read began has been accepted by a replica of each quorum, so none is newer. Where the reports differ,
 //! the read goes through a prepare and an accept round.
 
-use crate::operation::{by_electorate, InspectRound, RoundTimes, Stage};
+use crate::operation::{InspectRound, RoundTimes, Stage};
 use crate::replica::{Replica, RESEND_MS};
 use crate::{Accepted, Ballot, Body, RegisterError, ReplicaId};
 
@@ -14,12 +14,12 @@
 
 impl Replica {
     pub(crate) fn start_inspect(&mut self, now: u64) {
-        let Some(electorate) = self.electorate().cloned() else {
+        let Some(electorate) = self.voting_electorate().cloned() else {
             return;
         };
         let round = InspectRound {
             read: self.random.next(),
-            electorates: vec![electorate],
+            electorate,
             answers: Default::default(),
             fetched: None,
             fetching: Ballot::NONE,
@@ -41,9 +41,9 @@
             return;
         };
         let read = round.read;
-        for (to, electorate) in by_electorate(&round.electorates, round.unanswered()) {
-            self.send(to, Body::Inspect { read, electorate });
-        }
+        let electorate = round.electorate.clone();
+        let receivers = round.unanswered();
+        self.send_to_all(receivers, &Body::Inspect { read, electorate });
     }
 
     pub(crate) fn on_inspect_reply(&mut self, now: u64, from: ReplicaId, read: u64, accepted: Ballot) {
@@ -64,7 +64,7 @@
     }
 
     fn evaluate_inspect(&mut self, now: u64) {
-        let Some(round) = self.inspect_round().filter(|round| round.has_quorums()) else {
+        let Some(round) = self.inspect_round().filter(|round| round.has_quorum()) else {
             return;
         };
         let top = round.top();
@@ -104,10 +104,11 @@
             return;
         };
         let electorate = highest.value.electorate.clone();
-        if !round.electorates.contains(&electorate) {
-            round.electorates.push(electorate.clone());
+        if round.electorate != electorate {
+            round.electorate = electorate.clone();
             self.learn_electorate(&electorate);
             self.send_inspects();
+            self.evaluate_inspect(now);
             return;
         }
         if electorate.is_quorum(&round.holders(highest.ballot)) {
--- a/crates/register/src/replica.rs
+++ b/crates/register/src/replica.rs
@@ -103,6 +103,13 @@
         in_value.or(self.acceptor.state.first_electorate.as_ref())
     }
 
+    /// The electorate rounds start with: that of the value accepted here, chosen or not.
+    pub(crate) fn voting_electorate(&self) -> Option<&Electorate> {
+        let accepted = self.acceptor.state.accepted.as_ref();
+        let in_value = accepted.map(|accepted| &accepted.value.electorate);
+        in_value.or(self.acceptor.state.first_electorate.as_ref())
+    }
+
     /// Ballot of the value accepted here; [`Ballot::NONE`] if there is none.
     pub fn accepted_ballot(&self) -> Ballot {
         self.acceptor.state.accepted_ballot()
--- a/crates/register/src/types.rs
+++ b/crates/register/src/types.rs
@@ -136,9 +136,10 @@
         self.lineage.contains(&origin)
     }
 
-    /// Whether the lineage goes back to the value of this origin, or to the empty register.
+    /// Whether the lineage goes back to the time of this origin, or to the empty register. Origins rise along it.
     pub(crate) fn knows_history_since(&self, origin: Ballot) -> bool {
-        self.descends_from(origin) || self.lineage.len() < LINEAGE_LENGTH
+        let oldest = self.lineage.first().copied().unwrap_or(Ballot::NONE);
+        self.lineage.len() < LINEAGE_LENGTH || oldest <= origin
     }
 }
 
