--- a/crates/register/tests/simulation/faults.rs
+++ b/crates/register/tests/simulation/faults.rs
@@ -35,11 +35,23 @@
     pub duplication: f64,
     pub last_read_succeeded: bool,
     calm: bool,
+    /// Until when the network is split in two.
+    split_until: u64,
+    /// Which addresses are on the one side of the split.
+    one_side: BTreeSet<String>,
 }
 
 impl Faults {
     pub fn new(plan: Plan) -> Faults {
-        Faults { plan, loss: 0.03, duplication: 0.05, last_read_succeeded: false, calm: false }
+        Faults {
+            plan,
+            loss: 0.03,
+            duplication: 0.05,
+            last_read_succeeded: false,
+            calm: false,
+            split_until: 0,
+            one_side: BTreeSet::new(),
+        }
     }
 
     /// Delay of a message in milliseconds: now and then one is overtaken by many.
@@ -47,6 +59,17 @@
         let late = !self.calm && random.u32(0..20) == 0;
         random.u64(0..if late { 400 } else { 6 })
     }
+
+    /// Whether a split of the network lies between two machines.
+    pub fn parts(&self, now: u64, one: &str, other: &str) -> bool {
+        now < self.split_until && self.one_side.contains(one) != self.one_side.contains(other)
+    }
+}
+
+fn split_network(world: &mut World, until: u64) {
+    world.faults.split_until = until;
+    let addresses = world.machines.iter().map(|machine| machine.address.clone());
+    world.faults.one_side = addresses.filter(|_| world.random.bool()).collect();
 }
 
 /// Draws the faults of one millisecond.
@@ -62,6 +85,7 @@
         13 => lose_all_power(world),
         14..=15 => wipe_if_bearable(world, machine, until),
         16..=25 => rewrite_log(world, machine),
+        26..=28 => split_network(world, until),
         _ => {}
     }
     if world.faults.plan.disks_forget {
@@ -138,6 +162,7 @@
 pub fn heal(world: &mut World) {
     world.faults.calm = true;
     world.faults.loss = 0.0;
+    world.faults.split_until = 0;
     let now = world.now;
     for machine in &mut world.machines {
         machine.cut_until = now;
@@ -146,26 +171,39 @@
     }
 }
 
-/// The members a write asks for, if it changes them: in place of one that is gone, or one more, or one fewer.
+/// The members a write asks for, if it changes them.
 pub fn new_members(world: &mut World, current: Option<&Accepted>) -> Option<Vec<Member>> {
     if !world.faults.plan.reconfigure || world.random.u32(0..3) > 0 {
         return None;
     }
-    let mut members = current?.value.electorate.members.clone();
+    let members = current?.value.electorate.members.clone();
+    let chosen = if world.random.bool() { any_members(world) } else { one_changed(world, members) };
+    (chosen.len() >= 3).then_some(chosen)
+}
+
+/// Three or more of the machines that are up, whoever the members were.
+fn any_members(world: &mut World) -> Vec<Member> {
+    let mut up = members_up(world);
+    world.random.shuffle(&mut up);
+    up.truncate(world.random.usize(3..=5));
+    up
+}
+
+/// The members with another one in place of one that is gone, or one more, or one fewer.
+fn one_changed(world: &mut World, mut members: Vec<Member>) -> Vec<Member> {
     let gone = members.iter().position(|member| world.machines.iter().all(|machine| machine.id != member.id));
-    let outside: Vec<Member> = world
-        .machines
-        .iter()
-        .filter(|machine| machine.replica.is_some() && members.iter().all(|member| member.id != machine.id))
-        .map(|machine| Member { id: machine.id, address: machine.address.clone() })
-        .collect();
+    let mut outside = members_up(world);
+    outside.retain(|machine| members.iter().all(|member| member.id != machine.id));
     if let Some(gone) = gone {
         members.remove(gone);
     } else if members.len() > 3 && world.random.bool() {
         members.remove(world.random.usize(0..members.len()));
     }
-    if let Some(joins) = world.random.choice(&outside) {
-        members.push(joins.clone());
-    }
-    (members.len() >= 3).then_some(members)
+    members.extend(world.random.choice(outside));
+    members
+}
+
+fn members_up(world: &World) -> Vec<Member> {
+    let up = world.machines.iter().filter(|machine| machine.replica.is_some());
+    up.map(|machine| Member { id: machine.id, address: machine.address.clone() }).collect()
 }
--- a/crates/register/tests/simulation/mod.rs
+++ b/crates/register/tests/simulation/mod.rs
@@ -261,6 +261,9 @@
             return;
         }
         let address = if address.is_empty() { self.address_of(to) } else { address };
+        if self.faults.parts(self.now, &sender.address, &address) {
+            return;
+        }
         let from = sender.id;
         let copies = if self.random.f64() < self.faults.duplication { 2 } else { 1 };
         for _ in 0..copies {
