--- a/crates/register/src/prepare.rs
+++ b/crates/register/src/prepare.rs
@@ -169,7 +169,8 @@
         Goal::Read => next_step_of_read(prepared),
         Goal::Prepare => next_step_of_settling(prepared).unwrap_or(Step::HandOver),
         Goal::Settle { chosen } => {
-            let settled = || Step::Finish(Ok(settled_result(chosen, prepared)));
+            let newest = prepared.current.as_ref().filter(|_| prepared.chosen);
+            let settled = || Step::Finish(Ok(settled_result(chosen, newest.unwrap_or(chosen))));
             next_step_of_settling(prepared).unwrap_or_else(settled)
         }
         Goal::Write(write) => next_step_of_write(write, prepared),
@@ -194,11 +195,10 @@
     }
 }
 
-/// The newest value if it is chosen and still has the content written, else the joint one.
-fn settled_result(chosen: &Accepted, prepared: &Prepared) -> Accepted {
-    let newest = prepared.current.as_ref().filter(|_| prepared.chosen);
-    let same = newest.filter(|newest| newest.value.data == chosen.value.data);
-    same.unwrap_or(chosen).clone()
+/// The newest value chosen if it still has the content of the joint one, else the joint one.
+pub(crate) fn settled_result(joint: &Accepted, newest: &Accepted) -> Accepted {
+    let same = newest.value.data == joint.value.data;
+    if same { newest } else { joint }.clone()
 }
 
 /// Finds out what has become of a write whose accept round was interrupted.
--- a/crates/register/src/proposal.rs
+++ b/crates/register/src/proposal.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::operation::{voters, AcceptRound, Goal, Prepared, RoundTimes, Stage};
-use crate::prepare::verdict;
+use crate::prepare::{settled_result, verdict};
 use crate::replica::{Replica, RESEND_MS};
 use crate::{Accepted, Ballot, Body, Electorate, ReplicaId, Value};
 
@@ -102,7 +102,12 @@
         };
         match &active.goal {
             Goal::Read => self.finish(Ok(chosen)),
-            Goal::Prepare | Goal::Settle { .. } => self.start_prepare(now),
+            Goal::Prepare => self.start_prepare(now),
+            Goal::Settle { .. } if chosen.value.electorate.is_joint() => self.start_prepare(now),
+            Goal::Settle { chosen: joint } => {
+                let result = settled_result(joint, &chosen);
+                self.finish(Ok(result));
+            }
             Goal::Write(write) => match verdict(write, &chosen) {
                 Ok(chosen) if chosen.value.electorate.is_joint() => {
                     active.goal = Goal::Settle { chosen };
