--- a/crates/register/tests/simulation/faults.rs
+++ b/crates/register/tests/simulation/faults.rs
@@ -1,8 +1,8 @@
 //! Which faults strike, and when.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
-use switchhill_register::{Accepted, Electorate, Member, Record, RegisterError, ReplicaId};
+use switchhill_register::{Accepted, Ballot, Electorate, Member, Record, RegisterError, ReplicaId};
 
 use super::disk::Mood;
 use super::World;
@@ -39,6 +39,8 @@
     split_until: u64,
     /// Which addresses are on the one side of the split.
     one_side: BTreeSet<String>,
+    /// Electorates ever proposed, which may be accepted at any time while nothing is chosen above them.
+    proposed: BTreeMap<Ballot, Electorate>,
 }
 
 impl Faults {
@@ -51,6 +53,7 @@
             calm: false,
             split_until: 0,
             one_side: BTreeSet::new(),
+            proposed: BTreeMap::new(),
         }
     }
 
@@ -60,6 +63,10 @@
         random.u64(0..if late { 400 } else { 6 })
     }
 
+    pub fn note_proposed(&mut self, ballot: Ballot, electorate: &Electorate) {
+        self.proposed.entry(ballot).or_insert_with(|| electorate.clone());
+    }
+
     /// Whether a split of the network lies between two machines.
     pub fn parts(&self, now: u64, one: &str, other: &str) -> bool {
         now < self.split_until && self.one_side.contains(one) != self.one_side.contains(other)
@@ -155,6 +162,8 @@
         first.clear();
     }
     first.extend(accepted.into_iter().map(|accepted| accepted.value.electorate));
+    let in_flight = world.faults.proposed.range(newest.unwrap_or(Ballot::NONE)..);
+    first.extend(in_flight.map(|(_, electorate)| electorate.clone()));
     first
 }
 
--- a/crates/register/tests/simulation/mod.rs
+++ b/crates/register/tests/simulation/mod.rs
@@ -10,7 +10,9 @@
 use disk::{Disk, Finished};
 use faults::{Faults, Plan};
 use history::{content_of, Content, History, Violation};
-use switchhill_register::{Accepted, Input, Member, Message, Output, RegisterError, Replica, ReplicaId};
+use switchhill_register::{
+    Accepted, Body, Input, Member, Message, Output, RegisterError, Replica, ReplicaId,
+};
 
 /// Time between two ticks of a replica, in milliseconds.
 const TICK_MS: u64 = 20;
@@ -256,6 +258,9 @@
 
     fn send(&mut self, machine: usize, to: ReplicaId, address: String, message: Message) {
         assert_eq!(to, message.to, "seed {}", self.seed);
+        if let Body::Accept { ballot, value } = &message.body {
+            self.faults.note_proposed(*ballot, &value.electorate);
+        }
         let sender = &self.machines[machine];
         if sender.cut_until > self.now || self.random.f64() < self.faults.loss {
             return;
