--- /dev/null
+++ b/lab/src/emulator/operator.rs
@@ -0,0 +1,325 @@
+//! A stand-in operator: changes, races, orders sent again, invalid orders, reading back.
+
+use super::site;
+use bytes::Bytes;
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, BTreeSet};
+use switchhill_configuration::{Order, OrderKind};
+use switchhill_control::Call;
+
+/// Time in milliseconds for the answer to a call.
+const ANSWER_WITHIN: u64 = 1_000;
+
+/// Pause in milliseconds before a call is made again; grows with each.
+const PAUSE: u64 = 120;
+
+/// Longest pause in milliseconds before a call is made again.
+const LONGEST_PAUSE: u64 = 1_000;
+
+/// Time in milliseconds after which an order without a clear answer is no longer sent.
+const GIVE_UP_AFTER: u64 = 15_000;
+
+/// Time in milliseconds between two intents of the operator, at least and at most.
+const PAUSE_BETWEEN: std::ops::RangeInclusive<u64> = 300..=900;
+
+/// Statuses that are a clear refusal.
+const REFUSALS: [u16; 5] = [400, 409, 412, 413, 422];
+
+/// An order of the operator, as the checkers need it.
+#[derive(Debug, Clone)]
+pub struct SentOrder {
+    /// Its number, which its marker route carries.
+    pub number: u64,
+    /// Revision that it leads to.
+    pub revision: u64,
+    /// Version that it builds on.
+    pub base: u64,
+    /// Whether its body is valid.
+    pub valid: bool,
+    /// When it was first sent.
+    pub first_sent: u64,
+}
+
+/// What a configuration says, as far as the emulator looks.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Seen {
+    /// Its revision.
+    pub revision: u64,
+    /// Orders that it contains, by their markers.
+    pub orders: BTreeSet<u64>,
+}
+
+impl Seen {
+    /// Reads a configuration.
+    pub fn read(document: &[u8]) -> Option<Seen> {
+        let document: Value = serde_json::from_slice(document).ok()?;
+        let revision = document["revision"].as_u64()?;
+        let names = document["routes"].as_array()?.iter().filter_map(|route| route["name"].as_str());
+        Some(Seen { revision, orders: names.filter_map(site::order_of_marker).collect() })
+    }
+}
+
+/// A call of the operator.
+#[derive(Debug, Clone)]
+pub struct OperatorCall {
+    /// Number by which its answer is known.
+    pub number: u64,
+    /// Core machine that is called.
+    pub core: usize,
+    /// The order that is sent, unless it reads.
+    pub order: Option<u64>,
+    /// When the reading or the order began.
+    pub began: u64,
+    /// The call.
+    pub call: Call,
+}
+
+#[derive(Debug, Clone)]
+enum Task {
+    Send { order: u64, resent: bool },
+    Read,
+}
+
+#[derive(Debug)]
+struct Ongoing {
+    task: Task,
+    began: u64,
+    tries: u64,
+    next_try: u64,
+    /// Number and deadline of the call under way.
+    call: Option<(u64, u64)>,
+    target: Option<usize>,
+}
+
+/// The operator.
+#[derive(Debug)]
+pub struct Operator {
+    random: fastrand::Rng,
+    orders: BTreeMap<u64, (SentOrder, Order)>,
+    acknowledged: Vec<u64>,
+    known: Option<Seen>,
+    stale: bool,
+    ongoing: Vec<Ongoing>,
+    next_intent: u64,
+    next_number: u64,
+    plain_from: u64,
+}
+
+impl Operator {
+    /// An operator who sends only plain changes and reads from `plain_from` on.
+    pub fn new(seed: u64, starts_at: u64, plain_from: u64) -> Operator {
+        Operator {
+            random: fastrand::Rng::with_seed(seed),
+            orders: BTreeMap::new(),
+            acknowledged: Vec::new(),
+            known: None,
+            stale: false,
+            ongoing: Vec::new(),
+            next_intent: starts_at,
+            next_number: 0,
+            plain_from,
+        }
+    }
+
+    /// An order that was sent.
+    pub fn order(&self, number: u64) -> Option<&SentOrder> {
+        self.orders.get(&number).map(|(sent, _)| sent)
+    }
+
+    /// Orders that have neither been acknowledged nor refused, with the time at which they were first sent.
+    pub fn waiting(&self) -> impl Iterator<Item = &SentOrder> {
+        self.ongoing.iter().filter_map(|ongoing| match ongoing.task {
+            Task::Send { order, resent: false } => self.order(order),
+            _ => None,
+        })
+    }
+
+    /// Time has passed; calls to be made.
+    pub fn tick(&mut self, now: u64, cores: &[usize]) -> Vec<OperatorCall> {
+        if now >= self.next_intent {
+            self.next_intent = now + self.random.u64(PAUSE_BETWEEN);
+            self.intend(now);
+        }
+        self.expire(now);
+        let due: Vec<usize> = (0..self.ongoing.len())
+            .filter(|index| self.ongoing[*index].call.is_none() && now >= self.ongoing[*index].next_try)
+            .collect();
+        due.into_iter().filter_map(|index| self.call(now, index, cores)).collect()
+    }
+
+    fn intend(&mut self, now: u64) {
+        if self.ongoing.iter().any(|ongoing| matches!(ongoing.task, Task::Send { resent: false, .. })) {
+            return;
+        }
+        let Some(known) = self.known.clone() else {
+            self.change(now, OrderKind::Replace, &Seen::default(), true);
+            return;
+        };
+        if self.stale {
+            self.begin(now, Task::Read);
+            return;
+        }
+        let choice = if now >= self.plain_from { self.random.u32(50..100) } else { self.random.u32(0..100) };
+        match choice {
+            0..=9 => self.invalid_change(now, &known),
+            10..=19 => self.send_again(now),
+            20..=39 => {
+                self.change(now, OrderKind::Update, &known, true);
+                self.change(now, OrderKind::Update, &known, true);
+            }
+            40..=49 => self.change(now, OrderKind::Replace, &known, true),
+            50..=69 => self.begin(now, Task::Read),
+            _ => self.change(now, OrderKind::Update, &known, true),
+        }
+    }
+
+    fn begin(&mut self, now: u64, task: Task) {
+        self.ongoing.push(Ongoing { task, began: now, tries: 0, next_try: now, call: None, target: None });
+    }
+
+    fn change(&mut self, now: u64, kind: OrderKind, known: &Seen, valid: bool) {
+        let number = self.new_number();
+        let revision = known.revision + self.random.u64(1..=3);
+        let body = match kind {
+            OrderKind::Replace => site::whole_configuration(
+                revision,
+                known.orders.iter().copied().chain(std::iter::once(number)),
+            ),
+            OrderKind::Update => {
+                json!({"revision": revision, "upsert": {"routes": [site::marker_route(number)]}})
+            }
+        };
+        self.send(now, number, kind, known.revision, revision, body.to_string(), valid);
+    }
+
+    fn invalid_change(&mut self, now: u64, known: &Seen) {
+        let number = self.new_number();
+        let revision = known.revision + 1;
+        let mut route = site::marker_route(number);
+        let body = match self.random.u32(0..4) {
+            0 => format!("{{\"revision\":{revision},\"upsert\":{{\"routes\":[{route}"),
+            1 => {
+                route["service"] = json!("unknown");
+                json!({"revision": revision, "upsert": {"routes": [route]}}).to_string()
+            }
+            2 => {
+                route["timeoutMs"] = json!(0);
+                json!({"revision": revision, "upsert": {"routes": [route]}}).to_string()
+            }
+            _ => json!({"revision": known.revision, "upsert": {"routes": [route]}}).to_string(),
+        };
+        self.send(now, number, OrderKind::Update, known.revision, revision, body, false);
+    }
+
+    fn new_number(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn send(
+        &mut self,
+        now: u64,
+        number: u64,
+        kind: OrderKind,
+        base: u64,
+        revision: u64,
+        body: String,
+        valid: bool,
+    ) {
+        let sent = SentOrder { number, revision, base, valid, first_sent: now };
+        let order = Order { kind, base_version: base, body: Bytes::from(body) };
+        self.orders.insert(number, (sent, order));
+        self.begin(now, Task::Send { order: number, resent: false });
+    }
+
+    fn send_again(&mut self, now: u64) {
+        let newest = self.acknowledged.len().saturating_sub(3)..self.acknowledged.len();
+        if let Some(index) = (!newest.is_empty()).then(|| self.random.usize(newest)) {
+            self.begin(now, Task::Send { order: self.acknowledged[index], resent: true });
+        }
+    }
+
+    fn expire(&mut self, now: u64) {
+        let over: Vec<u64> = self
+            .ongoing
+            .iter()
+            .filter_map(|ongoing| {
+                ongoing.call.filter(|(_, deadline)| now >= *deadline).map(|(number, _)| number)
+            })
+            .collect();
+        for number in over {
+            self.answered(now, number, None);
+        }
+    }
+
+    fn call(&mut self, now: u64, index: usize, cores: &[usize]) -> Option<OperatorCall> {
+        if cores.is_empty() {
+            return None;
+        }
+        let number = self.new_number();
+        let others: Vec<usize> =
+            cores.iter().copied().filter(|core| self.ongoing[index].target != Some(*core)).collect();
+        let choices = if others.is_empty() { cores } else { &others };
+        let core = choices[self.random.usize(0..choices.len())];
+        let ongoing = &mut self.ongoing[index];
+        ongoing.target = Some(core);
+        ongoing.tries += 1;
+        ongoing.call = Some((number, now + ANSWER_WITHIN));
+        let (order, call) = match ongoing.task {
+            Task::Read => (None, Call::Read),
+            Task::Send { order, .. } => (Some(order), Call::Change(self.orders.get(&order)?.1.clone())),
+        };
+        Some(OperatorCall { number, core, order, began: ongoing.began, call })
+    }
+
+    /// A call was answered, or there was no answer.
+    pub fn answered(&mut self, now: u64, number: u64, answer: Option<(u16, &[u8])>) {
+        let is_it = |ongoing: &Ongoing| ongoing.call.is_some_and(|(call, _)| call == number);
+        let Some(index) = self.ongoing.iter().position(is_it) else { return };
+        self.ongoing[index].call = None;
+        let task = self.ongoing[index].task.clone();
+        let ended = match (task, answer) {
+            (Task::Read, Some((200, body))) => self.read(body),
+            (Task::Send { order, .. }, Some((200, _))) => self.acknowledge(order),
+            (Task::Send { .. }, Some((status, _))) if REFUSALS.contains(&status) => {
+                self.stale = true;
+                true
+            }
+            _ => false,
+        };
+        let ongoing = &mut self.ongoing[index];
+        if ended {
+            self.ongoing.remove(index);
+        } else if now >= ongoing.began + GIVE_UP_AFTER {
+            self.stale = true;
+            self.ongoing.remove(index);
+        } else {
+            ongoing.next_try = now + (PAUSE * ongoing.tries).min(LONGEST_PAUSE);
+        }
+    }
+
+    fn read(&mut self, body: &[u8]) -> bool {
+        let Some(seen) = Seen::read(body) else { return false };
+        let newer = self.known.as_ref().is_none_or(|known| seen.revision >= known.revision);
+        if newer {
+            self.known = Some(seen);
+            self.stale = false;
+        }
+        true
+    }
+
+    fn acknowledge(&mut self, number: u64) -> bool {
+        self.acknowledged.push(number);
+        let Some((sent, _)) = self.orders.get(&number) else { return true };
+        let base = self.known.as_ref().map_or(0, |known| known.revision);
+        if sent.base == base {
+            let known = self.known.get_or_insert_default();
+            known.revision = sent.revision;
+            known.orders.insert(number);
+        } else if sent.revision > base {
+            self.stale = true;
+        }
+        true
+    }
+}
--- /dev/null
+++ b/lab/src/emulator/run.rs
@@ -0,0 +1,91 @@
+//! Runs by seed.
+
+use super::checkers::Violation;
+use super::faults;
+use super::site::Sizes;
+use super::world::{Plan, World};
+use std::fmt;
+
+/// When the operator turns to plain changes, in milliseconds: after the last fault has ended.
+const PLAIN_FROM: u64 = faults::FAULTS_UNTIL + 6_000;
+
+/// When a run ends, in milliseconds: late enough for a recovery after the last fault.
+const ENDS_AT: u64 = faults::FAULTS_UNTIL + 18_000;
+
+/// What came of a run.
+#[derive(Debug, Clone)]
+pub struct Report {
+    /// The seed.
+    pub seed: u64,
+    /// Broken rules, the first of each.
+    pub violations: Vec<Violation>,
+    /// Changes that were acknowledged.
+    pub acknowledged: usize,
+    /// Readings that were answered.
+    pub reads: u64,
+    /// Orders that workers received.
+    pub orders: u64,
+    /// Ends of workers that were acknowledged.
+    pub ends: usize,
+    /// Longest time in milliseconds from an acknowledgement to its being in force at a machine in touch.
+    pub worst_in_force_ms: u64,
+    /// Longest time in milliseconds of a change's answer while the core was calm.
+    pub worst_answer_ms: u64,
+    /// Longest time in milliseconds until a change was acknowledged after all of the core was down.
+    pub worst_recovery_ms: u64,
+    /// Most loads from the weight store in a window.
+    pub most_loads: usize,
+    /// Events handled.
+    pub events: u64,
+    /// Digest of all answers: the same for the same seed.
+    pub trace: u64,
+}
+
+impl Report {
+    /// Whether all that must hold held.
+    pub fn holds(&self) -> bool {
+        self.violations.is_empty()
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "seed {}", self.seed)?;
+        self.violations.iter().try_for_each(|violation| write!(f, "\n  {violation}"))
+    }
+}
+
+/// The plan of a seed.
+pub fn plan(seed: u64) -> Plan {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let sizes = Sizes::draw(&mut random);
+    let faults = faults::draw(&mut random);
+    Plan { seed, sizes, faults, plain_from: PLAIN_FROM, ends_at: ENDS_AT, flaw: None }
+}
+
+/// Plays a plan.
+pub fn play(plan: Plan) -> Report {
+    let seed = plan.seed;
+    let mut world = World::new(plan);
+    world.run();
+    let checkers = &world.checkers;
+    Report {
+        seed,
+        acknowledged: checkers.changes.acknowledged_count(),
+        reads: world.reads,
+        orders: checkers.placers.orders(),
+        ends: checkers.draining.count(),
+        worst_in_force_ms: checkers.in_force.worst_ms(),
+        worst_answer_ms: checkers.liveness.worst_ms(),
+        worst_recovery_ms: checkers.liveness.worst_recovery_ms(),
+        most_loads: checkers.loads.most(),
+        events: world.handled,
+        trace: world.trace,
+        violations: world.checkers.violations.clone().into_vec(),
+    }
+}
+
+/// Plays a seed, the same each time.
+pub fn replay(seed: u64) -> Report {
+    play(plan(seed))
+}
--- /dev/null
+++ b/lab/src/emulator/world/core_machine.rs
@@ -0,0 +1,200 @@
+//! Core machines: their processes start and end, their disks write.
+
+use super::core_process::{Connections, CoreProcess};
+use super::{Event, Message, World};
+use crate::emulator::calm::Subject;
+use crate::emulator::disk::{Disk, DiskCondition, DiskFlaw, Identity};
+use crate::emulator::host::Host;
+use crate::emulator::network::{Path, Stream};
+use switchhill_control::{ControlNode, Input, NodeSettings, SubscriberId};
+use switchhill_register::{Member, ReplicaId};
+
+/// Time in milliseconds between two ticks of a core node.
+pub(super) const CORE_TICK_EVERY: u64 = 25;
+
+/// Seeds of the first electorate.
+const FIRST_VOTERS: usize = 3;
+
+/// Whether a machine works.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Power {
+    /// Its process is not running; connections are refused.
+    Idle,
+    /// Its process runs.
+    Running,
+    /// It has no power; nothing answers.
+    Off,
+    /// It was taken away.
+    Gone,
+}
+
+/// A core machine.
+pub(super) struct CoreMachine {
+    pub(super) power: Power,
+    pub(super) life: u32,
+    pub(super) process: Option<CoreProcess>,
+    pub(super) disk: Disk,
+    pub(super) usual: DiskCondition,
+    /// Whether the process was started before: the system is not started for the first time.
+    started_before: bool,
+}
+
+impl CoreMachine {
+    /// A machine with an empty disk that has not started.
+    pub(super) fn new(sync_ms: u64, flaw: Option<DiskFlaw>) -> CoreMachine {
+        let usual = DiskCondition { sync_ms, refuses: false };
+        CoreMachine {
+            power: Power::Off,
+            life: 0,
+            process: None,
+            disk: Disk::new(usual, flaw),
+            usual,
+            started_before: false,
+        }
+    }
+
+    /// A machine that joins a running system.
+    pub(super) fn joining(sync_ms: u64, flaw: Option<DiskFlaw>) -> CoreMachine {
+        CoreMachine { started_before: true, ..CoreMachine::new(sync_ms, flaw) }
+    }
+
+    pub(super) fn is_gone(&self) -> bool {
+        self.power == Power::Gone
+    }
+
+    pub(super) fn is_running(&self) -> bool {
+        self.power == Power::Running
+    }
+}
+
+impl World {
+    /// A core machine's process starts.
+    pub(super) fn start_core(&mut self, core: usize) {
+        if matches!(self.cores[core].power, Power::Running | Power::Gone) {
+            return;
+        }
+        let seeds = self.seeds();
+        let address = Host::Core(core).address();
+        let bootstrap = !self.cores[core].started_before;
+        let first_voter = bootstrap && seeds.iter().take(FIRST_VOTERS).any(|seed| *seed == address);
+        let fresh = match first_voter {
+            true => Identity { replica: genesis_replica(&address), genesis: true },
+            false => Identity { replica: self.random.u64(..) & !1, genesis: false },
+        };
+        let machine = &mut self.cores[core];
+        let identity = machine.disk.identity_or(fresh);
+        let records = machine.disk.records();
+        let genesis = (identity.genesis && records.is_empty()).then(|| genesis_members(&seeds));
+        let life_number = self.random.u64(..) & !1;
+        let settings = NodeSettings {
+            replica: identity.replica,
+            life: life_number,
+            node_name: Host::Core(core).to_string(),
+            address,
+            seeds,
+            machines_lost: self.plan.sizes.machines_lost,
+            worker_heartbeat_ms: self.bounds.heartbeat_ms,
+            lease_ms: self.bounds.lease_ms,
+            ceiling_window_ms: self.bounds.ceiling_window_ms,
+            fencing: self.plan.sizes.fencing,
+            seed: life_number,
+        };
+        machine.started_before = true;
+        machine.life += 1;
+        machine.power = Power::Running;
+        machine.process = Some(CoreProcess::new(ControlNode::new(self.now, settings, records, genesis)));
+        let life = machine.life;
+        self.events.add(self.now, Event::CoreTick(core, life));
+        self.calm.touch(self.now, Subject::Core);
+        self.note_all_back();
+    }
+
+    fn note_all_back(&mut self) {
+        if self.all_down_since.is_some() && self.all_cores_run() {
+            self.all_down_since = None;
+            self.calm.touch(self.now + self.bounds.liveness_ms, Subject::Core);
+            self.checkers.liveness.all_back(self.now);
+        }
+    }
+
+    /// A core machine's process ends at once. Its connections are reset, unless the power failed.
+    pub(super) fn stop_core(&mut self, core: usize, power: Power) {
+        let machine = &mut self.cores[core];
+        if machine.power == Power::Gone {
+            return;
+        }
+        match power {
+            Power::Off => machine.disk.power_lost(&mut self.random),
+            _ => machine.disk.process_ended(),
+        }
+        let life = machine.life;
+        machine.life += 1;
+        machine.power = power;
+        let process = machine.process.take();
+        self.calm.touch(self.now, Subject::Core);
+        if let Some(process) = process.filter(|_| power != Power::Off) {
+            self.reset_connections(core, life, process.connections);
+        }
+    }
+
+    /// All connections of a core machine are reset, its process goes on.
+    pub(super) fn reset_core_connections(&mut self, core: usize) {
+        let life = self.cores[core].life;
+        let Some(process) = self.cores[core].process.as_mut() else { return };
+        let connections = std::mem::take(&mut process.connections);
+        let subscribers: Vec<SubscriberId> = connections.subscribers.keys().copied().collect();
+        self.reset_connections(core, life, connections);
+        for id in subscribers {
+            self.core_input(core, Input::SubscriberGone(id));
+        }
+    }
+
+    fn reset_connections(&mut self, core: usize, life: u32, connections: Connections) {
+        let from = Host::Core(core);
+        for (edge, agent_life, link) in connections.subscribers.into_values() {
+            let path = Path { from, to: Host::Edge(edge) };
+            self.send(path, Stream::Link(link.0), (life, Some(agent_life)), Message::LinkReset(link));
+        }
+        for caller in connections.calls.into_values() {
+            let path = Path { from, to: caller.host };
+            self.send(
+                path,
+                Stream::Call,
+                (life, Some(caller.life)),
+                Message::CallAnswered(caller.number, None),
+            );
+        }
+    }
+
+    /// Lets a disk begin what waits.
+    pub(super) fn start_disk(&mut self, core: usize) {
+        let machine = &mut self.cores[core];
+        if let Some(takes) = machine.disk.begin() {
+            self.events.add(self.now + takes, Event::DiskDone(core, machine.life));
+        }
+    }
+
+    /// A disk has synced.
+    pub(super) fn disk_done(&mut self, core: usize, life: u32) {
+        if self.cores[core].life != life {
+            return;
+        }
+        for input in self.cores[core].disk.complete() {
+            self.core_input(core, input);
+        }
+        self.start_disk(core);
+    }
+}
+
+fn genesis_members(seeds: &[String]) -> Vec<Member> {
+    let member =
+        |address: &String| Member { id: ReplicaId(genesis_replica(address)), address: address.clone() };
+    seeds.iter().take(FIRST_VOTERS).map(member).collect()
+}
+
+/// Identity of a seed of the first electorate: odd, the same for all that know its address.
+fn genesis_replica(address: &str) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    address.bytes().fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME)) | 1
+}
--- /dev/null
+++ b/lab/src/emulator/world/operator_calls.rs
@@ -0,0 +1,96 @@
+//! The operator's calls, and what the checkers learn from their answers.
+
+use super::{CallNumber, Delivery, Event, Flaw, Message, World};
+use crate::emulator::host::Host;
+use crate::emulator::network::{Path, Stream};
+use crate::emulator::operator::Seen;
+use switchhill_control::Answer;
+
+/// Time in milliseconds between two ticks of the operator.
+const OPERATOR_TICK_EVERY: u64 = 20;
+
+/// Longest time in milliseconds between an acknowledgement and a fault that waits for it.
+const SOON: u64 = 5;
+
+/// A call of the operator.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct OpenCall {
+    /// The order that it sends; none for a reading.
+    order: Option<u64>,
+    began: u64,
+}
+
+impl World {
+    /// The operator's tick.
+    pub(super) fn operator_tick(&mut self) {
+        self.events.add(self.now + OPERATOR_TICK_EVERY, Event::OperatorTick);
+        let cores = self.listed_cores();
+        for call in self.operator.tick(self.now, &cores) {
+            self.operator_calls.insert(call.number, OpenCall { order: call.order, began: call.began });
+            if let Some(sent) = call.order.and_then(|order| self.operator.order(order)) {
+                self.checkers.changes.sent(sent);
+            }
+            let path = Path { from: Host::Operator, to: Host::Core(call.core) };
+            self.send(path, Stream::Call, (0, None), Message::Call(call.number, call.call));
+        }
+    }
+
+    /// A core node answers the operator: whether the answer leaves the machine.
+    pub(super) fn operator_answer_leaves(
+        &mut self,
+        _core: usize,
+        number: CallNumber,
+        answer: &Answer,
+    ) -> bool {
+        let Some(open) = self.operator_calls.get(&number).copied() else { return true };
+        match open.order {
+            Some(order) => {
+                if self.plan.flaw == Some(Flaw::NoAnswers) {
+                    return false;
+                }
+                self.change_answered(order, answer.status);
+            }
+            None if answer.status == 200 => self.configuration_read(open.began, &answer.body),
+            None => {}
+        }
+        self.answers_lost == 0
+    }
+
+    fn change_answered(&mut self, order: u64, status: u16) {
+        let checkers = &mut self.checkers;
+        let first = checkers.changes.answered(self.now, order, status, &mut checkers.violations);
+        if !first {
+            return;
+        }
+        if let Some(sent) = self.operator.order(order) {
+            self.checkers.in_force.acknowledged(self.now, sent.revision);
+        }
+        if !self.after_acknowledgement.is_empty() {
+            let fault = self.after_acknowledgement.remove(0);
+            let at = self.now + self.random.u64(0..=SOON);
+            self.add_fault(at, fault);
+        }
+    }
+
+    fn configuration_read(&mut self, began: u64, body: &[u8]) {
+        self.reads += 1;
+        let checkers = &mut self.checkers;
+        if let Some(seen) = Seen::read(body) {
+            checkers.changes.read(self.now, began, &seen, &mut checkers.violations);
+        }
+    }
+
+    /// An answer reaches the operator.
+    pub(super) fn deliver_to_operator(&mut self, delivery: Delivery) {
+        let Message::CallAnswered(number, answer) = delivery.message else { return };
+        let status = answer.as_ref().map(|answer| answer.status);
+        let order = self.operator_calls.get(&number).and_then(|open| open.order);
+        if let Some(sent) = order.and_then(|order| self.operator.order(order)) {
+            if let Some(status) = status.filter(|status| *status < 500) {
+                self.checkers.liveness.answered(self.now, sent, status, &self.calm);
+            }
+        }
+        let answer = answer.as_ref().map(|answer| (answer.status, &answer.body[..]));
+        self.operator.answered(self.now, number, answer);
+    }
+}
