--- a/lab/src/emulator/faults.rs
+++ b/lab/src/emulator/faults.rs
@@ -32,51 +32,144 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Fault {
     /// A core node is killed and started again.
-    KillCore { core: usize },
+    KillCore {
+        /// Number of the core machine.
+        core: usize,
+    },
     /// A core machine loses power for some time.
-    PowerOffCore { core: usize },
+    PowerOffCore {
+        /// Number of the core machine.
+        core: usize,
+    },
     /// A core machine stands still.
-    FreezeCore { core: usize, for_ms: u64 },
+    FreezeCore {
+        /// Number of the core machine.
+        core: usize,
+        /// For how long, in milliseconds.
+        for_ms: u64,
+    },
     /// A core machine loses its disk; the others may lose power at the same moment.
-    WipeCore { core: usize, others_lose_power: bool },
+    WipeCore {
+        /// Number of the core machine.
+        core: usize,
+        /// Whether all others lose power with it.
+        others_lose_power: bool,
+    },
     /// A core machine goes for good; an empty one joins at another address.
-    ReplaceCore { core: usize },
+    ReplaceCore {
+        /// Number of the core machine.
+        core: usize,
+    },
     /// All core nodes are killed at once.
     KillAllCores,
     /// All core machines lose power at once.
     PowerOffAllCores,
     /// All connections of a core machine are reset.
-    ResetCore { core: usize },
+    ResetCore {
+        /// Number of the core machine.
+        core: usize,
+    },
     /// A core machine's disk is slow, stalls or refuses writes.
-    TroubleDisk { core: usize, condition: DiskCondition, for_ms: u64 },
+    TroubleDisk {
+        /// Number of the core machine.
+        core: usize,
+        /// How the disk behaves.
+        condition: DiskCondition,
+        /// For how long, in milliseconds.
+        for_ms: u64,
+    },
     /// Some core machines, by bits, are cut from the other ones.
-    CutCore { side: u32, direction: Direction, for_ms: u64 },
+    CutCore {
+        /// Which machines are on one side, by bits.
+        side: u32,
+        /// What does not pass.
+        direction: Direction,
+        /// For how long, in milliseconds.
+        for_ms: u64,
+    },
     /// Packets between all core machines are lost.
-    LosePacketsInCore { for_ms: u64 },
+    LosePacketsInCore {
+        /// For how long, in milliseconds.
+        for_ms: u64,
+    },
     /// An edge machine is cut from some core machines, by bits.
-    CutEdge { edge: usize, cores: u32, direction: Direction, for_ms: u64 },
+    CutEdge {
+        /// Number of the edge machine.
+        edge: usize,
+        /// Core machines, by bits.
+        cores: u32,
+        /// What does not pass.
+        direction: Direction,
+        /// For how long, in milliseconds.
+        for_ms: u64,
+    },
     /// Packets of an edge machine are lost.
-    LosePacketsOfEdge { edge: usize, for_ms: u64 },
+    LosePacketsOfEdge {
+        /// Number of the edge machine.
+        edge: usize,
+        /// For how long, in milliseconds.
+        for_ms: u64,
+    },
     /// An edge machine stands still.
-    FreezeEdge { edge: usize, for_ms: u64 },
+    FreezeEdge {
+        /// Number of the edge machine.
+        edge: usize,
+        /// For how long, in milliseconds.
+        for_ms: u64,
+    },
     /// All links of an agent are reset.
-    ResetEdge { edge: usize },
+    ResetEdge {
+        /// Number of the edge machine.
+        edge: usize,
+    },
     /// An agent is killed and started again.
-    KillAgent { edge: usize },
+    KillAgent {
+        /// Number of the edge machine.
+        edge: usize,
+    },
     /// A data plane is killed and started again.
-    KillDataPlane { edge: usize },
+    KillDataPlane {
+        /// Number of the edge machine.
+        edge: usize,
+    },
     /// An edge machine loses power for some time.
-    PowerOffEdge { edge: usize },
+    PowerOffEdge {
+        /// Number of the edge machine.
+        edge: usize,
+    },
     /// A worker crashes.
-    CrashWorker { place: usize },
+    CrashWorker {
+        /// Number of the worker.
+        place: usize,
+    },
     /// A worker leaves as planned.
-    DrainWorker { place: usize },
+    DrainWorker {
+        /// Number of the worker.
+        place: usize,
+    },
     /// A worker is cut from some core machines, by bits.
-    CutWorker { place: usize, cores: u32, direction: Direction, for_ms: u64 },
+    CutWorker {
+        /// Number of the worker.
+        place: usize,
+        /// Core machines, by bits.
+        cores: u32,
+        /// What does not pass.
+        direction: Direction,
+        /// For how long, in milliseconds.
+        for_ms: u64,
+    },
     /// A worker stands still.
-    FreezeWorker { place: usize, for_ms: u64 },
+    FreezeWorker {
+        /// Number of the worker.
+        place: usize,
+        /// For how long, in milliseconds.
+        for_ms: u64,
+    },
     /// Answers to the operator are lost.
-    LoseAnswers { for_ms: u64 },
+    LoseAnswers {
+        /// For how long, in milliseconds.
+        for_ms: u64,
+    },
     /// A fault right after the next acknowledgement.
     AfterAcknowledgement(Box<Fault>),
 }
@@ -87,9 +180,23 @@
     /// A machine goes on; the number tells its freezes apart.
     Thaw(Host, u64),
     /// Cuts heal.
-    Heal { paths: Vec<Path>, subjects: Vec<Subject>, cores: Vec<usize> },
+    Heal {
+        /// Directions.
+        paths: Vec<Path>,
+        /// What was in trouble.
+        subjects: Vec<Subject>,
+        /// Core machines that were lost.
+        cores: Vec<usize>,
+    },
     /// Packets are no longer lost.
-    PacketsPass { paths: Vec<Path>, subjects: Vec<Subject>, cores: Vec<usize> },
+    PacketsPass {
+        /// Directions.
+        paths: Vec<Path>,
+        /// What was in trouble.
+        subjects: Vec<Subject>,
+        /// Core machines that were lost.
+        cores: Vec<usize>,
+    },
     /// A disk is well again.
     DiskIsWell(usize),
     /// Answers reach the operator.
--- a/lab/src/emulator/mod.rs
+++ b/lab/src/emulator/mod.rs
@@ -18,4 +18,4 @@
 pub mod worker;
 pub mod world;
 
-pub use run::{plan, play, replay, Report};
+pub use run::{plan, play, replay, replay_all, Report};
--- a/lab/src/emulator/run.rs
+++ b/lab/src/emulator/run.rs
@@ -5,6 +5,8 @@
 use super::site::Sizes;
 use super::world::{Plan, World};
 use std::fmt;
+use std::ops::Range;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 /// When the operator turns to plain changes, in milliseconds: after the last fault has ended.
 const PLAIN_FROM: u64 = faults::FAULTS_UNTIL + 6_000;
@@ -89,3 +91,17 @@
 pub fn replay(seed: u64) -> Report {
     play(plan(seed))
 }
+
+/// Plays many seeds on all processors; the reports in the order of the seeds.
+pub fn replay_all(seeds: Range<u64>) -> Vec<Report> {
+    let next = AtomicU64::new(seeds.start);
+    let take = || Some(next.fetch_add(1, Ordering::Relaxed)).filter(|seed| *seed < seeds.end);
+    let work = || std::iter::from_fn(take).map(replay).collect::<Vec<Report>>();
+    let threads = std::thread::available_parallelism().map_or(1, usize::from);
+    let mut reports: Vec<Report> = std::thread::scope(|scope| {
+        let handles: Vec<_> = (0..threads).map(|_| scope.spawn(work)).collect();
+        handles.into_iter().flat_map(|handle| handle.join().expect("a run panicked")).collect()
+    });
+    reports.sort_by_key(|report| report.seed);
+    reports
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,7 +8,7 @@
 use switchhill_lab::load::Live;
 use switchhill_lab::run::{Outcome, Wanted};
 use switchhill_lab::scenario::Scenario;
-use switchhill_lab::{bare, compare, live, report, run};
+use switchhill_lab::{bare, compare, emulator, live, report, run};
 
 /// Real gateways on loopback against stand-in boxes, discovery and clients.
 ///
@@ -73,6 +73,15 @@
         #[arg(long)]
         gateway: Option<PathBuf>,
     },
+    /// Plays the control plane in virtual time, a run a seed, and tells which rules were broken.
+    Emulate {
+        /// How many seeds.
+        #[arg(long, default_value_t = 100)]
+        seeds: u64,
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        from: u64,
+    },
     /// The least relay, to these addresses in turn.
     Bare {
         /// Boxes.
@@ -235,6 +244,31 @@
     Ok(all_held)
 }
 
+/// Plays seeds on all processors and prints what broke and the worst figures. True where nothing broke.
+fn emulate(from: u64, seeds: u64) -> bool {
+    let reports = emulator::replay_all(from..from + seeds);
+    reports.iter().filter(|report| !report.holds()).for_each(|report| println!("{report}"));
+    let worst = |figure: fn(&emulator::Report) -> u64| reports.iter().map(figure).max().unwrap_or(0);
+    let total = |figure: fn(&emulator::Report) -> u64| reports.iter().map(figure).sum::<u64>();
+    println!("broken: {} of {seeds} seeds", reports.iter().filter(|report| !report.holds()).count());
+    println!(
+        "acknowledged {}, read {}, orders {}, ends of workers {}, events {}",
+        total(|report| report.acknowledged as u64),
+        total(|report| report.reads),
+        total(|report| report.orders),
+        total(|report| report.ends as u64),
+        total(|report| report.events),
+    );
+    println!(
+        "worst: in force {} ms, answer {} ms, recovery {} ms, loads in a window {}",
+        worst(|report| report.worst_in_force_ms),
+        worst(|report| report.worst_answer_ms),
+        worst(|report| report.worst_recovery_ms),
+        worst(|report| report.most_loads as u64),
+    );
+    reports.iter().all(emulator::Report::holds)
+}
+
 fn main() -> ExitCode {
     let done = match Line::parse().command {
         Task::Run { scenario, seed, out, gateway, bare } => {
@@ -246,6 +280,7 @@
         Task::Faults { scenarios, seeds, together, figures, gateway } => {
             faults(&scenarios, seeds, together, &figures, gateway.as_deref())
         }
+        Task::Emulate { seeds, from } => Ok(emulate(from, seeds)),
         Task::Bare { to } => {
             let relay = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let relayed = relay.and_then(|runtime| runtime.block_on(bare::relay(to)));
