--- a/crates/placement/src/demand.rs
+++ b/crates/placement/src/demand.rs
@@ -9,12 +9,22 @@
 const FORGET_MS: u64 = 120_000;
 /// Weight of the newest sample (taken every 500 ms) in the quick average, which spans about a second.
 const QUICK: f64 = 0.5;
-/// Weight of the newest sample in the steady average, which spans about three seconds.
-const STEADY: f64 = 0.15;
-/// Lead of the quick average over the steady one that counts as chance, in standard deviations of a Poisson count.
-const CHANCE: f64 = 1.0;
-/// How many times the lead of the quick average demand is expected to go on rising while a load lasts.
-const LEAD: f64 = 2.0;
+/// Weight of the newest sample in the average of the rate that the newest rate is compared with: about three seconds.
+const MIDDLE: f64 = 0.15;
+/// Difference in age of the newest rate (averaged over about a second) and that average, in seconds.
+const MIDDLE_BEHIND_S: f64 = 2.0;
+/// How far ahead demand is looked for, in seconds: a load from the store and the time to plan it.
+const LOOK_AHEAD_S: f64 = 3.5;
+/// Weight of the newest sample in the average time that a request occupies a slot.
+const SERVICE_WEIGHT: f64 = 0.2;
+/// Bounds of that time, in seconds.
+const SERVICE_BOUNDS_S: (f64, f64) = (0.2, 4.0);
+/// Rate in requests a second from which the time a request occupies a slot can be told.
+const RATE_TO_MEASURE: f64 = 1.0;
+/// Share of the highest recent load that is still counted one sample later when copies are judged surplus.
+const HELD_SHARE: f64 = 0.8;
+/// Rise that is put down to chance, as a multiple of the square root of the rate.
+const CHANCE: f64 = 0.7;
 /// Weight of the newest sample in the slow average, which spans about ten seconds.
 const SLOW: f64 = 0.05;
 /// Weight of the newest sample in the popularity, which spans about thirty seconds.
@@ -60,8 +70,13 @@
     pub(crate) slow_rate: f64,
     /// Requests a second, averaged over about thirty seconds.
     pub(crate) popularity: f64,
-    quick_slots: f64,
-    /// Slots occupied, averaged over about three seconds.
+    /// Requests a second, averaged over about three seconds.
+    middle_rate: f64,
+    /// Time that a request occupies a slot, in seconds.
+    service_s: f64,
+    /// The highest slots of late, fading.
+    pub(crate) held_slots: f64,
+    /// Slots occupied, averaged over about a second.
     pub(crate) slots: f64,
     /// Slots that will be occupied a few seconds ahead if a rise beyond chance goes on.
     pub(crate) slots_ahead: f64,
@@ -134,12 +149,26 @@
         let aims = fresh.iter().map(|entry| entry.sample.urgency_ms).filter(|aim| *aim > 0);
         self.urgency_ms = aims.min().unwrap_or(self.urgency_ms);
         self.samples = self.samples.saturating_add(1);
-        self.quick_slots += self.weight(QUICK) * (slots - self.quick_slots);
-        self.slots += self.weight(STEADY) * (slots - self.slots);
+        self.slots += self.weight(QUICK) * (slots - self.slots);
+        self.held_slots = self.slots.max(self.held_slots * HELD_SHARE);
+        self.middle_rate += self.weight(MIDDLE) * (rate - self.middle_rate);
+        self.measure_service(slots, rate);
         self.slow_rate += self.weight(SLOW) * (rate - self.slow_rate);
         self.popularity += self.weight(POPULAR) * (rate - self.popularity);
-        let beyond_chance = self.quick_slots - self.slots - CHANCE * self.slots.sqrt();
-        self.slots_ahead = self.slots + LEAD * beyond_chance.max(0.0);
+        let rise = rate - self.middle_rate - CHANCE * rate.sqrt();
+        let rate_ahead = rate + rise.max(0.0) / MIDDLE_BEHIND_S * LOOK_AHEAD_S;
+        self.slots_ahead = self.slots.max(rate_ahead * self.service_s);
+    }
+
+    /// By Little's law, a request occupies a slot for the slots in use over the rate of arrivals.
+    fn measure_service(&mut self, slots: f64, rate: f64) {
+        if self.service_s == 0.0 {
+            self.service_s = ASSUMED_SERVICE_S;
+        }
+        if rate >= RATE_TO_MEASURE {
+            let measured = (slots / rate).clamp(SERVICE_BOUNDS_S.0, SERVICE_BOUNDS_S.1);
+            self.service_s += SERVICE_WEIGHT * (measured - self.service_s);
+        }
     }
 
     /// Weight of a sample in an average that is the plain mean as long as there are few.
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -57,6 +57,8 @@
     pub(crate) outputs: Vec<Output>,
     /// When the planner may ask and order; it only watches before.
     pub(crate) orders_from: u64,
+    /// When demand was first told.
+    pub(crate) first_demand_at: Option<u64>,
     /// Copies that models should have because of what is busy now.
     pub(crate) anticipated: BTreeMap<ModelIndex, usize>,
     /// Tokens of the store that other loads leave to models whose copies are crowded.
@@ -93,6 +95,7 @@
             attention: BTreeSet::new(),
             outputs: Vec::new(),
             orders_from,
+            first_demand_at: None,
             anticipated: BTreeMap::new(),
             tokens_kept_for_crowded: 0.0,
             next_order: 1,
@@ -191,8 +194,8 @@
         }
         self.next_policy_at = now + POLICY_INTERVAL_MS;
         self.relieve_crowded(now);
-        self.prepare(now);
         self.serve_missing(now);
+        self.prepare(now);
         if now >= self.next_sample_at {
             self.next_sample_at = now + SAMPLE_INTERVAL_MS;
             self.sample_demand(now);
@@ -202,6 +205,7 @@
     }
 
     fn tell_demand(&mut self, now: u64, model: &str, adapter: Option<String>, sample: Sample) {
+        self.first_demand_at.get_or_insert(now);
         let known = self.catalogue.configured(model);
         if let Some(model) = known.filter(|model| self.catalogue.has_adapter(*model, adapter.as_deref())) {
             self.demand.entry(model).or_default().tell(now, adapter, sample);
--- a/crates/placement/src/policy/anticipation.rs
+++ b/crates/placement/src/policy/anticipation.rs
@@ -21,8 +21,10 @@
 /// Requests running at each copy, as a share of its slots, that are assumed before any demand is known: operators begin
 /// with several copies of what they expect to be busy.
 const ASSUMED_OCCUPANCY: f64 = 0.15;
-/// Requests running for a model below which its successors aren't prepared.
-const LEAST_SLOTS: f64 = 2.0;
+/// Requests running for a model, as a share of a worker's slots, below which its successors aren't prepared.
+const LEAST_OCCUPANCY: f64 = 0.2;
+/// Requests running for some model from which demand counts as known.
+const KNOWN_SLOTS: f64 = 2.0;
 /// Copies planned in one round.
 const PLANNED_A_ROUND: usize = 2;
 
@@ -36,7 +38,7 @@
         for (model, rank) in models {
             let before = rank.saturating_sub(NEIGHBOURS)..rank;
             let most = before.filter_map(|rank| busy.get(&rank)).copied().fold(0.0, f64::max);
-            if most < LEAST_SLOTS {
+            if most < LEAST_OCCUPANCY * slots {
                 continue;
             }
             let copies = (most * PREPARED_SHARE / (slots * WANTED_OCCUPANCY)).ceil() as usize;
@@ -67,7 +69,7 @@
     /// Requests running for each urgent model, by its rank in the list.
     fn busy_by_rank(&mut self) -> BTreeMap<usize, f64> {
         let models = self.configured_models();
-        let known = self.demand.values().any(|demand| demand.slots >= LEAST_SLOTS);
+        let known = self.demand.values().any(|demand| demand.slots >= KNOWN_SLOTS);
         let slots = f64::from(self.engine.slots.max(1));
         let mut busy = BTreeMap::new();
         for (model, rank) in models {
--- a/crates/placement/src/policy/growth.rs
+++ b/crates/placement/src/policy/growth.rs
@@ -6,11 +6,11 @@
 use crate::worker::WorkerKey;
 
 /// Share of a worker's slots that requests for one model should occupy at most.
-pub(crate) const WANTED_OCCUPANCY: f64 = 0.2;
+pub(crate) const WANTED_OCCUPANCY: f64 = 0.25;
 /// Share of a worker's slots from which the copies of a model are crowded: further ones go before all other loads.
-const CROWDED_OCCUPANCY: f64 = 0.3;
+const CROWDED_OCCUPANCY: f64 = 0.4;
 /// Share of a worker's slots below which a copy is surplus.
-const SURPLUS_OCCUPANCY: f64 = 0.12;
+const SURPLUS_OCCUPANCY: f64 = 0.15;
 /// Requests a second from which a model should stand on two workers, so that the loss of one stops nothing.
 const TWO_COPIES_RATE: f64 = 2.0;
 /// A model asked for within this time is planned at once when its last holder is lost, in milliseconds.
@@ -42,7 +42,7 @@
             let for_loss = if urgent && demand.slow_rate >= TWO_COPIES_RATE { 2 } else { 0 };
             demand.for_adapters = for_adapters;
             demand.target = for_load.max(for_adapters).max(for_loss).min(ready);
-            let kept = (demand.slots / (slots * SURPLUS_OCCUPANCY)).ceil() as usize;
+            let kept = (demand.held_slots / (slots * SURPLUS_OCCUPANCY)).ceil() as usize;
             demand.keep = kept.max(demand.target);
         }
     }
--- a/crates/placement/src/policy/victims.rs
+++ b/crates/placement/src/policy/victims.rs
@@ -13,6 +13,8 @@
 const LONG_IDLE_MS: u64 = 10_000;
 /// Only copy: idle this long, it gives way to requests that wait, in milliseconds.
 const SHORT_IDLE_MS: u64 = 3_000;
+/// Time from the first demand after which copies that demand doesn't need are surplus, in milliseconds.
+const DEMAND_KNOWN_AFTER_MS: u64 = 2_000;
 /// Share of a worker's slots up to which the remaining copies of a model may be filled when one gives way.
 const CROWDED: f64 = 0.5;
 /// How many times the requests that will miss it during a reload must wait for another model before the only copy of
@@ -95,7 +97,8 @@
         if copies > 1 {
             let load = demand.map_or(0.0, |demand| demand.slots);
             let anticipated = self.anticipated.get(&holding.model).copied().unwrap_or(0);
-            let keep = demand.map_or(0, |demand| demand.keep).max(anticipated);
+            let unknown = if self.knows_demand(now) { 0 } else { copies };
+            let keep = demand.map_or(0, |demand| demand.keep).max(anticipated).max(unknown);
             let for_adapters = demand.map_or(0, |demand| demand.for_adapters);
             let cost = self.cost_of_copy(copies, load, keep, reason);
             return cost.filter(|_| copies > for_adapters);
@@ -109,6 +112,11 @@
         only_copy.cost(reason)
     }
 
+    /// Whether demand has been told for long enough to judge copies by it. Before, the operator's own are kept.
+    fn knows_demand(&self, now: u64) -> bool {
+        self.first_demand_at.is_some_and(|first| now >= first + DEMAND_KNOWN_AFTER_MS)
+    }
+
     /// Models never asked for: those late in the operator's list go first.
     fn cost_of_unused(&self, rank: usize) -> f64 {
         let share = rank as f64 / self.engine.models.len().max(1) as f64;
--- a/crates/routing/src/cost.rs
+++ b/crates/routing/src/cost.rs
@@ -33,6 +33,8 @@
 
 /// What the costs of all candidates for one request share.
 pub(crate) struct CostBasis<'a> {
+    /// Whether a worker, told by its id, has a connection at rest.
+    pub is_connected: &'a dyn Fn(&str) -> bool,
     pub now: u64,
     pub settings: &'a RouterSettings,
     pub baselines: &'a Baselines,
@@ -75,7 +77,15 @@
         let slowness = worker.slowness.get(self.now) * self.coldness(worker);
         let answering = self.baselines.usual_first_byte(self.workload).unwrap_or(DEFAULT_FIRST_BYTE_MS);
         let work = (waiting * urgency + reading + answering) * slowness;
-        work + self.memory(worker, load) + self.silence(worker) + self.distance(worker)
+        work + self.memory(worker, load) + self.silence(worker) + self.distance(worker) + self.connecting(worker)
+    }
+
+    /// What a new connection costs, in time and at the worker.
+    fn connecting(&self, worker: &WorkerState) -> f64 {
+        match (self.is_connected)(&worker.view.id) {
+            true => 0.0,
+            false => self.settings.new_connection_ms,
+        }
     }
 
     /// What the worker saves by prompts it has read already, for us or, as their home, for others.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -106,13 +106,25 @@
 
     /// Chooses a worker that is not in `excluded`. A worker that is draining or gone is never chosen.
     pub fn choose(&mut self, now: u64, profile: &RequestProfile, excluded: &[WorkerKey]) -> Choice {
+        self.choose_connected(now, profile, excluded, &|_| true)
+    }
+
+    /// As [`Router::choose`], where some workers, told by their ids, have a connection at rest and others would need a
+    /// new one.
+    pub fn choose_connected(
+        &mut self,
+        now: u64,
+        profile: &RequestProfile,
+        excluded: &[WorkerKey],
+        is_connected: &dyn Fn(&str) -> bool,
+    ) -> Choice {
         let Some(service) = self.table.service(&profile.service) else { return Choice::NoWorker };
         let candidates = Candidates::collect(now, &self.table, service, profile, excluded);
         let chosen = self
-            .cheapest(now, profile, &candidates.good)
-            .or_else(|| self.cheapest(now, profile, &candidates.suspected))
+            .cheapest(now, profile, &candidates.good, is_connected)
+            .or_else(|| self.cheapest(now, profile, &candidates.suspected, is_connected))
             .or_else(|| candidates.unreachable.iter().min().map(|(_, key)| *key))
-            .or_else(|| self.cheapest(now, profile, &candidates.last_resort));
+            .or_else(|| self.cheapest(now, profile, &candidates.last_resort, is_connected));
         match chosen {
             Some(worker) => Choice::Send(worker),
             None => self.nobody(now, profile, &candidates),
@@ -224,21 +236,27 @@
 
     /// The candidate with the lowest cost that is not full, out of a random part of them if gatekeepers
     /// with the same stale figures could otherwise all choose the same one. Near-equals are decided by chance.
-    fn cheapest(&mut self, now: u64, profile: &RequestProfile, keys: &[WorkerKey]) -> Option<WorkerKey> {
+    fn cheapest(
+        &mut self,
+        now: u64,
+        profile: &RequestProfile,
+        keys: &[WorkerKey],
+        is_connected: &dyn Fn(&str) -> bool,
+    ) -> Option<WorkerKey> {
         let prefixes = shared_prefixes(profile);
         let homes = Homes::of(&prefixes, keys, &self.table);
         let session_worker = profile.session.and_then(|session| self.sessions.worker(session));
         let count = self.compared(now, keys);
         let favourites = [homes.first, homes.second, session_worker];
         let compared = shortlist(&mut self.rng, keys, count, &favourites);
-        let basis = self.cost_basis(now, profile, &prefixes, homes, keys);
+        let basis = CostBasis { is_connected, ..self.cost_basis(now, profile, &prefixes, homes, keys) };
         let offers = self.offers(&basis, session_worker, &compared);
         let chosen = least(&mut self.rng, &offers);
         if chosen.is_some() || compared.len() == keys.len() {
             return chosen;
         }
         // All of the part were full: compare the rest as well.
-        let basis = self.cost_basis(now, profile, &prefixes, homes, keys);
+        let basis = CostBasis { is_connected, ..self.cost_basis(now, profile, &prefixes, homes, keys) };
         let offers = self.offers(&basis, session_worker, keys);
         least(&mut self.rng, &offers)
     }
@@ -288,6 +306,7 @@
         let tokens: u64 = workers().map(|worker| worker.outstanding_tokens).sum();
         let own_tokens = profile.total_tokens() as f64;
         CostBasis {
+            is_connected: &|_| true,
             now,
             settings: &self.settings,
             baselines: &self.baselines,
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -13,6 +13,8 @@
     pub full_batch_ms: f64,
     /// Disadvantage in milliseconds of a worker in another zone.
     pub other_zone_ms: f64,
+    /// Disadvantage in milliseconds of a worker to which a new connection would have to be opened.
+    pub new_connection_ms: f64,
     /// Requests beyond its slots that a worker is given, as a share of its slots.
     pub queue_ratio: f64,
     /// Requests that the other gatekeepers together may send to a worker unseen, because all compare it.
@@ -37,6 +39,7 @@
             kept_prompt_weight: 5.0,
             full_batch_ms: 60.0,
             other_zone_ms: 2.0,
+            new_connection_ms: 12.0,
             queue_ratio: 1.0,
             unseen_requests: 12.0,
             silent_ms: 180,
--- a/src/data_plane/policy.rs
+++ b/src/data_plane/policy.rs
@@ -13,9 +13,9 @@
 /// Rest of a connection after an answer, in which surplus bytes of the worker would still show.
 pub(crate) const CONNECTION_REST: Duration = Duration::from_millis(30);
 /// An idle connection is dropped this long before the worker would close it.
-pub(crate) const IDLE_MARGIN: Duration = Duration::from_secs(1);
+pub(crate) const IDLE_MARGIN: Duration = Duration::from_millis(400);
 /// The same as a share of the time the worker tells, where that is short.
-pub(crate) const IDLE_MARGIN_SHARE: f64 = 0.4;
+pub(crate) const IDLE_MARGIN_SHARE: f64 = 0.2;
 /// Idle time of a connection whose worker tells none, which then closes none on its own.
 pub(crate) const IDLE_DEFAULT: Duration = Duration::from_secs(30);
 /// Least number of connections a gatekeeper may hold to one worker, however many gatekeepers there are.
--- a/src/data_plane/pool.rs
+++ b/src/data_plane/pool.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// Whether a connection to the worker is at rest.
+    pub(crate) fn has_idle(&self, worker_id: &str) -> bool {
+        self.workers.borrow().get(worker_id).is_some_and(|home| home.idle_since().is_some())
+    }
+
     /// Drops what is idle of workers that are not among these.
     pub(crate) fn retain(&self, worker_ids: &HashSet<&str>) {
         self.workers.borrow_mut().retain(|id, _| worker_ids.contains(id.as_str()));
--- a/src/data_plane/worker_choice.rs
+++ b/src/data_plane/worker_choice.rs
@@ -82,7 +82,8 @@
     /// Asks the router.
     pub(crate) fn choose(&self) -> Choice {
         let mut router = self.shared.router.borrow_mut();
-        router.choose(self.shared.now(), &self.profile, &self.trail.excluded)
+        let is_connected = |worker: &str| self.shared.pool.has_idle(worker);
+        router.choose_connected(self.shared.now(), &self.profile, &self.trail.excluded, &is_connected)
     }
 
     async fn wait_for_view(&mut self, until: Instant) {
