Return after a loss of all: quicker contact, holds instead of refusals

Contact is sought every 75 ms, statuses go out once caught up, requests wait up to 1.4 s for a first worker.

--- a/crates/control/src/electorate.rs
+++ b/crates/control/src/electorate.rs
@@ -17,7 +17,8 @@
     /// Proposes a better electorate, if this node is the first live member and there is one.
     pub(crate) fn tick_electorate(&mut self, now: u64) {
         let pending = self.jobs.has(|job| matches!(job, Job::Electorate { .. }));
-        if pending || !self.caught_up || self.replica.committed().is_none() || !self.acts_for_electorate(now) {
+        if pending || !self.caught_up || self.replica.committed().is_none() || !self.acts_for_electorate(now)
+        {
             return;
         }
         let Some(electorate) = self.replica.electorate() else { return };
@@ -34,7 +35,11 @@
     fn acts_for_electorate(&self, now: u64) -> bool {
         let me = self.settings.replica;
         let Some(electorate) = self.replica.electorate() else { return false };
-        let first = electorate.members.iter().map(|member| member.id.0).filter(|id| *id == me || self.contacts.is_up(now, *id));
+        let first = electorate
+            .members
+            .iter()
+            .map(|member| member.id.0)
+            .filter(|id| *id == me || self.contacts.is_up(now, *id));
         self.has_quorum(now) && first.min() == Some(me)
     }
 
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -11,7 +11,7 @@
 const RETRY_WITHIN: u64 = 800;
 
 /// Pause in milliseconds before the register is read again at the start.
-const CATCH_UP_EVERY: u64 = 250;
+const CATCH_UP_EVERY: u64 = 100;
 
 /// What is done with the register.
 #[derive(Debug, Clone)]
@@ -157,9 +157,14 @@
         self.begin_next(now);
     }
 
+    fn has_caught_up(&mut self, now: u64) {
+        self.caught_up = true;
+        self.publish_status(now);
+    }
+
     fn job_succeeded(&mut self, now: u64, job: Job) {
         match job {
-            Job::CatchUp => self.caught_up = true,
+            Job::CatchUp => self.has_caught_up(now),
             Job::Change { call, answer, .. } => {
                 let answer = answer.unwrap_or_else(|| Answer::unavailable("the outcome is not known"));
                 self.answer(call, answer);
@@ -173,7 +178,7 @@
     fn job_failed(&mut self, now: u64, job: Job, error: &RegisterError) {
         log::debug!("work on the register failed: {error}");
         match job {
-            Job::CatchUp if *error == RegisterError::Empty => self.caught_up = true,
+            Job::CatchUp if *error == RegisterError::Empty => self.has_caught_up(now),
             Job::Read { call } if *error == RegisterError::Empty => self.answer_read(call),
             Job::Change { call, order, since, .. } => {
                 if !error.outcome_unknown() && now < since + RETRY_WITHIN {
@@ -196,7 +201,9 @@
             (Some(Bytes::from(next.encode())), Answer::json(200, format!("{{\"revision\":{revision}}}")))
         }
         // Written once more, so that it is certain to be committed before it is acknowledged.
-        Decision::TakenBefore { revision } => (data, Answer::json(200, format!("{{\"revision\":{revision}}}"))),
+        Decision::TakenBefore { revision } => {
+            (data, Answer::json(200, format!("{{\"revision\":{revision}}}")))
+        }
         Decision::Refused(error) => (None, Answer::refused(&error)),
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,6 +16,7 @@
 mod workers;
 
 pub use input::{
-    Answer, Call, CallId, Input, NodeSettings, OrderCall, OrderTicket, Output, ReportCall, SubscriberId, WorkerReport,
+    Answer, Call, CallId, Input, NodeSettings, OrderCall, OrderTicket, Output, ReportCall, SubscriberId,
+    WorkerReport,
 };
 pub use node::ControlNode;
--- a/crates/control/src/load.rs
+++ b/crates/control/src/load.rs
@@ -73,7 +73,8 @@
     }
 
     fn total(&self, now: u64, own: Summary) -> Summary {
-        let peers = self.load.peers.values().filter(|(at, _)| now < at + SUMMARY_HOLDS).map(|(_, summary)| summary);
+        let peers =
+            self.load.peers.values().filter(|(at, _)| now < at + SUMMARY_HOLDS).map(|(_, summary)| summary);
         sum(peers.chain(std::iter::once(&own)))
     }
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -11,8 +11,8 @@
 use switchhill_configuration::{ConfigurationError, ControlState};
 use switchhill_distribution::MergedState;
 use switchhill_membership::{ContactSettings, Contacts};
-use switchhill_registration::SuspectAfter;
 use switchhill_register::{Member, Output as RegisterOutput, Record, Replica, ReplicaId};
+use switchhill_registration::SuspectAfter;
 
 /// Worker heartbeats without which a worker is suspected, in tenths.
 const SUSPECT_AFTER_TENTHS: u64 = 26;
@@ -44,7 +44,12 @@
 
 impl ControlNode {
     /// A node with what its disk holds. `genesis` is the first electorate where the whole system starts.
-    pub fn new(now: u64, settings: NodeSettings, records: Vec<Vec<u8>>, genesis: Option<Vec<Member>>) -> ControlNode {
+    pub fn new(
+        now: u64,
+        settings: NodeSettings,
+        records: Vec<Vec<u8>>,
+        genesis: Option<Vec<Member>>,
+    ) -> ControlNode {
         let id = ReplicaId(settings.replica);
         let records: Vec<Record> = records.iter().filter_map(|record| Record::decode(record).ok()).collect();
         let replica = match genesis {
@@ -80,8 +85,12 @@
             Input::Subscriber(id, message) => self.subscriber_message(now, id, message),
             Input::SubscriberGone(id) => self.subscribers.gone(id),
             Input::Call(id, call) => self.call(now, id, call),
-            Input::Persisted(token) => self.register_input(now, switchhill_register::Input::Persisted { token }),
-            Input::PersistFailed(token) => self.register_input(now, switchhill_register::Input::PersistFailed { token }),
+            Input::Persisted(token) => {
+                self.register_input(now, switchhill_register::Input::Persisted { token })
+            }
+            Input::PersistFailed(token) => {
+                self.register_input(now, switchhill_register::Input::PersistFailed { token })
+            }
             Input::LogIsLong => self.rewrite_log(),
             Input::OrderAnswered(ticket, answer) => self.order_answered(now, &ticket, answer),
             Input::Reported(report) => self.reported(now, report),
@@ -96,7 +105,8 @@
 
     /// Whether a quorum of the electorate was certain to hear this node within a time in milliseconds.
     pub(crate) fn has_quorum_within(&self, now: u64, within: u64) -> bool {
-        let contact: BTreeSet<ReplicaId> = self.contacts.in_contact_within(now, within).map(ReplicaId).collect();
+        let contact: BTreeSet<ReplicaId> =
+            self.contacts.in_contact_within(now, within).map(ReplicaId).collect();
         self.replica.electorate().is_some_and(|electorate| electorate.is_quorum(&contact))
     }
 
@@ -131,7 +141,9 @@
     fn register_output(&mut self, now: u64, output: RegisterOutput) {
         match output {
             RegisterOutput::Send { address, message, .. } => self.send_register(address, &message),
-            RegisterOutput::Persist { token, record } => self.out.push(Output::Persist(token, record.encode().to_vec())),
+            RegisterOutput::Persist { token, record } => {
+                self.out.push(Output::Persist(token, record.encode().to_vec()))
+            }
             RegisterOutput::Prepared { operation, current } => self.job_prepared(now, operation, current),
             RegisterOutput::Done { operation, result } => self.job_done(now, operation, result),
             RegisterOutput::Committed(accepted) => self.committed(now, &accepted),
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -53,10 +53,12 @@
 
     /// Sends heartbeats when they are due.
     pub(crate) fn send_heartbeats(&mut self, now: u64) {
-        let Some(sequence) = self.contacts.heartbeat_due(now) else { return };
+        let seeking = !self.has_quorum(now) || !self.caught_up;
+        let Some(sequence) = self.contacts.heartbeat_due(now, seeking) else { return };
         let committed = self.committed_ballot().unwrap_or(Ballot::NONE);
         let echoes = self.contacts.echoes();
-        let echoes = echoes.map(|(from, contact)| Echo { from, life: contact.life, sequence: contact.sequence });
+        let echoes =
+            echoes.map(|(from, contact)| Echo { from, life: contact.life, sequence: contact.sequence });
         let heartbeat = PeerHeartbeat {
             sequence,
             node: self.settings.node_name.clone(),
@@ -118,7 +120,9 @@
 
     /// Sends the committed value to a node that knows an older one.
     fn bring_up_to_date(&mut self, now: u64, to: u64, address: &str, theirs: Ballot) {
-        let Some(accepted) = self.replica.committed().filter(|accepted| accepted.ballot > theirs) else { return };
+        let Some(accepted) = self.replica.committed().filter(|accepted| accepted.ballot > theirs) else {
+            return;
+        };
         let body = Body::Committed { ballot: accepted.ballot, value: Some(accepted.value.clone()) };
         let message = Message { to: ReplicaId(to), body };
         if self.updates.may_bring_up_to_date(now, to) {
--- a/crates/control/src/placer.rs
+++ b/crates/control/src/placer.rs
@@ -6,8 +6,8 @@
 use std::collections::BTreeMap;
 use switchhill_configuration::{Document, PlacerGrant, Service};
 use switchhill_placement::{
-    Engine, Input, ModelSpec, OrderAnswer, Output as PlannerOutput, Planner, PlannerSettings, Resident, WorkerId,
-    WorkerState as PlannerWorkerState, WorkerView,
+    Engine, Input, ModelSpec, OrderAnswer, Output as PlannerOutput, Planner, PlannerSettings, Resident,
+    WorkerId, WorkerState as PlannerWorkerState, WorkerView,
 };
 use switchhill_protocol::{Expectation, Missing, PeerBody, Residency, ResidentModel, Summary};
 use switchhill_registration::{Worker, WorkerState};
@@ -81,7 +81,8 @@
 impl ControlNode {
     /// A committed value names this placer.
     pub(crate) fn placer_seen(&mut self, placer: Option<PlacerGrant>) {
-        let newer = placer.as_ref().map(|grant| grant.epoch) > self.placer.granted.as_ref().map(|grant| grant.epoch);
+        let newer =
+            placer.as_ref().map(|grant| grant.epoch) > self.placer.granted.as_ref().map(|grant| grant.epoch);
         if newer && self.placer.granted.is_some() {
             self.placer.resign();
         }
@@ -134,13 +135,17 @@
         let first = self.contacts.in_contact(now).min() == Some(self.settings.replica);
         match &self.placer.seen {
             Some(grant) if grant.holder == self.settings.node_name => true,
-            Some(grant) => first && now >= self.started_at + LISTEN_FIRST && !self.node_is_up(now, &grant.holder),
+            Some(grant) => {
+                first && now >= self.started_at + LISTEN_FIRST && !self.node_is_up(now, &grant.holder)
+            }
             None => first,
         }
     }
 
     fn node_is_up(&self, now: u64, node: &str) -> bool {
-        self.contacts.iter().any(|(_, contact)| contact.node == node && now < contact.heard_at + TAKE_OVER_AFTER)
+        self.contacts
+            .iter()
+            .any(|(_, contact)| contact.node == node && now < contact.heard_at + TAKE_OVER_AFTER)
     }
 
     /// The configuration changed: engines may have.
@@ -258,7 +263,8 @@
             kv_used: report.kv_used,
             kv_total: report.kv_total,
         };
-        let input = Input::Report { worker, busy: report.busy, sequence: report.sequence, models: report.models };
+        let input =
+            Input::Report { worker, busy: report.busy, sequence: report.sequence, models: report.models };
         self.planner(now, &report.call.service, load);
         self.planner(now, &report.call.service, input);
     }
@@ -313,9 +319,14 @@
 
     fn planner_resident(&mut self, now: u64, epoch: u64, worker: WorkerId, models: Vec<Resident>) {
         self.placer.residency_version += 1;
-        let models = models.into_iter().map(|model| ResidentModel { name: model.name, adapters: model.adapters });
-        let residency =
-            Residency { worker: worker.0, epoch, version: self.placer.residency_version, models: models.collect() };
+        let models =
+            models.into_iter().map(|model| ResidentModel { name: model.name, adapters: model.adapters });
+        let residency = Residency {
+            worker: worker.0,
+            epoch,
+            version: self.placer.residency_version,
+            models: models.collect(),
+        };
         self.residency(&residency);
         self.send_all_peers(now, &PeerBody::Residency(residency));
     }
--- a/crates/control/src/subscribers.rs
+++ b/crates/control/src/subscribers.rs
@@ -4,7 +4,9 @@
 use crate::node::ControlNode;
 use std::collections::BTreeMap;
 use switchhill_distribution::{Published, Publisher};
-use switchhill_protocol::{Downstream, DownstreamBody, Expectation, Fetch, Hello, Residency, Status, Summary};
+use switchhill_protocol::{
+    Downstream, DownstreamBody, Expectation, Fetch, Hello, Residency, Status, Summary,
+};
 use switchhill_protocol::{Upstream, UpstreamBody};
 
 /// Time in milliseconds between two statuses.
@@ -35,7 +37,8 @@
     /// Gatekeepers whose home this node is.
     pub(crate) fn home_count(&self) -> u32 {
         let homes = self.connected.values().filter(|subscriber| subscriber.publisher.home);
-        let names: std::collections::BTreeSet<&str> = homes.map(|subscriber| subscriber.node.as_str()).collect();
+        let names: std::collections::BTreeSet<&str> =
+            homes.map(|subscriber| subscriber.node.as_str()).collect();
         names.len() as u32
     }
 
@@ -157,14 +160,19 @@
         Downstream { body: Some(DownstreamBody::Status(status)) }
     }
 
+    /// Sends the status to all subscribers.
+    pub(crate) fn publish_status(&mut self, now: u64) {
+        self.subscribers.next_status = now + STATUS_EVERY;
+        let status = self.status(now);
+        self.publish(&status);
+    }
+
     /// Sends statuses when they are due and drops silent subscribers.
     pub(crate) fn tick_subscribers(&mut self, now: u64) {
         if now < self.subscribers.next_status {
             return;
         }
-        self.subscribers.next_status = now + STATUS_EVERY;
-        let status = self.status(now);
-        self.publish(&status);
+        self.publish_status(now);
         let silent = self.subscribers.connected.iter().filter(|(_, s)| now >= s.heard_at + SILENT_AFTER);
         let silent: Vec<SubscriberId> = silent.map(|(id, _)| *id).collect();
         for id in silent {
--- a/crates/control/src/workers.rs
+++ b/crates/control/src/workers.rs
@@ -109,8 +109,12 @@
     }
 
     fn send_update(&mut self, now: u64, number: u64, entry: &Worker, except: &BTreeSet<ReplicaId>) {
-        let update = WorkerUpdate { number, entries: vec![entry.to_bytes()], residency: Vec::new(), whole: false };
-        let up = self.contacts.iter().filter(|(id, _)| self.contacts.is_up(now, *id) && !except.contains(&ReplicaId(*id)));
+        let update =
+            WorkerUpdate { number, entries: vec![entry.to_bytes()], residency: Vec::new(), whole: false };
+        let up = self
+            .contacts
+            .iter()
+            .filter(|(id, _)| self.contacts.is_up(now, *id) && !except.contains(&ReplicaId(*id)));
         let addresses: Vec<String> = up.map(|(_, contact)| contact.address.clone()).collect();
         for address in addresses {
             self.send_peer(address, PeerBody::WorkerUpdate(update.clone()));
@@ -127,7 +131,8 @@
 
     fn finish_update(&mut self, number: u64) {
         let Some(pending) = self.updates.pending.get(&number) else { return };
-        let settled = self.replica.electorate().is_some_and(|electorate| electorate.is_quorum(&pending.acknowledged));
+        let settled =
+            self.replica.electorate().is_some_and(|electorate| electorate.is_quorum(&pending.acknowledged));
         if !settled {
             return;
         }
@@ -187,7 +192,8 @@
     /// Another core node heard workers.
     pub(crate) fn workers_heard(&mut self, now: u64, heard: &WorkersHeard) {
         for worker in &heard.workers {
-            let beat = HeardBeat { id: worker.id.clone(), sequence: worker.sequence, material: worker.material };
+            let beat =
+                HeardBeat { id: worker.id.clone(), sequence: worker.sequence, material: worker.material };
             // An entry that is missing here comes with the comparison of tables.
             if let HeardOutcome::Cleared(cleared) = self.state.workers_mut().heard(now, &beat) {
                 self.workers_changed(now, &Change::Workers(vec![*cleared]));
@@ -244,19 +250,22 @@
         if heard.beats.is_empty() {
             return;
         }
-        let told = |beat: HeardBeat| HeardWorker { id: beat.id, sequence: beat.sequence, material: beat.material };
+        let told =
+            |beat: HeardBeat| HeardWorker { id: beat.id, sequence: beat.sequence, material: beat.material };
         let workers = heard.beats.into_iter().map(told).collect();
         self.send_all_peers(now, &PeerBody::WorkersHeard(WorkersHeard { workers }));
     }
 
     fn tick_updates(&mut self, now: u64) {
-        let over: Vec<u64> = self.updates.pending.iter().filter(|(_, p)| now >= p.deadline).map(|(n, _)| *n).collect();
+        let over: Vec<u64> =
+            self.updates.pending.iter().filter(|(_, p)| now >= p.deadline).map(|(n, _)| *n).collect();
         for number in over {
             if let Some(pending) = self.updates.pending.remove(&number) {
                 self.answer(pending.call, Answer::unavailable("a majority of the core did not answer"));
             }
         }
-        let due: Vec<u64> = self.updates.pending.iter().filter(|(_, p)| now >= p.resend_at).map(|(n, _)| *n).collect();
+        let due: Vec<u64> =
+            self.updates.pending.iter().filter(|(_, p)| now >= p.resend_at).map(|(n, _)| *n).collect();
         for number in due {
             let Some(pending) = self.updates.pending.get_mut(&number) else { continue };
             pending.resend_at = now + RESEND_AFTER;
--- a/crates/distribution/src/links.rs
+++ b/crates/distribution/src/links.rs
@@ -18,6 +18,8 @@
     pub connect_within: u64,
     /// Pause before the next attempt at the same publisher.
     pub retry_after: u64,
+    /// The same while no publisher with quorum contact is known.
+    pub seeking_after: u64,
     /// How long the home may take to deliver what another publisher has.
     pub fetch_after: u64,
     /// How long worker tables may differ before the whole one is asked for.
@@ -34,6 +36,7 @@
             silent_after: 900,
             connect_within: 500,
             retry_after: 250,
+            seeking_after: 80,
             fetch_after: 150,
             workers_differ_for: 700,
             hello_every: 400,
@@ -118,7 +121,9 @@
     /// A connection failed or ended.
     pub fn lost(&mut self, now: u64, id: LinkId) {
         if let Some(link) = self.links.remove(&id) {
-            self.known.insert(link.address, now + self.settings.retry_after);
+            let pause =
+                if self.in_contact() { self.settings.retry_after } else { self.settings.seeking_after };
+            self.known.insert(link.address, now + pause);
         }
         if self.home == Some(id) {
             self.home = None;
@@ -126,7 +131,14 @@
     }
 
     /// A publisher's status. `revision` and `digest` are what the subscriber holds.
-    pub fn status(&mut self, now: u64, id: LinkId, status: &Status, revision: u64, digest: u64) -> Vec<LinkAction> {
+    pub fn status(
+        &mut self,
+        now: u64,
+        id: LinkId,
+        status: &Status,
+        revision: u64,
+        digest: u64,
+    ) -> Vec<LinkAction> {
         for address in &status.core {
             self.known.entry(address.clone()).or_insert(0);
         }
@@ -168,7 +180,8 @@
             true => now >= link.heard_at + settings.silent_after,
             false => now >= link.since + settings.connect_within,
         };
-        let silent: Vec<LinkId> = self.links.iter().filter(|(_, link)| over(link)).map(|(id, _)| *id).collect();
+        let silent: Vec<LinkId> =
+            self.links.iter().filter(|(_, link)| over(link)).map(|(id, _)| *id).collect();
         for id in &silent {
             self.lost(now, *id);
         }
@@ -178,7 +191,8 @@
     fn open_missing(&mut self, now: u64) -> Vec<LinkAction> {
         let useful = self.links.values().filter(|link| !link.up || link.quorum).count();
         let missing = self.settings.wanted.saturating_sub(useful);
-        let mut free: Vec<String> = self.known.iter().filter(|(_, at)| now >= **at).map(|(a, _)| a.clone()).collect();
+        let mut free: Vec<String> =
+            self.known.iter().filter(|(_, at)| now >= **at).map(|(a, _)| a.clone()).collect();
         free.retain(|address| !self.links.values().any(|link| link.address == *address));
         free.sort_by_key(|address| hash(address.as_bytes(), self.name_hash));
         free.truncate(missing);
@@ -188,7 +202,7 @@
     fn open(&mut self, now: u64, address: String) -> LinkAction {
         let id = LinkId(self.next_link);
         self.next_link += 1;
-        self.known.insert(address.clone(), now + self.settings.retry_after);
+        self.known.insert(address.clone(), now + self.settings.seeking_after);
         let link = Link {
             address: address.clone(),
             since: now,
@@ -209,7 +223,8 @@
             return Vec::new();
         }
         let best = self.links.iter().filter(|(_, link)| fit(link));
-        let best = best.min_by_key(|(_, link)| hash(link.address.as_bytes(), self.name_hash)).map(|(id, _)| *id);
+        let best =
+            best.min_by_key(|(_, link)| hash(link.address.as_bytes(), self.name_hash)).map(|(id, _)| *id);
         let Some(home) = best else { return Vec::new() };
         let former = self.home.replace(home).filter(|id| self.links.contains_key(id));
         let mut actions = vec![LinkAction::Hello(home, true)];
--- a/crates/distribution/src/publisher.rs
+++ b/crates/distribution/src/publisher.rs
@@ -50,7 +50,8 @@
         if revision <= self.sent_revision {
             return None;
         }
-        let delta = change.filter(|change| change.from_revision == self.sent_revision && change.revision == revision);
+        let delta =
+            change.filter(|change| change.from_revision == self.sent_revision && change.revision == revision);
         let message = match delta {
             Some(change) => Configuration {
                 revision,
--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -4,10 +4,10 @@
 use crate::merged::{Change, MergedState};
 use crate::publisher::{Published, Publisher};
 use std::collections::BTreeMap;
-use switchhill_registration::SuspectAfter;
 use switchhill_protocol::{
     Configuration, Downstream, DownstreamBody, Fetch, Hello, Missing, Status, Summary, Upstream, UpstreamBody,
 };
+use switchhill_registration::SuspectAfter;
 
 /// Time in milliseconds between two statuses to a data plane.
 const STATUS_EVERY: u64 = 500;
--- a/crates/membership/src/contacts.rs
+++ b/crates/membership/src/contacts.rs
@@ -8,6 +8,8 @@
 pub struct ContactSettings {
     /// Time between two heartbeats to the same node.
     pub heartbeat_every: u64,
+    /// The same while the node seeks contact with a quorum.
+    pub seeking_every: u64,
     /// Age of the last confirmed contact beyond which a node counts as out of contact.
     pub contact_for: u64,
     /// Silence after which a node is taken for down.
@@ -19,7 +21,13 @@
 impl Default for ContactSettings {
     /// Four heartbeats may be lost before contact is; a freeze shorter than `down_after` moves no role.
     fn default() -> Self {
-        ContactSettings { heartbeat_every: 200, contact_for: 900, down_after: 1500, forget_after: 60_000 }
+        ContactSettings {
+            heartbeat_every: 200,
+            seeking_every: 75,
+            contact_for: 900,
+            down_after: 1500,
+            forget_after: 60_000,
+        }
     }
 }
 
@@ -34,7 +42,7 @@
     sequence: u64,
     sent: SentHeartbeats,
     contacts: BTreeMap<u64, Contact>,
-    next_heartbeat: u64,
+    last_heartbeat: Option<u64>,
 }
 
 impl Contacts {
@@ -47,7 +55,7 @@
             sequence: 0,
             sent: SentHeartbeats::default(),
             contacts: BTreeMap::new(),
-            next_heartbeat: 0,
+            last_heartbeat: None,
         }
     }
 
@@ -61,12 +69,13 @@
         self.life
     }
 
-    /// Whether heartbeats are due; if so their sequence.
-    pub fn heartbeat_due(&mut self, now: u64) -> Option<u64> {
-        if now < self.next_heartbeat {
+    /// Whether heartbeats are due; if so their sequence. They are sent more often as long as contact is sought.
+    pub fn heartbeat_due(&mut self, now: u64, seeking: bool) -> Option<u64> {
+        let every = if seeking { self.settings.seeking_every } else { self.settings.heartbeat_every };
+        if now < self.last_heartbeat.map_or(0, |last| last + every) {
             return None;
         }
-        self.next_heartbeat = now + self.settings.heartbeat_every;
+        self.last_heartbeat = Some(now);
         self.sequence += 1;
         self.sent.record(self.sequence, now);
         self.forget(now);
@@ -146,7 +155,10 @@
     /// Nodes that were certain to hear this node within a time in milliseconds, this node included.
     pub fn in_contact_within(&self, now: u64, within: u64) -> impl Iterator<Item = u64> + '_ {
         let oldest = now.saturating_sub(within);
-        let others = self.contacts.iter().filter(move |(_, contact)| contact.confirmed_at.is_some_and(|at| at >= oldest));
+        let others = self
+            .contacts
+            .iter()
+            .filter(move |(_, contact)| contact.confirmed_at.is_some_and(|at| at >= oldest));
         others.map(|(id, _)| *id).chain(std::iter::once(self.me))
     }
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -8,4 +8,4 @@
 mod contacts;
 
 pub use contact::{Contact, Heard};
-pub use contacts::{Contacts, ContactSettings};
+pub use contacts::{ContactSettings, Contacts};
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -14,7 +14,7 @@
     WorkerUpdate, WorkerUpdateAck, WorkersHeard,
 };
 pub use subscription::{
-    downstream::Body as DownstreamBody, upstream::Body as UpstreamBody, Configuration, Downstream, Expectation,
-    Fetch, Hello, Loads, Missing, ModelDemand, Residency, ResidentModel, RouteAdmission, Status, Summary, Upstream,
-    WorkerLoad, Workers,
+    downstream::Body as DownstreamBody, upstream::Body as UpstreamBody, Configuration, Downstream,
+    Expectation, Fetch, Hello, Loads, Missing, ModelDemand, Residency, ResidentModel, RouteAdmission, Status,
+    Summary, Upstream, WorkerLoad, Workers,
 };
--- a/crates/routing/src/cost.rs
+++ b/crates/routing/src/cost.rs
@@ -77,7 +77,10 @@
         let slowness = worker.slowness.get(self.now) * self.coldness(worker);
         let answering = self.baselines.usual_first_byte(self.workload).unwrap_or(DEFAULT_FIRST_BYTE_MS);
         let work = (waiting * urgency + reading + answering) * slowness;
-        work + self.memory(worker, load) + self.silence(worker) + self.distance(worker) + self.connecting(worker)
+        work + self.memory(worker, load)
+            + self.silence(worker)
+            + self.distance(worker)
+            + self.connecting(worker)
     }
 
     /// What a new connection costs, in time and at the worker.
--- a/src/control_plane/disk.rs
+++ b/src/control_plane/disk.rs
@@ -61,7 +61,8 @@
 
 /// Members of the first electorate.
 pub(super) fn genesis_members(seeds: &[String]) -> Vec<Member> {
-    let member = |address: &String| Member { id: ReplicaId(genesis_replica(address)), address: address.clone() };
+    let member =
+        |address: &String| Member { id: ReplicaId(genesis_replica(address)), address: address.clone() };
     seeds.iter().map(member).collect()
 }
 
@@ -92,7 +93,9 @@
 
 fn read_identity(record: &[u8]) -> Option<(u64, bool)> {
     match record {
-        [IDENTITY_TAG, genesis, replica @ ..] => Some((u64::from_be_bytes(replica.try_into().ok()?), *genesis == 1)),
+        [IDENTITY_TAG, genesis, replica @ ..] => {
+            Some((u64::from_be_bytes(replica.try_into().ok()?), *genesis == 1))
+        }
         _ => None,
     }
 }
@@ -121,7 +124,12 @@
     /// Starts the thread. What is durable goes to `inputs`.
     pub(super) fn start(log: RecordLog, replica: u64, inputs: UnboundedSender<Input>) -> Disk {
         let (work, queue) = mpsc::channel();
-        let writer = Writer { log, identity: identity_record((replica, replica & 1 == 1)), inputs, asked_rewrite: false };
+        let writer = Writer {
+            log,
+            identity: identity_record((replica, replica & 1 == 1)),
+            inputs,
+            asked_rewrite: false,
+        };
         std::thread::spawn(move || writer.run(&queue));
         Disk { work }
     }
--- a/src/control_plane/http.rs
+++ b/src/control_plane/http.rs
@@ -109,7 +109,8 @@
 
 async fn read_call(request: Request<Incoming>) -> Result<Call, Answer> {
     let (head, body) = request.into_parts();
-    let base_version = head.headers.get(BASE_VERSION).and_then(|value| value.to_str().ok()?.trim().parse().ok());
+    let base_version =
+        head.headers.get(BASE_VERSION).and_then(|value| value.to_str().ok()?.trim().parse().ok());
     let body = Limited::new(body, LONGEST_BODY).collect().await;
     let body = body.map_err(|_| failure(400, "the body can't be read whole or is too long"))?.to_bytes();
     let path = head.uri.path();
@@ -129,7 +130,8 @@
 
 fn instance_call(path: &str, body: Bytes) -> Result<Call, Answer> {
     let unknown = || failure(404, "no such call");
-    let (id, verb) = path.strip_prefix(INSTANCES).and_then(|rest| rest.split_once('/')).ok_or_else(unknown)?;
+    let (id, verb) =
+        path.strip_prefix(INSTANCES).and_then(|rest| rest.split_once('/')).ok_or_else(unknown)?;
     match verb {
         "heartbeat" => Ok(Call::Heartbeat { id: id.to_owned(), body }),
         "deregister" => Ok(Call::Deregister { id: id.to_owned() }),
--- a/src/control_plane/links.rs
+++ b/src/control_plane/links.rs
@@ -95,7 +95,12 @@
     loop {
         let stream = connection::accept(&listener).await;
         next += 1;
-        tokio::task::spawn_local(serve_accepted(SubscriberId(next), stream, subscribers.clone(), inputs.clone()));
+        tokio::task::spawn_local(serve_accepted(
+            SubscriberId(next),
+            stream,
+            subscribers.clone(),
+            inputs.clone(),
+        ));
     }
 }
 
--- a/src/control_plane/mod.rs
+++ b/src/control_plane/mod.rs
@@ -21,8 +21,10 @@
 
 /// Runs until the process is told to stop.
 pub async fn run(settings: SiteSettings) -> anyhow::Result<()> {
-    let control = settings.bind.control.ok_or_else(|| anyhow::anyhow!("bind.control is missing from the settings"))?;
-    let folder = settings.data_dir.clone().ok_or_else(|| anyhow::anyhow!("dataDir is missing from the settings"))?;
+    let control =
+        settings.bind.control.ok_or_else(|| anyhow::anyhow!("bind.control is missing from the settings"))?;
+    let folder =
+        settings.data_dir.clone().ok_or_else(|| anyhow::anyhow!("dataDir is missing from the settings"))?;
     let internal = SocketAddr::from((settings.ip, settings.internal_port()));
     let clock = Clock::new();
     let (inputs, mut received) = mpsc::unbounded_channel();
--- a/src/control_plane/workers.rs
+++ b/src/control_plane/workers.rs
@@ -75,7 +75,13 @@
                     OrderAnswer::NoAnswer
                 }
             };
-            log::info!("order {:?} {} {:?} at {}: {answer:?}", call.operation, call.model, call.adapter, call.worker);
+            log::info!(
+                "order {:?} {} {:?} at {}: {answer:?}",
+                call.operation,
+                call.model,
+                call.adapter,
+                call.worker
+            );
             let _ = inputs.send(Input::OrderAnswered(call.ticket, answer));
         });
     }
@@ -137,7 +143,8 @@
     let (status, body) = exchange(&call.address, request).await?;
     anyhow::ensure!(status == StatusCode::OK, "status {status}");
     let report: ReportBody = serde_json::from_slice(&body).context("the report can't be read")?;
-    let models = report.models.into_iter().map(|model| Resident { name: model.name, adapters: model.adapters });
+    let models =
+        report.models.into_iter().map(|model| Resident { name: model.name, adapters: model.adapters });
     Ok(WorkerReport {
         call,
         busy: report.busy,
@@ -152,10 +159,15 @@
 
 /// One call on a connection of its own.
 async fn exchange(address: &str, request: Request<Full<Bytes>>) -> anyhow::Result<(StatusCode, Bytes)> {
-    tokio::time::timeout(ANSWER_WITHIN, exchange_unbounded(address, request)).await.context("no answer in time")?
+    tokio::time::timeout(ANSWER_WITHIN, exchange_unbounded(address, request))
+        .await
+        .context("no answer in time")?
 }
 
-async fn exchange_unbounded(address: &str, request: Request<Full<Bytes>>) -> anyhow::Result<(StatusCode, Bytes)> {
+async fn exchange_unbounded(
+    address: &str,
+    request: Request<Full<Bytes>>,
+) -> anyhow::Result<(StatusCode, Bytes)> {
     let stream = TcpStream::connect(address).await.context("connect")?;
     stream.set_nodelay(true)?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.context("handshake")?;
--- a/src/data_plane/exchange.rs
+++ b/src/data_plane/exchange.rs
@@ -138,7 +138,8 @@
     /// Whether the request may be sent once more and a worker other than those tried would take it.
     pub(crate) fn could_repeat_elsewhere(&self) -> bool {
         let allowed = self.rules.idempotent && self.trail.sent < self.rules.most_workers;
-        let in_budget = || self.shared.budget.borrow_mut().may_repeat(self.shared.now(), &self.profile.service);
+        let in_budget =
+            || self.shared.budget.borrow_mut().may_repeat(self.shared.now(), &self.profile.service);
         allowed && in_budget() && matches!(self.choose(), Choice::Send(_))
     }
 
--- a/src/data_plane/ingress.rs
+++ b/src/data_plane/ingress.rs
@@ -110,6 +110,9 @@
     let time = head.deadline.unwrap_or(policy::BODY_LIMIT).min(policy::BODY_LIMIT);
     let read = tokio::time::timeout_at(arrived + time, read_body(shared, body)).await;
     let read = read.unwrap_or(Err(LocalReply::NotRun { retry_after_ms: policy::RETRY_AFTER_REFUSED_MS }));
+    if read.is_ok() {
+        shared.first_document(arrived + policy::NO_CONFIGURATION_HOLD.min(time / 4)).await;
+    }
     let admitted = read.and_then(|body| {
         let route = find_route(shared, &head)?;
         admit(shared, &route, &head, ForwardedRequest::new(parts, body), arrived, running)
--- a/src/data_plane/policy.rs
+++ b/src/data_plane/policy.rs
@@ -48,8 +48,11 @@
 pub(crate) const LONG_HOLD_SHARE: f64 = 0.9;
 /// Share of the time left for which a request is held at most.
 pub(crate) const HOLD_LEFT_SHARE: f64 = 0.5;
-/// Share of the objective for which a request is held while no worker of its service is known.
-pub(crate) const NO_WORKER_HOLD_SHARE: f64 = 0.2;
+/// Longest hold for a first worker of a service: after a loss of all control state workers are known again within a
+/// heartbeat, so a late answer is likelier than one from a second try.
+pub(crate) const NO_WORKER_HOLD: Duration = Duration::from_millis(1400);
+/// Longest hold for a first configuration.
+pub(crate) const NO_CONFIGURATION_HOLD: Duration = Duration::from_millis(1000);
 /// Least time between two reports that the same model is missing.
 pub(crate) const MISSING_INTERVAL_MS: u64 = 100;
 
--- a/src/data_plane/shared.rs
+++ b/src/data_plane/shared.rs
@@ -19,6 +19,7 @@
 use switchhill_routing::{Availability, RetryBudget, Router, RouterSettings, WorkerKey};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// State of one data plane. It lives on one thread; no borrow is held across an await.
 pub(crate) struct Shared {
@@ -86,6 +87,13 @@
         self.view.borrow().document.clone()
     }
 
+    /// Waits for a first configuration, no longer than told.
+    pub(crate) async fn first_document(&self, until: Instant) {
+        while self.document().is_none() && Instant::now() < until {
+            let _ = tokio::time::timeout_at(until, self.view_changed.notified()).await;
+        }
+    }
+
     /// Takes a new view and wakes the requests that wait for one.
     pub(crate) fn take_view(&self, view: Arc<View>) {
         let now = self.now();
--- a/src/data_plane/worker_choice.rs
+++ b/src/data_plane/worker_choice.rs
@@ -110,7 +110,7 @@
 
     /// Until when a request is held for a first worker of its service.
     fn worker_hold_end(&self) -> Instant {
-        self.hold_end(self.rules.aim.mul_f64(policy::NO_WORKER_HOLD_SHARE))
+        self.hold_end(policy::NO_WORKER_HOLD)
     }
 
     fn hold_end(&self, longest: Duration) -> Instant {
--- a/src/data_plane_feed.rs
+++ b/src/data_plane_feed.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 use switchhill_distribution::{Change, MergedState};
 use switchhill_protocol::{
-    Downstream, DownstreamBody, Hello, Loads, Missing, ModelDemand, RouteAdmission, Summary, Upstream, UpstreamBody,
-    WorkerLoad,
+    Downstream, DownstreamBody, Hello, Loads, Missing, ModelDemand, RouteAdmission, Summary, Upstream,
+    UpstreamBody, WorkerLoad,
 };
 use switchhill_registration::{SuspectAfter, Worker, WorkerState};
 use switchhill_routing::{Availability, ResidentModel, WorkerView};
@@ -81,7 +81,11 @@
     }
 
     /// Speaks with the agent until the connection ends.
-    async fn exchange(&mut self, stream: tokio::net::TcpStream, feedback: &mut mpsc::UnboundedReceiver<Feedback>) {
+    async fn exchange(
+        &mut self,
+        stream: tokio::net::TcpStream,
+        feedback: &mut mpsc::UnboundedReceiver<Feedback>,
+    ) {
         let (sender, queue) = mpsc::unbounded_channel::<Upstream>();
         let (received, mut messages) = mpsc::unbounded_channel::<Downstream>();
         let exchange = connection::exchange(stream, queue, |message| received.send(message).is_ok());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,8 +65,8 @@
 //! # Ok::<(), SettingsError>(())
 //! ```
 
-mod brain;
 pub mod agent;
+mod brain;
 pub mod control_plane;
 pub mod core;
 pub mod data_plane;
--- a/src/site_settings.rs
+++ b/src/site_settings.rs
@@ -171,7 +171,8 @@
         let text = std::fs::read_to_string(path)
             .map_err(|source| SettingsError::Unreadable { path: path.to_owned(), source })?;
         let invalid = |fault: String| SettingsError::Invalid { path: path.to_owned(), fault };
-        let settings: SiteSettings = serde_saphyr::from_str(&text).map_err(|error| invalid(error.to_string()))?;
+        let settings: SiteSettings =
+            serde_saphyr::from_str(&text).map_err(|error| invalid(error.to_string()))?;
         settings.check().map_err(invalid)?;
         Ok(settings)
     }
