check reads the system's settings files and operators' configurations

switchhill check knew the gateway's files alone; a fault in local.yaml or in a configuration showed only at a start or as an answer.

--- a/src/main.rs
+++ b/src/main.rs
@@ -9,7 +9,7 @@
 use switchhill::process::logs::Logs;
 use switchhill::process::signals::Signals;
 use switchhill::process::store;
-use switchhill::system::command;
+use switchhill::system::{self, command};
 
 /// A gateway that keeps every customer's quota and decides at once what is worth sending on.
 ///
@@ -36,7 +36,7 @@
     },
     /// Reads files and prints every fault as `file:line: field: what is wrong`.
     Check {
-        /// Configurations or operator's files.
+        /// Configurations or operator's files, of the gateway or of the system; settings files of the system.
         #[arg(required = true, value_name = "FILE")]
         files: Vec<PathBuf>,
     },
@@ -87,7 +87,8 @@
 fn check(files: &[PathBuf]) -> ExitCode {
     let mut sound = true;
     for file in files {
-        if let Err(faults) = config::check(file) {
+        let checked = system::check::check(file).unwrap_or_else(|| config::check(file));
+        if let Err(faults) = checked {
             sound = false;
             faults.in_file(file).for_each(|fault| println!("{fault}"));
         }
--- a/src/process/document.rs
+++ b/src/process/document.rs
@@ -172,6 +172,38 @@
         node.line
     }
 
+    /// The path of the last field that begins at or above a line; empty where there is none.
+    #[must_use]
+    pub fn field_at(&self, line: usize) -> String {
+        let mut found = (0, String::new());
+        self.find_field(line, "", &mut found);
+        found.1
+    }
+
+    /// Notes in `found` the line and path of the last field below this one that begins at or above a line.
+    fn find_field(&self, line: usize, path: &str, found: &mut (usize, String)) {
+        let mut note = |begins: usize, path: String, node: &Node| {
+            if begins <= line && begins >= found.0 {
+                *found = (begins, path.clone());
+            }
+            node.find_field(line, &path, found);
+        };
+        match &self.kind {
+            Kind::Map(map) => {
+                for (key, node) in map {
+                    let dot = if path.is_empty() { "" } else { "." };
+                    note(key.referenced.line() as usize, format!("{path}{dot}{}", key.value), node);
+                }
+            }
+            Kind::List(list) => {
+                for (index, node) in list.iter().enumerate() {
+                    note(node.line, format!("{path}[{index}]"), node);
+                }
+            }
+            _ => {}
+        }
+    }
+
     /// Whether a mapping has this key.
     #[must_use]
     pub fn has(&self, key: &str) -> bool {
--- a/src/system/mod.rs
+++ b/src/system/mod.rs
@@ -1,5 +1,6 @@
-//! What the programs of the system share: command line, clock, connections, signals.
+//! What the programs of the system share: command line, clock, check of files, connections, signals.
 
+pub mod check;
 pub mod clock;
 pub mod command;
 pub mod connection;
