--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -18,6 +18,8 @@
 #[cfg(feature = "bench")]
 pub mod load;
 #[cfg(feature = "bench")]
+pub mod local_system;
+#[cfg(feature = "bench")]
 pub mod report;
 #[cfg(feature = "bench")]
 pub mod run;
--- /dev/null
+++ b/lab/src/local_system/mod.rs
@@ -0,0 +1,27 @@
+//! The whole system on loopback: control planes, agents and data planes as real processes, with stand-in workers,
+//! clients and an operator.
+//!
+//! Each machine has an address of its own in 127.0.0.0/8. The stories in [`stories`] are what the command
+//! `local-system` shows and what the tests check.
+
+mod client;
+mod configuration;
+mod http;
+mod machine;
+mod operator;
+mod ports;
+mod process;
+mod program;
+pub mod show;
+mod site;
+mod stand_in_worker;
+pub mod stories;
+mod wait;
+
+pub use client::{Client, OpenStream, Whole};
+pub use operator::{Operator, OperatorAnswer};
+pub use process::Process;
+pub use program::{built_beside, built_by_cargo};
+pub use site::Site;
+pub use stand_in_worker::StandInWorker;
+pub use wait::{until, LONGEST_WAIT};
--- /dev/null
+++ b/lab/src/local_system/site.rs
@@ -0,0 +1,221 @@
+//! A whole site: core machines, edges, workers.
+
+use super::client::Client;
+use super::configuration::USUAL_MODEL;
+use super::http::{call, get};
+use super::machine::{Machine, MachinePlan, SitePorts};
+use super::operator::Operator;
+use super::ports::{free_port, AddressBlock};
+use super::process::Process;
+use super::stand_in_worker::StandInWorker;
+use super::wait::until;
+use anyhow::Context;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+/// Core machines.
+const CORES: u8 = 3;
+
+/// Edge machines.
+const EDGES: u8 = 2;
+
+/// Last part of the first edge's address; those of core machines begin at 1.
+const FIRST_EDGE: u8 = 11;
+
+/// Last part of the first worker's address.
+const FIRST_WORKER: u8 = 21;
+
+/// Folders made by this process.
+static FOLDERS: AtomicU32 = AtomicU32::new(0);
+
+/// Three core machines, two edges, and workers, on loopback.
+pub struct Site {
+    block: AddressBlock,
+    ports: SitePorts,
+    cores: Vec<Machine>,
+    edges: Vec<Machine>,
+    /// Workers that live.
+    pub workers: Vec<StandInWorker>,
+    started_workers: u8,
+    folder: PathBuf,
+}
+
+impl Site {
+    /// Starts all machines with empty disks, and no worker.
+    ///
+    /// # Errors
+    /// A process cannot be started.
+    pub fn start(program: &Path) -> anyhow::Result<Site> {
+        let block = AddressBlock::new();
+        let (ports, feeds) = choose_ports(block)?;
+        let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
+        let folder = std::env::temp_dir().join(format!("switchhill-local-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let seeds: Vec<SocketAddr> =
+            core_ips(block).map(|ip| SocketAddr::from((ip, ports.service))).collect();
+        let plan = |name: String, ip: Ipv4Addr, feed_port: u16| MachinePlan {
+            program,
+            folder: &folder,
+            name,
+            ip,
+            ports,
+            feed_port,
+            seeds: &seeds,
+        };
+        let cores = core_ips(block)
+            .zip(1..)
+            .map(|(ip, number)| Machine::core(&plan(format!("core-{number}"), ip, feeds[0])));
+        let edges = edge_ips(block).zip(1..).zip(&feeds);
+        let edges =
+            edges.map(|((ip, number), feed)| Machine::edge(&plan(format!("edge-{number}"), ip, *feed)));
+        let (cores, edges) = (cores.collect::<Result<_, _>>()?, edges.collect::<Result<_, _>>()?);
+        let mut site = Site { block, ports, cores, edges, workers: Vec::new(), started_workers: 0, folder };
+        site.machines().try_for_each(Machine::start)?;
+        site.machines().try_for_each(Machine::has_started_once)?;
+        Ok(site)
+    }
+
+    fn machines(&mut self) -> impl Iterator<Item = &mut Machine> {
+        self.cores.iter_mut().chain(&mut self.edges)
+    }
+
+    /// Starts a worker that holds the usual model.
+    ///
+    /// # Errors
+    /// Its address cannot be listened on.
+    pub async fn start_worker(&mut self) -> anyhow::Result<()> {
+        let ip = self.block.address(FIRST_WORKER + self.started_workers);
+        self.started_workers += 1;
+        let id = format!("worker-{}", self.started_workers);
+        let address = SocketAddr::from((ip, self.ports.service));
+        self.workers
+            .push(StandInWorker::start(&id, address, &[USUAL_MODEL], self.control_addresses()).await?);
+        Ok(())
+    }
+
+    /// `control` addresses of the core machines.
+    pub fn control_addresses(&self) -> Vec<SocketAddr> {
+        self.cores.iter().map(|core| SocketAddr::from((core.ip, self.ports.service))).collect()
+    }
+
+    /// The operator.
+    pub fn operator(&self) -> Operator {
+        Operator::of(self.control_addresses())
+    }
+
+    /// A client of each edge.
+    pub fn clients(&self) -> Vec<Client> {
+        self.edges.iter().map(|edge| Client::of(SocketAddr::from((edge.ip, self.ports.service)))).collect()
+    }
+
+    /// Waits until an edge answers readiness checks with a status, and returns the time it took.
+    ///
+    /// # Errors
+    /// It takes too long.
+    pub async fn until_readiness(&self, edge: usize, status: u16) -> anyhow::Result<Duration> {
+        let address = SocketAddr::from((self.edges[edge].ip, self.ports.readiness));
+        let what = format!("{} answers readiness checks with {status}", self.edges[edge].name);
+        let (_, took) = until(&what, || async move {
+            call(address, get(address, "/api/ready")).await.ok().filter(|answer| answer.status == status)
+        })
+        .await?;
+        Ok(took)
+    }
+
+    /// The data plane of an edge.
+    pub fn data_plane(&mut self, edge: usize) -> &mut Process {
+        self.edges[edge].running.last_mut().expect("an edge runs two programs")
+    }
+
+    /// All processes that were started and not ended.
+    pub fn processes(&mut self) -> impl Iterator<Item = &mut Process> {
+        self.machines().flat_map(|machine| &mut machine.running)
+    }
+
+    /// Kills the control plane of a core machine.
+    ///
+    /// # Errors
+    /// It cannot be killed.
+    pub fn kill_core(&mut self, core: usize) -> anyhow::Result<()> {
+        self.cores[core].kill()
+    }
+
+    /// Kills every process of every machine.
+    ///
+    /// # Errors
+    /// One cannot be killed.
+    pub fn kill_all(&mut self) -> anyhow::Result<()> {
+        self.machines().try_for_each(Machine::kill)
+    }
+
+    /// Starts every machine again, on the disks as they are.
+    ///
+    /// # Errors
+    /// One cannot be started.
+    pub fn start_all_again(&mut self) -> anyhow::Result<()> {
+        self.machines().try_for_each(Machine::start)
+    }
+
+    /// Takes a worker out of the site that fulfils a condition.
+    ///
+    /// # Errors
+    /// There is none.
+    pub fn take_worker(
+        &mut self,
+        is_wanted: impl Fn(&StandInWorker) -> bool,
+    ) -> anyhow::Result<StandInWorker> {
+        let index = self.workers.iter().position(is_wanted).context("no such worker")?;
+        Ok(self.workers.remove(index))
+    }
+
+    /// Fails if a process has ended by itself.
+    ///
+    /// # Errors
+    /// It names the process.
+    pub fn all_run(&mut self) -> anyhow::Result<()> {
+        for process in self.processes() {
+            if let Some(status) = process.ended()? {
+                anyhow::bail!("{} has ended: {status}", process.name());
+            }
+        }
+        Ok(())
+    }
+
+    /// Where settings, disks and logs are.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// Ends everything and removes its files.
+    ///
+    /// # Errors
+    /// A process cannot be ended, or a file cannot be removed.
+    pub fn clear_away(mut self) -> anyhow::Result<()> {
+        self.kill_all()?;
+        std::fs::remove_dir_all(&self.folder)?;
+        Ok(())
+    }
+}
+
+fn core_ips(block: AddressBlock) -> impl Iterator<Item = Ipv4Addr> {
+    (1..=CORES).map(move |last| block.address(last))
+}
+
+fn edge_ips(block: AddressBlock) -> impl Iterator<Item = Ipv4Addr> {
+    (FIRST_EDGE..FIRST_EDGE + EDGES).map(move |last| block.address(last))
+}
+
+/// The ports that all machines share, and one for each edge on 127.0.0.1. The internal port is the lowest, since it
+/// is the first of a range whose last is the edge's.
+fn choose_ports(block: AddressBlock) -> anyhow::Result<(SitePorts, Vec<u16>)> {
+    let every: Vec<Ipv4Addr> = core_ips(block).chain(edge_ips(block)).chain([Ipv4Addr::LOCALHOST]).collect();
+    let mut ports = Vec::new();
+    for _ in 0..3 + EDGES {
+        ports.push(free_port(&every, &ports)?);
+    }
+    ports.sort_unstable();
+    let shared = SitePorts { internal: ports[0], service: ports[1], readiness: ports[2] };
+    Ok((shared, ports[3..].to_vec()))
+}
--- /dev/null
+++ b/lab/src/local_system/stand_in_worker.rs
@@ -0,0 +1,302 @@
+//! A stand-in worker: heartbeats, orders, reports, whole answers and streams of events.
+
+mod body;
+mod state;
+
+use self::body::{whole, EventBody, WorkerBody};
+use self::state::{OrderRequest, State};
+use super::http::{call, post};
+use super::machine::HEARTBEAT_MS;
+use super::wait::until;
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::{JoinHandle, JoinSet};
+
+/// Events of each stream.
+pub(super) const EVENTS: u64 = 40;
+
+/// Time between two events.
+const EVENT_EVERY: Duration = Duration::from_millis(50);
+
+/// Time that a whole answer takes.
+const ANSWER_AFTER: Duration = Duration::from_millis(10);
+
+/// Time that loading a model takes.
+const LOAD_TAKES: Duration = Duration::from_millis(300);
+
+/// Time that everything else takes that is ordered.
+const OTHER_ORDERS_TAKE: Duration = Duration::from_millis(20);
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 64;
+
+/// Marks answers to requests that did not run.
+const NOT_EXECUTED: &str = "not-executed";
+
+/// A worker that lives until it is killed or leaves.
+pub struct StandInWorker {
+    id: String,
+    state: Shared,
+    cores: Vec<SocketAddr>,
+    heartbeats: JoinHandle<()>,
+    serving: JoinHandle<()>,
+}
+
+type Shared = Arc<Mutex<State>>;
+
+fn lock(state: &Shared) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl StandInWorker {
+    /// Starts a worker that holds these models.
+    ///
+    /// # Errors
+    /// The address cannot be listened on.
+    pub async fn start(
+        id: &str,
+        address: SocketAddr,
+        models: &[&str],
+        cores: Vec<SocketAddr>,
+    ) -> anyhow::Result<StandInWorker> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        let listener = socket.listen(BACKLOG)?;
+        let state: Shared = Arc::new(Mutex::new(State::new(id, address, models)));
+        let serving = tokio::spawn(serve(listener, state.clone()));
+        let heartbeats = tokio::spawn(tell_of_itself(state.clone(), cores.clone()));
+        Ok(StandInWorker { id: id.to_owned(), state, cores, heartbeats, serving })
+    }
+
+    /// Its id.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Requests that it runs now.
+    pub fn running(&self) -> u32 {
+        lock(&self.state).running
+    }
+
+    /// Requests that it has begun to run.
+    pub fn runs(&self) -> u64 {
+        lock(&self.state).runs
+    }
+
+    /// `Last-Event-Id` of the last stream that it took up in the middle.
+    pub fn resumed_after(&self) -> Option<u64> {
+        lock(&self.state).resumed_after
+    }
+
+    /// Whether it holds a model.
+    pub fn holds(&self, model: &str) -> bool {
+        lock(&self.state).models.contains_key(model)
+    }
+
+    /// Fencing tokens of the orders that it has taken.
+    pub fn fencing_tokens(&self) -> Vec<u64> {
+        lock(&self.state).fencing_tokens.clone()
+    }
+
+    /// Ends it at once: its connections break, and it says nothing.
+    pub async fn crash(self) {
+        self.heartbeats.abort();
+        self.serving.abort();
+        // The tasks' ends show that the sockets are closed.
+        let _ = self.serving.await;
+    }
+
+    /// Says that it leaves, until that is acknowledged. It goes on serving.
+    ///
+    /// # Errors
+    /// It takes too long.
+    pub async fn say_draining(&self) -> anyhow::Result<()> {
+        lock(&self.state).draining = true;
+        let mut next = self.cores.iter().cycle();
+        until("a draining worker is acknowledged", || {
+            let address = *next.next().expect("there are core machines");
+            let state = self.state.clone();
+            async move { heartbeat(&state, address).await.then_some(()) }
+        })
+        .await?;
+        Ok(())
+    }
+}
+
+/// Sends heartbeats to a core machine as long as it acknowledges them, then to the next.
+async fn tell_of_itself(state: Shared, cores: Vec<SocketAddr>) {
+    let mut ticks = tokio::time::interval(Duration::from_millis(HEARTBEAT_MS));
+    let mut current = fastrand::usize(..cores.len());
+    loop {
+        ticks.tick().await;
+        for _ in 0..cores.len() {
+            if heartbeat(&state, cores[current]).await {
+                break;
+            }
+            current = (current + 1) % cores.len();
+        }
+    }
+}
+
+async fn heartbeat(state: &Shared, core: SocketAddr) -> bool {
+    let (path, body) = {
+        let mut state = lock(state);
+        (format!("/api/instances/{}/heartbeat", state.id), Bytes::from(state.next_heartbeat().to_string()))
+    };
+    let answer = call(core, post(core, &path, &[], body)).await;
+    answer.is_ok_and(|answer| answer.status == 200)
+}
+
+async fn serve(listener: TcpListener, state: Shared) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                connections.spawn(serve_connection(stream, state.clone()));
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, state: Shared) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let state = state.clone();
+        async move { Ok::<_, Infallible>(respond(&state, request).await) }
+    });
+    // A connection that breaks is the caller's matter.
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
+
+async fn respond(state: &Shared, request: Request<Incoming>) -> Response<WorkerBody> {
+    let (head, body) = request.into_parts();
+    let Ok(body) = body.collect().await else { return status(StatusCode::BAD_REQUEST) };
+    let body = body.to_bytes();
+    if !is_meant(state, &head.headers) {
+        return not_run(StatusCode::MISDIRECTED_REQUEST);
+    }
+    match (&head.method, head.uri.path()) {
+        (&Method::GET, "/api/report") => json(lock(state).report().to_string()),
+        (&Method::POST, "/api/order") => take_order(state, &body),
+        (&Method::GET, "/health") => status(StatusCode::OK),
+        (_, path) => run(state, path, &head.headers).await,
+    }
+}
+
+/// Whether a call that names a worker names this one.
+fn is_meant(state: &Shared, headers: &HeaderMap) -> bool {
+    let expected = text(headers, "expect-instance");
+    expected.is_empty() || expected == lock(state).id
+}
+
+fn take_order(state: &Shared, body: &Bytes) -> Response<WorkerBody> {
+    let Ok(order) = serde_json::from_slice::<OrderRequest>(body) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let answer = lock(state).take_order(&order);
+    if answer == StatusCode::ACCEPTED {
+        let takes = if order.loads_a_model() { LOAD_TAKES } else { OTHER_ORDERS_TAKE };
+        let state = state.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(takes).await;
+            lock(&state).complete(&order);
+        });
+    }
+    status(answer)
+}
+
+async fn run(state: &Shared, path: &str, headers: &HeaderMap) -> Response<WorkerBody> {
+    let started = Running::begin(state, text(headers, "model"), last_event_id(headers));
+    let running = match started {
+        Ok(running) => running,
+        Err(refused) => return with_id(not_run(refused), headers),
+    };
+    let stamp = lock(state).stamp();
+    let mut answer = if path.starts_with("/chat/") {
+        stream(running, last_event_id(headers).unwrap_or(0))
+    } else {
+        tokio::time::sleep(ANSWER_AFTER).await;
+        Response::new(whole(format!("answered by {}", lock(state).id)))
+    };
+    answer.headers_mut().insert("response-stamp", stamp.parse().expect("a stamp is plain text"));
+    with_id(answer, headers)
+}
+
+fn stream(running: Running, after: u64) -> Response<WorkerBody> {
+    let (events, body) = mpsc::channel(1);
+    tokio::spawn(async move {
+        let _running = running;
+        for id in after + 1..=EVENTS {
+            if events.send(Bytes::from(format!("id: {id}\ndata: token-{id}\n\n"))).await.is_err() {
+                return;
+            }
+            tokio::time::sleep(EVENT_EVERY).await;
+        }
+    });
+    let mut answer = Response::new(WorkerBody::Right(EventBody::new(body)));
+    answer.headers_mut().insert("content-type", "text/event-stream".parse().expect("plain text"));
+    answer
+}
+
+/// A request that runs, counted as long as this is kept.
+struct Running(Shared);
+
+impl Running {
+    fn begin(state: &Shared, model: &str, last_event_id: Option<u64>) -> Result<Running, StatusCode> {
+        lock(state).begin(model, last_event_id)?;
+        Ok(Running(state.clone()))
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        lock(&self.0).running -= 1;
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+}
+
+fn last_event_id(headers: &HeaderMap) -> Option<u64> {
+    text(headers, "last-event-id").parse().ok()
+}
+
+fn status(status: StatusCode) -> Response<WorkerBody> {
+    let mut answer = Response::new(whole(String::new()));
+    *answer.status_mut() = status;
+    answer
+}
+
+fn not_run(why: StatusCode) -> Response<WorkerBody> {
+    let mut answer = status(why);
+    answer.headers_mut().insert(NOT_EXECUTED, "1".parse().expect("plain text"));
+    answer
+}
+
+fn json(text: String) -> Response<WorkerBody> {
+    let mut answer = Response::new(whole(text));
+    answer.headers_mut().insert("content-type", "application/json".parse().expect("plain text"));
+    answer
+}
+
+fn with_id(mut answer: Response<WorkerBody>, request: &HeaderMap) -> Response<WorkerBody> {
+    if let Some(id) = request.get("request-id") {
+        answer.headers_mut().insert("request-id", id.clone());
+    }
+    answer
+}
