Laboratory: machines of a site start with the settings they were given

bootstrap was set to false right after the start; a process that read its settings late joined instead of voting, and the site never had a quorum. It is now set before a second start.

--- a/lab/src/local_system/site.rs
+++ b/lab/src/local_system/site.rs
@@ -73,7 +73,6 @@
         let (cores, edges) = (cores.collect::<Result<_, _>>()?, edges.collect::<Result<_, _>>()?);
         let mut site = Site { block, ports, cores, edges, workers: Vec::new(), started_workers: 0, folder };
         site.machines().try_for_each(Machine::start)?;
-        site.machines().try_for_each(Machine::has_started_once)?;
         Ok(site)
     }
 
@@ -155,6 +154,7 @@
     /// # Errors
     /// One cannot be started.
     pub fn start_all_again(&mut self) -> anyhow::Result<()> {
+        self.machines().try_for_each(Machine::has_started_once)?;
         self.machines().try_for_each(Machine::start)
     }
 
