--- a/lab/src/local_system/machine.rs
+++ b/lab/src/local_system/machine.rs
@@ -1,6 +1,7 @@
 //! Machines of the site and their settings files.
 
 use super::process::{Launch, Process};
+use anyhow::Context;
 use serde_json::{json, Value};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -93,6 +94,20 @@
         self.running.drain(..).try_for_each(Process::kill)
     }
 
+    /// Removes all that its disk holds.
+    pub(super) fn wipe_disk(&self) -> anyhow::Result<()> {
+        let disk = self.settings["dataDir"].as_str().context("the machine has no disk")?;
+        std::fs::remove_dir_all(disk)?;
+        std::fs::create_dir_all(disk)?;
+        Ok(())
+    }
+
+    /// How often a text stands in the logs of the machine's programs.
+    pub(super) fn logged(&self, text: &str) -> usize {
+        let logs = self.launches.iter().filter_map(|launch| std::fs::read_to_string(&launch.log).ok());
+        logs.map(|log| log.matches(text).count()).sum()
+    }
+
     /// From now on the machine starts as part of a system that has run before.
     pub(super) fn has_started_once(&mut self) -> anyhow::Result<()> {
         self.settings["bootstrap"] = json!(false);
--- a/lab/src/local_system/show.rs
+++ b/lab/src/local_system/show.rs
@@ -50,11 +50,12 @@
     teller.tell("A lost answer", stories::a_lost_answer_is_repaired(site, revision(2), revision(3))).await?;
     teller.tell("A worker crashes in a stream", stories::a_stream_outlives_its_worker(site)).await?;
     teller.tell("SIGHUP", stories::sighup_ends_nothing(site)).await?;
+    teller.tell("A disk is lost", stories::a_lost_disk_is_replaced(site, revision(3), revision(4))).await?;
     teller
-        .tell("A control plane is lost", stories::a_core_machine_is_lost(site, revision(3), revision(4)))
+        .tell("A control plane is lost", stories::a_core_machine_is_lost(site, revision(4), revision(5)))
         .await?;
     teller.tell("SIGTERM in a stream", stories::sigterm_finishes_a_stream(site)).await?;
-    teller.tell("All are killed", stories::all_are_killed_and_return(site, revision(4))).await?;
+    teller.tell("All are killed", stories::all_are_killed_and_return(site, revision(5))).await?;
     println!(
         "\nAll {} stories went as they should, in {:.1} s.",
         teller.stories,
--- a/lab/src/local_system/site.rs
+++ b/lab/src/local_system/site.rs
@@ -141,6 +141,23 @@
         self.cores[core].kill()
     }
 
+    /// Kills the control plane of a core machine, wipes its disk and starts it again.
+    ///
+    /// # Errors
+    /// One of these fails.
+    pub fn restart_core_with_empty_disk(&mut self, core: usize) -> anyhow::Result<()> {
+        let machine = &mut self.cores[core];
+        machine.kill()?;
+        machine.wipe_disk()?;
+        machine.has_started_once()?;
+        machine.start()
+    }
+
+    /// How often a text stands in the logs of each core machine.
+    pub fn logged_by_cores(&self, text: &str) -> Vec<usize> {
+        self.cores.iter().map(|core| core.logged(text)).collect()
+    }
+
     /// Kills every process of every machine.
     ///
     /// # Errors
--- a/lab/src/local_system/stories.rs
+++ b/lab/src/local_system/stories.rs
@@ -22,6 +22,9 @@
 /// Requests of each client in a round.
 const REQUESTS: usize = 10;
 
+/// Ends the line that a core machine logs when it makes all three core machines vote.
+const ELECTORATE_LINE: &str = " members, 3 wanted";
+
 /// Events after which a stream is disturbed.
 const EVENTS_BEFORE: usize = 5;
 
@@ -222,6 +225,29 @@
     Ok(told)
 }
 
+/// A core machine loses its disk and returns as a new replica, which is made to vote. From then on another core machine
+/// may be lost.
+///
+/// # Errors
+/// Something else happens.
+pub async fn a_lost_disk_is_replaced(site: &mut Site, base: u64, revision: u64) -> Told {
+    let before = site.logged_by_cores(ELECTORATE_LINE);
+    site.restart_core_with_empty_disk(1)?;
+    let (proposer, took) = until("the new replica is made to vote", || async {
+        let now = site.logged_by_cores(ELECTORATE_LINE);
+        now.iter().zip(&before).position(|(now, before)| now > before)
+    })
+    .await?;
+    let mut told = vec![format!(
+        "core-2 returned with an empty disk; core-{} made it vote {}",
+        proposer + 1,
+        after(took)
+    )];
+    // It works on the register one thing after the other: this change comes after that of the electorate.
+    told.extend(change_and_wait(site, &site.operator().beginning_with(proposer), base, revision).await?);
+    Ok(told)
+}
+
 /// Every process is killed at once and started again: the configuration is still there, clients are answered.
 ///
 /// # Errors
--- a/lab/tests/local_system.rs
+++ b/lab/tests/local_system.rs
@@ -79,3 +79,13 @@
         Ok(site)
     });
 }
+
+#[gtest]
+fn a_core_machine_that_lost_its_disk_votes_again() {
+    on_a_site(|mut site| async {
+        stories::a_lost_disk_is_replaced(&mut site, FIRST_REVISION, FIRST_REVISION + 1).await?;
+        stories::a_core_machine_is_lost(&mut site, FIRST_REVISION + 1, FIRST_REVISION + 2).await?;
+        stories::clients_are_answered(&mut site).await?;
+        Ok(site)
+    });
+}
