--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -6,9 +6,10 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 use switchhill_lab::load::Live;
+use switchhill_lab::local_system;
 use switchhill_lab::run::{Outcome, Wanted};
 use switchhill_lab::scenario::Scenario;
-use switchhill_lab::{bare, compare, live, local_system, report, run};
+use switchhill_lab::{bare, compare, live, report, run};
 
 /// Real gateways on loopback against stand-in boxes, discovery and clients.
 ///
@@ -22,6 +23,12 @@
 
 #[derive(Subcommand)]
 enum Task {
+    /// Shows the whole system at work on loopback: real processes, stand-in workers, clients and operator.
+    LocalSystem {
+        /// The system's program [default: beside this one, built first where cargo runs this].
+        #[arg(long, value_name = "FILE")]
+        program: Option<PathBuf>,
+    },
     /// Plays a scenario and tells what came of it.
     Run {
         /// The scenario's file.
@@ -73,12 +80,6 @@
         #[arg(long)]
         gateway: Option<PathBuf>,
     },
-    /// Shows the whole system at work on loopback: real processes, stand-in workers, clients and operator.
-    LocalSystem {
-        /// The system's program [default: beside this one, built first where cargo runs this].
-        #[arg(long, value_name = "FILE")]
-        program: Option<PathBuf>,
-    },
     /// The least relay, to these addresses in turn.
     Bare {
         /// Boxes.
@@ -106,6 +107,13 @@
     built.map_err(|e| Failed::Ran(e.to_string()))
 }
 
+fn show_local_system(program: Option<PathBuf>) -> Result<(), Failed> {
+    let failed = |error: anyhow::Error| Failed::Ran(format!("{error:#}"));
+    let program = program.map_or_else(local_system::built_by_cargo, Ok).map_err(failed)?;
+    let shown = runtime()?.block_on(local_system::show::show(&program));
+    shown.map_err(failed)
+}
+
 fn play(
     scenario: &Arc<Scenario>,
     seed: u64,
@@ -241,15 +249,9 @@
     Ok(all_held)
 }
 
-fn show_local_system(program: Option<PathBuf>) -> Result<(), Failed> {
-    let failed = |error: anyhow::Error| Failed::Ran(format!("{error:#}"));
-    let program = program.map_or_else(local_system::built_by_cargo, Ok).map_err(failed)?;
-    let shown = runtime()?.block_on(local_system::show::show(&program));
-    shown.map_err(failed)
-}
-
 fn main() -> ExitCode {
     let done = match Line::parse().command {
+        Task::LocalSystem { program } => show_local_system(program).map(|()| true),
         Task::Run { scenario, seed, out, gateway, bare } => {
             run_one(&scenario, seed, out, gateway.as_deref(), bare)
         }
@@ -259,7 +261,6 @@
         Task::Faults { scenarios, seeds, together, figures, gateway } => {
             faults(&scenarios, seeds, together, &figures, gateway.as_deref())
         }
-        Task::LocalSystem { program } => show_local_system(program).map(|()| true),
         Task::Bare { to } => {
             let relay = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let relayed = relay.and_then(|runtime| runtime.block_on(bare::relay(to)));
