--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 use switchhill_lab::load::Live;
+use switchhill_lab::local_system;
 use switchhill_lab::run::{Outcome, Wanted};
 use switchhill_lab::scenario::Scenario;
 use switchhill_lab::{bare, compare, emulator, live, report, run};
@@ -22,6 +23,12 @@
 
 #[derive(Subcommand)]
 enum Task {
+    /// Shows the whole system at work on loopback: real processes, stand-in workers, clients and operator.
+    LocalSystem {
+        /// The system's program [default: beside this one, built first where cargo runs this].
+        #[arg(long, value_name = "FILE")]
+        program: Option<PathBuf>,
+    },
     /// Plays a scenario and tells what came of it.
     Run {
         /// The scenario's file.
@@ -109,6 +116,13 @@
     built.map_err(|e| Failed::Ran(e.to_string()))
 }
 
+fn show_local_system(program: Option<PathBuf>) -> Result<(), Failed> {
+    let failed = |error: anyhow::Error| Failed::Ran(format!("{error:#}"));
+    let program = program.map_or_else(local_system::built_by_cargo, Ok).map_err(failed)?;
+    let shown = runtime()?.block_on(local_system::show::show(&program));
+    shown.map_err(failed)
+}
+
 fn play(
     scenario: &Arc<Scenario>,
     seed: u64,
@@ -271,6 +285,7 @@
 
 fn main() -> ExitCode {
     let done = match Line::parse().command {
+        Task::LocalSystem { program } => show_local_system(program).map(|()| true),
         Task::Run { scenario, seed, out, gateway, bare } => {
             run_one(&scenario, seed, out, gateway.as_deref(), bare)
         }
