--- a/crates/control/src/electorate.rs
+++ b/crates/control/src/electorate.rs
@@ -4,8 +4,13 @@
 use crate::node::ControlNode;
 use switchhill_register::{Electorate, Member, ReplicaId};
 
-/// Silence in milliseconds after which a member may be dropped while enough others remain.
-const DROP_AFTER: u64 = 6_000;
+/// Silence in milliseconds after which a member may be dropped while enough others remain. A machine that was taken away
+/// has to be dropped well before its successor has run for 4 s: from then on another one may be lost.
+const DROP_AFTER: u64 = 2_500;
+
+/// Silence in milliseconds after which a member gives way to a replica that joins while enough others remain: the
+/// newcomer takes its place in one change, so that no electorate with a lost member in surplus lies between.
+const GIVE_WAY_AFTER: u64 = 800;
 
 /// Silence in milliseconds of a replica that may be added.
 const ADD_WITHIN: u64 = 600;
@@ -41,8 +46,10 @@
     fn desired_members(&self, now: u64, electorate: &Electorate) -> Vec<Member> {
         let mut members: Vec<Member> = electorate.members.clone();
         members.retain(|member| !self.is_replaced(member));
+        let before = members.len();
         self.add_joined(now, &mut members);
-        self.drop_silent(now, &mut members);
+        let silence = if members.len() > before { GIVE_WAY_AFTER } else { DROP_AFTER };
+        self.drop_silent(now, silence, &mut members);
         members.sort_by_key(|member| member.id);
         members
     }
@@ -65,7 +72,7 @@
         }
     }
 
-    fn drop_silent(&self, now: u64, members: &mut Vec<Member>) {
+    fn drop_silent(&self, now: u64, silence: u64, members: &mut Vec<Member>) {
         let least = 2 * self.settings.machines_lost + 1;
         let silent_for = |member: &Member| match member.id.0 == self.settings.replica {
             true => 0,
@@ -75,7 +82,7 @@
         while members.len() > least {
             let longest = members.iter().enumerate().max_by_key(|(_, member)| silent_for(member));
             match longest {
-                Some((index, member)) if silent_for(member) >= DROP_AFTER => members.remove(index),
+                Some((index, member)) if silent_for(member) >= silence => members.remove(index),
                 _ => return,
             };
         }
--- a/crates/control/src/placer.rs
+++ b/crates/control/src/placer.rs
@@ -80,8 +80,11 @@
 
     /// This node was granted the role.
     pub(crate) fn placer_granted(&mut self, now: u64, grant: Option<PlacerGrant>, former: Option<String>) {
+        // A holder that was restarted can't tell whether the pause after its predecessor's orders was over. Where workers
+        // check fencing tokens that is harmless: a late order of the predecessor is refused.
+        let may_follow_another = !self.settings.fencing && former.is_some();
         let taken_over = former.is_some_and(|former| former != self.settings.node_name);
-        let pause = if taken_over { self.placer.lease_ms + FORMER_MAY_GO_ON } else { 0 };
+        let pause = if taken_over || may_follow_another { self.placer.lease_ms + FORMER_MAY_GO_ON } else { 0 };
         log::info!("placer: granted {grant:?}, orders in {pause} ms");
         self.placer.planners.clear();
         self.placer.acts_from = now + pause;
--- a/lab/src/emulator/mod.rs
+++ b/lab/src/emulator/mod.rs
@@ -18,4 +18,6 @@
 pub mod worker;
 pub mod world;
 
+pub use world::Plan;
+
 pub use run::{plan, play, replay, replay_all, Report};
--- a/lab/src/emulator/run.rs
+++ b/lab/src/emulator/run.rs
@@ -62,7 +62,7 @@
     let mut random = fastrand::Rng::with_seed(seed);
     let sizes = Sizes::draw(&mut random);
     let faults = faults::draw(&mut random);
-    Plan { seed, sizes, faults, plain_from: PLAIN_FROM, ends_at: ENDS_AT, flaw: None }
+    Plan { seed, sizes, faults, plain_from: PLAIN_FROM, ends_at: ENDS_AT, flaw: None, narrated: false }
 }
 
 /// Plays a plan.
--- a/lab/src/emulator/world/core_machine.rs
+++ b/lab/src/emulator/world/core_machine.rs
@@ -100,6 +100,15 @@
             seed: life_number,
         };
         machine.started_before = true;
+        if self.plan.narrated {
+            println!(
+                "{:>6} core-{core} starts as {:016x}, {} records, genesis {}",
+                self.now,
+                identity.replica,
+                records.len(),
+                genesis.is_some()
+            );
+        }
         machine.life += 1;
         machine.power = Power::Running;
         machine.process = Some(CoreProcess::new(ControlNode::new(self.now, settings, records, genesis)));
@@ -132,6 +141,9 @@
         let life = machine.life;
         machine.life += 1;
         machine.power = power;
+        if self.plan.narrated {
+            println!("{:>6} core-{core} stops: {power:?}", self.now);
+        }
         let process = machine.process.take();
         self.calm.touch(self.now, Subject::Core);
         if let Some(process) = process.filter(|_| power != Power::Off) {
--- a/lab/src/emulator/world/core_process.rs
+++ b/lab/src/emulator/world/core_process.rs
@@ -140,6 +140,11 @@
         let Some(process) = self.cores[core].process.as_mut() else { return };
         let Some(caller) = process.connections.calls.remove(&id) else { return };
         self.note(u64::from(answer.status));
+        if caller.host == Host::Operator {
+            self.tell(|| {
+                format!("core-{core} answers call {}: {} {:.60?}", caller.number, answer.status, answer.body)
+            });
+        }
         if let Some(worker) = caller.ends.as_ref().filter(|_| answer.status == 200) {
             self.checkers.draining.acknowledged(self.now, worker);
         }
--- a/lab/src/emulator/world/mod.rs
+++ b/lab/src/emulator/world/mod.rs
@@ -69,6 +69,8 @@
     pub ends_at: u64,
     /// A planted fault.
     pub flaw: Option<Flaw>,
+    /// Whether the run is told on standard output.
+    pub narrated: bool,
 }
 
 /// The deployment.
@@ -256,6 +258,13 @@
         self.cores.iter().filter(|core| !core.is_gone()).all(CoreMachine::is_running)
     }
 
+    /// Tells of something in a narrated run.
+    fn tell(&self, what: impl FnOnce() -> String) {
+        if self.plan.narrated {
+            println!("{:>6} {}", self.now, what());
+        }
+    }
+
     fn note(&mut self, value: u64) {
         self.trace = (self.trace.rotate_left(5) ^ value ^ self.now).wrapping_mul(0x0100_0000_01b3);
     }
--- a/lab/src/emulator/world/operator_calls.rs
+++ b/lab/src/emulator/world/operator_calls.rs
@@ -30,6 +30,12 @@
             if let Some(sent) = call.order.and_then(|order| self.operator.order(order)) {
                 self.checkers.changes.sent(sent);
             }
+            self.tell(|| {
+                format!(
+                    "call {} to core-{} for {:?} begun at {}",
+                    call.number, call.core, call.order, call.began
+                )
+            });
             let path = Path { from: Host::Operator, to: Host::Core(call.core) };
             self.send(path, Stream::Call, (0, None), Message::Call(call.number, call.call));
         }
--- a/lab/src/emulator/world/trouble.rs
+++ b/lab/src/emulator/world/trouble.rs
@@ -46,6 +46,7 @@
     /// A planned fault begins.
     pub(super) fn begin_fault(&mut self, number: usize) {
         let fault = self.plan.faults[number].fault.clone();
+        self.tell(|| format!("fault: {fault:?}"));
         self.apply(fault);
     }
 
@@ -347,6 +348,7 @@
 
     /// A fault ends.
     pub(super) fn end_fault(&mut self, ending: Ending) {
+        self.tell(|| format!("ends: {ending:?}"));
         match ending {
             Ending::Thaw(host, number) => self.thaw(host, number),
             Ending::Heal { paths, subjects, cores } => self.heal(paths, &subjects, &cores),
--- a/lab/src/emulator/world/worker_place.rs
+++ b/lab/src/emulator/world/worker_place.rs
@@ -119,6 +119,9 @@
             return OrderAnswer::WrongInstance;
         }
         let outcome = process.order(now, order.clone(), &mut worker.had);
+        if self.plan.narrated {
+            println!("{now:>6} worker-{place} {:?} {order:?}", outcome.answer);
+        }
         let checkers = &mut self.checkers;
         let seen = OrderSeen {
             sender: path.from,
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -81,6 +81,9 @@
         /// The first seed.
         #[arg(long, default_value_t = 1)]
         from: u64,
+        /// Tells the whole run of the first seed.
+        #[arg(long)]
+        narrate: bool,
     },
     /// The least relay, to these addresses in turn.
     Bare {
@@ -244,6 +247,13 @@
     Ok(all_held)
 }
 
+/// Plays one seed and tells what happens. True where nothing broke.
+fn narrate(seed: u64) -> bool {
+    let report = emulator::play(emulator::Plan { narrated: true, ..emulator::plan(seed) });
+    println!("{report}");
+    report.holds()
+}
+
 /// Plays seeds on all processors and prints what broke and the worst figures. True where nothing broke.
 fn emulate(from: u64, seeds: u64) -> bool {
     let reports = emulator::replay_all(from..from + seeds);
@@ -280,7 +290,8 @@
         Task::Faults { scenarios, seeds, together, figures, gateway } => {
             faults(&scenarios, seeds, together, &figures, gateway.as_deref())
         }
-        Task::Emulate { seeds, from } => Ok(emulate(from, seeds)),
+        Task::Emulate { from, narrate: true, .. } => Ok(narrate(from)),
+        Task::Emulate { seeds, from, narrate: false } => Ok(emulate(from, seeds)),
         Task::Bare { to } => {
             let relay = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let relayed = relay.and_then(|runtime| runtime.block_on(bare::relay(to)));
--- a/lab/tests/emulator_checkers.rs
+++ b/lab/tests/emulator_checkers.rs
@@ -17,7 +17,15 @@
 const SIZES: Sizes = Sizes { cores: 5, machines_lost: 1, edges: 4, workers: 8, fencing: true, sync_ms: 3 };
 
 fn calm_plan(seed: u64) -> Plan {
-    Plan { seed, sizes: SIZES, faults: Vec::new(), plain_from: 0, ends_at: 24_000, flaw: None }
+    Plan {
+        seed,
+        sizes: SIZES,
+        faults: Vec::new(),
+        plain_from: 0,
+        ends_at: 24_000,
+        flaw: None,
+        narrated: false,
+    }
 }
 
 fn play_with(flaw: Option<Flaw>, sizes: Sizes, faults: &[(u64, Fault)]) -> Vec<Report> {
