--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -108,10 +108,11 @@
                 return;
             }
         };
+        let is_chosen = current.as_ref().is_none_or(|accepted| self.is_chosen(accepted));
         let data = current.map(|accepted| accepted.value.data);
         let write = match &mut job {
             Job::Change { call, order, answer, .. } => {
-                let (next, reply) = decide_change(&state, order, data);
+                let (next, reply) = decide_change(&state, order, data, is_chosen);
                 *answer = Some(reply.clone());
                 if next.is_none() {
                     let call = *call;
@@ -136,6 +137,11 @@
         self.register_input(now, Input::Write { operation, data, members });
     }
 
+    /// Whether a value that was reported is known to have been chosen.
+    fn is_chosen(&self, reported: &Accepted) -> bool {
+        self.replica.committed().is_some_and(|committed| committed.value.origin() == reported.value.origin())
+    }
+
     fn abandon(&mut self, now: u64, operation: u64, job: Job) {
         if let Job::Change { call, .. } = job {
             self.answer(call, Answer::unavailable("the register could not be read"));
@@ -188,8 +194,14 @@
     }
 }
 
-/// What an order makes of a state: the value to write, if any, and the answer once it is written.
-fn decide_change(state: &ControlState, order: &Order, data: Option<Bytes>) -> (Option<Bytes>, Answer) {
+/// What an order makes of a state: the value to write, if any, and the answer once it is written. `is_chosen` tells whether
+/// the state, encoded in `data`, is certain to be the register's.
+fn decide_change(
+    state: &ControlState,
+    order: &Order,
+    data: Option<Bytes>,
+    is_chosen: bool,
+) -> (Option<Bytes>, Answer) {
     match state.decide(order) {
         Decision::Take(next) => {
             let revision = next.document.as_ref().map_or(0, |document| document.revision());
@@ -197,6 +209,8 @@
         }
         // Written once more, so that it is certain to be committed before it is acknowledged.
         Decision::TakenBefore { revision } => (data, Answer::json(200, format!("{{\"revision\":{revision}}}"))),
-        Decision::Refused(error) => (None, Answer::refused(&error)),
+        // A state that only a minority accepted may yet give way, and then the order might be taken elsewhere: it is
+        // refused only once the state that speaks against it is chosen.
+        Decision::Refused(error) => (data.filter(|_| !is_chosen), Answer::refused(&error)),
     }
 }
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -55,6 +55,12 @@
     /// Workers with something planned, under way or to be asked.
     pub(crate) attention: BTreeSet<WorkerKey>,
     pub(crate) outputs: Vec<Output>,
+    /// When the planner may ask and order; it only watches before.
+    pub(crate) orders_from: u64,
+    /// Copies that models should have because of what is busy now.
+    pub(crate) anticipated: BTreeMap<ModelIndex, usize>,
+    /// Tokens of the store that other loads leave to models whose copies are crowded.
+    pub(crate) tokens_kept_for_crowded: f64,
     next_order: u64,
     next_policy_at: u64,
     next_sample_at: u64,
@@ -62,10 +68,13 @@
 }
 
 impl Planner {
-    /// A planner that knows nothing yet. Its bucket of loads is empty, since a predecessor may just have used the
-    /// store's rate, and it orders nothing to a worker before that worker has reported. `seed` settles ties.
+    /// A planner that knows nothing yet. For [`PlannerSettings::watch_ms`] it only watches; then its bucket of loads
+    /// is empty, since a predecessor may just have used the store's rate, and it orders nothing to a worker before
+    /// that worker has reported. `seed` settles ties.
     pub fn new(now: u64, settings: PlannerSettings, engine: Engine, seed: u64) -> Self {
-        let store = StoreRate::new(now, engine.loads_per_s * settings.store_share, settings.store_burst);
+        let orders_from = now + settings.watch_ms;
+        let store =
+            StoreRate::new(orders_from, engine.loads_per_s * settings.store_share, settings.store_burst);
         let mut catalogue = Catalogue::default();
         catalogue.update(&engine);
         Self {
@@ -83,6 +92,9 @@
             orders: BTreeMap::new(),
             attention: BTreeSet::new(),
             outputs: Vec::new(),
+            orders_from,
+            anticipated: BTreeMap::new(),
+            tokens_kept_for_crowded: 0.0,
             next_order: 1,
             next_policy_at: now,
             next_sample_at: now,
@@ -111,15 +123,7 @@
         }
         match input {
             Input::Workers(views) => self.update_workers(now, &views),
-            Input::Demand {
-                model,
-                adapter,
-                requests_per_s,
-                tokens_per_s: _,
-                urgency_ms,
-                outstanding,
-                waiting,
-            } => {
+            Input::Demand { model, adapter, requests_per_s, urgency_ms, outstanding, waiting } => {
                 let sample = Sample { requests_per_s, outstanding, waiting, urgency_ms };
                 self.tell_demand(now, &model, adapter, sample);
             }
@@ -186,16 +190,20 @@
             return;
         }
         self.next_policy_at = now + POLICY_INTERVAL_MS;
+        self.relieve_crowded(now);
+        self.prepare(now);
         self.serve_missing(now);
         if now >= self.next_sample_at {
             self.next_sample_at = now + SAMPLE_INTERVAL_MS;
             self.sample_demand(now);
             self.grow(now);
+            self.relieve(now);
         }
     }
 
     fn tell_demand(&mut self, now: u64, model: &str, adapter: Option<String>, sample: Sample) {
-        if let Some(model) = self.catalogue.configured(model) {
+        let known = self.catalogue.configured(model);
+        if let Some(model) = known.filter(|model| self.catalogue.has_adapter(*model, adapter.as_deref())) {
             self.demand.entry(model).or_default().tell(now, adapter, sample);
         }
     }
@@ -238,7 +246,7 @@
     }
 
     fn add_worker(&mut self, now: u64, view: &WorkerView) {
-        let mut worker = Worker::new(now, view);
+        let mut worker = Worker::new(now, view, now.max(self.orders_from));
         worker.adopt(now, &view.models, &mut self.catalogue, true);
         if let Some(held) = self.held_at_address.get(&view.address) {
             worker.held_before.clone_from(held);
@@ -251,28 +259,41 @@
     }
 
     fn update_worker(&mut self, now: u64, key: WorkerKey, view: &WorkerView) {
+        self.compare_heartbeat(now, key, view);
         let worker = &mut self.workers[key];
+        if worker.state == view.state && worker.address == view.address {
+            return;
+        }
         worker.state = view.state;
-        worker.zone.clone_from(&view.zone);
         worker.address.clone_from(&view.address);
-        if view.as_of_sequence > worker.heard_sequence {
-            worker.heard_sequence = view.as_of_sequence;
-            let settled = now.saturating_sub(worker.changed_at) > HEARTBEAT_LAG_MS;
-            let unchecked = now.saturating_sub(worker.checked_at) > HEARTBEAT_LAG_MS;
-            let disagrees = !worker.agrees_with(&view.models, &self.catalogue);
-            if worker.is_free() && settled && unchecked && disagrees {
-                worker.checked_at = now;
-                worker.knowledge = Knowledge::Unknown { ask_at: now };
-            }
-        }
-        if !self.workers[key].is_ready() {
-            self.workers[key].plan.clear();
+        if !worker.is_ready() {
+            worker.plan.clear();
         }
         self.attention.insert(key);
         self.refresh(key);
         self.advance(now, key);
     }
 
+    /// Asks for a report where a newer heartbeat differs from the record long after the last order.
+    fn compare_heartbeat(&mut self, now: u64, key: WorkerKey, view: &WorkerView) {
+        let worker = &mut self.workers[key];
+        if view.as_of_sequence <= worker.heard_sequence {
+            return;
+        }
+        worker.heard_sequence = view.as_of_sequence;
+        let settled = now.saturating_sub(worker.changed_at) > HEARTBEAT_LAG_MS;
+        let unchecked = now.saturating_sub(worker.checked_at) > HEARTBEAT_LAG_MS;
+        if !worker.is_free() || !settled || !unchecked {
+            return;
+        }
+        if !worker.agrees_with(&view.models, &self.catalogue) {
+            worker.checked_at = now;
+            worker.knowledge = Knowledge::Unknown { ask_at: now };
+            self.attention.insert(key);
+            self.advance(now, key);
+        }
+    }
+
     fn reindex(&mut self, key: WorkerKey) {
         self.grow_index();
         let worker = &mut self.workers[key];
@@ -287,8 +308,8 @@
         let models: BTreeSet<ModelIndex> =
             worker.holdings.iter().map(|holding| holding.model).chain(planned).collect();
         for model in models {
-            let comes = worker.holding(model).is_some_and(|holding| holding.phase == Phase::Loading)
-                || worker.is_planned(Operation::Load, model);
+            let ordered = worker.holding(model).is_some_and(|holding| holding.phase == Phase::Loading);
+            let comes = worker.answers() && (ordered || worker.is_planned(Operation::Load, model));
             if worker.stands(model) {
                 self.copies[model.get()].standing.insert(key);
             } else if comes {
--- a/crates/placement/src/policy/missing.rs
+++ b/crates/placement/src/policy/missing.rs
@@ -14,6 +14,8 @@
 const TRIED_A_ROUND: usize = 32;
 /// Change of an expected time that is worth telling, in milliseconds.
 const NOTABLE_CHANGE_MS: u64 = 500;
+/// What a second of waiting adds to the number of requests that wait.
+const PRESSURE_A_SECOND: f64 = 0.5;
 /// Urgency of a request with an aim of this length is that of the bare count, in milliseconds.
 const USUAL_AIM_MS: f64 = 1_000.0;
 
@@ -46,9 +48,11 @@
         self.entries.retain(|want, _| keep(want.model));
     }
 
-    /// Requests that wait for a want.
-    pub(crate) fn waiting(&self, want: &Want) -> u32 {
-        self.entries.get(want).map_or(0, |entry| entry.waiting)
+    /// Requests that wait for a want, and more for each second since the first came, so that everything has its turn.
+    fn pressure(&self, now: u64, want: &Want) -> f64 {
+        self.entries
+            .get(want)
+            .map_or(0.0, |entry| f64::from(entry.waiting) + entry.age_s(now) * PRESSURE_A_SECOND)
     }
 
     /// Number of wants.
@@ -56,6 +60,18 @@
         self.entries.len()
     }
 
+    /// Time since requests first asked for a want, in milliseconds.
+    fn waited_ms(&self, now: u64, want: &Want) -> u64 {
+        self.entries.get(want).map_or(0, |entry| now.saturating_sub(entry.first_at))
+    }
+
+    /// Requests that wait for any adapter of a model.
+    fn adapter_pressure(&self, now: u64, model: ModelIndex) -> f64 {
+        let of_model = self.entries.range(Want { model, adapter: None }..);
+        let wants = of_model.take_while(|(want, _)| want.model == model).map(|(want, _)| want);
+        wants.filter(|want| want.adapter.is_some()).map(|want| self.pressure(now, want)).sum()
+    }
+
     fn note(&mut self, now: u64, want: &Want, waiting: u32, aim_ms: u64) {
         let entry = self.entries.entry(want.clone()).or_insert(MissingEntry {
             waiting: 0,
@@ -74,7 +90,7 @@
         let mut ranked: Vec<(bool, f64, &Want)> = self
             .entries
             .iter()
-            .map(|(want, entry)| (want.adapter.is_none(), entry.pressure(now), want))
+            .map(|(want, entry)| (want.adapter.is_none(), entry.rank(now), want))
             .collect();
         ranked.sort_by(|left, right| left.0.cmp(&right.0).then(right.1.total_cmp(&left.1)));
         ranked.into_iter().map(|(_, _, want)| want.clone()).collect()
@@ -82,10 +98,13 @@
 }
 
 impl MissingEntry {
-    fn pressure(&self, now: u64) -> f64 {
+    fn rank(&self, now: u64) -> f64 {
         let urgency = 1.0 + USUAL_AIM_MS / self.aim_ms as f64;
-        let age_s = now.saturating_sub(self.first_at) as f64 / 1_000.0;
-        f64::from(self.waiting) * urgency + age_s
+        f64::from(self.waiting) * urgency + self.age_s(now)
+    }
+
+    fn age_s(&self, now: u64) -> f64 {
+        now.saturating_sub(self.first_at) as f64 / 1_000.0
     }
 }
 
@@ -99,7 +118,9 @@
         waiting: u32,
         aim_ms: u64,
     ) {
-        let Some(index) = self.catalogue.configured(&model) else {
+        let known = self.catalogue.configured(&model);
+        let offered = known.filter(|index| self.catalogue.has_adapter(*index, adapter.as_deref()));
+        let Some(index) = offered else {
             self.outputs.push(Output::Expect { model, adapter, ready_in_ms: None });
             return;
         };
@@ -129,22 +150,41 @@
             }
         }
         let ranked = self.missing.ranked(now);
-        for want in ranked.iter().take(TRIED_A_ROUND) {
-            self.try_serve(now, want);
+        let mut tried = 0;
+        for want in &ranked {
+            if tried < TRIED_A_ROUND && !self.is_planned(want) {
+                self.try_serve(now, want);
+                tried += 1;
+            }
             self.tell_changed(now, want);
         }
     }
 
+    /// Whether nothing more can be planned for a want: it comes, or its model has to come first.
+    fn is_planned(&mut self, want: &Want) -> bool {
+        let copies = self.copies_of(want.model);
+        if copies.standing.is_empty() {
+            return !copies.coming.is_empty();
+        }
+        let standing = copies.standing.clone();
+        let Some(adapter) = want.adapter.as_deref() else { return true };
+        standing.iter().any(|key| self.workers[*key].has_adapter(want.model, adapter))
+    }
+
     fn try_serve(&mut self, now: u64, want: &Want) {
-        let waiting = self.missing.waiting(want);
+        let pressure = self.missing.pressure(now, want);
         let copies = self.copies_of(want.model);
         if copies.count() == 0 {
-            self.place_model(now, want.model, Reason::Missing { waiting });
+            self.place_model(now, want.model, Reason::Missing { pressure });
             return;
         }
-        let stands_somewhere = !copies.standing.is_empty();
-        if let (Some(adapter), true) = (&want.adapter, stands_somewhere) {
-            self.place_adapter(now, want.model, adapter);
+        let (stands, comes) = (!copies.standing.is_empty(), !copies.coming.is_empty());
+        let Some(adapter) = want.adapter.as_deref().filter(|_| stands) else { return };
+        let waited_ms = self.missing.waited_ms(now, want);
+        let placed = self.place_adapter(now, want.model, adapter, waited_ms);
+        if !placed && !comes && self.lacks_adapter_slots(now, want.model) {
+            let pressure = self.missing.adapter_pressure(now, want.model);
+            self.place_model(now, want.model, Reason::Missing { pressure });
         }
     }
 
--- a/crates/placement/src/worker.rs
+++ b/crates/placement/src/worker.rs
@@ -16,6 +16,9 @@
 /// Room counted as rounding of the configured sizes, in megabytes.
 const ROUNDING_MB: f64 = 1e-6;
 
+/// Reports that may stay away before the planner no longer counts on what it ordered.
+const REPORTS_MISSED: u32 = 2;
+
 /// Phase of something on a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -119,13 +122,15 @@
     pub(crate) checked_at: u64,
     pub(crate) occupied: u32,
     pub(crate) memory_share: f64,
+    /// Until when no further copy is loaded elsewhere to relieve it.
+    pub(crate) relieved_until: u64,
     /// Models under which the record stands in the planner's index.
     pub(crate) indexed: Vec<ModelIndex>,
 }
 
 impl Worker {
-    /// Record of a worker seen for the first time; its report is due at once.
-    pub(crate) fn new(now: u64, view: &WorkerView) -> Self {
+    /// Record of a worker seen for the first time; its report is due at `ask_at`.
+    pub(crate) fn new(now: u64, view: &WorkerView, ask_at: u64) -> Self {
         Self {
             id: view.id.clone(),
             address: view.address.clone(),
@@ -134,7 +139,7 @@
             holdings: Vec::new(),
             plan: VecDeque::new(),
             order: None,
-            knowledge: Knowledge::Unknown { ask_at: now },
+            knowledge: Knowledge::Unknown { ask_at },
             least_sequence: 0,
             doubts: Vec::new(),
             asked: 0,
@@ -147,6 +152,7 @@
             checked_at: now,
             occupied: 0,
             memory_share: 0.0,
+            relieved_until: 0,
             indexed: Vec::new(),
         }
     }
@@ -166,6 +172,11 @@
         matches!(self.knowledge, Knowledge::Exact { .. })
     }
 
+    /// Whether it has answered the planner lately, so that what was ordered can be expected to come.
+    pub(crate) fn answers(&self) -> bool {
+        self.asked <= REPORTS_MISSED
+    }
+
     /// Share of its slots or memory in use; above 1 when requests queue.
     pub(crate) fn load(&self, engine: &Engine) -> f64 {
         let slots = f64::from(engine.slots.max(1));
--- a/crates/routing/tests/choose.rs
+++ b/crates/routing/tests/choose.rs
@@ -269,8 +269,14 @@
     let mut router = router(1, 2);
     let quiet = chosen(&mut router, 0, &request(0), &[]);
     router.sent(0, quiet, &request(0));
-    for serial in 0..50 {
-        expect_that!(chosen(&mut router, 800, &request(serial), &[]), not(eq(quiet)));
+    let lively = chosen(&mut router, 0, &request(1), &[quiet]);
+    for serial in 1..6 {
+        let attempt = router.sent(0, lively, &request(serial));
+        router.progress(790, attempt);
+    }
+    expect_that!(chosen(&mut router, 100, &request(9), &[]), eq(quiet), "it has fewer requests");
+    for serial in 10..60 {
+        expect_that!(chosen(&mut router, 800, &request(serial), &[]), eq(lively));
     }
 }
 
@@ -299,3 +305,28 @@
     router.finished(6, attempt, AttemptOutcome::Cancelled);
     expect_that!(router.outstanding(), elements_are![eq(&("w0".to_owned(), 1))]);
 }
+
+#[gtest]
+fn loads_that_are_no_longer_told_do_not_keep_a_service_busy() {
+    let mut router = router(1, 2);
+    let mut views = workers(2);
+    views.iter_mut().for_each(|view| view.load_elsewhere = 500);
+    router.set_workers(0, views);
+    expect_that!(router.choose(0, &plain_request(), &[]), matches_pattern!(Choice::Busy { .. }));
+    expect_that!(router.choose(30_000, &plain_request(), &[]), matches_pattern!(Choice::Send(_)));
+}
+
+#[gtest]
+fn a_cold_time_told_again_unchanged_runs_down() {
+    let mut router = router(1, 2);
+    let mut views = workers(2);
+    views[0].cold_remaining_ms = 1_000;
+    for now in (0..5_000).step_by(200) {
+        router.set_workers(now, views.clone());
+    }
+    let chosen_again = (0..100).filter(|serial| {
+        let key = chosen(&mut router, 5_000, &request(*serial), &[]);
+        id(&router, key) == "w0"
+    });
+    expect_that!(chosen_again.count(), gt(20));
+}
--- a/src/data_plane/exchange.rs
+++ b/src/data_plane/exchange.rs
@@ -1,16 +1,18 @@
 //! One client request on its way to an answer.
 
 use super::admission_stage::AdmittedRequest;
+use super::counted::Counted;
 use super::forwarded_request::ForwardedRequest;
 use super::policy;
 use super::replies::LocalReply;
 use super::request_head::RequestHead;
 use super::shared::Shared;
+use super::statistics::RunningDemand;
 use hyper::header::HeaderValue;
 use std::rc::Rc;
 use std::time::Duration;
 use switchhill_configuration::{Route, RouteKind};
-use switchhill_routing::{RequestProfile, WorkerKey};
+use switchhill_routing::{Choice, RequestProfile, WorkerKey};
 use tokio::time::Instant;
 
 /// What the request's route allows.
@@ -51,26 +53,8 @@
     pub(crate) deadline: Instant,
     pub(crate) admitted: Option<AdmittedRequest>,
     pub(crate) trail: Trail,
-    pub(crate) _running: RunningRequest,
-}
-
-/// Counts a request from its head to the end of its answer.
-pub(crate) struct RunningRequest {
-    shared: Rc<Shared>,
-}
-
-impl RunningRequest {
-    /// Counts one more.
-    pub(crate) fn begin(shared: &Rc<Shared>) -> RunningRequest {
-        shared.running.set(shared.running.get() + 1);
-        RunningRequest { shared: shared.clone() }
-    }
-}
-
-impl Drop for RunningRequest {
-    fn drop(&mut self) {
-        self.shared.running.set(self.shared.running.get() - 1);
-    }
+    pub(crate) _running: Counted,
+    pub(crate) _running_demand: RunningDemand,
 }
 
 impl RouteRules {
@@ -151,12 +135,11 @@
             && !self.time_left().is_zero()
     }
 
-    /// The answer of a request that is given up.
-    pub(crate) fn give_up(&self, retry_after_ms: u64) -> LocalReply {
-        match self.trail.may_have_run {
-            true => LocalReply::MayHaveRun,
-            false => LocalReply::NotRun { retry_after_ms },
-        }
+    /// Whether the request may be sent once more and a worker other than those tried would take it.
+    pub(crate) fn could_repeat_elsewhere(&self) -> bool {
+        let allowed = self.rules.idempotent && self.trail.sent < self.rules.most_workers;
+        let in_budget = || self.shared.budget.borrow_mut().may_repeat(self.shared.now(), &self.profile.service);
+        allowed && in_budget() && matches!(self.choose(), Choice::Send(_))
     }
 
     /// The answer of a request whose time is over.
--- a/src/data_plane/policy.rs
+++ b/src/data_plane/policy.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-/// Longest time in which a connection to a worker has to come up: beyond it another worker is quicker.
+/// Share of the objective in which a connection to a worker has to come up: beyond it another is quicker.
+pub(crate) const CONNECT_SHARE: f64 = 0.5;
+/// Shortest such time: connecting takes a few milliseconds, and a busy process notices late.
+pub(crate) const LEAST_CONNECT_LIMIT: Duration = Duration::from_millis(100);
+/// Longest such time: an opening packet that was lost is sent again only after a second.
 pub(crate) const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 /// Longest wait for one of a worker's connections to become free before another worker is chosen.
 pub(crate) const CONNECTION_WAIT: Duration = Duration::from_millis(100);
@@ -10,8 +14,10 @@
 pub(crate) const CONNECTION_REST: Duration = Duration::from_millis(30);
 /// An idle connection is dropped this long before the worker would close it.
 pub(crate) const IDLE_MARGIN: Duration = Duration::from_secs(1);
-/// Idle time of a connection whose worker names none.
-pub(crate) const IDLE_DEFAULT: Duration = Duration::from_secs(5);
+/// The same as a share of the time the worker tells, where that is short.
+pub(crate) const IDLE_MARGIN_SHARE: f64 = 0.4;
+/// Idle time of a connection whose worker tells none, which then closes none on its own.
+pub(crate) const IDLE_DEFAULT: Duration = Duration::from_secs(30);
 /// Least number of connections a gatekeeper may hold to one worker, however many gatekeepers there are.
 pub(crate) const LEAST_CONNECTIONS: u32 = 4;
 /// Share of a worker's connections that the gatekeepers use together; the rest is for uneven shares.
@@ -34,6 +40,8 @@
 pub(crate) const SHORT_AIM_MS: u64 = 2000;
 /// Longest hold of a request with a short objective for an adapter, which comes in milliseconds.
 pub(crate) const SHORT_HOLD_ADAPTER: Duration = Duration::from_millis(150);
+/// The same as a share of the objective, where that is very short.
+pub(crate) const SHORT_HOLD_ADAPTER_SHARE: f64 = 0.5;
 /// Share of a short objective for which a request is held for a model.
 pub(crate) const SHORT_HOLD_SHARE: f64 = 0.2;
 /// Share of a long objective for which a request is held.
@@ -58,6 +66,17 @@
 
 /// Interval of the summaries, and of dropping idle connections.
 pub(crate) const TICK: Duration = Duration::from_secs(1);
+/// Silence of all streams of a worker, in milliseconds, after which they are taken up elsewhere. Prompts that are read
+/// between the steps of a batch pause its streams for some hundred milliseconds.
+pub(crate) const STREAM_SILENCE_MS: u64 = 900;
+/// How often the agent is told of load and demand.
+pub(crate) const SUMMARY_TICK: Duration = Duration::from_millis(300);
+/// Time constant in milliseconds over which the rate of requests for a model is averaged.
+pub(crate) const DEMAND_OVER_MS: f64 = 1000.0;
+/// Rate in requests a second below which a model without running requests is no longer told of.
+pub(crate) const LEAST_DEMAND: f64 = 0.1;
+/// How often refusals are logged.
+pub(crate) const LOG_TICK: Duration = Duration::from_secs(10);
 /// Interval at which silent workers are looked for; the router takes longer gaps for a pause of the process.
 pub(crate) const SILENCE_TICK: Duration = Duration::from_millis(80);
 
@@ -67,8 +86,9 @@
 pub(crate) const LEAVING_SHARE: f64 = 0.3;
 /// What is left of the time to SIGKILL when the process ends.
 pub(crate) const EXIT_MARGIN: Duration = Duration::from_millis(400);
-/// Time without a running request after which connections that are still open are left.
-pub(crate) const LAST_BYTES: Duration = Duration::from_millis(300);
+/// Time without a running request after which connections that are still open are left: either they never
+/// carried a request, or their client reads its last answer too slowly.
+pub(crate) const LAST_BYTES: Duration = Duration::from_secs(1);
 /// A client's idle connection is kept this much longer than the configuration promises.
 pub(crate) const IDLE_GRACE: Duration = Duration::from_secs(1);
 /// Descriptors that settings reserve for files.
@@ -83,6 +103,8 @@
 pub(crate) const LEAST_HEAD_BUFFER: usize = 8192;
 /// Attempts that were never sent (no connection, worker gone meanwhile) before a request is given up.
 pub(crate) const UNSENT_ATTEMPTS: u32 = 4;
+/// Longest time a request's body may take to come; its deadline ends it earlier.
+pub(crate) const BODY_LIMIT: Duration = Duration::from_secs(30);
 /// Size that admission assumes for a request that does not tell its tokens.
 pub(crate) const SIZE_WITHOUT_TOKENS: f64 = 1000.0;
 /// What a token put out weighs against one of the prompt.
--- a/src/data_plane/stream_answer.rs
+++ b/src/data_plane/stream_answer.rs
@@ -20,6 +20,8 @@
     splitter: EventSplitter,
     position: Position,
     deadline: Pin<Box<Sleep>>,
+    /// No other worker can take it up: it stays where it is, however long that pauses.
+    stays: bool,
 }
 
 /// How far the client has come in the stream.
@@ -58,6 +60,7 @@
             splitter: EventSplitter::default(),
             position,
             deadline,
+            stays: false,
         }
     }
 
@@ -67,7 +70,7 @@
         let step = tokio::select! {
             biased;
             step = answer.next_step() => Step::Body(step),
-            () = self.exchange.shared.silent.wait_for(worker), if self.exchange.rules.resumable => {
+            () = self.exchange.shared.silent.wait_for(worker), if !self.stays => {
                 Step::WorkerSilent
             }
             () = &mut self.deadline => Step::DeadlinePassed,
@@ -101,6 +104,11 @@
         Some(Err(AnswerBroken))
     }
 
+    /// Whether another worker could go on with the stream.
+    fn can_move(&self) -> bool {
+        self.exchange.rules.resumable && !self.position.unnumbered && self.exchange.could_repeat_elsewhere()
+    }
+
     /// Takes the stream up at another worker.
     async fn take_up(&mut self, outcome: AttemptOutcome) -> bool {
         if let Some(answer) = self.answer.take() {
@@ -137,6 +145,10 @@
                 }
                 Step::Body(BodyStep::End) => return self.end(),
                 Step::Body(BodyStep::Broken) => AttemptOutcome::Broken,
+                Step::WorkerSilent if !self.can_move() => {
+                    self.stays = true;
+                    continue;
+                }
                 Step::WorkerSilent => AttemptOutcome::TimedOut,
                 Step::DeadlinePassed => return self.abort(AttemptOutcome::TimedOut),
             };
@@ -154,12 +166,13 @@
         if self.resumed && is_known {
             return;
         }
-        if let Some(version) = self.announce.take().filter(|_| event.versions.is_none()) {
+        let announced = if event.is_comment { None } else { self.announce.take() };
+        if let Some(version) = announced.filter(|_| event.versions.is_none()) {
             passed.extend_from_slice(format!("versions: {version}\n").as_bytes());
             self.versions = Some(version);
         }
         self.versions = event.versions.or(self.versions);
-        self.unnumbered |= event.id.is_none();
+        self.unnumbered |= event.id.is_none() && !event.is_comment;
         self.last_id = event.id.or(self.last_id);
         passed.extend_from_slice(&event.bytes);
     }
--- a/src/data_plane/worker_choice.rs
+++ b/src/data_plane/worker_choice.rs
@@ -1,6 +1,7 @@
 //! Waiting for a worker that can run a request.
 
 use super::exchange::Exchange;
+use super::missing::WaitingRequest;
 use super::policy;
 use super::replies::LocalReply;
 use std::time::Duration;
@@ -16,27 +17,68 @@
             if self.time_left().is_zero() {
                 return Err(self.time_over());
             }
-            let (hold_until, retry_after_ms) = match self.choose() {
+            let choice = self.choose();
+            let hold_until = match choice {
                 Choice::Send(worker) => return Ok(worker),
-                Choice::Busy { retry_after_ms } => return Err(self.give_up(retry_after_ms)),
-                Choice::Missing => (self.model_hold_end(), self.load_time_ms()),
-                Choice::NoWorker => (self.worker_hold_end(), policy::RETRY_AFTER_NO_WORKER_MS),
+                Choice::Busy { .. } => return Err(self.give_up_after(choice)),
+                Choice::Missing => self.model_hold_end(),
+                Choice::NoWorker => self.worker_hold_end(),
             };
-            if Instant::now() >= hold_until {
-                return Err(self.give_up(retry_after_ms));
-            }
-            if waiting.is_none() {
-                waiting = Some(self.shared.missing.begin(&self.profile));
+            if choice == Choice::Missing {
+                waiting = waiting.or_else(|| self.shared.missing.begin(&self.profile));
+                self.report(waiting.as_ref());
             }
-            if let Some(report) =
-                waiting.iter().flatten().next().and_then(|wait| wait.report(self.shared.now()))
-            {
-                self.shared.tell(report);
+            if Instant::now() >= hold_until {
+                return Err(self.give_up_after(choice));
             }
             self.wait_for_view(hold_until).await;
         }
     }
 
+    /// The answer of a request that is given up, with advice by what the router says now.
+    pub(crate) fn give_up(&self) -> LocalReply {
+        let choice = self.choose();
+        if choice == Choice::Missing {
+            self.report(self.shared.missing.begin(&self.profile).as_ref());
+        }
+        self.give_up_after(choice)
+    }
+
+    /// Tells the agent that the request's model is missing, unless it has just been told.
+    fn report(&self, waiting: Option<&WaitingRequest>) {
+        if let Some(report) = waiting.and_then(|request| request.report(self.shared.now())) {
+            self.shared.tell(report);
+        }
+    }
+
+    fn give_up_after(&self, choice: Choice) -> LocalReply {
+        self.count_refusal(choice);
+        if self.trail.may_have_run {
+            return LocalReply::MayHaveRun;
+        }
+        let retry_after_ms = match choice {
+            Choice::Send(_) => policy::RETRY_AFTER_REFUSED_MS,
+            Choice::Busy { retry_after_ms } => retry_after_ms,
+            Choice::Missing => self.load_time_ms(),
+            Choice::NoWorker => policy::RETRY_AFTER_NO_WORKER_MS,
+        };
+        LocalReply::NotRun { retry_after_ms }
+    }
+
+    fn count_refusal(&self, choice: Choice) {
+        let mut statistics = self.shared.statistics.borrow_mut();
+        let refusals = &mut statistics.refusals;
+        let counter = match choice {
+            _ if self.trail.may_have_run => &mut refusals.may_have_run,
+            Choice::Send(_) => &mut refusals.attempts,
+            Choice::Busy { .. } => &mut refusals.busy,
+            Choice::Missing if self.profile.adapter.is_some() => &mut refusals.missing_adapter,
+            Choice::Missing => &mut refusals.missing_model,
+            Choice::NoWorker => &mut refusals.no_worker,
+        };
+        *counter += 1;
+    }
+
     /// Asks the router.
     pub(crate) fn choose(&self) -> Choice {
         let mut router = self.shared.router.borrow_mut();
@@ -59,7 +101,7 @@
         let is_short = aim < Duration::from_millis(policy::SHORT_AIM_MS);
         let by_aim = match (is_short, &self.profile.adapter) {
             (false, _) => aim.mul_f64(policy::LONG_HOLD_SHARE),
-            (true, Some(_)) => policy::SHORT_HOLD_ADAPTER,
+            (true, Some(_)) => policy::SHORT_HOLD_ADAPTER.min(aim.mul_f64(policy::SHORT_HOLD_ADAPTER_SHARE)),
             (true, None) => aim.mul_f64(policy::SHORT_HOLD_SHARE),
         };
         self.hold_end(by_aim)
