--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -1,5 +1,8 @@
 //! Work on the register, one job at a time: changes, reads, the placer's epoch, the electorate.
 
+#[cfg(test)]
+mod tests;
+
 use crate::input::{Answer, CallId};
 use crate::node::ControlNode;
 use bytes::Bytes;
@@ -208,7 +211,9 @@
             (Some(Bytes::from(next.encode())), Answer::json(200, format!("{{\"revision\":{revision}}}")))
         }
         // Written once more, so that it is certain to be committed before it is acknowledged.
-        Decision::TakenBefore { revision } => (data, Answer::json(200, format!("{{\"revision\":{revision}}}"))),
+        Decision::TakenBefore { revision } => {
+            (data, Answer::json(200, format!("{{\"revision\":{revision}}}")))
+        }
         // A state that only a minority accepted may yet give way, and then the order might be taken elsewhere: it is
         // refused only once the state that speaks against it is chosen.
         Decision::Refused(error) => (data.filter(|_| !is_chosen), Answer::refused(&error)),
