--- a/lab/src/emulator/data_plane.rs
+++ b/lab/src/emulator/data_plane.rs
@@ -141,7 +141,7 @@
         requests_per_s: if index == wanted { 20.0 } else { 1.0 },
         tokens_per_s: 1_000.0,
         aim_ms: 400,
-        waiting: 0,
+        outstanding: if index == wanted { 40 } else { 0 },
     });
     Summary { loads: Vec::new(), demand: demand.collect(), admission: Vec::new() }
 }
