--- a/lab/src/emulator/queue.rs
+++ b/lab/src/emulator/queue.rs
@@ -26,7 +26,7 @@
     }
 
     /// Takes out the next event.
-    pub fn next(&mut self) -> Option<(u64, E)> {
+    pub fn take_next(&mut self) -> Option<(u64, E)> {
         let Reverse((at, number)) = self.order.pop()?;
         self.events.remove(&number).map(|event| (at, event))
     }
--- a/lab/src/emulator/world/edge_machine.rs
+++ b/lab/src/emulator/world/edge_machine.rs
@@ -148,10 +148,10 @@
             messages.push(data_plane.connected(now));
         }
         messages.extend(data_plane.tick(now, wanted));
-        messages.into_iter().for_each(|message| self.to_agent(edge, message));
+        messages.into_iter().for_each(|message| self.send_to_agent(edge, message));
     }
 
-    fn to_agent(&mut self, edge: usize, message: Upstream) {
+    fn send_to_agent(&mut self, edge: usize, message: Upstream) {
         let machine = &self.edges[edge];
         if machine.is_fed {
             let event = Event::FeedBack(edge, machine.agent_life, machine.data_plane_life, message);
@@ -187,7 +187,7 @@
         if before != after {
             self.configuration_in_force(edge, before, after);
         }
-        wanted.into_iter().for_each(|message| self.to_agent(edge, message));
+        wanted.into_iter().for_each(|message| self.send_to_agent(edge, message));
     }
 
     fn configuration_in_force(&mut self, edge: usize, before: u64, after: u64) {
@@ -281,36 +281,53 @@
 
     /// A message reaches an agent.
     pub(super) fn deliver_to_agent(&mut self, edge: usize, delivery: Delivery) {
-        let machine = &mut self.edges[edge];
-        if delivery.to_life.is_some_and(|life| life != machine.agent_life) {
+        if delivery.to_life.is_some_and(|life| life != self.edges[edge].agent_life) {
             return;
         }
-        let Some(agent) = machine.agent.as_mut() else { return };
         match delivery.message {
             Message::LinkAccepted(id, subscriber) => {
-                if let Some(link) = agent.links.get_mut(&id) {
-                    link.accepted = Some((delivery.from_life, subscriber));
-                    self.agent_input(edge, RelayInput::LinkUp(id));
-                } else if let Host::Core(core) = delivery.path.from {
-                    let link = Link { core, accepted: Some((delivery.from_life, subscriber)) };
-                    let life = machine.agent_life;
-                    self.close_link(edge, life, id, link);
-                }
-            }
-            Message::LinkReset(id) => {
-                if agent.links.remove(&id).is_some() {
-                    self.agent_input(edge, RelayInput::LinkLost(id));
-                }
-            }
-            Message::Downstream(id, message) => {
-                if agent.links.contains_key(&id) {
-                    self.agent_input(edge, RelayInput::Link(id, message));
-                }
+                self.link_accepted(edge, &delivery.path, delivery.from_life, id, subscriber)
             }
+            Message::LinkReset(id) => self.link_reset(edge, id),
+            Message::Downstream(id, message) => self.downstream(edge, id, message),
             _ => {}
         }
     }
 
+    fn link_accepted(
+        &mut self,
+        edge: usize,
+        path: &Path,
+        core_life: u32,
+        id: LinkId,
+        subscriber: SubscriberId,
+    ) {
+        let machine = &mut self.edges[edge];
+        let (life, accepted) = (machine.agent_life, Some((core_life, subscriber)));
+        let Some(agent) = machine.agent.as_mut() else { return };
+        if let Some(link) = agent.links.get_mut(&id) {
+            link.accepted = accepted;
+            self.agent_input(edge, RelayInput::LinkUp(id));
+        } else if let Host::Core(core) = path.from {
+            // The agent has given the link up meanwhile.
+            self.close_link(edge, life, id, Link { core, accepted });
+        }
+    }
+
+    fn link_reset(&mut self, edge: usize, id: LinkId) {
+        let Some(agent) = self.edges[edge].agent.as_mut() else { return };
+        if agent.links.remove(&id).is_some() {
+            self.agent_input(edge, RelayInput::LinkLost(id));
+        }
+    }
+
+    fn downstream(&mut self, edge: usize, id: LinkId, message: Downstream) {
+        let Some(agent) = self.edges[edge].agent.as_ref() else { return };
+        if agent.links.contains_key(&id) {
+            self.agent_input(edge, RelayInput::Link(id, message));
+        }
+    }
+
     /// The checkers look at a data plane.
     pub(super) fn check_edge(&mut self, edge: usize) {
         let host = Host::Edge(edge);
--- a/lab/src/emulator/world/mod.rs
+++ b/lab/src/emulator/world/mod.rs
@@ -3,6 +3,7 @@
 mod core_machine;
 mod core_process;
 mod edge_machine;
+mod lost;
 mod message;
 mod operator_calls;
 mod trouble;
@@ -21,9 +22,9 @@
 use super::site::{Bounds, Sizes};
 use core_machine::CoreMachine;
 use edge_machine::EdgeMachine;
+use lost::Lost;
 use operator_calls::OpenCall;
 use std::collections::{BTreeMap, VecDeque};
-use trouble::Lost;
 use worker_place::WorkerPlace;
 
 /// Time in milliseconds between two looks of the checkers.
@@ -173,7 +174,7 @@
 
     /// Plays to the end of the plan.
     pub fn run(&mut self) {
-        while let Some((at, event)) = self.events.next() {
+        while let Some((at, event)) = self.events.take_next() {
             if at > self.plan.ends_at {
                 return;
             }
--- a/lab/src/emulator/world/trouble.rs
+++ b/lab/src/emulator/world/trouble.rs
@@ -7,7 +7,6 @@
 use crate::emulator::faults::{Direction, Ending, Fault};
 use crate::emulator::host::Host;
 use crate::emulator::network::Path;
-use std::collections::BTreeMap;
 
 /// Time in milliseconds after which a killed process starts again, at least and at most.
 const RESTARTS_AFTER: std::ops::RangeInclusive<u64> = 200..=1_000;
@@ -15,33 +14,6 @@
 /// Time in milliseconds for which a machine is without power, at least and at most.
 const POWER_BACK_AFTER: std::ops::RangeInclusive<u64> = 500..=3_000;
 
-/// Core machines that count as lost: while a trouble is active, and for some time after.
-#[derive(Debug, Default)]
-pub(super) struct Lost {
-    machines: BTreeMap<usize, (u32, u64)>,
-}
-
-impl Lost {
-    fn begin(&mut self, core: usize) {
-        self.machines.entry(core).or_default().0 += 1;
-    }
-
-    fn end(&mut self, core: usize, until: u64) {
-        let entry = self.machines.entry(core).or_default();
-        entry.0 = entry.0.saturating_sub(1);
-        entry.1 = entry.1.max(until);
-    }
-
-    fn until(&mut self, core: usize, until: u64) {
-        let entry = self.machines.entry(core).or_default();
-        entry.1 = entry.1.max(until);
-    }
-
-    fn is_lost(&self, now: u64, core: usize) -> bool {
-        self.machines.get(&core).is_some_and(|(active, until)| *active > 0 || now < *until)
-    }
-}
-
 impl World {
     /// A planned fault begins.
     pub(super) fn begin_fault(&mut self, number: usize) {
