--- a/lab/src/emulator/operator.rs
+++ b/lab/src/emulator/operator.rs
@@ -152,7 +152,7 @@
             return;
         }
         let Some(known) = self.known.clone() else {
-            self.change(now, OrderKind::Replace, &Seen::default(), true);
+            self.change(now, OrderKind::Replace, &Seen::default());
             return;
         };
         if self.stale {
@@ -164,12 +164,12 @@
             0..=9 => self.invalid_change(now, &known),
             10..=19 => self.send_again(now),
             20..=39 => {
-                self.change(now, OrderKind::Update, &known, true);
-                self.change(now, OrderKind::Update, &known, true);
+                self.change(now, OrderKind::Update, &known);
+                self.change(now, OrderKind::Update, &known);
             }
-            40..=49 => self.change(now, OrderKind::Replace, &known, true),
+            40..=49 => self.change(now, OrderKind::Replace, &known),
             50..=69 => self.begin(now, Task::Read),
-            _ => self.change(now, OrderKind::Update, &known, true),
+            _ => self.change(now, OrderKind::Update, &known),
         }
     }
 
@@ -177,7 +177,7 @@
         self.ongoing.push(Ongoing { task, began: now, tries: 0, next_try: now, call: None, target: None });
     }
 
-    fn change(&mut self, now: u64, kind: OrderKind, known: &Seen, valid: bool) {
+    fn change(&mut self, now: u64, kind: OrderKind, known: &Seen) {
         let number = self.new_number();
         let revision = known.revision + self.random.u64(1..=3);
         let body = match kind {
@@ -189,7 +189,8 @@
                 json!({"revision": revision, "upsert": {"routes": [site::marker_route(number)]}})
             }
         };
-        self.send(now, number, kind, known.revision, revision, body.to_string(), valid);
+        let sent = SentOrder { number, revision, base: known.revision, valid: true, first_sent: now };
+        self.send(now, sent, kind, body.to_string());
     }
 
     fn invalid_change(&mut self, now: u64, known: &Seen) {
@@ -208,7 +209,8 @@
             }
             _ => json!({"revision": known.revision, "upsert": {"routes": [route]}}).to_string(),
         };
-        self.send(now, number, OrderKind::Update, known.revision, revision, body, false);
+        let sent = SentOrder { number, revision, base: known.revision, valid: false, first_sent: now };
+        self.send(now, sent, OrderKind::Update, body);
     }
 
     fn new_number(&mut self) -> u64 {
@@ -216,19 +218,9 @@
         self.next_number
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn send(
-        &mut self,
-        now: u64,
-        number: u64,
-        kind: OrderKind,
-        base: u64,
-        revision: u64,
-        body: String,
-        valid: bool,
-    ) {
-        let sent = SentOrder { number, revision, base, valid, first_sent: now };
-        let order = Order { kind, base_version: base, body: Bytes::from(body) };
+    fn send(&mut self, now: u64, sent: SentOrder, kind: OrderKind, body: String) {
+        let number = sent.number;
+        let order = Order { kind, base_version: sent.base, body: Bytes::from(body) };
         self.orders.insert(number, (sent, order));
         self.begin(now, Task::Send { order: number, resent: false });
     }
