Agent: workers that the whole core has forgotten are suspected

No core node knew the worker any more, and whole lists are merged, so the agent and its data plane held it for ready for ever. Script in lab/tests/emulator_found.rs, which fails without the change.

--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -4,6 +4,7 @@
 //! back. [`LinkPlanner`] chooses the publishers and finds the home among them. [`Publisher`] decides what one
 //! subscriber is sent.
 
+mod absent;
 mod links;
 mod merged;
 mod publisher;
--- a/crates/distribution/src/links.rs
+++ b/crates/distribution/src/links.rs
@@ -61,6 +61,8 @@
     up: bool,
     heard_at: u64,
     quorum: bool,
+    /// Whether the publisher's worker table is whole.
+    warm: bool,
     next_hello: u64,
     ahead_since: Option<u64>,
     differs_since: Option<u64>,
@@ -106,6 +108,11 @@
         self.links.values().any(|link| link.up && link.quorum)
     }
 
+    /// Whether a publisher has quorum contact and a whole worker table.
+    pub fn knows_all_workers(&self, id: LinkId) -> bool {
+        self.links.get(&id).is_some_and(|link| link.up && link.quorum && link.warm)
+    }
+
     /// A connection came up.
     pub fn connected(&mut self, now: u64, id: LinkId) -> Vec<LinkAction> {
         let Some(link) = self.links.get_mut(&id) else { return Vec::new() };
@@ -134,6 +141,7 @@
         let Some(link) = self.links.get_mut(&id) else { return Vec::new() };
         link.heard_at = now;
         link.quorum = status.quorum;
+        link.warm = status.warm;
         let ahead = status.revision > revision;
         let differs = status.quorum && status.warm && status.workers_digest != digest;
         let mut actions = Vec::new();
@@ -195,6 +203,7 @@
             up: false,
             heard_at: now,
             quorum: false,
+            warm: false,
             next_hello: now,
             ahead_since: None,
             differs_since: None,
--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -1,12 +1,13 @@
 //! The agent's decisions: links to core nodes on one side, data planes on the other.
 
+use crate::absent::AbsentWorkers;
 use crate::links::{LinkAction, LinkId, LinkPlanner, LinkSettings};
 use crate::merged::{Change, MergedState};
 use crate::publisher::{Published, Publisher};
 use std::collections::BTreeMap;
-use switchhill_registration::SuspectAfter;
+use switchhill_registration::{SuspectAfter, Worker};
 use switchhill_protocol::{
-    Configuration, Downstream, DownstreamBody, Fetch, Hello, Missing, Status, Summary, Upstream, UpstreamBody,
+    Configuration, Downstream, DownstreamBody, Fetch, Hello, Missing, Status, Summary, Upstream, UpstreamBody, Workers,
 };
 
 /// Time in milliseconds between two statuses to a data plane.
@@ -59,6 +60,7 @@
     gatekeepers: u32,
     warm: bool,
     core: Vec<String>,
+    absent: AbsentWorkers,
     next_status: u64,
     out: Vec<RelayOutput>,
 }
@@ -75,6 +77,7 @@
             gatekeepers: 0,
             warm: false,
             core: Vec::new(),
+            absent: AbsentWorkers::default(),
             next_status: 0,
             out: Vec::new(),
         }
@@ -142,6 +145,9 @@
             Some(DownstreamBody::Workers(workers)) => {
                 let change = self.state.merge_workers(now, &workers);
                 self.publish_change(change);
+                if workers.whole && self.links.knows_all_workers(id) {
+                    self.suspect_absent(now, &workers);
+                }
             }
             Some(DownstreamBody::Residency(residency)) => {
                 let change = self.state.merge_residency(&residency);
@@ -154,6 +160,18 @@
         }
     }
 
+    /// Suspects workers that whole lists have not named for some time.
+    fn suspect_absent(&mut self, now: u64, whole: &Workers) {
+        let listed = whole.entries.iter().filter_map(|entry| Worker::from_bytes(entry).ok());
+        let listed = listed.map(|worker| worker.id).collect();
+        let held = self.state.workers().iter().filter(|worker| !worker.is_gone() && !worker.suspected);
+        let absent = self.absent.listed(now, &listed, held.map(|worker| worker.id.as_str()));
+        let suspected = |id: &String| Some(Worker { suspected: true, ..self.state.workers().get(id)?.clone() });
+        let suspected: Vec<Worker> = absent.iter().filter_map(suspected).collect();
+        let change = self.state.merge_entries(now, suspected.into_iter());
+        self.publish_change(change);
+    }
+
     fn link_status(&mut self, now: u64, id: LinkId, status: Status) {
         let (revision, digest) = (self.state.revision(), self.state.workers().digest());
         let actions = self.links.status(now, id, &status, revision, digest);
--- a/lab/tests/emulator_found.rs
+++ b/lab/tests/emulator_found.rs
@@ -51,3 +51,13 @@
         expect_holds(sizes, &[(12_500, cut), (14_150, Fault::KillAllCores)], 20_000);
     }
 }
+
+/// A worker left while an edge machine stood still, and then all core machines lost power: none of them knew the worker any
+/// more, and the edge machine took it for ready for ever.
+#[gtest]
+fn a_worker_that_the_core_has_forgotten_is_not_ready() {
+    let mut faults = vec![(7_000, Fault::FreezeEdge { edge: 0, for_ms: 9_000 })];
+    faults.extend((0..4).map(|place| (10_500, Fault::DrainWorker { place })));
+    faults.push((15_000, Fault::PowerOffAllCores));
+    expect_holds(SIZES, &faults, 26_000);
+}
