--- a/crates/control/src/placer.rs
+++ b/crates/control/src/placer.rs
@@ -91,8 +91,10 @@
 
     /// This node was granted the role.
     pub(crate) fn placer_granted(&mut self, now: u64, grant: Option<PlacerGrant>, former: Option<String>) {
+        // A holder that was restarted can't tell whether the pause after its predecessor's orders was over.
+        let may_follow_another = !self.settings.fencing && former.is_some();
         let taken_over = former.is_some_and(|former| former != self.settings.node_name);
-        let pause = match taken_over {
+        let pause = match taken_over || may_follow_another {
             // Workers refuse the former placer's orders once they have seen one of the new epoch.
             true if self.settings.fencing => FORMER_MAY_GO_ON,
             true => self.placer.lease_ms + FORMER_MAY_GO_ON,
--- a/lab/src/emulator/world/mod.rs
+++ b/lab/src/emulator/world/mod.rs
@@ -3,6 +3,7 @@
 mod core_machine;
 mod core_process;
 mod edge_machine;
+mod lost;
 mod message;
 mod operator_calls;
 mod trouble;
@@ -21,9 +22,9 @@
 use super::site::{Bounds, Sizes};
 use core_machine::CoreMachine;
 use edge_machine::EdgeMachine;
+use lost::Lost;
 use operator_calls::OpenCall;
 use std::collections::{BTreeMap, VecDeque};
-use trouble::Lost;
 use worker_place::WorkerPlace;
 
 /// Time in milliseconds between two looks of the checkers.
@@ -69,6 +70,8 @@
     pub ends_at: u64,
     /// A planted fault.
     pub flaw: Option<Flaw>,
+    /// Whether the run is told on standard output.
+    pub narrated: bool,
 }
 
 /// The deployment.
@@ -171,7 +174,7 @@
 
     /// Plays to the end of the plan.
     pub fn run(&mut self) {
-        while let Some((at, event)) = self.events.next() {
+        while let Some((at, event)) = self.events.take_next() {
             if at > self.plan.ends_at {
                 return;
             }
@@ -256,6 +259,13 @@
         self.cores.iter().filter(|core| !core.is_gone()).all(CoreMachine::is_running)
     }
 
+    /// Tells of something in a narrated run.
+    fn tell(&self, what: impl FnOnce() -> String) {
+        if self.plan.narrated {
+            println!("{:>6} {}", self.now, what());
+        }
+    }
+
     fn note(&mut self, value: u64) {
         self.trace = (self.trace.rotate_left(5) ^ value ^ self.now).wrapping_mul(0x0100_0000_01b3);
     }
