Hollow fleets: the control plane's state machines at size, bytes and time by kind

All roles run in one process in virtual time; each message is encoded and decoded, and its bytes and time are counted by role and kind.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! It knows the gateway as a process, over its wires only.
 
 pub mod emulator;
+pub mod hollow;
 pub mod rig;
 pub mod stand_in;
 
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -9,7 +9,7 @@
 use switchhill_lab::local_system;
 use switchhill_lab::run::{Outcome, Wanted};
 use switchhill_lab::scenario::Scenario;
-use switchhill_lab::{bare, compare, emulator, live, report, run};
+use switchhill_lab::{bare, compare, emulator, hollow, live, report, run};
 
 /// Real gateways on loopback against stand-in boxes, discovery and clients.
 ///
@@ -92,6 +92,30 @@
         #[arg(long)]
         narrate: bool,
     },
+    /// Runs the control plane's state machines without sockets, in virtual time, and prints what they cost.
+    Hollow {
+        /// Gatekeepers, each an agent with a data plane.
+        #[arg(long, default_value_t = 370)]
+        gatekeepers: usize,
+        /// Workers.
+        #[arg(long, default_value_t = 940)]
+        workers: usize,
+        /// Models of the one service.
+        #[arg(long, default_value_t = 1_400)]
+        models: usize,
+        /// Core nodes.
+        #[arg(long, default_value_t = 7)]
+        cores: usize,
+        /// Virtual time that is measured, after a start of ten seconds.
+        #[arg(long, default_value_t = 20)]
+        seconds: u64,
+        /// The seed of all chance.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Measures encodings and state machines one by one instead.
+        #[arg(long)]
+        parts: bool,
+    },
     /// The least relay, to these addresses in turn.
     Bare {
         /// Boxes.
@@ -307,6 +331,14 @@
         }
         Task::Emulate { from, narrate: true, .. } => Ok(narrate(from)),
         Task::Emulate { seeds, from, narrate: false } => Ok(emulate(from, seeds)),
+        Task::Hollow { gatekeepers, workers, models, cores, seconds, seed, parts } => {
+            let sizes = hollow::Sizes { gatekeepers, workers, models, cores };
+            match parts {
+                true => print!("{}", hollow::parts::measure(sizes)),
+                false => print!("{}", hollow::run(sizes, seconds, seed)),
+            }
+            Ok(true)
+        }
         Task::Bare { to } => {
             let relay = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let relayed = relay.and_then(|runtime| runtime.block_on(bare::relay(to)));
