--- a/lab/src/hollow/fleet.rs
+++ b/lab/src/hollow/fleet.rs
@@ -349,11 +349,11 @@
         data_plane.rebuild(now);
         self.ledger.add((Role::DataPlane, Direction::Local, "view of all workers"), 0, since);
         for answer in answers {
-            self.from_data_plane(edge, answer);
+            self.data_plane_message(edge, answer);
         }
     }
 
-    fn from_data_plane(&mut self, edge: usize, message: Upstream) {
+    fn data_plane_message(&mut self, edge: usize, message: Upstream) {
         self.agent_input(edge, Direction::Local, "from the data plane", 0, || {
             Some(RelayInput::Feed(FEED, message))
         });
@@ -365,8 +365,8 @@
         let workers = &self.workers;
         let summary = self.edges[edge].traffic.summary(|worker| workers[worker].id.clone());
         let hello = switchhill_protocol::Hello { node: format!("edge-{edge}"), ..Default::default() };
-        self.from_data_plane(edge, Upstream { body: Some(UpstreamBody::Hello(hello)) });
-        self.from_data_plane(edge, Upstream { body: Some(UpstreamBody::Summary(summary)) });
+        self.data_plane_message(edge, Upstream { body: Some(UpstreamBody::Hello(hello)) });
+        self.data_plane_message(edge, Upstream { body: Some(UpstreamBody::Summary(summary)) });
     }
 
     fn beat(&mut self, number: usize) {
