--- /dev/null
+++ b/lab/src/days/mod.rs
@@ -0,0 +1,16 @@
+//! Days of our own for a deployment: every kind of trouble, each variant, in the forms that hurt most.
+//!
+//! A site file of the bench is read, its days are replaced by drawn ones and the copy is written to a scratch folder;
+//! the bench plays it as any other site. The catalogue says which kinds there are and how strong they are drawn, the
+//! form says where in a day a trouble stands: alone, twice, beside another one, at the start, during a change of the
+//! configuration, during the return of a core machine, or right before the final fault.
+
+mod catalogue;
+mod day;
+mod draw;
+mod site;
+
+pub use catalogue::{catalogue, Section, Trouble};
+pub use day::{Day, Entry};
+pub use draw::{draw, Form};
+pub use site::{Site, SiteError};
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -14,6 +14,8 @@
 #[cfg(feature = "bench")]
 pub mod compare;
 #[cfg(feature = "bench")]
+pub mod days;
+#[cfg(feature = "bench")]
 mod h2client;
 #[cfg(feature = "bench")]
 pub mod live;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
+use switchhill_lab::days::{catalogue, draw, Day, Form, Site, Trouble};
 use switchhill_lab::load::Live;
 use switchhill_lab::local_system;
 use switchhill_lab::run::{Outcome, Wanted};
@@ -116,6 +117,29 @@
         #[arg(long)]
         parts: bool,
     },
+    /// Writes a copy of a bench's site file with drawn days: every kind of trouble, in the forms wanted.
+    Days {
+        /// The site file.
+        site: PathBuf,
+        /// The copy.
+        #[arg(long)]
+        out: PathBuf,
+        /// Name of the copy [default: the site's with -own].
+        #[arg(long)]
+        name: Option<String>,
+        /// Days to draw.
+        #[arg(long, default_value_t = 40)]
+        count: usize,
+        /// The seed of the draw.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Only troubles whose kind and variant begin so.
+        #[arg(long, default_value = "")]
+        only: String,
+        /// Forms: alone, twice, pair, start, change, return, final.
+        #[arg(long, value_delimiter = ',', default_value = "alone,twice,pair,start,change,return,final")]
+        forms: Vec<Form>,
+    },
     /// The least relay, to these addresses in turn.
     Bare {
         /// Boxes.
@@ -285,6 +309,30 @@
     Ok(all_held)
 }
 
+/// Writes a copy of a site file with days drawn from the troubles whose label begins with `only`.
+fn write_days(
+    path: &Path,
+    out: &Path,
+    name: Option<String>,
+    only: &str,
+    draw_days: impl Fn(&Site, &[Trouble]) -> Vec<Day>,
+) -> Result<bool, Failed> {
+    let asked = |error: &dyn std::fmt::Display| Failed::Asked(format!("{}: {error}", path.display()));
+    let text = std::fs::read_to_string(path).map_err(|error| asked(&error))?;
+    let site = Site::parse(&text).map_err(|error| asked(&error))?;
+    let mut troubles = catalogue(&site.service, &site.class);
+    troubles.retain(|trouble| trouble.label().starts_with(only));
+    if troubles.is_empty() {
+        return Err(asked(&format!("no trouble begins with `{only}`")));
+    }
+    let days = draw_days(&site, &troubles);
+    let copy = site.with_days(&name.unwrap_or_else(|| format!("{}-own", site.name)), &days);
+    let copy = copy.map_err(|error| asked(&error))?;
+    std::fs::write(out, copy).map_err(|error| Failed::Ran(format!("{}: {error}", out.display())))?;
+    println!("{} days of {} troubles in {}", days.len(), troubles.len(), out.display());
+    Ok(true)
+}
+
 /// Plays one seed and tells what happens. True where nothing broke.
 fn narrate(seed: u64) -> bool {
     let report = emulator::play(emulator::Plan { narrated: true, ..emulator::plan(seed) });
@@ -339,6 +387,9 @@
             }
             Ok(true)
         }
+        Task::Days { site, out, name, count, seed, only, forms } => {
+            write_days(&site, &out, name, &only, |site, troubles| draw(site, troubles, &forms, count, seed))
+        }
         Task::Bare { to } => {
             let relay = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let relayed = relay.and_then(|runtime| runtime.block_on(bare::relay(to)));
