Orders older than what is remembered are left open, numbered answers

An order whose digest had been dropped from the 4,096 remembered was refused with 412 when it was sent again, though it may have been taken. The state now keeps the highest revision forgotten: an order at or below it that isn't known and could have been taken is answered 3003 (503). Answers get their JSON from the result codes; 3003 and 3004 are new.

--- a/crates/configuration/src/error.rs
+++ b/crates/configuration/src/error.rs
@@ -42,11 +42,15 @@
     OutcomeUnknown,
     /// No configuration has been taken yet.
     NoConfiguration,
+    /// The order is older than the orders that are remembered.
+    OrderForgotten,
+    /// This node has too many orders in hand; the order was not proposed.
+    TooManyOrders,
 }
 
 impl ResultCode {
     /// All codes, in the order of their numbers.
-    pub const ALL: [ResultCode; 17] = [
+    pub const ALL: [ResultCode; 19] = [
         ResultCode::Unreadable,
         ResultCode::UnknownService,
         ResultCode::SharedPlace,
@@ -64,6 +68,8 @@
         ResultCode::NoQuorum,
         ResultCode::OutcomeUnknown,
         ResultCode::NoConfiguration,
+        ResultCode::OrderForgotten,
+        ResultCode::TooManyOrders,
     ];
 
     /// The number of the code.
@@ -86,6 +92,8 @@
             ResultCode::NoQuorum => 3000,
             ResultCode::OutcomeUnknown => 3001,
             ResultCode::NoConfiguration => 3002,
+            ResultCode::OrderForgotten => 3003,
+            ResultCode::TooManyOrders => 3004,
         }
     }
 
@@ -94,7 +102,10 @@
         match self {
             ResultCode::Taken | ResultCode::TakenBefore => 200,
             ResultCode::BaseVersionDiffers => 412,
-            ResultCode::NoQuorum | ResultCode::NoConfiguration => 503,
+            ResultCode::NoQuorum
+            | ResultCode::NoConfiguration
+            | ResultCode::OrderForgotten
+            | ResultCode::TooManyOrders => 503,
             ResultCode::OutcomeUnknown => 504,
             _ => 400,
         }
@@ -120,8 +131,21 @@
             ResultCode::NoQuorum => "this node has no contact with a quorum; nothing was proposed",
             ResultCode::OutcomeUnknown => "whether the order is taken is not known; send it again",
             ResultCode::NoConfiguration => "no configuration has been taken yet",
+            ResultCode::OrderForgotten => "the order is too old to tell whether it was taken",
+            ResultCode::TooManyOrders => "too many orders wait at this node; nothing was proposed",
         }
     }
+
+    /// The body of an answer that gives this code and no revision.
+    pub fn answer(self, detail: &str) -> String {
+        let error = format!("{}: {}: {detail}", self.number(), self.meaning());
+        serde_json::json!({ "code": self.number(), "error": error }).to_string()
+    }
+
+    /// The body of an answer that acknowledges an order, which led to `revision`.
+    pub fn acknowledgement(self, revision: u64) -> String {
+        serde_json::json!({ "code": self.number(), "revision": revision }).to_string()
+    }
 }
 
 /// What is wrong with a configuration or a change, and where.
@@ -147,6 +171,11 @@
         ConfigurationError { code, list: None, item: None, field: None, line: None, detail: detail.into() }
     }
 
+    /// The body of the answer that refuses an order for this error.
+    pub fn answer(&self) -> String {
+        serde_json::json!({ "code": self.code.number(), "error": self.to_string() }).to_string()
+    }
+
     /// The same error at a named item of a list.
     pub(crate) fn at_item(mut self, list: &str, item: &str) -> ConfigurationError {
         self.list = Some(list.to_owned());
--- a/crates/configuration/src/state.rs
+++ b/crates/configuration/src/state.rs
@@ -38,6 +38,8 @@
     pub document: Option<Document>,
     /// The newest orders taken, the oldest first.
     pub taken: Vec<TakenOrder>,
+    /// The highest revision that an order led to which is no longer in `taken`; 0 if all are.
+    pub forgotten_up_to: u64,
     /// The newest placer.
     pub placer: Option<PlacerGrant>,
     /// The highest epoch granted so far.
@@ -69,8 +71,10 @@
         /// The revision it led to.
         revision: u64,
     },
-    /// The order is not taken.
+    /// The order is not taken, and never was.
     Refused(ConfigurationError),
+    /// The order does not fit the current revision, but it is so old that it may have been taken once.
+    Forgotten,
     /// The order is taken if this state becomes the register's value.
     Take(Box<ControlState>),
 }
@@ -89,6 +93,7 @@
         }
         match self.result_of(order) {
             Ok(document) => Decision::Take(Box::new(self.with_document(document, digest))),
+            Err(error) if error.code == ResultCode::OrderForgotten => Decision::Forgotten,
             Err(error) => Decision::Refused(error),
         }
     }
@@ -104,8 +109,13 @@
         match order.kind {
             OrderKind::Replace => {
                 let document = Document::read(&order.body).map_err(|error| located(error, order))?;
-                self.check_versions(order.base_version, document.revision())?;
-                document.checked().map_err(|error| located(error, order))
+                let fits = self.check_versions(order.base_version, document.revision());
+                if fits.as_ref().is_err_and(|error| error.code != ResultCode::OrderForgotten) {
+                    return fits.map(|()| document);
+                }
+                // What is invalid by itself was never taken, however old it is.
+                let document = document.checked().map_err(|error| located(error, order))?;
+                fits.map(|()| document)
             }
             OrderKind::Update => {
                 let change = Change::parse(&order.body)?;
@@ -120,6 +130,10 @@
 
     fn check_versions(&self, base: u64, revision: u64) -> Result<(), ConfigurationError> {
         let current = self.revision();
+        if base != current && base < revision && revision <= self.forgotten_up_to {
+            let detail = format!("orders up to {} are forgotten", self.forgotten_up_to);
+            return Err(ConfigurationError::new(ResultCode::OrderForgotten, detail));
+        }
         if base != current {
             let detail = format!("the order builds on {base}, current is {current}");
             return Err(ConfigurationError::new(ResultCode::BaseVersionDiffers, detail));
@@ -133,9 +147,17 @@
 
     fn with_document(&self, document: Document, digest: u128) -> ControlState {
         let surplus = (self.taken.len() + 1).saturating_sub(TAKEN_ORDERS_KEPT);
-        let mut taken = self.taken[surplus..].to_vec();
+        let (forgotten, kept) = self.taken.split_at(surplus);
+        let newest_forgotten = forgotten.last().map_or(0, |taken| taken.revision);
+        let mut taken = kept.to_vec();
         taken.push(TakenOrder { revision: document.revision(), digest });
-        ControlState { document: Some(document), taken, ..self.clone() }
+        ControlState {
+            document: Some(document),
+            taken,
+            forgotten_up_to: self.forgotten_up_to.max(newest_forgotten),
+            placer: self.placer.clone(),
+            next_epoch: self.next_epoch,
+        }
     }
 
     /// Encodes the state; equal states give equal bytes.
@@ -148,6 +170,7 @@
                 .as_ref()
                 .map(|placer| GrantRecord { holder: placer.holder.clone(), epoch: placer.epoch }),
             next_epoch: self.next_epoch,
+            forgotten_up_to: self.forgotten_up_to,
         };
         let mut encoded = vec![LAYOUT_VERSION];
         encoded.extend(record.encode_to_vec());
@@ -166,15 +189,25 @@
         let record = StateRecord::decode(record)?;
         let document = record.document.as_deref().map(Document::read).transpose()?;
         let grant = |placer: GrantRecord| PlacerGrant { holder: placer.holder, epoch: placer.epoch };
+        let taken: Vec<TakenOrder> = record.taken.iter().map(TakenRecord::to_taken).collect();
+        let forgotten_up_to = record.forgotten_up_to.max(forgotten_before(&taken));
         Ok(ControlState {
             document,
-            taken: record.taken.iter().map(TakenRecord::to_taken).collect(),
+            taken,
+            forgotten_up_to,
             placer: record.placer.map(grant),
             next_epoch: record.next_epoch,
         })
     }
 }
 
+/// What a full list of orders must have forgotten, for a state written by an edition that did not note it: any revision
+/// below the oldest that it lists.
+fn forgotten_before(taken: &[TakenOrder]) -> u64 {
+    let oldest = taken.first().filter(|_| taken.len() >= TAKEN_ORDERS_KEPT);
+    oldest.map_or(0, |oldest| oldest.revision.saturating_sub(1))
+}
+
 fn located(error: ConfigurationError, order: &Order) -> ConfigurationError {
     crate::members::located(error, &order.body)
 }
@@ -189,6 +222,8 @@
     placer: Option<GrantRecord>,
     #[prost(uint64, tag = "4")]
     next_epoch: u64,
+    #[prost(uint64, tag = "5")]
+    forgotten_up_to: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/configuration/tests/state.rs
+++ b/crates/configuration/tests/state.rs
@@ -91,6 +91,55 @@
     expect_that!(state.taken[TAKEN_ORDERS_KEPT - 1].revision, eq(9));
 }
 
+/// The first order, and the state after it and `changes` further ones.
+fn after_many_changes(changes: u64) -> (Order, ControlState) {
+    let first = replace(0, EXAMPLE);
+    let last =
+        (7..7 + changes).fold(example_state(), |state, base| taken(&state, &idle_change(base, base + 1)));
+    (first, last)
+}
+
+#[gtest]
+fn order_older_than_what_is_remembered_is_left_open_and_never_refused() {
+    let (first, state) = after_many_changes(5_000);
+    expect_that!(state.forgotten_up_to, eq(5_007 - TAKEN_ORDERS_KEPT as u64));
+    expect_that!(state.decide(&first), eq(&Decision::Forgotten));
+    for base in 7..5_007 {
+        let decision = state.decide(&idle_change(base, base + 1));
+        let remembered = base + 1 > state.forgotten_up_to;
+        let expected = match remembered {
+            true => Decision::TakenBefore { revision: base + 1 },
+            false => Decision::Forgotten,
+        };
+        expect_that!(decision, eq(&expected), "order on {base}");
+    }
+    let decoded = ControlState::decode(&state.encode()).unwrap();
+    expect_that!(decoded.decide(&first), eq(&Decision::Forgotten));
+    expect_that!(decoded.grant_placer("node-1").decide(&first), eq(&Decision::Forgotten));
+}
+
+#[gtest]
+fn what_was_certainly_never_taken_is_refused_however_old() {
+    let (_, state) = after_many_changes(5_000);
+    let invalid = replace(7, &example_with("20000", "0").replace(r#""revision": 7"#, r#""revision": 8"#));
+    expect_that!(refusal(&state, &invalid), eq(ResultCode::NoTimeout));
+    expect_that!(refusal(&state, &replace(7, "{")), eq(ResultCode::Unreadable));
+    // Above what is forgotten every order taken is known, and below its own base none ever was.
+    let lost = update(4_999, r#"{"revision":5000,"remove":{"routes":["chat"]}}"#);
+    expect_that!(refusal(&state, &lost), eq(ResultCode::BaseVersionDiffers));
+    expect_that!(refusal(&state, &idle_change(9, 8)), eq(ResultCode::BaseVersionDiffers));
+}
+
+#[gtest]
+fn state_of_an_edition_without_the_floor_has_one_where_orders_may_be_forgotten() {
+    let (first, state) = after_many_changes(5_000);
+    let former = ControlState { forgotten_up_to: 0, ..state };
+    let decoded = ControlState::decode(&former.encode()).unwrap();
+    expect_that!(decoded.decide(&first), eq(&Decision::Forgotten));
+    let short = ControlState::decode(&example_state().encode()).unwrap();
+    expect_that!(short.forgotten_up_to, eq(0));
+}
+
 #[gtest]
 fn state_survives_its_encoding() {
     let large = replace(7, &many_routes(8, 400));
