A core node speaks only in contact with a quorum, and reads the register first

A cut-off node handed its own copy of the configuration and the list of workers to whoever said hello or fetched, always marked as confirmed: an agent and data plane that started on its side became ready on an old one. After a cut it called itself in contact again before it knew what had been decided meanwhile. A placer went on with each answer and report without contact. A read begun before a freeze was answered after it; an acknowledgement to an earlier life could settle a worker's end.

--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -3,18 +3,21 @@
 use crate::input::{Answer, CallId};
 use crate::jobs::Job;
 use crate::node::ControlNode;
-use switchhill_configuration::{ControlState, Order};
+use switchhill_configuration::{ControlState, Order, ResultCode};
 use switchhill_distribution::Published;
 use switchhill_register::{Accepted, Ballot};
 
 /// Changes that may wait for the register at one node.
 const MOST_CHANGES: usize = 32;
 
+/// Time in milliseconds for a read from its call to its answer. What a node computed before it was frozen is older.
+const READ_WITHIN: u64 = 900;
+
 impl ControlNode {
     /// The operator sends a change.
     pub(crate) fn change_called(&mut self, now: u64, call: CallId, order: Order) {
         if self.jobs.waiting_count() >= MOST_CHANGES {
-            self.answer(call, Answer::unavailable("too many changes wait"));
+            self.answer(call, Answer::undecided(ResultCode::TooManyOrders, "send it again"));
             return;
         }
         self.jobs.push(Job::Change { call, order, since: now, answer: None });
@@ -23,15 +26,19 @@
 
     /// The operator reads the configuration.
     pub(crate) fn read_called(&mut self, now: u64, call: CallId) {
-        self.jobs.push(Job::Read { call });
+        self.jobs.push(Job::Read { call, since: now });
         self.begin_next(now);
     }
 
     /// Answers with the newest configuration, which was just read from a quorum.
-    pub(crate) fn answer_read(&mut self, call: CallId) {
-        let answer = match self.state.document() {
-            Some(_) => Answer::json(200, self.state.encoded().clone()),
-            None => Answer::json(404, "{\"error\":\"there is no configuration yet\"}"),
+    pub(crate) fn answer_read(&mut self, now: u64, call: CallId, since: u64) {
+        let document = self.state.document().map(|_| self.state.encoded().clone());
+        let answer = match document {
+            _ if !self.has_quorum(now) || now >= since + READ_WITHIN => {
+                Answer::undecided(ResultCode::NoQuorum, "the read took too long")
+            }
+            Some(document) => Answer::json(200, document),
+            None => Answer::undecided(ResultCode::NoConfiguration, "send one on version 0"),
         };
         self.answer(call, answer);
     }
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -7,7 +7,7 @@
 use crate::node::ControlNode;
 use bytes::Bytes;
 use std::collections::VecDeque;
-use switchhill_configuration::{ControlState, Decision, Order, PlacerGrant};
+use switchhill_configuration::{ControlState, Decision, Order, PlacerGrant, ResultCode};
 use switchhill_register::{Accepted, Input, Member, RegisterError};
 
 /// Time in milliseconds within which a call's job may be begun again after it lost a race.
@@ -19,12 +19,12 @@
 /// What is done with the register.
 #[derive(Debug, Clone)]
 pub(crate) enum Job {
-    /// The register is read once after the start.
+    /// The register is read before the node serves.
     CatchUp,
     /// An operator's change.
     Change { call: CallId, order: Order, since: u64, answer: Option<Answer> },
     /// The operator reads the configuration.
-    Read { call: CallId },
+    Read { call: CallId, since: u64 },
     /// This node becomes the placer, or takes a new epoch.
     TakePlacer { grant: Option<PlacerGrant>, former: Option<String> },
     /// The electorate changes.
@@ -77,7 +77,7 @@
             return;
         }
         self.jobs.next_catch_up = now + CATCH_UP_EVERY;
-        self.jobs.push(Job::CatchUp);
+        self.jobs.waiting.push_front(Job::CatchUp);
     }
 
     /// Begins the next job if none is under way.
@@ -88,6 +88,9 @@
         let Some(job) = self.jobs.waiting.pop_front() else { return };
         self.jobs.next_operation += 1;
         let operation = self.jobs.next_operation;
+        if matches!(job, Job::CatchUp) {
+            self.freshness.read_begins();
+        }
         let input = match job {
             Job::CatchUp | Job::Read { .. } => Input::Read { operation },
             _ => Input::Begin { operation },
@@ -147,7 +150,7 @@
 
     fn abandon(&mut self, now: u64, operation: u64, job: Job) {
         if let Job::Change { call, .. } = job {
-            self.answer(call, Answer::unavailable("the register could not be read"));
+            self.answer(call, Answer::undecided(ResultCode::NoQuorum, "the register could not be read"));
         }
         self.register_input(now, Input::Abandon { operation });
         self.begin_next(now);
@@ -168,17 +171,19 @@
 
     fn has_caught_up(&mut self, now: u64) {
         self.caught_up = true;
-        self.publish_status(now);
+        self.freshness.read_ended();
+        self.publish_configuration(now, None);
     }
 
     fn job_succeeded(&mut self, now: u64, job: Job) {
         match job {
             Job::CatchUp => self.has_caught_up(now),
             Job::Change { call, answer, .. } => {
-                let answer = answer.unwrap_or_else(|| Answer::unavailable("the outcome is not known"));
+                let unknown = || Answer::undecided(ResultCode::OutcomeUnknown, "no answer was kept");
+                let answer = answer.unwrap_or_else(unknown);
                 self.answer(call, answer);
             }
-            Job::Read { call } => self.answer_read(call),
+            Job::Read { call, since } => self.answer_read(now, call, since),
             Job::TakePlacer { grant, former } => self.placer_granted(now, grant, former),
             Job::Electorate { .. } => {}
         }
@@ -188,15 +193,24 @@
         log::debug!("work on the register failed: {error}");
         match job {
             Job::CatchUp if *error == RegisterError::Empty => self.has_caught_up(now),
-            Job::Read { call } if *error == RegisterError::Empty => self.answer_read(call),
+            Job::Read { call, since } if *error == RegisterError::Empty => {
+                self.answer_read(now, call, since);
+            }
             Job::Change { call, order, since, .. } => {
-                if !error.outcome_unknown() && now < since + RETRY_WITHIN {
+                if error.outcome_unknown() {
+                    self.answer(
+                        call,
+                        Answer::undecided(ResultCode::OutcomeUnknown, "no quorum confirmed it"),
+                    );
+                } else if now < since + RETRY_WITHIN {
                     self.jobs.waiting.push_front(Job::Change { call, order, since, answer: None });
                 } else {
-                    self.answer(call, Answer::unavailable("the change did not reach a quorum"));
+                    self.answer(call, Answer::undecided(ResultCode::NoQuorum, "no quorum answered"));
                 }
             }
-            Job::Read { call } => self.answer(call, Answer::unavailable("no quorum answered")),
+            Job::Read { call, .. } => {
+                self.answer(call, Answer::undecided(ResultCode::NoQuorum, "no quorum answered"));
+            }
             Job::CatchUp | Job::TakePlacer { .. } | Job::Electorate { .. } => {}
         }
     }
@@ -213,12 +227,14 @@
     match state.decide(order) {
         Decision::Take(next) => {
             let revision = next.document.as_ref().map_or(0, |document| document.revision());
-            (Some(Bytes::from(next.encode())), Answer::json(200, format!("{{\"revision\":{revision}}}")))
+            (Some(Bytes::from(next.encode())), Answer::acknowledged(ResultCode::Taken, revision))
         }
         // Written once more, so that it is certain to be committed before it is acknowledged.
-        Decision::TakenBefore { revision } => {
-            (data, Answer::json(200, format!("{{\"revision\":{revision}}}")))
-        }
+        Decision::TakenBefore { revision } => (data, Answer::acknowledged(ResultCode::TakenBefore, revision)),
+        Decision::Forgotten => (
+            None,
+            Answer::undecided(ResultCode::OrderForgotten, "read the configuration to see what is in force"),
+        ),
         // A state that only a minority accepted may yet give way, and then the order might be taken elsewhere: it is
         // refused only once the state that speaks against it is chosen.
         Decision::Refused(error) => (data.filter(|_| !is_chosen), Answer::refused(&error)),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod calls;
 mod electorate;
+mod freshness;
 mod input;
 mod jobs;
 mod load;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,5 +1,6 @@
 //! The node: its parts, and which of them an input goes to.
 
+use crate::freshness::Freshness;
 use crate::input::{Answer, Call, CallId, Input, NodeSettings, Output, SubscriberId};
 use crate::jobs::Jobs;
 use crate::load::FleetLoad;
@@ -8,7 +9,7 @@
 use crate::workers::PendingUpdates;
 use bytes::Bytes;
 use std::collections::BTreeSet;
-use switchhill_configuration::{ConfigurationError, ControlState};
+use switchhill_configuration::{ConfigurationError, ControlState, ResultCode};
 use switchhill_distribution::MergedState;
 use switchhill_membership::{ContactSettings, Contacts};
 use switchhill_register::{Member, Output as RegisterOutput, Record, Replica, ReplicaId};
@@ -33,8 +34,9 @@
     pub(crate) placer: Placer,
     /// When the node began.
     pub(crate) started_at: u64,
-    /// Whether the register was read in this life.
+    /// Whether the register was read since contact with a quorum was last regained.
     pub(crate) caught_up: bool,
+    pub(crate) freshness: Freshness,
     /// Whether the worker table is whole.
     pub(crate) warm: bool,
     /// Addresses of core nodes that were told of and not heard yet.
@@ -65,11 +67,12 @@
             state: MergedState::new(SuspectAfter(suspect_after)),
             jobs: Jobs::default(),
             subscribers: Subscribers::default(),
-            updates: PendingUpdates::default(),
+            updates: PendingUpdates::new(settings.life),
             load: FleetLoad::default(),
             placer: Placer::new(&settings),
             started_at: now,
             caught_up: false,
+            freshness: Freshness::default(),
             warm: false,
             told_addresses: BTreeSet::new(),
             out: Vec::new(),
@@ -110,6 +113,12 @@
         self.replica.electorate().is_some_and(|electorate| electorate.is_quorum(&contact))
     }
 
+    /// Whether the node may speak for the system: it is in contact with a quorum, and has read the register since that
+    /// contact began.
+    pub fn serves(&self, now: u64) -> bool {
+        self.caught_up && self.has_quorum(now)
+    }
+
     /// Revision of the committed configuration that the node knows.
     pub fn revision(&self) -> u64 {
         self.state.revision()
@@ -121,6 +130,7 @@
     }
 
     fn tick(&mut self, now: u64) {
+        self.tick_freshness(now);
         self.send_heartbeats(now);
         self.register_input(now, switchhill_register::Input::Tick);
         self.tick_workers(now);
@@ -156,8 +166,8 @@
     }
 
     fn call(&mut self, now: u64, id: CallId, call: Call) {
-        if !self.has_quorum(now) || !self.caught_up {
-            self.answer(id, Answer::unavailable("this node is not in contact with a quorum of the core"));
+        if !self.serves(now) {
+            self.answer(id, Answer::undecided(ResultCode::NoQuorum, "the call came while out of contact"));
             return;
         }
         match call {
@@ -187,12 +197,16 @@
 
     /// The change is not taken.
     pub(crate) fn refused(error: &ConfigurationError) -> Answer {
-        let (number, text) = (error.code.number(), error.to_string());
-        Answer::json(error.code.http_status(), format!("{{\"code\":{number},\"error\":{text:?}}}"))
+        Answer::json(error.code.http_status(), error.answer())
+    }
+
+    /// The order is in force.
+    pub(crate) fn acknowledged(code: ResultCode, revision: u64) -> Answer {
+        Answer::json(code.http_status(), code.acknowledgement(revision))
     }
 
-    /// The call had no effect and may be made elsewhere.
-    pub(crate) fn unavailable(reason: &str) -> Answer {
-        Answer::json(503, format!("{{\"error\":\"{reason}\"}}"))
+    /// No clear answer: the call may be made again, here or elsewhere.
+    pub(crate) fn undecided(code: ResultCode, detail: &str) -> Answer {
+        Answer::json(code.http_status(), code.answer(detail))
     }
 }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -56,6 +56,7 @@
         let seeking = !self.has_quorum(now) || !self.caught_up;
         let Some(sequence) = self.contacts.heartbeat_due(now, seeking) else { return };
         let committed = self.committed_ballot().unwrap_or(Ballot::NONE);
+        let accepted = self.replica.accepted_ballot();
         let echoes = self.contacts.echoes();
         let echoes =
             echoes.map(|(from, contact)| Echo { from, life: contact.life, sequence: contact.sequence });
@@ -70,6 +71,8 @@
             home_gatekeepers: self.subscribers.home_count(),
             known: self.core_addresses().into_iter().collect(),
             life: self.contacts.life(),
+            accepted_counter: accepted.counter,
+            accepted_proposer: accepted.proposer.0,
         };
         for address in self.known_addresses() {
             self.send_peer(address, PeerBody::Heartbeat(heartbeat.clone()));
@@ -114,6 +117,9 @@
             counter: heartbeat.committed_counter,
             proposer: ReplicaId(heartbeat.committed_proposer),
         };
+        let accepted =
+            Ballot { counter: heartbeat.accepted_counter, proposer: ReplicaId(heartbeat.accepted_proposer) };
+        self.freshness.told(now, accepted);
         self.bring_up_to_date(now, from, &address, theirs);
         self.compare_workers(now, from, address, heartbeat.workers_digest, heartbeat.warm);
     }
--- a/crates/control/src/placer.rs
+++ b/crates/control/src/placer.rs
@@ -6,8 +6,8 @@
 use std::collections::BTreeMap;
 use switchhill_configuration::{Document, PlacerGrant, Service};
 use switchhill_placement::{
-    Engine, Input, ModelSpec, OrderAnswer, Output as PlannerOutput, Planner, PlannerSettings, Resident,
-    WorkerId, WorkerState as PlannerWorkerState, WorkerView,
+    Engine, Input, ModelSpec, OrderAnswer, OrderId, Output as PlannerOutput, Planner, PlannerSettings,
+    Resident, WorkerId, WorkerState as PlannerWorkerState, WorkerView,
 };
 use switchhill_protocol::{Expectation, Missing, PeerBody, Residency, ResidentModel, Summary};
 use switchhill_registration::{Worker, WorkerState};
@@ -42,6 +42,8 @@
     /// Time from which orders may be given.
     acts_from: u64,
     planners: BTreeMap<String, Planner>,
+    /// Orders of the planners that were not sent for want of contact, by service.
+    withheld: Vec<(String, OrderId)>,
     residency_version: u64,
     next_workers: u64,
 }
@@ -56,6 +58,7 @@
             seen: None,
             acts_from: 0,
             planners: BTreeMap::new(),
+            withheld: Vec::new(),
             residency_version: 0,
             next_workers: 0,
         }
@@ -75,6 +78,7 @@
     fn resign(&mut self) {
         self.granted = None;
         self.planners.clear();
+        self.withheld.clear();
     }
 }
 
@@ -102,6 +106,7 @@
         };
         log::info!("placer: granted {grant:?}, orders in {pause} ms");
         self.placer.planners.clear();
+        self.placer.withheld.clear();
         self.placer.acts_from = now + pause;
         self.placer.granted = grant;
     }
@@ -115,16 +120,24 @@
             self.take_placer(now);
             return;
         }
-        if self.placer.acts(now).is_none() || !self.has_quorum_within(now, CONTACT_FOR_ORDERS) {
+        if !self.may_order(now) {
             return;
         }
         self.ensure_planners(now);
+        for (service, order) in std::mem::take(&mut self.placer.withheld) {
+            self.planner(now, &service, Input::OrderResult { order, answer: OrderAnswer::NoAnswer });
+        }
         if now >= self.placer.next_workers {
             self.tell_planners_of_workers(now);
         }
         self.each_planner(now, |_| Some(Input::Tick));
     }
 
+    /// Whether this node may give orders: its role has begun, and it was in contact with a quorum a moment ago.
+    fn may_order(&self, now: u64) -> bool {
+        self.placer.acts(now).is_some() && self.caught_up && self.has_quorum_within(now, CONTACT_FOR_ORDERS)
+    }
+
     fn take_placer(&mut self, now: u64) {
         let pending = self.jobs.has(|job| matches!(job, Job::TakePlacer { .. }));
         if !pending && self.may_take_placer(now) {
@@ -224,7 +237,7 @@
 
     /// A model is missing: the placer acts, any other node passes it on to the placer.
     pub(crate) fn missing(&mut self, now: u64, missing: Missing, may_pass_on: bool) {
-        if self.placer.acts(now).is_some() && self.has_quorum_within(now, CONTACT_FOR_ORDERS) {
+        if self.may_order(now) {
             let input = Input::Missing {
                 model: missing.model.clone(),
                 adapter: some_name(&missing.adapter),
@@ -290,6 +303,10 @@
     fn planner_output(&mut self, now: u64, service: &str, output: PlannerOutput) {
         let Some(epoch) = self.placer.epoch() else { return };
         match output {
+            // Planners go on with each answer and report: an order without contact counts as one without an answer.
+            PlannerOutput::Order { order, .. } if !self.may_order(now) => {
+                self.placer.withheld.push((service.to_owned(), order));
+            }
             PlannerOutput::Order { order, worker, address, operation, model, adapter, if_revision } => {
                 let call = OrderCall {
                     ticket: OrderTicket { service: service.to_owned(), epoch, order },
--- a/crates/control/src/subscribers.rs
+++ b/crates/control/src/subscribers.rs
@@ -22,6 +22,8 @@
     /// Name of its machine.
     pub(crate) node: String,
     heard_at: u64,
+    /// Whether it was sent all that this node knew when it served.
+    served: bool,
     /// The last summary, with its time.
     pub(crate) summary: Option<(u64, Summary)>,
 }
@@ -61,7 +63,7 @@
         }
         match message.body {
             Some(UpstreamBody::Hello(hello)) => self.hello(now, id, hello),
-            Some(UpstreamBody::Fetch(fetch)) => self.fetch(id, &fetch),
+            Some(UpstreamBody::Fetch(fetch)) => self.fetch(now, id, &fetch),
             Some(UpstreamBody::Missing(missing)) => self.missing(now, missing, true),
             Some(UpstreamBody::Summary(summary)) => {
                 if let Some(subscriber) = self.subscribers.connected.get_mut(&id) {
@@ -76,21 +78,37 @@
         if let Some(subscriber) = self.subscribers.connected.get_mut(&id) {
             subscriber.publisher.home = hello.home;
             subscriber.publisher.sent_revision = subscriber.publisher.sent_revision.max(hello.revision);
-            self.send_configuration(id, None);
+            self.send_configuration(now, id, None);
             return;
         }
         let publisher = Publisher::new(hello.revision, hello.home);
-        let subscriber = Subscriber { publisher, node: hello.node, heard_at: now, summary: None };
+        let subscriber =
+            Subscriber { publisher, node: hello.node, heard_at: now, served: false, summary: None };
         self.subscribers.connected.insert(id, subscriber);
         let status = self.status(now);
         self.send_subscriber(id, status);
-        self.send_configuration(id, None);
+        self.serve_new(now, id);
+    }
+
+    /// Sends a subscriber what the node holds, once it may speak for the system.
+    fn serve_new(&mut self, now: u64, id: SubscriberId) {
+        if !self.serves(now) {
+            return;
+        }
+        if let Some(subscriber) = self.subscribers.connected.get_mut(&id) {
+            subscriber.served = true;
+        }
+        self.send_configuration(now, id, None);
         for message in self.state.whole() {
             self.send_subscriber(id, message);
         }
     }
 
-    fn fetch(&mut self, id: SubscriberId, fetch: &Fetch) {
+    /// Answers with what the node holds; out of contact not at all, so that the subscriber asks elsewhere.
+    fn fetch(&mut self, now: u64, id: SubscriberId, fetch: &Fetch) {
+        if !self.serves(now) {
+            return;
+        }
         if fetch.workers {
             for message in self.state.whole() {
                 self.send_subscriber(id, message);
@@ -103,8 +121,11 @@
         }
     }
 
-    /// Sends the configuration to a subscriber whose home this node is, if it lacks it.
-    fn send_configuration(&mut self, id: SubscriberId, change: Option<&Published>) {
+    /// Sends the configuration to a subscriber whose home this node is, if it lacks it and the node may speak for the system.
+    fn send_configuration(&mut self, now: u64, id: SubscriberId, change: Option<&Published>) {
+        if !self.serves(now) {
+            return;
+        }
         let Some(subscriber) = self.subscribers.connected.get_mut(&id) else { return };
         if !subscriber.publisher.home {
             return;
@@ -119,7 +140,7 @@
         let ids: Vec<SubscriberId> = self.subscribers.connected.keys().copied().collect();
         let status = self.status(now);
         for id in ids {
-            self.send_configuration(id, change);
+            self.send_configuration(now, id, change);
             self.send_subscriber(id, status.clone());
         }
     }
@@ -150,7 +171,7 @@
 
     fn status(&self, now: u64) -> Downstream {
         let status = Status {
-            quorum: self.has_quorum(now) && self.caught_up,
+            quorum: self.serves(now),
             warm: self.warm,
             revision: self.state.revision(),
             workers_digest: self.state.workers().digest(),
@@ -169,6 +190,11 @@
 
     /// Sends statuses when they are due and drops silent subscribers.
     pub(crate) fn tick_subscribers(&mut self, now: u64) {
+        let unserved = self.subscribers.connected.iter().filter(|(_, subscriber)| !subscriber.served);
+        let unserved: Vec<SubscriberId> = unserved.map(|(id, _)| *id).collect();
+        for id in unserved {
+            self.serve_new(now, id);
+        }
         if now < self.subscribers.next_status {
             return;
         }
--- a/crates/control/src/workers.rs
+++ b/crates/control/src/workers.rs
@@ -3,6 +3,7 @@
 use crate::input::{Answer, CallId};
 use crate::node::ControlNode;
 use std::collections::{BTreeMap, BTreeSet};
+use switchhill_configuration::ResultCode;
 use switchhill_distribution::Change;
 use switchhill_protocol::{HeardWorker, PeerBody, WorkerUpdate, WorkerUpdateAck, WorkersHeard};
 use switchhill_register::ReplicaId;
@@ -51,6 +52,11 @@
 }
 
 impl PendingUpdates {
+    /// No updates. Their numbers begin at one of this life, so that an acknowledgement to an earlier life fits none.
+    pub(crate) fn new(life: u64) -> PendingUpdates {
+        PendingUpdates { next_number: life >> 1, ..PendingUpdates::default() }
+    }
+
     /// Whether a node may be sent the whole worker table now; counts as done if so.
     fn may_repair(&mut self, now: u64, node: u64) -> bool {
         is_due(&mut self.repaired_at, now, node)
@@ -68,7 +74,8 @@
         let worker = match Heartbeat::parse(id, body) {
             Ok(worker) => worker,
             Err(error) => {
-                self.answer(call, Answer::json(400, format!("{{\"error\":{:?}}}", error.to_string())));
+                let error = ResultCode::BadField.answer(&error.to_string());
+                self.answer(call, Answer::json(400, error));
                 return;
             }
         };
@@ -105,7 +112,7 @@
             resend_at: now + RESEND_AFTER,
         };
         self.updates.pending.insert(number, pending);
-        self.finish_update(number);
+        self.finish_update(now, number);
     }
 
     fn send_update(&mut self, now: u64, number: u64, entry: &Worker, except: &BTreeSet<ReplicaId>) {
@@ -122,18 +129,18 @@
     }
 
     /// A core node has an update.
-    pub(crate) fn worker_update_acknowledged(&mut self, _now: u64, from: u64, number: u64) {
+    pub(crate) fn worker_update_acknowledged(&mut self, now: u64, from: u64, number: u64) {
         if let Some(pending) = self.updates.pending.get_mut(&number) {
             pending.acknowledged.insert(ReplicaId(from));
         }
-        self.finish_update(number);
+        self.finish_update(now, number);
     }
 
-    fn finish_update(&mut self, number: u64) {
+    fn finish_update(&mut self, now: u64, number: u64) {
         let Some(pending) = self.updates.pending.get(&number) else { return };
         let settled =
             self.replica.electorate().is_some_and(|electorate| electorate.is_quorum(&pending.acknowledged));
-        if !settled {
+        if !settled || !self.serves(now) {
             return;
         }
         if let Some(pending) = self.updates.pending.remove(&number) {
@@ -233,7 +240,7 @@
     }
 
     fn suspect_silent(&mut self, now: u64) {
-        let may_suspect = self.has_quorum(now) && self.warm;
+        let may_suspect = self.serves(now) && self.warm;
         let suspected = self.state.workers_mut().tick(now, may_suspect);
         if !suspected.is_empty() {
             self.tell_of_workers(now, suspected);
@@ -261,7 +268,10 @@
             self.updates.pending.iter().filter(|(_, p)| now >= p.deadline).map(|(n, _)| *n).collect();
         for number in over {
             if let Some(pending) = self.updates.pending.remove(&number) {
-                self.answer(pending.call, Answer::unavailable("a majority of the core did not answer"));
+                self.answer(
+                    pending.call,
+                    Answer::undecided(ResultCode::NoQuorum, "the end is not known to a majority"),
+                );
             }
         }
         let due: Vec<u64> =
@@ -271,6 +281,7 @@
             pending.resend_at = now + RESEND_AFTER;
             let (entry, acknowledged) = (pending.entry.clone(), pending.acknowledged.clone());
             self.send_update(now, number, &entry, &acknowledged);
+            self.finish_update(now, number);
         }
     }
 }
--- /dev/null
+++ b/crates/control/tests/simulation/flaws.rs
@@ -0,0 +1,212 @@
+//! Planted faults: wrappers around a node that break one rule each.
+
+use bytes::Bytes;
+use std::collections::BTreeSet;
+use switchhill_configuration::{ControlState, Decision, Order};
+use switchhill_control::{Answer, Call, CallId, ControlNode, Input, NodeSettings, Output, SubscriberId};
+use switchhill_protocol::{Configuration, Downstream, DownstreamBody, PeerBody, PeerFrame, UpstreamBody};
+use switchhill_register::{Accepted, Member, Record};
+
+/// A rule that a node breaks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Flaw {
+    /// It calls itself in contact in every status.
+    StatusAlwaysQuorum,
+    /// It takes every node that it hears for one that hears it.
+    EchoTakenForGranted,
+    /// It hands its configuration to whoever says hello, in contact or not.
+    ConfigurationWithoutQuorum,
+    /// It answers reads with what it last answered.
+    ReadsFromMemory,
+    /// It acknowledges a worker's end by itself.
+    EndsAcknowledgedAlone,
+    /// It does not know an order again.
+    ForgetsDigests,
+    /// It refuses an order on a value that it has accepted, chosen or not.
+    RefusesOnMinority,
+    /// It acknowledges an order that a majority has not accepted yet.
+    AcknowledgesEarly,
+}
+
+/// A node, or one with a flaw.
+pub trait CoreNode {
+    fn handle(&mut self, now: u64, input: Input) -> Vec<Output>;
+}
+
+impl CoreNode for ControlNode {
+    fn handle(&mut self, now: u64, input: Input) -> Vec<Output> {
+        ControlNode::handle(self, now, input)
+    }
+}
+
+pub fn node(
+    flaw: Option<Flaw>,
+    now: u64,
+    settings: NodeSettings,
+    disk: Vec<Vec<u8>>,
+    genesis: Option<Vec<Member>>,
+) -> Box<dyn CoreNode> {
+    let replica = settings.replica;
+    let life = settings.life;
+    let accepted = disk.iter().filter_map(|record| accepted(record)).next_back();
+    let node = ControlNode::new(now, settings, disk, genesis);
+    let Some(flaw) = flaw else { return Box::new(node) };
+    Box::new(Flawed {
+        flaw,
+        node,
+        replica,
+        life,
+        sequence: 0,
+        changes: 0,
+        configuration: None,
+        read: None,
+        reads: BTreeSet::new(),
+        accepted,
+    })
+}
+
+struct Flawed {
+    flaw: Flaw,
+    node: ControlNode,
+    replica: u64,
+    life: u64,
+    /// Sequence of the last heartbeat that it sent.
+    sequence: u64,
+    changes: usize,
+    configuration: Option<Configuration>,
+    read: Option<Answer>,
+    reads: BTreeSet<CallId>,
+    accepted: Option<Accepted>,
+}
+
+fn accepted(record: &[u8]) -> Option<Accepted> {
+    match Record::decode(record) {
+        Ok(Record::Accepted(accepted)) => Some(accepted),
+        _ => None,
+    }
+}
+
+impl CoreNode for Flawed {
+    fn handle(&mut self, now: u64, input: Input) -> Vec<Output> {
+        let (input, mut before) = self.spoil(input);
+        let outputs = input.map(|input| self.node.handle(now, input)).unwrap_or_default();
+        before.extend(outputs.into_iter().map(|output| self.spoil_output(output)));
+        before
+    }
+}
+
+impl Flawed {
+    fn spoil(&mut self, input: Input) -> (Option<Input>, Vec<Output>) {
+        match (self.flaw, input) {
+            (Flaw::EchoTakenForGranted, Input::Peer(frame)) => {
+                (Some(Input::Peer(self.echo(frame))), Vec::new())
+            }
+            (Flaw::ConfigurationWithoutQuorum, Input::Subscriber(id, message)) => {
+                let asks = matches!(message.body, Some(UpstreamBody::Hello(_) | UpstreamBody::Fetch(_)));
+                let given = if asks { self.hand_out(id) } else { None };
+                (Some(Input::Subscriber(id, message)), given.into_iter().collect())
+            }
+            (Flaw::ReadsFromMemory, Input::Call(id, Call::Read)) => match self.read.clone() {
+                Some(answer) => (None, vec![Output::Answer(id, answer)]),
+                None => {
+                    self.reads.insert(id);
+                    (Some(Input::Call(id, Call::Read)), Vec::new())
+                }
+            },
+            (Flaw::EndsAcknowledgedAlone, Input::Call(id, Call::Deregister { id: worker })) => {
+                let answer = Answer { status: 200, body: Bytes::from_static(b"{}") };
+                let _ = worker;
+                (None, vec![Output::Answer(id, answer)])
+            }
+            (Flaw::ForgetsDigests, Input::Call(id, Call::Change(order))) => {
+                self.changes += 1;
+                let mut body = order.body.to_vec();
+                body.extend(std::iter::repeat_n(b' ', self.changes));
+                let order = Order { body: Bytes::from(body), ..order };
+                (Some(Input::Call(id, Call::Change(order))), Vec::new())
+            }
+            (Flaw::RefusesOnMinority, Input::Call(id, Call::Change(order))) => match self.refuses(&order) {
+                true => {
+                    let body = Bytes::from_static(b"{\"code\":1100}");
+                    (None, vec![Output::Answer(id, Answer { status: 412, body })])
+                }
+                false => (Some(Input::Call(id, Call::Change(order))), Vec::new()),
+            },
+            (Flaw::AcknowledgesEarly, Input::Call(id, Call::Change(order))) => {
+                let answer = self.accepts(&order).map(|revision| Output::Answer(id, acknowledged(revision)));
+                (Some(Input::Call(id, Call::Change(order))), answer.into_iter().collect())
+            }
+            (_, input) => (Some(input), Vec::new()),
+        }
+    }
+
+    fn echo(&self, mut frame: PeerFrame) -> PeerFrame {
+        if let Some(PeerBody::Heartbeat(heartbeat)) = &mut frame.body {
+            heartbeat.echoes.retain(|echo| echo.from != self.replica);
+            let (from, life, sequence) = (self.replica, self.life, self.sequence);
+            heartbeat.echoes.push(switchhill_protocol::Echo { from, life, sequence });
+        }
+        frame
+    }
+
+    fn hand_out(&self, id: SubscriberId) -> Option<Output> {
+        let configuration = self.configuration.clone()?;
+        Some(Output::Subscriber(id, Downstream { body: Some(DownstreamBody::Configuration(configuration)) }))
+    }
+
+    fn refuses(&self, order: &Order) -> bool {
+        self.decide(order).is_some_and(|decision| matches!(decision, Decision::Refused(_)))
+    }
+
+    fn accepts(&self, order: &Order) -> Option<u64> {
+        match self.decide(order)? {
+            Decision::Take(state) => Some(state.revision()),
+            _ => None,
+        }
+    }
+
+    fn decide(&self, order: &Order) -> Option<Decision> {
+        let accepted = self.accepted.as_ref()?;
+        Some(ControlState::decode(&accepted.value.data).ok()?.decide(order))
+    }
+
+    fn spoil_output(&mut self, output: Output) -> Output {
+        match output {
+            Output::Subscriber(id, mut message) => {
+                match &mut message.body {
+                    Some(DownstreamBody::Status(status)) if self.flaw == Flaw::StatusAlwaysQuorum => {
+                        status.quorum = true;
+                    }
+                    Some(DownstreamBody::Configuration(configuration))
+                        if !configuration.document.is_empty() =>
+                    {
+                        self.configuration = Some(configuration.clone());
+                    }
+                    _ => {}
+                }
+                Output::Subscriber(id, message)
+            }
+            Output::Peer(address, frame) => {
+                if let Some(PeerBody::Heartbeat(heartbeat)) = &frame.body {
+                    self.sequence = heartbeat.sequence;
+                }
+                Output::Peer(address, frame)
+            }
+            Output::Answer(id, answer) => {
+                if self.reads.remove(&id) && answer.status == 200 {
+                    self.read = Some(answer.clone());
+                }
+                Output::Answer(id, answer)
+            }
+            Output::Persist(token, record) => {
+                self.accepted = accepted(&record).or(self.accepted.take());
+                Output::Persist(token, record)
+            }
+            other => other,
+        }
+    }
+}
+
+fn acknowledged(revision: u64) -> Answer {
+    Answer { status: 200, body: Bytes::from(format!("{{\"code\":2000,\"revision\":{revision}}}")) }
+}
--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -12,6 +12,10 @@
 /// Time in milliseconds between two statuses to a data plane.
 const STATUS_EVERY: u64 = 500;
 
+/// Time in milliseconds without any input after which the agent was not running: it hangs up on its links before it reads
+/// what they have brought meanwhile.
+const STOOD_STILL_AFTER: u64 = 900;
+
 /// Suspicion of workers is told by the core; the agent has none of its own.
 const NEVER_SUSPECT: SuspectAfter = SuspectAfter(u64::MAX / 4);
 
@@ -60,6 +64,7 @@
     warm: bool,
     core: Vec<String>,
     next_status: u64,
+    handled_at: Option<u64>,
     out: Vec<RelayOutput>,
 }
 
@@ -76,6 +81,7 @@
             warm: false,
             core: Vec::new(),
             next_status: 0,
+            handled_at: None,
             out: Vec::new(),
         }
     }
@@ -87,6 +93,9 @@
 
     /// Takes in what happened and returns what is to be done, in this order.
     pub fn handle(&mut self, now: u64, input: RelayInput) -> Vec<RelayOutput> {
+        if self.handled_at.replace(now).is_some_and(|before| now >= before + STOOD_STILL_AFTER) {
+            self.tick(now);
+        }
         match input {
             RelayInput::Tick => self.tick(now),
             RelayInput::LinkUp(id) => {
@@ -134,7 +143,11 @@
         RelayOutput::ToLink(id, Upstream { body: Some(UpstreamBody::Hello(hello)) })
     }
 
+    /// Takes in what a core node says; on a link that was given up it no longer counts.
     fn link_message(&mut self, now: u64, id: LinkId, message: Downstream) {
+        if !self.links.up().any(|up| up == id) {
+            return;
+        }
         self.links.heard(now, id);
         match message.body {
             Some(DownstreamBody::Status(status)) => self.link_status(now, id, status),
@@ -175,6 +188,10 @@
     }
 
     fn configuration(&mut self, id: LinkId, message: &Configuration) {
+        // Without a quorum behind it a configuration may be old, and is not taken into force.
+        if !message.confirmed {
+            return;
+        }
         let old = self.state.document().cloned();
         match self.state.configuration(message) {
             Some(Change::Configuration) => {
@@ -191,9 +208,10 @@
     }
 
     fn publish_configuration(&mut self, change: Option<&Published>) {
+        let confirmed = self.confirms();
         for (id, publisher) in &mut self.feeds {
             if let Some(message) = publisher.configuration(&self.state, change) {
-                self.out.push(RelayOutput::ToFeed(*id, message));
+                self.out.push(RelayOutput::ToFeed(*id, confirmed_if(message, confirmed)));
             }
         }
     }
@@ -217,7 +235,7 @@
 
     fn status(&self) -> Downstream {
         let status = Status {
-            quorum: self.links.in_contact() && self.state.confirmed(),
+            quorum: self.confirms(),
             warm: self.warm,
             revision: self.state.revision(),
             workers_digest: self.state.workers().digest(),
@@ -227,6 +245,11 @@
         Downstream { body: Some(DownstreamBody::Status(status)) }
     }
 
+    /// Whether a core node with a quorum stands behind the configuration that is held.
+    fn confirms(&self) -> bool {
+        self.links.in_contact() && self.state.confirmed()
+    }
+
     fn feed_message(&mut self, _now: u64, id: FeedId, message: Upstream) {
         match message.body {
             Some(UpstreamBody::Hello(hello)) => self.feed_hello(id, &hello),
@@ -243,8 +266,7 @@
         }
         let mut publisher = Publisher::new(hello.revision, true);
         self.out.push(RelayOutput::ToFeed(id, self.status()));
-        let configuration = publisher.configuration(&self.state, None);
-        self.out.extend(configuration.map(|message| RelayOutput::ToFeed(id, message)));
+        self.feed_configuration(id, &mut publisher);
         let whole = self.state.whole().into_iter().map(|message| RelayOutput::ToFeed(id, message));
         self.out.extend(whole);
         self.feeds.insert(id, publisher);
@@ -257,8 +279,13 @@
             return;
         }
         let mut publisher = Publisher::new(fetch.have_revision, true);
-        let configuration = publisher.configuration(&self.state, None);
-        self.out.extend(configuration.map(|message| RelayOutput::ToFeed(id, message)));
+        self.feed_configuration(id, &mut publisher);
+    }
+
+    fn feed_configuration(&mut self, id: FeedId, publisher: &mut Publisher) {
+        let message = publisher.configuration(&self.state, None);
+        let message = message.map(|message| confirmed_if(message, self.confirms()));
+        self.out.extend(message.map(|message| RelayOutput::ToFeed(id, message)));
     }
 
     fn forward_missing(&mut self, missing: Missing) {
@@ -275,3 +302,11 @@
         }
     }
 }
+
+/// A configuration as a message, confirmed only if the agent is in contact now.
+fn confirmed_if(mut message: Downstream, confirmed: bool) -> Downstream {
+    if let Some(DownstreamBody::Configuration(configuration)) = &mut message.body {
+        configuration.confirmed &= confirmed;
+    }
+    message
+}
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -84,6 +84,12 @@
     /// Random number of the sender's life: tells a restart.
     #[prost(fixed64, tag = "10")]
     pub life: u64,
+    /// Counter of the ballot that the sender has accepted, chosen or not.
+    #[prost(uint64, tag = "11")]
+    pub accepted_counter: u64,
+    /// Proposer of that ballot.
+    #[prost(fixed64, tag = "12")]
+    pub accepted_proposer: u64,
 }
 
 /// The last heartbeat that was received from a node.
--- a/src/control_plane/http.rs
+++ b/src/control_plane/http.rs
@@ -11,8 +11,8 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Duration;
-use switchhill_configuration::{Order, OrderKind};
+use std::time::{Duration, Instant};
+use switchhill_configuration::{Order, OrderKind, ResultCode};
 use switchhill_control::{Answer, Call, CallId, Input};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
@@ -69,11 +69,13 @@
         let (sender, answer) = oneshot::channel();
         self.waiting.borrow_mut().insert(id, sender);
         let _ = self.inputs.send(Input::Call(id, call));
+        let began = Instant::now();
         let answer = tokio::time::timeout(ANSWER_WITHIN, answer).await;
         self.waiting.borrow_mut().remove(&id);
         match answer {
-            Ok(Ok(answer)) => answer,
-            _ => failure(504, "no answer in time"),
+            // One that was given before the process was frozen may be found only after.
+            Ok(Ok(answer)) if began.elapsed() <= ANSWER_WITHIN => answer,
+            _ => coded(ResultCode::OutcomeUnknown, "no answer in time"),
         }
     }
 }
@@ -103,8 +105,13 @@
     Ok(response)
 }
 
-fn failure(status: u16, reason: &str) -> Answer {
-    Answer { status, body: Bytes::from(format!("{{\"error\":\"{reason}\"}}")) }
+/// An answer that names a result code.
+fn coded(code: ResultCode, detail: &str) -> Answer {
+    Answer { status: code.http_status(), body: Bytes::from(code.answer(detail)) }
+}
+
+fn no_such_call() -> Answer {
+    Answer { status: 404, body: Bytes::from_static(b"{\"error\":\"no such call\"}") }
 }
 
 async fn read_call(request: Request<Incoming>) -> Result<Call, Answer> {
@@ -112,29 +119,30 @@
     let base_version =
         head.headers.get(BASE_VERSION).and_then(|value| value.to_str().ok()?.trim().parse().ok());
     let body = Limited::new(body, LONGEST_BODY).collect().await;
-    let body = body.map_err(|_| failure(400, "the body can't be read whole or is too long"))?.to_bytes();
+    let unreadable = |_| coded(ResultCode::Unreadable, "it can't be read whole or is too long");
+    let body = body.map_err(unreadable)?.to_bytes();
     let path = head.uri.path();
     match (&head.method, path) {
         (&Method::GET, "/api/config/read") => Ok(Call::Read),
         (&Method::POST, "/api/config/replace") => change(OrderKind::Replace, base_version, body),
         (&Method::POST, "/api/config/update") => change(OrderKind::Update, base_version, body),
         (&Method::POST, _) => instance_call(path, body),
-        _ => Err(failure(404, "no such call")),
+        _ => Err(no_such_call()),
     }
 }
 
 fn change(kind: OrderKind, base_version: Option<u64>, body: Bytes) -> Result<Call, Answer> {
-    let base_version = base_version.ok_or_else(|| failure(400, "Base-Version is missing or no number"))?;
+    let missing = || coded(ResultCode::BadBaseVersion, "the header says what the order builds on");
+    let base_version = base_version.ok_or_else(missing)?;
     Ok(Call::Change(Order { kind, base_version, body }))
 }
 
 fn instance_call(path: &str, body: Bytes) -> Result<Call, Answer> {
-    let unknown = || failure(404, "no such call");
     let (id, verb) =
-        path.strip_prefix(INSTANCES).and_then(|rest| rest.split_once('/')).ok_or_else(unknown)?;
+        path.strip_prefix(INSTANCES).and_then(|rest| rest.split_once('/')).ok_or_else(no_such_call)?;
     match verb {
         "heartbeat" => Ok(Call::Heartbeat { id: id.to_owned(), body }),
         "deregister" => Ok(Call::Deregister { id: id.to_owned() }),
-        _ => Err(unknown()),
+        _ => Err(no_such_call()),
     }
 }
