--- a/crates/control/tests/simulation/checkers.rs
+++ b/crates/control/tests/simulation/checkers.rs
@@ -80,6 +80,10 @@
     pub words: BTreeMap<Word, u64>,
     /// Longest time between an order that was sent again after it had been acknowledged, and its next acknowledgement.
     pub longest_again_ms: u64,
+    /// The same, counted from the end of the last fault at the earliest.
+    pub longest_again_calm_ms: u64,
+    /// Since when nothing is wrong; [`None`] while something is.
+    pub calm_since: Option<u64>,
     /// Longest time from the first sending of an order to its acknowledgement.
     pub longest_first_ms: u64,
     /// Longest time by which a configuration that was taken up was older than the newest acknowledged.
@@ -91,7 +95,7 @@
 
 impl Checkers {
     pub fn new(cores: usize) -> Checkers {
-        Checkers { isolated_since: vec![None; cores], ..Checkers::default() }
+        Checkers { isolated_since: vec![None; cores], calm_since: Some(0), ..Checkers::default() }
     }
 
     pub fn fail(&mut self, now: u64, what: String) {
@@ -196,6 +200,10 @@
         if again && was_acknowledged {
             self.again += 1;
             self.longest_again_ms = self.longest_again_ms.max(now - began);
+            if let Some(calm_since) = self.calm_since {
+                let waited = now - began.max(calm_since);
+                self.longest_again_calm_ms = self.longest_again_calm_ms.max(waited);
+            }
         }
         if !was_acknowledged {
             self.longest_first_ms = self.longest_first_ms.max(now - first_sent);
--- a/crates/control/tests/simulation/edge_machine.rs
+++ b/crates/control/tests/simulation/edge_machine.rs
@@ -70,6 +70,16 @@
         self.after(phase, Event::EdgeTick(edge, life));
     }
 
+    /// Starts the data plane anew beside the agent that lives on.
+    pub fn restart_data_plane(&mut self, edge: usize) {
+        let machine = &mut self.edges[edge];
+        machine.feed = FeedState::new(&format!("edge-{edge}"), "zone");
+        let (life, hello) = (machine.life, machine.feed.hello());
+        self.checkers.edge_started(edge);
+        self.edge_input(edge, life, RelayInput::FeedGone(FEED));
+        self.edge_input(edge, life, RelayInput::Feed(FEED, hello));
+    }
+
     pub fn tick_edge(&mut self, edge: usize, life: u64) {
         if self.edges[edge].life != life {
             return;
--- a/crates/control/tests/simulation/faults.rs
+++ b/crates/control/tests/simulation/faults.rs
@@ -1,5 +1,6 @@
 //! Faults, and the network as they leave it.
 
+use super::core_machine::CoreMachine;
 use super::World;
 use std::collections::BTreeSet;
 
@@ -82,6 +83,9 @@
             Fault::ThawEdge(edge) => self.thaw_edge(*edge),
         }
         self.note_isolation();
+        let is_calm = self.network.cut.is_empty() && self.cores.iter().all(CoreMachine::runs);
+        let calm_since = self.checkers.calm_since;
+        self.checkers.calm_since = is_calm.then(|| calm_since.unwrap_or(self.now));
     }
 
     /// Notes which core machines can't be in contact with a majority of them.
--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -55,6 +55,24 @@
     pub flaw: Option<Flaw>,
 }
 
+impl Plan {
+    /// Nobody acts and nothing goes wrong but what a script does.
+    pub fn script(cores: usize, edges: usize) -> Plan {
+        Plan {
+            seed: 1,
+            cores,
+            edges,
+            operators: 0,
+            workers: 0,
+            faults: Vec::new(),
+            ends_at: 60_000,
+            lured: 0,
+            spoilt: 0,
+            flaw: None,
+        }
+    }
+}
+
 /// A connection of an agent to a core node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Connection {
@@ -112,6 +130,8 @@
     pub workers: Vec<Worker>,
     pub checkers: Checkers,
     pub calls: BTreeMap<CallId, OpenCall>,
+    /// All answers of core nodes, lost ones included.
+    pub answers: BTreeMap<CallId, Answer>,
     queue: BTreeMap<(u64, u64), Event>,
     next_event: u64,
     next_call: u64,
@@ -133,6 +153,7 @@
             workers: (0..plan.workers).map(Worker::new).collect(),
             checkers: Checkers::new(plan.cores),
             calls: BTreeMap::new(),
+            answers: BTreeMap::new(),
             queue: BTreeMap::new(),
             next_event: 0,
             next_call: 0,
@@ -171,12 +192,16 @@
         self.checkers.end();
     }
 
+    /// Plays for a time in milliseconds.
+    pub fn run_for(&mut self, time: u64) {
+        self.run_until(self.now + time);
+    }
+
     /// Plays until a time.
     pub fn run_until(&mut self, until: u64) {
-        while let Some(((at, _), event)) = self.queue.pop_first() {
+        while let Some(((at, number), event)) = self.queue.pop_first() {
             if at > until {
-                self.next_event += 1;
-                self.queue.insert((at, 0), event);
+                self.queue.insert((at, number), event);
                 break;
             }
             self.now = at;
@@ -282,6 +307,7 @@
 
     fn called(&mut self, caller: Caller, number: u64, core: usize, call: Call) {
         if self.cores[core].process.is_none() {
+            // No number of a core node: the call counts as failed.
             let answer = Answer { status: 599, body: bytes::Bytes::new() };
             self.after(1, Event::Answered { caller, number, core, answer });
             return;
@@ -299,8 +325,17 @@
         self.core_input(core, Input::Call(id, call));
     }
 
+    /// Gives a call of a script to a core node at once and returns its number; see [`World::answers`].
+    pub fn script_call(&mut self, core: usize, call: Call) -> CallId {
+        let id = CallId(self.next_call);
+        self.next_call += 1;
+        self.core_input(core, Input::Call(id, call));
+        id
+    }
+
     /// An answer of a core node leaves it.
     pub fn answered(&mut self, core: usize, id: CallId, answer: Answer) {
+        self.answers.insert(id, answer.clone());
         let Some(call) = self.calls.remove(&id) else { return };
         if answer.status < 500 {
             let word = if answer.status >= 400 { Word::Refusal } else { call.word };
