--- a/crates/control/tests/authority_scripts.rs
+++ b/crates/control/tests/authority_scripts.rs
@@ -284,3 +284,30 @@
         }
     }
 }
+
+#[gtest]
+fn node_that_is_back_serves_only_what_was_decided_meanwhile() {
+    for moment in 0..80 {
+        let mut world = settled(1);
+        world.fault(&cut(&[2], true, true));
+        world.run_for(1_000 + 7 * moment);
+        change(&mut world, 0, 3, 5);
+        world.run_for(2_000);
+        world.fault(&Fault::Heal);
+        world.run_for(1_500);
+        expect_that!(world.checkers.oldest_said_by(2), some(eq(5)), "cut for {} ms", 3_400 + 7 * moment);
+    }
+}
+
+#[gtest]
+fn placer_that_is_cut_off_orders_nothing_after_its_contact() {
+    for seed in 0..16 {
+        let plan = Plan { seed, operators: 2, workers: 2, ..Plan::script(3, 3) };
+        let mut world = World::new(plan);
+        world.run_for(6_000 + 37 * seed);
+        let placer = world.checkers.last_placer.expect("an order was given");
+        world.fault(&cut(&[placer], true, true));
+        world.run_for(5_000);
+        expect_that!(world.checkers.violations, is_empty(), "seed {seed}");
+    }
+}
--- a/crates/control/tests/simulation/core_machine.rs
+++ b/crates/control/tests/simulation/core_machine.rs
@@ -179,6 +179,13 @@
             Some(DownstreamBody::Workers(workers)) if workers.whole => Some(Word::Workers),
             _ => None,
         };
+        match &message.body {
+            Some(DownstreamBody::Status(status)) if status.quorum => {
+                self.checkers.said(core, status.revision);
+            }
+            Some(DownstreamBody::Configuration(told)) => self.checkers.said(core, told.revision),
+            _ => {}
+        }
         if let Some(word) = word {
             self.checkers.word(self.now, core, word);
         }
--- a/crates/control/tests/simulation/faults.rs
+++ b/crates/control/tests/simulation/faults.rs
@@ -59,6 +59,7 @@
 
 impl World {
     pub fn fault(&mut self, fault: &Fault) {
+        self.checkers.forget_said();
         match fault {
             Fault::Cut { hosts, out, into } => self.network.cut(hosts, *out, *into),
             Fault::Heal => {
