--- a/crates/control/tests/orders_reordered.rs
+++ b/crates/control/tests/orders_reordered.rs
@@ -191,16 +191,30 @@
     fault: Option<String>,
 }
 
+/// Where the order that is sent again goes first, and the step at which it is sent again.
+#[derive(Debug, Clone, Copy)]
+struct Variant {
+    first_node: usize,
+    again_at: usize,
+}
+
+fn variants() -> impl Iterator<Item = Variant> {
+    AGAIN_AT.into_iter().flat_map(|again_at| [0, 1].map(|first_node| Variant { first_node, again_at }))
+}
+
 /// Plays a schedule.
-fn play(flaw: Option<Flaw>, again_at: usize, schedule: &[Deviation]) -> Played {
+fn play(flaw: Option<Flaw>, variant: Variant, schedule: &[Deviation]) -> Played {
     let mut cluster = Cluster::settled(flaw);
     let (one, other) = (order(1, 3, 5, true), order(2, 3, 5, true));
-    let other_call = cluster.call(0, &other);
-    let one_call = cluster.call(1, &one);
+    let mut calls = [CallId(0); 2];
+    for node in 0..2 {
+        calls[node] = cluster.call(node, if node == variant.first_node { &one } else { &other });
+    }
+    let (one_call, other_call) = (calls[variant.first_node], calls[1 - variant.first_node]);
     let mut again = one_call;
     let mut waiting = Vec::new();
     for step in 0..STEPS {
-        if step == again_at {
+        if step == variant.again_at {
             again = cluster.call(2, &one);
         }
         let choices = cluster.choices();
@@ -219,21 +233,21 @@
         }
         waiting.push(choices);
     }
-    let first = cluster.settle(&one, one_call, 1);
-    let second = cluster.settle(&other, other_call, 0);
+    let first = cluster.settle(&one, one_call, variant.first_node);
+    let second = cluster.settle(&other, other_call, 1 - variant.first_node);
     let third = cluster.settle(&one, again, 2);
     let outcome = [first, second, third];
     let is_right = outcome == [200, 412, 200] || outcome == [412, 200, 412];
-    let fault = (!is_right).then(|| format!("{outcome:?}, again at {again_at}, by {schedule:?}"));
+    let fault = (!is_right).then(|| format!("{outcome:?}, {variant:?}, by {schedule:?}"));
     Played { waiting, fault }
 }
 
 /// Plays all schedules up to a number of deviations; returns how many, and the first fault.
 fn search(flaw: Option<Flaw>, deviations: usize) -> (usize, Option<String>) {
-    let mut open: Vec<(usize, Vec<Deviation>)> = AGAIN_AT.map(|again_at| (again_at, Vec::new())).to_vec();
+    let mut open: Vec<(Variant, Vec<Deviation>)> = variants().map(|variant| (variant, Vec::new())).collect();
     let mut played = 0;
-    while let Some((again_at, schedule)) = open.pop() {
-        let run = play(flaw, again_at, &schedule);
+    while let Some((variant, schedule)) = open.pop() {
+        let run = play(flaw, variant, &schedule);
         played += 1;
         if run.fault.is_some() {
             return (played, run.fault);
@@ -248,7 +262,7 @@
                 for lost in [false, true].into_iter().filter(|lost| !lost || may_lose) {
                     let mut next = schedule.clone();
                     next.push(Deviation { step, queue: *queue, lost });
-                    open.push((again_at, next));
+                    open.push((variant, next));
                 }
             }
         }
