Data plane: answers without length delivered, no reuse behind an unwritten body, all by every byte

Cause: an answer without a length was thrown away (502) though its orderly end makes it whole; a connection whose worker answered early was taken up again while the rest of the body was still in the library's buffer, so the next request waited behind it (504 in the new test); a silent worker's stream was given up before another had taken it; a body that didn't come was awaited beyond the route's time. Change: the pool connects through a small Connector trait, so that tests use streams in memory and paused time; WatchedStream knows whether all is written; unframed answers are whole at an orderly end only, streams only after a whole event; another worker is asked beside a silent one; the body's time is bound by the route's; a 400 without execution is a refusal like others where the request has an id.

--- a/src/data_plane/attempt.rs
+++ b/src/data_plane/attempt.rs
@@ -159,7 +159,7 @@
     }
 
     async fn judge_answer(&mut self, answer: WorkerAnswer) -> AttemptEnd {
-        match judge(&answer.head, self.request_id.as_ref(), self.request.method()) {
+        match judge(&answer.head, self.request_id.as_ref()) {
             Verdict::Deliver => AttemptEnd::Answered(Box::new(answer)),
             Verdict::NotRun(status) => {
                 self.refused(answer, status).await;
--- a/src/data_plane/clock.rs
+++ b/src/data_plane/clock.rs
@@ -1,7 +1,7 @@
 //! The clock of the data plane's decisions.
 
 use std::sync::OnceLock;
-use std::time::Instant;
+use tokio::time::Instant;
 
 /// Milliseconds of a steady clock that starts with the process. [`super::View`] and router use the same.
 pub fn now_ms() -> u64 {
--- a/src/data_plane/delivery.rs
+++ b/src/data_plane/delivery.rs
@@ -37,7 +37,7 @@
                 }
                 Delivery::Broken(returned) => exchange = *returned,
             },
-            AttemptEnd::NotRun(StatusCode::BAD_REQUEST) => {
+            AttemptEnd::NotRun(StatusCode::BAD_REQUEST) if exchange.request_id.is_none() => {
                 return LocalReply::BadRequest.answer(exchange.request_id.as_ref());
             }
             AttemptEnd::TimedOut => return LocalReply::TimedOut.answer(exchange.request_id.as_ref()),
--- a/src/data_plane/event_stream.rs
+++ b/src/data_plane/event_stream.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Whether nothing is left of what was pushed.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
     /// What is left of the body once it has ended.
     pub(crate) fn take_rest(&mut self) -> Bytes {
         self.searched = 0;
--- a/src/data_plane/ingress.rs
+++ b/src/data_plane/ingress.rs
@@ -1,6 +1,7 @@
 //! Connections of clients, and what happens to a request before it is sent to a worker.
 
 use super::answer_body::AnswerBody;
+use super::connector;
 use super::counted::Counted;
 use super::delivery;
 use super::exchange::{deadline, profile_of, service_of, Exchange, RouteRules, Trail};
@@ -10,7 +11,6 @@
 use super::request_head::RequestHead;
 use super::shared::Shared;
 use super::shutdown::Phase;
-use super::worker_connection::bound_silence;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -24,6 +24,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use switchhill_configuration::{ClientLimits, Route};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
@@ -54,11 +55,15 @@
 }
 
 async fn serve_connection(shared: Rc<Shared>, stream: TcpStream, _place: OwnedSemaphorePermit) {
-    let _open = Counted::one_more(&shared.client_connections);
-    let prepared = stream.set_nodelay(true).and_then(|()| bound_silence(&stream, policy::CLIENT_SILENCE));
-    if let Err(error) = prepared {
+    if let Err(error) = connector::prepare(&stream, policy::CLIENT_SILENCE) {
         log::debug!("socket options of a client: {error}");
     }
+    serve_stream(shared, stream).await;
+}
+
+/// Serves the requests of one client until its connection ends.
+pub(crate) async fn serve_stream(shared: Rc<Shared>, stream: impl AsyncRead + AsyncWrite + Unpin + 'static) {
+    let _open = Counted::one_more(&shared.client_connections);
     let limits = client_limits(&shared);
     let service = service_fn(|request| respond(shared.clone(), request));
     let connection = connection_settings(&limits).serve_connection(TokioIo::new(stream), service);
@@ -107,7 +112,7 @@
     let (parts, body) = request.into_parts();
     let head = RequestHead::read(&parts);
     let request_id = head.request_id.clone();
-    let time = head.deadline.unwrap_or(policy::BODY_LIMIT).min(policy::BODY_LIMIT);
+    let time = body_time(shared, &head);
     let read = tokio::time::timeout_at(arrived + time, read_body(shared, body)).await;
     let read = read.unwrap_or(Err(LocalReply::NotRun { retry_after_ms: policy::RETRY_AFTER_REFUSED_MS }));
     if read.is_ok() {
@@ -123,6 +128,14 @@
     }
 }
 
+/// The time that the body may take: that of the client or that of the route, whichever is shorter.
+fn body_time(shared: &Shared, head: &RequestHead) -> Duration {
+    let document = shared.document();
+    let route = document.as_ref().and_then(|document| document.route(&head.host, &head.path));
+    let timeout = route.map_or(policy::BODY_LIMIT, |route| Duration::from_millis(route.timeout_ms));
+    head.deadline.unwrap_or(timeout).min(timeout).min(policy::BODY_LIMIT)
+}
+
 async fn read_body(shared: &Shared, body: Incoming) -> Result<Bytes, LocalReply> {
     let limit = usize::try_from(client_limits(shared).max_body_bytes).unwrap_or(usize::MAX);
     let collected = Limited::new(body, limit).collect().await;
--- a/src/data_plane/mod.rs
+++ b/src/data_plane/mod.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod clock;
 mod connection_headers;
+mod connector;
 mod counted;
 mod delivery;
 mod descriptors;
@@ -36,6 +37,7 @@
 #[cfg(test)]
 mod tests;
 mod view;
+mod watched_stream;
 mod worker_answer;
 mod worker_choice;
 mod worker_connection;
--- a/src/data_plane/outcome.rs
+++ b/src/data_plane/outcome.rs
@@ -1,8 +1,8 @@
 //! What the head of a worker's answer proves about the request.
 
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_ENCODING};
 use hyper::http::response::Parts;
-use hyper::{Method, StatusCode};
+use hyper::StatusCode;
 
 /// Marks a success or failure as a worker's own.
 pub(crate) const RESPONSE_STAMP: &str = "response-stamp";
@@ -20,8 +20,8 @@
     MayHaveRun,
 }
 
-/// Judges an answer to a request of this id and method.
-pub(crate) fn judge(answer: &Parts, request_id: Option<&HeaderValue>, method: &Method) -> Verdict {
+/// Judges an answer to a request of this id.
+pub(crate) fn judge(answer: &Parts, request_id: Option<&HeaderValue>) -> Verdict {
     if !belongs_to(&answer.headers, request_id) {
         return Verdict::MayHaveRun;
     }
@@ -30,8 +30,8 @@
         return Verdict::NotRun(status);
     }
     let deliverable = !promises_not_run(status)
+        && !status.is_informational()
         && !answer.headers.contains_key(CONTENT_ENCODING)
-        && is_framed(answer, method)
         && (!status.is_success() || answer.headers.contains_key(RESPONSE_STAMP));
     match deliverable {
         true => Verdict::Deliver,
@@ -51,12 +51,3 @@
     let mut ids = headers.get_all(super::request_head::REQUEST_ID).iter();
     ids.next() == request_id && ids.next().is_none()
 }
-
-/// Whether a cut in the body would show: a body that ends with its connection hides it.
-fn is_framed(answer: &Parts, method: &Method) -> bool {
-    let headers = &answer.headers;
-    headers.contains_key(CONTENT_LENGTH)
-        || headers.contains_key(TRANSFER_ENCODING)
-        || method == Method::HEAD
-        || matches!(answer.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
-}
--- a/src/data_plane/pool.rs
+++ b/src/data_plane/pool.rs
@@ -1,10 +1,11 @@
 //! Connections to workers, kept for each incarnation of a worker.
 
+use super::connector::{Connector, TcpConnector};
 use super::policy;
 use super::worker_connection::WorkerConnection;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -27,6 +28,7 @@
     open: Rc<Cell<u32>>,
     /// Bound of `open`, from the descriptors of the process.
     most_open: u32,
+    connector: Rc<dyn Connector>,
 }
 
 /// Bounds of one lease.
@@ -82,7 +84,12 @@
 impl Pool {
     /// A pool without connections, of which at most `most_open` may be open.
     pub(crate) fn new(most_open: u32) -> Pool {
-        Pool { workers: RefCell::default(), open: Rc::default(), most_open }
+        Pool::over(Rc::new(TcpConnector), most_open)
+    }
+
+    /// The same over streams of another kind.
+    pub(crate) fn over(connector: Rc<dyn Connector>, most_open: u32) -> Pool {
+        Pool { workers: RefCell::default(), open: Rc::default(), most_open, connector }
     }
 
     /// A connection to a worker: one at rest, a new one while the limits allow it, or the next that comes
@@ -100,7 +107,8 @@
                 return Ok(Lease { counted, home });
             }
             if home.count.open.get() < limits.connections && self.has_room() {
-                let counted = connect(Place::take(&home.count), address, limits.connect).await?;
+                let connecting = self.connect(address);
+                let counted = CountedConnection::within(limits.connect, connecting, &home.count).await?;
                 return Ok(Lease { counted, home });
             }
             let released = home.count.released.notified();
@@ -108,6 +116,11 @@
         }
     }
 
+    async fn connect(&self, address: &str) -> Option<WorkerConnection> {
+        let stream = self.connector.connect(address.parse().ok()?).await.ok()?;
+        WorkerConnection::over(stream).await.ok()
+    }
+
     /// Whether a connection to the worker is at rest.
     pub(crate) fn has_idle(&self, worker_id: &str) -> bool {
         self.workers.borrow().get(worker_id).is_some_and(|home| home.idle_since().is_some())
@@ -211,13 +224,18 @@
     }
 }
 
-async fn connect(place: Place, address: &str, limit: Duration) -> Result<CountedConnection, NoConnection> {
-    let address: SocketAddr = address.parse().map_err(|_| NoConnection::ConnectFailed)?;
-    let connecting = WorkerConnection::connect(address);
-    let connected = tokio::time::timeout(limit, connecting).await;
-    let connection = connected.map_err(|_| NoConnection::ConnectFailed)?;
-    let connection = connection.map_err(|_| NoConnection::ConnectFailed)?;
-    Ok(CountedConnection { connection, _place: place })
+impl CountedConnection {
+    /// A new connection, counted from the first attempt on.
+    async fn within(
+        limit: Duration,
+        connecting: impl Future<Output = Option<WorkerConnection>>,
+        count: &Rc<ConnectionCount>,
+    ) -> Result<CountedConnection, NoConnection> {
+        let place = Place::take(count);
+        let connected = tokio::time::timeout(limit, connecting).await;
+        let connection = connected.ok().flatten().ok_or(NoConnection::ConnectFailed)?;
+        Ok(CountedConnection { connection, _place: place })
+    }
 }
 
 impl Lease {
@@ -236,6 +254,9 @@
             home.rest(counted, idle_for);
             return;
         }
+        if counted.connection.is_closed() {
+            return;
+        }
         tokio::task::spawn_local(async move {
             let settled = tokio::time::timeout(policy::CONNECTION_REST, counted.connection.ready()).await;
             if let Ok(Ok(())) = settled {
--- a/src/data_plane/server.rs
+++ b/src/data_plane/server.rs
@@ -77,16 +77,7 @@
         // Dropping the set at the end aborts the tasks.
         let mut tasks = JoinSet::new();
         tasks.spawn_local(take_views(shared.clone(), views));
-        let repeated: [RepeatedWork; 4] = [
-            (policy::TICK, Shared::tick),
-            (policy::SUMMARY_TICK, Shared::summarize),
-            (policy::SILENCE_TICK, Shared::look_for_silence),
-            (policy::LOG_TICK, Shared::log_refusals),
-        ];
-        for (every, work) in repeated {
-            let shared = shared.clone();
-            tasks.spawn_local(repeat(every, move || work(&shared)));
-        }
+        spawn_repeated_work(&shared, &mut tasks);
         tasks.spawn_local(signals::reload_at_sighup(shared.clone()));
         tasks.spawn_local(ingress::accept(shared.clone(), self.http));
         if let Some(listener) = self.readiness {
@@ -100,6 +91,20 @@
 /// Work that is done again and again, and how often.
 type RepeatedWork = (Duration, fn(&Shared));
 
+/// Starts what the data plane does by the clock.
+pub(crate) fn spawn_repeated_work(shared: &Rc<Shared>, tasks: &mut JoinSet<()>) {
+    let repeated: [RepeatedWork; 4] = [
+        (policy::TICK, Shared::tick),
+        (policy::SUMMARY_TICK, Shared::summarize),
+        (policy::SILENCE_TICK, Shared::look_for_silence),
+        (policy::LOG_TICK, Shared::log_refusals),
+    ];
+    for (every, work) in repeated {
+        let shared = shared.clone();
+        tasks.spawn_local(repeat(every, move || work(&shared)));
+    }
+}
+
 fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
     let open = || {
         let socket = TcpSocket::new_v4()?;
--- a/src/data_plane/stream_answer.rs
+++ b/src/data_plane/stream_answer.rs
@@ -97,6 +97,11 @@
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
+    /// Whether an end of the body here is one in the middle of an event that no length has announced.
+    fn ends_within_event(&self) -> bool {
+        !self.splitter.is_empty() && self.answer.as_ref().is_some_and(WorkerAnswer::ends_with_connection)
+    }
+
     fn abort(&mut self, outcome: AttemptOutcome) -> Piece {
         if let Some(answer) = self.answer.take() {
             answer.abandon(outcome);
@@ -109,29 +114,57 @@
         self.exchange.rules.resumable && !self.position.unnumbered && self.exchange.could_repeat_elsewhere()
     }
 
-    /// Takes the stream up at another worker.
+    /// Takes a stream whose connection has failed up at another worker.
     async fn take_up(&mut self, outcome: AttemptOutcome) -> bool {
         if let Some(answer) = self.answer.take() {
             answer.abandon(outcome);
         }
-        self.splitter.clear();
-        self.exchange.trail.may_have_run = true;
         if !self.exchange.rules.resumable || self.position.unnumbered {
             return false;
         }
-        let resumed = self.exchange.resume(self.position.last_id, self.position.versions);
-        let resumed = tokio::time::timeout(policy::RESUME_LIMIT, resumed).await;
-        let Ok(Some(answer)) = resumed else { return false };
+        let resumed = self.exchange.resume(self.position.last_id, self.position.versions).await;
+        resumed.is_some_and(|answer| {
+            self.go_on_with(answer);
+            true
+        })
+    }
+
+    /// Asks another worker for the rest while a silent one may still go on. The stream goes on with the one that
+    /// speaks first; a worker's silence alone never ends it.
+    async fn ask_beside_silent_worker(&mut self) -> Option<Step> {
+        let silent = self.answer.as_mut()?;
+        let resume = self.exchange.resume(self.position.last_id, self.position.versions);
+        let resumed = tokio::select! {
+            biased;
+            step = silent.next_step() => return Some(Step::Body(step)),
+            resumed = resume => resumed,
+        };
+        self.stays = resumed.is_none();
+        if let Some(answer) = resumed {
+            if let Some(silent) = self.answer.take() {
+                silent.abandon(AttemptOutcome::TimedOut);
+            }
+            self.go_on_with(answer);
+        }
+        None
+    }
+
+    fn go_on_with(&mut self, answer: WorkerAnswer) {
+        self.splitter.clear();
         self.position.resume_with(versions(&answer.head.headers));
         self.answer = Some(answer);
-        true
     }
 }
 
 impl PieceSource for StreamAnswer {
     async fn next_piece(&mut self) -> Piece {
+        let mut pending = None;
         loop {
-            let outcome = match self.next_step().await? {
+            let step = match pending.take() {
+                Some(step) => step,
+                None => self.next_step().await?,
+            };
+            let outcome = match step {
                 Step::Body(BodyStep::Data(data)) => {
                     let events = self.whole_events(&data);
                     if events.is_empty() {
@@ -143,13 +176,16 @@
                     }
                     return Some(Ok(events));
                 }
-                Step::Body(BodyStep::End) => return self.end(),
-                Step::Body(BodyStep::Broken) => AttemptOutcome::Broken,
+                Step::Body(BodyStep::End) if !self.ends_within_event() => return self.end(),
+                Step::Body(BodyStep::End | BodyStep::Broken) => AttemptOutcome::Broken,
                 Step::WorkerSilent if !self.can_move() => {
                     self.stays = true;
                     continue;
                 }
-                Step::WorkerSilent => AttemptOutcome::TimedOut,
+                Step::WorkerSilent => {
+                    pending = self.ask_beside_silent_worker().await;
+                    continue;
+                }
                 Step::DeadlinePassed => return self.abort(AttemptOutcome::TimedOut),
             };
             if !self.take_up(outcome).await {
@@ -185,8 +221,18 @@
 }
 
 impl Exchange {
-    /// The rest of a stream from another worker; gives up when none may be asked.
+    /// The rest of a stream from another worker; gives up when none may be asked or the time for it is over.
     async fn resume(&mut self, last_event_id: Option<u64>, versions: Option<u64>) -> Option<WorkerAnswer> {
+        self.trail.may_have_run = true;
+        let resumed = self.ask_for_rest(last_event_id, versions);
+        tokio::time::timeout(policy::RESUME_LIMIT, resumed).await.ok().flatten()
+    }
+
+    async fn ask_for_rest(
+        &mut self,
+        last_event_id: Option<u64>,
+        versions: Option<u64>,
+    ) -> Option<WorkerAnswer> {
         let mut point = ResumePoint { last_event_id, expect_version: versions };
         while self.may_try_again() {
             let Choice::Send(worker) = self.choose() else {
--- a/src/data_plane/tests.rs
+++ b/src/data_plane/tests.rs
@@ -1,5 +1,11 @@
 //! Tests of the parts without sockets.
 
+mod every_byte;
+mod kept_connections;
+pub(crate) mod rig;
+pub(crate) mod scripted_worker;
+mod unframed;
+
 use super::descriptors::DescriptorShares;
 use super::event_stream::EventSplitter;
 use super::outcome::{judge, Verdict};
@@ -7,7 +13,7 @@
 use super::shutdown::ShutdownTimes;
 use googletest::prelude::*;
 use hyper::header::HeaderValue;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use std::time::Duration;
 
 fn head(headers: &[(&str, &str)]) -> RequestHead {
@@ -55,7 +61,7 @@
         answer = answer.header(*name, *value);
     }
     let parts = answer.body(()).unwrap().into_parts().0;
-    judge(&parts, Some(&HeaderValue::from_static("r1")), &Method::GET)
+    judge(&parts, Some(&HeaderValue::from_static("r1")))
 }
 
 const ID: (&str, &str) = ("Request-Id", "r1");
@@ -69,6 +75,8 @@
     expect_that!(verdict(500, &[ID, STAMP, LENGTH]), eq(Verdict::Deliver));
     expect_that!(verdict(504, &[ID, STAMP, LENGTH]), eq(Verdict::Deliver));
     expect_that!(verdict(404, &[ID, LENGTH]), eq(Verdict::Deliver));
+    // Whether an answer without a length is whole is seen at its end.
+    expect_that!(verdict(200, &[ID, STAMP]), eq(Verdict::Deliver));
 }
 
 #[gtest]
@@ -77,7 +85,7 @@
     expect_that!(verdict(200, &[("Request-Id", "r2"), STAMP, LENGTH]), eq(Verdict::MayHaveRun));
     expect_that!(verdict(200, &[ID, ID, STAMP, LENGTH]), eq(Verdict::MayHaveRun));
     expect_that!(verdict(200, &[ID, LENGTH]), eq(Verdict::MayHaveRun));
-    expect_that!(verdict(200, &[ID, STAMP]), eq(Verdict::MayHaveRun));
+    expect_that!(verdict(101, &[ID, STAMP]), eq(Verdict::MayHaveRun));
     expect_that!(verdict(200, &[ID, STAMP, LENGTH, ("Content-Encoding", "gzip")]), eq(Verdict::MayHaveRun));
     expect_that!(verdict(503, &[ID, STAMP, LENGTH]), eq(Verdict::MayHaveRun));
     expect_that!(verdict(429, &[ID, STAMP, LENGTH]), eq(Verdict::MayHaveRun));
--- a/src/data_plane/worker_answer.rs
+++ b/src/data_plane/worker_answer.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::Response;
 use std::time::Duration;
@@ -101,6 +101,12 @@
         }
     }
 
+    /// Whether the body ends with its connection. An end in order then is the end of the body; a reset is not.
+    pub(crate) fn ends_with_connection(&self) -> bool {
+        let headers = &self.head.headers;
+        !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Whether the body is a series of events.
     pub(crate) fn is_event_stream(&self) -> bool {
         let content_type = self.head.headers.get(hyper::header::CONTENT_TYPE);
--- a/src/data_plane/worker_connection.rs
+++ b/src/data_plane/worker_connection.rs
@@ -1,22 +1,16 @@
 //! One HTTP/1.1 connection to a worker.
 
-use super::policy;
+use super::connector::WorkerStream;
+use super::watched_stream::{WatchedStream, Written};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
-use std::io;
-use std::net::SocketAddr;
-use std::time::Duration;
-use tokio::net::TcpStream;
+use std::rc::Rc;
 use tokio::task::JoinHandle;
 
-/// Interval of the probes that find out whether a silent machine is still there.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Why a request got no answer on a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum SendFailure {
@@ -30,32 +24,39 @@
 #[derive(Debug)]
 pub(crate) struct WorkerConnection {
     sender: SendRequest<Full<Bytes>>,
+    written: Rc<Written>,
     driver: JoinHandle<()>,
 }
 
 impl WorkerConnection {
-    /// Connects; the caller bounds the time.
-    pub(crate) async fn connect(address: SocketAddr) -> io::Result<WorkerConnection> {
-        let stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
-        bound_silence(&stream, policy::WORKER_SILENCE)?;
-        let (sender, connection) =
-            http1::Builder::new().handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+    /// Speaks HTTP over a stream that has come up.
+    pub(crate) async fn over(stream: Box<dyn WorkerStream>) -> hyper::Result<WorkerConnection> {
+        let written = Rc::new(Written::default());
+        let stream = TokioIo::new(WatchedStream::new(stream, written.clone()));
+        let (sender, connection) = http1::Builder::new().handshake(stream).await?;
         let driver = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
-                log::debug!("connection to worker {address}: {error}");
+                log::debug!("connection to a worker: {error}");
             }
         });
-        Ok(WorkerConnection { sender, driver })
+        Ok(WorkerConnection { sender, written, driver })
     }
 
     /// Whether the next request can be sent at once.
     pub(crate) fn is_ready(&self) -> bool {
-        self.sender.is_ready() && !self.sender.is_closed()
+        self.sender.is_ready() && !self.sender.is_closed() && self.written.is_all()
+    }
+
+    /// Whether no request can be sent any more.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
     }
 
-    /// Waits until the connection has finished its last exchange; fails if it closes instead.
+    /// Waits until the connection has finished its last exchange, the request's body included; fails if it closes
+    /// instead.
     pub(crate) async fn ready(&mut self) -> Result<(), SendFailure> {
+        self.sender.ready().await.map_err(|_| SendFailure::NotSent)?;
+        self.written.all().await;
         self.sender.ready().await.map_err(|_| SendFailure::NotSent)
     }
 
@@ -77,11 +78,3 @@
         self.driver.abort();
     }
 }
-
-/// Ends a connection whose other side has been silent for this long, and probes it while it rests.
-pub(crate) fn bound_silence(stream: &TcpStream, limit: Duration) -> io::Result<()> {
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(limit))?;
-    let probe = TcpKeepalive::new().with_time(limit).with_interval(PROBE_INTERVAL);
-    socket.set_tcp_keepalive(&probe)
-}
