Data plane: clients that leave, time limits, silent and leaving workers in paused time

Change: tests over in-memory streams; every byte of request and answer at which a client can leave is tried.

--- a/src/data_plane/tests.rs
+++ b/src/data_plane/tests.rs
@@ -1,9 +1,12 @@
 //! Tests of the parts without sockets.
 
+mod client_leaves;
 mod every_byte;
 mod kept_connections;
 pub(crate) mod rig;
 pub(crate) mod scripted_worker;
+mod silent_worker;
+mod time_limits;
 mod unframed;
 
 use super::descriptors::DescriptorShares;
--- a/src/data_plane/tests/every_byte.rs
+++ b/src/data_plane/tests/every_byte.rs
@@ -101,7 +101,7 @@
     rig.workers.plan(Plan { ends: Some(Failure::Close), ..Plan::answering(answer.clone()) });
     rig.ask(route, ID, "", BODY).await;
     let seen = rig.workers.seen.borrow();
-    let request = &seen.runs[0].request;
+    let request = &seen.runs[0];
     let headers: usize = request.headers.iter().map(|(name, value)| name.len() + value.len() + 4).sum();
     let answer = answer(request);
     // Interim heads come before it.
--- a/src/data_plane/tests/rig.rs
+++ b/src/data_plane/tests/rig.rs
@@ -214,7 +214,7 @@
     /// Requests of this id that were run.
     pub(crate) fn runs(&self, id: &str) -> usize {
         let seen = self.workers.seen.borrow();
-        seen.runs.iter().filter(|run| run.request.header("request-id") == id).count()
+        seen.runs.iter().filter(|run| run.header("request-id") == id).count()
     }
 
     /// Sends a request that everything is well for; it has to get its own answer.
--- a/src/data_plane/tests/scripted_worker.rs
+++ b/src/data_plane/tests/scripted_worker.rs
@@ -95,13 +95,6 @@
     }
 }
 
-/// A request that a worker ran.
-#[derive(Debug, Clone)]
-pub(crate) struct Run {
-    pub(crate) worker: SocketAddr,
-    pub(crate) request: ReadRequest,
-}
-
 /// What the workers have seen.
 #[derive(Debug, Default)]
 pub(crate) struct Seen {
@@ -110,7 +103,7 @@
     /// Requests that were read whole, in order.
     pub(crate) whole: Vec<ReadRequest>,
     /// Requests that were run, in order.
-    pub(crate) runs: Vec<Run>,
+    pub(crate) runs: Vec<ReadRequest>,
     /// Bytes that were no request.
     pub(crate) faults: Vec<String>,
     /// Connections opened.
@@ -167,9 +160,17 @@
 
     /// Sends bytes on all open connections.
     pub(crate) fn say(&self, bytes: &[u8]) {
+        self.say_from(None, bytes);
+    }
+
+    /// Sends bytes on the open connections of one worker, or of all.
+    pub(crate) fn say_from(&self, worker: Option<&str>, bytes: &[u8]) {
         for wire in self.wires.borrow().iter() {
-            wire.borrow_mut().readable.extend(bytes);
-            wire.borrow_mut().wake();
+            let mut wire = wire.borrow_mut();
+            if worker.is_none_or(|worker| wire.address.to_string() == worker) {
+                wire.readable.extend(bytes);
+                wire.wake();
+            }
         }
     }
 
@@ -344,7 +345,7 @@
         }
         self.workers.seen.borrow_mut().whole.push(request.clone());
         if plan.runs {
-            self.workers.seen.borrow_mut().runs.push(Run { worker: wire.address, request: request.clone() });
+            self.workers.seen.borrow_mut().runs.push(request.clone());
         }
         if !wire.answered {
             self.answer(wire, &plan, &request);
