--- a/src/data_plane/tests/rig.rs
+++ b/src/data_plane/tests/rig.rs
@@ -180,8 +180,13 @@
 
     /// Tells a view with these workers.
     pub(crate) fn tell(&self, workers: Vec<WorkerView>) {
+        self.tell_routes(1, &ALL_ROUTES, workers);
+    }
+
+    /// Tells a view with another configuration.
+    pub(crate) fn tell_routes(&self, revision: u64, routes: &[RouteUnderTest], workers: Vec<WorkerView>) {
         let view = View {
-            document: Some(Arc::new(document())),
+            document: Some(Arc::new(document(revision, routes))),
             workers,
             gatekeepers: 1,
             elsewhere: Vec::new(),
@@ -300,7 +305,8 @@
     (body, false, 0)
 }
 
-fn settings() -> crate::site_settings::SiteSettings {
+/// Settings of the data plane.
+pub(crate) fn settings() -> crate::site_settings::SiteSettings {
     let text = json!({
         "nodeName": "edge-1", "ip": "127.0.0.1", "zone": "here", "portRange": [7660, 7675],
         "bind": {"http": "127.0.0.1:0", "readiness": "127.0.0.1:0"},
@@ -309,10 +315,10 @@
     serde_json::from_value(text).expect("settings")
 }
 
-fn document() -> Document {
-    let routes: Vec<Value> = ALL_ROUTES.into_iter().map(route).collect();
+fn document(revision: u64, routes: &[RouteUnderTest]) -> Document {
+    let routes: Vec<Value> = routes.iter().copied().map(route).collect();
     let text = json!({
-        "revision": 1,
+        "revision": revision,
         "routes": routes,
         "services": [{
             "name": "llm", "healthCheck": "/health", "maxConnections": 100, "protocol": "h1", "tls": false,
