Data plane: a worker that leaves while a connection comes up gets no request (test)

Change: connections of the test hang until told; the worker drains or deregisters meanwhile. Result: passes on all kinds of routes; the request goes to the other worker.

--- a/src/data_plane/tests/scripted_worker.rs
+++ b/src/data_plane/tests/scripted_worker.rs
@@ -1,7 +1,7 @@
 //! Workers in memory, of which a test sets every byte and every failure.
 
 use crate::data_plane::connector::{Connecting, Connector, WorkerStream};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// How a connection fails once its position is reached.
@@ -120,8 +121,9 @@
     otherwise: RefCell<Option<Plan>>,
     pub(crate) seen: RefCell<Seen>,
     wires: RefCell<Vec<Rc<RefCell<Wire>>>>,
-    /// Connections hang until they are given up.
-    connect_hangs: std::cell::Cell<bool>,
+    /// Connections hang for now.
+    connect_hangs: Cell<bool>,
+    connects_again: Notify,
 }
 
 impl std::fmt::Debug for Workers {
@@ -141,6 +143,7 @@
 
     pub(crate) fn connect_hangs(&self, hangs: bool) {
         self.connect_hangs.set(hangs);
+        self.connects_again.notify_waiters();
     }
 
     /// Lets the workers read the bodies they have held up.
@@ -188,8 +191,8 @@
     fn connect(&self, address: SocketAddr) -> Connecting {
         let workers = self.0.clone();
         Box::pin(async move {
-            if workers.connect_hangs.get() {
-                std::future::pending::<()>().await;
+            while workers.connect_hangs.get() {
+                workers.connects_again.notified().await;
             }
             workers.seen.borrow_mut().connections += 1;
             let wire = Rc::new(RefCell::new(Wire::new(address)));
--- a/src/data_plane/tests/silent_worker.rs
+++ b/src/data_plane/tests/silent_worker.rs
@@ -2,13 +2,13 @@
 //! stay where they are until then.
 
 use super::rig::{
-    paused, read_to_end, refusal, request_bytes, worker_view, Answered, MemoryRig, RouteUnderTest,
+    paused, read_to_end, refusal, request_bytes, worker_view, Answered, MemoryRig, RouteUnderTest, ALL_ROUTES,
 };
 use super::scripted_worker::{Answer, Failure, Plan, Position, ReadRequest};
 use googletest::prelude::*;
 use std::rc::Rc;
 use std::time::Duration;
-use switchhill_routing::Availability;
+use switchhill_routing::{Availability, WorkerView};
 use tokio::io::{AsyncWriteExt, DuplexStream};
 
 const SILENT: &str = "10.0.0.1:80";
@@ -131,13 +131,15 @@
     expect_that!(resumed.collect::<Vec<_>>(), eq(&vec!["1", "1"]));
 }
 
+fn draining_worker() -> WorkerView {
+    WorkerView { state: Availability::Draining, ..worker_view(1) }
+}
+
 #[gtest]
 fn streams_of_a_worker_that_leaves_go_on_and_new_requests_go_elsewhere() {
-    let mut draining = worker_view(1);
-    draining.state = Availability::Draining;
     // One worker says that it drains; another deregisters at once and serves on.
     for (name, known) in
-        [("draining", vec![draining, worker_view(2)]), ("deregistered", vec![worker_view(2)])]
+        [("draining", vec![draining_worker(), worker_view(2)]), ("deregistered", vec![worker_view(2)])]
     {
         for route in [RouteUnderTest::Streaming, RouteUnderTest::Resumable] {
             paused(async {
@@ -157,3 +159,33 @@
         }
     }
 }
+
+#[gtest]
+fn a_worker_that_leaves_while_a_connection_comes_up_gets_no_request() {
+    for route in ALL_ROUTES {
+        for known in [vec![worker_view(2)], vec![draining_worker(), worker_view(2)]] {
+            paused(async {
+                let mut rig = MemoryRig::start();
+                rig.tell(vec![worker_view(1)]);
+                rig.workers.otherwise(Plan::answering(route.answer()));
+                rig.workers.connect_hangs(true);
+                let mut client = rig.connect();
+                let bytes = request_bytes(route, "q1", "Connection: close\r\n", "");
+                client.write_all(&bytes).await.expect("window");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                rig.tell(known);
+                rig.workers.connect_hangs(false);
+                let answered = read_to_end(client).await;
+                expect_that!((answered.status, answered.complete), eq((200, true)), "{}", route.name());
+                let seen = rig.workers.seen.borrow();
+                let workers = seen.arrivals.iter().map(|(worker, _)| worker.to_string());
+                expect_that!(
+                    workers.collect::<Vec<_>>(),
+                    eq(&vec!["10.0.0.2:80".to_owned()]),
+                    "{}",
+                    route.name()
+                );
+            });
+        }
+    }
+}
