--- a/src/data_plane/tests/kept_connections.rs
+++ b/src/data_plane/tests/kept_connections.rs
@@ -1,7 +1,8 @@
 //! Connections that are kept: surplus bytes, late answers, early answers and connections that were lost.
 
 use super::rig::{
-    paused, refusal, request_bytes, worker_view, Answered, MemoryRig, RouteUnderTest, ALL_ROUTES,
+    paused, refusal, request_bytes, stamped_failure, worker_view, Answered, MemoryRig, RouteUnderTest,
+    ALL_ROUTES,
 };
 use super::scripted_worker::{Answer, Failure, Plan, ReadRequest};
 use googletest::prelude::*;
@@ -107,13 +108,6 @@
     (0..20_000).map(|number| format!("{number:09}\n")).collect()
 }
 
-/// A failure that the worker counts as run.
-fn stamped_failure(request: &ReadRequest) -> Vec<u8> {
-    let id = request.header("request-id");
-    format!("HTTP/1.1 500 X\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n\r\n")
-        .into_bytes()
-}
-
 /// Sends a request whose worker answers before it has read the body, and another one after `pause`; the worker
 /// reads on before or after that.
 async fn early_answer(
--- a/src/data_plane/tests/rig.rs
+++ b/src/data_plane/tests/rig.rs
@@ -125,6 +125,13 @@
     .into_bytes()
 }
 
+/// A failure that the worker counts as run.
+pub(crate) fn stamped_failure(request: &ReadRequest) -> Vec<u8> {
+    let id = request.header("request-id");
+    format!("HTTP/1.1 500 X\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n\r\n")
+        .into_bytes()
+}
+
 fn stream_answer(request: &ReadRequest) -> Vec<u8> {
     let id = request.header("request-id");
     let after: u64 = request.header("last-event-id").parse().unwrap_or(0);
--- a/src/data_plane/tests/silent_worker.rs
+++ b/src/data_plane/tests/silent_worker.rs
@@ -2,7 +2,8 @@
 //! stay where they are until then.
 
 use super::rig::{
-    paused, read_to_end, refusal, request_bytes, worker_view, Answered, MemoryRig, RouteUnderTest, ALL_ROUTES,
+    paused, read_to_end, refusal, request_bytes, stamped_failure, worker_view, Answered, MemoryRig,
+    RouteUnderTest, ALL_ROUTES,
 };
 use super::scripted_worker::{Answer, Failure, Plan, Position, ReadRequest};
 use googletest::prelude::*;
@@ -95,12 +96,6 @@
     }
 }
 
-fn stamped_failure(request: &ReadRequest) -> Vec<u8> {
-    let id = request.header("request-id");
-    format!("HTTP/1.1 500 X\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n\r\n")
-        .into_bytes()
-}
-
 #[gtest]
 fn a_stream_that_cannot_be_resumed_stays_with_its_silent_worker() {
     let (rig, answers) =
