Stand-ins read on when a signal interrupts a read

A read with a timeout is not restarted by the system, and a test's own child processes (kill) bring signals. It was the wait, not the program.

read_some goes on after an interruption; all other errors end the read as before. The clients, hosts, store and proxies of the tests use it. lab/tests/stand_in.rs fails without the loop.

--- a/lab/src/rig/proxy.rs
+++ b/lab/src/rig/proxy.rs
@@ -3,9 +3,10 @@
 //!
 //! The names of directions: `up` is from whoever connects to the target, `down` the answers.
 
+use crate::stand_in::read_some;
 use socket2::SockRef;
 use std::collections::BTreeMap;
-use std::io::{ErrorKind, Read, Write};
+use std::io::{ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -129,7 +130,7 @@
             reset(&to);
             return;
         }
-        let n = match from.read(&mut some) {
+        let n = match read_some(&mut from, &mut some) {
             Ok(0) => {
                 let _ = to.shutdown(Shutdown::Write);
                 return;
--- a/lab/src/rig/store.rs
+++ b/lab/src/rig/store.rs
@@ -2,10 +2,11 @@
 //! `DEL`, `MGET`, the set commands `SADD`, `SREM`, `SMEMBERS`, for the meter `INCR`, `INCRBYFLOAT` and `PEXPIRE`, `WATCH`/`UNWATCH`/`MULTI`/`EXEC`/`DISCARD`, `PING` and `FLUSHALL`, as the
 //! published command reference describes them. Expiry is on the stand-in's monotonic clock.
 
+use crate::stand_in::read_some;
 use redis_protocol::resp2::decode::decode;
 use redis_protocol::resp2::types::OwnedFrame;
 use std::collections::{BTreeSet, HashMap};
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -234,7 +235,7 @@
     let _ = socket.set_nodelay(true);
     let (mut bytes, mut some) = (Vec::new(), [0; 4096]);
     let mut session = Session::default();
-    while let Ok(n @ 1..) = socket.read(&mut some) {
+    while let Ok(n @ 1..) = read_some(&mut socket, &mut some) {
         bytes.extend_from_slice(&some[..n]);
         if bytes.len() > MOST_PENDING {
             return;
--- a/lab/src/stand_in/mod.rs
+++ b/lab/src/stand_in/mod.rs
@@ -150,6 +150,17 @@
     bytes
 }
 
+/// Reads once. A read that a signal interrupts goes on: with a timeout set, it is not restarted by the system, and the
+/// signals of a test's own child processes come at any time.
+pub fn read_some(from: &mut impl Read, to: &mut [u8]) -> std::io::Result<usize> {
+    loop {
+        match from.read(to) {
+            Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
+            read => return read,
+        }
+    }
+}
+
 /// Reads the next request of a connection; `None` at its end.
 pub fn read_request(socket: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<Message> {
     loop {
@@ -161,7 +172,7 @@
             Parsed::Bad(..) => return None,
             Parsed::Partial(_) => {
                 let mut some = [0; 4096];
-                match socket.read(&mut some) {
+                match read_some(socket, &mut some) {
                     Ok(n) if n > 0 => bytes.extend_from_slice(&some[..n]),
                     _ => return None,
                 }
@@ -265,7 +276,7 @@
                 Act::Break => return,
                 Act::Hang => {
                     // Until the gateway gives the connection up.
-                    let _ = socket.read(&mut [0; 1]);
+                    let _ = read_some(&mut socket, &mut [0; 1]);
                     return;
                 }
             };
@@ -521,7 +532,7 @@
                 return Some(answer);
             }
             let mut some = [0; 4096];
-            match self.socket.read(&mut some) {
+            match read_some(&mut self.socket, &mut some) {
                 Ok(n) if n > 0 => self.bytes.extend_from_slice(&some[..n]),
                 _ => return None,
             }
--- /dev/null
+++ b/lab/tests/stand_in.rs
@@ -0,0 +1,37 @@
+//! The stand-ins themselves, where a fault of theirs would look like one of the program.
+#![allow(missing_docs)]
+
+use std::io::{Error, ErrorKind, Read};
+use switchhill_lab::stand_in::read_some;
+
+/// Fails with these errors, the last one first, and then has bytes.
+struct Interrupted(Vec<ErrorKind>);
+
+impl Read for Interrupted {
+    fn read(&mut self, to: &mut [u8]) -> std::io::Result<usize> {
+        match self.0.pop() {
+            Some(kind) => Err(Error::from(kind)),
+            None => {
+                to[0] = b'a';
+                Ok(1)
+            }
+        }
+    }
+}
+
+#[test]
+fn a_read_that_a_signal_interrupts_goes_on() {
+    let mut from = Interrupted(vec![ErrorKind::Interrupted; 3]);
+    let mut to = [0; 4];
+    assert_eq!(read_some(&mut from, &mut to).expect("bytes"), 1);
+    assert_eq!(to[0], b'a');
+}
+
+#[test]
+fn a_read_that_times_out_or_is_reset_ends() {
+    for kind in [ErrorKind::WouldBlock, ErrorKind::TimedOut, ErrorKind::ConnectionReset] {
+        let mut from = Interrupted(vec![kind, ErrorKind::Interrupted]);
+        let read = read_some(&mut from, &mut [0; 4]);
+        assert_eq!(read.expect_err("no bytes").kind(), kind);
+    }
+}
--- a/tests/http2.rs
+++ b/tests/http2.rs
@@ -2,7 +2,7 @@
 #![allow(missing_docs)]
 
 use rstest::rstest;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -302,7 +302,7 @@
         // Empty settings, then the word that the peer's have been taken.
         socket.write_all(&[0, 0, 0, 4, 0, 0, 0, 0, 0, 0, 0, 0, 4, 1, 0, 0, 0, 0]).expect("written");
         let (mut at, mut ended) = (24, Vec::new());
-        while let Ok(n @ 1..) = socket.read(&mut some) {
+        while let Ok(n @ 1..) = read_some(&mut socket, &mut some) {
             bytes.extend_from_slice(&some[..n]);
             while let Some(head) = bytes.get(at..at + 9) {
                 let length = usize::from(head[0]) << 16 | usize::from(head[1]) << 8 | usize::from(head[2]);
--- a/tests/long_bodies.rs
+++ b/tests/long_bodies.rs
@@ -102,7 +102,7 @@
     let mut left = length.unwrap_or(usize::MAX);
     while left > 0 {
         let most = left.min(some.len());
-        match from.read(&mut some[..most]) {
+        match read_some(from, &mut some[..most]) {
             Ok(0) if length.is_none() => return Some(digest),
             Ok(n) if n > 0 => {
                 digest.add(&some[..n]);
@@ -412,7 +412,7 @@
                 let mut digest = Digest::new();
                 let mut some = vec![0; 16_384];
                 for _ in 0..60 {
-                    let n = client.from.read(&mut some).expect("bytes");
+                    let n = read_some(&mut client.from, &mut some).expect("bytes");
                     digest.add(&some[..n]);
                     std::thread::sleep(Duration::from_millis(50));
                 }
@@ -421,7 +421,7 @@
                     return (head.first.contains("200"), None);
                 }
                 while digest.1 < 32 * MB {
-                    let n = client.from.read(&mut some).expect("bytes");
+                    let n = read_some(&mut client.from, &mut some).expect("bytes");
                     assert!(n > 0, "cut off after {}", digest.1);
                     digest.add(&some[..n]);
                 }
