Control links: older connections drop out, orders given up are reset, answers known by life

Cause, found by review: (1) after a restart frames of the earlier life could follow those of the present one by the older connection, so that contact with a live node was forgotten for a heartbeat; (2) an order given up after 1 s was closed in good order, so that a cut could hold it up and bring it after another holder's; (3) numbers of worker updates began at 1 in each life, so that a peer's late acknowledgement counted for another worker's end; (4) numbers of orders began anew with each planner of one epoch.

A core node's newest connection replaces its older ones; orders are reset when given up and have a TCP user timeout; update numbers begin at the life's random number; tickets name the planner. Tests over in-memory streams in paused time cut orders, answers and frames at every byte; the reset is shown on loopback.

--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -100,6 +100,8 @@
 pub struct OrderTicket {
     /// Service of the planner.
     pub service: String,
+    /// Which planner of this life it was: a service whose engine goes and comes back has another one.
+    pub planner: u64,
     /// Epoch of the placer.
     pub epoch: u64,
     /// The order.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -65,7 +65,7 @@
             state: MergedState::new(SuspectAfter(suspect_after)),
             jobs: Jobs::default(),
             subscribers: Subscribers::default(),
-            updates: PendingUpdates::default(),
+            updates: PendingUpdates::new(settings.life),
             load: FleetLoad::default(),
             placer: Placer::new(&settings),
             started_at: now,
--- a/crates/control/src/placer.rs
+++ b/crates/control/src/placer.rs
@@ -31,6 +31,12 @@
 /// Time in milliseconds between two full lists of workers to the planners.
 const WORKERS_EVERY: u64 = 1_000;
 
+/// A planner, and its number in this life: numbers of orders begin anew with each planner.
+struct NumberedPlanner {
+    number: u64,
+    planner: Planner,
+}
+
 /// The role, and what it decides with.
 pub(crate) struct Placer {
     lease_ms: u64,
@@ -41,7 +47,8 @@
     seen: Option<PlacerGrant>,
     /// Time from which orders may be given.
     acts_from: u64,
-    planners: BTreeMap<String, Planner>,
+    planners: BTreeMap<String, NumberedPlanner>,
+    next_planner: u64,
     residency_version: u64,
     next_workers: u64,
 }
@@ -56,6 +63,7 @@
             seen: None,
             acts_from: 0,
             planners: BTreeMap::new(),
+            next_planner: 0,
             residency_version: 0,
             next_workers: 0,
         }
@@ -165,10 +173,12 @@
         self.placer.planners.retain(|service, _| engines.contains_key(service));
         for (service, engine) in engines {
             match self.placer.planners.get_mut(&service) {
-                Some(planner) => planner.set_engine(now, engine),
+                Some(numbered) => numbered.planner.set_engine(now, engine),
                 None => {
                     let planner = Planner::new(now, settings.clone(), engine, self.placer.seed);
-                    self.placer.planners.insert(service, planner);
+                    self.placer.next_planner += 1;
+                    let numbered = NumberedPlanner { number: self.placer.next_planner, planner };
+                    self.placer.planners.insert(service, numbered);
                     self.placer.next_workers = now;
                 }
             }
@@ -247,7 +257,8 @@
 
     /// An order was answered, or not.
     pub(crate) fn order_answered(&mut self, now: u64, ticket: &OrderTicket, answer: OrderAnswer) {
-        if self.placer.epoch() == Some(ticket.epoch) {
+        let present = self.placer.planners.get(&ticket.service).map(|planner| planner.number);
+        if self.placer.epoch() == Some(ticket.epoch) && present == Some(ticket.planner) {
             self.planner(now, &ticket.service, Input::OrderResult { order: ticket.order, answer });
         }
     }
@@ -281,18 +292,19 @@
     }
 
     fn planner(&mut self, now: u64, service: &str, input: Input) {
-        let Some(planner) = self.placer.planners.get_mut(service) else { return };
-        for output in planner.handle(now, input) {
-            self.planner_output(now, service, output);
+        let Some(numbered) = self.placer.planners.get_mut(service) else { return };
+        let number = numbered.number;
+        for output in numbered.planner.handle(now, input) {
+            self.planner_output(now, service, number, output);
         }
     }
 
-    fn planner_output(&mut self, now: u64, service: &str, output: PlannerOutput) {
+    fn planner_output(&mut self, now: u64, service: &str, planner: u64, output: PlannerOutput) {
         let Some(epoch) = self.placer.epoch() else { return };
         match output {
             PlannerOutput::Order { order, worker, address, operation, model, adapter, if_revision } => {
                 let call = OrderCall {
-                    ticket: OrderTicket { service: service.to_owned(), epoch, order },
+                    ticket: OrderTicket { service: service.to_owned(), planner, epoch, order },
                     worker: worker.0,
                     address,
                     operation,
--- a/crates/control/src/workers.rs
+++ b/crates/control/src/workers.rs
@@ -51,6 +51,18 @@
 }
 
 impl PendingUpdates {
+    /// No update yet. Numbers begin at the random number of the life, so that an acknowledgement of an update of an earlier
+    /// life, which a peer may still send after a restart, is never taken for one of this life.
+    pub(crate) fn new(life: u64) -> PendingUpdates {
+        PendingUpdates { next_number: life, ..PendingUpdates::default() }
+    }
+
+    /// The number of the next update; never 0, which asks for no acknowledgement.
+    fn take_number(&mut self) -> u64 {
+        self.next_number = self.next_number.wrapping_add(1).max(1);
+        self.next_number
+    }
+
     /// Whether a node may be sent the whole worker table now; counts as done if so.
     fn may_repair(&mut self, now: u64, node: u64) -> bool {
         is_due(&mut self.repaired_at, now, node)
@@ -94,8 +106,7 @@
             self.answer(call, Answer::json(200, "{}"));
             return;
         }
-        self.updates.next_number += 1;
-        let number = self.updates.next_number;
+        let number = self.updates.take_number();
         self.send_update(now, number, &entry, &BTreeSet::new());
         let pending = PendingUpdate {
             call,
--- a/src/control_plane/links.rs
+++ b/src/control_plane/links.rs
@@ -1,12 +1,18 @@
 //! Connections to and from other core nodes and subscribers.
 
+mod newest;
+#[cfg(test)]
+mod tests;
+
 use crate::system::connection::{self, LinkKind};
+use newest::{ConnectionNumber, NewestConnections};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use switchhill_control::{Input, SubscriberId};
-use switchhill_protocol::{write_frame, Downstream, PeerFrame, Upstream};
+use switchhill_protocol::{read_frame, write_frame, Downstream, FrameError, PeerFrame, Upstream};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
@@ -39,7 +45,9 @@
     pub(super) fn send_peer(&mut self, address: String, frame: PeerFrame) {
         let sender = self.peers.entry(address.clone()).or_insert_with(|| {
             let (sender, queue) = mpsc::channel(PEER_QUEUE);
-            tokio::task::spawn_local(serve_peer(address, queue));
+            tokio::task::spawn_local(serve_peer(queue, async move || {
+                connection::connect(&address, LinkKind::Peer, CONNECT_WITHIN).await
+            }));
             sender
         });
         let _ = sender.try_send(frame);
@@ -58,10 +66,14 @@
     }
 }
 
-/// Keeps a connection to a core node and writes to it; messages that wait while there is none are dropped.
-async fn serve_peer(address: String, mut queue: mpsc::Receiver<PeerFrame>) {
+/// Keeps a connection to a core node and writes to it; messages that wait while there is none are dropped. No message is
+/// written twice: one whose write failed is lost.
+async fn serve_peer<S>(mut queue: mpsc::Receiver<PeerFrame>, connect: impl AsyncFn() -> std::io::Result<S>)
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
     while let Some(frame) = queue.recv().await {
-        let Ok(mut stream) = connection::connect(&address, LinkKind::Peer, CONNECT_WITHIN).await else {
+        let Ok(mut stream) = connect().await else {
             while queue.try_recv().is_ok() {}
             continue;
         };
@@ -71,33 +83,32 @@
             if !matches!(written, Ok(Ok(()))) {
                 break;
             }
-            next = next_frame(&mut queue, &stream).await;
+            next = next_frame(&mut queue, &mut stream).await;
         }
     }
 }
 
-/// The next message, or nothing once the other side has closed.
-async fn next_frame(queue: &mut mpsc::Receiver<PeerFrame>, stream: &TcpStream) -> Option<PeerFrame> {
+/// The next message, or nothing once the other side has closed: it never sends on this connection.
+async fn next_frame(
+    queue: &mut mpsc::Receiver<PeerFrame>,
+    stream: &mut (impl AsyncRead + Unpin),
+) -> Option<PeerFrame> {
     tokio::select! {
         frame = queue.recv() => frame,
-        _ = closed(stream) => None,
+        _ = stream.read_u8() => None,
     }
 }
 
-/// Completes when the other side has closed: it never sends on this connection.
-async fn closed(stream: &TcpStream) {
-    let mut byte = [0];
-    let _ = stream.peek(&mut byte).await;
-}
-
 async fn accept(listener: TcpListener, subscribers: SubscriberSenders, inputs: mpsc::UnboundedSender<Input>) {
+    let newest = NewestConnections::default();
     let mut next = 0;
     loop {
         let stream = connection::accept(&listener).await;
         next += 1;
         tokio::task::spawn_local(serve_accepted(
-            SubscriberId(next),
+            ConnectionNumber(next),
             stream,
+            newest.clone(),
             subscribers.clone(),
             inputs.clone(),
         ));
@@ -105,24 +116,45 @@
 }
 
 async fn serve_accepted(
-    id: SubscriberId,
+    number: ConnectionNumber,
     mut stream: TcpStream,
+    newest: NewestConnections,
     subscribers: SubscriberSenders,
     inputs: mpsc::UnboundedSender<Input>,
 ) {
     match connection::read_kind(&mut stream).await {
-        Ok(LinkKind::Peer) => receive_peer(stream, inputs).await,
-        Ok(LinkKind::Subscriber) => serve_subscriber(id, stream, subscribers, inputs).await,
+        Ok(LinkKind::Peer) => {
+            let ended = receive_peer(stream, number, &newest, &inputs).await;
+            log::debug!("connection of a core node ended: {ended}");
+        }
+        Ok(LinkKind::Subscriber) => {
+            serve_subscriber(SubscriberId(number.0), stream, subscribers, inputs).await
+        }
         Err(error) => log::debug!("connection refused: {error}"),
     }
 }
 
-async fn receive_peer(stream: TcpStream, inputs: mpsc::UnboundedSender<Input>) {
-    // Held so that the queue of messages to send stays open: this side sends none.
-    let (_nothing, queue) = mpsc::unbounded_channel::<PeerFrame>();
-    let received = |frame: PeerFrame| inputs.send(Input::Peer(frame)).is_ok();
-    let ended = connection::exchange(stream, queue, received).await;
-    log::debug!("connection of a core node ended: {ended}");
+/// Hands on the messages of a core node until the connection ends or a newer one has taken its place; returns why.
+async fn receive_peer(
+    stream: impl AsyncRead + Unpin,
+    number: ConnectionNumber,
+    newest: &NewestConnections,
+    inputs: &mpsc::UnboundedSender<Input>,
+) -> String {
+    let mut reader = BufReader::new(stream);
+    loop {
+        let read: Result<PeerFrame, FrameError> = read_frame(&mut reader).await;
+        let frame = match read {
+            Ok(frame) => frame,
+            Err(error) => return error.to_string(),
+        };
+        if !newest.takes(&frame.address, number) {
+            return "a newer one has taken its place".to_owned();
+        }
+        if inputs.send(Input::Peer(frame)).is_err() {
+            return "closed".to_owned();
+        }
+    }
 }
 
 async fn serve_subscriber(
--- a/src/control_plane/workers.rs
+++ b/src/control_plane/workers.rs
@@ -1,4 +1,12 @@
 //! Calls to workers: orders and requests for reports.
+//!
+//! Each call has a connection of its own and is sent once. An order without a whole answer counts as unanswered: whether
+//! it was taken is for the worker's report to tell. Its connection is then reset, so that what a cut holds up of it is
+//! lost and can't reach the worker after another order, or another holder's.
+
+mod stream;
+#[cfg(test)]
+mod tests;
 
 use anyhow::Context;
 use bytes::Bytes;
@@ -7,10 +15,12 @@
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
+use std::convert::Infallible;
 use std::time::Duration;
+use stream::{Answered, WorkerStream};
 use switchhill_control::{Input, OrderCall, ReportCall, WorkerReport};
 use switchhill_placement::{Operation, OrderAnswer, Resident};
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::mpsc;
 
 /// Time for a worker's answer.
@@ -99,6 +109,11 @@
 }
 
 async fn send_order(call: &OrderCall) -> anyhow::Result<OrderAnswer> {
+    let (status, _) = exchange(&call.address, order_request(call)?, ANSWER_WITHIN).await?;
+    Ok(order_answer(status))
+}
+
+fn order_request(call: &OrderCall) -> anyhow::Result<Request<Full<Bytes>>> {
     let body = OrderBody {
         operation: match call.operation {
             Operation::Load => "load",
@@ -117,8 +132,7 @@
         .header("content-type", "application/json")
         .header("expect-instance", call.worker.as_str())
         .body(Full::new(Bytes::from(serde_json::to_vec(&body)?)))?;
-    let (status, _) = exchange(&call.address, request).await?;
-    Ok(order_answer(status))
+    Ok(request)
 }
 
 fn order_answer(status: StatusCode) -> OrderAnswer {
@@ -140,7 +154,7 @@
         .header("host", call.address.as_str())
         .header("expect-instance", call.worker.as_str())
         .body(Full::default())?;
-    let (status, body) = exchange(&call.address, request).await?;
+    let (status, body) = exchange(&call.address, request, ANSWER_WITHIN).await?;
     anyhow::ensure!(status == StatusCode::OK, "status {status}");
     let report: ReportBody = serde_json::from_slice(&body).context("the report can't be read")?;
     let models =
@@ -157,24 +171,43 @@
     })
 }
 
-/// One call on a connection of its own.
-async fn exchange(address: &str, request: Request<Full<Bytes>>) -> anyhow::Result<(StatusCode, Bytes)> {
-    tokio::time::timeout(ANSWER_WITHIN, exchange_unbounded(address, request))
-        .await
-        .context("no answer in time")?
+/// One call on a connection of its own, given up after a time.
+async fn exchange(
+    address: &str,
+    request: Request<Full<Bytes>>,
+    within: Duration,
+) -> anyhow::Result<(StatusCode, Bytes)> {
+    let call = async {
+        let answered = Answered::default();
+        let stream = WorkerStream::connect(address, within, answered.clone()).await?;
+        exchange_on(stream, &answered, request).await
+    };
+    tokio::time::timeout(within, call).await.context("no answer in time")?
 }
 
-async fn exchange_unbounded(
-    address: &str,
+/// Sends a request and reads its answer whole. The connection ends with the returned future, at its completion or when it
+/// is dropped.
+async fn exchange_on(
+    stream: impl AsyncRead + AsyncWrite + Unpin,
+    answered: &Answered,
     request: Request<Full<Bytes>>,
 ) -> anyhow::Result<(StatusCode, Bytes)> {
-    let stream = TcpStream::connect(address).await.context("connect")?;
-    stream.set_nodelay(true)?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.context("handshake")?;
-    tokio::task::spawn_local(connection);
-    let response = sender.send_request(request).await.context("request")?;
-    let status = response.status();
-    let body = Limited::new(response.into_body(), LONGEST_ANSWER).collect().await;
-    let body = body.map_err(|error| anyhow::anyhow!("answer: {error}"))?.to_bytes();
-    Ok((status, body))
+    let answer = async {
+        let response = sender.send_request(request).await.context("request")?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), LONGEST_ANSWER).collect().await;
+        let body = body.map_err(|error| anyhow::anyhow!("answer: {error}"))?.to_bytes();
+        answered.set();
+        Ok((status, body))
+    };
+    // What the connection's end means for the answer is told by the answer.
+    let connection = async {
+        let _ = connection.await;
+        std::future::pending::<Infallible>().await
+    };
+    tokio::select! {
+        answer = answer => answer,
+        never = connection => match never {},
+    }
 }
