--- /dev/null
+++ b/crates/control/tests/late_answers.rs
@@ -0,0 +1,167 @@
+//! Answers that come late: of an update of an earlier life, of an order of an earlier planner.
+#![allow(missing_docs)]
+
+mod core;
+
+use bytes::Bytes;
+use core::Core;
+use googletest::prelude::*;
+use switchhill_control::{Call, Input, OrderCall, SubscriberId, WorkerReport};
+use switchhill_placement::OrderAnswer;
+use switchhill_protocol::{Missing, PeerBody, PeerFrame, Upstream, UpstreamBody};
+
+fn heartbeat(id: &str, sequence: u64) -> Call {
+    let body = format!(
+        "{{\"service\":\"large\",\"address\":\"10.1.0.9:80\",\"zone\":\"north\",\"slots\":8,\
+         \"state\":\"ready\",\"sequence\":{sequence}}}"
+    );
+    Call::Heartbeat { id: id.to_owned(), body: Bytes::from(body) }
+}
+
+fn is_update(frame: &PeerFrame) -> bool {
+    matches!(frame.body, Some(PeerBody::WorkerUpdate(_)))
+}
+
+/// Node 1 in two lives: in each a worker ends there. In the second no other node hears of it, and only the
+/// acknowledgements of the first life's update come. The status of the second worker's end.
+fn end_answered_by_acknowledgements_of_an_earlier_life(lives: [u64; 2]) -> Option<u16> {
+    let mut core = Core::start(3);
+    core.run(1000);
+    core.restart(1, lives[0]);
+    core.run(2000);
+    core.sent.clear();
+    let first = core.call(1, Call::Deregister { id: "worker-1".to_owned() });
+    assert_eq!(core.status(first), Some(200), "the first life's update is acknowledged by all");
+    let is_acknowledgement = |frame: &PeerFrame| matches!(frame.body, Some(PeerBody::WorkerUpdateAck(_)));
+    let late: Vec<PeerFrame> = core
+        .sent
+        .iter()
+        .filter(|(to, frame)| *to == 1 && is_acknowledgement(frame))
+        .map(|(_, frame)| frame.clone())
+        .collect();
+    assert_eq!(late.len(), 2, "one of each other node");
+    core.restart(1, lives[1]);
+    core.run(2000);
+    core.is_lost = is_update;
+    let second = core.call(1, Call::Deregister { id: "worker-2".to_owned() });
+    assert_eq!(core.status(second), None, "it waits for a majority");
+    late.into_iter().for_each(|frame| core.input(1, Input::Peer(frame)));
+    core.run(1000);
+    core.status(second)
+}
+
+#[gtest]
+fn an_acknowledgement_for_an_earlier_life_confirms_nothing() {
+    expect_that!(end_answered_by_acknowledgements_of_an_earlier_life([111, 222]), some(eq(503)));
+}
+
+#[gtest]
+fn planted_lives_with_the_same_numbers_are_noticed() {
+    // As if each life counted its updates from the same number: a worker's end is confirmed that no other node knows.
+    expect_that!(end_answered_by_acknowledgements_of_an_earlier_life([111, 111]), some(eq(200)));
+}
+
+const ENGINE: &str = ",\"engine\":{\"slots\":8,\"kvCacheTokens\":100000,\"weightsMb\":200.0,\"adapterSlots\":4,\
+     \"loadsPerS\":4.0,\"models\":[{\"name\":\"m-1\",\"weightsMb\":60.0,\"loadS\":0.3,\"adapters\":2,\"adapterMb\":1.0}]}";
+
+fn configuration(revision: u64, engine: &str) -> String {
+    format!(
+        "{{\"revision\":{revision},\"routes\":[{{\"name\":\"chat\",\"host\":\"models.example\",\"pathPrefix\":\"/chat/\",\
+         \"routeKind\":\"safe\",\"timeoutMs\":20000,\"targetLatencyMs\":2000,\"priority\":1,\"service\":\"large\"}}],\
+         \"services\":[{{\"name\":\"large\"{engine}}}],\"limits\":{{}}}}"
+    )
+}
+
+/// Clients ask for the model for 50 ms, at a core of one node; the one worker says that it is ready now and then.
+fn press(core: &mut Core, step: u64) {
+    if step % 20 == 0 {
+        core.call(1, heartbeat("worker-1", step / 20 + 1));
+    }
+    let missing = Missing {
+        service: "large".into(),
+        model: "m-1".into(),
+        adapter: String::new(),
+        waiting: 3,
+        aim_ms: 2000,
+    };
+    let message = Upstream { body: Some(UpstreamBody::Missing(missing)) };
+    core.input(1, Input::Subscriber(SubscriberId(1), message));
+    core.run(50);
+}
+
+/// The worker answers with the reports that it was asked for: it holds nothing and has taken no order.
+fn report(core: &mut Core) {
+    for call in std::mem::take(&mut core.asked) {
+        let report = WorkerReport {
+            call,
+            busy: false,
+            sequence: 0,
+            models: Vec::new(),
+            running: 0,
+            queued: 0,
+            kv_used: 0,
+            kv_total: 100_000,
+        };
+        core.input(1, Input::Reported(report));
+    }
+}
+
+/// Presses until there is a next order.
+fn next_order(core: &mut Core, step: &mut u64) -> OrderCall {
+    let before = core.orders.len();
+    for _ in 0..200 {
+        press(core, *step);
+        *step += 1;
+        report(core);
+        if let Some(order) = core.orders.get(before) {
+            return order.clone();
+        }
+    }
+    panic!("no order in 10 s");
+}
+
+#[gtest]
+fn an_answer_to_an_order_of_an_earlier_planner_is_dropped() {
+    let mut core = Core::start(1);
+    core.run(1000);
+    let taken = core.replace(1, 0, &configuration(1, ENGINE));
+    expect_that!(core.status(taken), some(eq(200)));
+    let mut step = 0;
+    let first = next_order(&mut core, &mut step);
+    // The service loses its engine and gets it back while the order is under way: its planner is another one.
+    core.replace(1, 1, &configuration(2, ""));
+    core.run(100);
+    core.replace(1, 2, &configuration(3, ENGINE));
+    let second = next_order(&mut core, &mut step);
+    expect_that!(second.ticket.order, eq(first.ticket.order), "each planner counts from the same number");
+    expect_that!(second.ticket.epoch, eq(first.ticket.epoch));
+    expect_that!(second.ticket, not(eq(&first.ticket)));
+    // An answer that shows whether it was taken: a planner that hears of a higher fence gives the role up.
+    let epoch = core.node(1).placer_epoch();
+    core.input(1, Input::OrderAnswered(first.ticket, OrderAnswer::StaleFence));
+    expect_that!(core.node(1).placer_epoch(), eq(epoch), "the late answer is dropped");
+    core.input(1, Input::OrderAnswered(second.ticket, OrderAnswer::StaleFence));
+    expect_that!(core.node(1).placer_epoch(), none(), "the answer to the order under way is taken");
+}
+
+#[gtest]
+fn an_order_without_an_answer_is_not_repeated_before_the_worker_has_reported() {
+    let mut core = Core::start(1);
+    core.run(1000);
+    core.replace(1, 0, &configuration(1, ENGINE));
+    let mut step = 0;
+    let order = next_order(&mut core, &mut step);
+    expect_that!(order.if_revision, some(eq(0)), "each order names the sequence that it expects");
+    core.asked.clear();
+    core.input(1, Input::OrderAnswered(order.ticket.clone(), OrderAnswer::NoAnswer));
+    // The worker is ready and wanted and does not report: it gets no other order.
+    for _ in 0..60 {
+        press(&mut core, step);
+        step += 1;
+    }
+    expect_that!(core.orders, len(eq(1)));
+    expect_that!(core.asked, not(is_empty()), "its report is asked for");
+    // Its report tells that the order was not taken: now there is a next one, with a number of its own.
+    let second = next_order(&mut core, &mut step);
+    expect_that!(second.ticket.order, not(eq(order.ticket.order)));
+}
--- a/src/agent/feeds.rs
+++ b/src/agent/feeds.rs
@@ -1,5 +1,8 @@
 //! Connections of data planes on the loopback address.
 
+#[cfg(test)]
+mod tests;
+
 use crate::system::connection;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -7,7 +10,7 @@
 use std::rc::Rc;
 use switchhill_distribution::{FeedId, RelayInput};
 use switchhill_protocol::{Downstream, Upstream};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
 type Senders = Rc<RefCell<BTreeMap<FeedId, mpsc::UnboundedSender<Downstream>>>>;
@@ -40,22 +43,28 @@
 async fn accept(listener: TcpListener, senders: Senders, inputs: mpsc::UnboundedSender<RelayInput>) {
     let mut next = 0;
     loop {
-        let mut stream = connection::accept(&listener).await;
+        let stream = connection::accept(&listener).await;
         next += 1;
-        let id = FeedId(next);
-        let (sender, messages) = mpsc::unbounded_channel();
-        senders.borrow_mut().insert(id, sender);
-        let (senders, inputs) = (senders.clone(), inputs.clone());
-        tokio::task::spawn_local(async move {
-            if let Err(error) = connection::read_kind(&mut stream).await {
-                log::debug!("feed refused: {error}");
-                return;
-            }
-            let received = |message: Upstream| inputs.send(RelayInput::Feed(id, message)).is_ok();
-            let ended = connection::exchange(stream, messages, received).await;
-            log::debug!("feed ended: {ended}");
-            senders.borrow_mut().remove(&id);
-            let _ = inputs.send(RelayInput::FeedGone(id));
-        });
+        tokio::task::spawn_local(serve(FeedId(next), stream, senders.clone(), inputs.clone()));
+    }
+}
+
+/// Speaks with one data plane until its connection ends. Nothing is kept of it then.
+async fn serve(
+    id: FeedId,
+    mut stream: TcpStream,
+    senders: Senders,
+    inputs: mpsc::UnboundedSender<RelayInput>,
+) {
+    if let Err(error) = connection::read_kind(&mut stream).await {
+        log::debug!("feed refused: {error}");
+        return;
     }
+    let (sender, messages) = mpsc::unbounded_channel();
+    senders.borrow_mut().insert(id, sender);
+    let received = |message: Upstream| inputs.send(RelayInput::Feed(id, message)).is_ok();
+    let ended = connection::exchange(stream, messages, received).await;
+    log::debug!("feed ended: {ended}");
+    senders.borrow_mut().remove(&id);
+    let _ = inputs.send(RelayInput::FeedGone(id));
 }
--- a/src/agent/links.rs
+++ b/src/agent/links.rs
@@ -1,5 +1,8 @@
 //! Connections to core nodes.
 
+#[cfg(test)]
+mod tests;
+
 use crate::system::connection::{self, LinkKind};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -23,8 +26,9 @@
         Links { inputs, open: BTreeMap::new() }
     }
 
-    /// Opens a link.
+    /// Opens a link. Links that have ended by themselves are forgotten: each attempt is another link.
     pub(super) fn connect(&mut self, id: LinkId, address: String) {
+        self.open.retain(|_, (_, task)| !task.is_finished());
         let (sender, messages) = mpsc::unbounded_channel();
         let task = tokio::task::spawn_local(serve(id, address, messages, self.inputs.clone()));
         self.open.insert(id, (sender, task));
