--- a/crates/control/src/workers.rs
+++ b/crates/control/src/workers.rs
@@ -52,9 +52,16 @@
 }
 
 impl PendingUpdates {
-    /// No updates. Their numbers begin at one of this life, so that an acknowledgement to an earlier life fits none.
+    /// No update yet. Numbers begin at the random number of the life, so that an acknowledgement of an update of an earlier
+    /// life, which a peer may still send after a restart, is never taken for one of this life.
     pub(crate) fn new(life: u64) -> PendingUpdates {
-        PendingUpdates { next_number: life >> 1, ..PendingUpdates::default() }
+        PendingUpdates { next_number: life, ..PendingUpdates::default() }
+    }
+
+    /// The number of the next update; never 0, which asks for no acknowledgement.
+    fn take_number(&mut self) -> u64 {
+        self.next_number = self.next_number.wrapping_add(1).max(1);
+        self.next_number
     }
 
     /// Whether a node may be sent the whole worker table now; counts as done if so.
@@ -101,8 +108,7 @@
             self.answer(call, Answer::json(200, "{}"));
             return;
         }
-        self.updates.next_number += 1;
-        let number = self.updates.next_number;
+        let number = self.updates.take_number();
         self.send_update(now, number, &entry, &BTreeSet::new());
         let pending = PendingUpdate {
             call,
