Electorate: zones' losses borne, members told to end leave first, one-way links keep no vote

faultTolerance.zones and .regions were read nowhere: an electorate of 3 + 1 + 1 machines lost its majority with one zone. The choice of voters is now a part of its own (electorate/choice.rs): a lost member is dropped only as far as the rest is as sound without it, a zone never holds a majority where its loss is to be borne, a joiner that would make the number even waits, a replaced member gives way only to a replica that can vote (before, three members became two until the successor was confirmed), and no electorate without a majority in contact is proposed. Heartbeats tell zone, quorum contact and leaving; a member without quorum contact no longer blocks the change by coming first in the order, and a change is decided anew once it is prepared. On SIGTERM a control plane stays up to 1.5 s until the electorate has gone on without it.

--- a/crates/control/src/electorate.rs
+++ b/crates/control/src/electorate.rs
@@ -1,95 +1,159 @@
-//! Who votes: replicas that have joined are added, replaced and lost ones are dropped.
+//! Who votes: replicas that have joined are added, replaced, leaving and lost ones are dropped.
+//!
+//! This part collects what is known of each replica and decides who drives a change; [`choice`] decides which of them
+//! are to vote.
+
+mod choice;
 
 use crate::jobs::Job;
 use crate::node::ControlNode;
-use switchhill_register::{Electorate, Member, ReplicaId};
+use choice::{choose, Candidate, Standing, Tolerance};
+use switchhill_membership::Contact;
+use switchhill_register::{Accepted, Electorate, Member, ReplicaId};
 
-/// Silence in milliseconds after which a member may be dropped while enough others remain. A machine that was taken away
-/// has to be dropped well before its successor has run for 4 s: from then on another one may be lost.
+/// Silence in milliseconds after which a member may be dropped. A machine that was taken away has to be dropped well
+/// before its successor has run for 4 s: from then on another one may be lost.
 const DROP_AFTER: u64 = 2_500;
 
-/// Silence in milliseconds after which a member gives way to a replica that joins while enough others remain: the
-/// newcomer takes its place in one change, so that no electorate with a lost member in surplus lies between.
+/// Silence in milliseconds after which a member gives way to a replica that joins: the newcomer takes its place in one
+/// change, so that no electorate with a lost member in surplus lies between.
 const GIVE_WAY_AFTER: u64 = 800;
 
 /// Silence in milliseconds of a replica that may be added.
 const ADD_WITHIN: u64 = 600;
 
-/// Most replicas that vote.
-const MOST_MEMBERS: usize = 9;
-
 impl ControlNode {
-    /// Proposes a better electorate, if this node is the first live member and there is one.
+    /// Proposes a better electorate, if this node is the first member that can and there is one.
     pub(crate) fn tick_electorate(&mut self, now: u64) {
-        let pending = self.jobs.has(|job| matches!(job, Job::Electorate { .. }));
-        if pending || !self.caught_up || self.replica.committed().is_none() || !self.acts_for_electorate(now)
-        {
+        let pending = self.jobs.has(|job| matches!(job, Job::Electorate));
+        if pending || !self.caught_up {
             return;
         }
-        let Some(electorate) = self.replica.electorate() else { return };
-        let members = self.desired_members(now, electorate);
+        let Some(committed) = self.replica.committed() else { return };
+        if let Some(members) = self.members_to_write(now, committed) {
+            let present = committed.value.electorate.members.len();
+            log::info!("electorate: {present} members, {} wanted", members.len());
+            self.jobs.push_first(Job::Electorate);
+        }
+    }
+
+    /// The members to put in place of those of a value, if this node is to change them. Decided anew once a change is
+    /// prepared: another node may have changed the electorate meanwhile.
+    pub(crate) fn members_to_write(&self, now: u64, current: &Accepted) -> Option<Vec<Member>> {
+        let electorate = &current.value.electorate;
+        if !self.acts_for_electorate(now, electorate) {
+            return None;
+        }
+        let members = self.desired_members(now, electorate)?;
         let mut present = electorate.members.clone();
         present.sort_by_key(|member| member.id);
-        if members != present {
-            log::info!("electorate: {} members, {} wanted", electorate.members.len(), members.len());
-            self.jobs.push(Job::Electorate { members });
+        (members != present).then_some(members)
+    }
+
+    /// The process is to end: the other nodes are told at once.
+    pub(crate) fn leave(&mut self, now: u64) {
+        self.leaving = true;
+        self.send_heartbeat(now);
+    }
+
+    /// Whether the process may end after [`Input::Leave`](crate::Input::Leave): the electorate goes on without this node,
+    /// so a majority of the others durably holds the newest value, or no electorate without it would be better.
+    pub fn may_leave(&self, now: u64) -> bool {
+        let Some(electorate) = self.replica.electorate() else { return true };
+        let me = ReplicaId(self.settings.replica);
+        if !electorate.contains(me) {
+            return true;
         }
+        let wanted = || self.desired_members(now, electorate);
+        !electorate.is_joint() && wanted().is_none_or(|members| members.iter().any(|member| member.id == me))
     }
 
-    /// The first member in the order of ids that is in contact with a quorum.
-    fn acts_for_electorate(&self, now: u64) -> bool {
+    /// Whether this node is the first member, in the order of ids, that can change the electorate. Members that this
+    /// node does not reach both ways, that reach no quorum or that leave are passed over.
+    fn acts_for_electorate(&self, now: u64, electorate: &Electorate) -> bool {
         let me = self.settings.replica;
-        let Some(electorate) = self.replica.electorate() else { return false };
-        let first = electorate
-            .members
-            .iter()
-            .map(|member| member.id.0)
-            .filter(|id| *id == me || self.contacts.is_up(now, *id));
-        self.has_quorum(now) && first.min() == Some(me)
+        let able = |id: u64| {
+            let told = self.contacts.get(id).map(|contact| &contact.told);
+            self.contacts.is_in_contact(now, id) && told.is_some_and(|told| told.in_quorum && !told.leaving)
+        };
+        let others = electorate.members.iter().map(|member| member.id.0).filter(|id| *id == me || able(*id));
+        !self.leaving && self.caught_up && self.has_quorum(now) && others.min() == Some(me)
     }
 
-    fn desired_members(&self, now: u64, electorate: &Electorate) -> Vec<Member> {
-        let mut members: Vec<Member> = electorate.members.clone();
-        members.retain(|member| !self.is_replaced(member));
-        let before = members.len();
-        self.add_joined(now, &mut members);
-        let silence = if members.len() > before { GIVE_WAY_AFTER } else { DROP_AFTER };
-        self.drop_silent(now, silence, &mut members);
-        members.sort_by_key(|member| member.id);
-        members
+    fn desired_members(&self, now: u64, electorate: &Electorate) -> Option<Vec<Member>> {
+        let joiners = self.joiners(now, electorate);
+        let patience = if joiners.is_empty() { DROP_AFTER } else { GIVE_WAY_AFTER };
+        let present = electorate.members.iter().map(|member| Candidate {
+            member: member.clone(),
+            zone: self.zone_of(member.id),
+            standing: self.standing(now, member, patience),
+        });
+        let candidates = present.chain(joiners).collect();
+        let tolerance = Tolerance { machines: self.settings.machines_lost, zones: self.settings.zones_lost };
+        choose(candidates, tolerance)
     }
 
-    /// Whether another replica lives at a member's address: the disk of that member is lost.
-    fn is_replaced(&self, member: &Member) -> bool {
-        let other = |id: u64, address: &str| id != member.id.0 && address == member.address;
-        other(self.settings.replica, &self.settings.address)
-            || self.contacts.iter().any(|(id, contact)| other(id, &contact.address))
+    /// Replicas without a vote that are in contact and stay.
+    fn joiners(&self, now: u64, electorate: &Electorate) -> Vec<Candidate> {
+        let joins = |id: u64, leaving: bool| {
+            let known = electorate.members.iter().any(|member| member.id.0 == id);
+            let heard = self.contacts.silent_for(now, id).is_some_and(|silent| silent < ADD_WITHIN);
+            !known && heard && self.contacts.is_in_contact(now, id) && !leaving
+        };
+        let contacts = self.contacts.iter().filter(|(id, contact)| joins(*id, contact.told.leaving));
+        let candidate = |id: u64, contact: &Contact| Candidate {
+            member: Member { id: ReplicaId(id), address: contact.address.clone() },
+            zone: contact.told.zone.clone(),
+            standing: Standing::Joining,
+        };
+        contacts.map(|(id, contact)| candidate(id, contact)).collect()
+    }
+
+    fn zone_of(&self, id: ReplicaId) -> String {
+        if id.0 == self.settings.replica {
+            return self.settings.zone.clone();
+        }
+        self.contacts.get(id.0).map_or_else(String::new, |contact| contact.told.zone.clone())
     }
 
-    fn add_joined(&self, now: u64, members: &mut Vec<Member>) {
-        for (id, contact) in self.contacts.iter() {
-            let known = members.iter().any(|member| member.id.0 == id);
-            let live = self.contacts.silent_for(now, id).is_some_and(|silent| silent < ADD_WITHIN);
-            let confirmed = contact.confirmed_at.is_some();
-            if !known && live && confirmed && members.len() < MOST_MEMBERS {
-                members.push(Member { id: ReplicaId(id), address: contact.address.clone() });
-            }
+    fn standing(&self, now: u64, member: &Member, patience: u64) -> Standing {
+        let leaving = match member.id.0 == self.settings.replica {
+            true => self.leaving,
+            false => self.contacts.get(member.id.0).is_some_and(|contact| contact.told.leaving),
+        };
+        let silent_ms = self.silent_for(now, member);
+        if self.is_replaced(member) {
+            Standing::Replaced
+        } else if leaving {
+            Standing::Leaving
+        } else if silent_ms >= patience || self.unconfirmed_for(now, member) >= DROP_AFTER {
+            Standing::Lost { silent_ms }
+        } else {
+            Standing::Live
         }
     }
 
-    fn drop_silent(&self, now: u64, silence: u64, members: &mut Vec<Member>) {
-        let least = 2 * self.settings.machines_lost + 1;
-        let silent_for = |member: &Member| match member.id.0 == self.settings.replica {
+    fn silent_for(&self, now: u64, member: &Member) -> u64 {
+        match member.id.0 == self.settings.replica {
             true => 0,
             // Never heard in this life: silent since the start.
             false => self.contacts.silent_for(now, member.id.0).unwrap_or(now - self.started_at),
-        };
-        while members.len() > least {
-            let longest = members.iter().enumerate().max_by_key(|(_, member)| silent_for(member));
-            match longest {
-                Some((index, member)) if silent_for(member) >= silence => members.remove(index),
-                _ => return,
-            };
         }
     }
+
+    /// How long it is not certain that a member hears this node: a link that works one way keeps no vote.
+    fn unconfirmed_for(&self, now: u64, member: &Member) -> u64 {
+        if member.id.0 == self.settings.replica {
+            return 0;
+        }
+        let confirmed_at = self.contacts.get(member.id.0).and_then(|contact| contact.confirmed_at);
+        now.saturating_sub(confirmed_at.unwrap_or(self.started_at))
+    }
+
+    /// Whether another replica lives at a member's address: the disk of that member is lost.
+    fn is_replaced(&self, member: &Member) -> bool {
+        let other = |id: u64, address: &str| id != member.id.0 && address == member.address;
+        other(self.settings.replica, &self.settings.address)
+            || self.contacts.iter().any(|(id, contact)| other(id, &contact.address))
+    }
 }
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -20,6 +20,10 @@
     pub seeds: Vec<String>,
     /// Machines that may be lost at once.
     pub machines_lost: usize,
+    /// Zone of the machine, or its region where the loss of regions is to be borne.
+    pub zone: String,
+    /// Zones (or regions, if `zone` names them) that may be lost at once.
+    pub zones_lost: usize,
     /// Time in milliseconds between two heartbeats of a worker.
     pub worker_heartbeat_ms: u64,
     /// Time in milliseconds that must lie between orders of two placers.
@@ -89,6 +93,9 @@
     PersistFailed(u64),
     /// The file of records has grown long.
     LogIsLong,
+    /// The process is to end: the node asks to be dropped from the electorate (see
+    /// [`ControlNode::may_leave`](crate::ControlNode::may_leave)).
+    Leave,
     /// A worker answered an order, or did not.
     OrderAnswered(OrderTicket, placement::OrderAnswer),
     /// A worker answered with its report.
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use std::collections::VecDeque;
 use switchhill_configuration::{ControlState, Decision, Order, PlacerGrant};
-use switchhill_register::{Accepted, Input, Member, RegisterError};
+use switchhill_register::{Accepted, Input, RegisterError};
 
 /// Time in milliseconds within which a call's job may be begun again after it lost a race.
 const RETRY_WITHIN: u64 = 800;
@@ -27,8 +27,8 @@
     Read { call: CallId },
     /// This node becomes the placer, or takes a new epoch.
     TakePlacer { grant: Option<PlacerGrant>, former: Option<String> },
-    /// The electorate changes.
-    Electorate { members: Vec<Member> },
+    /// The electorate changes, to what is desired once the present one is known.
+    Electorate,
 }
 
 /// Jobs that wait, and the one under way.
@@ -46,6 +46,11 @@
         self.waiting.push_back(job);
     }
 
+    /// Adds a job before all that wait.
+    pub(crate) fn push_first(&mut self, job: Job) {
+        self.waiting.push_front(job);
+    }
+
     /// Whether a job of the kind that a test tells waits or is under way.
     pub(crate) fn has(&self, is_kind: impl Fn(&Job) -> bool) -> bool {
         self.waiting.iter().any(&is_kind) || self.current.as_ref().is_some_and(|(_, job)| is_kind(job))
@@ -112,6 +117,9 @@
             }
         };
         let is_chosen = current.as_ref().is_none_or(|accepted| self.is_chosen(accepted));
+        let changes_electorate = matches!(job, Job::Electorate);
+        let desired = current.as_ref().filter(|_| changes_electorate);
+        let desired = desired.and_then(|accepted| self.members_to_write(now, accepted));
         let data = current.map(|accepted| accepted.value.data);
         let write = match &mut job {
             Job::Change { call, order, answer, .. } => {
@@ -129,7 +137,7 @@
                 *grant = next.placer.clone();
                 Some((Bytes::from(next.encode()), None))
             }
-            Job::Electorate { members } => data.map(|data| (data, Some(members.clone()))),
+            Job::Electorate => data.zip(desired).map(|(data, members)| (data, Some(members))),
             Job::CatchUp | Job::Read { .. } => None,
         };
         let Some((data, members)) = write else {
@@ -180,7 +188,7 @@
             }
             Job::Read { call } => self.answer_read(call),
             Job::TakePlacer { grant, former } => self.placer_granted(now, grant, former),
-            Job::Electorate { .. } => {}
+            Job::Electorate => {}
         }
     }
 
@@ -197,7 +205,7 @@
                 }
             }
             Job::Read { call } => self.answer(call, Answer::unavailable("no quorum answered")),
-            Job::CatchUp | Job::TakePlacer { .. } | Job::Electorate { .. } => {}
+            Job::CatchUp | Job::TakePlacer { .. } | Job::Electorate => {}
         }
     }
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -37,6 +37,8 @@
     pub(crate) caught_up: bool,
     /// Whether the worker table is whole.
     pub(crate) warm: bool,
+    /// Whether the process was told to end.
+    pub(crate) leaving: bool,
     /// Addresses of core nodes that were told of and not heard yet.
     pub(crate) told_addresses: BTreeSet<String>,
     pub(crate) out: Vec<Output>,
@@ -71,6 +73,7 @@
             started_at: now,
             caught_up: false,
             warm: false,
+            leaving: false,
             told_addresses: BTreeSet::new(),
             out: Vec::new(),
             settings,
@@ -92,6 +95,7 @@
                 self.register_input(now, switchhill_register::Input::PersistFailed { token })
             }
             Input::LogIsLong => self.rewrite_log(),
+            Input::Leave => self.leave(now),
             Input::OrderAnswered(ticket, answer) => self.order_answered(now, &ticket, answer),
             Input::Reported(report) => self.reported(now, report),
         }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -3,7 +3,7 @@
 use crate::input::Output;
 use crate::node::ControlNode;
 use std::collections::BTreeSet;
-use switchhill_membership::Heard;
+use switchhill_membership::{Heard, Told};
 use switchhill_protocol::{Echo, PeerBody, PeerFrame, PeerHeartbeat, RegisterEnvelope};
 use switchhill_register::{Ballot, Body, Input, Message, ReplicaId};
 
@@ -53,8 +53,24 @@
 
     /// Sends heartbeats when they are due.
     pub(crate) fn send_heartbeats(&mut self, now: u64) {
-        let seeking = !self.has_quorum(now) || !self.caught_up;
-        let Some(sequence) = self.contacts.heartbeat_due(now, seeking) else { return };
+        let seeking = !self.is_in_quorum(now);
+        if let Some(sequence) = self.contacts.heartbeat_due(now, seeking) {
+            self.send_heartbeat_as(now, sequence);
+        }
+    }
+
+    /// Sends a heartbeat at once.
+    pub(crate) fn send_heartbeat(&mut self, now: u64) {
+        let sequence = self.contacts.next_heartbeat(now);
+        self.send_heartbeat_as(now, sequence);
+    }
+
+    /// Whether the node is in contact with a quorum and has read the register in this life.
+    fn is_in_quorum(&self, now: u64) -> bool {
+        self.has_quorum(now) && self.caught_up
+    }
+
+    fn send_heartbeat_as(&mut self, now: u64, sequence: u64) {
         let committed = self.committed_ballot().unwrap_or(Ballot::NONE);
         let echoes = self.contacts.echoes();
         let echoes =
@@ -70,6 +86,9 @@
             home_gatekeepers: self.subscribers.home_count(),
             known: self.core_addresses().into_iter().collect(),
             life: self.contacts.life(),
+            zone: self.settings.zone.clone(),
+            in_quorum: self.is_in_quorum(now),
+            leaving: self.leaving,
         };
         for address in self.known_addresses() {
             self.send_peer(address, PeerBody::Heartbeat(heartbeat.clone()));
@@ -106,6 +125,7 @@
             life: heartbeat.life,
             sequence: heartbeat.sequence,
             echo,
+            told: Told { zone: heartbeat.zone, in_quorum: heartbeat.in_quorum, leaving: heartbeat.leaving },
         };
         self.contacts.heard(now, heard);
         self.told_addresses.extend(heartbeat.known);
--- a/crates/membership/src/contact.rs
+++ b/crates/membership/src/contact.rs
@@ -20,6 +20,19 @@
     pub sequence: u64,
     /// Sequence of ours that it echoes, if it echoes one of this life.
     pub echo: Option<u64>,
+    /// What the sender says of itself.
+    pub told: Told,
+}
+
+/// What a node says of itself in its heartbeats.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Told {
+    /// Zone of its machine, empty if not told.
+    pub zone: String,
+    /// Whether it is in contact with a quorum and has read the register in this life.
+    pub in_quorum: bool,
+    /// Whether it was told to end and waits to be dropped from the electorate.
+    pub leaving: bool,
 }
 
 /// One other node.
@@ -37,6 +50,8 @@
     pub heard_at: u64,
     /// Latest time at which it is certain to have heard this node, in milliseconds; `None` if never.
     pub confirmed_at: Option<u64>,
+    /// What it said of itself in its newest heartbeat.
+    pub told: Told,
 }
 
 /// Times at which this node's heartbeats were sent.
--- a/crates/membership/src/contacts.rs
+++ b/crates/membership/src/contacts.rs
@@ -75,11 +75,16 @@
         if now < self.last_heartbeat.map_or(0, |last| last + every) {
             return None;
         }
+        Some(self.next_heartbeat(now))
+    }
+
+    /// Sequence of a heartbeat that is sent now, due or not.
+    pub fn next_heartbeat(&mut self, now: u64) -> u64 {
         self.last_heartbeat = Some(now);
         self.sequence += 1;
         self.sent.record(self.sequence, now);
         self.forget(now);
-        Some(self.sequence)
+        self.sequence
     }
 
     fn forget(&mut self, now: u64) {
@@ -101,6 +106,7 @@
             sequence: 0,
             heard_at: now,
             confirmed_at: None,
+            told: heard.told.clone(),
         });
         if contact.life != heard.life {
             contact.life = heard.life;
@@ -112,6 +118,7 @@
             contact.heard_at = now;
             contact.address = heard.address;
             contact.node = heard.node;
+            contact.told = heard.told;
         }
         contact.confirmed_at = contact.confirmed_at.max(confirmed_at);
     }
@@ -147,6 +154,12 @@
         self.contacts.get(&id).map(|contact| now.saturating_sub(contact.heard_at))
     }
 
+    /// Whether a node was certain to hear this node a short time ago.
+    pub fn is_in_contact(&self, now: u64, id: u64) -> bool {
+        let oldest = now.saturating_sub(self.settings.contact_for);
+        self.contacts.get(&id).is_some_and(|contact| contact.confirmed_at.is_some_and(|at| at >= oldest))
+    }
+
     /// Nodes that were certain to hear this node a short time ago, this node included.
     pub fn in_contact(&self, now: u64) -> impl Iterator<Item = u64> + '_ {
         self.in_contact_within(now, self.settings.contact_for)
--- a/crates/membership/tests/contacts.rs
+++ b/crates/membership/tests/contacts.rs
@@ -2,10 +2,11 @@
 
 use googletest::prelude::*;
 use std::collections::BTreeSet;
-use switchhill_membership::{ContactSettings, Contacts, Heard};
+use switchhill_membership::{ContactSettings, Contacts, Heard, Told};
 
 fn heartbeat(id: u64, sequence: u64, echo: Option<u64>) -> Heard {
-    Heard { id, address: format!("10.0.0.{id}:1"), node: format!("node-{id}"), life: 1, sequence, echo }
+    let (address, node) = (format!("10.0.0.{id}:1"), format!("node-{id}"));
+    Heard { id, address, node, life: 1, sequence, echo, told: Told::default() }
 }
 
 fn contacts() -> Contacts {
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -84,6 +84,15 @@
     /// Random number of the sender's life: tells a restart.
     #[prost(fixed64, tag = "10")]
     pub life: u64,
+    /// Zone of the sender's machine.
+    #[prost(string, tag = "13")]
+    pub zone: String,
+    /// Whether the sender is in contact with a quorum and has read the register in this life.
+    #[prost(bool, tag = "14")]
+    pub in_quorum: bool,
+    /// Whether the sender was told to end and waits to be dropped from the electorate.
+    #[prost(bool, tag = "15")]
+    pub leaving: bool,
 }
 
 /// The last heartbeat that was received from a node.
--- a/lab/src/emulator/world/core_machine.rs
+++ b/lab/src/emulator/world/core_machine.rs
@@ -93,6 +93,8 @@
             address,
             seeds,
             machines_lost: self.plan.sizes.machines_lost,
+            zone: String::new(),
+            zones_lost: 0,
             worker_heartbeat_ms: self.bounds.heartbeat_ms,
             lease_ms: self.bounds.lease_ms,
             ceiling_window_ms: self.bounds.ceiling_window_ms,
--- a/lab/src/hollow/fleet.rs
+++ b/lab/src/hollow/fleet.rs
@@ -410,6 +410,8 @@
         address: core_address(core),
         seeds: seeds.clone(),
         machines_lost: sizes.cores.saturating_sub(1) / 2,
+        zone: String::new(),
+        zones_lost: 0,
         worker_heartbeat_ms: BEAT_MS,
         lease_ms: 3_000,
         ceiling_window_ms: 5_000,
--- a/src/control_plane/mod.rs
+++ b/src/control_plane/mod.rs
@@ -19,7 +19,11 @@
 /// How long answers may still go out after the process was told to stop.
 const LINGER: Duration = Duration::from_millis(150);
 
-/// Runs until the process is told to stop.
+/// Longest wait after the process was told to stop for the electorate to go on without this replica: a change takes a few
+/// rounds, and a node that is itself out of contact waits in vain.
+const LEAVE_WITHIN: Duration = Duration::from_millis(1_500);
+
+/// Runs until the process is told to stop, and then until the electorate goes on without its replica.
 pub async fn run(settings: SiteSettings) -> anyhow::Result<()> {
     let control =
         settings.bind.control.ok_or_else(|| anyhow::anyhow!("bind.control is missing from the settings"))?;
@@ -42,9 +46,17 @@
     let mut ticks = tokio::time::interval(TICK_EVERY);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut stop = Stop::new()?;
+    let mut leave_by: Option<tokio::time::Instant> = None;
     loop {
+        let is_over = |by: tokio::time::Instant| by <= tokio::time::Instant::now();
+        if leave_by.is_some_and(|by| is_over(by) || node.may_leave(clock.now())) {
+            break;
+        }
         let input = tokio::select! {
-            _ = stop.requested() => break,
+            _ = stop.requested() => {
+                leave_by.get_or_insert(tokio::time::Instant::now() + LEAVE_WITHIN);
+                Input::Leave
+            }
             _ = ticks.tick() => Input::Tick,
             Some(input) = received.recv() => input,
         };
@@ -80,6 +92,8 @@
         address: internal.to_string(),
         seeds: crate::system::internal_addresses(settings),
         machines_lost: settings.fault_tolerance.machines,
+        zone: settings.failure_domain().to_owned(),
+        zones_lost: settings.fault_tolerance.domains(),
         worker_heartbeat_ms: settings.heartbeat_ms,
         lease_ms: settings.bounds.lease_ms,
         ceiling_window_ms: (settings.bounds.ceiling_window_s * 1000.0) as u64,
--- a/src/site_settings.rs
+++ b/src/site_settings.rs
@@ -69,6 +69,21 @@
 pub struct FaultTolerance {
     /// Machines that count for the quorum.
     pub machines: usize,
+    /// Zones.
+    pub zones: usize,
+    /// Regions.
+    pub regions: usize,
+}
+
+impl FaultTolerance {
+    /// Failure domains (see [`SiteSettings::failure_domain`]) that may be lost at once.
+    pub fn domains(&self) -> usize {
+        if self.regions > 0 {
+            self.regions
+        } else {
+            self.zones
+        }
+    }
 }
 
 /// Figures of the rules.
@@ -197,6 +212,14 @@
         self.port_range.1
     }
 
+    /// What goes with the machine where a zone is lost: its zone, or its region where the loss of regions is to be borne.
+    pub fn failure_domain(&self) -> &str {
+        match self.fault_tolerance.regions {
+            0 => &self.zone,
+            _ => self.zones.get(&self.zone).unwrap_or(&self.zone),
+        }
+    }
+
     /// The time a process has to finish its answers after SIGTERM.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.bounds.grace_s)
