--- a/crates/control/tests/authority_scripts.rs
+++ b/crates/control/tests/authority_scripts.rs
@@ -206,6 +206,8 @@
         address: "here".to_owned(),
         seeds: vec!["here".to_owned()],
         machines_lost: 1,
+        zone: String::new(),
+        zones_lost: 0,
         worker_heartbeat_ms: 500,
         lease_ms: 2_000,
         ceiling_window_ms: 5_000,
--- a/crates/control/tests/core/mod.rs
+++ b/crates/control/tests/core/mod.rs
@@ -41,6 +41,8 @@
         address: address(node),
         seeds: (1..=nodes).map(address).collect(),
         machines_lost: (nodes as usize - 1) / 2,
+        zone: String::new(),
+        zones_lost: 0,
         worker_heartbeat_ms: 1000,
         lease_ms: 3000,
         ceiling_window_ms: 5000,
--- a/crates/control/tests/orders_reordered.rs
+++ b/crates/control/tests/orders_reordered.rs
@@ -74,6 +74,8 @@
                 address: address(index),
                 seeds: (0..NODES).map(address).collect(),
                 machines_lost: 1,
+                zone: String::new(),
+                zones_lost: 0,
                 worker_heartbeat_ms: 500,
                 lease_ms: 2_000,
                 ceiling_window_ms: 5_000,
--- a/crates/control/tests/simulation/core_machine.rs
+++ b/crates/control/tests/simulation/core_machine.rs
@@ -64,6 +64,8 @@
             address: address(core),
             seeds,
             machines_lost: (self.plan.cores - 1) / 2,
+            zone: String::new(),
+            zones_lost: 0,
             worker_heartbeat_ms: 500,
             lease_ms: 2_000,
             ceiling_window_ms: 5_000,
