--- a/crates/record_log/src/log.rs
+++ b/crates/record_log/src/log.rs
@@ -176,11 +176,19 @@
         file.set_length(0)?;
         file.write_at(0, &content)?;
         file.sync()?;
-        self.file_system.rename(&self.new_path, &self.path)?;
+        self.rename_replacement()?;
         let length = content.len() as u64;
         Ok((file, Position { length, checksum }))
     }
 
+    /// Gives the new file the log's name. A rename that reports an error may have been carried out all the same; what is
+    /// written to the old file would be lost then.
+    fn rename_replacement(&self) -> std::io::Result<()> {
+        let renamed = self.file_system.rename(&self.new_path, &self.path);
+        let carried_out = || matches!(self.file_system.exists(&self.new_path), Ok(false));
+        renamed.or_else(|error| if carried_out() { Ok(()) } else { Err(error) })
+    }
+
     fn try_sync(&mut self) -> std::io::Result<()> {
         self.sync_folder_if_due()?;
         self.clean_tail()?;
