Register: one value at a time on its way to the disk

Need: while a disk stalled, each accepted value waited for it whole: 192 MB for 1,000 changes of a configuration of 192 kB, on a machine of 256 MB. Change: a value waits for the one under way and only the newest follows it, also where promises are asked for meanwhile.

--- a/crates/register/src/acceptor.rs
+++ b/crates/register/src/acceptor.rs
@@ -36,8 +36,9 @@
         self.durability.schedule(&self.state, outputs);
     }
 
-    pub(crate) fn persisted(&mut self, token: u64) {
+    pub(crate) fn persisted(&mut self, token: u64, outputs: &mut Vec<Output>) {
         self.durability.persisted(token);
+        self.durability.schedule(&self.state, outputs);
     }
 
     pub(crate) fn persist_failed(&mut self, token: u64) {
--- a/crates/register/src/durability.rs
+++ b/crates/register/src/durability.rs
@@ -138,9 +138,21 @@
         scheduled
     }
 
+    /// Whether a value is on its way to the disk.
+    fn value_under_way(&self) -> bool {
+        self.pending.iter().any(|(_, extent)| extent.accepted != Ballot::NONE)
+    }
+
     /// Asks for the records without which `state` would not outlast the process.
+    ///
+    /// A value waits for the one under way, and only the newest follows it: however long the disk takes, no more than
+    /// two values are held for it, and it doesn't fall behind.
     pub(crate) fn schedule(&mut self, state: &State, outputs: &mut Vec<Output>) {
+        let value_under_way = self.value_under_way();
         for record in state.records_beyond(&self.scheduled()) {
+            if value_under_way && matches!(record, Record::Accepted(_)) {
+                continue;
+            }
             self.last_token += 1;
             self.pending.push((self.last_token, Extent::of(&record)));
             outputs.push(Output::Persist { token: self.last_token, record });
--- a/crates/register/src/replica.rs
+++ b/crates/register/src/replica.rs
@@ -257,7 +257,7 @@
     }
 
     fn persisted(&mut self, now: u64, token: u64) {
-        self.acceptor.persisted(token);
+        self.acceptor.persisted(token, &mut self.outputs);
         // A proposer may have waited for a reservation.
         self.tick_round(now);
     }
