Catch-up measured in virtual time; a read looks again while the disk stalls

Need: how long a late member, an empty one, an agent and a data plane take was not known by the number of changes.

--- /dev/null
+++ b/crates/control/tests/catch_up/files.rs
@@ -0,0 +1,190 @@
+//! Files in memory, and the disk thread that writes them in virtual time.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{ErrorKind, Result};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+
+use switchhill_control::Input;
+use switchhill_record_log::{FileSystem, LogFile, Options};
+use switchhill_replica_file::{open, Identity, Report, Stored, Work, Writer};
+
+/// Length in bytes above which a file is rewritten, as in the program.
+const REWRITE_ABOVE: u64 = 8 << 20;
+
+/// Time in microseconds of a sync on a disk without trouble.
+const SYNC_US: u64 = 5_000;
+
+/// Bytes that a disk writes in a microsecond.
+const BYTES_PER_US: u64 = 100;
+
+type Content = Arc<Mutex<Vec<u8>>>;
+
+/// A disk whose files outlast the process.
+#[derive(Clone, Default)]
+pub struct MemoryFileSystem(Arc<Mutex<BTreeMap<PathBuf, Content>>>);
+
+/// An open file.
+pub struct MemoryFile(Content);
+
+impl MemoryFileSystem {
+    /// Bytes of all files.
+    pub fn used(&self) -> usize {
+        self.0.lock().unwrap().values().map(|content| content.lock().unwrap().len()).sum()
+    }
+}
+
+impl FileSystem for MemoryFileSystem {
+    type File = MemoryFile;
+
+    fn create_folder(&self, _folder: &Path) -> Result<()> {
+        Ok(())
+    }
+
+    fn open(&self, path: &Path) -> Result<MemoryFile> {
+        Ok(MemoryFile(self.0.lock().unwrap().entry(path.to_path_buf()).or_default().clone()))
+    }
+
+    fn exists(&self, path: &Path) -> Result<bool> {
+        Ok(self.0.lock().unwrap().contains_key(path))
+    }
+
+    fn rename(&self, from: &Path, to: &Path) -> Result<()> {
+        let mut names = self.0.lock().unwrap();
+        let content = names.remove(from).ok_or(ErrorKind::NotFound)?;
+        names.insert(to.to_path_buf(), content);
+        Ok(())
+    }
+
+    fn remove(&self, path: &Path) -> Result<()> {
+        self.0.lock().unwrap().remove(path);
+        Ok(())
+    }
+
+    fn sync_folder(&self, _folder: &Path) -> Result<()> {
+        Ok(())
+    }
+}
+
+impl LogFile for MemoryFile {
+    fn read_all(&mut self) -> Result<Vec<u8>> {
+        Ok(self.0.lock().unwrap().clone())
+    }
+
+    fn write_at(&mut self, offset: u64, bytes: &[u8]) -> Result<()> {
+        let mut content = self.0.lock().unwrap();
+        let (from, to) = (offset as usize, offset as usize + bytes.len());
+        let length = content.len().max(to);
+        content.resize(length, 0);
+        content[from..to].copy_from_slice(bytes);
+        Ok(())
+    }
+
+    fn set_length(&mut self, length: u64) -> Result<()> {
+        self.0.lock().unwrap().resize(length as usize, 0);
+        Ok(())
+    }
+
+    fn sync(&mut self) -> Result<()> {
+        Ok(())
+    }
+}
+
+/// How a disk behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiskTrouble {
+    /// A sync takes five milliseconds.
+    None,
+    /// Everything takes so many times as long.
+    Slow(u64),
+    /// Nothing ends within this time in milliseconds from the start of the process on.
+    Stalled(u64),
+}
+
+/// The disk of a core machine with the thread that writes to it.
+pub struct Disk {
+    files: MemoryFileSystem,
+    writer: Option<Writer<MemoryFileSystem>>,
+    waiting: VecDeque<Work>,
+    writing: bool,
+    trouble: DiskTrouble,
+    started_us: u64,
+    /// Most bytes that have waited at once.
+    pub most_waiting: usize,
+    /// Most bytes that the files have had at once.
+    pub most_used: usize,
+}
+
+impl Disk {
+    pub fn new() -> Disk {
+        Disk {
+            files: MemoryFileSystem::default(),
+            writer: None,
+            waiting: VecDeque::new(),
+            writing: false,
+            trouble: DiskTrouble::None,
+            started_us: 0,
+            most_waiting: 0,
+            most_used: 0,
+        }
+    }
+
+    /// A process starts: its identity and the records that it finds.
+    pub fn start(&mut self, now_us: u64, trouble: DiskTrouble, fresh: Identity) -> (Identity, Vec<Vec<u8>>) {
+        let options = Options { rewrite_above_bytes: REWRITE_ABOVE };
+        let stored = open(self.files.clone(), Path::new("/data"), options, || fresh);
+        let Stored { writer, identity, records } = stored.expect("the file opens");
+        self.writer = Some(writer);
+        self.waiting.clear();
+        self.writing = false;
+        self.trouble = trouble;
+        self.started_us = now_us;
+        (identity, records)
+    }
+
+    pub fn add(&mut self, work: Work) {
+        self.waiting.push_back(work);
+        let waiting = self.waiting.iter().map(bytes).sum();
+        self.most_waiting = self.most_waiting.max(waiting);
+    }
+
+    /// Begins to write what waits, unless a sync is under way: when it ends, and what is told then.
+    pub fn begin(&mut self, now_us: u64) -> Option<(u64, Vec<Input>)> {
+        if self.writing || self.waiting.is_empty() {
+            return None;
+        }
+        let batch: Vec<Work> = self.waiting.drain(..).collect();
+        let written: usize = batch.iter().map(bytes).sum();
+        let mut told = Vec::new();
+        self.writer.as_mut()?.carry_out(batch, &mut |report| told.extend(input(report)));
+        self.writing = true;
+        self.most_used = self.most_used.max(self.files.used());
+        let takes = SYNC_US + written as u64 / BYTES_PER_US;
+        let ends = match self.trouble {
+            DiskTrouble::None => now_us + takes,
+            DiskTrouble::Slow(times) => now_us + takes * times,
+            DiskTrouble::Stalled(for_ms) => now_us.max(self.started_us + for_ms * 1_000) + takes,
+        };
+        Some((ends, told))
+    }
+
+    pub fn ended(&mut self) {
+        self.writing = false;
+    }
+}
+
+fn bytes(work: &Work) -> usize {
+    match work {
+        Work::Append(_, record) => record.len(),
+        Work::Rewrite(records) => records.iter().map(Vec::len).sum(),
+    }
+}
+
+fn input(report: Report) -> Option<Input> {
+    match report {
+        Report::Persisted(token) => Some(Input::Persisted(token)),
+        Report::Failed(token, _) => Some(Input::PersistFailed(token)),
+        Report::IsLong => Some(Input::LogIsLong),
+        Report::NotRewritten(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/control/tests/catch_up/mod.rs
@@ -0,0 +1,625 @@
+//! Core nodes, an agent and a data plane in virtual time, with modelled disks, links and processors.
+//!
+//! The state machines are the program's; what is modelled is said at each constant. Time counts in microseconds.
+#![allow(dead_code, reason = "each user of this module needs a part of it")]
+
+mod documents;
+mod files;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use prost::Message as _;
+use switchhill_control::{Answer, Call, CallId, ControlNode, Input, NodeSettings, Output, SubscriberId};
+use switchhill_distribution::{FeedId, FeedState, LinkId, LinkSettings, Relay, RelayInput, RelayOutput};
+use switchhill_protocol::{Downstream, DownstreamBody, PeerBody, PeerFrame, Upstream};
+use switchhill_register::{Body, Member, Message, ReplicaId};
+use switchhill_replica_file::{Identity, Work};
+
+pub use documents::ROUTES;
+use files::Disk;
+pub use files::DiskTrouble;
+
+/// Time in microseconds between two ticks of a core node, as in the program.
+const CORE_TICK_US: u64 = 25_000;
+
+/// Time in microseconds between two ticks of an agent.
+const AGENT_TICK_US: u64 = 50_000;
+
+/// Delay in microseconds of a link.
+const DELAY_US: u64 = 2_000;
+
+/// Bits that a machine's link carries in a microsecond: 100 Mbps.
+const LINK_BITS_PER_US: u64 = 100;
+
+/// Share of a core that a core machine has, in hundredths.
+const PROCESSOR_SHARE: u64 = 15;
+
+/// Processor time in nanoseconds of an input, and of each kilobyte in or out, on a whole core.
+const INPUT_NS: u64 = 30_000;
+const KILOBYTE_NS: u64 = 500;
+
+/// Processor time in nanoseconds for each kilobyte of a newly committed value, on a whole core: it is read twice and a
+/// change is made from it (`cargo run --release -p switchhill-control --example state_cost`).
+const COMMITTED_KILOBYTE_NS: u64 = 30_000;
+
+/// Core machines; the first three are the seeds, the fourth joins, the last one starts late with an empty disk.
+const CORES: usize = 5;
+const AWAY: usize = 3;
+const EMPTY: usize = 4;
+
+const CORE_MACHINES_LOST: usize = 1;
+
+/// Time in microseconds after which the operator takes an order elsewhere.
+const ANSWER_WITHIN_US: u64 = 1_000_000;
+
+/// What is tried.
+#[derive(Clone, Copy, Debug)]
+pub struct Trial {
+    /// Changes while the member is away.
+    pub changes: u64,
+    /// Trouble of the disks of the member that returns and of the one that is new.
+    pub disk: DiskTrouble,
+}
+
+/// What came of it. Times are in milliseconds from the moment at which all start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Outcome {
+    /// Bytes of the configuration as an agent is sent it.
+    pub configuration_bytes: usize,
+    /// Until the member that was away answers a read with the newest configuration.
+    pub away_ms: u64,
+    /// The same of the member with an empty disk.
+    pub empty_ms: u64,
+    /// Until the two vote again, or for the first time.
+    pub away_votes_ms: u64,
+    pub empty_votes_ms: u64,
+    /// Until the agent holds the newest configuration, confirmed, and then the data plane.
+    pub agent_ms: u64,
+    pub data_plane_ms: u64,
+    /// Bytes that the member that was away and the empty one were sent until they answered.
+    pub away_bytes: usize,
+    pub empty_bytes: usize,
+    /// Longest file and most bytes waiting for a disk, of all core machines.
+    pub longest_file: usize,
+    pub most_waiting: usize,
+    /// Changes acknowledged while all this went on.
+    pub changes_meanwhile: u64,
+}
+
+enum Event {
+    CoreTick(usize, u32),
+    Core(usize, u32, Box<Input>, usize),
+    DiskEnds(usize, u32, Vec<Input>),
+    AgentTick,
+    Agent(Box<RelayInput>),
+    DataPlane(Downstream),
+    OperatorGivesUp(u64),
+    Operator,
+    Poll,
+}
+
+struct Core {
+    node: Option<ControlNode>,
+    life: u32,
+    disk: Disk,
+    link_free_at: u64,
+    processor_free_at: u64,
+    revision: u64,
+    started_at: u64,
+    /// Revision acknowledged to the operator when this life began.
+    acknowledged_at_start: u64,
+    /// When it first answered a read with the newest configuration, and first voted, in this life.
+    answered_at: Option<u64>,
+    voted_at: Option<u64>,
+    received_bytes: usize,
+}
+
+impl Core {
+    /// Whether it doesn't know what was acknowledged before it started, which a majority holds.
+    fn is_behind(&self) -> bool {
+        self.revision < self.acknowledged_at_start
+    }
+}
+
+/// Everything.
+pub struct World {
+    now: u64,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: BTreeMap<u64, Event>,
+    next_event: u64,
+    cores: Vec<Core>,
+    agent: Option<Relay>,
+    data_plane: FeedState,
+    agent_links: BTreeMap<LinkId, usize>,
+    agent_at: Option<u64>,
+    data_plane_at: Option<u64>,
+    started_late_at: u64,
+    /// Core machines that are cut off from the others.
+    cut_off: Vec<usize>,
+    /// Revision of the last acknowledged order.
+    pub acknowledged: u64,
+    change_every: u64,
+    asked: u64,
+    asked_core: usize,
+    next_call: u64,
+    reads: BTreeMap<u64, (usize, u64)>,
+    /// What was said or done that no node may say or do.
+    pub violations: Vec<String>,
+}
+
+fn address(core: usize) -> String {
+    format!("10.0.0.{}:7000", core + 1)
+}
+
+fn genesis_id(core: usize) -> u64 {
+    2 * core as u64 + 1_001
+}
+
+impl World {
+    /// The seeds and the fourth machine, started on empty disks.
+    pub fn new() -> World {
+        let core = |_| Core {
+            node: None,
+            life: 0,
+            disk: Disk::new(),
+            link_free_at: 0,
+            processor_free_at: 0,
+            revision: 0,
+            started_at: 0,
+            acknowledged_at_start: 0,
+            answered_at: None,
+            voted_at: None,
+            received_bytes: 0,
+        };
+        let mut world = World {
+            now: 0,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            next_event: 0,
+            cores: (0..CORES).map(core).collect(),
+            agent: None,
+            data_plane: FeedState::new("edge-0", "zone"),
+            agent_links: BTreeMap::new(),
+            agent_at: None,
+            data_plane_at: None,
+            started_late_at: u64::MAX,
+            cut_off: Vec::new(),
+            acknowledged: 0,
+            change_every: 0,
+            asked: 0,
+            asked_core: 0,
+            next_call: 1,
+            reads: BTreeMap::new(),
+            violations: Vec::new(),
+        };
+        (0..=AWAY).for_each(|core| world.start(core, DiskTrouble::None));
+        world
+    }
+
+    fn add(&mut self, at: u64, event: Event) {
+        self.next_event += 1;
+        self.queue.push(Reverse((at.max(self.now), self.next_event)));
+        self.events.insert(self.next_event, event);
+    }
+
+    /// A core machine's process starts.
+    pub fn start(&mut self, core: usize, trouble: DiskTrouble) {
+        let is_seed = core < 3;
+        let fresh = match is_seed {
+            true => Identity { replica: genesis_id(core), genesis: true },
+            false => Identity { replica: 2 * core as u64 + 2_000, genesis: false },
+        };
+        let machine = &mut self.cores[core];
+        machine.life += 1;
+        let (identity, records) = machine.disk.start(self.now, trouble, fresh);
+        let seeds: Vec<String> = (0..3).map(address).collect();
+        let genesis = identity.genesis && records.is_empty();
+        let member = |core: usize| Member { id: ReplicaId(genesis_id(core)), address: address(core) };
+        let life = (core as u64 + 1) << 32 | u64::from(machine.life);
+        let settings = NodeSettings {
+            replica: identity.replica,
+            life,
+            node_name: format!("core-{core}"),
+            address: address(core),
+            seeds,
+            machines_lost: CORE_MACHINES_LOST,
+            worker_heartbeat_ms: 1_200,
+            lease_ms: 2_000,
+            ceiling_window_ms: 10_000,
+            fencing: true,
+            seed: life,
+        };
+        let genesis = genesis.then(|| (0..3).map(member).collect());
+        machine.node = Some(ControlNode::new(self.now / 1_000, settings, records, genesis));
+        machine.started_at = self.now;
+        machine.acknowledged_at_start = self.acknowledged;
+        machine.revision = 0;
+        machine.answered_at = None;
+        machine.voted_at = None;
+        machine.received_bytes = 0;
+        let life = machine.life;
+        self.add(self.now, Event::CoreTick(core, life));
+    }
+
+    /// A core machine's process ends; its disk stays.
+    pub fn stop(&mut self, core: usize) {
+        let machine = &mut self.cores[core];
+        machine.node = None;
+        machine.life += 1;
+    }
+
+    /// Cuts a core machine off from all others, or ends that.
+    pub fn cut(&mut self, core: usize, cut: bool) {
+        self.cut_off.retain(|other| *other != core);
+        if cut {
+            self.cut_off.push(core);
+        }
+    }
+
+    /// Runs until a moment, in milliseconds from the beginning, or until a condition holds. Returns whether it does.
+    pub fn run_until(&mut self, until_ms: u64, done: impl Fn(&World) -> bool) -> bool {
+        while !done(self) {
+            let Some(Reverse((at, number))) = self.queue.pop() else { return done(self) };
+            if at > until_ms * 1_000 {
+                self.queue.push(Reverse((at, number)));
+                self.now = until_ms * 1_000;
+                return done(self);
+            }
+            self.now = at;
+            if let Some(event) = self.events.remove(&number) {
+                self.handle(event);
+            }
+        }
+        true
+    }
+
+    /// Now, in milliseconds from the beginning.
+    pub fn now_ms(&self) -> u64 {
+        self.now / 1_000
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::CoreTick(core, life) if self.lives(core, life) => {
+                self.add(self.now + CORE_TICK_US, Event::CoreTick(core, life));
+                self.core_input(core, life, Input::Tick, 0);
+            }
+            Event::Core(core, life, input, bytes) if self.lives(core, life) => {
+                self.core_input(core, life, *input, bytes);
+            }
+            Event::DiskEnds(core, life, told) if self.lives(core, life) => {
+                self.cores[core].disk.ended();
+                told.into_iter().for_each(|input| self.core_input(core, life, input, 0));
+                self.write(core);
+            }
+            Event::AgentTick => {
+                self.add(self.now + AGENT_TICK_US, Event::AgentTick);
+                self.agent_input(RelayInput::Tick);
+            }
+            Event::Agent(input) => self.agent_input(*input),
+            Event::DataPlane(message) => self.data_plane_message(message),
+            Event::OperatorGivesUp(asked) if asked == self.asked => self.operator_asks(),
+            Event::Operator => self.operator_asks(),
+            Event::Poll => self.poll(),
+            _ => {}
+        }
+    }
+
+    fn lives(&self, core: usize, life: u32) -> bool {
+        self.cores[core].life == life && self.cores[core].node.is_some()
+    }
+
+    /// Hands an input to a core node once its processor is free.
+    fn core_input(&mut self, core: usize, life: u32, input: Input, bytes: usize) {
+        let machine = &mut self.cores[core];
+        if machine.processor_free_at > self.now {
+            let at = machine.processor_free_at;
+            if !matches!(input, Input::Tick) {
+                self.add(at, Event::Core(core, life, Box::new(input), bytes));
+            }
+            return;
+        }
+        let Some(node) = machine.node.as_mut() else { return };
+        let outputs = node.handle(self.now / 1_000, input);
+        let committed = node.revision() != machine.revision;
+        machine.revision = node.revision();
+        let placer = node.placer_epoch().is_some();
+        let sent: usize = outputs.iter().map(output_bytes).sum();
+        let kilobytes = ((bytes + sent) / 1_000) as u64;
+        let mut ns = INPUT_NS + kilobytes * KILOBYTE_NS;
+        if committed {
+            ns += COMMITTED_KILOBYTE_NS * 100;
+        }
+        machine.processor_free_at = self.now + ns * 100 / PROCESSOR_SHARE / 1_000;
+        if placer && machine.is_behind() {
+            let error = format!("{} ms: core {core} is placer before it has caught up", self.now / 1_000);
+            self.violations.push(error);
+        }
+        for output in outputs {
+            self.core_output(core, output);
+        }
+        self.write(core);
+    }
+
+    fn core_output(&mut self, core: usize, output: Output) {
+        match output {
+            Output::Peer(to, frame) => self.send_peer(core, &to, frame),
+            Output::Subscriber(id, message) => self.send_agent(core, id, message),
+            Output::CloseSubscriber(id) => {
+                let lost = RelayInput::LinkLost(LinkId(id.0));
+                self.add(self.now + DELAY_US, Event::Agent(Box::new(lost)));
+            }
+            Output::Answer(id, answer) => self.answered(core, id, &answer),
+            Output::Persist(token, record) => self.cores[core].disk.add(Work::Append(token, record)),
+            Output::Rewrite(records) => self.cores[core].disk.add(Work::Rewrite(records)),
+            Output::Order(_) | Output::AskReport(_) => {}
+        }
+    }
+
+    fn write(&mut self, core: usize) {
+        let machine = &mut self.cores[core];
+        let life = machine.life;
+        if let Some((ends, told)) = machine.disk.begin(self.now) {
+            self.add(ends, Event::DiskEnds(core, life, told));
+        }
+    }
+
+    /// When the last of so many bytes sent now arrives.
+    fn arrival(&mut self, core: usize, bytes: usize) -> u64 {
+        let machine = &mut self.cores[core];
+        machine.link_free_at = machine.link_free_at.max(self.now) + bytes as u64 * 8 / LINK_BITS_PER_US;
+        machine.link_free_at + DELAY_US
+    }
+
+    fn send_peer(&mut self, from: usize, to: &str, frame: PeerFrame) {
+        self.note_register_message(from, &frame);
+        let bytes = frame.encoded_len();
+        let Some(to) = (0..CORES).find(|core| address(*core) == *to) else { return };
+        let reached =
+            self.cores[to].node.is_some() && ![from, to].iter().any(|core| self.cut_off.contains(core));
+        if !reached {
+            return;
+        }
+        let at = self.arrival(from, bytes);
+        let life = self.cores[to].life;
+        if self.cores[to].answered_at.is_none() {
+            self.cores[to].received_bytes += bytes;
+        }
+        self.add(at, Event::Core(to, life, Box::new(Input::Peer(frame)), bytes));
+    }
+
+    fn note_register_message(&mut self, from: usize, frame: &PeerFrame) {
+        let Some(PeerBody::Register(envelope)) = &frame.body else { return };
+        let Ok(message) = Message::decode(&envelope.message) else { return };
+        let machine = &mut self.cores[from];
+        match message.body {
+            Body::AcceptReply { .. } | Body::Promise { .. } => {
+                machine.voted_at.get_or_insert(self.now);
+            }
+            Body::Accept { value, .. } if value.electorate.is_joint() && machine.is_behind() => {
+                let error = format!("{} ms: core {from} changes the electorate early", self.now / 1_000);
+                self.violations.push(error);
+            }
+            _ => {}
+        }
+    }
+
+    fn send_agent(&mut self, core: usize, id: SubscriberId, message: Downstream) {
+        if let Some(DownstreamBody::Status(status)) = &message.body {
+            if status.quorum {
+                let known = self.cores[core].acknowledged_at_start;
+                if status.revision < known {
+                    let at = self.now / 1_000;
+                    self.violations.push(format!(
+                        "{at} ms: core {core} says that {} is the newest, {known} was acknowledged before it started",
+                        status.revision
+                    ));
+                }
+            }
+        }
+        let at = self.arrival(core, message.encoded_len());
+        let input = RelayInput::Link(LinkId(id.0), message);
+        self.add(at, Event::Agent(Box::new(input)));
+    }
+
+    fn agent_input(&mut self, input: RelayInput) {
+        let Some(agent) = self.agent.as_mut() else { return };
+        let outputs = agent.handle(self.now / 1_000, input);
+        let revision = agent.state().revision();
+        let confirmed = agent.state().confirmed();
+        if confirmed && revision >= self.acknowledged && self.agent_at.is_none() {
+            self.agent_at = Some(self.now);
+        }
+        for output in outputs {
+            match output {
+                RelayOutput::Connect(id, to) => self.connect(id, &to),
+                RelayOutput::Close(id) => {
+                    self.agent_links.remove(&id);
+                }
+                RelayOutput::ToLink(id, message) => self.to_core(id, message),
+                RelayOutput::ToFeed(_, message) => self.add(self.now + 100, Event::DataPlane(message)),
+            }
+        }
+    }
+
+    fn connect(&mut self, id: LinkId, to: &str) {
+        let core = (0..CORES).find(|core| address(*core) == *to);
+        let Some(core) = core.filter(|core| self.cores[*core].node.is_some()) else { return };
+        self.agent_links.insert(id, core);
+        self.add(self.now + 2 * DELAY_US, Event::Agent(Box::new(RelayInput::LinkUp(id))));
+    }
+
+    fn to_core(&mut self, id: LinkId, message: Upstream) {
+        let Some(core) = self.agent_links.get(&id).copied() else { return };
+        let life = self.cores[core].life;
+        let bytes = message.encoded_len();
+        let input = Input::Subscriber(SubscriberId(id.0), message);
+        self.add(self.now + DELAY_US, Event::Core(core, life, Box::new(input), bytes));
+    }
+
+    fn data_plane_message(&mut self, message: Downstream) {
+        let received = self.data_plane.receive(self.now / 1_000, message);
+        let state = self.data_plane.state();
+        if state.confirmed() && state.revision() >= self.acknowledged && self.data_plane_at.is_none() {
+            self.data_plane_at = Some(self.now);
+        }
+        for answer in received.answers {
+            self.agent_input(RelayInput::Feed(FeedId(1), answer));
+        }
+    }
+
+    /// The operator sends the next order, or the same again to another machine.
+    fn operator_asks(&mut self) {
+        self.asked_core = (self.asked_core + 1) % 3;
+        self.next_call += 1;
+        self.asked = self.next_call;
+        let order = match self.acknowledged {
+            0 => documents::first(),
+            base => documents::change(base),
+        };
+        let (core, asked) = (self.asked_core, self.asked);
+        let (life, bytes) = (self.cores[core].life, order.body.len());
+        let input = Input::Call(CallId(asked), Call::Change(order));
+        self.add(self.now + DELAY_US, Event::Core(core, life, Box::new(input), bytes));
+        self.add(self.now + ANSWER_WITHIN_US, Event::OperatorGivesUp(asked));
+    }
+
+    fn answered(&mut self, core: usize, id: CallId, answer: &Answer) {
+        if id.0 == self.asked {
+            self.asked = 0;
+            if answer.status == 200 {
+                self.acknowledged += 1;
+            }
+            let pause = if answer.status == 200 { self.change_every } else { 20_000 };
+            self.add(self.now + pause, Event::Operator);
+            return;
+        }
+        let Some((asked, acknowledged)) = self.reads.remove(&id.0) else { return };
+        if answer.status != 200 {
+            return;
+        }
+        let revision = revision_of(&answer.body);
+        if asked != core || revision < acknowledged {
+            let at = self.now / 1_000;
+            self.violations
+                .push(format!("{at} ms: core {core} answers {revision}, {acknowledged} was acknowledged"));
+        }
+        self.cores[core].answered_at.get_or_insert(self.now);
+    }
+
+    /// Reads at the late core machines that haven't answered yet.
+    fn poll(&mut self) {
+        self.add(self.now + 20_000, Event::Poll);
+        for core in [AWAY, EMPTY] {
+            let machine = &self.cores[core];
+            if machine.node.is_none() || machine.answered_at.is_some() {
+                continue;
+            }
+            let life = machine.life;
+            self.next_call += 1;
+            self.reads.insert(self.next_call, (core, self.acknowledged));
+            let input = Input::Call(CallId(self.next_call), Call::Read);
+            self.add(self.now, Event::Core(core, life, Box::new(input), 0));
+        }
+    }
+
+    /// The operator begins, with so much time in milliseconds between an answer and the next order.
+    pub fn change_every(&mut self, ms: u64) {
+        self.change_every = ms * 1_000;
+        if self.acknowledged == 0 {
+            self.add(self.now, Event::Operator);
+        }
+    }
+
+    /// All that is late starts now: the member that was away, an empty one, an agent and its data plane.
+    pub fn start_late(&mut self, disk: DiskTrouble) {
+        self.started_late_at = self.now;
+        self.start(AWAY, disk);
+        self.start(EMPTY, disk);
+        let seeds: Vec<String> = (0..3).map(address).collect();
+        self.agent = Some(Relay::new("edge-0", "zone", seeds, LinkSettings::default()));
+        self.add(self.now, Event::AgentTick);
+        let hello = RelayInput::Feed(FeedId(1), self.data_plane.hello());
+        self.add(self.now, Event::Agent(Box::new(hello)));
+        self.add(self.now, Event::Poll);
+    }
+
+    /// Whether all that started late has caught up.
+    pub fn all_caught_up(&self) -> bool {
+        let core =
+            |core: usize| self.cores[core].answered_at.is_some() && self.cores[core].voted_at.is_some();
+        core(AWAY) && core(EMPTY) && self.agent_at.is_some() && self.data_plane_at.is_some()
+    }
+
+    fn since_late(&self, at: Option<u64>) -> u64 {
+        at.map_or(u64::MAX, |at| at.saturating_sub(self.started_late_at) / 1_000)
+    }
+}
+
+/// Runs a trial; `Err` tells what was said or done too early, or what did not catch up.
+pub fn run(trial: Trial) -> Result<Outcome, String> {
+    let mut world = World::new();
+    // The fourth machine joins, takes the first configuration and goes away.
+    world.run_until(3_000, |_| false);
+    world.change_every(5);
+    if !world.run_until(20_000, |world| world.acknowledged >= 1 && world.cores[AWAY].revision >= 1) {
+        return Err("the first order is not acknowledged".into());
+    }
+    world.stop(AWAY);
+    let target = trial.changes + 1;
+    if !world.run_until(600_000, |world| world.acknowledged >= target) {
+        return Err(format!("{} of {target} orders are acknowledged", world.acknowledged));
+    }
+    world.change_every(200);
+    // The member that is away is taken out of the electorate.
+    let settled_at = world.now_ms() + 4_000;
+    world.run_until(settled_at, |_| false);
+    let acknowledged = world.acknowledged;
+    world.start_late(trial.disk);
+    let until = world.now_ms() + 30_000;
+    let caught_up = world.run_until(until, World::all_caught_up);
+    if let Some(first) = world.violations.first() {
+        return Err(format!("{} things too early, first: {first}", world.violations.len()));
+    }
+    if !caught_up {
+        let state = |core: usize| (world.cores[core].answered_at, world.cores[core].voted_at);
+        return Err(format!("not caught up: {:?} {:?}", state(AWAY), state(EMPTY)));
+    }
+    Ok(outcome(&world, acknowledged))
+}
+
+fn outcome(world: &World, acknowledged: u64) -> Outcome {
+    let core = |core: usize| &world.cores[core];
+    Outcome {
+        configuration_bytes: world.data_plane.state().encoded().len(),
+        away_ms: world.since_late(core(AWAY).answered_at),
+        empty_ms: world.since_late(core(EMPTY).answered_at),
+        away_votes_ms: world.since_late(core(AWAY).voted_at),
+        empty_votes_ms: world.since_late(core(EMPTY).voted_at),
+        agent_ms: world.since_late(world.agent_at),
+        data_plane_ms: world.since_late(world.data_plane_at),
+        away_bytes: core(AWAY).received_bytes,
+        empty_bytes: core(EMPTY).received_bytes,
+        longest_file: world.cores.iter().map(|core| core.disk.most_used).max().unwrap_or(0),
+        most_waiting: world.cores.iter().map(|core| core.disk.most_waiting).max().unwrap_or(0),
+        changes_meanwhile: world.acknowledged - acknowledged,
+    }
+}
+
+fn output_bytes(output: &Output) -> usize {
+    match output {
+        Output::Peer(_, frame) => frame.encoded_len(),
+        Output::Subscriber(_, message) => message.encoded_len(),
+        Output::Persist(_, record) => record.len(),
+        Output::Rewrite(records) => records.iter().map(Vec::len).sum(),
+        _ => 0,
+    }
+}
+
+fn revision_of(body: &[u8]) -> u64 {
+    let text = String::from_utf8_lossy(body);
+    let digits = text.split("\"revision\":").nth(1).unwrap_or("");
+    let digits: String = digits.chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().unwrap_or(0)
+}
--- a/crates/register/src/ballots.rs
+++ b/crates/register/src/ballots.rs
@@ -38,12 +38,17 @@
         (asked_for < next + RESERVATION / 2).then_some(next + RESERVATION)
     }
 
+    /// Whether a reservation covers the next ballot.
+    pub(crate) fn are_reserved(&self, durable_reservation: u64) -> bool {
+        self.next_counter() <= durable_reservation
+    }
+
     /// A ballot above all seen, or `None` while no reservation covers it.
     pub(crate) fn take(&mut self, durable_reservation: u64) -> Option<Ballot> {
-        let counter = self.next_counter();
-        if counter > durable_reservation {
+        if !self.are_reserved(durable_reservation) {
             return None;
         }
+        let counter = self.next_counter();
         self.used = counter;
         Some(Ballot { counter, proposer: self.id })
     }
--- a/crates/register/src/replica.rs
+++ b/crates/register/src/replica.rs
@@ -282,13 +282,24 @@
     fn tick_round(&mut self, now: u64) {
         match self.active.as_ref().map(|active| &active.stage) {
             Some(Stage::Inspecting(_)) => self.tick_inspect(now),
-            Some(Stage::Waiting { until }) if now >= *until => self.start_prepare(now),
+            Some(Stage::Waiting { until }) if now >= *until => self.resume(now),
             Some(Stage::Preparing(_)) => self.tick_prepare(now),
             Some(Stage::Proposing(_)) => self.tick_accept(now),
             _ => {}
         }
     }
 
+    /// Goes on after a wait. A read needs no ballot where a quorum agrees: while the disk keeps one from being reserved, it
+    /// looks again.
+    fn resume(&mut self, now: u64) {
+        let reads = self.active.as_ref().is_some_and(|active| active.goal == Goal::Read);
+        if reads && !self.ballots.are_reserved(self.acceptor.durable_reservation()) {
+            self.start_inspect(now);
+        } else {
+            self.start_prepare(now);
+        }
+    }
+
     pub(crate) fn committed_ballot(&self) -> Ballot {
         self.committed.as_ref().map_or(Ballot::NONE, |committed| committed.ballot)
     }
--- a/crates/register/tests/catch_up_disk.rs
+++ b/crates/register/tests/catch_up_disk.rs
@@ -107,3 +107,45 @@
     }
     expect_that!(promised, some(eq((ballot(3), ballot(2)))));
 }
+
+fn from(other: u64, body: Body) -> Input {
+    Input::Message { from: ReplicaId(other), message: Message { to: ME, body } }
+}
+
+fn inspected(outputs: &[Output]) -> Option<u64> {
+    outputs.iter().find_map(|output| match output {
+        Output::Send { message: Message { body: Body::Inspect { read, .. }, .. }, .. } => Some(*read),
+        _ => None,
+    })
+}
+
+/// A restarted replica has to reserve ballots on the disk before it may propose; a read must not wait for that.
+#[gtest]
+fn a_read_that_met_a_change_looks_again_while_the_disk_stalls() {
+    let electorate = Electorate { epoch: 1, members: members(), joint_with: Vec::new() };
+    let value = |counter: u64| {
+        let data = Bytes::from(vec![counter as u8]);
+        let value = Value { electorate: electorate.clone(), data, lineage: vec![ballot(counter)] };
+        Accepted { ballot: ballot(counter), value }
+    };
+    let records =
+        [Record::FirstElectorate(electorate.clone()), Record::Reserved(1_000), Record::Accepted(value(1))];
+    let mut replica = Replica::recover(ME, records.into_iter(), 7);
+    let read = inspected(&replica.handle(0, Input::Read { operation: 1 })).expect("the read asks");
+    replica.handle(2, from(1, Body::InspectReply { read, accepted: ballot(5) }));
+    replica.handle(3, from(3, Body::InspectReply { read, accepted: ballot(4) }));
+    replica.handle(4, from(1, Body::FetchReply { accepted: value(5) }));
+
+    let mut again = None;
+    let mut now = 5;
+    while again.is_none() && now < 200 {
+        now += 25;
+        again = inspected(&replica.handle(now, Input::Tick)).filter(|again| *again != read);
+    }
+    let read = again.expect("the read asks again within 200 ms");
+    replica.handle(now + 2, from(1, Body::InspectReply { read, accepted: ballot(5) }));
+    replica.handle(now + 3, from(3, Body::InspectReply { read, accepted: ballot(5) }));
+    let outputs = replica.handle(now + 4, from(1, Body::FetchReply { accepted: value(5) }));
+    let done = outputs.iter().any(|output| matches!(output, Output::Done { operation: 1, result: Ok(_) }));
+    expect_that!(done, eq(true), "{outputs:?}");
+}
