The calls' interface: codes of its own answers, none from before a freeze

A missing Base-Version is 1009, a body that can't be read 1000, no answer in time 3001. An answer that the node gave before the process stood still is not passed on after it.

--- a/src/control_plane/http.rs
+++ b/src/control_plane/http.rs
@@ -1,5 +1,8 @@
 //! The HTTP interface for workers and the operator.
 
+#[cfg(test)]
+mod tests;
+
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -11,11 +14,12 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use switchhill_configuration::{Order, OrderKind, ResultCode};
 use switchhill_control::{Answer, Call, CallId, Input};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 
 use crate::system::connection;
 
--- /dev/null
+++ b/src/control_plane/http/tests.rs
@@ -0,0 +1,114 @@
+//! Tests of the calls' interface over in-memory streams, in paused time.
+
+use super::{handle, Calls, ANSWER_WITHIN};
+use bytes::Bytes;
+use googletest::prelude::*;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+use switchhill_configuration::OrderKind;
+use switchhill_control::{Answer, Call, Input};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::mpsc;
+
+fn calls() -> (Calls, mpsc::UnboundedReceiver<Input>) {
+    let (inputs, received) = mpsc::unbounded_channel();
+    (Calls { waiting: Rc::default(), next: Rc::default(), inputs }, received)
+}
+
+/// Runs in paused time.
+fn run<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), test)
+}
+
+/// Makes a call as bytes and returns the answer's status and body; the node gives `answer`.
+async fn exchange(request: String, answer: Answer) -> (String, String) {
+    let (calls, mut inputs) = calls();
+    let (mut client, server) = tokio::io::duplex(64 * 1024);
+    let mut node = calls.clone();
+    tokio::task::spawn_local(async move {
+        while let Some(input) = inputs.recv().await {
+            if let Input::Call(id, _) = input {
+                node.answer(id, answer.clone());
+            }
+        }
+    });
+    let service = service_fn(move |request| handle(request, calls.clone()));
+    tokio::task::spawn_local(http1::Builder::new().serve_connection(TokioIo::new(server), service));
+    client.write_all(request.as_bytes()).await.expect("written");
+    let mut text = Vec::new();
+    client.read_to_end(&mut text).await.expect("read");
+    let text = String::from_utf8_lossy(&text).into_owned();
+    let (head, body) = text.split_once("\r\n\r\n").expect("a head");
+    (head.lines().next().unwrap_or_default().to_owned(), body.to_owned())
+}
+
+fn post(path: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!("POST {path} HTTP/1.1\r\nHost: c\r\nConnection: close\r\n{headers}Content-Length: {length}\r\n\r\n{body}")
+}
+
+fn ok() -> Answer {
+    Answer { status: 200, body: Bytes::from_static(b"{\"code\":2000,\"revision\":9}") }
+}
+
+#[gtest]
+fn order_without_a_base_is_refused_with_its_code() {
+    for header in ["", "Base-Version: seven\r\n", "Base-Version: -1\r\n"] {
+        let (status, body) = run(exchange(post("/api/config/update", header, "{}"), ok()));
+        expect_that!(status, eq("HTTP/1.1 400 Bad Request"), "{header}");
+        expect_that!(body, contains_substring("\"code\":1009"), "{header}");
+    }
+}
+
+#[gtest]
+fn body_over_the_limit_is_refused_with_its_code() {
+    let body = " ".repeat(super::LONGEST_BODY + 1);
+    let (status, body) = run(exchange(post("/api/config/replace", "Base-Version: 0\r\n", &body), ok()));
+    expect_that!(status, eq("HTTP/1.1 400 Bad Request"));
+    expect_that!(body, contains_substring("\"code\":1000"));
+}
+
+#[gtest]
+fn answer_of_the_node_is_passed_on() {
+    let (status, body) = run(exchange(post("/api/config/update", "Base-Version: 7\r\n", "{}"), ok()));
+    expect_that!((status.as_str(), body.as_str()), eq(("HTTP/1.1 200 OK", "{\"code\":2000,\"revision\":9}")));
+}
+
+#[gtest]
+fn call_without_an_answer_is_left_open() {
+    let (calls, _inputs) = calls();
+    let answer = run(calls.make(Call::Read));
+    expect_that!(answer.status, eq(504));
+    expect_that!(String::from_utf8_lossy(&answer.body), contains_substring("\"code\":3001"));
+    expect_true!(calls.waiting.borrow().is_empty());
+}
+
+#[gtest]
+fn answer_given_before_a_freeze_is_not_passed_on_after_it() {
+    let outcome = run(async {
+        let mut outcome = Vec::new();
+        for frozen_for in [Duration::ZERO, ANSWER_WITHIN + Duration::from_millis(1), Duration::from_secs(20)]
+        {
+            let (mut calls, mut inputs) = calls();
+            let making = calls.clone();
+            let order = switchhill_configuration::Order {
+                kind: OrderKind::Update,
+                base_version: 7,
+                body: Bytes::from_static(b"{}"),
+            };
+            let made = tokio::task::spawn_local(async move { making.make(Call::Change(order)).await });
+            let Some(Input::Call(id, _)) = inputs.recv().await else { panic!("a call is made") };
+            // The node's answer is there; the process stands still before its caller is given it.
+            calls.answer(id, ok());
+            tokio::time::advance(frozen_for).await;
+            outcome.push(made.await.expect("an answer").status);
+        }
+        outcome
+    });
+    expect_that!(outcome, eq(&[200, 504, 504]));
+}
