--- a/crates/control/tests/orders_reordered.rs
+++ b/crates/control/tests/orders_reordered.rs
@@ -26,7 +26,7 @@
 const HELD_FOR: usize = 14;
 
 /// Steps at which the first order is sent again through the third node.
-const AGAIN_AT: [usize; 2] = [6, 14];
+const AGAIN_AT: [usize; 2] = [10, 14];
 
 const TICK: u64 = 25;
 
@@ -206,10 +206,7 @@
 fn play(flaw: Option<Flaw>, variant: Variant, schedule: &[Deviation]) -> Played {
     let mut cluster = Cluster::settled(flaw);
     let (one, other) = (order(1, 3, 5, true), order(2, 3, 5, true));
-    let mut calls = [CallId(0); 2];
-    for node in 0..2 {
-        calls[node] = cluster.call(node, if node == variant.first_node { &one } else { &other });
-    }
+    let calls = [0, 1].map(|node| cluster.call(node, if node == variant.first_node { &one } else { &other }));
     let (one_call, other_call) = (calls[variant.first_node], calls[1 - variant.first_node]);
     let mut again = one_call;
     let mut waiting = Vec::new();
