A ballot told and not known within 600 ms has the register read, also while changes follow one another

The wait began anew with each higher ballot told, so that a node which never came to know any would not have noticed during a stream of changes. Each ballot awaited now has its own 600 ms. Tests of crates/control pass in the debug build.

--- a/crates/control/src/freshness.rs
+++ b/crates/control/src/freshness.rs
@@ -15,8 +15,8 @@
 pub(crate) struct Freshness {
     /// The highest ballot told.
     told: Ballot,
-    /// When it was first told.
-    since: u64,
+    /// A ballot told that is not known here yet, and since when it is awaited.
+    awaited: Option<(Ballot, u64)>,
     /// The highest ballot told when the read under way began.
     reading: Ballot,
     /// The highest ballot told before the last complete read of the register began.
@@ -25,11 +25,8 @@
 
 impl Freshness {
     /// A node has accepted a value under this ballot.
-    pub(crate) fn told(&mut self, now: u64, accepted: Ballot) {
-        if accepted > self.told {
-            self.told = accepted;
-            self.since = now;
-        }
+    pub(crate) fn told(&mut self, accepted: Ballot) {
+        self.told = self.told.max(accepted);
     }
 
     /// A read of the register begins.
@@ -42,8 +39,15 @@
         self.read = self.reading;
     }
 
-    fn is_behind(&self, now: u64, held: Ballot) -> bool {
-        self.told > held.max(self.read) && now >= self.since + BEHIND_FOR
+    /// Whether a ballot is awaited for too long. `held` is the one known to be chosen here. While changes follow one another
+    /// there always is a newer one, so each is given its time.
+    fn is_behind(&mut self, now: u64, held: Ballot) -> bool {
+        let known = held.max(self.read);
+        self.awaited = self.awaited.filter(|(ballot, _)| *ballot > known);
+        if self.awaited.is_none() && self.told > known {
+            self.awaited = Some((self.told, now));
+        }
+        self.awaited.is_some_and(|(_, since)| now >= since + BEHIND_FOR)
     }
 }
 
@@ -52,9 +56,10 @@
     pub(crate) fn tick_freshness(&mut self, now: u64) {
         // Its own acceptance counts too: a value not known to be chosen may name another electorate.
         let accepted = self.replica.accepted_ballot();
-        self.freshness.told(now, accepted);
+        self.freshness.told(accepted);
         let held = self.committed_ballot().unwrap_or(Ballot::NONE);
-        if !self.has_quorum(now) || self.freshness.is_behind(now, held) {
+        let is_behind = self.freshness.is_behind(now, held);
+        if is_behind || !self.has_quorum(now) {
             self.caught_up = false;
         }
     }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -119,7 +119,7 @@
         };
         let accepted =
             Ballot { counter: heartbeat.accepted_counter, proposer: ReplicaId(heartbeat.accepted_proposer) };
-        self.freshness.told(now, accepted);
+        self.freshness.told(accepted);
         self.bring_up_to_date(now, from, &address, theirs);
         self.compare_workers(now, from, address, heartbeat.workers_digest, heartbeat.warm);
     }
