--- a/crates/control/examples/catch_up_table.rs
+++ b/crates/control/examples/catch_up_table.rs
@@ -5,14 +5,16 @@
 #[path = "../tests/catch_up/mod.rs"]
 mod catch_up;
 
-use catch_up::{run, DiskTrouble, Outcome, Trial, ROUTES};
+use catch_up::{run, DiskTrouble, Outcome, Trial};
+
+const ROUTES: u64 = 400;
 
 fn main() {
     println!("{ROUTES} routes; milliseconds from the start of all four at once, kB, changes meanwhile");
     println!("disk         changes | away votes | empty votes | agent data plane | to away, empty | file waiting | more");
     for disk in [DiskTrouble::None, DiskTrouble::Slow(30), DiskTrouble::Stalled(3_000)] {
         for changes in [10, 100, 1_000] {
-            match run(Trial { changes, disk }) {
+            match run(Trial { routes: ROUTES, changes, disk }) {
                 Ok(outcome) => print(disk, changes, &outcome),
                 Err(error) => println!("{disk:?} {changes}: {error}"),
             }
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -19,7 +19,7 @@
 /// What is done with the register.
 #[derive(Debug, Clone)]
 pub(crate) enum Job {
-    /// The register is read once after the start.
+    /// The register is read after the start, and after each time without contact with a quorum.
     CatchUp,
     /// An operator's change.
     Change { call: CallId, order: Order, since: u64, answer: Option<Answer> },
@@ -38,6 +38,7 @@
     current: Option<(u64, Job)>,
     next_operation: u64,
     next_catch_up: u64,
+    catch_up_begun_at: u64,
 }
 
 impl Jobs {
@@ -86,6 +87,9 @@
             return;
         }
         let Some(job) = self.jobs.waiting.pop_front() else { return };
+        if matches!(job, Job::CatchUp) {
+            self.jobs.catch_up_begun_at = now;
+        }
         self.jobs.next_operation += 1;
         let operation = self.jobs.next_operation;
         let input = match job {
@@ -166,7 +170,11 @@
         self.begin_next(now);
     }
 
+    /// The register was read. A read begun before contact was lost tells what a majority held then.
     fn has_caught_up(&mut self, now: u64) {
+        if self.jobs.catch_up_begun_at <= self.out_of_contact_at {
+            return;
+        }
         self.caught_up = true;
         self.publish_status(now);
     }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -33,8 +33,10 @@
     pub(crate) placer: Placer,
     /// When the node began.
     pub(crate) started_at: u64,
-    /// Whether the register was read in this life.
+    /// Whether the register was read since the last time without contact with a quorum.
     pub(crate) caught_up: bool,
+    /// The last tick without contact with a quorum.
+    pub(crate) out_of_contact_at: u64,
     /// Whether the worker table is whole.
     pub(crate) warm: bool,
     /// Addresses of core nodes that were told of and not heard yet.
@@ -70,6 +72,7 @@
             placer: Placer::new(&settings),
             started_at: now,
             caught_up: false,
+            out_of_contact_at: now,
             warm: false,
             told_addresses: BTreeSet::new(),
             out: Vec::new(),
@@ -121,6 +124,11 @@
     }
 
     fn tick(&mut self, now: u64) {
+        if !self.has_quorum(now) {
+            // What a majority holds may go on without this node.
+            self.caught_up = false;
+            self.out_of_contact_at = now;
+        }
         self.send_heartbeats(now);
         self.register_input(now, switchhill_register::Input::Tick);
         self.tick_workers(now);
--- a/crates/control/tests/catch_up/documents.rs
+++ b/crates/control/tests/catch_up/documents.rs
@@ -2,12 +2,9 @@
 
 use switchhill_configuration::{Order, OrderKind};
 
-/// Routes of the configuration.
-pub const ROUTES: u64 = 400;
-
 /// The first order: the whole configuration.
-pub fn first() -> Order {
-    let routes: Vec<String> = (0..ROUTES).map(|number| route(number, 0)).collect();
+pub fn first(routes: u64) -> Order {
+    let routes: Vec<String> = (0..routes).map(|number| route(number, 0)).collect();
     let routes = routes.join(",");
     let body = format!(
         "{{\"revision\":1,\"routes\":[{routes}],\"services\":[{{\"name\":\"service\",\"healthCheck\":\"/health\",\
@@ -17,9 +14,9 @@
 }
 
 /// The order that leads from a revision to the next one.
-pub fn change(base: u64) -> Order {
+pub fn change(routes: u64, base: u64) -> Order {
     let revision = base + 1;
-    let route = route(base % ROUTES, revision);
+    let route = route(base % routes, revision);
     let body = format!("{{\"revision\":{revision},\"upsert\":{{\"routes\":[{route}]}}}}");
     Order { kind: OrderKind::Update, base_version: base, body: body.into_bytes().into() }
 }
--- a/crates/control/tests/catch_up/mod.rs
+++ b/crates/control/tests/catch_up/mod.rs
@@ -12,11 +12,12 @@
 use prost::Message as _;
 use switchhill_control::{Answer, Call, CallId, ControlNode, Input, NodeSettings, Output, SubscriberId};
 use switchhill_distribution::{FeedId, FeedState, LinkId, LinkSettings, Relay, RelayInput, RelayOutput};
-use switchhill_protocol::{Downstream, DownstreamBody, PeerBody, PeerFrame, Upstream};
+use switchhill_protocol::{
+    Downstream, DownstreamBody, Hello, PeerBody, PeerFrame, Status, Upstream, UpstreamBody,
+};
 use switchhill_register::{Body, Member, Message, ReplicaId};
 use switchhill_replica_file::{Identity, Work};
 
-pub use documents::ROUTES;
 use files::Disk;
 pub use files::DiskTrouble;
 
@@ -39,9 +40,9 @@
 const INPUT_NS: u64 = 30_000;
 const KILOBYTE_NS: u64 = 500;
 
-/// Processor time in nanoseconds for each kilobyte of a newly committed value, on a whole core: it is read twice and a
-/// change is made from it (`cargo run --release -p switchhill-control --example state_cost`).
-const COMMITTED_KILOBYTE_NS: u64 = 30_000;
+/// Processor time in nanoseconds for each route of a newly committed configuration, on a whole core: it is read twice and
+/// a change is made from it (`cargo run --release -p switchhill-control --example state_cost`).
+const COMMITTED_ROUTE_NS: u64 = 7_500;
 
 /// Core machines; the first three are the seeds, the fourth joins, the last one starts late with an empty disk.
 const CORES: usize = 5;
@@ -50,12 +51,35 @@
 
 const CORE_MACHINES_LOST: usize = 1;
 
+/// Routes where only one member is looked at.
+const ROUTES_OF_ABSENCE: u64 = 10;
+
+/// Time in milliseconds before the end of an absence from which on the member is asked for its status.
+const WATCHED_BEFORE_MS: u64 = 100;
+
 /// Time in microseconds after which the operator takes an order elsewhere.
 const ANSWER_WITHIN_US: u64 = 1_000_000;
 
+/// From this number on, subscribers are there to be told one status; time in microseconds between two of them.
+const WATCHERS: u64 = 1 << 40;
+const WATCH_US: u64 = 5_000;
+
+/// Directions that a cut closes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// Both.
+    Both,
+    /// What the others send doesn't arrive.
+    Deaf,
+    /// What the machine sends doesn't arrive.
+    Dumb,
+}
+
 /// What is tried.
 #[derive(Clone, Copy, Debug)]
 pub struct Trial {
+    /// Routes of the configuration.
+    pub routes: u64,
     /// Changes while the member is away.
     pub changes: u64,
     /// Trouble of the disks of the member that returns and of the one that is new.
@@ -97,6 +121,7 @@
     OperatorGivesUp(u64),
     Operator,
     Poll,
+    Watch(usize),
 }
 
 struct Core {
@@ -107,8 +132,8 @@
     processor_free_at: u64,
     revision: u64,
     started_at: u64,
-    /// Revision acknowledged to the operator when this life began.
-    acknowledged_at_start: u64,
+    /// Revision that had been acknowledged when this life began, or when the last cut ended.
+    must_know: u64,
     /// When it first answered a read with the newest configuration, and first voted, in this life.
     answered_at: Option<u64>,
     voted_at: Option<u64>,
@@ -116,14 +141,15 @@
 }
 
 impl Core {
-    /// Whether it doesn't know what was acknowledged before it started, which a majority holds.
+    /// Whether it doesn't know what was acknowledged before it started or came back, which a majority holds.
     fn is_behind(&self) -> bool {
-        self.revision < self.acknowledged_at_start
+        self.revision < self.must_know
     }
 }
 
 /// Everything.
 pub struct World {
+    routes: u64,
     now: u64,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: BTreeMap<u64, Event>,
@@ -135,14 +161,15 @@
     agent_at: Option<u64>,
     data_plane_at: Option<u64>,
     started_late_at: u64,
-    /// Core machines that are cut off from the others.
-    cut_off: Vec<usize>,
+    /// Core machines that are cut off from the others, with the directions.
+    cuts: Vec<(usize, Cut)>,
     /// Revision of the last acknowledged order.
     pub acknowledged: u64,
     change_every: u64,
     asked: u64,
     asked_core: usize,
     next_call: u64,
+    watchers: u64,
     reads: BTreeMap<u64, (usize, u64)>,
     /// What was said or done that no node may say or do.
     pub violations: Vec<String>,
@@ -158,7 +185,7 @@
 
 impl World {
     /// The seeds and the fourth machine, started on empty disks.
-    pub fn new() -> World {
+    pub fn new(routes: u64) -> World {
         let core = |_| Core {
             node: None,
             life: 0,
@@ -167,12 +194,13 @@
             processor_free_at: 0,
             revision: 0,
             started_at: 0,
-            acknowledged_at_start: 0,
+            must_know: 0,
             answered_at: None,
             voted_at: None,
             received_bytes: 0,
         };
         let mut world = World {
+            routes,
             now: 0,
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
@@ -184,12 +212,13 @@
             agent_at: None,
             data_plane_at: None,
             started_late_at: u64::MAX,
-            cut_off: Vec::new(),
+            cuts: Vec::new(),
             acknowledged: 0,
             change_every: 0,
             asked: 0,
             asked_core: 0,
             next_call: 1,
+            watchers: 0,
             reads: BTreeMap::new(),
             violations: Vec::new(),
         };
@@ -233,7 +262,7 @@
         let genesis = genesis.then(|| (0..3).map(member).collect());
         machine.node = Some(ControlNode::new(self.now / 1_000, settings, records, genesis));
         machine.started_at = self.now;
-        machine.acknowledged_at_start = self.acknowledged;
+        machine.must_know = self.acknowledged;
         machine.revision = 0;
         machine.answered_at = None;
         machine.voted_at = None;
@@ -249,12 +278,22 @@
         machine.life += 1;
     }
 
-    /// Cuts a core machine off from all others, or ends that.
-    pub fn cut(&mut self, core: usize, cut: bool) {
-        self.cut_off.retain(|other| *other != core);
-        if cut {
-            self.cut_off.push(core);
-        }
+    /// Cuts a core machine off from all others.
+    pub fn cut(&mut self, core: usize, cut: Cut) {
+        self.cuts.push((core, cut));
+    }
+
+    /// Ends all cuts of a machine.
+    pub fn heal(&mut self, core: usize) {
+        self.cuts.retain(|(other, _)| *other != core);
+        self.cores[core].must_know = self.acknowledged;
+    }
+
+    fn passes(&self, from: usize, to: usize) -> bool {
+        let stopped = |(core, cut): &(usize, Cut)| {
+            (*core == from && *cut != Cut::Deaf) || (*core == to && *cut != Cut::Dumb)
+        };
+        !self.cuts.iter().any(stopped)
     }
 
     /// Runs until a moment, in milliseconds from the beginning, or until a condition holds. Returns whether it does.
@@ -302,6 +341,7 @@
             Event::OperatorGivesUp(asked) if asked == self.asked => self.operator_asks(),
             Event::Operator => self.operator_asks(),
             Event::Poll => self.poll(),
+            Event::Watch(core) => self.watch(core),
             _ => {}
         }
     }
@@ -329,7 +369,7 @@
         let kilobytes = ((bytes + sent) / 1_000) as u64;
         let mut ns = INPUT_NS + kilobytes * KILOBYTE_NS;
         if committed {
-            ns += COMMITTED_KILOBYTE_NS * 100;
+            ns += COMMITTED_ROUTE_NS * self.routes;
         }
         machine.processor_free_at = self.now + ns * 100 / PROCESSOR_SHARE / 1_000;
         if placer && machine.is_behind() {
@@ -346,6 +386,7 @@
         match output {
             Output::Peer(to, frame) => self.send_peer(core, &to, frame),
             Output::Subscriber(id, message) => self.send_agent(core, id, message),
+            Output::CloseSubscriber(id) if id.0 >= WATCHERS => {}
             Output::CloseSubscriber(id) => {
                 let lost = RelayInput::LinkLost(LinkId(id.0));
                 self.add(self.now + DELAY_US, Event::Agent(Box::new(lost)));
@@ -376,8 +417,7 @@
         self.note_register_message(from, &frame);
         let bytes = frame.encoded_len();
         let Some(to) = (0..CORES).find(|core| address(*core) == *to) else { return };
-        let reached =
-            self.cores[to].node.is_some() && ![from, to].iter().any(|core| self.cut_off.contains(core));
+        let reached = self.cores[to].node.is_some() && self.passes(from, to);
         if !reached {
             return;
         }
@@ -407,22 +447,37 @@
 
     fn send_agent(&mut self, core: usize, id: SubscriberId, message: Downstream) {
         if let Some(DownstreamBody::Status(status)) = &message.body {
-            if status.quorum {
-                let known = self.cores[core].acknowledged_at_start;
-                if status.revision < known {
-                    let at = self.now / 1_000;
-                    self.violations.push(format!(
-                        "{at} ms: core {core} says that {} is the newest, {known} was acknowledged before it started",
-                        status.revision
-                    ));
-                }
-            }
+            self.note_status(core, status);
+        }
+        if id.0 >= WATCHERS {
+            return;
         }
         let at = self.arrival(core, message.encoded_len());
         let input = RelayInput::Link(LinkId(id.0), message);
         self.add(at, Event::Agent(Box::new(input)));
     }
 
+    fn note_status(&mut self, core: usize, status: &Status) {
+        let known = self.cores[core].must_know;
+        if status.quorum && status.revision < known {
+            let (at, said) = (self.now / 1_000, status.revision);
+            self.violations.push(format!(
+                "{at} ms: core {core} says that {said} is the newest, {known} was acknowledged"
+            ));
+        }
+    }
+
+    /// Subscribes at a core machine, again and again, to hear its statuses.
+    pub fn watch(&mut self, core: usize) {
+        let hello = Hello { node: "watcher".into(), zone: "zone".into(), revision: u64::MAX, home: false };
+        let message = Upstream { body: Some(UpstreamBody::Hello(hello)) };
+        self.watchers += 1;
+        let input = Input::Subscriber(SubscriberId(WATCHERS + self.watchers), message);
+        let life = self.cores[core].life;
+        self.add(self.now, Event::Core(core, life, Box::new(input), 0));
+        self.add(self.now + WATCH_US, Event::Watch(core));
+    }
+
     fn agent_input(&mut self, input: RelayInput) {
         let Some(agent) = self.agent.as_mut() else { return };
         let outputs = agent.handle(self.now / 1_000, input);
@@ -475,8 +530,8 @@
         self.next_call += 1;
         self.asked = self.next_call;
         let order = match self.acknowledged {
-            0 => documents::first(),
-            base => documents::change(base),
+            0 => documents::first(self.routes),
+            base => documents::change(self.routes, base),
         };
         let (core, asked) = (self.asked_core, self.asked);
         let (life, bytes) = (self.cores[core].life, order.body.len());
@@ -559,7 +614,7 @@
 
 /// Runs a trial; `Err` tells what was said or done too early, or what did not catch up.
 pub fn run(trial: Trial) -> Result<Outcome, String> {
-    let mut world = World::new();
+    let mut world = World::new(trial.routes);
     // The fourth machine joins, takes the first configuration and goes away.
     world.run_until(3_000, |_| false);
     world.change_every(5);
@@ -589,6 +644,37 @@
     Ok(outcome(&world, acknowledged))
 }
 
+/// What happens to a member while changes go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Absence {
+    /// It is cut off.
+    Cut(Cut),
+    /// Its process is frozen.
+    Frozen,
+}
+
+/// A member is absent for a time in milliseconds and comes back. Returns what it said or did before it knew what had been
+/// acknowledged until then, and after how many milliseconds it knew.
+pub fn run_absence(absence: Absence, for_ms: u64, change_every_ms: u64) -> (Vec<String>, u64) {
+    let mut world = World::new(ROUTES_OF_ABSENCE);
+    world.run_until(3_000, |_| false);
+    world.change_every(change_every_ms);
+    world.run_until(4_000, |_| false);
+    match absence {
+        Absence::Cut(cut) => world.cut(AWAY, cut),
+        Absence::Frozen => world.cores[AWAY].processor_free_at = world.now + for_ms * 1_000,
+    }
+    world.run_until(4_000 + for_ms - WATCHED_BEFORE_MS, |_| false);
+    world.watch(AWAY);
+    world.run_until(4_000 + for_ms, |_| false);
+    world.heal(AWAY);
+    let back = world.now_ms();
+    world.run_until(back + 10_000, |world| !world.cores[AWAY].is_behind());
+    let knew = world.now_ms() - back;
+    world.run_until(back + 800, |_| false);
+    (world.violations, knew)
+}
+
 fn outcome(world: &World, acknowledged: u64) -> Outcome {
     let core = |core: usize| &world.cores[core];
     Outcome {
