Control: a job that ends with an older value takes nothing back

Need: the end of a change of the electorate may carry its joint value although a newer one has been chosen; the node then went back to the older state, grant of the placer included, until the next change. The failing test came first.

--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -161,10 +161,8 @@
     pub(crate) fn job_done(&mut self, now: u64, operation: u64, result: Result<Accepted, RegisterError>) {
         let Some(job) = self.jobs.take_current(operation) else { return };
         match result {
-            Ok(accepted) => {
-                self.committed(now, &accepted);
-                self.job_succeeded(now, job);
-            }
+            // The register has told of the newest value before; this one may be older.
+            Ok(_) => self.job_succeeded(now, job),
             Err(error) => self.job_failed(now, job, &error),
         }
         self.begin_next(now);
--- a/crates/control/src/jobs/tests.rs
+++ b/crates/control/src/jobs/tests.rs
@@ -1,9 +1,12 @@
 //! Tests of what an order makes of a state.
 
-use super::decide_change;
+use super::{decide_change, Job};
+use crate::input::NodeSettings;
+use crate::node::ControlNode;
 use bytes::Bytes;
 use googletest::prelude::*;
 use switchhill_configuration::{ControlState, Order, OrderKind};
+use switchhill_register::{Accepted, Ballot, Electorate, Member, ReplicaId, Value};
 
 fn order(base_version: u64, revision: u64) -> Order {
     let body = format!("{{\"revision\":{revision},\"routes\":[],\"services\":[],\"limits\":{{}}}}");
@@ -31,3 +34,43 @@
     expect_that!(write, some(eq(&data)));
     expect_that!(answer.status, eq(412));
 }
+
+fn node() -> ControlNode {
+    let settings = NodeSettings {
+        replica: 1,
+        life: 1,
+        node_name: "core-0".to_owned(),
+        address: "10.0.0.1:7000".to_owned(),
+        seeds: vec!["10.0.0.1:7000".to_owned()],
+        machines_lost: 0,
+        worker_heartbeat_ms: 1_200,
+        lease_ms: 2_000,
+        ceiling_window_ms: 10_000,
+        fencing: true,
+        seed: 1,
+    };
+    ControlNode::new(0, settings, Vec::new(), Some(vec![member()]))
+}
+
+fn member() -> Member {
+    Member { id: ReplicaId(1), address: "10.0.0.1:7000".to_owned() }
+}
+
+fn chosen(counter: u64, state: &ControlState) -> Accepted {
+    let ballot = Ballot { counter, proposer: ReplicaId(1) };
+    let electorate = Electorate { epoch: 1, members: vec![member()], joint_with: Vec::new() };
+    let value = Value { electorate, data: Bytes::from(state.encode()), lineage: vec![ballot] };
+    Accepted { ballot, value }
+}
+
+/// A change of the electorate ends with its joint value although a newer one has been chosen meanwhile.
+#[gtest]
+fn a_job_that_ends_with_an_older_value_takes_nothing_back() {
+    let mut node = node();
+    let older = ControlState::default().grant_placer("core-1");
+    let newer = older.grant_placer("core-2");
+    node.committed(0, &chosen(5, &newer));
+    node.jobs.current = Some((1, Job::Electorate { members: vec![member()] }));
+    node.job_done(1, 1, Ok(chosen(4, &older)));
+    expect_that!(node.control, eq(&newer));
+}
