Catch-up: a member that restarts while it receives nothing is tried too

Need: a planted caught_up from the start went unnoticed: the newest value comes before the echo that makes contact, unless repairs are held back by their pace.

--- a/crates/control/tests/catch_up.rs
+++ b/crates/control/tests/catch_up.rs
@@ -54,8 +54,13 @@
 
 #[gtest]
 fn a_member_that_comes_back_claims_nothing_before_it_knows_what_a_majority_holds() {
-    let absences =
-        [Absence::Cut(Cut::Both), Absence::Cut(Cut::Deaf), Absence::Cut(Cut::Dumb), Absence::Frozen];
+    let absences = [
+        Absence::Cut(Cut::Both),
+        Absence::Cut(Cut::Deaf),
+        Absence::Cut(Cut::Dumb),
+        Absence::Frozen,
+        Absence::Restarted,
+    ];
     for absence in absences {
         // Every phase of heartbeats and repairs, beyond the age up to which a contact counts.
         for for_ms in (1_000..2_200).step_by(60).chain([5_000]) {
--- a/crates/control/tests/catch_up/mod.rs
+++ b/crates/control/tests/catch_up/mod.rs
@@ -651,6 +651,8 @@
     Cut(Cut),
     /// Its process is frozen.
     Frozen,
+    /// Its process ends, and starts again after a second; what the others send does not arrive until the end.
+    Restarted,
 }
 
 /// A member is absent for a time in milliseconds and comes back. Returns what it said or did before it knew what had been
@@ -663,6 +665,12 @@
     match absence {
         Absence::Cut(cut) => world.cut(AWAY, cut),
         Absence::Frozen => world.cores[AWAY].processor_free_at = world.now + for_ms * 1_000,
+        Absence::Restarted => {
+            world.stop(AWAY);
+            world.run_until(5_000, |_| false);
+            world.start(AWAY, DiskTrouble::None);
+            world.cut(AWAY, Cut::Deaf);
+        }
     }
     world.run_until(4_000 + for_ms - WATCHED_BEFORE_MS, |_| false);
     world.watch(AWAY);
