Links between core nodes: nothing is kept for a node that doesn't read

Need: up to 512 messages wait for each core node; once each may carry a value of 192 kB, and a frozen node takes one connection after the other without reading. In 15 s with 33 changes a second 20 MB waited, and more each second. Change: a write that times out drops what waits, as a failed connect does; a write that fails at once still doesn't.

--- a/src/control_plane/links.rs
+++ b/src/control_plane/links.rs
@@ -1,5 +1,8 @@
 //! Connections to and from other core nodes and subscribers.
 
+#[cfg(test)]
+mod tests;
+
 use crate::system::connection::{self, LinkKind};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -67,11 +70,15 @@
         };
         let mut next = Some(frame);
         while let Some(frame) = next {
-            let written = tokio::time::timeout(WRITE_WITHIN, write_frame(&mut stream, &frame)).await;
-            if !matches!(written, Ok(Ok(()))) {
-                break;
+            match tokio::time::timeout(WRITE_WITHIN, write_frame(&mut stream, &frame)).await {
+                Ok(Ok(())) => next = next_frame(&mut queue, &stream).await,
+                Ok(Err(_)) => break,
+                Err(_) => {
+                    // The other side doesn't read. What waits would only grow, to the size of a whole value each.
+                    while queue.try_recv().is_ok() {}
+                    break;
+                }
             }
-            next = next_frame(&mut queue, &stream).await;
         }
     }
 }
