--- a/crates/control/src/freshness.rs
+++ b/crates/control/src/freshness.rs
@@ -21,6 +21,10 @@
     reading: Ballot,
     /// The highest ballot told before the last complete read of the register began.
     read: Ballot,
+    /// When the read under way, or the last one, began.
+    reading_since: u64,
+    /// The last tick without contact with a quorum.
+    out_of_contact_at: Option<u64>,
 }
 
 impl Freshness {
@@ -30,8 +34,15 @@
     }
 
     /// A read of the register begins.
-    pub(crate) fn read_begins(&mut self) {
+    pub(crate) fn read_begins(&mut self, now: u64) {
         self.reading = self.told;
+        self.reading_since = now;
+    }
+
+    /// Whether what the read brought is as new as the node's contact: one begun before contact was lost tells what a
+    /// majority held then.
+    pub(crate) fn read_counts(&self) -> bool {
+        self.out_of_contact_at.is_none_or(|lost_at| self.reading_since > lost_at)
     }
 
     /// A read of the register has ended with the newest value.
@@ -59,7 +70,11 @@
         self.freshness.told(accepted);
         let held = self.committed_ballot().unwrap_or(Ballot::NONE);
         let is_behind = self.freshness.is_behind(now, held);
-        if is_behind || !self.has_quorum(now) {
+        let in_contact = self.has_quorum(now);
+        if !in_contact {
+            self.freshness.out_of_contact_at = Some(now);
+        }
+        if is_behind || !in_contact {
             self.caught_up = false;
         }
     }
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -94,7 +94,7 @@
         self.jobs.next_operation += 1;
         let operation = self.jobs.next_operation;
         if matches!(job, Job::CatchUp) {
-            self.freshness.read_begins();
+            self.freshness.read_begins(now);
         }
         let input = match job {
             Job::CatchUp | Job::Read { .. } => Input::Read { operation },
@@ -168,16 +168,18 @@
     pub(crate) fn job_done(&mut self, now: u64, operation: u64, result: Result<Accepted, RegisterError>) {
         let Some(job) = self.jobs.take_current(operation) else { return };
         match result {
-            Ok(accepted) => {
-                self.committed(now, &accepted);
-                self.job_succeeded(now, job);
-            }
+            // The register has told of the newest value before; this one may be older.
+            Ok(_) => self.job_succeeded(now, job),
             Err(error) => self.job_failed(now, job, &error),
         }
         self.begin_next(now);
     }
 
+    /// The register was read. A read begun before contact was lost tells what a majority held then.
     fn has_caught_up(&mut self, now: u64) {
+        if !self.freshness.read_counts() {
+            return;
+        }
         self.caught_up = true;
         self.freshness.read_ended();
         self.publish_configuration(now, None);
