--- a/src/data_plane/mod.rs
+++ b/src/data_plane/mod.rs
@@ -17,6 +17,8 @@
 mod feedback;
 mod forwarded_request;
 mod ingress;
+#[cfg(test)]
+mod interleavings;
 mod missing;
 mod outcome;
 mod outstanding;
--- a/src/data_plane/server.rs
+++ b/src/data_plane/server.rs
@@ -110,7 +110,8 @@
     open().with_context(|| format!("listening on {address}"))
 }
 
-async fn take_views(shared: Rc<Shared>, mut views: watch::Receiver<Arc<View>>) {
+/// Hands each new view over to the shared state, until the agent's side has gone.
+pub(super) async fn take_views(shared: Rc<Shared>, mut views: watch::Receiver<Arc<View>>) {
     loop {
         let view = views.borrow_and_update().clone();
         shared.take_view(view);
