src/net split by concern: rounds, streams, readiness, reload, bodies, frames, reuse

Tests left the code files.

Moved, not changed: the lines are the same but for imports, visibility, doc comments and one accessor (is_risky).

--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -1,7 +1,8 @@
 //! Where the loop meets the door: arrivals go in, what is handed on or refused comes out.
 
 use super::message::{Answer, Message};
-use super::{refusal, Downstream, Exchange, Gateway, SCARCE_HOLD_OFF};
+use super::streams::{refusal, SCARCE_HOLD_OFF};
+use super::{Downstream, Exchange, Gateway};
 use crate::core::{Input, StreamId, Terms};
 use crate::interface::{Millis, Why};
 use crate::process::config;
--- a/src/net/downstream.rs
+++ b/src/net/downstream.rs
@@ -1,11 +1,15 @@
 //! HTTP/1.1 connections from downstreams.
 
+mod accepting;
+
 use super::h2io::Io;
 use super::http1::{self, Parsed};
 use super::message::{Answer, MOST_BODY, MOST_HEAD};
 use super::poll::Interest;
+use super::readiness::ACCEPT_ON;
 use super::relay::{Upload, LEAST_RATE, READS_WITHIN, STANDS_STILL};
-use super::{local, refusal, Conn, Downstream, Due, Gateway, ACCEPT_ON, SCARCE_HOLD_OFF};
+use super::streams::{local, refusal, SCARCE_HOLD_OFF};
+use super::{Conn, Downstream, Gateway};
 use crate::core::StreamId;
 use crate::interface::Millis;
 use crate::memory::buffer::{Got, Inbound, Outbound};
@@ -13,7 +17,7 @@
 use crate::memory::pool::Token;
 use socket2::SockRef;
 use std::io;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 
 /// Bytes of one request, its chunks' framing included, after which it is known to be too large.
 const MOST_REQUEST: usize = 2 * MOST_HEAD + 2 * MOST_BODY;
@@ -25,9 +29,6 @@
 pub(super) const ARRIVES_WITHIN: Millis = 2000.0;
 /// A connection that has asked and asks no more is closed after this long,
 const IDLE: Millis = 30_000.0;
-/// and after this long once half of the descriptors for downstreams are taken. Danger: a front has so many
-/// connections and no more. Where clients ask once and keep theirs, each that is held idle keeps another's request out.
-const IDLE_CROWDED: Millis = 150.0;
 /// After a drain by hand, connections are closed from here on once they have been without a request for a while,
 const SENT_AWAY: Millis = 300.0;
 const QUIET: Millis = 250.0;
@@ -41,8 +42,6 @@
 /// Bytes that one read of a lingering connection drops at the most, and reads of an event.
 pub(super) const DROPPED: usize = 1024 * 1024;
 const DROPS: usize = 8;
-/// Without descriptors to spare, accepting rests this long.
-const ACCEPT_REST: Millis = 50.0;
 /// One connection from a downstream.
 pub(super) struct Down {
     pub(super) socket: TcpStream,
@@ -86,136 +85,6 @@
 }
 
 impl Gateway {
-    pub(super) fn accept(&mut self, listener: &TcpListener) {
-        loop {
-            // Danger: past the limit `accept` fails and the listener stays readable: a loop that spins.
-            if self.downstreams >= self.most_downstreams + 8 && !self.close_one_idle_down() {
-                self.rest_accepting(listener);
-                return;
-            }
-            match listener.accept() {
-                Ok((socket, _)) => self.accepted(socket),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
-                Err(_) => {
-                    if !self.close_one_idle_down() {
-                        self.rest_accepting(listener);
-                    }
-                    return;
-                }
-            }
-        }
-    }
-
-    fn accepted(&mut self, socket: TcpStream) {
-        let token = self.slots.reserve();
-        let ready = socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true));
-        if ready.and_then(|()| self.poll.add(&socket, token, Interest::READ)).is_err() {
-            self.slots.release(token);
-            return;
-        }
-        self.core.counters.downstream_connections += 1;
-        self.downstreams += 1;
-        let down = Down {
-            socket,
-            inbound: Inbound::default(),
-            outbound: Outbound::default(),
-            interest: Interest::READ,
-            stream: None,
-            upload: None,
-            feed: None,
-            choked: false,
-            fed: false,
-            untold: false,
-            http10: false,
-            read_at: self.now,
-            fresh: true,
-            asked: false,
-            counted: 0,
-            went_on: false,
-            closing: false,
-            lingering: false,
-            flooded: false,
-            surplus: self.downstreams > self.most_downstreams && !self.close_one_idle_down(),
-            since: self.now,
-            out_by: self.now,
-        };
-        let kept = self.down_ready(token, down, true);
-        self.keep(token, kept);
-    }
-
-    /// Leaves the listener alone for a while. Danger: while its event is handled it is not in its slot, where
-    /// [`Gateway::watch_listener`] looks; still watched and still readable, it would wake the loop without end.
-    fn rest_accepting(&mut self, listener: &TcpListener) {
-        self.core.counters.accept_rests += 1;
-        if let Some(token) = self.listener {
-            // One that cannot be changed is looked at again at the next event.
-            let _ = self.poll.change(listener, token, Interest { read: false, write: false });
-        }
-        self.timers.push(self.now + ACCEPT_REST, Due::Accept);
-    }
-
-    /// Looks at the listener again after a rest.
-    pub(super) fn watch_listener(&mut self) {
-        let Some(token) = self.listener else { return };
-        // Only the process that decides takes clients.
-        let read = self.beside.decides();
-        if let Some(Conn::Listener(listener)) = self.slots.get(token) {
-            let _ = self.poll.change(listener, token, Interest { read, write: false });
-        }
-    }
-
-    /// Closes one connection that nothing is in work on: first what has never asked or only lingers, then
-    /// what has been without a request for longest.
-    pub(super) fn close_one_idle_down(&mut self) -> bool {
-        let mut oldest: Option<(bool, Millis, Token)> = None;
-        for token in self.slots.tokens() {
-            let (asked, since) = match self.slots.get(token) {
-                Some(Conn::Down(down)) if down.asked && !down.lingering && down.is_idle() => {
-                    (true, down.since)
-                }
-                // Danger: closed too soon, a client whose first request is on its way gets no answer.
-                Some(Conn::Down(down)) if down.lingering || down.is_idle() => {
-                    if self.now - down.since < SPARED {
-                        continue;
-                    }
-                    (false, down.since)
-                }
-                Some(Conn::Down2(down)) if down.is_idle() => (true, down.since()),
-                _ => continue,
-            };
-            if oldest.is_none_or(|(a, s, _)| (asked, since) < (a, s)) {
-                oldest = Some((asked, since, token));
-            }
-        }
-        let Some((.., token)) = oldest else { return false };
-        let kept = match self.slots.take(token) {
-            // Danger: its first request may just have come in, and a client that is closed on then has failed.
-            Some(Conn::Down(down)) => match self.down_ready(token, down, true) {
-                Some(Conn::Down(down)) if down.lingering || down.is_idle() => {
-                    self.close_down(down);
-                    None
-                }
-                other => other,
-            },
-            Some(Conn::Down2(down)) => self.close_down2(*down).map(|down| Conn::Down2(Box::new(down))),
-            other => other,
-        };
-        let closed = kept.is_none();
-        self.core.counters.downstream_spared += u64::from(closed);
-        self.keep(token, kept);
-        closed
-    }
-
-    /// How long a connection may be without a request before it is closed.
-    pub(super) fn idle_limit(&self) -> Millis {
-        if self.downstreams * 2 > self.most_downstreams {
-            IDLE_CROWDED
-        } else {
-            IDLE
-        }
-    }
-
     pub(super) fn close_down(&mut self, down: Down) {
         self.poll.remove(&down.socket);
         self.downstreams -= 1;
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -12,83 +12,30 @@
 //!
 //! The link's end tells either that the other is gone.
 
+mod frames;
+mod start;
+#[cfg(test)]
+mod tests;
+
+pub use frames::{frame, read_frame, Kind, Whole, MOST_PAYLOAD};
+pub(super) use start::{find, place};
+
 use super::poll::Interest;
-use super::{listen, shares, Conn, Gateway, HELD_SHARE, RESERVE};
+use super::{shares, Conn, Gateway, HELD_SHARE, RESERVE};
 use crate::core::state::{Listed, State};
 use crate::interface::{ListKind, Millis};
 use crate::memory::buffer::{Got, Inbound, Outbound};
 use crate::memory::pool::Token;
 use crate::process::config::{List, Member};
-use rustix::net::{
-    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, ReturnFlags, SendAncillaryBuffer,
-    SendAncillaryMessage, SendFlags,
-};
-use std::io::{self, IoSlice, IoSliceMut, Write};
-use std::mem::MaybeUninit;
-use std::net::{SocketAddr, TcpListener};
-use std::os::fd::AsFd;
+use frames::HEAD;
+use start::{open_place, send_listener};
+use std::io;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
-use std::time::{Duration, Instant};
 
-/// Changes with the frames or with what `State` holds. Another one is a plain start.
-const VERSION: u8 = 2;
-/// The largest payload.
-pub const MOST_PAYLOAD: usize = 4 * 1024 * 1024;
-/// The second process waits this long for the first one's socket, and this long for its state.
-const SOCKET_WITHIN: Duration = Duration::from_millis(700);
+/// The second process waits this long for the first one's state.
 const STATE_WITHIN: Millis = 1500.0;
 
-/// What a frame says.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Kind {
-    /// Asks for the listening socket.
-    Hello,
-    /// Brings it.
-    Listener,
-    /// Asks for the state.
-    Take,
-    /// Brings it.
-    State,
-    /// Repeats an operator's call.
-    Call,
-}
-
-const KINDS: [Kind; 5] = [Kind::Hello, Kind::Listener, Kind::Take, Kind::State, Kind::Call];
-const HEAD: usize = 6;
-
-/// A frame's bytes; `None` for a payload that is too large.
-#[must_use]
-pub fn frame(kind: Kind, payload: &[u8]) -> Option<Vec<u8>> {
-    let length = u32::try_from(payload.len()).ok().filter(|n| *n as usize <= MOST_PAYLOAD)?;
-    let mut bytes = vec![VERSION, kind as u8];
-    bytes.extend_from_slice(&length.to_le_bytes());
-    bytes.extend_from_slice(payload);
-    Some(bytes)
-}
-
-/// A frame as it is read: its kind, its payload and its length in all.
-pub type Whole<'a> = (Kind, &'a [u8], usize);
-
-/// Reads one frame from the start of `bytes`: its kind, payload and length. `None` while it is not whole.
-///
-/// # Errors
-/// What another version, or something else, wrote.
-pub fn read_frame(bytes: &[u8]) -> Result<Option<Whole<'_>>, &'static str> {
-    match bytes {
-        [version, ..] if *version != VERSION => return Err("another version"),
-        [_, kind, ..] if usize::from(*kind) >= KINDS.len() => return Err("an unknown frame"),
-        _ if bytes.len() < HEAD => return Ok(None),
-        _ => {}
-    }
-    let length = u32::from_le_bytes([bytes[2], bytes[3], bytes[4], bytes[5]]) as usize;
-    if length > MOST_PAYLOAD {
-        return Err("a frame that is too large");
-    }
-    let payload = bytes.get(HEAD..HEAD + length);
-    Ok(payload.map(|payload| (KINDS[usize::from(bytes[1])], payload, HEAD + length)))
-}
-
 /// What this process is to the other one.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Role {
@@ -123,111 +70,6 @@
     interest: Interest,
 }
 
-/// What a start finds beside it.
-pub(super) struct Found {
-    pub(super) listener: TcpListener,
-    pub(super) socket: Option<UnixStream>,
-    /// What spoke against going on from another process.
-    pub(super) complaint: Option<String>,
-}
-
-/// Where the processes of the gateway that listens here meet. Danger: without `$TMPDIR` the folder is everybody's,
-/// and with any port there is no telling whose gateway it is.
-pub(super) fn place(listen: SocketAddr) -> Option<PathBuf> {
-    let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty() && listen.port() != 0)?;
-    let name = format!("switchhill-{listen}.sock").replace([':', '[', ']'], "-");
-    Some(Path::new(&folder).join(name))
-}
-
-/// Finds the listening socket: a running process's own, or a new one.
-///
-/// # Errors
-/// When the address cannot be listened on.
-pub(super) fn find(place: Option<&Path>, address: SocketAddr) -> io::Result<Found> {
-    let mut complaint = None;
-    match place.map(|place| ask(place, address)) {
-        Some(Ok((listener, socket))) => return Ok(Found { listener, socket: Some(socket), complaint: None }),
-        // The usual start: nobody is there.
-        Some(Err(e)) if e.kind() == io::ErrorKind::NotFound => {}
-        Some(Err(e)) => complaint = Some(format!("no process to go on from, a plain start: {e}")),
-        None => {}
-    }
-    Ok(Found { listener: listen(address)?, socket: None, complaint })
-}
-
-fn ask(place: &Path, address: SocketAddr) -> io::Result<(TcpListener, UnixStream)> {
-    let broken = |why: &str| io::Error::new(io::ErrorKind::InvalidData, why.to_string());
-    let start = Instant::now();
-    let mut socket = UnixStream::connect(place)?;
-    socket.set_write_timeout(Some(SOCKET_WITHIN))?;
-    socket.write_all(&frame(Kind::Hello, &[]).unwrap_or_default())?;
-    let (mut bytes, mut got) = (Vec::new(), None);
-    loop {
-        let left = SOCKET_WITHIN.saturating_sub(start.elapsed());
-        if left.is_zero() {
-            return Err(io::ErrorKind::TimedOut.into());
-        }
-        socket.set_read_timeout(Some(left))?;
-        let mut some = [0; 64];
-        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
-        let mut control = RecvAncillaryBuffer::new(&mut space);
-        let flags = RecvFlags::CMSG_CLOEXEC;
-        let read = recvmsg(&socket, &mut [IoSliceMut::new(&mut some)], &mut control, flags)?;
-        if read.bytes == 0 || read.flags.contains(ReturnFlags::CTRUNC) {
-            return Err(broken("it let the connection go"));
-        }
-        for message in control.drain() {
-            if let RecvAncillaryMessage::ScmRights(descriptors) = message {
-                got = got.or(descriptors.last());
-            }
-        }
-        bytes.extend_from_slice(&some[..read.bytes]);
-        match read_frame(&bytes).map_err(broken)? {
-            None => {}
-            Some((Kind::Listener, _, used)) if used == bytes.len() => break,
-            Some(_) => return Err(broken("an unexpected frame")),
-        }
-    }
-    let listener = TcpListener::from(got.ok_or_else(|| broken("no descriptor came"))?);
-    // Danger: a socket left in a folder that was copied could belong to another gateway.
-    if listener.local_addr()? != address {
-        return Err(broken("its socket listens elsewhere"));
-    }
-    listener.set_nonblocking(true)?;
-    socket.set_nonblocking(true)?;
-    Ok((listener, socket))
-}
-
-/// Writes the frame that carries the listening socket.
-fn send_listener(socket: &UnixStream, listener: &TcpListener) -> io::Result<()> {
-    let bytes = frame(Kind::Listener, &[]).unwrap_or_default();
-    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
-    let mut control = SendAncillaryBuffer::new(&mut space);
-    let descriptors = [listener.as_fd()];
-    control.push(SendAncillaryMessage::ScmRights(&descriptors));
-    let sent = sendmsg(socket, &[IoSlice::new(&bytes)], &mut control, SendFlags::empty())?;
-    // Six bytes into an empty queue go whole.
-    if sent == bytes.len() {
-        Ok(())
-    } else {
-        Err(io::ErrorKind::WriteZero.into())
-    }
-}
-
-/// A place of one's own for whoever comes next.
-fn open_place(place: &Path) -> io::Result<UnixListener> {
-    use std::os::unix::fs::PermissionsExt;
-    match std::fs::remove_file(place) {
-        Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
-        _ => {}
-    }
-    let door = UnixListener::bind(place)?;
-    // Danger: who may connect gets the clients' listening socket.
-    std::fs::set_permissions(place, std::fs::Permissions::from_mode(0o600))?;
-    door.set_nonblocking(true)?;
-    Ok(door)
-}
-
 impl Beside {
     pub(super) fn new(place: Option<PathBuf>) -> Self {
         Self { place, door: None, link: None, role: Role::Alone, theirs: 0, complaints: Vec::new() }
@@ -514,36 +356,3 @@
 pub(super) fn member(listed: &Listed) -> Member {
     Member { backend: listed.backend(), address: listed.address, http2: listed.http2 }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::{frame, read_frame, Kind, HEAD, KINDS, MOST_PAYLOAD};
-    use proptest::prelude::*;
-
-    proptest! {
-        #[test]
-        fn a_frame_comes_back_whole_and_never_before_its_end(kind in 0..5usize, payload: Vec<u8>, cut: prop::sample::Index) {
-            let bytes = frame(KINDS[kind], &payload).expect("small");
-            prop_assert_eq!(read_frame(&bytes), Ok(Some((KINDS[kind], &payload[..], bytes.len()))));
-            prop_assert_eq!(read_frame(&bytes[..cut.index(bytes.len())]), Ok(None));
-        }
-
-        #[test]
-        fn whatever_comes_is_read_without_a_panic(bytes: Vec<u8>) {
-            let _ = read_frame(&bytes);
-            let _ = postcard::from_bytes::<crate::core::state::State>(&bytes);
-        }
-    }
-
-    #[test]
-    fn other_versions_and_sizes_are_turned_down_before_they_are_waited_for() {
-        assert!(frame(Kind::State, &vec![0; MOST_PAYLOAD + 1]).is_none());
-        let mut bytes = frame(Kind::Call, b"cordon s-1").expect("small");
-        assert!(read_frame(&[9]).is_err());
-        bytes[1] = 77;
-        assert!(read_frame(&bytes).is_err());
-        let mut huge = frame(Kind::State, &[]).expect("small");
-        huge[2..HEAD].copy_from_slice(&u32::MAX.to_le_bytes());
-        assert!(read_frame(&huge).is_err());
-    }
-}
--- a/src/net/http2_down.rs
+++ b/src/net/http2_down.rs
@@ -5,7 +5,9 @@
 use super::http2::{self, CONNECTION_WINDOW, MOST_RESETS, MOST_STREAMS};
 use super::message::{Answer, Message, MOST_BODY, MOST_HEAD};
 use super::poll::Interest;
-use super::{local, Conn, Downstream, Gateway};
+use super::readiness::ACCEPT_ON;
+use super::streams::local;
+use super::{Conn, Downstream, Gateway};
 use crate::core::{Input, StreamId};
 use crate::interface::Millis;
 use crate::memory::figures::Outcome as Ending;
@@ -302,7 +304,7 @@
                 && self
                     .stopping
                     .or(self.drained)
-                    .is_some_and(|since| now >= since + super::ACCEPT_ON + LEAVE_WITHIN);
+                    .is_some_and(|since| now >= since + ACCEPT_ON + LEAVE_WITHIN);
             return if over { self.close_down2(down) } else { self.down2_ready(token, down) };
         }
         if any {
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -128,7 +128,7 @@
     /// A long answer is delivered: its head goes out, and its body follows as it comes.
     pub(super) fn answer_long(&mut self, token: Token, mut down: Down, answer: &Answer, long: Feeding) {
         let Some(Conn::Up(mut up)) = self.slots.take(long.from) else {
-            down.push(&super::local(502, b""), true);
+            down.push(&super::streams::local(502, b""), true);
             let kept = self.flush_down(token, down).map(Conn::Down);
             return self.keep(token, kept);
         };
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,9 +1,16 @@
 //! HTTP/1.1 connections to upstream hosts: one upstream request at a time on each.
 
+mod leaving;
+mod reuse;
+#[cfg(test)]
+mod tests;
+
+pub(super) use reuse::{Host, Reuse};
+
 use super::http1::{self, Parsed};
 use super::message::{Answer, Coming, Message, MOST_BODY, MOST_HEAD};
 use super::poll::Interest;
-use super::relay::{Feed, BRINGS_WITHIN};
+use super::relay::Feed;
 use super::{Conn, Downstream, Due, Gateway};
 use crate::core::{End, UpstreamId};
 use crate::interface::{BackendId, Code, Millis};
@@ -24,65 +31,9 @@
 /// Bytes of one answer after which it is no answer: head, body and the framing of its chunks.
 const MOST_ANSWER: usize = 2 * MOST_HEAD + 2 * MOST_BODY;
 
-/// A connection rests this long after an answer before it is used again. Danger: a second answer to the same request may
-/// come milliseconds late, and behind the next request it would pass for the answer to that.
-const SETTLES: Millis = 30.0;
-
 /// A kept connection that breaks this soon after a request was written to it had been given up by its host.
 const STALE_WITHIN: Millis = 25.0;
 
-/// How often kept connections turn out to be dead, over the last few dozen uses.
-#[derive(Debug, Default)]
-pub(super) struct Reuse {
-    risk: f64,
-    passed_over: u32,
-}
-
-impl Reuse {
-    /// Weight of one use.
-    const WEIGHT: f64 = 1.0 / 32.0;
-    /// From this risk on nothing that must not run twice goes out on a kept connection,
-    const RISKY_ONCE: f64 = 0.02;
-    /// and from this one on nothing else does but one request in a few, to learn when it is over.
-    const RISKY: f64 = 0.08;
-    const TRY: u32 = 6;
-
-    fn told(&mut self, stale: bool) {
-        self.risk += (f64::from(u8::from(stale)) - self.risk) * Self::WEIGHT;
-    }
-
-    /// Whether a request may go out on a kept connection. Danger: hosts and what stands before them may drop
-    /// connections without a word; a request written then may have run, as far as anyone can prove, and a
-    /// `top-up` is lost. A new connection costs a round trip.
-    fn allows(&mut self, once: bool) -> bool {
-        if once {
-            return self.risk < Self::RISKY_ONCE;
-        }
-        self.passed_over = if self.risk < Self::RISKY { 0 } else { (self.passed_over + 1) % Self::TRY };
-        self.passed_over == 0
-    }
-}
-
-/// An upstream host as the wire knows it.
-pub(super) struct Host {
-    pub(super) address: SocketAddr,
-    pub(super) http2: bool,
-    /// Idle connections and since when, the one used last at the end.
-    pub(super) idle: Vec<(Token, Millis)>,
-    /// When it last answered anything.
-    heard: Millis,
-    /// The HTTP/2 connection that takes new requests.
-    pub(super) http2_token: Option<Token>,
-}
-
-impl Host {
-    /// Takes out the idle connection that was used last, of those that have rested long enough.
-    fn settled(&mut self, now: Millis) -> Option<Token> {
-        let at = self.idle.iter().rposition(|(_, since)| now - since >= SETTLES)?;
-        Some(self.idle.remove(at).0)
-    }
-}
-
 /// What a connection is opened or used for: a stream's request, with the time until which its answer is
 /// waited for, or a probe, with its start.
 pub(super) enum Job {
@@ -426,7 +377,7 @@
         }
         // Where few are used again they would only pile up at the host.
         let spare = self.hosts.get(&up.host).is_some_and(|h| h.idle.len() >= 2);
-        if spare && self.reuse.risk >= Reuse::RISKY {
+        if spare && self.reuse.is_risky() {
             return self.close_up(up, End::Reset);
         }
         up.since = self.now;
@@ -437,112 +388,6 @@
         }
         Some(up)
     }
-
-    /// Gives up an upstream request by closing its connection.
-    pub(super) fn stop(&mut self, id: UpstreamId, timed_out: bool) {
-        let Some(token) = self.in_flight.remove(&id) else { return };
-        let kept = match self.slots.take(token) {
-            Some(Conn::Up(mut up)) => {
-                if timed_out && self.hosts.get(&up.host).is_some_and(|h| h.heard < up.since) {
-                    // Danger: a machine that was cut off leaves its idle connections open and silent, and a
-                    // `top-up` written to one is lost. A new connection shows the cut before anything is sent.
-                    self.close_idle(&up.host.clone());
-                }
-                up.job = None;
-                self.close_up(up, End::Reset).map(Conn::Up)
-            }
-            Some(Conn::Up2(up)) => self.stop_http2(token, *up, id).map(|up| Conn::Up2(Box::new(up))),
-            other => other,
-        };
-        self.keep(token, kept);
-    }
-
-    pub(super) fn connect_overdue(&mut self, token: Token) {
-        let kept = match self.slots.take(token) {
-            Some(Conn::Up(up)) if up.connecting => self.close_up(up, End::NotConnected).map(Conn::Up),
-            Some(Conn::Up2(up)) => self.connect_overdue_http2(*up).map(|up| Conn::Up2(Box::new(up))),
-            Some(other) => Some(other),
-            None => return,
-        };
-        self.keep(token, kept);
-    }
-
-    pub(super) fn probe_overdue(&mut self, token: Token) {
-        let late = |since: Millis, now: Millis| now - since >= PROBE_WITHIN - 1.0;
-        let kept = match self.slots.take(token) {
-            Some(Conn::Up(mut up)) => match up.job {
-                Some(Job::Probe(since)) if late(since, self.now) => {
-                    up.job = None;
-                    self.probed(up.host.clone(), Code::TimedOut, since);
-                    self.close_up(up, End::Reset).map(Conn::Up)
-                }
-                _ => Some(Conn::Up(up)),
-            },
-            Some(Conn::Up2(up)) => self.probe_overdue_http2(token, *up).map(|up| Conn::Up2(Box::new(up))),
-            Some(other) => Some(other),
-            None => return,
-        };
-        self.keep(token, kept);
-    }
-
-    /// A host drains or is gone: its idle connections go, and what has not reached its socket.
-    pub(super) fn host_left(&mut self, host: &BackendId) {
-        self.close_idle(host);
-        let Some(token) = self.hosts.get(host).and_then(|h| h.http2_token) else { return };
-        if let Some(Conn::Up2(up)) = self.slots.take(token) {
-            let kept = self.drain_http2(token, *up).map(|up| Conn::Up2(Box::new(up)));
-            self.keep(token, kept);
-        }
-    }
-
-    /// A host is in no list any more. It may have come back in the same round.
-    pub(super) fn host_gone(&mut self, host: &BackendId) {
-        if !self.core.knows(host) {
-            self.close_idle(host);
-            self.hosts.remove(host);
-        }
-    }
-
-    /// Closes idle connections to one host.
-    pub(super) fn close_idle(&mut self, host: &BackendId) {
-        let idle = self.hosts.get_mut(host).map(|h| std::mem::take(&mut h.idle)).unwrap_or_default();
-        for (token, _) in idle {
-            if let Some(Conn::Up(up)) = self.slots.take(token) {
-                self.close_up(up, End::Reset);
-            }
-            self.slots.release(token);
-        }
-    }
-
-    /// Makes room for one connection by closing an idle one to another host.
-    pub(super) fn close_any_idle(&mut self) -> bool {
-        let most = self.hosts.values_mut().max_by_key(|h| h.idle.len());
-        let Some((token, _)) = most.filter(|h| !h.idle.is_empty()).map(|h| h.idle.remove(0)) else {
-            return false;
-        };
-        if let Some(Conn::Up(up)) = self.slots.take(token) {
-            self.close_up(up, End::Reset);
-        }
-        self.slots.release(token);
-        true
-    }
-
-    pub(super) fn sweep_up(&mut self, up: Up) -> Option<Up> {
-        let idle = up.job.is_none() && !up.connecting && up.feed.is_none();
-        if up.feed.as_ref().is_some_and(Feed::reads) && self.now - up.read_at > BRINGS_WITHIN {
-            return self.close_up(up, End::Error);
-        }
-        let old = self.now - up.since > self.told.conn_idle * IDLE_SHARE;
-        if idle && (old || !self.core.may_send_to(&up.host)) {
-            return self.close_up(up, End::Reset);
-        }
-        // Danger: a length that is too long, or a head that ends in the middle, would be waited for until the
-        // request's time is up. What has begun comes in one go; without more of it, it has failed.
-        if up.job.is_some() && !up.inbound.bytes().is_empty() && self.now - up.read_at > STALLED {
-            return self.close_up(up, End::Error);
-        }
-        Some(up)
-    }
 }
 
 impl Up {
@@ -587,32 +432,3 @@
         _ => Ok(socket.into()),
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::is_quiet;
-    use std::io::Write;
-    use std::net::{TcpListener, TcpStream};
-
-    #[test]
-    fn a_connection_with_bytes_unread_or_an_end_is_not_quiet() {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
-        let ours = || {
-            let socket = TcpStream::connect(listener.local_addr().expect("bound")).expect("connects");
-            socket.set_nonblocking(true).expect("set");
-            (socket, listener.accept().expect("accepted").0)
-        };
-        let (quiet, _open) = ours();
-        let (copied, mut host) = ours();
-        let (ended, gone) = ours();
-        host.write_all(b"HTTP/1.1 200 OK").expect("written");
-        drop(gone);
-        // Loopback hands over within the call of the other side, but nothing says that it must.
-        let start = std::time::Instant::now();
-        while is_quiet(&copied) || is_quiet(&ended) {
-            assert!(start.elapsed().as_secs() < 20, "neither was noticed");
-            std::thread::yield_now();
-        }
-        assert!(is_quiet(&quiet));
-    }
-}
