--- a/crates/control/src/electorate.rs
+++ b/crates/control/src/electorate.rs
@@ -8,8 +8,9 @@
 use crate::jobs::Job;
 use crate::node::ControlNode;
 use choice::{choose, Candidate, Standing, Tolerance};
+use std::collections::BTreeSet;
 use switchhill_membership::Contact;
-use switchhill_register::{Accepted, Electorate, Member, ReplicaId};
+use switchhill_register::{Accepted, Ballot, Electorate, Member, ReplicaId};
 
 /// Silence in milliseconds after which a member may be dropped. A machine that was taken away has to be dropped well
 /// before its successor has run for 4 s: from then on another one may be lost.
@@ -19,6 +20,9 @@
 /// change, so that no electorate with a lost member in surplus lies between.
 const GIVE_WAY_AFTER: u64 = 800;
 
+/// Time in milliseconds for which a replica is new, and may as soon be lost as not: `catchUpS` of the deployments.
+const NEW_FOR: u64 = 4_000;
+
 /// Silence in milliseconds of a replica that may be added.
 const ADD_WITHIN: u64 = 600;
 
@@ -29,18 +33,22 @@
         if pending || !self.caught_up {
             return;
         }
-        let Some(committed) = self.replica.committed() else { return };
-        if let Some(members) = self.members_to_write(now, committed) {
-            let present = committed.value.electorate.members.len();
-            log::info!("electorate: {present} members, {} wanted", members.len());
+        // A value that may not be chosen yet is completed first.
+        let newest = self.replica.committed().map_or(Ballot::NONE, |committed| committed.ballot);
+        if self.replica.accepted_ballot() > newest {
+            return;
+        }
+        if let Some(members) = self.members_to_write(now, self.replica.committed()) {
+            log::info!("electorate: {} members wanted", members.len());
             self.jobs.push_first(Job::Electorate);
         }
     }
 
-    /// The members to put in place of those of a value, if this node is to change them. Decided anew once a change is
-    /// prepared: another node may have changed the electorate meanwhile.
-    pub(crate) fn members_to_write(&self, now: u64, current: &Accepted) -> Option<Vec<Member>> {
-        let electorate = &current.value.electorate;
+    /// The members to put in place of those of a value, or of the first electorate while the register is empty, if this
+    /// node is to change them. Decided anew once a change is prepared: another node may have changed the electorate
+    /// meanwhile.
+    pub(crate) fn members_to_write(&self, now: u64, current: Option<&Accepted>) -> Option<Vec<Member>> {
+        let electorate = current.map(|current| &current.value.electorate).or(self.replica.electorate())?;
         if !self.acts_for_electorate(now, electorate) {
             return None;
         }
@@ -57,7 +65,8 @@
     }
 
     /// Whether the process may end after [`Input::Leave`](crate::Input::Leave): the electorate goes on without this node,
-    /// so a majority of the others durably holds the newest value, or no electorate without it would be better.
+    /// so a majority of the others durably holds the newest value, or the others can do no better than to keep its vote.
+    /// A node that reaches no quorum can't tell, and waits: the others may be about to come back and need its copy.
     pub fn may_leave(&self, now: u64) -> bool {
         let Some(electorate) = self.replica.electorate() else { return true };
         let me = ReplicaId(self.settings.replica);
@@ -65,7 +74,13 @@
             return true;
         }
         let wanted = || self.desired_members(now, electorate);
-        !electorate.is_joint() && wanted().is_none_or(|members| members.iter().any(|member| member.id == me))
+        let is_settled = !electorate.is_joint() && self.has_quorum(now);
+        is_settled && wanted().is_none_or(|members| members.iter().any(|member| member.id == me))
+    }
+
+    /// The newest electorate that this node knows to be chosen, with the ballot of its value.
+    pub fn committed_electorate(&self) -> Option<(Ballot, &Electorate)> {
+        self.replica.committed().map(|accepted| (accepted.ballot, &accepted.value.electorate))
     }
 
     /// Whether this node is the first member, in the order of ids, that can change the electorate. Members that this
@@ -104,11 +119,17 @@
         let candidate = |id: u64, contact: &Contact| Candidate {
             member: Member { id: ReplicaId(id), address: contact.address.clone() },
             zone: contact.told.zone.clone(),
-            standing: Standing::Joining,
+            standing: Standing::Joining { is_new: self.is_new(now, contact) },
         };
         contacts.map(|(id, contact)| candidate(id, contact)).collect()
     }
 
+    /// Whether a node has only just appeared. A node that has itself just started can't tell, and at the start of the whole
+    /// system all are new.
+    fn is_new(&self, now: u64, contact: &Contact) -> bool {
+        now >= self.started_at + NEW_FOR && now < contact.heard_since + NEW_FOR
+    }
+
     fn zone_of(&self, id: ReplicaId) -> String {
         if id.0 == self.settings.replica {
             return self.settings.zone.clone();
@@ -116,6 +137,22 @@
         self.contacts.get(id.0).map_or_else(String::new, |contact| contact.told.zone.clone())
     }
 
+    /// Zones of the core nodes at these addresses, if the loss of a zone is to be borne.
+    pub(crate) fn zones_of(&self, addresses: &BTreeSet<String>) -> Vec<String> {
+        if self.settings.zones_lost == 0 {
+            return Vec::new();
+        }
+        let zone_at = |address: &String| {
+            if *address == self.settings.address {
+                return self.settings.zone.clone();
+            }
+            let mut contacts = self.contacts.iter();
+            let contact = contacts.find(|(_, contact)| contact.address == *address);
+            contact.map_or_else(String::new, |(_, contact)| contact.told.zone.clone())
+        };
+        addresses.iter().map(zone_at).collect()
+    }
+
     fn standing(&self, now: u64, member: &Member, patience: u64) -> Standing {
         let leaving = match member.id.0 == self.settings.replica {
             true => self.leaving,
--- a/crates/control/src/electorate/choice.rs
+++ b/crates/control/src/electorate/choice.rs
@@ -24,7 +24,10 @@
     /// A member in contact.
     Live,
     /// No member, and in contact.
-    Joining,
+    Joining {
+        /// Whether it has only just appeared.
+        is_new: bool,
+    },
     /// A member that has been silent for long.
     Lost { silent_ms: u64 },
     /// A member that was told to end.
@@ -44,11 +47,15 @@
 
 impl Candidate {
     fn is_present(&self) -> bool {
-        matches!(self.standing, Standing::Live | Standing::Joining)
+        matches!(self.standing, Standing::Live | Standing::Joining { .. })
+    }
+
+    fn is_new(&self) -> bool {
+        self.standing == Standing::Joining { is_new: true }
     }
 
     fn is_joining(&self) -> bool {
-        self.standing == Standing::Joining
+        matches!(self.standing, Standing::Joining { .. })
     }
 }
 
@@ -116,6 +123,27 @@
 /// The members wanted, by id: all replicas in contact, and as few of the others as a sound electorate needs. `None` if no
 /// electorate could vote.
 pub(super) fn choose(candidates: Vec<Candidate>, tolerance: Tolerance) -> Option<Vec<Member>> {
+    let (new, settled): (Vec<Candidate>, Vec<Candidate>) =
+        candidates.iter().cloned().partition(Candidate::is_new);
+    let without_new = best_of(settled, tolerance);
+    let best = match new.is_empty() || may_wait(&without_new, tolerance) {
+        true => without_new,
+        false => best_of(candidates, tolerance),
+    };
+    let mut members: Vec<Member> = best.iter().map(|candidate| candidate.member.clone()).collect();
+    members.sort_by_key(|member| member.id);
+    can_vote(&best).then_some(members)
+}
+
+/// Whether nothing is lost and all losses are borne: replicas that are new need not be added yet. While they count as
+/// lost, they would use up what the larger electorate bears.
+fn may_wait(electorate: &[Candidate], tolerance: Tolerance) -> bool {
+    let soundness = tolerance.soundness(electorate);
+    let all_live = electorate.iter().all(Candidate::is_present);
+    all_live && soundness.bears_machines && soundness.bears_zones
+}
+
+fn best_of(candidates: Vec<Candidate>, tolerance: Tolerance) -> Vec<Candidate> {
     let (present, others): (Vec<Candidate>, Vec<Candidate>) =
         candidates.into_iter().partition(Candidate::is_present);
     let others = in_order_of_keeping(&present, others, tolerance);
@@ -131,12 +159,7 @@
             (best, kept_of_best) = (electorate, kept);
         }
     }
-    if let Some(odd) = with_one_lost_more(&best, &others[kept_of_best..], tolerance) {
-        best = odd;
-    }
-    let mut members: Vec<Member> = best.iter().map(|candidate| candidate.member.clone()).collect();
-    members.sort_by_key(|member| member.id);
-    can_vote(&best).then_some(members)
+    with_one_lost_more(&best, &others[kept_of_best..], tolerance).unwrap_or(best)
 }
 
 /// Members that are not in contact, those to be kept first: of the smallest zone where zones count, and there the one
@@ -209,8 +232,10 @@
     let without = |left_out: &Candidate| -> Vec<Candidate> {
         electorate.iter().filter(|candidate| candidate.member.id != left_out.member.id).cloned().collect()
     };
-    let joiners = electorate.iter().rev().filter(|candidate| candidate.is_joining());
-    let smaller = joiners.map(without);
+    let mut joiners: Vec<&Candidate> = electorate.iter().filter(|candidate| candidate.is_joining()).collect();
+    // New ones wait before those that have been there for a while.
+    joiners.sort_by_key(|joiner| std::cmp::Reverse((joiner.standing, joiner.member.id)));
+    let smaller = joiners.into_iter().map(without);
     let mut as_sound = smaller.filter(|less| tolerance.soundness(less) >= tolerance.soundness(electorate));
     if let Some(less) = as_sound.next() {
         *electorate = less;
--- a/crates/control/src/electorate/choice/tests.rs
+++ b/crates/control/src/electorate/choice/tests.rs
@@ -29,7 +29,8 @@
 }
 
 const LIVE: Standing = Standing::Live;
-const JOINING: Standing = Standing::Joining;
+const JOINING: Standing = Standing::Joining { is_new: false };
+const NEW: Standing = Standing::Joining { is_new: true };
 const LEAVING: Standing = Standing::Leaving;
 const REPLACED: Standing = Standing::Replaced;
 const LOST: Standing = Standing::Lost { silent_ms: 3_000 };
@@ -48,6 +49,25 @@
     expect_that!(choice(&candidates, machines(1)), elements_are![eq(&1), eq(&2), eq(&4)]);
 }
 
+#[gtest]
+fn new_replicas_wait_while_nothing_is_lost() {
+    let candidates = of_one_zone(&[LIVE, LIVE, LIVE, NEW, NEW]);
+    expect_that!(choice(&candidates, machines(1)), len(eq(3)));
+    expect_that!(choice(&candidates, machines(2)), len(eq(5)));
+    let candidates = of_one_zone(&[LIVE, LIVE, LIVE, JOINING, JOINING]);
+    expect_that!(choice(&candidates, machines(1)), len(eq(5)));
+    for gone in [LOST, LEAVING, REPLACED] {
+        let candidates = of_one_zone(&[LIVE, LIVE, gone, NEW]);
+        expect_that!(choice(&candidates, machines(1)), elements_are![eq(&1), eq(&2), eq(&4)]);
+    }
+}
+
+#[gtest]
+fn of_two_joiners_the_one_that_is_new_waits() {
+    let candidates = of_one_zone(&[LIVE, LIVE, LOST, NEW, JOINING]);
+    expect_that!(choice(&candidates, machines(1)), elements_are![eq(&1), eq(&2), eq(&5)]);
+}
+
 #[gtest]
 fn one_lost_member_of_five_keeps_its_vote() {
     let candidates = of_one_zone(&[LIVE, LIVE, LIVE, LIVE, LOST]);
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -117,9 +117,10 @@
             }
         };
         let is_chosen = current.as_ref().is_none_or(|accepted| self.is_chosen(accepted));
-        let changes_electorate = matches!(job, Job::Electorate);
-        let desired = current.as_ref().filter(|_| changes_electorate);
-        let desired = desired.and_then(|accepted| self.members_to_write(now, accepted));
+        let desired = match job {
+            Job::Electorate => self.members_to_write(now, current.as_ref()),
+            _ => None,
+        };
         let data = current.map(|accepted| accepted.value.data);
         let write = match &mut job {
             Job::Change { call, order, answer, .. } => {
@@ -137,7 +138,10 @@
                 *grant = next.placer.clone();
                 Some((Bytes::from(next.encode()), None))
             }
-            Job::Electorate => data.zip(desired).map(|(data, members)| (data, Some(members))),
+            // Of an empty register the first value, without a configuration: all nodes learn from it who votes.
+            Job::Electorate => {
+                desired.map(|members| (data.unwrap_or_else(|| Bytes::from(state.encode())), Some(members)))
+            }
             Job::CatchUp | Job::Read { .. } => None,
         };
         let Some((data, members)) = write else {
--- a/crates/control/src/subscribers.rs
+++ b/crates/control/src/subscribers.rs
@@ -149,13 +149,15 @@
     }
 
     fn status(&self, now: u64) -> Downstream {
+        let core = self.core_addresses();
         let status = Status {
             quorum: self.has_quorum(now) && self.caught_up,
             warm: self.warm,
             revision: self.state.revision(),
             workers_digest: self.state.workers().digest(),
             gatekeepers: self.load.gatekeepers(now, self.subscribers.home_count()),
-            core: self.core_addresses().into_iter().collect(),
+            core_zones: self.zones_of(&core),
+            core: core.into_iter().collect(),
         };
         Downstream { body: Some(DownstreamBody::Status(status)) }
     }
--- a/crates/distribution/src/links.rs
+++ b/crates/distribution/src/links.rs
@@ -1,6 +1,6 @@
 //! Choice of publishers: a few at a time, replaced when silent, one of them the home.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use switchhill_protocol::Status;
 
 /// A connection to a publisher.
@@ -12,6 +12,8 @@
 pub struct LinkSettings {
     /// Links that are kept, publishers without quorum contact not counted.
     pub wanted: usize,
+    /// Zones that may be lost at once: links go to more zones than that, as far as there are publishers in them.
+    pub zones_lost: usize,
     /// Silence after which a link is given up.
     pub silent_after: u64,
     /// Time for a connection to come up.
@@ -33,6 +35,7 @@
     fn default() -> Self {
         LinkSettings {
             wanted: 3,
+            zones_lost: 0,
             silent_after: 900,
             connect_within: 500,
             retry_after: 250,
@@ -78,6 +81,8 @@
     name_hash: u64,
     /// Addresses of publishers, with the time before which none is tried again.
     known: BTreeMap<String, u64>,
+    /// Zones of publishers, as far as they were told.
+    zones: BTreeMap<String, String>,
     links: BTreeMap<LinkId, Link>,
     home: Option<LinkId>,
     next_link: u64,
@@ -90,6 +95,7 @@
             settings,
             name_hash: hash(name.as_bytes(), 0),
             known: seeds.into_iter().map(|address| (address, 0)).collect(),
+            zones: BTreeMap::new(),
             links: BTreeMap::new(),
             home: None,
             next_link: 0,
@@ -149,6 +155,8 @@
         for address in &status.core {
             self.known.entry(address.clone()).or_insert(0);
         }
+        let zones = status.core.iter().zip(&status.core_zones).filter(|(_, zone)| !zone.is_empty());
+        self.zones.extend(zones.map(|(address, zone)| (address.clone(), zone.clone())));
         let settings = self.settings;
         let Some(link) = self.links.get_mut(&id) else { return Vec::new() };
         link.heard_at = now;
@@ -197,14 +205,52 @@
     }
 
     fn open_missing(&mut self, now: u64) -> Vec<LinkAction> {
-        let useful = self.links.values().filter(|link| !link.up || link.quorum).count();
-        let missing = self.settings.wanted.saturating_sub(useful);
-        let mut free: Vec<String> =
-            self.known.iter().filter(|(_, at)| now >= **at).map(|(a, _)| a.clone()).collect();
-        free.retain(|address| !self.links.values().any(|link| link.address == *address));
-        free.sort_by_key(|address| hash(address.as_bytes(), self.name_hash));
-        free.truncate(missing);
-        free.into_iter().map(|address| self.open(now, address)).collect()
+        let mut actions = Vec::new();
+        while self.useful().count() < self.settings.wanted {
+            let Some(address) = self.next_publisher(now) else { break };
+            actions.push(self.open(now, address));
+        }
+        actions.extend(self.open_in_another_zone(now));
+        actions
+    }
+
+    /// Links that are up with quorum contact, or may come to be.
+    fn useful(&self) -> impl Iterator<Item = &Link> {
+        self.links.values().filter(|link| !link.up || link.quorum)
+    }
+
+    /// A link beyond those wanted, if all that there are could go with the zones to be borne.
+    fn open_in_another_zone(&mut self, now: u64) -> Option<LinkAction> {
+        if self.settings.zones_lost == 0 || self.zones_linked().len() > self.settings.zones_lost {
+            return None;
+        }
+        let address = self.next_publisher(now)?;
+        let zone = self.zones.get(&address)?;
+        let is_another = !self.zones_linked().contains(zone.as_str());
+        is_another.then(|| self.open(now, address))
+    }
+
+    /// Zones to which useful links go.
+    fn zones_linked(&self) -> BTreeSet<&str> {
+        self.useful().filter_map(|link| self.zones.get(&link.address)).map(String::as_str).collect()
+    }
+
+    /// The publisher to link to next: where zones may be lost, of a zone with the fewest links.
+    fn next_publisher(&self, now: u64) -> Option<String> {
+        let is_free = |address: &String| !self.links.values().any(|link| link.address == *address);
+        let due = self.known.iter().filter(|(_, at)| now >= **at).map(|(address, _)| address);
+        let free = due.filter(|address| is_free(address));
+        free.min_by_key(|address| (self.links_beside(address), hash(address.as_bytes(), self.name_hash)))
+            .cloned()
+    }
+
+    /// Useful links into a publisher's zone; none where zones don't count.
+    fn links_beside(&self, address: &String) -> usize {
+        if self.settings.zones_lost == 0 {
+            return 0;
+        }
+        let zone = self.zones.get(address);
+        self.useful().filter(|link| self.zones.get(&link.address) == zone).count()
     }
 
     fn open(&mut self, now: u64, address: String) -> LinkAction {
--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -223,6 +223,7 @@
             workers_digest: self.state.workers().digest(),
             gatekeepers: self.gatekeepers,
             core: self.core.clone(),
+            core_zones: Vec::new(),
         };
         Downstream { body: Some(DownstreamBody::Status(status)) }
     }
--- a/crates/distribution/tests/links.rs
+++ b/crates/distribution/tests/links.rs
@@ -110,3 +110,37 @@
     expect_that!(connected(&planner.tick(259)), is_empty());
     expect_that!(connected(&planner.tick(260)), len(eq(1)));
 }
+
+/// A planner that knows four publishers, three of them in one zone, after its first links are up.
+fn planner_of_two_zones(zones_lost: usize) -> (LinkPlanner, Vec<String>) {
+    let core: Vec<String> = (1..=4).map(|n| format!("10.0.0.{n}:1")).collect();
+    let core_zones = ["north", "north", "north", "south"].map(String::from).to_vec();
+    let settings = LinkSettings { wanted: 2, zones_lost, ..LinkSettings::default() };
+    // Only publishers of one zone are known at first.
+    let mut planner = LinkPlanner::new("edge-1", core[..3].to_vec(), settings);
+    let links = connected(&planner.tick(0));
+    for link in links {
+        planner.connected(0, link);
+        let told = Status { core: core.clone(), core_zones: core_zones.clone(), ..status(true, HELD) };
+        planner.status(0, link, &told, HELD, DIGEST);
+    }
+    let actions = planner.tick(100);
+    let address = |action: LinkAction| match action {
+        LinkAction::Connect(_, address) => Some(address),
+        _ => None,
+    };
+    (planner, actions.into_iter().filter_map(address).collect())
+}
+
+#[gtest]
+fn where_a_zone_may_be_lost_links_go_to_more_than_one() {
+    let (mut planner, opened) = planner_of_two_zones(1);
+    expect_that!(opened, elements_are![eq("10.0.0.4:1")]);
+    expect_that!(connected(&planner.tick(200)), is_empty());
+}
+
+#[gtest]
+fn where_no_zone_may_be_lost_links_go_by_hash_alone() {
+    let (_, opened) = planner_of_two_zones(0);
+    expect_that!(opened, is_empty());
+}
--- a/crates/membership/src/contact.rs
+++ b/crates/membership/src/contact.rs
@@ -44,6 +44,8 @@
     pub node: String,
     /// Random number of its present life.
     pub life: u64,
+    /// When its present life was first heard, in milliseconds.
+    pub heard_since: u64,
     /// Its newest sequence.
     pub sequence: u64,
     /// When it was last heard, in milliseconds.
--- a/crates/membership/src/contacts.rs
+++ b/crates/membership/src/contacts.rs
@@ -103,6 +103,7 @@
             address: heard.address.clone(),
             node: heard.node.clone(),
             life: heard.life,
+            heard_since: now,
             sequence: 0,
             heard_at: now,
             confirmed_at: None,
@@ -110,6 +111,7 @@
         });
         if contact.life != heard.life {
             contact.life = heard.life;
+            contact.heard_since = now;
             contact.sequence = 0;
             contact.confirmed_at = None;
         }
--- a/crates/protocol/src/subscription.rs
+++ b/crates/protocol/src/subscription.rs
@@ -196,6 +196,9 @@
     /// Internal addresses of the core nodes.
     #[prost(string, repeated, tag = "6")]
     pub core: Vec<String>,
+    /// Zone of each of them, empty where it is not known; none at all unless the loss of a zone is to be borne.
+    #[prost(string, repeated, tag = "9")]
+    pub core_zones: Vec<String>,
 }
 
 /// A configuration, whole or as a change.
--- a/lab/src/hollow/parts.rs
+++ b/lab/src/hollow/parts.rs
@@ -107,8 +107,15 @@
     let microseconds = time(|| Downstream::decode(encoded.as_slice()));
     parts.push(Part { what: "loads of all workers, decoded", bytes: Some(encoded.len()), microseconds });
     let core = (0..sizes.cores).map(|core| format!("10.0.0.{core}:7000")).collect();
-    let status =
-        Status { quorum: true, warm: true, revision: 3_100, workers_digest: 7, gatekeepers: 370, core };
+    let status = Status {
+        quorum: true,
+        warm: true,
+        revision: 3_100,
+        workers_digest: 7,
+        gatekeepers: 370,
+        core,
+        core_zones: Vec::new(),
+    };
     let status = downstream(DownstreamBody::Status(status));
     let microseconds = time(|| status.encode_to_vec());
     parts.push(Part { what: "status, encoded", bytes: Some(status.encoded_len()), microseconds });
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -23,8 +23,11 @@
     let mut feeds = feeds::Feeds::listen(feed_address, inputs.clone()).await?;
     let mut links = links::Links::new(inputs.clone());
     let seeds = crate::system::internal_addresses(&settings);
-    let link_settings =
-        LinkSettings { wanted: settings.fault_tolerance.machines + SPARE_LINKS, ..LinkSettings::default() };
+    let link_settings = LinkSettings {
+        wanted: settings.fault_tolerance.machines + SPARE_LINKS,
+        zones_lost: settings.fault_tolerance.domains(),
+        ..LinkSettings::default()
+    };
     let mut relay = Relay::new(&settings.node_name, &settings.zone, seeds, link_settings);
     let clock = Clock::new();
     let mut ticks = tokio::time::interval(TICK_EVERY);
--- a/src/control_plane/mod.rs
+++ b/src/control_plane/mod.rs
@@ -19,9 +19,8 @@
 /// How long answers may still go out after the process was told to stop.
 const LINGER: Duration = Duration::from_millis(150);
 
-/// Longest wait after the process was told to stop for the electorate to go on without this replica: a change takes a few
-/// rounds, and a node that is itself out of contact waits in vain.
-const LEAVE_WITHIN: Duration = Duration::from_millis(1_500);
+/// Time before SIGKILL at which the process ends even if the electorate still needs its replica.
+const BEFORE_KILL: Duration = Duration::from_millis(1_000);
 
 /// Runs until the process is told to stop, and then until the electorate goes on without its replica.
 pub async fn run(settings: SiteSettings) -> anyhow::Result<()> {
@@ -46,6 +45,7 @@
     let mut ticks = tokio::time::interval(TICK_EVERY);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut stop = Stop::new()?;
+    let leave_within = settings.grace().saturating_sub(BEFORE_KILL);
     let mut leave_by: Option<tokio::time::Instant> = None;
     loop {
         let is_over = |by: tokio::time::Instant| by <= tokio::time::Instant::now();
@@ -54,7 +54,7 @@
         }
         let input = tokio::select! {
             _ = stop.requested() => {
-                leave_by.get_or_insert(tokio::time::Instant::now() + LEAVE_WITHIN);
+                leave_by.get_or_insert(tokio::time::Instant::now() + leave_within);
                 Input::Leave
             }
             _ = ticks.tick() => Input::Tick,
--- a/tests/site_settings.rs
+++ b/tests/site_settings.rs
@@ -50,6 +50,19 @@
     fault
 }
 
+#[gtest]
+fn the_failure_domain_is_the_zone_or_the_region_where_its_loss_is_to_be_borne() {
+    let read = |name: &str, tolerance: &str| {
+        let path = file(name, &WHOLE.replace("  machines: 2", tolerance));
+        let settings = SiteSettings::read(&path).expect("the settings are right");
+        std::fs::remove_file(path).expect("the file can be removed");
+        (settings.failure_domain().to_owned(), settings.fault_tolerance.domains())
+    };
+    expect_that!(read("none", "  machines: 2"), eq(&("north".to_owned(), 0)));
+    expect_that!(read("zones", "  machines: 1\n  zones: 1"), eq(&("north".to_owned(), 1)));
+    expect_that!(read("regions", "  zones: 1\n  regions: 1"), eq(&("region".to_owned(), 1)));
+}
+
 #[gtest]
 fn fields_are_read_and_unknown_ones_skipped() -> googletest::Result<()> {
     let path = file("whole", WHOLE);
