Placement: missing models get a turn by age; room at a bounded price

Change: after two loads of copies an overdue missing model goes first; new wants queue by rank; room has a price limit that grows with waiting; only copies lately used give way to waiting requests alone; a copy for 6.4 adapters in use, not 12; expected models stay.

--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -8,7 +8,7 @@
 use crate::catalogue::{Catalogue, ModelIndex};
 use crate::demand::{ModelDemand, Sample};
 use crate::message::{Input, Operation, OrderId, Output, WorkerId, WorkerState, WorkerView};
-use crate::policy::{MissingTable, Want};
+use crate::policy::{MissingTable, Turns, Want};
 use crate::settings::{Engine, PlannerSettings};
 use crate::store_rate::StoreRate;
 use crate::worker::{Knowledge, Phase, Worker, WorkerKey};
@@ -63,6 +63,8 @@
     pub(crate) anticipated: BTreeMap<ModelIndex, usize>,
     /// Tokens of the store that other loads leave to models whose copies are crowded.
     pub(crate) tokens_kept_for_crowded: f64,
+    /// Whose turn the next load from the store is.
+    pub(crate) turns: Turns,
     next_order: u64,
     next_policy_at: u64,
     next_sample_at: u64,
@@ -98,6 +100,7 @@
             first_demand_at: None,
             anticipated: BTreeMap::new(),
             tokens_kept_for_crowded: 0.0,
+            turns: Turns::default(),
             next_order: 1,
             next_policy_at: now,
             next_sample_at: now,
@@ -193,6 +196,8 @@
             return;
         }
         self.next_policy_at = now + POLICY_INTERVAL_MS;
+        self.drop_settled_wants(now);
+        self.serve_overdue(now);
         self.relieve_crowded(now);
         self.serve_missing(now);
         self.prepare(now);
--- a/crates/placement/src/policy/anticipation.rs
+++ b/crates/placement/src/policy/anticipation.rs
@@ -22,7 +22,7 @@
 /// with several copies of what they expect to be busy.
 const ASSUMED_OCCUPANCY: f64 = 0.15;
 /// Requests running for a model, as a share of a worker's slots, below which its successors aren't prepared.
-const LEAST_OCCUPANCY: f64 = 0.2;
+const LEAST_OCCUPANCY: f64 = 0.1;
 /// Requests running for some model from which demand counts as known.
 const KNOWN_SLOTS: f64 = 2.0;
 /// Copies planned in one round.
--- a/crates/placement/src/policy/choice.rs
+++ b/crates/placement/src/policy/choice.rs
@@ -31,7 +31,7 @@
 /// How far ahead the store's tokens are counted when a load is planned: about the time an unload takes, in
 /// milliseconds.
 const STORE_LOOKAHEAD_MS: u64 = 300;
-/// Tokens that growth leaves for models that are missing.
+/// Tokens that copies for growth or ahead of demand leave for models that are missing.
 const TOKENS_KEPT_FOR_MISSING: f64 = 1.0;
 /// Cost of a busy worker, in milliseconds of delay for one whose slots are all in use.
 const LOAD_COST_MS: f64 = 2_000.0;
@@ -52,9 +52,9 @@
     pub(crate) fn place_model(&mut self, now: u64, model: ModelIndex, reason: Reason) -> bool {
         let kept = match reason {
             Reason::Crowded { .. } => 0.0,
+            Reason::Missing { .. } if self.turns.is_for_missing() => 0.0,
             Reason::Missing { .. } => self.tokens_kept_for_crowded,
-            Reason::Growth => self.tokens_kept_for_crowded + TOKENS_KEPT_FOR_MISSING,
-            Reason::Anticipated => self.tokens_kept_for_crowded,
+            Reason::Growth | Reason::Anticipated => self.tokens_kept_for_crowded + TOKENS_KEPT_FOR_MISSING,
         };
         let store_open = self.spare_tokens(now) >= 1.0 + kept;
         let zones = self.copies_by_zone(model);
@@ -71,10 +71,21 @@
             }
         }
         let Some((_, key, victims)) = best else { return false };
+        self.note_turn(key, model, reason);
         self.plan_model(now, key, model, victims);
         true
     }
 
+    /// Counts a load about to be planned as the turn of a missing model or as one of a copy.
+    fn note_turn(&mut self, key: WorkerKey, model: ModelIndex, reason: Reason) {
+        let stands_nowhere = self.copies_of(model).count() == 0;
+        if stands_nowhere && matches!(reason, Reason::Missing { .. }) {
+            self.turns.missing_planned();
+        } else if !self.workers[key].held.contains(&model) {
+            self.turns.copy_planned();
+        }
+    }
+
     /// Whether the store has a token for one more load, beside those planned.
     pub(crate) fn store_allows(&self, now: u64) -> bool {
         self.spare_tokens(now) >= 1.0
--- a/crates/placement/src/policy/growth.rs
+++ b/crates/placement/src/policy/growth.rs
@@ -17,8 +17,9 @@
 const RECENT_MS: u64 = 5_000;
 /// Adapters asked for within this time count as active, in milliseconds.
 const ACTIVE_ADAPTER_MS: u64 = 10_000;
-/// Active adapters for each slot of the holders of a model, beyond which another copy of the model is wanted.
-const ADAPTERS_PER_SLOT: f64 = 1.5;
+/// Active adapters for each slot of the holders of a model, beyond which another copy of the model is wanted. Below 1, so
+/// that one asked for next finds a slot, and does not wait until another adapter is idle.
+const ADAPTERS_PER_SLOT: f64 = 0.8;
 /// Share of a worker's slots that requests for one adapter should occupy at most.
 const ADAPTER_OCCUPANCY: f64 = 0.2;
 /// Copies planned in one round; bounds the work of a round.
--- a/crates/placement/src/policy/missing.rs
+++ b/crates/placement/src/policy/missing.rs
@@ -6,6 +6,7 @@
 use crate::message::Output;
 use crate::planner::Planner;
 use crate::policy::choice::Reason;
+use crate::policy::turns::OVERDUE_MS;
 use crate::worker::{OrderPhase, Step, WorkerKey};
 
 /// A want that nobody has repeated for this long is dropped unless its model is on its way, in milliseconds.
@@ -40,6 +41,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct MissingTable {
     entries: BTreeMap<Want, MissingEntry>,
+    /// Models wanted that the last round found no worker or token for.
+    unplanned: usize,
 }
 
 impl MissingTable {
@@ -85,6 +88,14 @@
         entry.last_at = now;
     }
 
+    /// Wants whose requests have waited so long that copies of other models give way, in the order in which they are
+    /// tried.
+    fn overdue(&self, now: u64) -> Vec<Want> {
+        let mut ranked = self.ranked(now);
+        ranked.retain(|want| self.waited_ms(now, want) >= OVERDUE_MS);
+        ranked
+    }
+
     /// Wants in the order in which they are tried: adapters, which are cheap, then by number waiting, aim and age.
     fn ranked(&self, now: u64) -> Vec<Want> {
         let mut ranked: Vec<(bool, f64, &Want)> = self
@@ -131,7 +142,9 @@
             return;
         }
         self.missing.note(now, &want, waiting, aim_ms);
-        self.try_serve(now, &want);
+        if !self.must_queue(&want) {
+            self.try_serve(now, &want);
+        }
         let ready_in_ms = self.expected(now, &want);
         self.tell_expected(&want, ready_in_ms);
         if let Some(entry) = self.missing.entries.get_mut(&want) {
@@ -139,8 +152,8 @@
         }
     }
 
-    /// Drops what stands or nobody asks for any more, and tries to plan the rest.
-    pub(crate) fn serve_missing(&mut self, now: u64) {
+    /// Drops what stands or nobody asks for any more.
+    pub(crate) fn drop_settled_wants(&mut self, now: u64) {
         let wants: Vec<Want> = self.missing.entries.keys().cloned().collect();
         for want in wants {
             let silent = now.saturating_sub(self.missing.entries[&want].last_at) > FORGET_MS;
@@ -149,17 +162,44 @@
                 self.missing.entries.remove(&want);
             }
         }
+    }
+
+    /// Plans one overdue model that stands nowhere, if copies of other models have had their loads.
+    pub(crate) fn serve_overdue(&mut self, now: u64) {
+        if !self.turns.is_for_missing() {
+            return;
+        }
+        for want in self.missing.overdue(now) {
+            if self.copies_of(want.model).count() > 0 {
+                continue;
+            }
+            self.try_serve(now, &want);
+            if self.copies_of(want.model).count() > 0 {
+                return;
+            }
+        }
+    }
+
+    /// Tries to plan what is missing, by rank.
+    pub(crate) fn serve_missing(&mut self, now: u64) {
         let ranked = self.missing.ranked(now);
         let mut tried = 0;
+        self.missing.unplanned = 0;
         for want in &ranked {
             if tried < TRIED_A_ROUND && !self.is_planned(want) {
                 self.try_serve(now, want);
                 tried += 1;
+                self.missing.unplanned += usize::from(self.copies_of(want.model).count() == 0);
             }
             self.tell_changed(now, want);
         }
     }
 
+    /// Whether a want has to be ranked with others that stand nowhere, instead of taking a worker that they wait for.
+    fn must_queue(&mut self, want: &Want) -> bool {
+        self.missing.unplanned > 0 && self.copies_of(want.model).count() == 0
+    }
+
     /// Whether nothing more can be planned for a want: it comes, or its model has to come first.
     fn is_planned(&mut self, want: &Want) -> bool {
         let copies = self.copies_of(want.model);
--- a/crates/placement/src/policy/mod.rs
+++ b/crates/placement/src/policy/mod.rs
@@ -6,6 +6,8 @@
 mod growth;
 mod missing;
 mod relief;
+mod turns;
 mod victims;
 
 pub(crate) use missing::{MissingTable, Want};
+pub(crate) use turns::Turns;
--- a/crates/placement/src/policy/victims.rs
+++ b/crates/placement/src/policy/victims.rs
@@ -41,6 +41,22 @@
     pub(super) const MISSED_PATIENT: f64 = 100.0;
     /// An only copy in use.
     pub(super) const IN_USE: f64 = 6_000.0;
+    /// An only copy of a model that is expected to be busy soon, beside its other costs.
+    pub(super) const EXPECTED: f64 = 3_000.0;
+}
+
+/// What room may cost at the most. Beyond that, it is better to wait until another worker is free: a load takes some 4 s.
+mod limit {
+    /// For a missing model, however few wait for it.
+    pub(super) const MISSING: f64 = 4_000.0;
+    /// More for each request that waits for it, and for each two seconds of waiting.
+    pub(super) const MISSING_EACH: f64 = 1_000.0;
+    /// For a copy of a crowded model.
+    pub(super) const CROWDED: f64 = 3_000.0;
+    /// More for each request beyond what its copies should run.
+    pub(super) const CROWDED_EACH: f64 = 300.0;
+    /// For other copies.
+    pub(super) const COPY: f64 = 4_000.0;
 }
 
 /// Models to unload, and what that costs.
@@ -51,7 +67,8 @@
 }
 
 impl Planner {
-    /// Cheapest models to unload so that `model` fits onto the worker, or none if it can't be made to fit.
+    /// Cheapest models to unload so that `model` fits onto the worker, or none if it can't be made to fit at a price that
+    /// the reason is worth.
     pub(crate) fn choose_victims(
         &self,
         now: u64,
@@ -78,7 +95,7 @@
             victims.models.push(holding.model);
             victims.cost += cost;
             if free >= needed {
-                return Some(victims);
+                return Some(victims).filter(|victims| victims.cost <= most_cost(reason));
             }
         }
         None
@@ -103,13 +120,21 @@
             let cost = self.cost_of_copy(copies, load, keep, reason);
             return cost.filter(|_| copies > for_adapters);
         }
-        let (Some(demand), Some(idle)) = (demand, idle) else { return Some(self.cost_of_unused(rank)) };
+        let expected = if self.is_anticipated(holding.model) { cost::EXPECTED } else { 0.0 };
+        let (Some(demand), Some(idle)) = (demand, idle) else {
+            return Some(self.cost_of_unused(rank) + expected);
+        };
         let young = holding.since.is_some_and(|since| now.saturating_sub(since) < MIN_STAY_MS);
         if young {
             return None;
         }
         let only_copy = OnlyCopy::new(demand, idle, entry.spec.load_ms);
-        only_copy.cost(reason)
+        only_copy.cost(reason).map(|cost| cost + expected)
+    }
+
+    /// Whether a model should have copies because of its busy predecessors in the operator's list.
+    fn is_anticipated(&self, model: ModelIndex) -> bool {
+        self.anticipated.get(&model).is_some_and(|copies| *copies > 0)
     }
 
     /// Whether demand has been told for long enough to judge copies by it. Before, the operator's own are kept.
@@ -138,6 +163,15 @@
     }
 }
 
+/// What room for a load may cost at the most.
+fn most_cost(reason: Reason) -> f64 {
+    match reason {
+        Reason::Missing { pressure } => limit::MISSING + limit::MISSING_EACH * pressure,
+        Reason::Crowded { excess } => limit::CROWDED + limit::CROWDED_EACH * excess,
+        Reason::Growth | Reason::Anticipated => limit::COPY,
+    }
+}
+
 /// The only copy of a model that has been asked for.
 struct OnlyCopy {
     idle_ms: u64,
@@ -163,7 +197,7 @@
         let pressure = match reason {
             Reason::Missing { pressure } => pressure,
             Reason::Crowded { excess } => excess,
-            Reason::Growth | Reason::Anticipated => 0.0,
+            Reason::Growth | Reason::Anticipated => return None,
         };
         if self.idle_ms >= SHORT_IDLE_MS {
             return Some(cost::SHORT_IDLE + self.missed_cost);
