--- a/crates/placement/src/policy/adapters.rs
+++ b/crates/placement/src/policy/adapters.rs
@@ -93,10 +93,8 @@
     fn may_load_adapter(&self, now: u64, key: WorkerKey, model: ModelIndex) -> bool {
         let worker = &self.workers[key];
         let rejected = worker.rejected.get(&model).is_some_and(|until| now < *until);
-        let order_is_short = worker.order.as_ref().is_none_or(|order| order.step.adapter.is_some());
-        let plan_is_short = worker.plan.iter().all(|step| step.adapter.is_some());
         let queue_left = worker.plan.len() < QUEUED_STEPS;
-        !rejected && worker.is_ready() && worker.is_exact() && order_is_short && plan_is_short && queue_left
+        !rejected && worker.is_ready() && worker.is_exact() && worker.has_only_adapter_steps() && queue_left
     }
 
     fn adapter_slots_left(&self, now: u64, key: WorkerKey) -> usize {
--- a/crates/placement/src/policy/choice.rs
+++ b/crates/placement/src/policy/choice.rs
@@ -106,7 +106,10 @@
         let worker = &self.workers[key];
         let rejected = worker.rejected.get(&model).is_some_and(|until| now < *until);
         let from_disk = worker.held.contains(&model);
-        worker.is_free() && !rejected && worker.holding(model).is_none() && (store_open || from_disk)
+        worker.takes_model_loads()
+            && !rejected
+            && worker.holding(model).is_none()
+            && (store_open || from_disk)
     }
 
     fn copies_by_zone(&mut self, model: ModelIndex) -> BTreeMap<String, usize> {
--- a/crates/placement/src/policy/victims.rs
+++ b/crates/placement/src/policy/victims.rs
@@ -79,6 +79,7 @@
         let worker = &self.workers[key];
         let needed = self.catalogue.spec(model).weights_mb;
         let mut free = self.engine.weights_mb - worker.used_mb(now, &self.catalogue);
+        free -= worker.planned_adapters_mb(&self.catalogue);
         let mut victims = Victims::default();
         if free >= needed {
             return Some(victims);
--- a/crates/placement/src/worker.rs
+++ b/crates/placement/src/worker.rs
@@ -167,6 +167,18 @@
         self.is_ready() && self.order.is_none() && self.plan.is_empty() && self.is_exact()
     }
 
+    /// Whether a load of a model may be planned for it, behind steps about adapters at the most: those take moments, and a
+    /// worker whose adapters change all the time would never be free otherwise.
+    pub(crate) fn takes_model_loads(&self) -> bool {
+        self.is_ready() && self.is_exact() && self.has_only_adapter_steps()
+    }
+
+    /// Whether neither the order under way nor the plan is about a whole model.
+    pub(crate) fn has_only_adapter_steps(&self) -> bool {
+        let order_is_short = self.order.as_ref().is_none_or(|order| order.step.adapter.is_some());
+        order_is_short && self.plan.iter().all(|step| step.adapter.is_some())
+    }
+
     /// Whether all orders it has taken are known.
     pub(crate) fn is_exact(&self) -> bool {
         matches!(self.knowledge, Knowledge::Exact { .. })
@@ -228,6 +240,13 @@
         held + doubted
     }
 
+    /// Megabytes that adapters still to be ordered will use.
+    pub(crate) fn planned_adapters_mb(&self, catalogue: &Catalogue) -> f64 {
+        let loads =
+            self.plan.iter().filter(|step| step.operation == Operation::Load && step.adapter.is_some());
+        loads.map(|step| catalogue.spec(step.model).adapter_mb).sum()
+    }
+
     /// Adapter slots in use, counting everything that may be there.
     pub(crate) fn used_adapters(&self, now: u64) -> usize {
         let held: usize = self.holdings.iter().map(|holding| holding.adapters.len()).sum();
