--- a/crates/placement/src/message.rs
+++ b/crates/placement/src/message.rs
@@ -12,7 +12,7 @@
     }
 }
 
-/// Identity of an order within one planner.
+/// Identity of an order, given once among the planners of a node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct OrderId(pub u64);
 
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -20,6 +20,10 @@
 /// Time after a change within which heartbeats may still show the state before it, in milliseconds.
 const HEARTBEAT_LAG_MS: u64 = 3_000;
 
+/// Orders' identities set apart for each millisecond of creation, so that a planner made later on the same node never
+/// gives an identity again: an answer to an order of the earlier one would pass for the answer to its own.
+const ORDERS_A_MS: u64 = 1 << 16;
+
 /// Workers that hold a model or will.
 #[derive(Debug, Default)]
 pub(crate) struct Copies {
@@ -101,7 +105,7 @@
             anticipated: BTreeMap::new(),
             tokens_kept_for_crowded: 0.0,
             turns: Turns::default(),
-            next_order: 1,
+            next_order: now.saturating_mul(ORDERS_A_MS) + 1,
             next_policy_at: now,
             next_sample_at: now,
             superseded: false,
--- /dev/null
+++ b/crates/placement/tests/turns.rs
@@ -0,0 +1,244 @@
+//! Turns: what copies of crowded models and missing models get of the weight store and of the workers.
+
+use std::collections::BTreeMap;
+
+use googletest::prelude::*;
+use switchhill_placement::{
+    Engine, Input, ModelSpec, Operation, OrderAnswer, Output, Planner, PlannerSettings, Resident, WorkerId,
+    WorkerState, WorkerView,
+};
+
+const SEED: u64 = 7;
+const LOAD_MS: u64 = 4_000;
+const TICK_MS: u64 = 50;
+const TELL_MS: u64 = 500;
+const WORKERS: usize = 40;
+const RARE: [&str; 6] = ["r0", "r1", "r2", "r3", "r4", "r5"];
+
+fn spec(name: &str, adapters: u32) -> ModelSpec {
+    ModelSpec { name: name.to_owned(), weights_mb: 70_000.0, load_ms: LOAD_MS, adapters, adapter_mb: 60.0 }
+}
+
+fn engine(loads_per_s: f64) -> Engine {
+    let names = ["busy", "spare", "left", "right"].into_iter().chain(RARE);
+    let models = names.map(|name| spec(name, if name == "busy" { 12 } else { 0 })).collect();
+    Engine { models, weights_mb: 150_000.0, adapter_slots: 2, loads_per_s, slots: 32 }
+}
+
+fn resident(name: &str) -> Resident {
+    Resident { name: name.to_owned(), adapters: Vec::new() }
+}
+
+#[derive(Debug, Default)]
+struct Obedient {
+    models: Vec<Resident>,
+    sequence: u64,
+    under_way: Option<(u64, Operation, String)>,
+}
+
+/// A planner, and workers that take each order and carry it out in its time.
+struct Fleet {
+    now: u64,
+    planner: Planner,
+    workers: BTreeMap<WorkerId, Obedient>,
+    /// Loads of models in the order in which they were sent, with their times.
+    loads: Vec<(u64, String)>,
+}
+
+impl Fleet {
+    fn new(loads_per_s: f64, workers: Vec<(String, Vec<Resident>)>) -> Self {
+        let planner = Planner::new(0, PlannerSettings::default(), engine(loads_per_s), SEED);
+        let workers = workers
+            .into_iter()
+            .map(|(id, models)| (WorkerId(id), Obedient { models, ..Obedient::default() }))
+            .collect();
+        let mut fleet = Self { now: 10_000, planner, workers, loads: Vec::new() };
+        let views = fleet.workers.iter().map(|(id, worker)| view(id, worker)).collect();
+        fleet.tell(Input::Workers(views));
+        fleet
+    }
+
+    fn tell(&mut self, input: Input) {
+        let mut outputs = self.planner.handle(self.now, input);
+        while !outputs.is_empty() {
+            let answers: Vec<Input> = outputs.drain(..).filter_map(|output| self.carry_out(output)).collect();
+            outputs = answers.into_iter().flat_map(|input| self.planner.handle(self.now, input)).collect();
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) -> Option<Input> {
+        match output {
+            Output::Order { order, worker, operation, model, adapter, .. } => {
+                let taken = self.workers.get_mut(&worker).unwrap();
+                taken.sequence += 1;
+                if adapter.is_none() {
+                    let takes_ms = if operation == Operation::Load { LOAD_MS } else { 0 };
+                    taken.under_way = Some((self.now + takes_ms, operation, model.clone()));
+                    if operation == Operation::Load {
+                        self.loads.push((self.now, model));
+                    }
+                }
+                Some(Input::OrderResult { order, answer: OrderAnswer::Accepted })
+            }
+            Output::AskReport { worker, .. } => Some(self.report(worker)),
+            _ => None,
+        }
+    }
+
+    fn report(&mut self, id: WorkerId) -> Input {
+        let worker = self.workers.get_mut(&id).unwrap();
+        if let Some((_, operation, model)) = worker.under_way.take_if(|(done_at, _, _)| *done_at <= self.now)
+        {
+            match operation {
+                Operation::Load => worker.models.push(resident(&model)),
+                Operation::Unload => worker.models.retain(|held| held.name != model),
+            }
+        }
+        let (busy, sequence) = (worker.under_way.is_some(), worker.sequence);
+        Input::Report { worker: id, busy, sequence, models: worker.models.clone() }
+    }
+
+    fn run(&mut self, for_ms: u64, mut each_tick: impl FnMut(&mut Fleet)) {
+        let end = self.now + for_ms;
+        while self.now < end {
+            self.now += TICK_MS;
+            each_tick(self);
+            self.tell(Input::Tick);
+        }
+    }
+
+    fn demand(&mut self, model: &str, requests_per_s: f64, outstanding: u32) {
+        if self.now.is_multiple_of(TELL_MS) {
+            self.tell(Input::Demand {
+                model: model.to_owned(),
+                adapter: None,
+                requests_per_s,
+                urgency_ms: 400,
+                outstanding,
+                waiting: 0,
+            });
+        }
+    }
+
+    fn missing(&mut self, model: &str, adapter: Option<&str>) {
+        let adapter = adapter.map(str::to_owned);
+        self.tell(Input::Missing { model: model.to_owned(), adapter, waiting: 1, aim_ms: 6_000 });
+    }
+
+    fn loads_of(&self, model: &str) -> usize {
+        self.loads.iter().filter(|(_, loaded)| loaded == model).count()
+    }
+}
+
+fn view(id: &WorkerId, worker: &Obedient) -> WorkerView {
+    WorkerView {
+        id: id.clone(),
+        address: format!("{id}:80"),
+        zone: "z".to_owned(),
+        state: WorkerState::Ready,
+        models: worker.models.clone(),
+        as_of_sequence: 1,
+    }
+}
+
+/// Forty workers, the busy model on one of them; the store allows one load a second.
+fn crowded_fleet() -> Fleet {
+    let held = |index: usize| if index == 0 { vec![resident("busy")] } else { Vec::new() };
+    Fleet::new(1.0, (0..WORKERS).map(|index| (format!("w{index:02}"), held(index))).collect())
+}
+
+/// The busy model stays crowded throughout, and the rare ones are asked for from some time on.
+fn crowd_and_rare(fleet: &mut Fleet, for_ms: u64, rare: &[&str]) {
+    fleet.run(for_ms, |fleet| {
+        fleet.demand("busy", 1_000.0, 1_000);
+        for model in rare {
+            fleet.missing(model, None);
+        }
+    });
+}
+
+#[gtest]
+fn a_missing_model_gets_its_load_after_two_loads_of_copies_at_the_latest() {
+    let mut fleet = crowded_fleet();
+    crowd_and_rare(&mut fleet, 5_000, &[]);
+    expect_that!(fleet.loads_of("busy"), ge(3), "{:?}", fleet.loads);
+    let asked_at = fleet.now;
+    crowd_and_rare(&mut fleet, 30_000, &RARE);
+    let overdue =
+        fleet.loads.iter().filter(|(at, _)| *at > asked_at + 1_000).map(|(_, model)| model.as_str());
+    let mut copies = 0;
+    let mut left =
+        RARE.len() - fleet.loads.iter().filter(|(at, m)| *at <= asked_at + 1_000 && m != "busy").count();
+    for model in overdue {
+        copies = if model == "busy" { copies + 1 } else { 0 };
+        left -= usize::from(model != "busy");
+        expect_that!(copies <= 2 || left == 0, eq(true), "{:?}", fleet.loads);
+    }
+    expect_that!(left, eq(0), "{:?}", fleet.loads);
+    for model in RARE {
+        expect_that!(fleet.loads_of(model), eq(1), "{model}: {:?}", fleet.loads);
+    }
+}
+
+#[gtest]
+fn copies_of_crowded_models_keep_most_of_the_store_while_models_are_missing() {
+    let mut fleet = crowded_fleet();
+    crowd_and_rare(&mut fleet, 5_000, &[]);
+    let before = fleet.loads.len();
+    crowd_and_rare(&mut fleet, 12_000, &RARE);
+    let (mut copies, mut missing) = (0, 0);
+    for (_, model) in &fleet.loads[before..] {
+        if model == "busy" {
+            copies += 1;
+        } else {
+            missing += 1;
+        }
+    }
+    expect_that!(missing, ge(3), "{:?}", fleet.loads);
+    expect_that!(copies, ge(2 * missing - 2), "{:?}", fleet.loads);
+}
+
+#[gtest]
+fn a_model_busy_moments_ago_stays_for_a_lone_request_and_goes_for_one_that_has_waited_long() {
+    let mut fleet = Fleet::new(4.0, vec![("w".to_owned(), vec![resident("left"), resident("right")])]);
+    fleet.run(10_000, |fleet| {
+        fleet.demand("left", 8.0, 4);
+        fleet.demand("right", 8.0, 4);
+    });
+    fleet.run(4_000, |_| ());
+    expect_that!(fleet.loads, is_empty());
+    fleet.run(2_000, |fleet| fleet.missing("r0", None));
+    expect_that!(fleet.loads, is_empty(), "the room was not worth it");
+    fleet.run(25_000, |fleet| fleet.missing("r0", None));
+    expect_that!(fleet.loads_of("r0"), eq(1), "{:?}", fleet.loads);
+}
+
+#[gtest]
+fn a_model_asked_for_later_does_not_overtake_one_that_waits_for_a_worker() {
+    let mut fleet = Fleet::new(4.0, vec![("w".to_owned(), vec![resident("busy"), resident("spare")])]);
+    fleet.missing("r0", None);
+    fleet.run(1_000, |fleet| fleet.missing("r1", None));
+    expect_that!(fleet.loads.len(), eq(1), "{:?}", fleet.loads);
+    while fleet.loads.len() == 1 && fleet.now < 30_000 {
+        fleet.now += TICK_MS / 2;
+        fleet.missing("r2", None);
+        fleet.now += TICK_MS / 2;
+        fleet.missing("r1", None);
+        fleet.tell(Input::Tick);
+    }
+    expect_that!(fleet.loads[1].1, eq("r1"), "{:?}", fleet.loads);
+}
+
+#[gtest]
+fn a_worker_whose_adapters_change_all_the_time_takes_model_loads_too() {
+    let mut fleet = Fleet::new(4.0, vec![("w".to_owned(), vec![resident("busy")])]);
+    let mut turn = 0;
+    fleet.run(10_000, |fleet| {
+        for _ in 0..2 {
+            turn += 1;
+            fleet.missing("busy", Some(&format!("a{}", 1 + turn % 12)));
+        }
+        fleet.missing("r0", None);
+    });
+    expect_that!(fleet.loads_of("r0"), eq(1), "{:?}", fleet.loads);
+}
