--- a/crates/placement/tests/faults.rs
+++ b/crates/placement/tests/faults.rs
@@ -12,6 +12,10 @@
 const SEEDS: u64 = 100;
 const MODELS: usize = 24;
 const WORKERS: usize = 6;
+const LARGE_MODELS: usize = 66;
+const LARGE_WORKERS: usize = 18;
+/// Time in which a new planner only watches where workers refuse orders under an older fencing token.
+const FENCED_WATCH_MS: u64 = 500;
 
 fn small_fleet(seed: u64, faults: Faults) -> Fleet {
     let mut streams: Vec<Stream> = (0..3).map(|model| Stream::new(model, 4.0, 400)).collect();
@@ -75,6 +79,24 @@
     }
 }
 
+#[gtest]
+fn the_store_rate_holds_over_every_window_while_placers_follow_one_another() {
+    for seed in 0..SEEDS / 4 {
+        let mut random = Rng::with_seed(seed);
+        let mut engine = engine(LARGE_MODELS, 0);
+        engine.loads_per_s = 1.0;
+        let streams = (0..LARGE_MODELS).map(|model| Stream::new(model, 0.4, 6_000)).collect();
+        let mut fleet = Fleet::new(seed, engine, LARGE_WORKERS, Load::new(seed, streams), Faults::none());
+        for _ in 0..8 {
+            fleet.run(random.u64(5..25) * 100);
+            fleet.take_over_within(FENCED_WATCH_MS);
+        }
+        fleet.run(5_000);
+        check_rules(&fleet);
+        expect_that!(fleet.checks.store_loads, gt(8), "seed {seed}");
+    }
+}
+
 #[gtest]
 fn a_new_planner_waits_for_the_load_that_its_predecessor_began() {
     for seed in 0..SEEDS / 4 {
