Load is told as bounded changes on every link instead of whole lists each time

Change: LoadTable holds absolute figures, LoadTeller tells those that changed most, at most 64 workers, 48 demands and 16 routes a message; what waits gains each round. A new connection, home or data plane begins with all entries. Sequence numbers: an agent leaves out a change that does not follow its predecessor and asks for all; a core node leaves it out until the whole sums that follow each second.

The emulator's summary (one line) takes the new field's default.

--- a/crates/control/src/load.rs
+++ b/crates/control/src/load.rs
@@ -1,32 +1,84 @@
 //! Load and demand, summed from the gatekeepers over the core.
 
+#[cfg(test)]
+mod tests;
+
 use crate::node::ControlNode;
 use std::collections::BTreeMap;
-use switchhill_protocol::{Downstream, DownstreamBody, LoadSummary, Loads, ModelDemand, PeerBody};
-use switchhill_protocol::{RouteAdmission, Summary, WorkerLoad};
+use switchhill_distribution::{LoadTable, LoadTeller};
+use switchhill_protocol::{Downstream, DownstreamBody, LoadSummary, Loads, PeerBody};
 
 /// Time in milliseconds between two summaries.
 const SUMMARY_EVERY: u64 = 250;
 
+/// Messages to the other core nodes of which one holds all entries. What one of them missed it has a second later.
+const WHOLE_EVERY: u64 = 4;
+
 /// Age in milliseconds beyond which a summary no longer counts.
 const SUMMARY_HOLDS: u64 = 1_500;
 
 /// Time in milliseconds for which the largest number of gatekeepers heard of late is kept.
 const GATEKEEPERS_HELD: u64 = 6_000;
 
+/// What another core node told of its home subscribers.
+#[derive(Debug)]
+struct PeerLoad {
+    heard_at: u64,
+    sequence: u64,
+    table: LoadTable,
+}
+
 /// Load over the fleet.
 #[derive(Debug, Default)]
 pub(crate) struct FleetLoad {
-    peers: BTreeMap<u64, (u64, Summary)>,
+    peers: BTreeMap<u64, PeerLoad>,
+    /// What the other core nodes were told, and in how many messages.
+    told_peers: LoadTeller,
+    peer_sequence: u64,
+    /// What home subscribers were told, and in how many messages.
+    fleet: LoadTeller,
+    fleet_sequence: u64,
     peer_gatekeepers: BTreeMap<u64, (u64, u32)>,
     next_summary: u64,
     most_gatekeepers: std::cell::Cell<(u64, u32)>,
 }
 
 impl FleetLoad {
-    /// Another core node's sums.
-    pub(crate) fn peer(&mut self, now: u64, from: u64, summary: Summary) {
-        self.peers.insert(from, (now, summary));
+    /// Another core node's sums. A change that does not build on the message before it is left out: all entries
+    /// follow within a second.
+    pub(crate) fn peer(&mut self, now: u64, from: u64, told: LoadSummary) {
+        let summary = told.summary.unwrap_or_default();
+        let fits = self.peers.get(&from).is_some_and(|held| told.sequence == held.sequence + 1);
+        if summary.delta && !fits {
+            return;
+        }
+        let held = self.peers.entry(from).or_insert_with(|| PeerLoad {
+            heard_at: now,
+            sequence: 0,
+            table: LoadTable::default(),
+        });
+        held.table.apply(&summary);
+        held.sequence = told.sequence;
+        held.heard_at = now;
+    }
+
+    /// What the other core nodes are told next.
+    fn tell_peers(&mut self, own: &LoadTable) -> LoadSummary {
+        let sequence = self.peer_sequence;
+        self.peer_sequence += 1;
+        let summary = match sequence % WHOLE_EVERY {
+            0 => self.told_peers.tell_whole(own),
+            _ => self.told_peers.tell_changes(own),
+        };
+        LoadSummary { summary: Some(summary), sequence }
+    }
+
+    /// The load over the fleet: this node's and what the others told of late.
+    fn total(&mut self, now: u64, own: LoadTable) -> LoadTable {
+        self.peers.retain(|_, held| now < held.heard_at + SUMMARY_HOLDS);
+        let mut total = own;
+        self.peers.values().for_each(|held| total.add(&held.table));
+        total
     }
 
     /// Gatekeepers whose home another core node is.
@@ -54,64 +106,31 @@
             return;
         }
         self.load.next_summary = now + SUMMARY_EVERY;
-        let own = self.own_summary(now);
-        self.send_all_peers(now, &PeerBody::Load(LoadSummary { summary: Some(own.clone()) }));
-        let total = self.total(now, own);
+        let own = self.own_load(now);
+        let told = self.load.tell_peers(&own);
+        self.send_all_peers(now, &PeerBody::Load(told));
+        let mut total = self.load.total(now, own);
         self.placer_demand(now, &total);
-        let loads = Loads { loads: total.loads, admission: total.admission };
-        let message = Downstream { body: Some(DownstreamBody::Loads(loads)) };
-        let homes: Vec<_> = self.subscribers.homes().map(|(id, _)| id).collect();
-        for id in homes {
-            self.send_subscriber(id, message.clone());
-        }
+        total.demand.clear();
+        self.tell_homes(&total);
     }
 
-    fn own_summary(&self, now: u64) -> Summary {
-        let fresh = self.subscribers.homes().filter_map(|(_, subscriber)| subscriber.summary.as_ref());
-        let fresh = fresh.filter(|(at, _)| now < at + SUMMARY_HOLDS).map(|(_, summary)| summary);
-        sum(fresh)
+    fn own_load(&self, now: u64) -> LoadTable {
+        let mut total = LoadTable::default();
+        let summaries = self.subscribers.homes().filter_map(|(_, subscriber)| subscriber.summary.as_ref());
+        summaries.filter(|(at, _)| now < at + SUMMARY_HOLDS).for_each(|(_, table)| total.add(table));
+        total
     }
 
-    fn total(&self, now: u64, own: Summary) -> Summary {
-        let peers =
-            self.load.peers.values().filter(|(at, _)| now < at + SUMMARY_HOLDS).map(|(_, summary)| summary);
-        sum(peers.chain(std::iter::once(&own)))
-    }
-}
-
-fn sum<'a>(summaries: impl Iterator<Item = &'a Summary>) -> Summary {
-    let mut loads: BTreeMap<String, u32> = BTreeMap::new();
-    let mut demand: BTreeMap<(String, String, String), ModelDemand> = BTreeMap::new();
-    let mut admission: BTreeMap<String, RouteAdmission> = BTreeMap::new();
-    for summary in summaries {
-        for load in &summary.loads {
-            *loads.entry(load.worker.clone()).or_default() += load.outstanding;
-        }
-        for entry in &summary.demand {
-            let key = (entry.service.clone(), entry.model.clone(), entry.adapter.clone());
-            add_demand(demand.entry(key).or_insert_with(|| empty_demand(entry)), entry);
-        }
-        for entry in &summary.admission {
-            let route = RouteAdmission { route: entry.route.clone(), ..RouteAdmission::default() };
-            let total = admission.entry(entry.route.clone()).or_insert(route);
-            total.admitted_per_s += entry.admitted_per_s;
-            total.delay_cost_per_s += entry.delay_cost_per_s;
+    /// Changes to those that have been told all, and all to the others.
+    fn tell_homes(&mut self, total: &LoadTable) {
+        let summary = self.load.fleet.tell_changes(total);
+        self.load.fleet_sequence += 1;
+        let sequence = self.load.fleet_sequence;
+        let changes = Loads { loads: summary.loads, admission: summary.admission, delta: true, sequence };
+        for (id, is_new) in self.subscribers.homes_for_loads() {
+            let loads = if is_new { self.load.fleet.told().whole_fleet(sequence) } else { changes.clone() };
+            self.send_subscriber(id, Downstream { body: Some(DownstreamBody::Loads(loads)) });
         }
     }
-    Summary {
-        loads: loads.into_iter().map(|(worker, outstanding)| WorkerLoad { worker, outstanding }).collect(),
-        demand: demand.into_values().collect(),
-        admission: admission.into_values().collect(),
-    }
-}
-
-fn empty_demand(of: &ModelDemand) -> ModelDemand {
-    ModelDemand { requests_per_s: 0.0, tokens_per_s: 0.0, outstanding: 0, ..of.clone() }
-}
-
-fn add_demand(total: &mut ModelDemand, entry: &ModelDemand) {
-    total.requests_per_s += entry.requests_per_s;
-    total.tokens_per_s += entry.tokens_per_s;
-    total.outstanding += entry.outstanding;
-    total.aim_ms = total.aim_ms.min(entry.aim_ms);
 }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -88,7 +88,7 @@
             Some(PeerBody::WorkerUpdate(update)) => self.worker_update(now, address, update),
             Some(PeerBody::WorkerUpdateAck(ack)) => self.worker_update_acknowledged(now, from, ack.number),
             Some(PeerBody::WorkersHeard(heard)) => self.workers_heard(now, &heard),
-            Some(PeerBody::Load(load)) => self.load.peer(now, from, load.summary.unwrap_or_default()),
+            Some(PeerBody::Load(load)) => self.load.peer(now, from, load),
             Some(PeerBody::Missing(missing)) => self.missing(now, missing, false),
             Some(PeerBody::Residency(residency)) => self.residency(&residency),
             Some(PeerBody::Expectation(expectation)) => self.expectation(&expectation),
--- a/crates/control/src/placer.rs
+++ b/crates/control/src/placer.rs
@@ -5,11 +5,12 @@
 use crate::node::ControlNode;
 use std::collections::BTreeMap;
 use switchhill_configuration::{Document, PlacerGrant, Service};
+use switchhill_distribution::LoadTable;
 use switchhill_placement::{
     Engine, Input, ModelSpec, OrderAnswer, Output as PlannerOutput, Planner, PlannerSettings, Resident,
     WorkerId, WorkerState as PlannerWorkerState, WorkerView,
 };
-use switchhill_protocol::{Expectation, Missing, PeerBody, Residency, ResidentModel, Summary};
+use switchhill_protocol::{Expectation, Missing, PeerBody, Residency, ResidentModel};
 use switchhill_registration::{Worker, WorkerState};
 
 /// Age in milliseconds of the contact with a quorum up to which the placer gives orders.
@@ -192,11 +193,11 @@
     }
 
     /// Demand and load over the fleet.
-    pub(crate) fn placer_demand(&mut self, now: u64, total: &Summary) {
+    pub(crate) fn placer_demand(&mut self, now: u64, total: &LoadTable) {
         if self.placer.acts(now).is_none() {
             return;
         }
-        for entry in &total.demand {
+        for entry in total.demand.values() {
             let input = Input::Demand {
                 model: entry.model.clone(),
                 adapter: some_name(&entry.adapter),
@@ -207,13 +208,13 @@
             };
             self.planner(now, &entry.service.clone(), input);
         }
-        for load in &total.loads {
-            let Some(worker) = self.state.workers().get(&load.worker) else { continue };
-            let running = load.outstanding.min(worker.slots);
+        for (id, outstanding) in &total.loads {
+            let Some(worker) = self.state.workers().get(id) else { continue };
+            let running = (*outstanding).min(worker.slots);
             let input = Input::Load {
-                worker: WorkerId(load.worker.clone()),
+                worker: WorkerId(id.clone()),
                 running,
-                queued: load.outstanding - running,
+                queued: outstanding - running,
                 kv_used: 0,
                 kv_total: 0,
             };
--- a/crates/control/src/subscribers.rs
+++ b/crates/control/src/subscribers.rs
@@ -3,10 +3,8 @@
 use crate::input::{Output, SubscriberId};
 use crate::node::ControlNode;
 use std::collections::BTreeMap;
-use switchhill_distribution::{Published, Publisher};
-use switchhill_protocol::{
-    Downstream, DownstreamBody, Expectation, Fetch, Hello, Residency, Status, Summary,
-};
+use switchhill_distribution::{LoadTable, Published, Publisher};
+use switchhill_protocol::{Downstream, DownstreamBody, Expectation, Fetch, Hello, Residency, Status};
 use switchhill_protocol::{Upstream, UpstreamBody};
 
 /// Time in milliseconds between two statuses.
@@ -22,8 +20,10 @@
     /// Name of its machine.
     pub(crate) node: String,
     heard_at: u64,
-    /// The last summary, with its time.
-    pub(crate) summary: Option<(u64, Summary)>,
+    /// Its load and demand, with the time of its last summary.
+    pub(crate) summary: Option<(u64, LoadTable)>,
+    /// Whether it was told all load over the fleet since this node became its home.
+    knows_loads: bool,
 }
 
 /// All subscribers.
@@ -51,6 +51,12 @@
     pub(crate) fn homes(&self) -> impl Iterator<Item = (SubscriberId, &Subscriber)> {
         self.connected.iter().filter(|(_, subscriber)| subscriber.publisher.home).map(|(id, s)| (*id, s))
     }
+
+    /// Home subscribers that are told load now, and whether it is the first time.
+    pub(crate) fn homes_for_loads(&mut self) -> Vec<(SubscriberId, bool)> {
+        let homes = self.connected.iter_mut().filter(|(_, subscriber)| subscriber.publisher.home);
+        homes.map(|(id, s)| (*id, !std::mem::replace(&mut s.knows_loads, true))).collect()
+    }
 }
 
 impl ControlNode {
@@ -65,7 +71,9 @@
             Some(UpstreamBody::Missing(missing)) => self.missing(now, missing, true),
             Some(UpstreamBody::Summary(summary)) => {
                 if let Some(subscriber) = self.subscribers.connected.get_mut(&id) {
-                    subscriber.summary = Some((now, summary));
+                    let (heard_at, table) = subscriber.summary.get_or_insert_with(Default::default);
+                    *heard_at = now;
+                    table.apply(&summary);
                 }
             }
             None => {}
@@ -75,12 +83,14 @@
     fn hello(&mut self, now: u64, id: SubscriberId, hello: Hello) {
         if let Some(subscriber) = self.subscribers.connected.get_mut(&id) {
             subscriber.publisher.home = hello.home;
+            subscriber.knows_loads &= hello.home;
             subscriber.publisher.sent_revision = subscriber.publisher.sent_revision.max(hello.revision);
             self.send_configuration(id, None);
             return;
         }
         let publisher = Publisher::new(hello.revision, hello.home);
-        let subscriber = Subscriber { publisher, node: hello.node, heard_at: now, summary: None };
+        let subscriber =
+            Subscriber { publisher, node: hello.node, heard_at: now, summary: None, knows_loads: false };
         self.subscribers.connected.insert(id, subscriber);
         let status = self.status(now);
         self.send_subscriber(id, status);
--- a/crates/distribution/src/feed.rs
+++ b/crates/distribution/src/feed.rs
@@ -1,8 +1,9 @@
 //! What a data plane holds, fed by the agent beside it.
 
 use crate::links::persists;
+use crate::loads::LoadTable;
 use crate::merged::{Change, MergedState};
-use switchhill_protocol::{Downstream, DownstreamBody, Fetch, Hello, Loads, Status, Upstream, UpstreamBody};
+use switchhill_protocol::{Downstream, DownstreamBody, Fetch, Hello, Status, Upstream, UpstreamBody};
 use switchhill_registration::{SuspectAfter, Worker};
 
 /// Suspicion of workers is told by the core.
@@ -16,8 +17,8 @@
 pub struct Received {
     /// What is to be sent to the agent.
     pub answers: Vec<Upstream>,
-    /// Load over the fleet, if the message told it.
-    pub loads: Option<Loads>,
+    /// Whether the message told load over the fleet.
+    pub loads: bool,
     /// Workers that the message told of, or of whose models it told.
     pub workers: Vec<String>,
 }
@@ -29,6 +30,7 @@
     zone: String,
     state: MergedState,
     gatekeepers: u32,
+    loads: LoadTable,
     /// Whether the agent's worker table is whole and from a core with a quorum.
     knows_all_workers: bool,
     differs_since: Option<u64>,
@@ -42,6 +44,7 @@
             zone: zone.to_owned(),
             state: MergedState::new(NEVER_SUSPECT),
             gatekeepers: 0,
+            loads: LoadTable::default(),
             knows_all_workers: false,
             differs_since: None,
         }
@@ -52,6 +55,11 @@
         &self.state
     }
 
+    /// Load over the fleet, this data plane's own included.
+    pub fn loads(&self) -> &LoadTable {
+        &self.loads
+    }
+
     /// Gatekeepers that are known to serve.
     pub fn gatekeepers(&self) -> u32 {
         self.gatekeepers
@@ -96,7 +104,10 @@
                     received.workers.push(residency.worker);
                 }
             }
-            Some(DownstreamBody::Loads(loads)) => received.loads = Some(loads),
+            Some(DownstreamBody::Loads(loads)) => {
+                self.loads.apply_fleet(&loads);
+                received.loads = true;
+            }
             Some(DownstreamBody::Expectation(_)) | None => {}
         }
         received
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -7,12 +7,14 @@
 mod absent;
 mod feed;
 mod links;
+mod loads;
 mod merged;
 mod publisher;
 mod relay;
 
 pub use feed::{FeedState, Received};
 pub use links::{LinkAction, LinkId, LinkPlanner, LinkSettings};
+pub use loads::{DemandKey, LoadTable, LoadTeller, MOST_DEMANDS, MOST_ROUTES, MOST_WORKERS};
 pub use merged::{Change, MergedState};
 pub use publisher::{Published, Publisher};
 pub use relay::{FeedId, Relay, RelayInput, RelayOutput};
--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -1,11 +1,13 @@
 //! The agent's decisions: links to core nodes on one side, data planes on the other.
 
 use crate::links::{LinkAction, LinkId, LinkPlanner, LinkSettings};
+use crate::loads::{LoadTable, LoadTeller};
 use crate::merged::{Change, MergedState};
 use crate::publisher::{Published, Publisher};
 use std::collections::BTreeMap;
 use switchhill_protocol::{
-    Configuration, Downstream, DownstreamBody, Fetch, Hello, Missing, Status, Summary, Upstream, UpstreamBody,
+    Configuration, Downstream, DownstreamBody, Fetch, Hello, Loads, Missing, Status, Summary, Upstream,
+    UpstreamBody,
 };
 use switchhill_registration::SuspectAfter;
 
@@ -60,6 +62,14 @@
     warm: bool,
     core: Vec<String>,
     next_status: u64,
+    /// Load over the fleet as the home tells it, and the number of its last message.
+    fleet: LoadTable,
+    fleet_sequence: Option<u64>,
+    /// Load and demand as the data plane tells them.
+    own: LoadTable,
+    /// What the home was told of them, and which link that is.
+    told: LoadTeller,
+    told_home: Option<LinkId>,
     out: Vec<RelayOutput>,
 }
 
@@ -76,6 +86,11 @@
             warm: false,
             core: Vec::new(),
             next_status: 0,
+            fleet: LoadTable::default(),
+            fleet_sequence: None,
+            own: LoadTable::default(),
+            told: LoadTeller::default(),
+            told_home: None,
             out: Vec::new(),
         }
     }
@@ -151,9 +166,8 @@
                 let change = self.state.merge_residency(&residency);
                 self.publish_change(change);
             }
-            Some(body @ (DownstreamBody::Loads(_) | DownstreamBody::Expectation(_))) => {
-                self.publish(&Downstream { body: Some(body) });
-            }
+            Some(DownstreamBody::Loads(loads)) => self.fleet_loads(id, loads),
+            Some(body @ DownstreamBody::Expectation(_)) => self.publish(&Downstream { body: Some(body) }),
             None => {}
         }
     }
@@ -190,6 +204,28 @@
         }
     }
 
+    /// Load over the fleet: of the home alone, and a change only after the message that it builds on.
+    fn fleet_loads(&mut self, id: LinkId, loads: Loads) {
+        if self.links.home() != Some(id) {
+            return;
+        }
+        let fits = self.fleet_sequence.is_some_and(|last| loads.sequence == last + 1);
+        if loads.delta && !fits {
+            self.ask_for_whole_loads(id);
+            return;
+        }
+        self.fleet.apply_fleet(&loads);
+        self.fleet_sequence = Some(loads.sequence);
+        self.publish(&Downstream { body: Some(DownstreamBody::Loads(loads)) });
+    }
+
+    /// A home begins with the whole list: the link stops being it and is it again.
+    fn ask_for_whole_loads(&mut self, id: LinkId) {
+        self.fleet_sequence = None;
+        let hellos = [self.hello(id, false), self.hello(id, true)];
+        self.out.extend(hellos);
+    }
+
     fn publish_configuration(&mut self, change: Option<&Published>) {
         for (id, publisher) in &mut self.feeds {
             if let Some(message) = publisher.configuration(&self.state, change) {
@@ -232,7 +268,7 @@
             Some(UpstreamBody::Hello(hello)) => self.feed_hello(id, &hello),
             Some(UpstreamBody::Fetch(fetch)) => self.feed_fetch(id, &fetch),
             Some(UpstreamBody::Missing(missing)) => self.forward_missing(missing),
-            Some(UpstreamBody::Summary(summary)) => self.forward_summary(summary),
+            Some(UpstreamBody::Summary(summary)) => self.forward_summary(&summary),
             None => {}
         }
     }
@@ -247,6 +283,10 @@
         self.out.extend(configuration.map(|message| RelayOutput::ToFeed(id, message)));
         let whole = self.state.whole().into_iter().map(|message| RelayOutput::ToFeed(id, message));
         self.out.extend(whole);
+        if let Some(sequence) = self.fleet_sequence {
+            let loads = Downstream { body: Some(DownstreamBody::Loads(self.fleet.whole_fleet(sequence))) };
+            self.out.push(RelayOutput::ToFeed(id, loads));
+        }
         self.feeds.insert(id, publisher);
     }
 
@@ -269,9 +309,15 @@
         }
     }
 
-    fn forward_summary(&mut self, summary: Summary) {
-        if let Some(home) = self.links.home() {
-            self.out.push(RelayOutput::ToLink(home, Upstream { body: Some(UpstreamBody::Summary(summary)) }));
-        }
+    /// Tells the home of the data plane's load: all of it to a new home, then changes.
+    fn forward_summary(&mut self, summary: &Summary) {
+        self.own.apply(summary);
+        let Some(home) = self.links.home() else { return };
+        let told = match self.told_home == Some(home) {
+            true => self.told.tell_changes(&self.own),
+            false => self.told.tell_whole(&self.own),
+        };
+        self.told_home = Some(home);
+        self.out.push(RelayOutput::ToLink(home, Upstream { body: Some(UpstreamBody::Summary(told)) }));
     }
 }
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -164,4 +164,7 @@
     /// The sums.
     #[prost(message, optional, tag = "1")]
     pub summary: Option<Summary>,
+    /// Rises by one with each message of the sender's life; a change fits the message before it alone.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
 }
--- a/crates/protocol/src/subscription.rs
+++ b/crates/protocol/src/subscription.rs
@@ -88,6 +88,10 @@
     /// What routes let through.
     #[prost(message, repeated, tag = "3")]
     pub admission: Vec<RouteAdmission>,
+    /// Whether these are changes to what was told before on the same connection: values replace those told, and an
+    /// entry of zeros ends one. Without it these are all entries.
+    #[prost(bool, tag = "4")]
+    pub delta: bool,
 }
 
 /// Requests out at one worker.
@@ -238,6 +242,12 @@
     /// Per route, the subscriber's own included.
     #[prost(message, repeated, tag = "2")]
     pub admission: Vec<RouteAdmission>,
+    /// Whether these are changes, as in [`Summary::delta`].
+    #[prost(bool, tag = "3")]
+    pub delta: bool,
+    /// Rises by one with each message; a change fits the message before it alone.
+    #[prost(uint64, tag = "4")]
+    pub sequence: u64,
 }
 
 /// What one worker holds, as the placer knows from its orders and the worker's reports.
--- a/lab/src/emulator/data_plane.rs
+++ b/lab/src/emulator/data_plane.rs
@@ -97,5 +97,5 @@
         aim_ms: 400,
         outstanding: if index == wanted { 40 } else { 0 },
     });
-    Summary { loads: Vec::new(), demand: demand.collect(), admission: Vec::new() }
+    Summary { demand: demand.collect(), ..Summary::default() }
 }
--- a/lab/src/hollow/fleet.rs
+++ b/lab/src/hollow/fleet.rs
@@ -8,10 +8,10 @@
 use super::Sizes;
 use prost::Message;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::time::Instant;
 use switchhill_control::{Answer, Call, CallId, ControlNode, Input, NodeSettings, Output, SubscriberId};
-use switchhill_distribution::{FeedId, LinkId, LinkSettings, Relay, RelayInput, RelayOutput};
+use switchhill_distribution::{FeedId, LinkId, LinkSettings, LoadTable, Relay, RelayInput, RelayOutput};
 use switchhill_protocol::{Downstream, DownstreamBody, PeerBody, PeerFrame, Upstream, UpstreamBody};
 use switchhill_register::{Member, ReplicaId};
 
@@ -155,6 +155,7 @@
             sizes: self.sizes,
             seconds,
             lowest_revision: revisions.min().unwrap_or(0),
+            load_error: self.load_error(),
             data_planes: self.sizes.gatekeepers.min(DATA_PLANES),
             start_bytes: start_bytes / self.sizes.gatekeepers.max(1) as u64,
             resident_kb: resident_kb(),
@@ -162,6 +163,16 @@
         }
     }
 
+    /// Mean over the data planes of the difference between the loads that they hold and those of all traffic, as a
+    /// part of the latter.
+    fn load_error(&self) -> f64 {
+        let mut present = LoadTable::default();
+        self.edges.iter().for_each(|edge| present.add(edge.traffic.present()));
+        let held = self.edges.iter().filter_map(|edge| edge.data_plane.as_ref());
+        let errors: Vec<f64> = held.map(|data_plane| relative_error(data_plane.loads(), &present)).collect();
+        errors.iter().sum::<f64>() / errors.len().max(1) as f64
+    }
+
     fn run_until(&mut self, end: u64) {
         while let Some(Reverse((at, number))) = self.queue.peek().copied() {
             if at > end {
@@ -432,6 +443,14 @@
     }
 }
 
+/// Sum of the differences of loads, as a part of all that are present.
+fn relative_error(held: &LoadTable, present: &LoadTable) -> f64 {
+    let load = |table: &LoadTable, worker: &String| f64::from(table.loads.get(worker).copied().unwrap_or(0));
+    let workers: BTreeSet<&String> = held.loads.keys().chain(present.loads.keys()).collect();
+    let differences = workers.into_iter().map(|worker| (load(held, worker) - load(present, worker)).abs());
+    differences.sum::<f64>() / f64::from(present.loads.values().sum::<u32>().max(1))
+}
+
 /// Tells why a change was not taken.
 fn log_refusal(answer: &Answer) {
     eprintln!("change not taken, {}: {}", answer.status, String::from_utf8_lossy(&answer.body));
--- a/lab/src/hollow/parts.rs
+++ b/lab/src/hollow/parts.rs
@@ -95,7 +95,7 @@
     let microseconds = time(|| whole(workers).encode_to_vec());
     parts.push(Part { what: "whole worker table, encoded", bytes: Some(list.encoded_len()), microseconds });
     let load = |worker: &Worker| WorkerLoad { worker: worker.id.clone(), outstanding: 40 };
-    let loads = Loads { loads: workers.iter().map(load).collect(), admission: Vec::new() };
+    let loads = Loads { loads: workers.iter().map(load).collect(), ..Loads::default() };
     let loads = downstream(DownstreamBody::Loads(loads));
     let microseconds = time(|| loads.encode_to_vec());
     parts.push(Part {
--- a/lab/src/hollow/report.rs
+++ b/lab/src/hollow/report.rs
@@ -13,6 +13,8 @@
     pub seconds: u64,
     /// Lowest revision that a data plane held at the end.
     pub lowest_revision: u64,
+    /// Part of the requests out by which the loads that data planes hold at the end differ from those told last.
+    pub load_error: f64,
     /// Data planes that ran; the other gatekeepers have an agent alone.
     pub data_planes: usize,
     /// Bytes from and to the core of the average gatekeeper during the start.
@@ -92,6 +94,7 @@
         }
         writeln!(f, "control at a gatekeeper, both ways: {:.0} B/s", self.bytes_per_gatekeeper())?;
         writeln!(f, "start of a gatekeeper: {} B", self.start_bytes)?;
+        writeln!(f, "loads held differ from those out by: {:.3}", self.load_error)?;
         writeln!(f, "lowest revision in force at the end: {}", self.lowest_revision)?;
         writeln!(f, "resident memory of the whole run: {} KB", self.resident_kb)
     }
--- a/src/data_plane_feed.rs
+++ b/src/data_plane_feed.rs
@@ -8,13 +8,13 @@
 use crate::data_plane::{self, now_ms, Feedback, LoadsElsewhere, RouteElsewhere, View};
 use crate::site_settings::SiteSettings;
 use crate::system::connection::{self, LinkKind};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
-use switchhill_distribution::FeedState;
+use switchhill_distribution::{FeedState, LoadTable, LoadTeller};
 use switchhill_protocol::{
-    Downstream, Loads, Missing, ModelDemand, RouteAdmission, Summary, Upstream, UpstreamBody, WorkerLoad,
+    Downstream, Missing, ModelDemand, RouteAdmission, Summary, Upstream, UpstreamBody, WorkerLoad,
 };
 use tokio::sync::{mpsc, watch};
 
@@ -42,9 +42,10 @@
     feed: FeedState,
     workers: WorkerViews,
     loads: Option<Arc<LoadsElsewhere>>,
-    /// Requests out at workers as this data plane last told.
-    own_loads: HashMap<String, u32>,
-    own_admission: BTreeMap<String, RouteAdmission>,
+    /// Load and demand of this data plane at its last summary.
+    own: LoadTable,
+    /// What the agent was told of them on this connection, if anything.
+    told: Option<LoadTeller>,
     views: watch::Sender<Arc<View>>,
 }
 
@@ -54,8 +55,8 @@
             feed: FeedState::new(&settings.node_name, &settings.zone),
             workers: WorkerViews::default(),
             loads: None,
-            own_loads: HashMap::new(),
-            own_admission: BTreeMap::new(),
+            own: LoadTable::default(),
+            told: None,
             views,
         }
     }
@@ -83,6 +84,7 @@
         tokio::pin!(exchange);
         let mut forget = tokio::time::interval(FORGET_EVERY);
         let _ = sender.send(self.feed.hello());
+        self.told = None;
         loop {
             tokio::select! {
                 ended = &mut exchange => {
@@ -118,8 +120,8 @@
         for worker in &received.workers {
             self.workers.update(worker, self.feed.state());
         }
-        if let Some(loads) = received.loads {
-            self.loads = Some(Arc::new(self.loads_elsewhere(now, &loads)));
+        if received.loads {
+            self.loads = Some(Arc::new(self.loads_elsewhere(now)));
         }
     }
 
@@ -142,10 +144,11 @@
     }
 
     /// The load over the fleet without what this data plane last told.
-    fn loads_elsewhere(&self, now: u64, loads: &Loads) -> LoadsElsewhere {
-        let others = |load: &WorkerLoad| {
-            let own = self.own_loads.get(&load.worker).copied().unwrap_or(0);
-            (load.worker.clone(), load.outstanding.saturating_sub(own))
+    fn loads_elsewhere(&self, now: u64) -> LoadsElsewhere {
+        let loads = self.feed.loads();
+        let others = |(worker, total): (&String, &u32)| {
+            let own = self.own.loads.get(worker).copied().unwrap_or(0);
+            (worker.clone(), total.saturating_sub(own))
         };
         LoadsElsewhere {
             told_at: now,
@@ -154,16 +157,16 @@
         }
     }
 
-    fn routes_elsewhere(&self, totals: &[RouteAdmission]) -> Vec<RouteElsewhere> {
+    fn routes_elsewhere(&self, totals: &BTreeMap<String, RouteAdmission>) -> Vec<RouteElsewhere> {
         let others = |total: &RouteAdmission| {
-            let own = self.own_admission.get(&total.route).cloned().unwrap_or_default();
+            let own = self.own.admission.get(&total.route).cloned().unwrap_or_default();
             let summary = switchhill_admission::Summary {
                 admitted_per_s: (total.admitted_per_s - own.admitted_per_s).max(0.0),
                 delay_cost_per_s: (total.delay_cost_per_s - own.delay_cost_per_s).max(0.0),
             };
             RouteElsewhere { route: total.route.clone(), summary }
         };
-        totals.iter().map(others).collect()
+        totals.values().map(others).collect()
     }
 
     fn feedback(&mut self, told: Feedback) -> Upstream {
@@ -185,11 +188,18 @@
             admitted_per_s: route.admitted_per_s,
             delay_cost_per_s: route.delay_cost_per_s,
         });
-        let admission: Vec<RouteAdmission> = routes.collect();
-        self.own_loads = told.outstanding.iter().map(|load| (load.worker.clone(), load.requests)).collect();
-        self.own_admission = admission.iter().map(|route| (route.route.clone(), route.clone())).collect();
         let demand = told.demand.iter().filter_map(model_demand);
-        Summary { loads: loads.collect(), demand: demand.collect(), admission }
+        let whole = Summary {
+            loads: loads.collect(),
+            demand: demand.collect(),
+            admission: routes.collect(),
+            delta: false,
+        };
+        self.own.apply(&whole);
+        match &mut self.told {
+            Some(told) => told.tell_changes(&self.own),
+            None => self.told.insert(LoadTeller::default()).tell_whole(&self.own),
+        }
     }
 }
 
