Worker tables keep digest and deadlines; agents pass changes of load on as they come

Cause: each tick of an agent (20 a second) and of a core node (40) walked the table for what is due to be forgotten or suspected, looked up each residency, and each status summed the digest.

Change: the digest is moved with each change of an entry; walks happen when the earliest deadline may be due; residency is compared with the table when an entry was forgotten. An agent passes changes on, all to a new home, and the sum where two data planes overlap.

--- a/crates/distribution/src/merged.rs
+++ b/crates/distribution/src/merged.rs
@@ -30,6 +30,10 @@
     workers: WorkerTable,
     residency: BTreeMap<String, Residency>,
     absent: AbsentWorkers,
+    /// Entries that the worker table had forgotten when residency was last compared with it.
+    forgotten_entries: u64,
+    /// Whether residency of a worker without an entry was taken in since.
+    residency_without_worker: bool,
 }
 
 impl MergedState {
@@ -42,6 +46,8 @@
             workers: WorkerTable::new(suspect_after),
             residency: BTreeMap::new(),
             absent: AbsentWorkers::default(),
+            forgotten_entries: 0,
+            residency_without_worker: false,
         }
     }
 
@@ -154,6 +160,7 @@
         if !self.residency.get(&message.worker).is_none_or(newer) {
             return None;
         }
+        self.residency_without_worker |= self.workers.get(&message.worker).is_none();
         self.residency.insert(message.worker.clone(), message.clone());
         Some(Change::Residency(message.clone()))
     }
@@ -162,6 +169,11 @@
     pub fn tick(&mut self, now: u64) {
         self.workers.tick(now, false);
         let workers = &self.workers;
-        self.residency.retain(|worker, _| workers.get(worker).is_some());
+        let forgotten = workers.forgotten_entries();
+        if forgotten != self.forgotten_entries || self.residency_without_worker {
+            self.forgotten_entries = forgotten;
+            self.residency_without_worker = false;
+            self.residency.retain(|worker, _| workers.get(worker).is_some());
+        }
     }
 }
--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -1,7 +1,7 @@
 //! The agent's decisions: links to core nodes on one side, data planes on the other.
 
 use crate::links::{LinkAction, LinkId, LinkPlanner, LinkSettings};
-use crate::loads::{LoadTable, LoadTeller};
+use crate::loads::LoadTable;
 use crate::merged::{Change, MergedState};
 use crate::publisher::{Published, Publisher};
 use std::collections::BTreeMap;
@@ -65,10 +65,9 @@
     /// Load over the fleet as the home tells it, and the number of its last message.
     fleet: LoadTable,
     fleet_sequence: Option<u64>,
-    /// Load and demand as the data plane tells them.
-    own: LoadTable,
-    /// What the home was told of them, and which link that is.
-    told: LoadTeller,
+    /// Load and demand as each data plane tells them.
+    own: BTreeMap<FeedId, LoadTable>,
+    /// The home that was told all of them and each change since.
     told_home: Option<LinkId>,
     out: Vec<RelayOutput>,
 }
@@ -88,8 +87,7 @@
             next_status: 0,
             fleet: LoadTable::default(),
             fleet_sequence: None,
-            own: LoadTable::default(),
-            told: LoadTeller::default(),
+            own: BTreeMap::new(),
             told_home: None,
             out: Vec::new(),
         }
@@ -113,6 +111,9 @@
             RelayInput::Feed(id, message) => self.feed_message(now, id, message),
             RelayInput::FeedGone(id) => {
                 self.feeds.remove(&id);
+                if self.own.remove(&id).is_some() {
+                    self.told_home = None;
+                }
             }
         }
         std::mem::take(&mut self.out)
@@ -268,7 +269,7 @@
             Some(UpstreamBody::Hello(hello)) => self.feed_hello(id, &hello),
             Some(UpstreamBody::Fetch(fetch)) => self.feed_fetch(id, &fetch),
             Some(UpstreamBody::Missing(missing)) => self.forward_missing(missing),
-            Some(UpstreamBody::Summary(summary)) => self.forward_summary(&summary),
+            Some(UpstreamBody::Summary(summary)) => self.forward_summary(id, summary),
             None => {}
         }
     }
@@ -309,15 +310,22 @@
         }
     }
 
-    /// Tells the home of the data plane's load: all of it to a new home, then changes.
-    fn forward_summary(&mut self, summary: &Summary) {
-        self.own.apply(summary);
+    /// Load of all data planes: of two while one takes over from the other.
+    fn own_load(&self) -> LoadTable {
+        let mut total = LoadTable::default();
+        self.own.values().for_each(|table| total.add(table));
+        total
+    }
+
+    /// Tells the home of the data plane's load: all of it to a new home, then changes as they come.
+    fn forward_summary(&mut self, feed: FeedId, summary: Summary) {
+        self.own.entry(feed).or_default().apply(&summary);
         let Some(home) = self.links.home() else { return };
-        let told = match self.told_home == Some(home) {
-            true => self.told.tell_changes(&self.own),
-            false => self.told.tell_whole(&self.own),
+        let knows_all = self.told_home.replace(home) == Some(home);
+        let told = match knows_all && self.own.len() == 1 {
+            true => summary,
+            false => self.own_load().whole(),
         };
-        self.told_home = Some(home);
         self.out.push(RelayOutput::ToLink(home, Upstream { body: Some(UpstreamBody::Summary(told)) }));
     }
 }
--- a/crates/registration/src/table.rs
+++ b/crates/registration/src/table.rs
@@ -128,6 +128,15 @@
     fn may_be_suspected(&self) -> bool {
         !self.worker.is_gone() && !self.worker.suspected
     }
+
+    /// Its part of the table's digest.
+    fn digest(&self) -> u64 {
+        if self.may_be_suspected() {
+            self.material
+        } else {
+            0
+        }
+    }
 }
 
 /// What is left of a forgotten entry.
@@ -166,6 +175,16 @@
     last_tick: Option<u64>,
     /// Silence counts from here at the earliest.
     silence_from: u64,
+    /// [`WorkerTable::digest`], kept up to date.
+    digest: u64,
+    /// Number of entries forgotten so far.
+    forgotten_entries: u64,
+    /// No entry is due to be suspected before this time.
+    next_suspicion: u64,
+    /// No entry is due to be forgotten before this time.
+    next_forgetting: u64,
+    /// Nothing forgotten is due to be dropped before this time.
+    next_drop: u64,
 }
 
 impl WorkerTable {
@@ -179,6 +198,11 @@
             marker: 0,
             last_tick: None,
             silence_from: 0,
+            digest: 0,
+            forgotten_entries: 0,
+            next_suspicion: 0,
+            next_forgetting: 0,
+            next_drop: 0,
         }
     }
 
@@ -219,9 +243,14 @@
         }
         let moved = worker.address != entry.worker.address;
         let previous_address = entry.worker.address.clone();
+        let digest = entry.digest();
         entry.replace(now, worker);
+        let (id, address) = (entry.worker.id.clone(), entry.worker.address.clone());
+        let entry = &*entry;
+        self.digest = self.digest.wrapping_sub(digest).wrapping_add(entry.digest());
+        self.next_forgetting = self.next_forgetting.min(entry.forget_at.unwrap_or(u64::MAX));
+        self.next_suspicion = self.next_suspicion.min(entry.last_heard.saturating_add(self.suspect_after));
         if moved {
-            let (id, address) = (entry.worker.id.clone(), entry.worker.address.clone());
             self.unlink_address(&previous_address, &id);
             self.by_address.entry(address).or_default().insert(id);
         }
@@ -254,6 +283,8 @@
         }
         entry.worker.suspected = false;
         entry.arm_forgetting(now);
+        self.digest = self.digest.wrapping_add(entry.digest());
+        self.next_suspicion = self.next_suspicion.min(now.saturating_add(self.suspect_after));
         HeardOutcome::Cleared(Box::new(entry.worker.clone()))
     }
 
@@ -316,14 +347,22 @@
     /// have the same digest, also where one has forgotten what the other still holds as gone or suspected:
     /// such entries do not enter.
     pub fn digest(&self) -> u64 {
-        let live = self.entries.values().filter(|entry| entry.may_be_suspected());
-        live.fold(0, |digest, entry| digest.wrapping_add(entry.material))
+        self.digest
+    }
+
+    /// Number of entries forgotten so far.
+    pub fn forgotten_entries(&self) -> u64 {
+        self.forgotten_entries
     }
 
     fn insert(&mut self, now: u64, worker: Worker) {
         let ids = self.by_address.entry(worker.address.clone()).or_default();
         ids.insert(worker.id.clone());
-        self.entries.insert(worker.id.clone(), Entry::new(now, worker));
+        let entry = Entry::new(now, worker);
+        self.digest = self.digest.wrapping_add(entry.digest());
+        self.next_forgetting = self.next_forgetting.min(entry.forget_at.unwrap_or(u64::MAX));
+        self.next_suspicion = self.next_suspicion.min(now.saturating_add(self.suspect_after));
+        self.entries.insert(entry.worker.id.clone(), entry);
     }
 
     fn unlink_address(&mut self, address: &str, id: &str) {
@@ -343,14 +382,19 @@
         let mut displaced = Vec::new();
         for other in others {
             if let Some(entry) = self.entries.get_mut(&other).filter(|entry| entry.may_be_suspected()) {
+                self.digest = self.digest.wrapping_sub(entry.digest());
                 displaced.push(entry.suspect(now));
+                self.next_forgetting = self.next_forgetting.min(now.saturating_add(FORGET_AFTER_MS));
             }
         }
         displaced
     }
 
     fn forget(&mut self, now: u64) {
-        self.forgotten.retain(|_, forgotten| now < forgotten.until);
+        self.drop_forgotten(now);
+        if now < self.next_forgetting {
+            return;
+        }
         let is_due = |entry: &&Entry| entry.forget_at.is_some_and(|due| due <= now);
         let due: Vec<String> =
             self.entries.values().filter(is_due).map(|entry| entry.worker.id.clone()).collect();
@@ -362,18 +406,39 @@
                 sequence: entry.worker.sequence,
                 until: now.saturating_add(REMEMBER_FORGOTTEN_MS),
             };
+            self.next_drop = self.next_drop.min(forgotten.until);
             self.forgotten.insert(id, forgotten);
+            self.forgotten_entries += 1;
+        }
+        let due = self.entries.values().filter_map(|entry| entry.forget_at);
+        self.next_forgetting = due.min().unwrap_or(u64::MAX);
+    }
+
+    fn drop_forgotten(&mut self, now: u64) {
+        if now >= self.next_drop {
+            self.forgotten.retain(|_, forgotten| now < forgotten.until);
+            let due = self.forgotten.values().map(|forgotten| forgotten.until);
+            self.next_drop = due.min().unwrap_or(u64::MAX);
         }
     }
 
     fn suspect_silent(&mut self, now: u64) -> Vec<Worker> {
         let mut suspected = Vec::new();
+        if now < self.next_suspicion {
+            return suspected;
+        }
+        let mut next = u64::MAX;
         for entry in self.entries.values_mut().filter(|entry| entry.may_be_suspected()) {
-            let silent_from = entry.last_heard.max(self.silence_from);
-            if now.saturating_sub(silent_from) >= self.suspect_after {
-                suspected.push(entry.suspect(now));
+            let due = entry.last_heard.max(self.silence_from).saturating_add(self.suspect_after);
+            if now < due {
+                next = next.min(due);
+                continue;
             }
+            self.digest = self.digest.wrapping_sub(entry.digest());
+            suspected.push(entry.suspect(now));
+            self.next_forgetting = self.next_forgetting.min(now.saturating_add(FORGET_AFTER_MS));
         }
+        self.next_suspicion = next;
         suspected
     }
 }
--- a/src/data_plane_feed.rs
+++ b/src/data_plane_feed.rs
@@ -91,14 +91,7 @@
                     log::debug!("the agent's connection ended: {ended}");
                     return;
                 }
-                Some(message) = messages.recv() => {
-                    self.message(message, &sender);
-                    // What has come meanwhile is told together.
-                    while let Ok(message) = messages.try_recv() {
-                        self.message(message, &sender);
-                    }
-                    self.publish();
-                }
+                Some(message) = messages.recv() => self.take_all(message, &mut messages, &sender),
                 Some(told) = feedback.recv() => {
                     let _ = sender.send(self.feedback(told));
                 }
@@ -111,6 +104,20 @@
         }
     }
 
+    /// Takes a message and those that came after it and wait; the data plane is told of all of them together.
+    fn take_all(
+        &mut self,
+        first: Downstream,
+        waiting: &mut mpsc::UnboundedReceiver<Downstream>,
+        sender: &mpsc::UnboundedSender<Upstream>,
+    ) {
+        self.message(first, sender);
+        while let Ok(message) = waiting.try_recv() {
+            self.message(message, sender);
+        }
+        self.publish();
+    }
+
     fn message(&mut self, message: Downstream, sender: &mpsc::UnboundedSender<Upstream>) {
         let now = now_ms();
         let received = self.feed.receive(now, message);
--- a/src/data_plane_feed/tests.rs
+++ b/src/data_plane_feed/tests.rs
@@ -192,3 +192,32 @@
     let requests = after.loads.as_ref().map(|loads| loads.requests.clone()).unwrap_or_default();
     expect_that!(requests.get("worker-0"), some(eq(&7)));
 }
+
+#[gtest]
+fn a_drain_behind_what_all_workers_hold_is_told_with_it() {
+    // A new placer tells anew what each of 90 workers holds; the drain of one comes behind.
+    let mut feed = Told::new();
+    let ready: Vec<Worker> = (0..90).map(|number| entry(number, 1, WorkerState::Ready)).collect();
+    feed.after(told(&ready, true)).expect("a first view");
+    let (queue, mut waiting) = mpsc::unbounded_channel();
+    let residency = |number: u64| Residency {
+        worker: format!("worker-{number}"),
+        epoch: 2,
+        version: number,
+        models: vec![ResidentModel { name: "m".to_owned(), adapters: Vec::new() }],
+    };
+    let messages = (0..90).map(|number| DownstreamBody::Residency(residency(number)));
+    let drained = entry(30, 2, WorkerState::Draining { remaining_ms: None });
+    for body in messages.chain([told(&[drained], false)]) {
+        queue.send(Downstream { body: Some(body) }).expect("a queue");
+    }
+    let first = waiting.try_recv().expect("a first message");
+    feed.views.mark_unchanged();
+    feed.feed.take_all(first, &mut waiting, &feed.sender);
+    let view = feed.views.borrow_and_update().clone();
+    let drained = view.workers.iter().find(|worker| worker.id == "worker-30").expect("the worker");
+    expect_that!(drained.state, eq(switchhill_routing::Availability::Draining));
+    expect_that!(view.workers.iter().filter(|worker| worker.holds("m", None)).count(), eq(90));
+    expect_true!(waiting.try_recv().is_err());
+    expect_false!(feed.views.has_changed().expect("the feed has gone"));
+}
