Hollow fleet: processor time of the thread, not time by the wall

Cause: beside other work on the machine the same step took three times as long, so two runs could not be compared (a core's tick 167 us and 513 us on the same code).

--- a/lab/src/hollow/fleet.rs
+++ b/lab/src/hollow/fleet.rs
@@ -1,7 +1,7 @@
 //! The processes of a hollow fleet, what is on its way between them, and the loop over events.
 
 use super::data_plane::{DataPlane, Traffic};
-use super::ledger::{Direction, Ledger, Role};
+use super::ledger::{Direction, Ledger, ProcessorTime, Role};
 use super::report::Report;
 use super::site;
 use super::worker::Worker;
@@ -9,7 +9,6 @@
 use prost::Message;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
-use std::time::Instant;
 use switchhill_control::{Answer, Call, CallId, ControlNode, Input, NodeSettings, Output, SubscriberId};
 use switchhill_distribution::{FeedId, LinkId, LinkSettings, LoadTable, Relay, RelayInput, RelayOutput};
 use switchhill_protocol::{Downstream, DownstreamBody, PeerBody, PeerFrame, Upstream, UpstreamBody};
@@ -230,7 +229,7 @@
         input: impl FnOnce() -> Option<Input>,
     ) {
         let role = self.role(core);
-        let since = Instant::now();
+        let since = ProcessorTime::now();
         let Some(input) = input() else { return };
         let outputs = self.cores[core].handle(self.now, input);
         self.ledger.add((role, direction, kind), bytes, since);
@@ -276,7 +275,7 @@
     }
 
     fn encode(&mut self, role: Role, kind: &'static str, message: &impl Message) -> Vec<u8> {
-        let since = Instant::now();
+        let since = ProcessorTime::now();
         let encoded = message.encode_to_vec();
         self.ledger.add((role, Direction::Sent, kind), encoded.len() + FRAME_HEADER, since);
         encoded
@@ -309,7 +308,7 @@
         bytes: usize,
         input: impl FnOnce() -> Option<RelayInput>,
     ) {
-        let since = Instant::now();
+        let since = ProcessorTime::now();
         let Some(input) = input() else { return };
         let outputs = self.edges[edge].relay.handle(self.now, input);
         self.ledger.add((Role::Agent, direction, kind), bytes, since);
@@ -347,16 +346,16 @@
     /// A message of an agent reaches the data plane beside it.
     fn feed(&mut self, edge: usize, message: &Downstream) {
         let kind = downstream_kind(message);
-        let since = Instant::now();
+        let since = ProcessorTime::now();
         let encoded = message.encode_to_vec();
         self.ledger.add((Role::Agent, Direction::Local, "to the data plane"), 0, since);
         let now = self.now;
         let Some(data_plane) = self.edges[edge].data_plane.as_mut() else { return };
-        let since = Instant::now();
+        let since = ProcessorTime::now();
         let Ok(message) = Downstream::decode(encoded.as_slice()) else { return };
         let answers = data_plane.receive(now, message);
         self.ledger.add((Role::DataPlane, Direction::Received, kind), encoded.len() + FRAME_HEADER, since);
-        let since = Instant::now();
+        let since = ProcessorTime::now();
         data_plane.take_view(now);
         self.ledger.add((Role::DataPlane, Direction::Local, "view taken"), 0, since);
         for answer in answers {
--- a/lab/src/hollow/ledger.rs
+++ b/lab/src/hollow/ledger.rs
@@ -1,7 +1,7 @@
 //! Counts of messages, bytes and processor time by role and kind.
 
+use rustix::time::{clock_gettime, ClockId, Timespec};
 use std::collections::BTreeMap;
-use std::time::Instant;
 
 /// A process of the system.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -49,10 +49,28 @@
 
 impl Ledger {
     /// Adds one message whose handling began at `since`.
-    pub(super) fn add(&mut self, key: Key, bytes: usize, since: Instant) {
+    pub(super) fn add(&mut self, key: Key, bytes: usize, since: ProcessorTime) {
         let count = self.counts.entry(key).or_default();
         count.messages += 1;
         count.bytes += bytes as u64;
-        count.nanoseconds += since.elapsed().as_nanos() as u64;
+        count.nanoseconds += since.elapsed_nanoseconds();
+    }
+}
+
+/// Processor time of this thread at a moment: other work on the machine doesn't count.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ProcessorTime(Timespec);
+
+impl ProcessorTime {
+    /// Now.
+    pub(super) fn now() -> ProcessorTime {
+        ProcessorTime(clock_gettime(ClockId::ThreadCPUTime))
+    }
+
+    fn elapsed_nanoseconds(self) -> u64 {
+        let now = clock_gettime(ClockId::ThreadCPUTime);
+        let seconds = now.tv_sec - self.0.tv_sec;
+        let nanoseconds = now.tv_nsec - self.0.tv_nsec;
+        u64::try_from(seconds * 1_000_000_000 + nanoseconds).unwrap_or(0)
     }
 }
