--- a/src/data_plane/interleavings.rs
+++ b/src/data_plane/interleavings.rs
@@ -51,7 +51,7 @@
         load_elsewhere: 0,
         load_told_at: 0,
     };
-    Arc::new(View { workers: vec![worker], gatekeepers, ..View::default() })
+    Arc::new(View { workers: [Arc::new(worker)].into(), gatekeepers, ..View::default() })
 }
 
 fn shared() -> Rc<Shared> {
