Electorate grows before the first configuration; a silent member of an even one gives way

Until the first configuration was committed only the three seeds voted and all other core nodes answered 503: in a core of eleven the operator's first order could come after 4 s, when two losses are to be borne. The first live member now writes the empty state with the wanted electorate. In a planned replacement the old machine was kept for 2.5 s of silence, so that a second loss 4 s after the successor's start left two of four members for ever: a silent member of an even electorate is dropped after 0.8 s, as one that a joining replica replaces.

--- a/crates/control/src/electorate.rs
+++ b/crates/control/src/electorate.rs
@@ -22,8 +22,7 @@
     /// Proposes a better electorate, if this node is the first live member and there is one.
     pub(crate) fn tick_electorate(&mut self, now: u64) {
         let pending = self.jobs.has(|job| matches!(job, Job::Electorate { .. }));
-        if pending || !self.caught_up || self.replica.committed().is_none() || !self.acts_for_electorate(now)
-        {
+        if pending || !self.caught_up || !self.acts_for_electorate(now) {
             return;
         }
         let Some(electorate) = self.replica.electorate() else { return };
@@ -53,7 +52,9 @@
         members.retain(|member| !self.is_replaced(member));
         let before = members.len();
         self.add_joined(now, &mut members);
-        let silence = if members.len() > before { GIVE_WAY_AFTER } else { DROP_AFTER };
+        // An even electorate bears no more than the next smaller one: a silent member of it is kept for nothing.
+        let gives_way = members.len() > before || members.len().is_multiple_of(2);
+        let silence = if gives_way { GIVE_WAY_AFTER } else { DROP_AFTER };
         self.drop_silent(now, silence, &mut members);
         members.sort_by_key(|member| member.id);
         members
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -129,7 +129,11 @@
                 *grant = next.placer.clone();
                 Some((Bytes::from(next.encode()), None))
             }
-            Job::Electorate { members } => data.map(|data| (data, Some(members.clone()))),
+            Job::Electorate { members } => {
+                // Before the first configuration the empty state is written, so that all core nodes vote by then.
+                let data = data.unwrap_or_else(|| Bytes::from(state.encode()));
+                Some((data, Some(members.clone())))
+            }
             Job::CatchUp | Job::Read { .. } => None,
         };
         let Some((data, members)) = write else {
