--- a/crates/control/tests/authority_and_orders.rs
+++ b/crates/control/tests/authority_and_orders.rs
@@ -58,6 +58,7 @@
         }
         worst.longest_again_ms = worst.longest_again_ms.max(run.longest_again_ms);
         worst.longest_again_calm_ms = worst.longest_again_calm_ms.max(run.longest_again_calm_ms);
+        worst.longest_at_node_ms = worst.longest_at_node_ms.max(run.longest_at_node_ms);
         worst.longest_first_ms = worst.longest_first_ms.max(run.longest_first_ms);
         worst.oldest_taken_up_ms = worst.oldest_taken_up_ms.max(run.oldest_taken_up_ms);
         worst.reads += run.reads;
@@ -66,12 +67,13 @@
     }
     println!(
         "last words after the last contact, ms: {:?}; words said without contact: {:?}; sent again to acknowledged, ms: {} \
-         ({} of them), without faults: {}; first sent to acknowledged, ms: {}; oldest taken up, ms: {}; reads: {}; orders to workers: {}",
+         ({} of them), without faults: {}, of it at the node: {}; first sent to acknowledged, ms: {}; oldest taken up, ms: {}; reads: {}; orders to workers: {}",
         worst.last_words,
         worst.words,
         worst.longest_again_ms,
         worst.again,
         worst.longest_again_calm_ms,
+        worst.longest_at_node_ms,
         worst.longest_first_ms,
         worst.oldest_taken_up_ms,
         worst.reads,
--- a/crates/control/tests/simulation/checkers.rs
+++ b/crates/control/tests/simulation/checkers.rs
@@ -82,6 +82,8 @@
     pub longest_again_ms: u64,
     /// The same, counted from the end of the last fault at the earliest.
     pub longest_again_calm_ms: u64,
+    /// Longest time at a node, while nothing is wrong, from an order's call to its acknowledgement.
+    pub longest_at_node_ms: u64,
     /// Since when nothing is wrong; [`None`] while something is.
     pub calm_since: Option<u64>,
     /// Longest time from the first sending of an order to its acknowledgement.
@@ -147,6 +149,13 @@
         }
     }
 
+    /// A node acknowledges an order.
+    pub fn change_answered(&mut self, now: u64, arrived: u64) {
+        if let Some(calm_since) = self.calm_since {
+            self.longest_at_node_ms = self.longest_at_node_ms.max(now - arrived.max(calm_since));
+        }
+    }
+
     /// A node tells a revision with a quorum behind it.
     pub fn said(&mut self, core: usize, revision: u64) {
         let oldest = self.said.entry(core).or_insert(revision);
--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -116,6 +116,8 @@
     pub caller: Caller,
     pub number: u64,
     pub word: Word,
+    /// When it reached the node.
+    pub arrived: u64,
 }
 
 /// The machines and what is on its way between them.
@@ -321,7 +323,8 @@
             Call::Heartbeat { body, .. } if body.windows(8).any(|part| part == b"draining") => Word::End,
             Call::Heartbeat { .. } => Word::Heartbeat,
         };
-        self.calls.insert(id, OpenCall { caller, number, word });
+        let arrived = self.now;
+        self.calls.insert(id, OpenCall { caller, number, word, arrived });
         self.core_input(core, Input::Call(id, call));
     }
 
@@ -337,6 +340,9 @@
     pub fn answered(&mut self, core: usize, id: CallId, answer: Answer) {
         self.answers.insert(id, answer.clone());
         let Some(call) = self.calls.remove(&id) else { return };
+        if answer.status == 200 && call.word == Word::Change {
+            self.checkers.change_answered(self.now, call.arrived);
+        }
         if answer.status < 500 {
             let word = if answer.status >= 400 { Word::Refusal } else { call.word };
             self.checkers.word(self.now, core, word);
