--- a/crates/control/tests/authority_scripts.rs
+++ b/crates/control/tests/authority_scripts.rs
@@ -313,3 +313,23 @@
         expect_that!(world.checkers.violations, is_empty(), "seed {seed}");
     }
 }
+
+#[gtest]
+fn former_placer_that_only_its_successor_does_not_hear_stops_before_the_successor_begins() {
+    let mut taken_over = 0;
+    for seed in 0..12 {
+        let plan = Plan { seed, operators: 2, workers: 2, ..Plan::script(3, 3) };
+        let mut world = World::new(plan);
+        world.run_for(6_000 + 37 * seed);
+        let former = world.checkers.last_placer.expect("an order was given");
+        let successor = (0..3).find(|core| *core != former).expect("another core");
+        // The former stays in contact with the third node; what would tell it of the grant is lost.
+        world.fault(&Fault::CutPair(former, successor));
+        world.deaf_to_register = Some(former);
+        world.run_for(9_000);
+        taken_over += usize::from(world.checkers.last_placer == Some(successor));
+        expect_that!(world.checkers.violations, is_empty(), "seed {seed}");
+    }
+    // In the other seeds nothing was left to order.
+    expect_that!(taken_over, ge(8));
+}
--- a/crates/control/tests/simulation/core_machine.rs
+++ b/crates/control/tests/simulation/core_machine.rs
@@ -5,7 +5,7 @@
 use super::{Connection, Event, World, TICK_EVERY};
 use std::collections::{BTreeMap, VecDeque};
 use switchhill_control::{Input, NodeSettings, SubscriberId};
-use switchhill_protocol::{Downstream, DownstreamBody, PeerFrame};
+use switchhill_protocol::{Downstream, DownstreamBody, PeerBody, PeerFrame};
 use switchhill_register::{Member, ReplicaId};
 
 /// The running process.
@@ -146,6 +146,9 @@
         if !self.network.passes(from, to) || self.random.u32(0..1_000) < self.plan.spoilt {
             return;
         }
+        if self.deaf_to_register == Some(to) && matches!(frame.body, Some(PeerBody::Register(_))) {
+            return;
+        }
         let delay = self.delay();
         if self.random.u32(0..1_000) < self.plan.spoilt {
             let late = self.random.u64(1..=300);
--- a/crates/control/tests/simulation/faults.rs
+++ b/crates/control/tests/simulation/faults.rs
@@ -13,6 +13,8 @@
         out: bool,
         into: bool,
     },
+    /// Nothing passes between these two hosts.
+    CutPair(usize, usize),
     /// All cuts end.
     Heal,
     Freeze(usize),
@@ -62,6 +64,9 @@
         self.checkers.forget_said();
         match fault {
             Fault::Cut { hosts, out, into } => self.network.cut(hosts, *out, *into),
+            Fault::CutPair(one, other) => {
+                self.network.cut.extend([(*one, *other), (*other, *one)]);
+            }
             Fault::Heal => {
                 self.network.cut.clear();
                 self.release_held();
--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -134,6 +134,8 @@
     pub calls: BTreeMap<CallId, OpenCall>,
     /// All answers of core nodes, lost ones included.
     pub answers: BTreeMap<CallId, Answer>,
+    /// A core machine that the register's messages do not reach.
+    pub deaf_to_register: Option<usize>,
     queue: BTreeMap<(u64, u64), Event>,
     next_event: u64,
     next_call: u64,
@@ -156,6 +158,7 @@
             checkers: Checkers::new(plan.cores),
             calls: BTreeMap::new(),
             answers: BTreeMap::new(),
+            deaf_to_register: None,
             queue: BTreeMap::new(),
             next_event: 0,
             next_call: 0,
