Catch-up table: with changes as fast as they are acknowledged, and the time to be a voter

Need: changes every 200 ms are few beside hundreds in quick succession, and a first vote says little: a slow member's votes are not waited for, and the newest replaces the one before. Change: the table has both paces, the time until the two are voters, and the time of an order.

--- a/crates/control/examples/catch_up_table.rs
+++ b/crates/control/examples/catch_up_table.rs
@@ -10,33 +10,37 @@
 const ROUTES: u64 = 400;
 
 fn main() {
-    println!("{ROUTES} routes; milliseconds from the start of all four at once, kB, changes meanwhile");
-    println!("disk         changes | away votes | empty votes | agent data plane | to away, empty | file waiting | more");
-    for disk in [DiskTrouble::None, DiskTrouble::Slow(30), DiskTrouble::Stalled(3_000)] {
-        for changes in [10, 100, 1_000] {
-            match run(Trial { routes: ROUTES, changes, disk }) {
-                Ok(outcome) => print(disk, changes, &outcome),
-                Err(error) => println!("{disk:?} {changes}: {error}"),
+    println!("{ROUTES} routes; milliseconds from the start of all four at once, kB, changes meanwhile, ms of an order");
+    println!(
+        "disk          every changes | away voter | empty voter | agent data plane | to away, empty | file waiting | \
+         more order"
+    );
+    for change_every_ms in [200, 5] {
+        for disk in [DiskTrouble::None, DiskTrouble::Slow(30), DiskTrouble::Stalled(3_000)] {
+            for changes in [10, 100, 1_000] {
+                print(Trial { routes: ROUTES, changes, change_every_ms, disk });
             }
         }
     }
 }
 
-fn print(disk: DiskTrouble, changes: u64, outcome: &Outcome) {
+fn print(trial: Trial) {
+    let Trial { changes, change_every_ms, disk, .. } = trial;
+    let outcome = match run(trial) {
+        Ok(outcome) => outcome,
+        Err(error) => {
+            println!("{trial:?}: {error}");
+            return;
+        }
+    };
     let kb = |bytes: usize| bytes / 1_000;
+    let Outcome { away_ms, away_voter_ms, empty_ms, empty_voter_ms, agent_ms, data_plane_ms, .. } = outcome;
+    let (away, empty) = (kb(outcome.away_bytes), kb(outcome.empty_bytes));
+    let (file, waiting) = (kb(outcome.longest_file), kb(outcome.most_waiting));
     let disk = format!("{disk:?}");
     println!(
-        "{disk:13} {changes:6} | {:4} {:5} | {:5} {:5} | {:5} {:10} | {:7} {:6} | {:4} {:7} | {:4}",
-        outcome.away_ms,
-        outcome.away_votes_ms,
-        outcome.empty_ms,
-        outcome.empty_votes_ms,
-        outcome.agent_ms,
-        outcome.data_plane_ms,
-        kb(outcome.away_bytes),
-        kb(outcome.empty_bytes),
-        kb(outcome.longest_file),
-        kb(outcome.most_waiting),
-        outcome.changes_meanwhile
+        "{disk:13} {change_every_ms:5} {changes:7} | {away_ms:4} {away_voter_ms:5} | {empty_ms:5} {empty_voter_ms:5} | \
+         {agent_ms:5} {data_plane_ms:10} | {away:7} {empty:6} | {file:4} {waiting:7} | {:4} {:5}",
+        outcome.changes_meanwhile, outcome.order_ms
     );
 }
--- a/crates/control/tests/catch_up.rs
+++ b/crates/control/tests/catch_up.rs
@@ -16,7 +16,7 @@
 const JITTER_MS: u64 = 600;
 
 fn outcome(changes: u64, disk: DiskTrouble) -> Outcome {
-    let trial = Trial { routes: ROUTES, changes, disk };
+    let trial = Trial { routes: ROUTES, changes, change_every_ms: 200, disk };
     run(trial).unwrap_or_else(|error| panic!("{trial:?}: {error}"))
 }
 
@@ -27,9 +27,9 @@
         let many = outcome(200, disk);
         println!("{disk:?}: {few:?}\n{many:?}");
         let times = |outcome: &Outcome| {
-            let Outcome { away_ms, empty_ms, away_votes_ms, empty_votes_ms, agent_ms, data_plane_ms, .. } =
+            let Outcome { away_ms, empty_ms, away_voter_ms, empty_voter_ms, agent_ms, data_plane_ms, .. } =
                 *outcome;
-            [away_ms, empty_ms, away_votes_ms, empty_votes_ms, agent_ms, data_plane_ms]
+            [away_ms, empty_ms, away_voter_ms, empty_voter_ms, agent_ms, data_plane_ms]
         };
         for (few, many) in times(&few).into_iter().zip(times(&many)) {
             expect_that!(
--- a/crates/control/tests/catch_up/mod.rs
+++ b/crates/control/tests/catch_up/mod.rs
@@ -85,6 +85,8 @@
     pub routes: u64,
     /// Changes while the member is away.
     pub changes: u64,
+    /// Time in milliseconds between an answer and the next order while all catch up.
+    pub change_every_ms: u64,
     /// Trouble of the disks of the member that returns and of the one that is new.
     pub disk: DiskTrouble,
 }
@@ -98,9 +100,9 @@
     pub away_ms: u64,
     /// The same of the member with an empty disk.
     pub empty_ms: u64,
-    /// Until the two vote again, or for the first time.
-    pub away_votes_ms: u64,
-    pub empty_votes_ms: u64,
+    /// Until the two are voters, their change of the electorate over.
+    pub away_voter_ms: u64,
+    pub empty_voter_ms: u64,
     /// Until the agent holds the newest configuration, confirmed, and then the data plane.
     pub agent_ms: u64,
     pub data_plane_ms: u64,
@@ -110,6 +112,8 @@
     /// Longest file and most bytes waiting for a disk, of all core machines.
     pub longest_file: usize,
     pub most_waiting: usize,
+    /// Time in milliseconds of an order on the average, sent one after the other before, each 5 ms after the last answer.
+    pub order_ms: u64,
     /// Changes acknowledged while all this went on.
     pub changes_meanwhile: u64,
 }
@@ -129,17 +133,17 @@
 
 struct Core {
     node: Option<ControlNode>,
+    replica: ReplicaId,
     life: u32,
     disk: Disk,
     link_free_at: u64,
     processor_free_at: u64,
     revision: u64,
-    started_at: u64,
     /// Revision that had been acknowledged when this life began, or when the last cut ended.
     must_know: u64,
-    /// When it first answered a read with the newest configuration, and first voted, in this life.
+    /// When it first answered a read with the newest configuration, and first was a voter, in this life.
     answered_at: Option<u64>,
-    voted_at: Option<u64>,
+    voter_at: Option<u64>,
     received_bytes: usize,
 }
 
@@ -193,15 +197,15 @@
     pub fn new(routes: u64) -> World {
         let core = |_| Core {
             node: None,
+            replica: ReplicaId(0),
             life: 0,
             disk: Disk::new(),
             link_free_at: 0,
             processor_free_at: 0,
             revision: 0,
-            started_at: 0,
             must_know: 0,
             answered_at: None,
-            voted_at: None,
+            voter_at: None,
             received_bytes: 0,
         };
         let mut world = World {
@@ -267,11 +271,11 @@
         };
         let genesis = genesis.then(|| (0..3).map(member).collect());
         machine.node = Some(ControlNode::new(self.now / 1_000, settings, records, genesis));
-        machine.started_at = self.now;
+        machine.replica = ReplicaId(identity.replica);
         machine.must_know = self.acknowledged;
         machine.revision = 0;
         machine.answered_at = None;
-        machine.voted_at = None;
+        machine.voter_at = None;
         machine.received_bytes = 0;
         let life = machine.life;
         self.add(self.now, Event::CoreTick(core, life));
@@ -454,17 +458,17 @@
 
     fn note_register_message(&mut self, from: usize, frame: &PeerFrame) {
         let Some(PeerBody::Register(envelope)) = &frame.body else { return };
-        let Ok(message) = Message::decode(&envelope.message) else { return };
-        let machine = &mut self.cores[from];
-        match message.body {
-            Body::AcceptReply { .. } | Body::Promise { .. } => {
-                machine.voted_at.get_or_insert(self.now);
-            }
-            Body::Accept { value, .. } if value.electorate.is_joint() && machine.is_behind() => {
-                let error = format!("{} ms: core {from} changes the electorate early", self.now / 1_000);
-                self.violations.push(error);
+        let Ok(Message { body: Body::Accept { value, .. }, .. }) = Message::decode(&envelope.message) else {
+            return;
+        };
+        if value.electorate.is_joint() && self.cores[from].is_behind() {
+            let error = format!("{} ms: core {from} changes the electorate early", self.now / 1_000);
+            self.violations.push(error);
+        }
+        for machine in self.cores.iter_mut().filter(|machine| machine.node.is_some()) {
+            if !value.electorate.is_joint() && value.electorate.contains(machine.replica) {
+                machine.voter_at.get_or_insert(self.now);
             }
-            _ => {}
         }
     }
 
@@ -626,7 +630,7 @@
     /// Whether all that started late has caught up.
     pub fn all_caught_up(&self) -> bool {
         let core =
-            |core: usize| self.cores[core].answered_at.is_some() && self.cores[core].voted_at.is_some();
+            |core: usize| self.cores[core].answered_at.is_some() && self.cores[core].voter_at.is_some();
         core(AWAY) && core(EMPTY) && self.agent_at.is_some() && self.data_plane_at.is_some()
     }
 
@@ -646,10 +650,12 @@
     }
     world.stop(AWAY);
     let target = trial.changes + 1;
+    let begun = world.now_ms();
     if !world.run_until(600_000, |world| world.acknowledged >= target) {
         return Err(format!("{} of {target} orders are acknowledged", world.acknowledged));
     }
-    world.change_every(200);
+    let order_ms = (world.now_ms() - begun) / trial.changes;
+    world.change_every(trial.change_every_ms);
     // The member that is away is taken out of the electorate.
     let settled_at = world.now_ms() + 4_000;
     world.run_until(settled_at, |_| false);
@@ -661,10 +667,10 @@
         return Err(format!("{} things too early, first: {first}", world.violations.len()));
     }
     if !caught_up {
-        let state = |core: usize| (world.cores[core].answered_at, world.cores[core].voted_at);
+        let state = |core: usize| (world.cores[core].answered_at, world.cores[core].voter_at);
         return Err(format!("not caught up: {:?} {:?}", state(AWAY), state(EMPTY)));
     }
-    Ok(outcome(&world, acknowledged))
+    Ok(Outcome { order_ms, ..outcome(&world, acknowledged) })
 }
 
 /// What happens to a member while changes go on.
@@ -721,8 +727,8 @@
         configuration_bytes: world.data_plane.state().encoded().len(),
         away_ms: world.since_late(core(AWAY).answered_at),
         empty_ms: world.since_late(core(EMPTY).answered_at),
-        away_votes_ms: world.since_late(core(AWAY).voted_at),
-        empty_votes_ms: world.since_late(core(EMPTY).voted_at),
+        away_voter_ms: world.since_late(core(AWAY).voter_at),
+        empty_voter_ms: world.since_late(core(EMPTY).voter_at),
         agent_ms: world.since_late(world.agent_at),
         data_plane_ms: world.since_late(world.data_plane_at),
         away_bytes: core(AWAY).received_bytes,
@@ -730,6 +736,7 @@
         longest_file: world.cores.iter().map(|core| core.disk.most_used).max().unwrap_or(0),
         most_waiting: world.cores.iter().map(|core| core.disk.most_waiting).max().unwrap_or(0),
         changes_meanwhile: world.acknowledged - acknowledged,
+        order_ms: 0,
     }
 }
 
