Control: members worked out from an older electorate are not written over a newer one

Need: the members of a change are worked out when the job is queued and were written on whatever electorate the prepare round met, also where another node had changed it meanwhile, or while the job waited without contact. Change: the job names the epoch that it is to replace; on any other one it ends and is worked out anew.

--- a/crates/control/src/electorate.rs
+++ b/crates/control/src/electorate.rs
@@ -32,7 +32,8 @@
         present.sort_by_key(|member| member.id);
         if members != present {
             log::info!("electorate: {} members, {} wanted", electorate.members.len(), members.len());
-            self.jobs.push(Job::Electorate { members });
+            let epoch = electorate.epoch;
+            self.jobs.push(Job::Electorate { members, epoch });
         }
     }
 
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -27,8 +27,8 @@
     Read { call: CallId },
     /// This node becomes the placer, or takes a new epoch.
     TakePlacer { grant: Option<PlacerGrant>, former: Option<String> },
-    /// The electorate changes.
-    Electorate { members: Vec<Member> },
+    /// The electorate of this epoch changes.
+    Electorate { members: Vec<Member>, epoch: u64 },
 }
 
 /// Jobs that wait, and the one under way.
@@ -116,6 +116,7 @@
             }
         };
         let is_chosen = current.as_ref().is_none_or(|accepted| self.is_chosen(accepted));
+        let present_epoch = current.as_ref().map(|accepted| accepted.value.electorate.epoch);
         let data = current.map(|accepted| accepted.value.data);
         let write = match &mut job {
             Job::Change { call, order, answer, .. } => {
@@ -133,7 +134,10 @@
                 *grant = next.placer.clone();
                 Some((Bytes::from(next.encode()), None))
             }
-            Job::Electorate { members } => data.map(|data| (data, Some(members.clone()))),
+            // What is wanted may be another thing once another change has been made.
+            Job::Electorate { members, epoch } => {
+                data.filter(|_| present_epoch == Some(*epoch)).map(|data| (data, Some(members.clone())))
+            }
             Job::CatchUp | Job::Read { .. } => None,
         };
         let Some((data, members)) = write else {
--- a/crates/control/src/jobs/tests.rs
+++ b/crates/control/src/jobs/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of what an order makes of a state.
 
 use super::{decide_change, Job};
-use crate::input::NodeSettings;
+use crate::input::{Input, NodeSettings, Output};
 use crate::node::ControlNode;
 use bytes::Bytes;
 use googletest::prelude::*;
@@ -70,7 +70,39 @@
     let older = ControlState::default().grant_placer("core-1");
     let newer = older.grant_placer("core-2");
     node.committed(0, &chosen(5, &newer));
-    node.jobs.current = Some((1, Job::Electorate { members: vec![member()] }));
+    node.jobs.current = Some((1, Job::Electorate { members: vec![member()], epoch: 1 }));
     node.job_done(1, 1, Ok(chosen(4, &older)));
     expect_that!(node.control, eq(&newer));
 }
+
+/// Lets time pass on a disk that writes at once, until so many milliseconds.
+fn run(node: &mut ControlNode, from: u64, until: u64) {
+    for now in (from..until).step_by(25) {
+        let mut outputs = node.handle(now, Input::Tick);
+        while let Some(output) = outputs.pop() {
+            if let Output::Persist(token, _) = output {
+                outputs.extend(node.handle(now, Input::Persisted(token)));
+            }
+        }
+    }
+}
+
+/// The members wanted were worked out from an electorate that has been replaced while the job waited.
+#[gtest]
+fn a_change_worked_out_from_an_older_electorate_is_not_written() {
+    let mut node = node();
+    run(&mut node, 0, 4_000);
+    let epoch = node.replica.electorate().map_or(0, |electorate| electorate.epoch);
+    let before = node.replica.accepted_ballot();
+    expect_that!(before, gt(Ballot::NONE), "the node is placer: the register has a value");
+
+    let other = Member { id: ReplicaId(2), address: "10.0.0.2:7000".to_owned() };
+    let members = vec![member(), other];
+    node.jobs.push(Job::Electorate { members: members.clone(), epoch: epoch - 1 });
+    run(&mut node, 4_000, 4_500);
+    expect_that!(node.replica.accepted_ballot(), eq(before));
+
+    node.jobs.push(Job::Electorate { members, epoch });
+    run(&mut node, 4_500, 5_000);
+    expect_that!(node.replica.accepted_ballot(), gt(before));
+}
--- a/crates/control/tests/catch_up/mod.rs
+++ b/crates/control/tests/catch_up/mod.rs
@@ -519,7 +519,7 @@
                 RelayOutput::Close(id) => {
                     self.agent_links.remove(&id);
                 }
-                RelayOutput::ToLink(id, message) => self.to_core(id, message),
+                RelayOutput::ToLink(id, message) => self.send_core(id, message),
                 RelayOutput::ToFeed(_, message) => self.add(self.now + 100, Event::DataPlane(message)),
             }
         }
@@ -532,7 +532,7 @@
         self.add(self.now + 2 * DELAY_US, Event::Agent(Box::new(RelayInput::LinkUp(id))));
     }
 
-    fn to_core(&mut self, id: LinkId, message: Upstream) {
+    fn send_core(&mut self, id: LinkId, message: Upstream) {
         let Some(core) = self.agent_links.get(&id).copied() else { return };
         let life = self.cores[core].life;
         let bytes = message.encoded_len();
