--- a/src/control_plane/workers/tests.rs
+++ b/src/control_plane/workers/tests.rs
@@ -179,3 +179,21 @@
     assert_eq!(given_up.kind(), std::io::ErrorKind::ConnectionReset);
     assert_eq!(end_at_the_worker(Some(TAKEN)).expect("an orderly end"), 0);
 }
+
+#[test]
+fn an_order_whose_connection_breaks_is_not_sent_again() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+        let order = call(&listener.local_addr().expect("bound").to_string());
+        let sent = tokio::task::spawn_local(async move { send_order(&order).await });
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let read = stream.read(&mut [0; 4096]).await.expect("an order");
+        assert!(read > 0, "the order comes");
+        drop(stream);
+        tokio::select! {
+            answer = sent => assert!(answer.expect("no panic").is_err(), "no answer"),
+            _ = listener.accept() => panic!("the order is sent again"),
+        }
+    });
+}
