--- a/crates/placement/tests/faults.rs
+++ b/crates/placement/tests/faults.rs
@@ -88,7 +88,7 @@
         let streams = (0..LARGE_MODELS).map(|model| Stream::new(model, 0.4, 6_000)).collect();
         let mut fleet = Fleet::new(seed, engine, LARGE_WORKERS, Load::new(seed, streams), Faults::none());
         for _ in 0..8 {
-            fleet.run(random.u64(5..25) * 100);
+            fleet.run(random.u64(15..35) * 100);
             fleet.take_over_within(FENCED_WATCH_MS);
         }
         fleet.run(5_000);
--- a/crates/placement/tests/orders.rs
+++ b/crates/placement/tests/orders.rs
@@ -109,7 +109,10 @@
         let outputs = planner.handle(10_500, Input::OrderResult { order: before[0].0, answer });
         expect_that!(outputs, is_empty(), "{answer:?}");
         planner.handle(10_600, Input::OrderResult { order: after[0].0, answer: OrderAnswer::Accepted });
-        let outputs = planner.handle(14_900, Input::Tick);
+        for now in (10_700..14_800).step_by(50) {
+            expect_that!(asked(&planner.handle(now, Input::Tick)), is_empty(), "{answer:?} at {now}");
+        }
+        let outputs = planner.handle(14_800, Input::Tick);
         expect_that!(asked(&outputs), elements_are![eq(&worker_id("second"))], "{answer:?}");
     }
 }
