--- a/crates/placement/tests/faults.rs
+++ b/crates/placement/tests/faults.rs
@@ -5,26 +5,17 @@
 
 use fastrand::Rng;
 use fleet::load::{Load, Stream};
+use fleet::scenarios::{small_fleet, FEW_MODELS, FEW_WORKERS};
 use fleet::{engine, Faults, Fleet, Planted};
 use googletest::prelude::*;
 use switchhill_placement::WorkerId;
 
 const SEEDS: u64 = 100;
-const MODELS: usize = 24;
-const WORKERS: usize = 6;
 const LARGE_MODELS: usize = 66;
 const LARGE_WORKERS: usize = 18;
 /// Time in which a new planner only watches where workers refuse orders under an older fencing token.
 const FENCED_WATCH_MS: u64 = 500;
 
-fn small_fleet(seed: u64, faults: Faults) -> Fleet {
-    let mut streams: Vec<Stream> = (0..3).map(|model| Stream::new(model, 4.0, 400)).collect();
-    streams.extend((3..MODELS).map(|model| Stream::new(model, 0.4, 6_000)));
-    streams.extend((1..=24).map(|adapter| Stream::new(0, 0.3, 500).with_adapter(adapter)));
-    streams.extend((1..=12).map(|adapter| Stream::new(1, 0.3, 500).with_adapter(adapter)));
-    Fleet::new(seed, engine(MODELS, 24), WORKERS, Load::new(seed, streams), faults)
-}
-
 fn check_rules(fleet: &Fleet) {
     let seed = fleet.seed;
     expect_that!(fleet.checks.limit, is_empty(), "seed {seed}");
@@ -135,10 +126,10 @@
 
 #[gtest]
 fn the_store_checker_finds_loads_over_the_rate() {
-    let mut engine = engine(MODELS, 24);
+    let mut engine = engine(FEW_MODELS, 24);
     engine.loads_per_s = 0.3;
-    let streams = (0..MODELS).map(|model| Stream::new(model, 0.4, 6_000)).collect();
-    let mut fleet = Fleet::new(1, engine, WORKERS, Load::new(1, streams), Faults::none());
+    let streams = (0..FEW_MODELS).map(|model| Stream::new(model, 0.4, 6_000)).collect();
+    let mut fleet = Fleet::new(1, engine, FEW_WORKERS, Load::new(1, streams), Faults::none());
     fleet.planted = Some(Planted::LoadsMultiplied);
     fleet.run(15_000);
     expect_that!(fleet.checks.ceiling, not(is_empty()));
--- a/crates/placement/tests/fleet/mod.rs
+++ b/crates/placement/tests/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod checks;
 pub mod load;
+pub mod scenarios;
 pub mod worker;
 
 use std::collections::{BTreeMap, BTreeSet};
