--- a/lab/src/hollow/data_plane.rs
+++ b/lab/src/hollow/data_plane.rs
@@ -135,6 +135,11 @@
         self.feed.loads()
     }
 
+    /// Whether its router no longer sends to a worker.
+    pub(super) fn has_left(&self, now: u64, worker: &str) -> bool {
+        self.router.key(worker).is_none_or(|key| !self.router.may_send(now, key))
+    }
+
     /// Takes in a message.
     pub(super) fn receive(&mut self, now: u64, message: Downstream) -> Vec<Upstream> {
         let received = self.feed.receive(now, message);
--- a/lab/src/hollow/fleet.rs
+++ b/lab/src/hollow/fleet.rs
@@ -2,7 +2,7 @@
 
 use super::data_plane::{DataPlane, Traffic};
 use super::ledger::{Direction, Ledger, ProcessorTime, Role};
-use super::report::Report;
+use super::report::{DrainTimes, Report};
 use super::site;
 use super::worker::Worker;
 use super::Sizes;
@@ -33,6 +33,8 @@
 const CHANGE_RETRY_MS: u64 = 300;
 /// Time in milliseconds of the start, which is not measured.
 const START_MS: u64 = 10_000;
+/// When a worker begins to leave, in milliseconds.
+const DRAIN_MS: u64 = START_MS + 1_300;
 /// Data planes that run; the others would only repeat them.
 const DATA_PLANES: usize = 10;
 /// Bytes of a frame before its message: length and version.
@@ -43,6 +45,8 @@
 const LINKS: usize = 3;
 /// The data plane's connection to its agent.
 const FEED: FeedId = FeedId(1);
+/// The call of the worker that leaves.
+const DRAIN_CALL: u64 = 1 << 59;
 /// Calls from this number on are the operator's.
 const OPERATOR_CALL: u64 = 1 << 60;
 
@@ -58,6 +62,7 @@
     Summary(usize),
     Beat(usize),
     Change,
+    Drain,
 }
 
 struct Edge {
@@ -83,6 +88,7 @@
     revision: u64,
     calls: u64,
     ledger: Ledger,
+    drain: DrainTimes,
 }
 
 fn core_address(core: usize) -> String {
@@ -113,6 +119,7 @@
             revision: 0,
             calls: 0,
             ledger: Ledger::default(),
+            drain: DrainTimes::default(),
         };
         let numbers = fleet.workers.iter().enumerate().map(|(number, worker)| (worker.id.clone(), number));
         fleet.worker_numbers = numbers.collect();
@@ -133,6 +140,7 @@
             self.add(500 + worker as u64 * BEAT_MS / self.sizes.workers as u64, Event::Beat(worker));
         }
         self.add(FIRST_CHANGE_MS, Event::Change);
+        self.add(DRAIN_MS, Event::Drain);
     }
 
     fn add(&mut self, at: u64, event: Event) {
@@ -155,6 +163,7 @@
             seconds,
             lowest_revision: revisions.min().unwrap_or(0),
             load_error: self.load_error(),
+            drain: self.drain,
             data_planes: self.sizes.gatekeepers.min(DATA_PLANES),
             start_bytes: start_bytes / self.sizes.gatekeepers.max(1) as u64,
             resident_kb: resident_kb(),
@@ -209,6 +218,7 @@
             Event::Summary(edge) => self.summary(edge),
             Event::Beat(worker) => self.beat(worker),
             Event::Change => self.change(),
+            Event::Drain => self.drain(),
         }
     }
 
@@ -269,6 +279,9 @@
                 let input = Box::new(Input::Reported(report));
                 self.add(self.now + ANSWER_MS, Event::CoreInput(core, input, "report"));
             }
+            Output::Answer(id, answer) if id.0 == DRAIN_CALL && answer.status == 200 => {
+                self.drain.acknowledged_ms.get_or_insert(arrives - DRAIN_MS);
+            }
             Output::Answer(id, answer) if id.0 >= OPERATOR_CALL => self.change_answered(&answer),
             Output::Answer(..) | Output::Rewrite(_) | Output::CloseSubscriber(_) => {}
         }
@@ -358,6 +371,7 @@
         let since = ProcessorTime::now();
         data_plane.take_view(now);
         self.ledger.add((Role::DataPlane, Direction::Local, "view taken"), 0, since);
+        self.note_drain();
         for answer in answers {
             self.data_plane_message(edge, answer);
         }
@@ -386,6 +400,28 @@
         self.call(number % self.sizes.cores, 0, call, "worker heartbeat");
     }
 
+    /// The first worker says that it is leaving.
+    fn drain(&mut self) {
+        let Some(worker) = self.workers.first_mut() else { return };
+        worker.is_draining = true;
+        let body = worker.beat(self.now);
+        let call = Call::Heartbeat { id: worker.id.clone(), body };
+        let input = Box::new(Input::Call(CallId(DRAIN_CALL), call));
+        self.add(self.now + NETWORK_MS, Event::CoreInput(0, input, "drain"));
+    }
+
+    /// Notes when all data planes have stopped to send to the worker that leaves.
+    fn note_drain(&mut self) {
+        if self.drain.in_force_ms.is_some() || self.now < DRAIN_MS {
+            return;
+        }
+        let Some(worker) = self.workers.first() else { return };
+        let mut data_planes = self.edges.iter().filter_map(|edge| edge.data_plane.as_ref());
+        if data_planes.all(|data_plane| data_plane.has_left(self.now, &worker.id)) {
+            self.drain.in_force_ms = Some(self.now - DRAIN_MS);
+        }
+    }
+
     fn call(&mut self, core: usize, base: u64, call: Call, kind: &'static str) {
         self.calls += 1;
         let input = Box::new(Input::Call(CallId(base + self.calls), call));
--- a/lab/src/hollow/mod.rs
+++ b/lab/src/hollow/mod.rs
@@ -12,7 +12,7 @@
 mod worker;
 
 pub use ledger::{Count, Direction, Role};
-pub use report::Report;
+pub use report::{DrainTimes, Report};
 
 /// Sizes of a hollow fleet.
 #[derive(Debug, Clone, Copy)]
--- a/lab/src/hollow/report.rs
+++ b/lab/src/hollow/report.rs
@@ -4,6 +4,15 @@
 use super::Sizes;
 use std::fmt;
 
+/// How a worker's drain went, in milliseconds after it was sent.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct DrainTimes {
+    /// When it was acknowledged.
+    pub acknowledged_ms: Option<u64>,
+    /// When the last data plane had stopped to send to the worker.
+    pub in_force_ms: Option<u64>,
+}
+
 /// Figures of a hollow run.
 #[derive(Debug)]
 pub struct Report {
@@ -15,6 +24,8 @@
     pub lowest_revision: u64,
     /// Part of the requests out by which the loads that data planes hold at the end differ from those told last.
     pub load_error: f64,
+    /// The drain that was played.
+    pub drain: DrainTimes,
     /// Data planes that ran; the other gatekeepers have an agent alone.
     pub data_planes: usize,
     /// Bytes from and to the core of the average gatekeeper during the start.
@@ -95,6 +106,7 @@
         writeln!(f, "control at a gatekeeper, both ways: {:.0} B/s", self.bytes_per_gatekeeper())?;
         writeln!(f, "start of a gatekeeper: {} B", self.start_bytes)?;
         writeln!(f, "loads held differ from those out by: {:.3}", self.load_error)?;
+        writeln!(f, "drain: {:?}", self.drain)?;
         writeln!(f, "lowest revision in force at the end: {}", self.lowest_revision)?;
         writeln!(f, "resident memory of the whole run: {} KB", self.resident_kb)
     }
--- a/lab/src/hollow/worker.rs
+++ b/lab/src/hollow/worker.rs
@@ -19,6 +19,8 @@
     sequence: u64,
     orders: u64,
     models: Vec<Resident>,
+    /// Whether it says that it is leaving.
+    pub(super) is_draining: bool,
     /// What is being loaded, and when it stands.
     loading: Option<(u64, String, Option<String>)>,
 }
@@ -37,6 +39,7 @@
             sequence: 0,
             orders: 0,
             models: held.collect(),
+            is_draining: false,
             loading: None,
         }
     }
@@ -52,7 +55,7 @@
             "zone": self.zone,
             "revision": "2024.11.3",
             "slots": SLOTS,
-            "state": "ready",
+            "state": if self.is_draining { "draining" } else { "ready" },
             "phase": "both",
             "sequence": self.sequence,
             "models": self.models.iter().map(model).collect::<Vec<_>>(),
--- a/lab/tests/hollow.rs
+++ b/lab/tests/hollow.rs
@@ -70,3 +70,13 @@
         expect_that!(error, le(0.08), "{workers} workers");
     }
 }
+
+#[gtest]
+fn a_drain_is_in_force_at_once_whatever_the_fleet() {
+    for workers in [8, 90, 400] {
+        let drain = small(workers).drain;
+        // Four messages of 1 ms: to a core node, to the others, their acknowledgements, and the answer.
+        expect_that!(drain.acknowledged_ms, some(le(8)), "{workers} workers");
+        expect_that!(drain.in_force_ms, some(le(8)), "{workers} workers");
+    }
+}
