Flaws: one command plants each known fault; bounds measured in virtual time

'switchhill-lab flaws' lists the tests that plant a fault themselves (marked by a comment) and the patches in lab/flaws, applies each patch to a copy of the tree, runs its test and prints whether it was noticed. 'switchhill-lab bounds' measures the last word of a machine that is cut off, orders sent again, loss to full electorate, catch-up after 10, 100 and 1,000 changes and acknowledgement to in force.

--- a/lab/src/emulator/disk.rs
+++ b/lab/src/emulator/disk.rs
@@ -53,6 +53,8 @@
     LosesSynced,
     /// An empty disk keeps the identity it had.
     KeepsIdentityWhenWiped,
+    /// A loss of power may take the names of files though their folder was synced.
+    LosesNames,
 }
 
 /// A disk.
@@ -93,6 +95,9 @@
         let opened = RecordLog::open_with(self.files.clone(), Path::new(FOLDER), NAME, options);
         let (log, records) = opened.expect("a virtual file system opens its files");
         self.log = Some(log);
+        if self.flaw == Some(DiskFlaw::LosesNames) {
+            self.files.ignore_folder_syncs();
+        }
         records
     }
 
--- a/lab/src/emulator/figures.rs
+++ b/lab/src/emulator/figures.rs
@@ -18,7 +18,7 @@
     pub core_caught_up_ms: Vec<u64>,
     /// From a data plane's start to its holding what was acknowledged before.
     pub data_plane_caught_up_ms: Vec<u64>,
-    /// Most changes that were acknowledged while a core machine was away.
+    /// Changes that were acknowledged, in the run with the most of them.
     pub changes_missed: u64,
     /// Longest file of a replica, in bytes.
     pub longest_file: u64,
--- a/lab/src/emulator/file_system.rs
+++ b/lab/src/emulator/file_system.rs
@@ -31,6 +31,8 @@
     names: BTreeMap<PathBuf, usize>,
     durable_names: BTreeMap<PathBuf, usize>,
     refuses: bool,
+    /// A planted fault: syncs of the folder do nothing.
+    ignores_folder_syncs: bool,
     /// Operations left until everything fails; none for no end.
     left: Option<u32>,
 }
@@ -52,6 +54,11 @@
         self.0.borrow_mut().refuses = refuses;
     }
 
+    /// Syncs of the folder do nothing after the first, as no file system may.
+    pub fn ignore_folder_syncs(&self) {
+        self.0.borrow_mut().ignores_folder_syncs = true;
+    }
+
     /// All operations after these fail.
     pub fn stop_after(&self, operations: u32) {
         self.0.borrow_mut().left = Some(operations);
@@ -173,7 +180,9 @@
     fn sync_folder(&self, _folder: &Path) -> Result<()> {
         let mut state = self.0.borrow_mut();
         state.operate()?;
-        state.durable_names = state.names.clone();
+        if !state.ignores_folder_syncs {
+            state.durable_names = state.names.clone();
+        }
         Ok(())
     }
 }
--- a/lab/src/emulator/operator.rs
+++ b/lab/src/emulator/operator.rs
@@ -92,7 +92,7 @@
     pub order: Option<u64>,
     /// When the reading or the order began.
     pub began: u64,
-    /// Whether the order was acknowledged before, or is sent along another path too.
+    /// Whether the order was sent before.
     pub resent: bool,
     /// The call.
     pub call: Call,
@@ -407,6 +407,7 @@
                 (Some(order), resent, Call::Change(self.orders.get(&order)?.1.clone()))
             }
         };
+        let resent = resent || ongoing.tries > 1;
         Some(OperatorCall { number, core, order, began: ongoing.began, resent, call })
     }
 
--- a/lab/src/emulator/world/mod.rs
+++ b/lab/src/emulator/world/mod.rs
@@ -213,6 +213,8 @@
         let checkers = &mut self.checkers;
         checkers.liveness.ended(self.plan.ends_at, &self.calm, &mut checkers.violations);
         checkers.silence.check(&mut checkers.violations);
+        self.figures.changes_missed = self.figures.count_acknowledged();
+        self.figures.longest_file = self.cores.iter().map(|core| core.disk.length()).max().unwrap_or(0);
         self.figures.in_force_ms = checkers.in_force.times_ms().to_vec();
     }
 
--- a/lab/src/emulator/world/operator_calls.rs
+++ b/lab/src/emulator/world/operator_calls.rs
@@ -28,6 +28,7 @@
     /// The order that it sends; none for a reading.
     order: Option<u64>,
     began: u64,
+    sent_at: u64,
     resent: bool,
 }
 
@@ -37,7 +38,8 @@
         self.events.add(self.now + OPERATOR_TICK_EVERY, Event::OperatorTick);
         let cores = self.listed_cores();
         for call in self.operator.tick(self.now, &cores) {
-            let open = OpenCall { order: call.order, began: call.began, resent: call.resent };
+            let open =
+                OpenCall { order: call.order, began: call.began, sent_at: self.now, resent: call.resent };
             self.operator_calls.insert(call.number, open);
             if call.order.is_some() {
                 self.trigger_after_sending();
@@ -147,9 +149,9 @@
             self.checkers.liveness.answered(self.now, open.began, status, &self.calm);
             if open.resent
                 && status == 200
-                && self.calm.calm_for(self.now, Subject::Core) > self.now - open.began
+                && self.calm.calm_for(self.now, Subject::Core) > self.now - open.sent_at
             {
-                self.figures.resent(self.now - open.began);
+                self.figures.resent(self.now - open.sent_at);
             }
         }
         let answer = answer.as_ref().map(|answer| (answer.status, &answer.body[..]));
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! The laboratory's program.
 
 mod emulate;
+mod flaws;
 
 use clap::{Parser, Subcommand};
 use std::net::SocketAddr;
@@ -100,6 +101,27 @@
         #[arg(long)]
         table: bool,
     },
+    /// Measures the control plane's bounds in virtual time and prints them.
+    Bounds {
+        /// How many seeds for each bound.
+        #[arg(long, default_value_t = 100)]
+        seeds: u64,
+        /// Runs at a time [default: as many as there are processors].
+        #[arg(long)]
+        jobs: Option<usize>,
+    },
+    /// Plants each known fault and tells whether its test notices; run at the root of the checkout.
+    Flaws {
+        /// Only those whose name contains this.
+        #[arg(long, default_value = "")]
+        only: String,
+        /// Lists them and runs nothing.
+        #[arg(long)]
+        list: bool,
+        /// Compilers at a time.
+        #[arg(long, default_value_t = 3)]
+        jobs: usize,
+    },
     /// Runs the control plane's state machines without sockets, in virtual time, and prints what they cost.
     Hollow {
         /// Gatekeepers, each an agent with a data plane.
@@ -313,6 +335,8 @@
         Task::Emulate { seeds, from, jobs, table, .. } => {
             Ok(emulate::play_seeds(from, seeds, jobs.unwrap_or_else(processors), table))
         }
+        Task::Bounds { seeds, jobs } => Ok(emulate::bounds(seeds, jobs.unwrap_or_else(processors))),
+        Task::Flaws { only, list, jobs } => flaws::run(&only, list, jobs).map_err(Failed::Ran),
         Task::Hollow { gatekeepers, workers, models, cores, seconds, seed, parts } => {
             let sizes = hollow::Sizes { gatekeepers, workers, models, cores };
             match parts {
--- a/lab/tests/emulator_checkers.rs
+++ b/lab/tests/emulator_checkers.rs
@@ -61,6 +61,20 @@
     }
 }
 
+/// Planted fault: a rewritten file's name is lost with the power, though its folder was synced.
+#[gtest]
+fn a_disk_that_loses_synced_names_loses_changes() {
+    let storm = Fault::ChangeStorm { for_ms: 14_000 };
+    let power = |turn| (7_000 + 3_000 * turn, after_acknowledgement(Fault::PowerOffAllCores));
+    let faults: Vec<_> = [(3_000, storm)].into_iter().chain((0..4).map(power)).collect();
+    let reports = play_with(Some(Flaw::Disk(DiskFlaw::LosesNames)), SIZES, &faults);
+    expect_true!(shows(&reports, Rule::AcknowledgedIsKept));
+    for report in play_with(None, SIZES, &faults) {
+        expect_that!(report.violations, is_empty(), "seed {}", report.seed);
+    }
+}
+
+/// Planted fault: a disk loses records that were synced.
 #[gtest]
 fn a_disk_that_loses_synced_records_loses_changes() {
     let faults: Vec<_> =
@@ -79,6 +93,7 @@
 /// Sizes under which the faults above may come together.
 const THREE_CORES: Sizes = Sizes { zones: &[1, 1, 1], machines_lost: 2, ..SIZES };
 
+/// Planted fault: a replica whose disk is lost keeps its identity.
 #[gtest]
 fn a_replica_that_forgets_under_its_old_identity_loses_changes() {
     let flaw = Flaw::Disk(DiskFlaw::KeepsIdentityWhenWiped);
@@ -93,18 +108,21 @@
     }
 }
 
+/// Planted fault: a data plane forgets what it holds.
 #[gtest]
 fn a_data_plane_that_forgets_goes_back() {
     let reports = play_with(Some(Flaw::ForgetfulDataPlane), SIZES, &[]);
     expect_true!(shows(&reports, Rule::NothingGoesBack));
 }
 
+/// Planted fault: an agent passes no configuration on after the first.
 #[gtest]
 fn an_agent_that_keeps_configurations_to_itself_is_late() {
     let reports = play_with(Some(Flaw::SilentAgent), SIZES, &[]);
     expect_true!(shows(&reports, Rule::InForceInTime));
 }
 
+/// Planted fault: an agent passes no changes of workers on.
 #[gtest]
 fn an_agent_that_keeps_workers_to_itself_shows_ended_ones_ready() {
     let faults = [(7_000, Fault::DrainWorker { place: 2 }), (9_000, Fault::DrainWorker { place: 4 })];
@@ -112,6 +130,7 @@
     expect_true!(shows(&reports, Rule::EndedIsNotReady));
 }
 
+/// Planted fault: all placers order under one epoch.
 #[gtest]
 fn one_epoch_for_all_holders_is_noticed() {
     let faults: Vec<_> =
@@ -131,12 +150,14 @@
     expect_true!(violations.has(Rule::CeilingOfLoads));
 }
 
+/// Planted fault: workers have less room than the configuration says.
 #[gtest]
 fn workers_with_less_room_are_ordered_too_much() {
     let reports = play_with(Some(Flaw::SmallWorkers), SIZES, &[]);
     expect_true!(shows(&reports, Rule::LimitOfWorkers));
 }
 
+/// Planted fault: answers to changes never go out.
 #[gtest]
 fn changes_without_answers_are_late() {
     let reports = play_with(Some(Flaw::NoAnswers), SIZES, &[(8_000, Fault::KillAllCores)]);
--- a/lab/tests/emulator_found.rs
+++ b/lab/tests/emulator_found.rs
@@ -110,3 +110,15 @@
     let second = Fault::ReplaceCore { core: Pick::Number(0), planned: false };
     expect_holds(sizes, &[(6_000, planned), (10_020, second)], 24_000);
 }
+
+/// Heartbeats that come seconds late say again that a worker is ready which has said since that it leaves.
+#[gtest]
+fn late_heartbeats_bring_no_worker_back() {
+    let late = |place| (6_000, Fault::LateHeartbeats { place, for_ms: 9_000 });
+    let leaves = |place: usize| match place % 2 {
+        0 => (8_000, Fault::DrainWorker { place }),
+        _ => (8_000, Fault::DeregisterWorker { place }),
+    };
+    let faults: Vec<_> = (0..8).flat_map(|place| [late(place), leaves(place)]).collect();
+    expect_holds(SIZES, &faults, 20_000);
+}
