Leaving waits for a successor in restart; a second loss at each moment is tried

A process told to end went at once when the machine that was to take its place had just restarted, or when a member whose disk was lost left it as the third of three: with a second disk lost in the moment of the SIGTERM the core of three had no majority left. It now goes early only with all other members in contact and no replica without a vote heard of late.

Measured: second_loss.rs, a second loss every 150 ms from the start of a repair to 600 ms after catchUpS, on cores of three and five, and the oldest disks lost one after the other: nothing broken (it failed at 0 ms after the SIGTERM before); with the planted fault of leaving at once it fails.

--- a/crates/control/src/electorate.rs
+++ b/crates/control/src/electorate.rs
@@ -65,7 +65,8 @@
     }
 
     /// Whether the process may end after [`Input::Leave`](crate::Input::Leave): the electorate goes on without this node,
-    /// so a majority of the others durably holds the newest value, or the others can do no better than to keep its vote.
+    /// so a majority of the others durably holds the newest value. It may also end where it goes as one of the losses to
+    /// be borne, with all other members in contact and nobody to take its place, and where all others are told to end too.
     /// A node that reaches no quorum can't tell, and waits: the others may be about to come back and need its copy.
     pub fn may_leave(&self, now: u64) -> bool {
         let Some(electorate) = self.replica.electorate() else { return true };
@@ -73,9 +74,26 @@
         if !electorate.contains(me) {
             return true;
         }
+        let others = || electorate.members.iter().map(|member| member.id).filter(|id| *id != me);
+        let told_to_end = |id: ReplicaId| self.contacts.get(id.0).is_some_and(|contact| contact.told.leaving);
+        if others().all(told_to_end) {
+            return true;
+        }
+        let is_calm = !electorate.is_joint()
+            && self.has_quorum(now)
+            && others().all(|id| self.contacts.is_in_contact(now, id.0) && !told_to_end(id))
+            && !self.has_successor(now, electorate);
         let wanted = || self.desired_members(now, electorate);
-        let is_settled = !electorate.is_joint() && self.has_quorum(now);
-        is_settled && wanted().is_none_or(|members| members.iter().any(|member| member.id == me))
+        is_calm && wanted().is_none_or(|members| members.iter().any(|member| member.id == me))
+    }
+
+    /// Whether a replica without a vote was heard that may take the place of a member, though not yet, if it has just
+    /// restarted.
+    fn has_successor(&self, now: u64, electorate: &Electorate) -> bool {
+        self.contacts.iter().any(|(id, contact)| {
+            let votes = electorate.members.iter().any(|member| member.id.0 == id);
+            !votes && !contact.told.leaving && now < contact.heard_at + DROP_AFTER
+        })
     }
 
     /// The newest electorate that this node knows to be chosen, with the ballot of its value.
