Placer: a holder is a machine, by its address, whatever its name

Cause: grants and orders named the holder by the machine's name; a second machine under that name took the role without pause. Change: NodeSettings::holder is the address; it stands in grants, in orders and in the comparisons.

--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -36,6 +36,13 @@
     pub seed: u64,
 }
 
+impl NodeSettings {
+    /// How the placer's role names this machine: by its address. Two machines may bear one name, and are two holders.
+    pub fn holder(&self) -> &str {
+        &self.address
+    }
+}
+
 /// A call to the node's HTTP interface that waits for its answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallId(pub u64);
@@ -132,7 +139,7 @@
     pub adapter: Option<String>,
     /// Orders that the worker must have taken before.
     pub if_revision: Option<u64>,
-    /// Name of the placer.
+    /// The machine that is the placer ([`NodeSettings::holder`]).
     pub holder: String,
 }
 
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -136,7 +136,7 @@
                 next.map(|data| (data, None))
             }
             Job::TakePlacer { grant, former } => {
-                let next = state.grant_placer(&self.settings.node_name);
+                let next = state.grant_placer(self.settings.holder());
                 *former = state.placer.map(|grant| grant.holder);
                 *grant = next.placer.clone();
                 Some((Bytes::from(next.encode()), None))
--- a/crates/control/src/placer.rs
+++ b/crates/control/src/placer.rs
@@ -1,11 +1,15 @@
 //! The placer's role: taken by the first live node, fenced by an epoch, given orders by a planner for each service.
 
+#[cfg(test)]
+mod tests;
+
 use crate::input::{NodeSettings, OrderCall, OrderTicket, Output, ReportCall, WorkerReport};
 use crate::jobs::Job;
 use crate::node::ControlNode;
 use std::collections::BTreeMap;
 use switchhill_configuration::{Document, PlacerGrant, Service};
 use switchhill_distribution::LoadTable;
+use switchhill_membership::Contact;
 use switchhill_placement::{
     Engine, Input, ModelSpec, OrderAnswer, OrderId, Output as PlannerOutput, Planner, PlannerSettings,
     Resident, WorkerId, WorkerState as PlannerWorkerState, WorkerView,
@@ -106,7 +110,7 @@
     pub(crate) fn placer_granted(&mut self, now: u64, grant: Option<PlacerGrant>, former: Option<String>) {
         // A holder that was restarted can't tell whether the pause after its predecessor's orders was over.
         let may_follow_another = !self.settings.fencing && former.is_some();
-        let taken_over = former.is_some_and(|former| former != self.settings.node_name);
+        let taken_over = former.is_some_and(|former| former != self.settings.holder());
         let pause = match taken_over || may_follow_another {
             // Workers refuse the former placer's orders once they have seen one of the new epoch.
             true if self.settings.fencing => FORMER_MAY_GO_ON,
@@ -158,18 +162,18 @@
     fn may_take_placer(&self, now: u64) -> bool {
         let first = self.contacts.in_contact(now).min() == Some(self.settings.replica);
         match &self.placer.seen {
-            Some(grant) if grant.holder == self.settings.node_name => true,
+            Some(grant) if grant.holder == self.settings.holder() => true,
             Some(grant) => {
-                first && now >= self.started_at + LISTEN_FIRST && !self.node_is_up(now, &grant.holder)
+                first && now >= self.started_at + LISTEN_FIRST && !self.is_heard(now, &grant.holder)
             }
             None => first,
         }
     }
 
-    fn node_is_up(&self, now: u64, node: &str) -> bool {
-        self.contacts
-            .iter()
-            .any(|(_, contact)| contact.node == node && now < contact.heard_at + TAKE_OVER_AFTER)
+    /// Whether the machine that holds the role was heard a short time ago.
+    fn is_heard(&self, now: u64, holder: &str) -> bool {
+        let heard = |contact: &Contact| now < contact.heard_at + TAKE_OVER_AFTER;
+        self.contacts.iter().any(|(_, contact)| contact.address == holder && heard(contact))
     }
 
     /// The configuration changed: engines may have.
@@ -263,9 +267,8 @@
 
     fn pass_on_missing(&mut self, missing: Missing) {
         let Some(holder) = self.placer.seen.as_ref().map(|grant| grant.holder.clone()) else { return };
-        let contact = self.contacts.iter().find(|(_, contact)| contact.node == holder);
-        if let Some(address) = contact.map(|(_, contact)| contact.address.clone()) {
-            self.send_peer(address, PeerBody::Missing(missing));
+        if self.contacts.iter().any(|(_, contact)| contact.address == holder) {
+            self.send_peer(holder, PeerBody::Missing(missing));
         }
     }
 
@@ -329,7 +332,7 @@
                     model,
                     adapter,
                     if_revision,
-                    holder: self.settings.node_name.clone(),
+                    holder: self.settings.holder().to_owned(),
                 };
                 self.out.push(Output::Order(call));
             }
