--- a/crates/control/tests/electorate/checker.rs
+++ b/crates/control/tests/electorate/checker.rs
@@ -23,6 +23,8 @@
 }
 
 struct OpenLoss {
+    /// The replica that was lost, with its disk or without.
+    replica: u64,
     lost_at: u64,
     back_at: Option<u64>,
 }
@@ -118,8 +120,8 @@
         self.chosen.last_key_value().map(|(_, electorate)| electorate)
     }
 
-    pub fn seat_lost(&mut self, seat: usize, now: u64) {
-        self.open_losses.entry(seat).or_insert(OpenLoss { lost_at: now, back_at: None });
+    pub fn seat_lost(&mut self, seat: usize, replica: u64, now: u64) {
+        self.open_losses.entry(seat).or_insert(OpenLoss { replica, lost_at: now, back_at: None });
     }
 
     pub fn seat_back(&mut self, seat: usize, now: u64) {
@@ -146,7 +148,9 @@
         let is_full = |seat: usize| {
             let mut of_seat = voting.iter().filter(|machine| machine.seat == seat);
             let lost_votes = of_seat.clone().any(|machine| machine.is_in_trouble(now));
-            let is_replaced = voting.len() == electorate.members.len();
+            let lost = self.open_losses[&seat].replica;
+            let is_there = machines.iter().any(|machine| machine.replica == lost && !machine.is_gone());
+            let is_replaced = is_there || !has(&electorate.members, lost);
             let votes = of_seat.any(|machine| !machine.is_in_trouble(now));
             !lost_votes && is_replaced && (votes || up > 2 * site.machines_lost)
         };
