--- a/crates/control/tests/electorate/checker.rs
+++ b/crates/control/tests/electorate/checker.rs
@@ -23,8 +23,6 @@
 }
 
 struct OpenLoss {
-    /// The replica that was lost, with its disk or without.
-    replica: u64,
     lost_at: u64,
     back_at: Option<u64>,
 }
@@ -34,7 +32,8 @@
 pub struct Figures {
     /// For how long losses to be borne would have left no majority.
     pub longest_exposed: u64,
-    /// From the loss of a machine to the electorate in which it or its successor votes.
+    /// From the loss of a machine to an electorate in which it or its successor votes, or whose members that are up bear all
+    /// losses anew; only of machines that are back by then.
     pub loss_to_full: u64,
     /// The same from the start of the successor, or of the machine's new life.
     pub back_to_full: u64,
@@ -112,6 +111,11 @@
         if known != electorate {
             self.violations.push(format!("two electorates chosen under {ballot:?}"));
         }
+        if self.narrated && electorate.epoch as usize > self.figures.changes {
+            let id = |member: &Member| format!("{:x}", member.id.0);
+            let ids: Vec<String> = electorate.members.iter().map(id).collect();
+            println!("epoch {}, joint {}: {}", electorate.epoch, electorate.is_joint(), ids.join(" "));
+        }
         self.figures.changes = self.figures.changes.max(electorate.epoch as usize);
     }
 
@@ -120,8 +124,8 @@
         self.chosen.last_key_value().map(|(_, electorate)| electorate)
     }
 
-    pub fn seat_lost(&mut self, seat: usize, replica: u64, now: u64) {
-        self.open_losses.entry(seat).or_insert(OpenLoss { replica, lost_at: now, back_at: None });
+    pub fn seat_lost(&mut self, seat: usize, now: u64) {
+        self.open_losses.entry(seat).or_insert(OpenLoss { lost_at: now, back_at: None });
     }
 
     pub fn seat_back(&mut self, seat: usize, now: u64) {
@@ -144,20 +148,20 @@
         let voting: Vec<&Machine> =
             machines.iter().filter(|machine| has(&electorate.members, machine.replica)).collect();
         let up = voting.iter().filter(|machine| !machine.is_in_trouble(now)).count();
-        // The seat votes, or it need not: its lost member is dropped, and enough others vote.
-        let is_full = |seat: usize| {
+        // The seat votes, or it need not: the members that are up bear all losses anew.
+        let bears_anew = up.saturating_sub(site.machines_lost) * 2 > electorate.members.len();
+        let votes = |seat: usize| {
             let mut of_seat = voting.iter().filter(|machine| machine.seat == seat);
-            let lost_votes = of_seat.clone().any(|machine| machine.is_in_trouble(now));
-            let lost = self.open_losses[&seat].replica;
-            let is_there = machines.iter().any(|machine| machine.replica == lost && !machine.is_gone());
-            let is_replaced = is_there || !has(&electorate.members, lost);
-            let votes = of_seat.any(|machine| !machine.is_in_trouble(now));
-            !lost_votes && is_replaced && (votes || up > 2 * site.machines_lost)
+            of_seat.any(|machine| !machine.is_in_trouble(now))
         };
+        let is_full = |seat: usize| bears_anew || votes(seat);
         let full: Vec<usize> = self.open_losses.keys().copied().filter(|seat| is_full(*seat)).collect();
         for seat in full {
             let Some(loss) = self.open_losses.remove(&seat) else { continue };
             let Some(back_at) = loss.back_at else { continue };
+            if self.narrated {
+                println!("{now} seat {seat} full: lost {}, back {back_at}", loss.lost_at);
+            }
             self.figures.loss_to_full = self.figures.loss_to_full.max(now - loss.lost_at);
             self.figures.back_to_full = self.figures.back_to_full.max(now - back_at);
         }
--- a/crates/control/tests/electorate/main.rs
+++ b/crates/control/tests/electorate/main.rs
@@ -23,9 +23,9 @@
 /// For how long a further loss may leave no majority, in milliseconds.
 const EXPOSED_WITHIN: u64 = 0;
 
-/// From a machine's return or its successor's start to the electorate in which it votes or need not, in milliseconds: a
-/// replica that is not needed waits for 4 s.
-const FULL_WITHIN: u64 = 5_000;
+/// From a machine's return or its successor's start to the electorate in which it votes or need not, in milliseconds:
+/// `catchUpS`, after which another machine may be lost.
+const FULL_WITHIN: u64 = 4_000;
 
 /// Longest time without an acknowledgement while no more is lost than is to be borne: `ackMs`.
 const ACKNOWLEDGED_WITHIN: u64 = 4_000;
--- a/crates/control/tests/electorate/world.rs
+++ b/crates/control/tests/electorate/world.rs
@@ -338,10 +338,10 @@
         machine.disk.crash(random);
         machine.power = if for_good { Power::Gone } else { Power::Down };
         machine.well_since = None;
-        let (seat, replica, now) = (machine.seat, machine.replica, self.now);
+        let (seat, now) = (machine.seat, self.now);
         let seat_is_held = self.machines.iter().any(|other| other.seat == seat && other.counts(now));
         if !seat_is_held {
-            self.checker.seat_lost(seat, replica, now);
+            self.checker.seat_lost(seat, now);
             self.checker.seat_lost_again(seat);
         }
     }
