--- a/lab/src/emulate.rs
+++ b/lab/src/emulate.rs
@@ -185,7 +185,7 @@
                 false => Fault::KillCore { core },
                 true => Fault::WipeCore { core, others_lose_power: false },
             };
-            let back = BOUNDS_FROM + for_ms + 1;
+            let back = BOUNDS_FROM + for_ms - 1;
             let faults = vec![
                 (BOUNDS_FROM, storm.clone()),
                 (BOUNDS_FROM, Fault::FreezeCore { core, for_ms }),
--- a/lab/tests/emulator_checkers.rs
+++ b/lab/tests/emulator_checkers.rs
@@ -66,7 +66,7 @@
 fn a_disk_that_loses_synced_names_loses_changes() {
     let storm = Fault::ChangeStorm { for_ms: 14_000 };
     let power = |turn| (7_000 + 3_000 * turn, after_acknowledgement(Fault::PowerOffAllCores));
-    let faults: Vec<_> = [(3_000, storm)].into_iter().chain((0..4).map(power)).collect();
+    let faults: Vec<_> = [(3_000, storm)].into_iter().chain((0..4_u64).map(power)).collect();
     let reports = play_with(Some(Flaw::Disk(DiskFlaw::LosesNames)), SIZES, &faults);
     expect_true!(shows(&reports, Rule::AcknowledgedIsKept));
     for report in play_with(None, SIZES, &faults) {
