Placer's test: the other machine has seen its grant before it waits

Cause: the test's machine had not taken up the grant that it was given, so it never began. Change: the grant is seen first, as in the program.

--- a/crates/control/src/placer/tests.rs
+++ b/crates/control/src/placer/tests.rs
@@ -55,6 +55,7 @@
     expect_that!(other.may_take_placer(10), eq(false));
 
     let next = former.control.grant_placer(other.settings.holder()).placer;
+    other.placer_seen(next.clone());
     other.placer_granted(4_000, next, Some(grant.holder));
     expect_that!(other.placer.acts(4_000), none());
     expect_that!(other.placer.acts(4_000 + super::FORMER_MAY_GO_ON), some(gt(0)));
