--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -94,7 +94,7 @@
         self.jobs.next_operation += 1;
         let operation = self.jobs.next_operation;
         if matches!(job, Job::CatchUp) {
-            self.freshness.read_begins();
+            self.freshness.read_begins(now);
         }
         let input = match job {
             Job::CatchUp | Job::Read { .. } => Input::Read { operation },
@@ -120,9 +120,10 @@
             }
         };
         let is_chosen = current.as_ref().is_none_or(|accepted| self.is_chosen(accepted));
-        let changes_electorate = matches!(job, Job::Electorate);
-        let desired = current.as_ref().filter(|_| changes_electorate);
-        let desired = desired.and_then(|accepted| self.members_to_write(now, accepted));
+        let desired = match job {
+            Job::Electorate => self.members_to_write(now, current.as_ref()),
+            _ => None,
+        };
         let data = current.map(|accepted| accepted.value.data);
         let write = match &mut job {
             Job::Change { call, order, answer, .. } => {
@@ -140,7 +141,10 @@
                 *grant = next.placer.clone();
                 Some((Bytes::from(next.encode()), None))
             }
-            Job::Electorate => data.zip(desired).map(|(data, members)| (data, Some(members))),
+            // Of an empty register the first value, without a configuration: all nodes learn from it who votes.
+            Job::Electorate => {
+                desired.map(|members| (data.unwrap_or_else(|| Bytes::from(state.encode())), Some(members)))
+            }
             Job::CatchUp | Job::Read { .. } => None,
         };
         let Some((data, members)) = write else {
@@ -168,16 +172,18 @@
     pub(crate) fn job_done(&mut self, now: u64, operation: u64, result: Result<Accepted, RegisterError>) {
         let Some(job) = self.jobs.take_current(operation) else { return };
         match result {
-            Ok(accepted) => {
-                self.committed(now, &accepted);
-                self.job_succeeded(now, job);
-            }
+            // The register has told of the newest value before; this one may be older.
+            Ok(_) => self.job_succeeded(now, job),
             Err(error) => self.job_failed(now, job, &error),
         }
         self.begin_next(now);
     }
 
+    /// The register was read. A read begun before contact was lost tells what a majority held then.
     fn has_caught_up(&mut self, now: u64) {
+        if !self.freshness.read_counts() {
+            return;
+        }
         self.caught_up = true;
         self.freshness.read_ended();
         self.publish_configuration(now, None);
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -110,7 +110,7 @@
             Some(PeerBody::WorkerUpdate(update)) => self.worker_update(now, address, update),
             Some(PeerBody::WorkerUpdateAck(ack)) => self.worker_update_acknowledged(now, from, ack.number),
             Some(PeerBody::WorkersHeard(heard)) => self.workers_heard(now, &heard),
-            Some(PeerBody::Load(load)) => self.load.peer(now, from, load.summary.unwrap_or_default()),
+            Some(PeerBody::Load(load)) => self.load.peer(now, from, load),
             Some(PeerBody::Missing(missing)) => self.missing(now, missing, false),
             Some(PeerBody::Residency(residency)) => self.residency(&residency),
             Some(PeerBody::Expectation(expectation)) => self.expectation(&expectation),
@@ -139,7 +139,7 @@
         };
         let accepted =
             Ballot { counter: heartbeat.accepted_counter, proposer: ReplicaId(heartbeat.accepted_proposer) };
-        self.freshness.told(now, accepted);
+        self.freshness.told(accepted);
         self.bring_up_to_date(now, from, &address, theirs);
         self.compare_workers(now, from, address, heartbeat.workers_digest, heartbeat.warm);
     }
--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -1,11 +1,13 @@
 //! The agent's decisions: links to core nodes on one side, data planes on the other.
 
 use crate::links::{LinkAction, LinkId, LinkPlanner, LinkSettings};
+use crate::loads::LoadTable;
 use crate::merged::{Change, MergedState};
 use crate::publisher::{Published, Publisher};
 use std::collections::BTreeMap;
 use switchhill_protocol::{
-    Configuration, Downstream, DownstreamBody, Fetch, Hello, Missing, Status, Summary, Upstream, UpstreamBody,
+    Configuration, Downstream, DownstreamBody, Fetch, Hello, Loads, Missing, Status, Summary, Upstream,
+    UpstreamBody,
 };
 use switchhill_registration::SuspectAfter;
 
@@ -65,6 +67,13 @@
     core: Vec<String>,
     next_status: u64,
     handled_at: Option<u64>,
+    /// Load over the fleet as the home tells it, and the number of its last message.
+    fleet: LoadTable,
+    fleet_sequence: Option<u64>,
+    /// Load and demand as each data plane tells them.
+    own: BTreeMap<FeedId, LoadTable>,
+    /// The home that was told all of them and each change since.
+    told_home: Option<LinkId>,
     out: Vec<RelayOutput>,
 }
 
@@ -82,6 +91,10 @@
             core: Vec::new(),
             next_status: 0,
             handled_at: None,
+            fleet: LoadTable::default(),
+            fleet_sequence: None,
+            own: BTreeMap::new(),
+            told_home: None,
             out: Vec::new(),
         }
     }
@@ -107,6 +120,9 @@
             RelayInput::Feed(id, message) => self.feed_message(now, id, message),
             RelayInput::FeedGone(id) => {
                 self.feeds.remove(&id);
+                if self.own.remove(&id).is_some() {
+                    self.told_home = None;
+                }
             }
         }
         std::mem::take(&mut self.out)
@@ -164,9 +180,8 @@
                 let change = self.state.merge_residency(&residency);
                 self.publish_change(change);
             }
-            Some(body @ (DownstreamBody::Loads(_) | DownstreamBody::Expectation(_))) => {
-                self.publish(&Downstream { body: Some(body) });
-            }
+            Some(DownstreamBody::Loads(loads)) => self.fleet_loads(id, loads),
+            Some(body @ DownstreamBody::Expectation(_)) => self.publish(&Downstream { body: Some(body) }),
             None => {}
         }
     }
@@ -207,6 +222,28 @@
         }
     }
 
+    /// Load over the fleet: of the home alone, and a change only after the message that it builds on.
+    fn fleet_loads(&mut self, id: LinkId, loads: Loads) {
+        if self.links.home() != Some(id) {
+            return;
+        }
+        let fits = self.fleet_sequence.is_some_and(|last| loads.sequence == last + 1);
+        if loads.delta && !fits {
+            self.ask_for_whole_loads(id);
+            return;
+        }
+        self.fleet.apply_fleet(&loads);
+        self.fleet_sequence = Some(loads.sequence);
+        self.publish(&Downstream { body: Some(DownstreamBody::Loads(loads)) });
+    }
+
+    /// A home begins with the whole list: the link stops being it and is it again.
+    fn ask_for_whole_loads(&mut self, id: LinkId) {
+        self.fleet_sequence = None;
+        let hellos = [self.hello(id, false), self.hello(id, true)];
+        self.out.extend(hellos);
+    }
+
     fn publish_configuration(&mut self, change: Option<&Published>) {
         let confirmed = self.confirms();
         for (id, publisher) in &mut self.feeds {
@@ -241,6 +278,7 @@
             workers_digest: self.state.workers().digest(),
             gatekeepers: self.gatekeepers,
             core: self.core.clone(),
+            core_zones: Vec::new(),
         };
         Downstream { body: Some(DownstreamBody::Status(status)) }
     }
@@ -255,7 +293,7 @@
             Some(UpstreamBody::Hello(hello)) => self.feed_hello(id, &hello),
             Some(UpstreamBody::Fetch(fetch)) => self.feed_fetch(id, &fetch),
             Some(UpstreamBody::Missing(missing)) => self.forward_missing(missing),
-            Some(UpstreamBody::Summary(summary)) => self.forward_summary(summary),
+            Some(UpstreamBody::Summary(summary)) => self.forward_summary(id, summary),
             None => {}
         }
     }
@@ -269,6 +307,10 @@
         self.feed_configuration(id, &mut publisher);
         let whole = self.state.whole().into_iter().map(|message| RelayOutput::ToFeed(id, message));
         self.out.extend(whole);
+        if let Some(sequence) = self.fleet_sequence {
+            let loads = Downstream { body: Some(DownstreamBody::Loads(self.fleet.whole_fleet(sequence))) };
+            self.out.push(RelayOutput::ToFeed(id, loads));
+        }
         self.feeds.insert(id, publisher);
     }
 
@@ -296,10 +338,23 @@
         }
     }
 
-    fn forward_summary(&mut self, summary: Summary) {
-        if let Some(home) = self.links.home() {
-            self.out.push(RelayOutput::ToLink(home, Upstream { body: Some(UpstreamBody::Summary(summary)) }));
-        }
+    /// Load of all data planes: of two while one takes over from the other.
+    fn own_load(&self) -> LoadTable {
+        let mut total = LoadTable::default();
+        self.own.values().for_each(|table| total.add(table));
+        total
+    }
+
+    /// Tells the home of the data plane's load: all of it to a new home, then changes as they come.
+    fn forward_summary(&mut self, feed: FeedId, summary: Summary) {
+        self.own.entry(feed).or_default().apply(&summary);
+        let Some(home) = self.links.home() else { return };
+        let knows_all = self.told_home.replace(home) == Some(home);
+        let told = match knows_all && self.own.len() == 1 {
+            true => summary,
+            false => self.own_load().whole(),
+        };
+        self.out.push(RelayOutput::ToLink(home, Upstream { body: Some(UpstreamBody::Summary(told)) }));
     }
 }
 
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -8,7 +8,7 @@
 use crate::catalogue::{Catalogue, ModelIndex};
 use crate::demand::{ModelDemand, Sample};
 use crate::message::{Input, Operation, OrderId, Output, WorkerId, WorkerState, WorkerView};
-use crate::policy::{MissingTable, Want};
+use crate::policy::{MissingTable, Turns, Want};
 use crate::settings::{Engine, PlannerSettings};
 use crate::store_rate::StoreRate;
 use crate::worker::{Knowledge, Phase, Worker, WorkerKey};
@@ -20,6 +20,10 @@
 /// Time after a change within which heartbeats may still show the state before it, in milliseconds.
 const HEARTBEAT_LAG_MS: u64 = 3_000;
 
+/// Orders' identities set apart for each millisecond of creation, so that a planner made later on the same node never
+/// gives an identity again: an answer to an order of the earlier one would pass for the answer to its own.
+const ORDERS_A_MS: u64 = 1 << 16;
+
 /// Workers that hold a model or will.
 #[derive(Debug, Default)]
 pub(crate) struct Copies {
@@ -63,6 +67,8 @@
     pub(crate) anticipated: BTreeMap<ModelIndex, usize>,
     /// Tokens of the store that other loads leave to models whose copies are crowded.
     pub(crate) tokens_kept_for_crowded: f64,
+    /// Whose turn the next load from the store is.
+    pub(crate) turns: Turns,
     next_order: u64,
     next_policy_at: u64,
     next_sample_at: u64,
@@ -98,7 +104,8 @@
             first_demand_at: None,
             anticipated: BTreeMap::new(),
             tokens_kept_for_crowded: 0.0,
-            next_order: 1,
+            turns: Turns::default(),
+            next_order: now.saturating_mul(ORDERS_A_MS) + 1,
             next_policy_at: now,
             next_sample_at: now,
             superseded: false,
@@ -193,6 +200,8 @@
             return;
         }
         self.next_policy_at = now + POLICY_INTERVAL_MS;
+        self.drop_settled_wants(now);
+        self.serve_overdue(now);
         self.relieve_crowded(now);
         self.serve_missing(now);
         self.prepare(now);
--- a/lab/src/hollow/data_plane.rs
+++ b/lab/src/hollow/data_plane.rs
@@ -4,7 +4,8 @@
 use super::worker::MODELS_OF_EACH;
 use super::Sizes;
 use std::collections::{BTreeMap, HashMap};
-use switchhill_distribution::FeedState;
+use switchhill::data_plane_feed::WorkerViews;
+use switchhill_distribution::{FeedState, LoadTable, LoadTeller};
 use switchhill_protocol::{Downstream, ModelDemand, RouteAdmission, Summary, Upstream, WorkerLoad};
 use switchhill_registration::{Worker, WorkerState};
 use switchhill_routing::{Availability, ResidentModel, Router, RouterSettings, WorkerView};
@@ -31,6 +32,9 @@
     sizes: Sizes,
     requests: Vec<Request>,
     random: fastrand::Rng,
+    /// Load and demand at the last summary, and what the agent was told of them.
+    present: LoadTable,
+    told: Option<LoadTeller>,
 }
 
 impl Traffic {
@@ -39,7 +43,12 @@
         let mut random = fastrand::Rng::with_seed(seed);
         let count = (REQUESTS_A_WORKER * sizes.workers).div_ceil(sizes.gatekeepers);
         let requests = (0..count).map(|_| draw(&mut random, sizes)).collect();
-        Traffic { sizes, requests, random }
+        Traffic { sizes, requests, random, present: LoadTable::default(), told: None }
+    }
+
+    /// Load and demand at the last summary.
+    pub(super) fn present(&self) -> &LoadTable {
+        &self.present
     }
 
     /// Some requests end and others begin; the load and demand of all.
@@ -63,7 +72,17 @@
             admitted_per_s: 0.2,
             delay_cost_per_s: 0.1,
         });
-        Summary { loads: loads.collect(), demand: demand.collect(), admission: admission.collect() }
+        let whole = Summary {
+            loads: loads.collect(),
+            demand: demand.collect(),
+            admission: admission.collect(),
+            delta: false,
+        };
+        self.present.apply(&whole);
+        match &mut self.told {
+            Some(told) => told.tell_changes(&self.present),
+            None => self.told.insert(LoadTeller::default()).tell_whole(&self.present),
+        }
     }
 }
 
@@ -91,7 +110,8 @@
 pub(super) struct DataPlane {
     feed: FeedState,
     router: Router,
-    loads: HashMap<String, u32>,
+    workers: WorkerViews,
+    loads: Option<(u64, HashMap<String, u32>)>,
 }
 
 impl DataPlane {
@@ -100,7 +120,8 @@
         DataPlane {
             feed: FeedState::new("edge", "zone-0"),
             router: Router::new(RouterSettings::for_zone("zone-0"), seed),
-            loads: HashMap::new(),
+            workers: WorkerViews::default(),
+            loads: None,
         }
     }
 
@@ -109,23 +130,30 @@
         self.feed.state().revision()
     }
 
+    /// Load over the fleet as it was told.
+    pub(super) fn loads(&self) -> &LoadTable {
+        self.feed.loads()
+    }
+
     /// Takes in a message.
     pub(super) fn receive(&mut self, now: u64, message: Downstream) -> Vec<Upstream> {
         let received = self.feed.receive(now, message);
-        if let Some(loads) = received.loads {
-            self.loads = loads.loads.into_iter().map(|load| (load.worker, load.outstanding)).collect();
+        for worker in &received.workers {
+            self.workers.update(worker, self.feed.state());
+        }
+        if received.loads {
+            let loads = self.feed.loads().loads.iter();
+            self.loads = Some((now, loads.map(|(worker, requests)| (worker.clone(), *requests)).collect()));
         }
         received.answers
     }
 
-    /// Builds the view of all workers and hands it to the router, as each message makes the real one do.
-    pub(super) fn rebuild(&mut self, now: u64) {
-        let workers = self.feed.state().workers().iter();
-        let views = workers.map(|worker| {
-            let load = self.loads.get(&worker.id).copied().unwrap_or(0);
-            view(worker, load, now)
-        });
-        self.router.set_workers(now, views.collect());
+    /// Hands the router what has changed, as the real one does after each message.
+    pub(super) fn take_view(&mut self, now: u64) {
+        self.router.set_shared_workers(now, &self.workers.list());
+        if let Some((told_at, loads)) = self.loads.take() {
+            self.router.set_loads_elsewhere(told_at, &loads);
+        }
     }
 }
 
--- a/lab/src/hollow/fleet.rs
+++ b/lab/src/hollow/fleet.rs
@@ -1,17 +1,16 @@
 //! The processes of a hollow fleet, what is on its way between them, and the loop over events.
 
 use super::data_plane::{DataPlane, Traffic};
-use super::ledger::{Direction, Ledger, Role};
+use super::ledger::{Direction, Ledger, ProcessorTime, Role};
 use super::report::Report;
 use super::site;
 use super::worker::Worker;
 use super::Sizes;
 use prost::Message;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
-use std::time::Instant;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use switchhill_control::{Answer, Call, CallId, ControlNode, Input, NodeSettings, Output, SubscriberId};
-use switchhill_distribution::{FeedId, LinkId, LinkSettings, Relay, RelayInput, RelayOutput};
+use switchhill_distribution::{FeedId, LinkId, LinkSettings, LoadTable, Relay, RelayInput, RelayOutput};
 use switchhill_protocol::{Downstream, DownstreamBody, PeerBody, PeerFrame, Upstream, UpstreamBody};
 use switchhill_register::{Member, ReplicaId};
 
@@ -155,6 +154,7 @@
             sizes: self.sizes,
             seconds,
             lowest_revision: revisions.min().unwrap_or(0),
+            load_error: self.load_error(),
             data_planes: self.sizes.gatekeepers.min(DATA_PLANES),
             start_bytes: start_bytes / self.sizes.gatekeepers.max(1) as u64,
             resident_kb: resident_kb(),
@@ -162,6 +162,16 @@
         }
     }
 
+    /// Mean over the data planes of the difference between the loads that they hold and those of all traffic, as a
+    /// part of the latter.
+    fn load_error(&self) -> f64 {
+        let mut present = LoadTable::default();
+        self.edges.iter().for_each(|edge| present.add(edge.traffic.present()));
+        let held = self.edges.iter().filter_map(|edge| edge.data_plane.as_ref());
+        let errors: Vec<f64> = held.map(|data_plane| relative_error(data_plane.loads(), &present)).collect();
+        errors.iter().sum::<f64>() / errors.len().max(1) as f64
+    }
+
     fn run_until(&mut self, end: u64) {
         while let Some(Reverse((at, number))) = self.queue.peek().copied() {
             if at > end {
@@ -219,7 +229,7 @@
         input: impl FnOnce() -> Option<Input>,
     ) {
         let role = self.role(core);
-        let since = Instant::now();
+        let since = ProcessorTime::now();
         let Some(input) = input() else { return };
         let outputs = self.cores[core].handle(self.now, input);
         self.ledger.add((role, direction, kind), bytes, since);
@@ -265,7 +275,7 @@
     }
 
     fn encode(&mut self, role: Role, kind: &'static str, message: &impl Message) -> Vec<u8> {
-        let since = Instant::now();
+        let since = ProcessorTime::now();
         let encoded = message.encode_to_vec();
         self.ledger.add((role, Direction::Sent, kind), encoded.len() + FRAME_HEADER, since);
         encoded
@@ -298,7 +308,7 @@
         bytes: usize,
         input: impl FnOnce() -> Option<RelayInput>,
     ) {
-        let since = Instant::now();
+        let since = ProcessorTime::now();
         let Some(input) = input() else { return };
         let outputs = self.edges[edge].relay.handle(self.now, input);
         self.ledger.add((Role::Agent, direction, kind), bytes, since);
@@ -336,18 +346,18 @@
     /// A message of an agent reaches the data plane beside it.
     fn feed(&mut self, edge: usize, message: &Downstream) {
         let kind = downstream_kind(message);
-        let since = Instant::now();
+        let since = ProcessorTime::now();
         let encoded = message.encode_to_vec();
         self.ledger.add((Role::Agent, Direction::Local, "to the data plane"), 0, since);
         let now = self.now;
         let Some(data_plane) = self.edges[edge].data_plane.as_mut() else { return };
-        let since = Instant::now();
+        let since = ProcessorTime::now();
         let Ok(message) = Downstream::decode(encoded.as_slice()) else { return };
         let answers = data_plane.receive(now, message);
         self.ledger.add((Role::DataPlane, Direction::Received, kind), encoded.len() + FRAME_HEADER, since);
-        let since = Instant::now();
-        data_plane.rebuild(now);
-        self.ledger.add((Role::DataPlane, Direction::Local, "view of all workers"), 0, since);
+        let since = ProcessorTime::now();
+        data_plane.take_view(now);
+        self.ledger.add((Role::DataPlane, Direction::Local, "view taken"), 0, since);
         for answer in answers {
             self.data_plane_message(edge, answer);
         }
@@ -434,6 +444,14 @@
     }
 }
 
+/// Sum of the differences of loads, as a part of all that are present.
+fn relative_error(held: &LoadTable, present: &LoadTable) -> f64 {
+    let load = |table: &LoadTable, worker: &String| f64::from(table.loads.get(worker).copied().unwrap_or(0));
+    let workers: BTreeSet<&String> = held.loads.keys().chain(present.loads.keys()).collect();
+    let differences = workers.into_iter().map(|worker| (load(held, worker) - load(present, worker)).abs());
+    differences.sum::<f64>() / f64::from(present.loads.values().sum::<u32>().max(1))
+}
+
 /// Tells why a change was not taken.
 fn log_refusal(answer: &Answer) {
     eprintln!("change not taken, {}: {}", answer.status, String::from_utf8_lossy(&answer.body));
--- a/src/data_plane/tests/rig.rs
+++ b/src/data_plane/tests/rig.rs
@@ -194,9 +194,9 @@
     pub(crate) fn tell_routes(&self, revision: u64, routes: &[RouteUnderTest], workers: Vec<WorkerView>) {
         let view = View {
             document: Some(Arc::new(document(revision, routes))),
-            workers,
+            workers: workers.into_iter().map(Arc::new).collect(),
+            loads: None,
             gatekeepers: 1,
-            elsewhere: Vec::new(),
             confirmed: true,
         };
         self.shared.take_view(Arc::new(view));
