--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -116,6 +116,8 @@
     pub caller: Caller,
     pub number: u64,
     pub word: Word,
+    /// When it reached the node.
+    pub arrived: u64,
 }
 
 /// The machines and what is on its way between them.
@@ -132,6 +134,8 @@
     pub calls: BTreeMap<CallId, OpenCall>,
     /// All answers of core nodes, lost ones included.
     pub answers: BTreeMap<CallId, Answer>,
+    /// A core machine that the register's messages do not reach.
+    pub deaf_to_register: Option<usize>,
     queue: BTreeMap<(u64, u64), Event>,
     next_event: u64,
     next_call: u64,
@@ -154,6 +158,7 @@
             checkers: Checkers::new(plan.cores),
             calls: BTreeMap::new(),
             answers: BTreeMap::new(),
+            deaf_to_register: None,
             queue: BTreeMap::new(),
             next_event: 0,
             next_call: 0,
@@ -321,7 +326,8 @@
             Call::Heartbeat { body, .. } if body.windows(8).any(|part| part == b"draining") => Word::End,
             Call::Heartbeat { .. } => Word::Heartbeat,
         };
-        self.calls.insert(id, OpenCall { caller, number, word });
+        let arrived = self.now;
+        self.calls.insert(id, OpenCall { caller, number, word, arrived });
         self.core_input(core, Input::Call(id, call));
     }
 
@@ -337,6 +343,9 @@
     pub fn answered(&mut self, core: usize, id: CallId, answer: Answer) {
         self.answers.insert(id, answer.clone());
         let Some(call) = self.calls.remove(&id) else { return };
+        if answer.status == 200 && call.word == Word::Change {
+            self.checkers.change_answered(self.now, call.arrived);
+        }
         if answer.status < 500 {
             let word = if answer.status >= 400 { Word::Refusal } else { call.word };
             self.checkers.word(self.now, core, word);
--- a/src/control_plane/links.rs
+++ b/src/control_plane/links.rs
@@ -4,7 +4,7 @@
 mod frozen_receiver_tests;
 mod newest;
 #[cfg(test)]
-mod tests;
+mod reconnect_tests;
 
 use crate::system::connection::{self, LinkKind};
 use newest::{ConnectionNumber, NewestConnections};
