--- a/crates/control/tests/authority_scripts.rs
+++ b/crates/control/tests/authority_scripts.rs
@@ -305,7 +305,7 @@
 
 #[gtest]
 fn placer_that_is_cut_off_orders_nothing_after_its_contact() {
-    for seed in 0..16 {
+    for seed in 0..120 {
         let plan = Plan { seed, operators: 2, workers: 2, ..Plan::script(3, 3) };
         let mut world = World::new(plan);
         world.run_for(6_000 + 37 * seed);
