--- a/crates/control/src/jobs/tests.rs
+++ b/crates/control/src/jobs/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of what an order makes of a state.
 
 use super::{decide_change, Job};
-use crate::input::{Input, NodeSettings, Output};
+use crate::lone_node_tests::{lone_member, lone_node, run};
 use crate::node::ControlNode;
 use bytes::Bytes;
 use googletest::prelude::*;
@@ -35,27 +35,14 @@
     expect_that!(answer.status, eq(412));
 }
 
+const ADDRESS: &str = "10.0.0.1:7000";
+
 fn node() -> ControlNode {
-    let settings = NodeSettings {
-        replica: 1,
-        life: 1,
-        node_name: "core-0".to_owned(),
-        address: "10.0.0.1:7000".to_owned(),
-        seeds: vec!["10.0.0.1:7000".to_owned()],
-        machines_lost: 0,
-        zone: String::new(),
-        zones_lost: 0,
-        worker_heartbeat_ms: 1_200,
-        lease_ms: 2_000,
-        ceiling_window_ms: 10_000,
-        fencing: true,
-        seed: 1,
-    };
-    ControlNode::new(0, settings, Vec::new(), Some(vec![member()]))
+    lone_node(ADDRESS)
 }
 
 fn member() -> Member {
-    Member { id: ReplicaId(1), address: "10.0.0.1:7000".to_owned() }
+    lone_member(ADDRESS)
 }
 
 fn chosen(counter: u64, state: &ControlState) -> Accepted {
@@ -77,18 +64,6 @@
     expect_that!(node.control, eq(&newer));
 }
 
-/// Lets time pass on a disk that writes at once, until so many milliseconds.
-fn run(node: &mut ControlNode, from: u64, until: u64) {
-    for now in (from..until).step_by(25) {
-        let mut outputs = node.handle(now, Input::Tick);
-        while let Some(output) = outputs.pop() {
-            if let Output::Persist(token, _) = output {
-                outputs.extend(node.handle(now, Input::Persisted(token)));
-            }
-        }
-    }
-}
-
 /// The electorate has been replaced while the change waited: who votes is worked out from the value that is prepared.
 #[gtest]
 fn a_change_worked_out_from_an_older_electorate_is_not_written() {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,8 @@
 mod input;
 mod jobs;
 mod load;
+#[cfg(test)]
+mod lone_node_tests;
 mod node;
 mod peers;
 mod placer;
--- /dev/null
+++ b/crates/control/src/lone_node_tests.rs
@@ -0,0 +1,45 @@
+//! What unit tests share: a core of one machine, and a disk that writes at once.
+
+use crate::input::{Input, NodeSettings, Output};
+use crate::node::ControlNode;
+use switchhill_register::{Member, ReplicaId};
+
+/// Time in milliseconds between two ticks, as in the program.
+const TICK_MS: usize = 25;
+
+/// The only member of the core at an address.
+pub(crate) fn lone_member(address: &str) -> Member {
+    Member { id: ReplicaId(1), address: address.to_owned() }
+}
+
+/// A core of one machine, before its first tick. All machines of these tests bear one name.
+pub(crate) fn lone_node(address: &str) -> ControlNode {
+    let settings = NodeSettings {
+        replica: 1,
+        life: 1,
+        node_name: "core".to_owned(),
+        address: address.to_owned(),
+        seeds: vec![address.to_owned()],
+        machines_lost: 0,
+        zone: String::new(),
+        zones_lost: 0,
+        worker_heartbeat_ms: 1_200,
+        lease_ms: 2_000,
+        ceiling_window_ms: 10_000,
+        fencing: true,
+        seed: 1,
+    };
+    ControlNode::new(0, settings, Vec::new(), Some(vec![lone_member(address)]))
+}
+
+/// Lets time pass on a disk that writes at once, until so many milliseconds.
+pub(crate) fn run(node: &mut ControlNode, from: u64, until: u64) {
+    for now in (from..until).step_by(TICK_MS) {
+        let mut outputs = node.handle(now, Input::Tick);
+        while let Some(output) = outputs.pop() {
+            if let Output::Persist(token, _) = output {
+                outputs.extend(node.handle(now, Input::Persisted(token)));
+            }
+        }
+    }
+}
