Demand: a request counted in the millisecond of a summary is no longer lost

The first summary may fall into the millisecond in which the counts began; a span of 0 ms had a weight of 0, and what was counted was dropped with it. Change: a span counts as one millisecond at least, in the weight as in the rate.

--- a/src/data_plane/statistics.rs
+++ b/src/data_plane/statistics.rs
@@ -28,6 +28,9 @@
     aim_ms: u64,
 }
 
+/// Shortest span in milliseconds over which a rate is taken.
+const LEAST_SPAN_MS: f64 = 1.0;
+
 type DemandTable = Rc<RefCell<HashMap<DemandKey, DemandCount>>>;
 
 /// A request that runs or waits; counted as long as this is kept.
@@ -126,8 +129,11 @@
 
 impl DemandCount {
     /// Brings the averages up to date with what was counted over a span, and counts anew.
+    ///
+    /// What was counted in no time at all, by the millisecond, counts as a span of one: a weight of 0 would lose it.
     fn average(&mut self, span_ms: f64) {
-        let span_s = span_ms.max(1.0) / 1000.0;
+        let span_ms = span_ms.max(LEAST_SPAN_MS);
+        let span_s = span_ms / 1000.0;
         let weight = 1.0 - (-span_ms / policy::DEMAND_OVER_MS).exp();
         let tokens = (self.prompt_tokens + self.output_tokens) as f64;
         self.request_rate += weight * (f64::from(self.requests) / span_s - self.request_rate);
--- a/src/data_plane/tests.rs
+++ b/src/data_plane/tests.rs
@@ -8,6 +8,7 @@
 pub(crate) mod rig;
 pub(crate) mod scripted_worker;
 mod silent_worker;
+mod statistics;
 mod time_limits;
 mod unframed;
 
