--- a/crates/door/src/active.rs
+++ b/crates/door/src/active.rs
@@ -27,7 +27,7 @@
     pub(crate) fn note(&mut self, now: Millis, flow: Flow, weight: f64) {
         let age = now - self.since;
         if age >= WINDOW {
-            // Danger: after a silence the window before last would count as the last.
+            // After a silence the window before last would count as the last.
             self.before = if age < 2.0 * WINDOW { self.weight } else { 0.0 };
             self.bits.fill(false);
             (self.weight, self.since) = (0.0, now);
--- a/crates/door/src/limit.rs
+++ b/crates/door/src/limit.rs
@@ -174,7 +174,7 @@
             for class in &mut self.classes {
                 (class.before, class.lowest) = (class.lowest, 0.0);
             }
-            // Danger: under lasting pressure nothing shows the unloaded time, and the lowest mean of the last
+            // Under lasting pressure nothing shows the unloaded time, and the lowest mean of the last
             // span would be a loaded one: the limit would climb from span to span.
             if bound {
                 self.restore = self.limit;
--- a/crates/door/src/queue.rs
+++ b/crates/door/src/queue.rs
@@ -145,7 +145,7 @@
             nodes: vec![held; most].into(),
             // The first place is taken first.
             free: (0..most as u32).rev().collect(),
-            // Danger: past half of its capacity a table with removals behind it grows instead of tidying up.
+            // Past half of its capacity a table with removals behind it grows instead of tidying up.
             places: HashMap::with_capacity(2 * most),
             tags: Lists::new(BUCKETS + 1, most),
             times: Lists::new(TICKS, most),
--- a/crates/door/src/ticket.rs
+++ b/crates/door/src/ticket.rs
@@ -54,7 +54,7 @@
 pub struct Keys(Vec<Vec<u8>>);
 
 impl std::fmt::Debug for Keys {
-    /// Danger: a key in a log is a key given away.
+    /// A key in a log is a key given away.
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "Keys({} held)", self.0.len())
     }
@@ -111,7 +111,7 @@
     }
 
     pub(crate) fn verify(&self, text: &[u8]) -> Result<Ticket, Void> {
-        // Danger: decoding what a stranger sends costs by its length; the length is looked at first.
+        // Decoding what a stranger sends costs by its length; the length is looked at first.
         if text.len() != TICKET_LEN {
             return Err(Void::Malformed);
         }
