--- a/src/core/state.rs
+++ b/src/core/state.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use switchhill_recovery::Use;
 
-/// Customers that are handed over at the most. Danger: the state is held twice while it is written out; at some
+/// Customers that are handed over at the most. The state is held twice while it is written out; at some
 /// 300 bytes each these are 2.5 MB.
 const MOST_CUSTOMERS: usize = 8192;
 
@@ -108,7 +108,7 @@
 
     /// Goes on from another core's state, under the classes and plans of the settings here.
     pub fn go_on(&mut self, state: State, classes: &[String], plans: &[String]) {
-        for (id, since) in state.cordons.into_iter().take(super::MOST_CORDONS) {
+        for (id, since) in state.cordons.into_iter().take(super::hosts::MOST_CORDONS) {
             let id: BackendId = id.into();
             self.cordons.entry(id.clone()).or_insert(since);
             self.events_called.push(id);
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -1,6 +1,8 @@
 //! The invariants, without sockets.
 
+use super::streams::COMES_WITHIN;
 use super::*;
+use crate::interface::{BackendState, Effect, ListKind};
 use crate::interface::{KeyScope, Limits, Plan, ReportBy, Rules};
 
 const VIEW: usize = 0;
