Bound what waits for a connection whose other side does not read

A core node's queue to a subscriber had no bound: 500 configurations of 60 KB, one each 30 ms, to an agent that says hello and reads nothing left 26,460,000 bytes in the process, which was never told. The agent's feed to its data plane, its links to core nodes and the data plane's word to its agent were the same. Closing a silent subscriber dropped its queue only, which a write that is held up does not notice.

All four now go through one queue, bounded to 2 MiB a connection, 32 MiB over all connections of a kind and 1,500 ms a message; over a bound the connection is reset as a whole and the other side catches up by its next hello. In existing tests only the types of queues are renamed; the relay's test agent also notes hellos and statuses.

--- a/crates/distribution/tests/relay.rs
+++ b/crates/distribution/tests/relay.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use switchhill_distribution::{FeedId, FeedState, LinkId, LinkSettings, Relay, RelayInput, RelayOutput};
-use switchhill_protocol::{Configuration, Downstream, DownstreamBody, Status};
+use switchhill_protocol::{Configuration, Downstream, DownstreamBody, Status, Upstream, UpstreamBody};
 
 const FEED: FeedId = FeedId(1);
 
@@ -32,6 +32,10 @@
     feed: FeedState,
     links: Vec<LinkId>,
     closed: Vec<LinkId>,
+    /// Links on which it said hello, with the revision that it named.
+    hellos: Vec<(LinkId, u64)>,
+    /// Whether it told the data plane last that a quorum stands behind it.
+    told_quorum: Option<bool>,
 }
 
 impl Agent {
@@ -44,6 +48,8 @@
             feed: FeedState::new("edge", "zone"),
             links: Vec::new(),
             closed: Vec::new(),
+            hellos: Vec::new(),
+            told_quorum: None,
         };
         agent.start_data_plane();
         agent.tick(50);
@@ -74,7 +80,15 @@
             match output {
                 RelayOutput::Connect(link, _) => self.links.push(link),
                 RelayOutput::Close(link) => self.closed.push(link),
-                RelayOutput::ToFeed(_, message) => drop(self.feed.receive(self.now, message)),
+                RelayOutput::ToFeed(_, message) => {
+                    if let Some(DownstreamBody::Status(status)) = &message.body {
+                        self.told_quorum = Some(status.quorum);
+                    }
+                    self.feed.receive(self.now, message);
+                }
+                RelayOutput::ToLink(link, Upstream { body: Some(UpstreamBody::Hello(hello)) }) => {
+                    self.hellos.push((link, hello.revision));
+                }
                 RelayOutput::ToLink(..) => {}
             }
         }
@@ -161,3 +175,23 @@
     agent.hears(links[1], configuration(5, true));
     expect_that!((agent.holds(), agent.is_ready()), eq(((7, 7), true)));
 }
+
+#[gtest]
+fn a_link_that_was_reset_is_out_of_touch_and_the_next_one_brings_what_was_dropped() {
+    let mut agent = Agent::new();
+    let link = agent.links[0];
+    agent.hears(link, status(true, 5));
+    agent.hears(link, configuration(5, true));
+    // The core node drops revision 6 with the connection: it waited too long.
+    agent.input(RelayInput::LinkLost(link));
+    agent.tick(500);
+    expect_that!(agent.told_quorum, some(eq(false)));
+    let next = *agent.links.last().expect("a link");
+    expect_that!(next, not(eq(link)));
+    agent.input(RelayInput::LinkUp(next));
+    expect_that!(agent.hellos.last(), some(eq(&(next, 5))));
+    agent.hears(next, status(true, 6));
+    agent.hears(next, configuration(6, true));
+    agent.tick(500);
+    expect_that!((agent.holds(), agent.told_quorum), eq(((6, 6), Some(true))));
+}
--- a/src/agent/feeds.rs
+++ b/src/agent/feeds.rs
@@ -2,22 +2,22 @@
 
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod unread_feed_tests;
 
 use crate::system::connection;
-use std::cell::RefCell;
-use std::collections::BTreeMap;
+use crate::system::outgoing::Queues;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use switchhill_distribution::{FeedId, RelayInput};
 use switchhill_protocol::{Downstream, Upstream};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
-type Senders = Rc<RefCell<BTreeMap<FeedId, mpsc::UnboundedSender<Downstream>>>>;
+type FeedQueues = Queues<FeedId, Downstream>;
 
 /// All connections of data planes.
 pub(super) struct Feeds {
-    senders: Senders,
+    queues: FeedQueues,
 }
 
 impl Feeds {
@@ -27,25 +27,23 @@
         inputs: mpsc::UnboundedSender<RelayInput>,
     ) -> anyhow::Result<Feeds> {
         let listener = connection::listen(address).await?;
-        let senders = Senders::default();
-        tokio::task::spawn_local(accept(listener, senders.clone(), inputs));
-        Ok(Feeds { senders })
+        let queues = FeedQueues::default();
+        tokio::task::spawn_local(accept(listener, queues.clone(), inputs));
+        Ok(Feeds { queues })
     }
 
-    /// Sends a message to a data plane.
+    /// Sends a message to a data plane. One that does not read has its connection reset.
     pub(super) fn send(&mut self, id: FeedId, message: Downstream) {
-        if let Some(sender) = self.senders.borrow().get(&id) {
-            let _ = sender.send(message);
-        }
+        self.queues.send(&id, message);
     }
 }
 
-async fn accept(listener: TcpListener, senders: Senders, inputs: mpsc::UnboundedSender<RelayInput>) {
+async fn accept(listener: TcpListener, queues: FeedQueues, inputs: mpsc::UnboundedSender<RelayInput>) {
     let mut next = 0;
     loop {
         let stream = connection::accept(&listener).await;
         next += 1;
-        tokio::task::spawn_local(serve(FeedId(next), stream, senders.clone(), inputs.clone()));
+        tokio::task::spawn_local(serve(FeedId(next), stream, queues.clone(), inputs.clone()));
     }
 }
 
@@ -53,18 +51,17 @@
 async fn serve(
     id: FeedId,
     mut stream: TcpStream,
-    senders: Senders,
+    queues: FeedQueues,
     inputs: mpsc::UnboundedSender<RelayInput>,
 ) {
     if let Err(error) = connection::read_kind(&mut stream).await {
         log::debug!("feed refused: {error}");
         return;
     }
-    let (sender, messages) = mpsc::unbounded_channel();
-    senders.borrow_mut().insert(id, sender);
+    let waiting = queues.open(id);
     let received = |message: Upstream| inputs.send(RelayInput::Feed(id, message)).is_ok();
-    let ended = connection::exchange(stream, messages, received).await;
+    let ended = connection::exchange(stream, waiting, received).await;
     log::debug!("feed ended: {ended}");
-    senders.borrow_mut().remove(&id);
+    queues.close(&id);
     let _ = inputs.send(RelayInput::FeedGone(id));
 }
--- a/src/agent/feeds/tests.rs
+++ b/src/agent/feeds/tests.rs
@@ -13,9 +13,9 @@
         client.write_all(&[9]).await.expect("written");
         let (stream, _) = listener.accept().await.expect("a connection");
         let (inputs, mut received) = mpsc::unbounded_channel();
-        let senders = Senders::default();
-        serve(FeedId(1), stream, senders.clone(), inputs).await;
-        assert!(senders.borrow().is_empty());
+        let queues = FeedQueues::default();
+        serve(FeedId(1), stream, queues.clone(), inputs).await;
+        assert!(queues.is_empty());
         assert!(received.recv().await.is_none(), "the agent never hears of it");
     });
 }
--- a/src/agent/links.rs
+++ b/src/agent/links.rs
@@ -4,6 +4,7 @@
 mod tests;
 
 use crate::system::connection::{self, LinkKind};
+use crate::system::outgoing::{self, Outgoing, Waiting};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use switchhill_distribution::{LinkId, RelayInput};
@@ -17,7 +18,7 @@
 /// All links.
 pub(super) struct Links {
     inputs: mpsc::UnboundedSender<RelayInput>,
-    open: BTreeMap<LinkId, (mpsc::UnboundedSender<Upstream>, JoinHandle<()>)>,
+    open: BTreeMap<LinkId, (Outgoing<Upstream>, JoinHandle<()>)>,
 }
 
 impl Links {
@@ -29,9 +30,9 @@
     /// Opens a link. Links that have ended by themselves are forgotten: each attempt is another link.
     pub(super) fn connect(&mut self, id: LinkId, address: String) {
         self.open.retain(|_, (_, task)| !task.is_finished());
-        let (sender, messages) = mpsc::unbounded_channel();
-        let task = tokio::task::spawn_local(serve(id, address, messages, self.inputs.clone()));
-        self.open.insert(id, (sender, task));
+        let (outgoing, waiting) = outgoing::queue();
+        let task = tokio::task::spawn_local(serve(id, address, waiting, self.inputs.clone()));
+        self.open.insert(id, (outgoing, task));
     }
 
     /// Drops a link.
@@ -41,10 +42,10 @@
         }
     }
 
-    /// Sends a message on a link; one that has ended drops it.
+    /// Sends a message on a link; one that has ended drops it, and one whose other side does not read is reset.
     pub(super) fn send(&mut self, id: LinkId, message: Upstream) {
-        if let Some((sender, _)) = self.open.get(&id) {
-            let _ = sender.send(message);
+        if let Some((outgoing, _)) = self.open.get(&id) {
+            outgoing.send(message);
         }
     }
 }
@@ -52,14 +53,14 @@
 async fn serve(
     id: LinkId,
     address: String,
-    messages: mpsc::UnboundedReceiver<Upstream>,
+    waiting: Waiting<Upstream>,
     inputs: mpsc::UnboundedSender<RelayInput>,
 ) {
     match connection::connect(&address, LinkKind::Subscriber, CONNECT_WITHIN).await {
         Ok(stream) => {
             let _ = inputs.send(RelayInput::LinkUp(id));
             let received = |message: Downstream| inputs.send(RelayInput::Link(id, message)).is_ok();
-            let ended = connection::exchange(stream, messages, received).await;
+            let ended = connection::exchange(stream, waiting, received).await;
             log::debug!("link to {address} ended: {ended}");
         }
         Err(error) => log::debug!("no link to {address}: {error}"),
--- a/src/control_plane/links.rs
+++ b/src/control_plane/links.rs
@@ -5,12 +5,13 @@
 mod newest;
 #[cfg(test)]
 mod reconnect_tests;
+#[cfg(test)]
+mod unread_subscriber_tests;
 
 use crate::system::connection::{self, LinkKind};
+use crate::system::outgoing::Queues;
 use newest::{ConnectionNumber, NewestConnections};
-use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::rc::Rc;
 use std::time::Duration;
 use switchhill_control::{Input, SubscriberId};
 use switchhill_protocol::{read_frame, write_frame, Downstream, FrameError, PeerFrame, Upstream};
@@ -27,18 +28,18 @@
 /// Time for one message to be written before the connection is given up.
 const WRITE_WITHIN: Duration = Duration::from_millis(700);
 
-type SubscriberSenders = Rc<RefCell<BTreeMap<SubscriberId, mpsc::UnboundedSender<Downstream>>>>;
+type SubscriberQueues = Queues<SubscriberId, Downstream>;
 
 /// All connections.
 pub(super) struct Links {
     peers: BTreeMap<String, mpsc::Sender<PeerFrame>>,
-    subscribers: SubscriberSenders,
+    subscribers: SubscriberQueues,
 }
 
 impl Links {
     /// Accepts connections; what they bring goes to `inputs`.
     pub(super) fn start(listener: TcpListener, inputs: mpsc::UnboundedSender<Input>) -> Links {
-        let subscribers = SubscriberSenders::default();
+        let subscribers = SubscriberQueues::default();
         tokio::task::spawn_local(accept(listener, subscribers.clone(), inputs));
         Links { peers: BTreeMap::new(), subscribers }
     }
@@ -55,16 +56,14 @@
         let _ = sender.try_send(frame);
     }
 
-    /// Sends a message to a subscriber.
+    /// Sends a message to a subscriber. One that does not read has its connection reset.
     pub(super) fn send_subscriber(&mut self, id: SubscriberId, message: Downstream) {
-        if let Some(sender) = self.subscribers.borrow().get(&id) {
-            let _ = sender.send(message);
-        }
+        self.subscribers.send(&id, message);
     }
 
     /// Drops a subscriber's connection.
     pub(super) fn close_subscriber(&mut self, id: SubscriberId) {
-        self.subscribers.borrow_mut().remove(&id);
+        self.subscribers.close(&id);
     }
 }
 
@@ -105,7 +104,7 @@
     }
 }
 
-async fn accept(listener: TcpListener, subscribers: SubscriberSenders, inputs: mpsc::UnboundedSender<Input>) {
+async fn accept(listener: TcpListener, subscribers: SubscriberQueues, inputs: mpsc::UnboundedSender<Input>) {
     let newest = NewestConnections::default();
     let mut next = 0;
     loop {
@@ -125,7 +124,7 @@
     number: ConnectionNumber,
     mut stream: TcpStream,
     newest: NewestConnections,
-    subscribers: SubscriberSenders,
+    subscribers: SubscriberQueues,
     inputs: mpsc::UnboundedSender<Input>,
 ) {
     match connection::read_kind(&mut stream).await {
@@ -166,14 +165,13 @@
 async fn serve_subscriber(
     id: SubscriberId,
     stream: TcpStream,
-    subscribers: SubscriberSenders,
+    subscribers: SubscriberQueues,
     inputs: mpsc::UnboundedSender<Input>,
 ) {
-    let (sender, queue) = mpsc::unbounded_channel();
-    subscribers.borrow_mut().insert(id, sender);
+    let waiting = subscribers.open(id);
     let received = |message: Upstream| inputs.send(Input::Subscriber(id, message)).is_ok();
-    let ended = connection::exchange(stream, queue, received).await;
+    let ended = connection::exchange(stream, waiting, received).await;
     log::debug!("subscriber's connection ended: {ended}");
-    subscribers.borrow_mut().remove(&id);
+    subscribers.close(&id);
     let _ = inputs.send(Input::SubscriberGone(id));
 }
--- a/src/control_plane/links/reconnect_tests.rs
+++ b/src/control_plane/links/reconnect_tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use std::cell::Cell;
+use std::rc::Rc;
 use switchhill_protocol::{PeerBody, PeerHeartbeat, WorkerUpdateAck};
 use tokio::io::{AsyncWriteExt, DuplexStream};
 use tokio::task::{spawn_local, JoinHandle};
--- a/src/data_plane_feed.rs
+++ b/src/data_plane_feed.rs
@@ -8,6 +8,7 @@
 use crate::data_plane::{self, now_ms, Feedback, LoadsElsewhere, RouteElsewhere, View};
 use crate::site_settings::SiteSettings;
 use crate::system::connection::{self, LinkKind};
+use crate::system::outgoing::{self, Outgoing};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -78,12 +79,12 @@
         stream: tokio::net::TcpStream,
         feedback: &mut mpsc::UnboundedReceiver<Feedback>,
     ) {
-        let (sender, queue) = mpsc::unbounded_channel::<Upstream>();
+        let (sender, waiting) = outgoing::queue::<Upstream>();
         let (received, mut messages) = mpsc::unbounded_channel::<Downstream>();
-        let exchange = connection::exchange(stream, queue, |message| received.send(message).is_ok());
+        let exchange = connection::exchange(stream, waiting, |message| received.send(message).is_ok());
         tokio::pin!(exchange);
         let mut forget = tokio::time::interval(FORGET_EVERY);
-        let _ = sender.send(self.feed.hello());
+        sender.send(self.feed.hello());
         self.told = None;
         loop {
             tokio::select! {
@@ -93,7 +94,7 @@
                 }
                 Some(message) = messages.recv() => self.take_all(message, &mut messages, &sender),
                 Some(told) = feedback.recv() => {
-                    let _ = sender.send(self.feedback(told));
+                    sender.send(self.feedback(told));
                 }
                 _ = forget.tick() => {
                     self.feed.tick(now_ms());
@@ -109,7 +110,7 @@
         &mut self,
         first: Downstream,
         waiting: &mut mpsc::UnboundedReceiver<Downstream>,
-        sender: &mpsc::UnboundedSender<Upstream>,
+        sender: &Outgoing<Upstream>,
     ) {
         self.message(first, sender);
         while let Ok(message) = waiting.try_recv() {
@@ -118,11 +119,11 @@
         self.publish();
     }
 
-    fn message(&mut self, message: Downstream, sender: &mpsc::UnboundedSender<Upstream>) {
+    fn message(&mut self, message: Downstream, sender: &Outgoing<Upstream>) {
         let now = now_ms();
         let received = self.feed.receive(now, message);
         for answer in received.answers {
-            let _ = sender.send(answer);
+            sender.send(answer);
         }
         for worker in &received.workers {
             self.workers.update(worker, self.feed.state());
--- a/src/data_plane_feed/tests.rs
+++ b/src/data_plane_feed/tests.rs
@@ -3,6 +3,7 @@
 use super::worker_views::{worker_view, WorkerViews};
 use super::Feed;
 use crate::data_plane::View;
+use crate::system::outgoing::{self, Outgoing};
 use googletest::prelude::*;
 use std::sync::Arc;
 use switchhill_distribution::FeedState;
@@ -129,7 +130,7 @@
 struct Told {
     feed: Feed,
     views: watch::Receiver<Arc<View>>,
-    sender: mpsc::UnboundedSender<switchhill_protocol::Upstream>,
+    sender: Outgoing<switchhill_protocol::Upstream>,
 }
 
 impl Told {
@@ -140,7 +141,7 @@
         });
         let settings = serde_json::from_value(settings).expect("settings");
         let (sender, views) = watch::channel(Arc::new(View::default()));
-        Told { feed: Feed::new(&settings, sender), views, sender: mpsc::unbounded_channel().0 }
+        Told { feed: Feed::new(&settings, sender), views, sender: outgoing::queue().0 }
     }
 
     /// The view that is told after a message, if a new one is.
--- a/src/system/connection.rs
+++ b/src/system/connection.rs
@@ -1,12 +1,15 @@
 //! Connections that carry frames both ways.
 
+#[cfg(test)]
+mod tests;
+
+use super::outgoing::{Closed, Waiting};
 use prost::Message;
 use std::net::SocketAddr;
 use std::time::Duration;
 use switchhill_protocol::{read_frame, write_frame, FrameError};
-use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::mpsc;
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
@@ -78,39 +81,68 @@
     let _ = socket2::SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_FOR));
 }
 
-/// Sends queued messages and hands on received ones until the connection ends, the queue is closed, or the receiver
-/// says that it is gone. Returns why it ended.
+/// Why an exchange ended.
+#[derive(Debug, thiserror::Error)]
+enum End {
+    /// The connection failed, ended, or brought what is no message.
+    #[error("{0}")]
+    Frame(#[from] FrameError),
+    /// Nothing more is to be written.
+    #[error("{0}")]
+    Closed(#[from] Closed),
+    /// Nobody takes what it brings any more.
+    #[error("the receiver is gone")]
+    ReceiverGone,
+}
+
+/// Sends queued messages and hands on received ones until the connection ends, the queue is closed, the other side has not
+/// taken a message in time, or the receiver says that it is gone. Returns why it ended.
+///
+/// A connection that this side closes is reset: what the network still holds of it is not delivered later.
 pub async fn exchange<S, R>(
-    stream: TcpStream,
-    mut queue: mpsc::UnboundedReceiver<S>,
+    mut stream: TcpStream,
+    waiting: Waiting<S>,
     received: impl Fn(R) -> bool,
 ) -> String
 where
     S: Message,
     R: Message + Default,
 {
-    let (reader, mut writer) = stream.into_split();
-    let mut reader = BufReader::new(reader);
-    let sending = async {
-        while let Some(message) = queue.recv().await {
-            write_frame(&mut writer, &message).await?;
-        }
-        Ok::<(), FrameError>(())
+    let (reader, writer) = stream.split();
+    let end = tokio::select! {
+        end = send(writer, &waiting) => end,
+        end = receive(reader, received) => end,
+        reason = waiting.closed() => reason.into(),
     };
-    let receiving = async {
-        loop {
-            let message: R = read_frame(&mut reader).await?;
-            if !received(message) {
-                return Ok::<(), FrameError>(());
-            }
+    if let End::Closed(reason) = end {
+        let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        if reason != Closed::Unwanted {
+            log::warn!("connection with {:?} given up: {reason}", stream.peer_addr().ok());
+        }
+    }
+    end.to_string()
+}
+
+async fn send<S: Message>(mut writer: impl AsyncWrite + Unpin, waiting: &Waiting<S>) -> End {
+    loop {
+        let next = waiting.next().await;
+        match tokio::time::timeout_at(next.due(), write_frame(&mut writer, &next.message)).await {
+            Ok(Ok(())) => waiting.written(&next),
+            Ok(Err(error)) => return error.into(),
+            Err(_) => return Closed::TooOld.into(),
+        }
+    }
+}
+
+async fn receive<R: Message + Default>(reader: impl AsyncRead + Unpin, received: impl Fn(R) -> bool) -> End {
+    let mut reader = BufReader::new(reader);
+    loop {
+        let message = match read_frame(&mut reader).await {
+            Ok(message) => message,
+            Err(error) => return error.into(),
+        };
+        if !received(message) {
+            return End::ReceiverGone;
         }
-    };
-    let ended = tokio::select! {
-        ended = sending => ended,
-        ended = receiving => ended,
-    };
-    match ended {
-        Ok(()) => "closed".to_owned(),
-        Err(error) => error.to_string(),
     }
 }
--- a/src/system/mod.rs
+++ b/src/system/mod.rs
@@ -1,9 +1,10 @@
-//! What the programs of the system share: command line, clock, check of files, connections, signals.
+//! What the programs of the system share: command line, clock, check of files, connections and what waits for them, signals.
 
 pub mod check;
 pub mod clock;
 pub mod command;
 pub mod connection;
+pub mod outgoing;
 pub mod stop;
 
 use crate::site_settings::SiteSettings;
