Bounded queues: a slow side that takes something is not given up, nor a large message

Cause: the bound of 1,500 ms counted from the queueing of a message. A machine behind a choked link that takes a state slower than that would be reset, say hello and be sent the same state again, for as long as the link is choked; and a configuration above 2 MiB could not be told at all once a status waited before it. Change: what counts is the time for which nothing of a message is taken; beside a message above the bound 1 MiB may wait. The writer notes its progress in a module of its own.

--- a/src/system/connection.rs
+++ b/src/system/connection.rs
@@ -1,9 +1,11 @@
 //! Connections that carry frames both ways.
 
+mod progress;
 #[cfg(test)]
 mod tests;
 
-use super::outgoing::{Closed, Waiting};
+use super::outgoing::{Closed, Waiting, LONGEST_STALL};
+use progress::ProgressWriter;
 use prost::Message;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -95,8 +97,8 @@
     ReceiverGone,
 }
 
-/// Sends queued messages and hands on received ones until the connection ends, the queue is closed, the other side has not
-/// taken a message in time, or the receiver says that it is gone. Returns why it ended.
+/// Sends queued messages and hands on received ones until the connection ends, the queue is closed, the other side has
+/// taken nothing for too long, or the receiver says that it is gone. Returns why it ended.
 ///
 /// A connection that this side closes is reset: what the network still holds of it is not delivered later.
 pub async fn exchange<S, R>(
@@ -123,13 +125,20 @@
     end.to_string()
 }
 
-async fn send<S: Message>(mut writer: impl AsyncWrite + Unpin, waiting: &Waiting<S>) -> End {
+async fn send<S: Message>(writer: impl AsyncWrite + Unpin, waiting: &Waiting<S>) -> End {
+    let mut writer = ProgressWriter::new(writer);
+    let progress = writer.progress();
     loop {
         let next = waiting.next().await;
-        match tokio::time::timeout_at(next.due(), write_frame(&mut writer, &next.message)).await {
-            Ok(Ok(())) => waiting.written(&next),
-            Ok(Err(error)) => return error.into(),
-            Err(_) => return Closed::TooOld.into(),
+        progress.now();
+        tokio::select! {
+            // Written first: however late this process is, a side that takes what is written has not stalled.
+            biased;
+            written = write_frame(&mut writer, &next.message) => match written {
+                Ok(()) => waiting.written(&next),
+                Err(error) => return error.into(),
+            },
+            () = progress.stalled_for(LONGEST_STALL) => return Closed::Stalled.into(),
         }
     }
 }
--- a/src/system/outgoing.rs
+++ b/src/system/outgoing.rs
@@ -1,4 +1,4 @@
-//! Messages that wait to be written to a connection, bounded in bytes and by age.
+//! Messages that wait to be written to a connection, bounded in bytes and by the time for which nothing is taken.
 //!
 //! The other side may not read: frozen, behind a full link, or cut off one way. What waits for it would grow until the
 //! process is killed for its memory. So a connection over the bound is given up as a whole, never a message of it alone:
@@ -13,7 +13,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::Instant;
 
 /// Memory of the smallest process that keeps such queues, a core machine's.
 const PROCESS_MEMORY_BYTES: usize = 256 << 20;
@@ -26,9 +25,14 @@
 /// 0.4 MB at the target size (`docs/CAPACITY.md`: configuration, worker table, what workers hold).
 pub const MOST_WAITING_BYTES: usize = MOST_WAITING_IN_ALL_BYTES / 16;
 
-/// Time from the queueing of a message to its end by which the other side must have taken it: half of `livenessMs`, so
-/// that a machine has connected again and caught up by the time at which it counts as in touch.
-pub const LONGEST_WAIT: Duration = Duration::from_millis(1_500);
+/// Bytes that may wait beside a message that is larger than a connection's bound by itself: it must be possible to tell a
+/// large configuration, whatever else is told at the same time.
+const MOST_BESIDE_LARGEST_BYTES: usize = MOST_WAITING_BYTES / 2;
+
+/// Time for which the other side may take nothing of what is being written: half of `livenessMs`, so that a machine has
+/// connected again and caught up by the time at which it counts as in touch. A slow side that takes some of it is not given
+/// up: it would be sent the same again, and more.
+pub const LONGEST_STALL: Duration = Duration::from_millis(1_500);
 
 /// Why nothing more is written to a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -42,29 +46,23 @@
     /// Most of what waits for all connections waits for it.
     #[error("the other side does not read: over {MOST_WAITING_IN_ALL_BYTES} bytes wait for all connections")]
     TooManyBytesInAll,
-    /// A message was not taken in time.
-    #[error("the other side does not read: a message waited {LONGEST_WAIT:?}")]
-    TooOld,
+    /// Nothing was taken for too long.
+    #[error("the other side does not read: it took nothing for {LONGEST_STALL:?}")]
+    Stalled,
 }
 
 /// A message that waits.
 pub(super) struct Waiter<S> {
     pub(super) message: S,
     bytes: usize,
-    queued_at: Instant,
-}
-
-impl<S> Waiter<S> {
-    /// When the other side must have taken it.
-    pub(super) fn due(&self) -> Instant {
-        self.queued_at + LONGEST_WAIT
-    }
 }
 
 struct Queue<S> {
     waiters: RefCell<VecDeque<Waiter<S>>>,
     /// Bytes that wait or are being written.
     bytes: Cell<usize>,
+    /// Bytes of the message that is being written.
+    writing: Cell<usize>,
     bytes_in_all: Rc<Cell<usize>>,
     closed: Cell<Option<Closed>>,
     arrived: Notify,
@@ -82,6 +80,18 @@
         self.bytes_in_all.set(self.bytes_in_all.get() - bytes);
     }
 
+    /// Whether a message of so many bytes may wait too.
+    fn has_room(&self, bytes: usize) -> bool {
+        let together = self.bytes.get() + bytes;
+        if together <= MOST_WAITING_BYTES {
+            return true;
+        }
+        let waiters = self.waiters.borrow();
+        let waiting = waiters.iter().map(|waiter| waiter.bytes);
+        let largest = waiting.chain([self.writing.get(), bytes]).max().unwrap_or(0);
+        together <= largest + MOST_BESIDE_LARGEST_BYTES
+    }
+
     /// Drops what waits; the first reason stays.
     fn close(&self, reason: Closed) {
         if self.closed.get().is_none() {
@@ -105,6 +115,7 @@
     let queue = Rc::new(Queue {
         waiters: RefCell::default(),
         bytes: Cell::new(0),
+        writing: Cell::new(0),
         bytes_in_all,
         closed: Cell::new(None),
         arrived: Notify::new(),
@@ -114,18 +125,17 @@
 }
 
 impl<S: Message> Outgoing<S> {
-    /// Puts a message in. Where too much waits already the connection is given up instead; a message that finds nothing
-    /// waiting is taken whatever its size.
+    /// Puts a message in. Where too much waits already the connection is given up instead.
     pub fn send(&self, message: S) {
         if self.0.closed.get().is_some() {
             return;
         }
         let bytes = message.encoded_len();
-        if self.0.bytes.get() > 0 && self.0.bytes.get() + bytes > MOST_WAITING_BYTES {
+        if !self.0.has_room(bytes) {
             return self.0.close(Closed::TooManyBytes);
         }
         self.0.add(bytes);
-        self.0.waiters.borrow_mut().push_back(Waiter { message, bytes, queued_at: Instant::now() });
+        self.0.waiters.borrow_mut().push_back(Waiter { message, bytes });
         self.0.arrived.notify_one();
     }
 }
@@ -145,7 +155,10 @@
         loop {
             let next = self.0.waiters.borrow_mut().pop_front();
             match next {
-                Some(waiter) => return waiter,
+                Some(waiter) => {
+                    self.0.writing.set(waiter.bytes);
+                    return waiter;
+                }
                 None => self.0.arrived.notified().await,
             }
         }
@@ -153,6 +166,7 @@
 
     /// Counts a message no more, which has been written.
     pub(super) fn written(&self, waiter: &Waiter<S>) {
+        self.0.writing.set(0);
         if self.0.closed.get().is_none() {
             self.0.subtract(waiter.bytes);
         }
