--- a/crates/control/tests/electorate/operator.rs
+++ b/crates/control/tests/electorate/operator.rs
@@ -1,6 +1,7 @@
 //! The operator: sends changes, sends one again that is open, and reads where it has lost track.
 
 use bytes::Bytes;
+use googletest::prelude::*;
 use std::collections::BTreeMap;
 use switchhill_configuration::{Order, OrderKind};
 use switchhill_control::{Answer, Call, CallId};
@@ -8,6 +9,9 @@
 /// Time in milliseconds after which a call without an answer is given up.
 const GIVE_UP_MS: u64 = 1_200;
 
+/// Code of the answer that no configuration has been taken yet.
+const NOTHING_TAKEN: u64 = 3002;
+
 /// An order and its marker, by which it is known when it is read back.
 #[derive(Clone, Debug)]
 pub struct Sent {
@@ -88,8 +92,7 @@
                 Learnt::Read { revision, marker }
             }
             Open::Read => {
-                // No configuration yet.
-                self.must_read &= answer.status != 404;
+                self.must_read &= number_after(&answer.body, "\"code\":") != NOTHING_TAKEN;
                 Learnt::Nothing
             }
         }
@@ -101,3 +104,16 @@
     let digits = text.split(key).nth(1).map(|rest| rest.chars().take_while(char::is_ascii_digit));
     digits.map(String::from_iter).and_then(|digits| digits.parse().ok()).unwrap_or(0)
 }
+
+/// The first order may be left without an answer, and then nothing is there to be read.
+#[gtest]
+fn an_operator_told_that_nothing_is_taken_sends_a_first_order() {
+    let mut operator = Operator::default();
+    operator.next(0);
+    let (read, call) = operator.next(GIVE_UP_MS);
+    expect_that!(call, matches_pattern!(Call::Read));
+    let body = Bytes::from_static(b"{\"code\":3002,\"error\":\"no configuration has been taken yet\"}");
+    operator.answered(read, &Answer { status: 503, body });
+    let (_, call) = operator.next(GIVE_UP_MS + 1);
+    expect_that!(call, matches_pattern!(Call::Change(_)));
+}
