--- a/crates/control/tests/core/mod.rs
+++ b/crates/control/tests/core/mod.rs
@@ -1,5 +1,6 @@
 //! A core of a few nodes in virtual time: messages are delivered at once unless a test holds them back, and disks sync at
 //! once.
+#![allow(dead_code, reason = "each user of this module needs a part of it")]
 
 use bytes::Bytes;
 use std::collections::{BTreeMap, VecDeque};
@@ -19,8 +20,8 @@
     nodes: BTreeMap<u64, ControlNode>,
     records: BTreeMap<u64, Vec<Vec<u8>>>,
     in_flight: VecDeque<(u64, PeerFrame)>,
-    /// Whether a message to a node is lost.
-    pub is_lost: fn(&PeerFrame) -> bool,
+    /// Whether a message to the node of this number is lost.
+    pub is_lost: fn(u64, &PeerFrame) -> bool,
     /// All messages that were sent, with their receivers.
     pub sent: Vec<(u64, PeerFrame)>,
     pub answers: BTreeMap<CallId, Answer>,
@@ -66,7 +67,7 @@
             nodes: (1..=nodes).map(node).collect(),
             records: BTreeMap::new(),
             in_flight: VecDeque::new(),
-            is_lost: |_| false,
+            is_lost: |_, _| false,
             sent: Vec::new(),
             answers: BTreeMap::new(),
             orders: Vec::new(),
@@ -148,7 +149,7 @@
     fn send(&mut self, to: &str, frame: PeerFrame) {
         let Some(to) = self.nodes.keys().copied().find(|node| address(*node) == to) else { return };
         self.sent.push((to, frame.clone()));
-        if !(self.is_lost)(&frame) {
+        if !(self.is_lost)(to, &frame) {
             self.in_flight.push_back((to, frame));
         }
     }
--- a/crates/control/tests/late_answers.rs
+++ b/crates/control/tests/late_answers.rs
@@ -42,7 +42,7 @@
     assert_eq!(late.len(), 2, "one of each other node");
     core.restart(1, lives[1]);
     core.run(2000);
-    core.is_lost = is_update;
+    core.is_lost = |_, frame| is_update(frame);
     let second = core.call(1, Call::Deregister { id: "worker-2".to_owned() });
     assert_eq!(core.status(second), None, "it waits for a majority");
     late.into_iter().for_each(|frame| core.input(1, Input::Peer(frame)));
