--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -122,6 +122,9 @@
         /// Compilers at a time.
         #[arg(long, default_value_t = 3)]
         jobs: usize,
+        /// Leaves out what the last run, stopped or not, found noticed on the same tree.
+        #[arg(long)]
+        resume: bool,
     },
     /// Runs the control plane's state machines without sockets, in virtual time, and prints what they cost.
     Hollow {
@@ -384,7 +387,9 @@
             Ok(emulate::play_seeds(from, seeds, jobs.unwrap_or_else(processors), table))
         }
         Task::Bounds { seeds, jobs } => Ok(emulate::bounds(seeds, jobs.unwrap_or_else(processors))),
-        Task::Flaws { only, list, jobs } => flaws::run(&only, list, jobs).map_err(Failed::Ran),
+        Task::Flaws { only, list, jobs, resume } => {
+            flaws::run(&flaws::Wanted { only: &only, list, jobs, resume }).map_err(Failed::Ran)
+        }
         Task::Hollow { gatekeepers, workers, models, cores, seconds, seed, parts } => {
             let sizes = hollow::Sizes { gatekeepers, workers, models, cores };
             match parts {
