--- a/lab/src/boxes.rs
+++ b/lab/src/boxes.rs
@@ -4,7 +4,7 @@
 //! size on a fraction of a core, so that what is measured is the gateway.
 
 use crate::scenario::{Boxes, Trouble};
-use crate::stand_in::{list_entry, list_text, whole};
+use crate::stand_in::{list_entry, list_text, take_request, whole};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, LogNormal};
@@ -13,7 +13,6 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
-use switchhill::net::http1::{self, Parsed};
 use switchhill::net::message::Message;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -353,13 +352,8 @@
 /// Reads the next request of a connection; `None` at its end.
 async fn next_request(socket: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<Message> {
     loop {
-        match http1::request(bytes) {
-            Parsed::Whole(message, used, _) => {
-                bytes.drain(..used);
-                return Some(message);
-            }
-            Parsed::Bad(..) => return None,
-            Parsed::Partial(_) => {}
+        if let Some(message) = take_request(bytes).ok()? {
+            return Some(message);
         }
         bytes.reserve(4096);
         if !matches!(socket.read_buf(bytes).await, Ok(1..)) {
