Hollow fleet: core nodes, gatekeepers and callers in modules of their own

Core nodes, gatekeepers, callers, events and the names of messages stand by themselves now; events have named fields, and what an input is counted under is a type instead of three arguments.

--- a/lab/src/hollow/mod.rs
+++ b/lab/src/hollow/mod.rs
@@ -3,8 +3,13 @@
 //! Every message is encoded by its sender and decoded by its receiver, as on the wire, and its bytes and processor time
 //! are counted by role and kind. Requests are not run: each gatekeeper tells the load of a steady number of them.
 
+mod callers;
+mod core_nodes;
 mod data_plane;
+mod events;
 mod fleet;
+mod gatekeepers;
+mod kinds;
 mod ledger;
 pub mod parts;
 mod report;
