--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -11,7 +11,7 @@
 use switchhill_lab::days::{catalogue, draw, Day, Form, Site, Trouble};
 use switchhill_lab::load::Live;
 use switchhill_lab::local_system;
-use switchhill_lab::run::{Outcome, Wanted};
+use switchhill_lab::run::{Outcome, Verdict, Wanted};
 use switchhill_lab::scenario::Scenario;
 use switchhill_lab::{bare, compare, hollow, live, report, run};
 
@@ -241,7 +241,7 @@
     report::write(&folder, &scenario, seed, &outcome).map_err(|e| Failed::Ran(e.to_string()))?;
     print!("{}", report::table(&outcome));
     println!("report: {}", folder.join("report.html").display());
-    if let Some((what, ..)) = outcome.expect.iter().find(|(_, value, ..)| value.is_nan()) {
+    if let Some(Verdict { what, .. }) = outcome.expect.iter().find(|verdict| verdict.value.is_nan()) {
         return Err(Failed::Asked(format!("{}: expect: no figure `{what}` came of it", path.display())));
     }
     if bare {
@@ -255,7 +255,7 @@
             cpu(&outcome) / cpu(&relay)
         );
     }
-    Ok(outcome.expect.iter().all(|(.., held)| *held))
+    Ok(outcome.expect.iter().all(|verdict| verdict.held))
 }
 
 fn run_pairs(
@@ -310,7 +310,7 @@
             });
             for (seed, outcome) in played {
                 let outcome = outcome?;
-                for (what, value, least, most, held) in &outcome.expect {
+                for Verdict { what, value, least, most, held } in &outcome.expect {
                     if !held {
                         eprintln!(
                             "{} seed {seed}: {what} is {value}, not from {least} to {most}",
@@ -321,7 +321,8 @@
                 outcomes.push(outcome);
             }
         }
-        let held = outcomes.iter().filter(|outcome| outcome.expect.iter().all(|(.., held)| *held)).count();
+        let held =
+            outcomes.iter().filter(|outcome| outcome.expect.iter().all(|verdict| verdict.held)).count();
         all_held &= held as u64 == seeds;
         let cells = names.iter().map(|name| {
             let mut values: Vec<f64> =
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -1,7 +1,7 @@
 //! What a run says: a table on the terminal, `result.json`, and a page with plots that stands alone.
 
 use crate::load::PLANS;
-use crate::run::Outcome;
+use crate::run::{Outcome, Verdict};
 use crate::scenario::Scenario;
 use plotters::prelude::*;
 use std::fmt::Write;
@@ -53,7 +53,7 @@
         .filter_map(|(name, value)| Some(format!("{} {value}", name.strip_prefix("rules.")?)))
         .collect();
     let _ = writeln!(text, "by the boxes' records: {}", rules.join(" · "));
-    for (what, value, least, most, held) in &outcome.expect {
+    for Verdict { what, value, least, most, held } in &outcome.expect {
         let verdict = if *held { "holds" } else { "DOES NOT HOLD" };
         let bound = match (least.is_finite(), most.is_finite()) {
             (true, true) => format!("from {least} to {most}"),
--- a/lab/src/rig/faults.rs
+++ b/lab/src/rig/faults.rs
@@ -15,7 +15,7 @@
 
 /// What the run is to do to a gateway's process or files.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Deed {
+pub enum Action {
     /// SIGSTOP.
     Freeze,
     /// SIGCONT.
@@ -179,20 +179,20 @@
     }
 
     /// Brings what is due at `now` seconds and tells what is to be done to the gateways.
-    pub fn due(&mut self, now: f64) -> Vec<(usize, Deed)> {
-        let mut deeds = Vec::new();
+    pub fn due(&mut self, now: f64) -> Vec<(usize, Action)> {
+        let mut actions = Vec::new();
         while self.plan.first().is_some_and(|(at, ..)| *at <= now) {
             let (at, whom, fault, begins) = self.plan.remove(0);
             self.faults_at = Some((self.faults_at.map_or(at, |(first, _)| first), at));
             self.quiet_since = unix_ms();
             self.first_unix = self.first_unix.min(self.quiet_since);
-            self.bring(&whom, fault, begins, &mut deeds);
+            self.apply(&whom, fault, begins, &mut actions);
         }
-        deeds
+        actions
     }
 
-    fn bring(&mut self, whom: &[usize], fault: RigFault, begins: bool, deeds: &mut Vec<(usize, Deed)>) {
-        let mut each = |deed: Deed| deeds.extend(whom.iter().map(|number| (*number, deed)));
+    fn apply(&mut self, whom: &[usize], fault: RigFault, begins: bool, actions: &mut Vec<(usize, Action)>) {
+        let mut each = |action: Action| actions.extend(whom.iter().map(|number| (*number, action)));
         match (fault, begins) {
             (RigFault::Link(links, fault), _) => {
                 let fault = if begins { fault } else { Fault::Pass };
@@ -209,17 +209,17 @@
                 let fault = if begins { Fault::Reset } else { Fault::Pass };
                 self.store_links.iter().for_each(|link| link.set(fault));
             }
-            (RigFault::StaleList, _) => deeds.push((0, Deed::Stale(begins))),
-            (RigFault::Spoil(how), _) => each(Deed::Spoil(how)),
-            (RigFault::Freeze, true) => each(Deed::Freeze),
-            (RigFault::Freeze, false) => each(Deed::Wake),
+            (RigFault::StaleList, _) => actions.push((0, Action::Stale(begins))),
+            (RigFault::Spoil(how), _) => each(Action::Spoil(how)),
+            (RigFault::Freeze, true) => each(Action::Freeze),
+            (RigFault::Freeze, false) => each(Action::Wake),
             (RigFault::Kill, true) => {
                 let at = unix_ms();
                 let mut events = self.events.lock().expect("lock");
                 whom.iter().for_each(|number| events.extend(gone(*number, at)));
-                each(Deed::Kill);
+                each(Action::Kill);
             }
-            (RigFault::Kill, false) => each(Deed::Start),
+            (RigFault::Kill, false) => each(Action::Start),
             (RigFault::Change, _) => {
                 if self.old.is_none() {
                     self.old = self.store.peek("agreement:settings");
@@ -227,14 +227,14 @@
                 self.changes = (self.changes + 1) % METER_MS.len();
                 let next = METER_MS[self.changes];
                 whom.iter().for_each(|number| self.files[*number] = next);
-                each(Deed::File(next));
+                each(Action::File(next));
             }
-            (RigFault::BadFile, true) => each(Deed::CutFile),
+            (RigFault::BadFile, true) => each(Action::CutFile),
             (RigFault::BadFile, false) => {
-                deeds.extend(whom.iter().map(|number| (*number, Deed::File(self.files[*number]))));
+                actions.extend(whom.iter().map(|number| (*number, Action::File(self.files[*number]))));
             }
-            (RigFault::Cordon(number), _) => each(Deed::Cordon(number, true)),
-            (RigFault::Uncordon(number), _) => each(Deed::Cordon(number, false)),
+            (RigFault::Cordon(number), _) => each(Action::Cordon(number, true)),
+            (RigFault::Uncordon(number), _) => each(Action::Cordon(number, false)),
             (RigFault::SplitStore, true) => {
                 // Both halves hold all of before, and from now on each hears of half of the gateways.
                 let half = self.store.copy();
--- a/lab/tests/scenarios.rs
+++ b/lab/tests/scenarios.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::sync::{Arc, Condvar, Mutex};
 use switchhill_lab::load::Live;
-use switchhill_lab::run::{run, Wanted};
+use switchhill_lab::run::{run, Verdict, Wanted};
 use switchhill_lab::scenario::Scenario;
 use switchhill_lab::stand_in::program;
 
@@ -66,7 +66,7 @@
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
     let outcome = runtime.expect("a runtime").block_on(run(&scenario, &wanted, &Arc::new(Live::default())));
     let outcome = outcome.expect("a run");
-    for (what, value, least, most, held) in &outcome.expect {
+    for Verdict { what, value, least, most, held } in &outcome.expect {
         assert!(
             held,
             "{name}, seed 1: {what} is {value}, not from {least} to {most}; logs in {}",
