--- a/lab/src/run/faults.rs
+++ b/lab/src/run/faults.rs
@@ -22,7 +22,7 @@
         let gateway = &mut self.gateways[number];
         let Some(files) = gateway.files.clone() else { return Ok(()) };
         match action {
-            Action::Stale(on) => self.registry.go_back(on),
+            Action::Stale(on) => self.discovery.go_back(on),
             Action::Spoil(how) => spoil_snapshot(&files, number, how)?,
             Action::Freeze => gateway.signal("-STOP"),
             Action::Wake => gateway.signal("-CONT"),
@@ -51,7 +51,7 @@
             Trouble::Pause(number, _) | Trouble::Restart(number, _) => self.hosts[number].trouble(trouble),
             Trouble::Drain(number) => {
                 self.hosts[number].trouble(trouble);
-                self.registry.drain(number);
+                self.discovery.drain(number);
             }
             Trouble::NewKey => {
                 write_keys(&self.folder, &[KEYS[1], KEYS[0]])?;
--- a/lab/src/run/files.rs
+++ b/lab/src/run/files.rs
@@ -1,6 +1,6 @@
 //! The files of a run's gateways: configuration, operator's file, keys and log.
 
-use crate::boxes::Registry;
+use crate::boxes::Discovery;
 use crate::load::GIVE_UP_MS;
 use crate::rig::faults::Rig;
 use crate::scenario::Scenario;
@@ -89,20 +89,20 @@
 pub(super) fn configuration(
     scenario: &Scenario,
     number: usize,
-    registry: &Registry,
+    discovery: &Discovery,
     seed: u64,
     rig: Option<&Rig>,
 ) -> Result<String, String> {
     let mut config: Value = serde_json::from_str(crate::stand_in::CONFIG).map_err(|e| e.to_string())?;
     config["name"] = json!(format!("n{number}"));
     config["listen"] = json!("127.0.0.1:0");
-    config["discovery"] = json!(rig.map_or(registry.address, |rig| rig.discovery(number)).to_string());
+    config["discovery"] = json!(rig.map_or(discovery.address, |rig| rig.discovery(number)).to_string());
     if rig.is_some() {
         config["control"] = json!("127.0.0.1:0");
     }
     config["seed"] = json!(format!("{:016x}", seed.wrapping_add(number as u64)));
     config["limits"] = json!({"cores": 1.0, "memory_mb": scenario.memory_mb, "sockets": scenario.sockets});
-    config["known"] = serde_json::from_str(&registry.list(0)).map_err(|e| e.to_string())?;
+    config["known"] = serde_json::from_str(&discovery.list(0)).map_err(|e| e.to_string())?;
     config["settings"]["balancers"] = json!(scenario.gateways);
     config["settings"]["ordinal"] = json!(number);
     config["settings"]["az"] = json!(0);
--- a/lab/src/run/outcome.rs
+++ b/lab/src/run/outcome.rs
@@ -130,7 +130,7 @@
             counts[second][kind] += 1;
             latency[second].push(f64::from(one.took_ms));
         }
-        TriesBySecond { counts, latency: latency.iter_mut().map(median_and_p99).collect() }
+        TriesBySecond { counts, latency: latency.iter_mut().map(|times| median_and_p99(times)).collect() }
     }
 
     /// What no run may have any of.
@@ -239,7 +239,7 @@
 }
 
 /// The median and the 99th percentile; 0 where there is nothing.
-fn median_and_p99(times: &mut Vec<f64>) -> [f64; 2] {
+fn median_and_p99(times: &mut [f64]) -> [f64; 2] {
     times.sort_by(f64::total_cmp);
     let last = times.len().saturating_sub(1);
     let at = |q: f64| times.get(((times.len() as f64 * q) as usize).min(last)).copied().unwrap_or(0.0);
--- a/lab/src/run/site.rs
+++ b/lab/src/run/site.rs
@@ -4,7 +4,7 @@
 use super::gateway::{GatewayProcess, LogObserver, STARTS_WITHIN};
 use super::health::{counters, ready};
 use super::Wanted;
-use crate::boxes::{Portal, Records, Registry};
+use crate::boxes::{Discovery, Records, UpstreamHost};
 use crate::load::PLANS;
 use crate::rig::faults::Rig;
 use crate::scenario::Scenario;
@@ -28,8 +28,8 @@
 /// Everything that a run has started.
 pub(super) struct Site {
     records: Arc<Mutex<Records>>,
-    pub(super) hosts: Vec<Arc<Portal>>,
-    pub(super) registry: Arc<Registry>,
+    pub(super) hosts: Vec<Arc<UpstreamHost>>,
+    pub(super) discovery: Arc<Discovery>,
     pub(super) rig: Option<Rig>,
     pub(super) gateways: Vec<GatewayProcess>,
     pub(super) folder: PathBuf,
@@ -52,12 +52,12 @@
     pub(super) async fn start(scenario: &Scenario, wanted: &Wanted) -> Result<Self, String> {
         let records = Arc::new(Mutex::new(Records::default()));
         let hosts = start_hosts(scenario, wanted.seed, &records).await?;
-        let registry =
-            Registry::start(hosts.clone()).await.map_err(|e| format!("discovery cannot start: {e}"))?;
+        let discovery =
+            Discovery::start(hosts.clone()).await.map_err(|e| format!("discovery cannot start: {e}"))?;
         let plan = scenario.rig.as_ref().filter(|_| !scenario.bare);
-        let rig = plan.map(|plan| Rig::start(plan, scenario.gateways, registry.address, wanted.seed));
+        let rig = plan.map(|plan| Rig::start(plan, scenario.gateways, discovery.address, wanted.seed));
         let folder = wanted.folder.clone();
-        let mut site = Self { records, hosts, registry, rig, gateways: Vec::new(), folder };
+        let mut site = Self { records, hosts, discovery, rig, gateways: Vec::new(), folder };
         site.start_gateways(scenario, wanted).await?;
         if let Some(rig) = &mut site.rig {
             rig.first_agreed(scenario.gateways).await?;
@@ -108,7 +108,7 @@
             log,
             config: folder.join(format!("config-{number}.json")),
         };
-        let config = configuration(scenario, number, &self.registry, wanted.seed, rig)?;
+        let config = configuration(scenario, number, &self.discovery, wanted.seed, rig)?;
         files.create(&config, operator.as_deref())?;
         if scenario.keys && number == 0 {
             write_keys(folder, &KEYS[..1])?;
@@ -181,14 +181,14 @@
     scenario: &Scenario,
     seed: u64,
     records: &Arc<Mutex<Records>>,
-) -> Result<Vec<Arc<Portal>>, String> {
+) -> Result<Vec<Arc<UpstreamHost>>, String> {
     let rates: HashMap<String, (f64, f64)> =
         PLANS.iter().map(|(name, rate, burst)| (name.to_string(), (*rate, *burst))).collect();
     let rates = Arc::new(rates);
     let mut hosts = Vec::new();
     for number in 0..scenario.boxes.count {
         let (set, records, rates) = (scenario.boxes.clone(), records.clone(), rates.clone());
-        let host = Portal::start(number, set, seed, records, rates).await;
+        let host = UpstreamHost::start(number, set, seed, records, rates).await;
         hosts.push(host.map_err(|e| format!("a box cannot start: {e}"))?);
     }
     Ok(hosts)
