Emulator: machines that join during a cut of the core are behind it

Change: cuts that last are kept by number with both their sides. A core machine that joins is cut from the machines behind each cut of core machines; one that joins in a zone that is cut off is behind that cut and counts as lost until it heals. Cuts of an edge machine or worker from some core machines stay as they are.

--- a/lab/src/emulator/faults/mod.rs
+++ b/lab/src/emulator/faults/mod.rs
@@ -318,15 +318,8 @@
 pub enum Ending {
     /// A machine goes on; the number tells its freezes apart.
     Thaw(Host, u64),
-    /// Cuts heal.
-    Heal {
-        /// Directions.
-        paths: Vec<Path>,
-        /// What was in trouble.
-        subjects: Vec<Subject>,
-        /// Core machines that were lost.
-        cores: Vec<usize>,
-    },
+    /// The cut of this number heals.
+    Heal(u64),
     /// Packets are no longer lost.
     PacketsPass {
         /// Directions.
--- a/lab/src/emulator/world/core_trouble.rs
+++ b/lab/src/emulator/world/core_trouble.rs
@@ -147,6 +147,7 @@
         self.cores.push(successor);
         let successor = self.cores.len() - 1;
         if planned {
+        self.extend_cuts_to(successor);
             self.core_changed();
             let until = self.start_core_at(successor, self.now);
             // The machine that goes counts as lost until its successor has caught up, and the successor then does not.
--- a/lab/src/emulator/world/cuts.rs
+++ b/lab/src/emulator/world/cuts.rs
@@ -10,6 +10,34 @@
 /// Edge machines that are restarted while the machines cut off come first among the seeds.
 const RESTARTED_EDGES: usize = 2;
 
+/// A cut that lasts: what it separates, and what is in trouble until it heals.
+pub(super) struct OpenCut {
+    inside: Vec<Host>,
+    outside: Vec<Host>,
+    /// The zone that is cut off as a whole; a machine that joins in it is behind the cut.
+    zone: Option<usize>,
+    direction: Direction,
+    /// Whether it also separates core machines that join meanwhile.
+    takes_in_joining: bool,
+    paths: Vec<Path>,
+    subjects: Vec<Subject>,
+    /// Core machines that count as lost.
+    cores: Vec<usize>,
+}
+
+impl OpenCut {
+    fn new(pairs: Vec<(Host, Host)>, direction: Direction) -> OpenCut {
+        let paths = pairs.iter().flat_map(|(one, other)| paths(*one, *other, direction)).collect();
+        let (mut inside, mut outside): (Vec<Host>, Vec<Host>) = pairs.into_iter().unzip();
+        for side in [&mut inside, &mut outside] {
+            side.sort_unstable();
+            side.dedup();
+        }
+        let (subjects, cores) = (Vec::new(), Vec::new());
+        OpenCut { inside, outside, zone: None, direction, takes_in_joining: true, paths, subjects, cores }
+    }
+}
+
 impl World {
     /// Core machines are cut off from the others, and from other machines as far as the cut reaches.
     pub(super) fn partition(&mut self, partition: Partition) -> Outcome {
@@ -21,13 +49,11 @@
         let Partition { direction, for_ms, .. } = partition;
         let beyond = self.machines_beyond(&cut_off, partition.reach);
         let pairs = cut_off.iter().flat_map(|core| beyond.iter().map(move |host| (*core, *host)));
-        let pairs: Vec<(usize, Host)> =
-            pairs.filter(|(core, host)| self.reaches(partition, *core, *host)).collect();
-        let paths = pairs.into_iter().flat_map(|(core, host)| paths(Host::Core(core), host, direction));
-        let paths: Vec<Path> = paths.collect();
+        let pairs = pairs.filter(|(core, host)| self.reaches(partition, *core, *host));
+        let pairs = pairs.map(|(core, host)| (Host::Core(core), host)).collect();
         cut_off.iter().for_each(|core| self.lost.begin(*core));
         self.calm.touch(self.now, Subject::Core);
-        self.cut(paths, Vec::new(), cut_off.clone(), for_ms);
+        self.cut(OpenCut { cores: cut_off.clone(), ..OpenCut::new(pairs, direction) }, for_ms);
         for core in &cut_off {
             self.cut_off.entry(*core).or_insert(self.now);
         }
@@ -133,9 +159,8 @@
         self.calm.touch(self.now, Subject::Core);
         subjects.iter().for_each(|subject| self.calm.begin(*subject));
         let pairs = cut_off.iter().flat_map(|one| others.iter().map(move |other| (*one, *other)));
-        let paths =
-            pairs.flat_map(|(one, other)| paths(Host::Core(one), Host::Core(other), direction)).collect();
-        self.cut(paths, subjects, lost, for_ms);
+        let pairs = pairs.map(|(one, other)| (Host::Core(one), Host::Core(other))).collect();
+        self.cut(OpenCut { subjects, cores: lost, ..OpenCut::new(pairs, direction) }, for_ms);
         Outcome::Begun
     }
 
@@ -147,32 +172,57 @@
         let all = all.chain((0..self.workers.len()).map(Host::Worker)).chain([Host::Operator]);
         let (zone_hosts, others): (Vec<Host>, Vec<Host>) = all.partition(|host| inside(self, host));
         let pairs = zone_hosts.iter().flat_map(|one| others.iter().map(move |other| (*one, *other)));
-        let paths = pairs.flat_map(|(one, other)| paths(one, other, Direction::Both)).collect();
+        let pairs = pairs.collect();
         cores.iter().for_each(|core| self.lost.begin(*core));
         let subjects: Vec<Subject> =
             zone_hosts.iter().filter(|host| !host.is_core()).map(|host| Subject::Machine(*host)).collect();
         subjects.iter().for_each(|subject| self.calm.begin(*subject));
         self.calm.touch(self.now, Subject::Core);
-        self.cut(paths, subjects, cores, for_ms);
+        let cut = OpenCut { zone: Some(zone), subjects, cores, ..OpenCut::new(pairs, Direction::Both) };
+        self.cut(cut, for_ms);
     }
 
-    fn cut(&mut self, paths: Vec<Path>, subjects: Vec<Subject>, cores: Vec<usize>, for_ms: u64) {
+    fn cut(&mut self, cut: OpenCut, for_ms: u64) {
         self.calm.begin(Subject::Links);
-        paths.iter().for_each(|path| self.network.cut(*path));
-        let ending = Ending::Heal { paths, subjects, cores };
-        self.events.add(self.now + for_ms, Event::FaultEnds(ending));
+        cut.paths.iter().for_each(|path| self.network.cut(*path));
+        let number = self.next_cut;
+        self.next_cut += 1;
+        self.open_cuts.insert(number, cut);
+        self.events.add(self.now + for_ms, Event::FaultEnds(Ending::Heal(number)));
+    }
+
+    /// A core machine joins: it is behind each cut that separates core machines from all others, or its zone from them.
+    pub(super) fn extend_cuts_to(&mut self, core: usize) {
+        let (host, zone) = (Host::Core(core), self.cores[core].zone);
+        for cut in self.open_cuts.values_mut().filter(|cut| cut.takes_in_joining) {
+            let joins_inside = cut.zone == Some(zone);
+            let others = if joins_inside { &cut.outside } else { &cut.inside };
+            let pair = |other: &Host| if joins_inside { (host, *other) } else { (*other, host) };
+            let pairs = others.iter().map(pair);
+            let more: Vec<Path> = pairs.flat_map(|(one, other)| paths(one, other, cut.direction)).collect();
+            more.iter().for_each(|path| self.network.cut(*path));
+            cut.paths.extend(more);
+            if joins_inside {
+                self.lost.begin(core);
+                cut.cores.push(core);
+            }
+            let side = if joins_inside { &mut cut.inside } else { &mut cut.outside };
+            side.push(host);
+        }
     }
 
     /// A machine is cut from core machines by bits.
     pub(super) fn cut_from_cores(&mut self, host: Host, cores: u32, direction: Direction, for_ms: u64) {
         let cut_from = self.present_cores().into_iter().filter(|core| cores >> (core % 32) & 1 == 1);
-        let paths = cut_from.flat_map(|core| paths(host, Host::Core(core), direction)).collect();
+        let pairs = cut_from.map(|core| (host, Host::Core(core))).collect();
         self.calm.begin(Subject::Machine(host));
-        self.cut(paths, vec![Subject::Machine(host)], Vec::new(), for_ms);
+        let subjects = vec![Subject::Machine(host)];
+        self.cut(OpenCut { subjects, takes_in_joining: false, ..OpenCut::new(pairs, direction) }, for_ms);
     }
 
-    /// Cuts end.
-    pub(super) fn heal(&mut self, paths: Vec<Path>, subjects: &[Subject], cores: &[usize]) {
+    /// A cut ends.
+    pub(super) fn heal(&mut self, number: u64) {
+        let Some(OpenCut { paths, subjects, cores, .. }) = self.open_cuts.remove(&number) else { return };
         if !cores.is_empty() {
             self.calm.touch(self.now, Subject::Core);
         }
@@ -183,11 +233,11 @@
                 self.events.add(at, Event::Deliver(delivery));
             }
         }
-        for core in cores {
+        for core in &cores {
             self.cut_off.remove(core);
         }
         self.calm.end(self.now, Subject::Links);
-        self.ended(subjects, cores);
+        self.ended(&subjects, &cores);
     }
 
     /// Packets between all core machines are lost.
--- a/lab/src/emulator/world/mod.rs
+++ b/lab/src/emulator/world/mod.rs
@@ -28,6 +28,7 @@
 use super::site::{Bounds, Sizes};
 use core_machine::CoreMachine;
 use edge_machine::EdgeMachine;
+use cuts::OpenCut;
 use lost::Lost;
 use operator_calls::OpenCall;
 use std::collections::{BTreeMap, VecDeque};
@@ -108,6 +109,9 @@
     /// Core machines that are cut off from a majority, since when.
     cut_off: BTreeMap<usize, u64>,
     /// What was played, by name.
+    /// Cuts that last, by number.
+    open_cuts: BTreeMap<u64, OpenCut>,
+    next_cut: u64,
     pub played: BTreeMap<String, u64>,
     /// What was measured.
     pub figures: Figures,
@@ -169,6 +173,8 @@
             played: BTreeMap::new(),
             figures: Figures::default(),
             flaw_state: flaw::FlawState::default(),
+            open_cuts: BTreeMap::new(),
+            next_cut: 0,
             reads: 0,
             all_down_since: None,
             handled: 0,
--- a/lab/src/emulator/world/trouble.rs
+++ b/lab/src/emulator/world/trouble.rs
@@ -178,7 +178,7 @@
         self.tell(|| format!("ends: {ending:?}"));
         match ending {
             Ending::Thaw(host, number) => self.thaw(host, number),
-            Ending::Heal { paths, subjects, cores } => self.heal(paths, &subjects, &cores),
+            Ending::Heal(number) => self.heal(number),
             Ending::PacketsPass { paths, subjects, cores } => {
                 paths.iter().for_each(|path| self.network.end_loss(*path));
                 self.calm.end(self.now, Subject::Links);
