Emulator: SIGTERM of a core node is played as the program handles it

Change: rolls and planned replacements send SIGTERM, alone or while the machine answers a call. Checker LeavesAfterSuccession: a node goes by itself only where the settled electorate does without it or no other running replica could take its vote. Planted fault LeavesAtOnce: a node that goes as soon as it is told to.

--- a/lab/src/emulator/checkers/electorate.rs
+++ b/lab/src/emulator/checkers/electorate.rs
@@ -65,6 +65,17 @@
         }
     }
 
+    /// A node that was told to end goes by itself. `others` are the replicas that run, stay and are known to it: none of them
+    /// may be without a vote while the electorate counts the one that goes, for that one's place is theirs.
+    pub fn goes(&self, now: u64, replica: u64, others: &BTreeSet<u64>, violations: &mut Violations) {
+        let Some((_, electorate)) = self.chosen.as_ref() else { return };
+        let has_successor = others.iter().any(|other| !electorate.contains(ReplicaId(*other)));
+        if electorate.contains(ReplicaId(replica)) && has_successor {
+            let detail = format!("replica {replica:016x} goes while it votes and another could in its place");
+            violations.add(now, Rule::LeavesAfterSuccession, detail);
+        }
+    }
+
     fn bears_loss(&self, members: &[Member], living: &BTreeMap<u64, usize>) -> bool {
         let zones: Vec<usize> =
             members.iter().filter_map(|member| living.get(&member.id.0)).copied().collect();
--- a/lab/src/emulator/checkers/mod.rs
+++ b/lab/src/emulator/checkers/mod.rs
@@ -66,6 +66,8 @@
     ReadableAtEnd,
     /// A core machine that is cut off falls silent.
     CutOffIsSilent,
+    /// A core node that was told to end goes only when the electorate does without it, or nobody is there in its place.
+    LeavesAfterSuccession,
     /// While nothing is lost, the electorate bears the loss that is to be borne.
     ElectorateBearsLoss,
     /// After all core machines were down the system works again in time.
--- a/lab/src/emulator/faults/draw.rs
+++ b/lab/src/emulator/faults/draw.rs
@@ -125,8 +125,9 @@
 
 fn of_core(random: &mut fastrand::Rng) -> Fault {
     let core = pick(random);
-    match random.u32(0..26) {
+    match random.u32(0..28) {
         0 | 1 => Fault::KillCore { core },
+        26 | 27 => Fault::TerminateCore { core, busy: random.bool() },
         2 => Fault::PowerOffCore { core },
         3 | 4 => Fault::FreezeCore { core, for_ms: lasting(random) },
         5 => Fault::SlowCore { core, for_ms: lasting(random).min(3_000) },
@@ -137,7 +138,7 @@
         15 | 16 => Fault::TroubleDisk { core, condition: disk_condition(random), for_ms: lasting(random) },
         17 => Fault::CutCore { side: random.u32(..), direction: direction(random), for_ms: lasting(random) },
         18..=23 => Fault::Partition(partition(random)),
-        24 => Fault::RollCores { gap_ms: random.u64(800..1_500) },
+        24 => Fault::RollCores { gap_ms: random.u64(800..1_500), busy: random.bool() },
         _ => Fault::LosePacketsInCore { for_ms: lasting(random) },
     }
 }
--- a/lab/src/emulator/faults/kind.rs
+++ b/lab/src/emulator/faults/kind.rs
@@ -13,6 +13,9 @@
                 kinds = fault.kinds();
                 kinds.extend(company.circumstances().map(str::to_owned));
             }
+            Fault::TerminateCore { busy: true, .. } | Fault::RollCores { busy: true, .. } => {
+                kinds.push("SIGTERM: while it answers a call".to_owned())
+            }
             _ => {}
         }
         kinds
@@ -21,6 +24,7 @@
     fn kind(&self) -> &'static str {
         match self {
             Fault::KillCore { .. } => "core machine killed",
+            Fault::TerminateCore { .. } => "core machine gets SIGTERM",
             Fault::PowerOffCore { .. } => "core machine loses power",
             Fault::FreezeCore { .. } => "core machine frozen",
             Fault::SlowCore { .. } => "core machine slow",
@@ -76,6 +80,7 @@
     pub(super) fn pick(&self) -> Option<Pick> {
         match self {
             Fault::KillCore { core }
+            | Fault::TerminateCore { core, .. }
             | Fault::PowerOffCore { core }
             | Fault::FreezeCore { core, .. }
             | Fault::SlowCore { core, .. }
--- a/lab/src/emulator/faults/mod.rs
+++ b/lab/src/emulator/faults/mod.rs
@@ -88,11 +88,18 @@
 /// A fault.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Fault {
-    /// A core node is killed, or ended by SIGTERM, which it does not tell apart, and started again.
+    /// A core node is killed and started again.
     KillCore {
         /// Which one.
         core: Pick,
     },
+    /// A core node gets SIGTERM, ends as soon as it may, at the latest by SIGKILL, and is started again.
+    TerminateCore {
+        /// Which one.
+        core: Pick,
+        /// Whether it gets the signal while it answers the next call.
+        busy: bool,
+    },
     /// A core machine loses power for some time.
     PowerOffCore {
         /// Which one.
@@ -123,7 +130,7 @@
     ReplaceCore {
         /// Which one.
         core: Pick,
-        /// Whether the new one starts first, and the old one is ended a second or two later.
+        /// Whether the new one starts first, and the old one gets SIGTERM a second or two later.
         planned: bool,
     },
     /// All core nodes are killed at once.
@@ -132,8 +139,10 @@
     PowerOffAllCores,
     /// All machines lose power at once, workers excepted.
     PowerOffAll,
-    /// Each core node in turn is ended and started again.
+    /// Each core node in turn gets SIGTERM and is started again after its end.
     RollCores {
+        /// Whether each gets the signal while it answers a call.
+        busy: bool,
         /// Time in milliseconds between two of them.
         gap_ms: u64,
     },
@@ -333,8 +342,12 @@
     DiskIsWell(usize),
     /// A machine runs at its speed again.
     FullSpeed(usize),
-    /// A planned replacement: the old machine is ended.
+    /// A planned replacement: the old machine gets SIGTERM.
     Replaced(usize),
+    /// A process that was told to end is over by itself, in one life.
+    ProcessEnds(usize, u32),
+    /// `graceS` after SIGTERM: SIGKILL, in one life.
+    GraceOver(usize, u32),
     /// Processes get the usual seeds.
     UsualSeeds,
     /// Workers report to any core machine.
--- a/lab/src/emulator/site.rs
+++ b/lab/src/emulator/site.rs
@@ -54,6 +54,8 @@
     pub lease_ms: u64,
     /// Time after a thaw or the end of a cut in which orders are not judged.
     pub thaw_ms: u64,
+    /// Time from SIGTERM to SIGKILL.
+    pub grace_ms: u64,
     /// Window of the ceiling of loads.
     pub ceiling_window_ms: u64,
     /// How far the list of core machines that callers use lags behind.
@@ -75,6 +77,7 @@
             recovery_ms: 12_000,
             lease_ms: 3_000,
             thaw_ms: 300,
+            grace_ms: 8_000,
             ceiling_window_ms: 5_000,
             seed_lag_ms: 3_000,
             heartbeat_ms: 1_200,
--- a/lab/src/emulator/world/core_machine.rs
+++ b/lab/src/emulator/world/core_machine.rs
@@ -1,6 +1,7 @@
 //! Core machines: their processes start and end, their disks write.
 
 use super::core_process::{Connections, CoreProcess};
+use super::leaving::Leaving;
 use super::{Event, Message, World};
 use crate::emulator::calm::Subject;
 use crate::emulator::disk::{Disk, DiskCondition, DiskFlaw, Identity};
@@ -41,6 +42,12 @@
     pub(super) disk_since: u64,
     /// Identity of the replica on its disk.
     replica: Option<u64>,
+    /// When its process started.
+    pub(super) running_since: u64,
+    /// What its process makes of a SIGTERM, if it got one.
+    pub(super) leaving: Option<Leaving>,
+    /// Whether it goes for good once its process has ended.
+    pub(super) is_removed: bool,
     /// Whether the process was started before: the system is not started for the first time.
     started_before: bool,
 }
@@ -58,6 +65,9 @@
             zone,
             disk_since: 0,
             replica: None,
+            running_since: 0,
+            leaving: None,
+            is_removed: false,
             started_before: false,
         }
     }
@@ -88,6 +98,10 @@
         if matches!(self.cores[core].power, Power::Running | Power::Gone) {
             return;
         }
+        if self.cores[core].is_removed {
+            self.take_away(core);
+            return;
+        }
         let seeds = self.seeds();
         let address = Host::Core(core).address();
         let bootstrap = !self.cores[core].started_before;
@@ -129,6 +143,7 @@
         }
         machine.life += 1;
         machine.power = Power::Running;
+        machine.running_since = self.now;
         machine.process = Some(CoreProcess::new(ControlNode::new(self.now, settings, records, genesis)));
         let life = machine.life;
         self.events.add(self.now, Event::CoreTick(core, life));
@@ -137,7 +152,7 @@
         self.note_all_back();
     }
 
-    fn note_all_back(&mut self) {
+    pub(super) fn note_all_back(&mut self) {
         if self.all_down_since.is_some() && self.all_cores_run() {
             self.all_down_since = None;
             self.calm.end(self.now, Subject::Core);
@@ -164,6 +179,9 @@
             println!("{:>6} core-{core} stops: {power:?}", self.now);
         }
         let process = machine.process.take();
+        if machine.leaving.take().is_some() {
+            self.lost.end(core, self.now + self.bounds.catch_up_ms);
+        }
         self.calm.touch(self.now, Subject::Core);
         if let Some(process) = process.filter(|_| power != Power::Off) {
             self.reset_connections(core, life, process.connections);
--- a/lab/src/emulator/world/core_process.rs
+++ b/lab/src/emulator/world/core_process.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// Whether the node may go after SIGTERM.
+    pub(super) fn may_leave(&self, now: u64) -> bool {
+        self.node.may_leave(now)
+    }
+
     fn new_number(&mut self) -> u64 {
         self.next += 1;
         self.next
@@ -86,6 +91,9 @@
 
     /// Hands an input to a core node and carries out what it returns.
     pub(super) fn core_input(&mut self, core: usize, input: Input) {
+        if self.lingers(core) {
+            return;
+        }
         let Some(process) = self.cores[core].process.as_mut() else { return };
         let before = process.node.revision();
         let outputs = process.node.handle(self.now, input);
@@ -97,6 +105,7 @@
             self.core_output(core, output);
         }
         self.start_disk(core);
+        self.end_if_it_may(core);
     }
 
     fn core_output(&mut self, core: usize, output: Output) {
@@ -342,6 +351,7 @@
         let id = CallId(process.new_number());
         process.connections.calls.insert(id, caller);
         self.core_input(core, Input::Call(id, call));
+        self.terminate_if_busy(core, id);
     }
 }
 
--- a/lab/src/emulator/world/core_trouble.rs
+++ b/lab/src/emulator/world/core_trouble.rs
@@ -28,6 +28,7 @@
     pub(super) fn apply_to_core(&mut self, fault: &Fault) -> Option<Outcome> {
         Some(match *fault {
             Fault::KillCore { core } => self.stop_one(core, Power::Idle),
+            Fault::TerminateCore { core, busy } => self.terminate_one(core, busy),
             Fault::PowerOffCore { core } => self.stop_one(core, Power::Off),
             Fault::FreezeCore { core, for_ms } => self.freeze_core(core, for_ms),
             Fault::SlowCore { core, for_ms } => self.slow_core(core, for_ms),
@@ -39,7 +40,7 @@
                 (0..self.edges.len()).for_each(|edge| self.power_off_edge(edge));
                 self.stop_all_cores(Power::Off, None)
             }
-            Fault::RollCores { gap_ms } => self.roll_cores(gap_ms),
+            Fault::RollCores { gap_ms, busy } => self.roll_cores(gap_ms, busy),
             Fault::LoseZone { zone, cut, for_ms } => self.lose_zone(zone, cut, for_ms),
             Fault::ResetCore { core } => self.reset_core(core),
             Fault::TroubleDisk { core, condition, for_ms } => self.trouble_disk(core, condition, for_ms),
@@ -146,8 +147,8 @@
         let successor = CoreMachine::joining(self.now, zone, self.plan.sizes.sync_ms, self.disk_flaw());
         self.cores.push(successor);
         let successor = self.cores.len() - 1;
-        if planned {
         self.extend_cuts_to(successor);
+        if planned {
             self.core_changed();
             let until = self.start_core_at(successor, self.now);
             // The machine that goes counts as lost until its successor has caught up, and the successor then does not.
@@ -165,8 +166,11 @@
     pub(super) fn take_away(&mut self, core: usize) {
         self.thaw_at_once(Host::Core(core));
         self.stop_core(core, Power::Gone);
-        self.figures.core_lost(self.now, core);
+        if !self.cores[core].is_removed {
+            self.figures.core_lost(self.now, core);
+        }
         self.core_changed();
+        self.note_all_back();
     }
 
     fn disk_flaw(&self) -> Option<DiskFlaw> {
@@ -199,10 +203,10 @@
         }
     }
 
-    fn roll_cores(&mut self, gap_ms: u64) -> Outcome {
+    fn roll_cores(&mut self, gap_ms: u64, busy: bool) -> Outcome {
         for (turn, core) in self.present_cores().into_iter().enumerate() {
             let at = self.now + gap_ms * turn as u64;
-            self.add_fault(at, Fault::KillCore { core: Pick::Number(core) });
+            self.add_fault(at, Fault::TerminateCore { core: Pick::Number(core), busy });
         }
         Outcome::Begun
     }
--- a/lab/src/emulator/world/flaw.rs
+++ b/lab/src/emulator/world/flaw.rs
@@ -56,6 +56,8 @@
     DrainsAlone,
     /// Core nodes never acknowledge the ends of workers.
     EndsUnacknowledged,
+    /// Core nodes go as soon as they are told to end.
+    LeavesAtOnce,
     /// Core machines that replace others are not heard by them.
     SuccessorsUnheard,
     /// Workers have half of the room that the configuration says.
--- a/lab/src/emulator/world/message.rs
+++ b/lab/src/emulator/world/message.rs
@@ -65,6 +65,8 @@
     DiskDone(usize, u32),
     /// A core node's exchange with a worker has taken too long.
     ExchangeOver(usize, u32, CallNumber),
+    /// A core node's process handles SIGTERM, in one life.
+    Terminated(usize, u32),
     /// A core machine starts.
     CoreStart(usize),
     /// An agent's tick, in one life.
@@ -124,9 +126,10 @@
     /// The machine on which the event happens; none for what no freeze delays.
     pub fn host(&self) -> Option<Host> {
         match self {
-            Event::CoreTick(core, _) | Event::DiskDone(core, _) | Event::ExchangeOver(core, _, _) => {
-                Some(Host::Core(*core))
-            }
+            Event::CoreTick(core, _)
+            | Event::DiskDone(core, _)
+            | Event::ExchangeOver(core, _, _)
+            | Event::Terminated(core, _) => Some(Host::Core(*core)),
             Event::AgentTick(edge, _)
             | Event::DataPlaneTick(edge, _)
             | Event::Feed(edge, ..)
--- a/lab/src/emulator/world/mod.rs
+++ b/lab/src/emulator/world/mod.rs
@@ -7,6 +7,7 @@
 mod edge_machine;
 mod edge_trouble;
 mod flaw;
+mod leaving;
 mod lost;
 mod message;
 mod operator_calls;
@@ -27,11 +28,11 @@
 use super::queue::EventQueue;
 use super::site::{Bounds, Sizes};
 use core_machine::CoreMachine;
-use edge_machine::EdgeMachine;
 use cuts::OpenCut;
+use edge_machine::EdgeMachine;
 use lost::Lost;
 use operator_calls::OpenCall;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use worker_place::WorkerPlace;
 
 /// Time in milliseconds between two looks of the checkers.
@@ -108,15 +109,17 @@
     late_heartbeats: BTreeMap<usize, u32>,
     /// Core machines that are cut off from a majority, since when.
     cut_off: BTreeMap<usize, u64>,
-    /// What was played, by name.
     /// Cuts that last, by number.
     open_cuts: BTreeMap<u64, OpenCut>,
     next_cut: u64,
+    /// What was played, by name.
     pub played: BTreeMap<String, u64>,
     /// What was measured.
     pub figures: Figures,
     flaw_state: flaw::FlawState,
     all_down_since: Option<u64>,
+    /// Core machines that get SIGTERM while they answer the next call.
+    terminate_when_busy: BTreeSet<usize>,
     /// Configurations that the operator's readings were answered with.
     pub reads: u64,
     /// Events handled so far.
@@ -170,13 +173,14 @@
             seeds_first: (0, Vec::new()),
             late_heartbeats: BTreeMap::new(),
             cut_off: BTreeMap::new(),
+            open_cuts: BTreeMap::new(),
+            next_cut: 0,
             played: BTreeMap::new(),
             figures: Figures::default(),
             flaw_state: flaw::FlawState::default(),
-            open_cuts: BTreeMap::new(),
-            next_cut: 0,
             reads: 0,
             all_down_since: None,
+            terminate_when_busy: BTreeSet::new(),
             handled: 0,
             trace: 0,
             random,
@@ -234,6 +238,7 @@
             Event::CoreTick(core, life) => self.core_tick(core, life),
             Event::DiskDone(core, life) => self.disk_done(core, life),
             Event::ExchangeOver(core, life, number) => self.exchange_over(core, life, number),
+            Event::Terminated(core, life) => self.handle_termination(core, life),
             Event::CoreStart(core) => self.start_core(core),
             Event::AgentTick(edge, life) => self.agent_tick(edge, life),
             Event::DataPlaneTick(edge, life) => self.data_plane_tick(edge, life),
@@ -320,6 +325,10 @@
         }
     }
 
+    fn count_played(&mut self, kind: &str) {
+        *self.played.entry(kind.to_owned()).or_default() += 1;
+    }
+
     fn note(&mut self, value: u64) {
         self.trace = (self.trace.rotate_left(5) ^ value ^ self.now).wrapping_mul(0x0100_0000_01b3);
     }
--- a/lab/src/emulator/world/trouble.rs
+++ b/lab/src/emulator/world/trouble.rs
@@ -192,7 +192,9 @@
             Ending::FullSpeed(core) => {
                 self.ended(&[Subject::Core, Subject::Machine(Host::Core(core))], &[core])
             }
-            Ending::Replaced(core) => self.take_away(core),
+            Ending::Replaced(core) => self.remove_core(core),
+            Ending::ProcessEnds(core, life) => self.leaving_over(core, life, false),
+            Ending::GraceOver(core, life) => self.leaving_over(core, life, true),
             Ending::UsualSeeds => self.seeds_first.0 -= 1,
             Ending::NoLure => (0..self.workers.len()).for_each(|place| self.lure_worker(place, None)),
             Ending::HeartbeatsInTime(place) => self.set_late_heartbeats(place, false),
--- a/lab/tests/emulator_flaws.rs
+++ b/lab/tests/emulator_flaws.rs
@@ -71,6 +71,10 @@
     vec![(6_000, Fault::ReplaceCore { core: Pick::Number(0), planned: false })]
 }
 
+fn replaced_as_planned() -> Vec<(u64, Fault)> {
+    vec![(6_000, Fault::ReplaceCore { core: Pick::Number(0), planned: true })]
+}
+
 fn leaving() -> Vec<(u64, Fault)> {
     vec![(7_000, Fault::DrainWorker { place: 2 }), (9_000, Fault::DeregisterWorker { place: 3 })]
 }
@@ -128,6 +132,12 @@
     Rule::ReadyOnNewest
 )]
 #[case::a_successor_that_nobody_hears(Flaw::SuccessorsUnheard, THREE, replaced(), Rule::ElectorateBearsLoss)]
+#[case::a_node_that_leaves_at_once(
+    Flaw::LeavesAtOnce,
+    THREE,
+    replaced_as_planned(),
+    Rule::LeavesAfterSuccession
+)]
 #[gtest]
 fn a_planted_fault_is_noticed(
     #[case] flaw: Flaw,
