Emulator: behind, split, relieve, refuse, giver, and faults after a worker's order

Change: LeaveBehind cuts off as many machines as may be lost while changes are made; as the cut heals one of the others loses its disk and the rest are dark. SplitCore parts the core in halves. A cut may refuse new connections, and may be followed by the kill of all other core processes. Pick::Giver, AfterOrder. Where the machines behind a cut of bits may be lost, the silence checker watches them too. Each has a script with a planted fault in lab/tests/emulator_flaws.rs.

--- a/lab/src/emulate.rs
+++ b/lab/src/emulate.rs
@@ -1,7 +1,7 @@
 //! The commands of the emulator: seeds, one seed told, and measured bounds.
 
 use std::collections::BTreeMap;
-use switchhill_lab::emulator::faults::{Company, Direction, Fault, Partition, Pick, PlannedFault, Reach};
+use switchhill_lab::emulator::faults::{Company, Fault, Partition, Pick, PlannedFault, Reach};
 use switchhill_lab::emulator::figures::Figures;
 use switchhill_lab::emulator::site::Sizes;
 use switchhill_lab::emulator::{self, Plan, Report};
@@ -150,16 +150,7 @@
         figures
     };
     let cut = |reach| {
-        let partition = Partition {
-            core: Pick::Leader,
-            count: 1,
-            reach,
-            direction: Direction::Both,
-            reset: false,
-            seeds: false,
-            both: false,
-            for_ms: 20_000,
-        };
+        let partition = Partition { reach, ..Partition::of_one(Pick::Leader, 20_000) };
         let company = Company { meet: true, race: true, hard: true, drain: true, lure: true };
         let cut = Fault::Accompanied(Box::new(Fault::Partition(partition)), company);
         vec![(BOUNDS_FROM, Fault::AfterSending(Box::new(cut)))]
--- a/lab/src/emulator/faults/draw.rs
+++ b/lab/src/emulator/faults/draw.rs
@@ -91,7 +91,8 @@
 
 fn triggered(random: &mut fastrand::Rng, fault: fn(&mut fastrand::Rng) -> Fault) -> Fault {
     let fault = Box::new(fault(random));
-    match random.u32(0..5) {
+    match random.u32(0..6) {
+        5 => Fault::AfterOrder(fault),
         0 | 1 => Fault::AfterAcknowledgement(fault),
         2 | 3 => Fault::AfterSending(fault),
         _ => Fault::AfterEnd(fault),
@@ -125,7 +126,9 @@
 
 fn of_core(random: &mut fastrand::Rng) -> Fault {
     let core = pick(random);
-    match random.u32(0..28) {
+    match random.u32(0..31) {
+        28 => Fault::SplitCore { for_ms: lasting(random) },
+        29 | 30 => Fault::LeaveBehind { core, dark_ms: lasting(random) },
         0 | 1 => Fault::KillCore { core },
         26 | 27 => Fault::TerminateCore { core, busy: random.bool() },
         2 => Fault::PowerOffCore { core },
@@ -155,6 +158,8 @@
         reach,
         direction: direction(random),
         reset: random.u32(0..4) == 0,
+        refuse: random.u32(0..6) == 0,
+        relieve: random.u32(0..6) == 0,
         seeds: random.u32(0..4) == 0,
         both: random.u32(0..8) == 0,
         for_ms: lasting(random),
@@ -178,7 +183,8 @@
     let for_ms = lasting(random);
     match random.u32(0..18) {
         0 => Fault::LoseEdge { edge },
-        1..=4 => Fault::CutEdge { edge, cores: random.u32(..), direction: direction(random), for_ms },
+        1 => Fault::CutEdge { edge, cores: u32::MAX, direction: direction(random), for_ms },
+        2..=4 => Fault::CutEdge { edge, cores: random.u32(..), direction: direction(random), for_ms },
         5 | 6 => Fault::LosePacketsOfEdge { edge, for_ms },
         7 | 8 => Fault::FreezeEdge { edge, for_ms },
         9 | 10 => Fault::ResetEdge { edge },
@@ -210,7 +216,8 @@
 }
 
 fn pick(random: &mut fastrand::Rng) -> Pick {
-    match random.u32(0..10) {
+    match random.u32(0..11) {
+        10 => Pick::Giver,
         0 | 1 => Pick::Leader,
         2 => Pick::Reader,
         3 => Pick::Turn,
--- a/lab/src/emulator/faults/kind.rs
+++ b/lab/src/emulator/faults/kind.rs
@@ -45,6 +45,8 @@
             Fault::CutCore { .. } => "core cut in two",
             Fault::Partition(partition) if partition.for_ms >= 20_000 => "core machines cut off for 20 s",
             Fault::Partition(_) => "core machines cut off",
+            Fault::SplitCore { .. } => "core split in halves",
+            Fault::LeaveBehind { .. } => "core machines left behind",
             Fault::LosePacketsInCore { .. } => "packets lost within the core",
             Fault::TurnOverSeeds { .. } => "other seeds",
             Fault::CutEdge { .. } => "edge machine cut off",
@@ -72,6 +74,7 @@
             Fault::Accompanied(..) => "accompanied",
             Fault::AfterAcknowledgement(_) => "right after an acknowledgement",
             Fault::AfterSending(_) => "5 to 400 ms after a change was sent",
+            Fault::AfterOrder(_) => "right after a worker took an order",
             Fault::AfterEnd(_) => "right after a worker's end was acknowledged",
         }
     }
@@ -82,6 +85,7 @@
             Fault::KillCore { core }
             | Fault::TerminateCore { core, .. }
             | Fault::PowerOffCore { core }
+            | Fault::LeaveBehind { core, .. }
             | Fault::FreezeCore { core, .. }
             | Fault::SlowCore { core, .. }
             | Fault::WipeCore { core, .. }
@@ -99,6 +103,7 @@
         match self {
             Pick::Number(_) => "any",
             Pick::Leader => "acted last",
+            Pick::Giver => "gave an order last",
             Pick::Reader => "answered a reading last",
             Pick::Turn => "struck least often",
             Pick::Oldest => "oldest disk",
@@ -118,6 +123,8 @@
             (true, reach),
             (self.direction != Direction::Both, "cut: one way"),
             (self.reset, "cut: with resets"),
+            (self.refuse, "cut: refuses connections"),
+            (self.relieve, "cut: the others killed as it heals"),
             (self.seeds, "cut: they are the new seeds"),
             (self.both, "cut: both sides restarted"),
         ];
--- a/lab/src/emulator/faults/mod.rs
+++ b/lab/src/emulator/faults/mod.rs
@@ -28,6 +28,8 @@
     Number(usize),
     /// The one that acknowledged a change or gave an order last.
     Leader,
+    /// The one that gave an order to a worker last.
+    Giver,
     /// The one that answered a reading last.
     Reader,
     /// The one that was struck least often.
@@ -62,6 +64,10 @@
     pub direction: Direction,
     /// Whether the connections are reset rather than silent.
     pub reset: bool,
+    /// Whether new connections are refused, and those that stand reset.
+    pub refuse: bool,
+    /// Whether changes are made meanwhile, and the processes of the other core machines are killed as the cut has healed.
+    pub relieve: bool,
     /// Whether processes that start meanwhile have the machines cut off for their first seeds, and some edge machines do.
     pub seeds: bool,
     /// Whether the machines that are cut off are restarted during the cut, and then the others.
@@ -70,6 +76,24 @@
     pub for_ms: u64,
 }
 
+impl Partition {
+    /// One machine is cut off from the other core machines in both directions, in silence.
+    pub fn of_one(core: Pick, for_ms: u64) -> Partition {
+        Partition {
+            core,
+            count: 1,
+            reach: Reach::Core,
+            direction: Direction::Both,
+            reset: false,
+            refuse: false,
+            relieve: false,
+            seeds: false,
+            both: false,
+            for_ms,
+        }
+    }
+}
+
 /// What happens around a fault of a core machine.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Company {
@@ -178,6 +202,19 @@
         /// For how long, in milliseconds.
         for_ms: u64,
     },
+    /// Half of the core machines are cut from the other half.
+    SplitCore {
+        /// For how long, in milliseconds.
+        for_ms: u64,
+    },
+    /// As many core machines as may be lost miss changes behind a cut; as it heals one of the others loses its disk and the
+    /// rest of them lose power.
+    LeaveBehind {
+        /// The first that is cut off.
+        core: Pick,
+        /// How long the rest are without power, in milliseconds.
+        dark_ms: u64,
+    },
     /// Core machines are cut off.
     Partition(Partition),
     /// Packets between all core machines are lost.
@@ -320,6 +357,8 @@
     AfterSending(Box<Fault>),
     /// A fault right after the end of a worker was acknowledged.
     AfterEnd(Box<Fault>),
+    /// A fault right after a worker took an order.
+    AfterOrder(Box<Fault>),
 }
 
 /// The end of a fault that lasts.
@@ -329,6 +368,13 @@
     Thaw(Host, u64),
     /// The cut of this number heals.
     Heal(u64),
+    /// Core machines have missed changes: those ahead of them go.
+    Behind {
+        /// Core machines that were cut off.
+        behind: Vec<usize>,
+        /// How long most of the others are without power, in milliseconds.
+        dark_ms: u64,
+    },
     /// Packets are no longer lost.
     PacketsPass {
         /// Directions.
--- a/lab/src/emulator/network.rs
+++ b/lab/src/emulator/network.rs
@@ -49,6 +49,8 @@
     Arrives(u64),
     /// It waits for the end of a cut.
     Held,
+    /// It is refused at a cut if it would open a connection, else it waits.
+    Refused,
 }
 
 /// The network; `M` is what it carries.
@@ -56,6 +58,7 @@
 pub struct Network<M> {
     random: fastrand::Rng,
     cuts: BTreeMap<Path, u32>,
+    refusing: BTreeMap<Path, u32>,
     lossy: BTreeMap<Path, u32>,
     newest_arrival: BTreeMap<(Path, Stream), u64>,
     held: BTreeMap<Path, Vec<(u64, Stream, M)>>,
@@ -67,6 +70,7 @@
         Network {
             random: fastrand::Rng::with_seed(seed),
             cuts: BTreeMap::new(),
+            refusing: BTreeMap::new(),
             lossy: BTreeMap::new(),
             newest_arrival: BTreeMap::new(),
             held: BTreeMap::new(),
@@ -81,7 +85,7 @@
     /// What becomes of a message that is sent now.
     pub fn route(&mut self, now: u64, path: Path, stream: Stream) -> Fate {
         if !self.is_open(path) {
-            return Fate::Held;
+            return if self.refusing.contains_key(&path) { Fate::Refused } else { Fate::Held };
         }
         let arrives = now + self.delay(path);
         Fate::Arrives(self.in_order(path, stream, arrives))
@@ -130,6 +134,16 @@
         arriving
     }
 
+    /// A cut of this direction refuses new connections from now on.
+    pub fn begin_refusal(&mut self, path: Path) {
+        *self.refusing.entry(path).or_insert(0) += 1;
+    }
+
+    /// A cut of this direction refuses new connections no more.
+    pub fn end_refusal(&mut self, path: Path) {
+        release(&mut self.refusing, path);
+    }
+
     /// Begins the loss of packets in a direction.
     pub fn begin_loss(&mut self, path: Path) {
         *self.lossy.entry(path).or_insert(0) += 1;
--- a/lab/src/emulator/world/core_process.rs
+++ b/lab/src/emulator/world/core_process.rs
@@ -208,6 +208,7 @@
     fn send_order(&mut self, core: usize, call: OrderCall) {
         self.word_given(core);
         self.last_actor = core;
+        self.last_giver = core;
         let order = WorkerOrder {
             worker: call.worker,
             operation: call.operation,
--- a/lab/src/emulator/world/core_trouble.rs
+++ b/lab/src/emulator/world/core_trouble.rs
@@ -44,6 +44,8 @@
             Fault::LoseZone { zone, cut, for_ms } => self.lose_zone(zone, cut, for_ms),
             Fault::ResetCore { core } => self.reset_core(core),
             Fault::TroubleDisk { core, condition, for_ms } => self.trouble_disk(core, condition, for_ms),
+            Fault::SplitCore { for_ms } => self.split_core(for_ms),
+            Fault::LeaveBehind { core, dark_ms } => self.leave_behind(core, dark_ms),
             Fault::CutCore { side, direction, for_ms } => self.cut_core(side, direction, for_ms),
             Fault::Partition(partition) => self.partition(partition),
             Fault::LosePacketsInCore { for_ms } => self.lose_packets_in_core(for_ms),
@@ -133,7 +135,7 @@
         Outcome::Struck { core, until }
     }
 
-    fn wipe_disk(&mut self, core: usize) {
+    pub(super) fn wipe_disk(&mut self, core: usize) {
         self.cores[core].disk.wipe();
         self.cores[core].disk_since = self.now;
     }
@@ -223,9 +225,7 @@
             return Outcome::Begun;
         }
         for core in cores {
-            self.thaw_at_once(Host::Core(core));
-            self.stop_core(core, Power::Off);
-            self.start_core_at(core, self.now + for_ms);
+            self.power_off_core_for(core, for_ms);
         }
         let zones = self.plan.sizes.zones.len();
         (0..self.edges.len()).filter(|edge| edge % zones == zone).for_each(|edge| self.power_off_edge(edge));
@@ -235,6 +235,13 @@
         Outcome::Begun
     }
 
+    /// A core machine loses power for a time.
+    pub(super) fn power_off_core_for(&mut self, core: usize, for_ms: u64) {
+        self.thaw_at_once(Host::Core(core));
+        self.stop_core(core, Power::Off);
+        self.start_core_at(core, self.now + for_ms);
+    }
+
     fn reset_core(&mut self, pick: Pick) -> Outcome {
         let core = self.picked(pick);
         self.calm.touch(self.now, Subject::Core);
--- a/lab/src/emulator/world/cuts.rs
+++ b/lab/src/emulator/world/cuts.rs
@@ -1,15 +1,18 @@
 //! Cuts and losses on the links between machines.
 
 use super::trouble::Outcome;
-use super::{Event, World};
+use super::{Delivery, Event, Message, World};
 use crate::emulator::calm::Subject;
 use crate::emulator::faults::{Direction, Ending, Partition, Reach};
 use crate::emulator::host::Host;
-use crate::emulator::network::Path;
+use crate::emulator::network::{Path, Stream};
 
 /// Edge machines that are restarted while the machines cut off come first among the seeds.
 const RESTARTED_EDGES: usize = 2;
 
+/// Time in milliseconds after the end of a cut at which the processes of the other core machines are killed.
+const RELIEVED_AFTER: std::ops::RangeInclusive<u64> = 0..=60;
+
 /// A cut that lasts: what it separates, and what is in trouble until it heals.
 pub(super) struct OpenCut {
     inside: Vec<Host>,
@@ -19,6 +22,8 @@
     direction: Direction,
     /// Whether it also separates core machines that join meanwhile.
     takes_in_joining: bool,
+    /// Whether new connections are refused rather than left without an answer.
+    refuses: bool,
     paths: Vec<Path>,
     subjects: Vec<Subject>,
     /// Core machines that count as lost.
@@ -34,7 +39,17 @@
             side.dedup();
         }
         let (subjects, cores) = (Vec::new(), Vec::new());
-        OpenCut { inside, outside, zone: None, direction, takes_in_joining: true, paths, subjects, cores }
+        OpenCut {
+            inside,
+            outside,
+            zone: None,
+            direction,
+            takes_in_joining: true,
+            refuses: false,
+            paths,
+            subjects,
+            cores,
+        }
     }
 }
 
@@ -53,11 +68,12 @@
         let pairs = pairs.map(|(core, host)| (Host::Core(core), host)).collect();
         cut_off.iter().for_each(|core| self.lost.begin(*core));
         self.calm.touch(self.now, Subject::Core);
-        self.cut(OpenCut { cores: cut_off.clone(), ..OpenCut::new(pairs, direction) }, for_ms);
+        let refuses = partition.refuse;
+        self.cut(OpenCut { cores: cut_off.clone(), refuses, ..OpenCut::new(pairs, direction) }, for_ms);
         for core in &cut_off {
             self.cut_off.entry(*core).or_insert(self.now);
         }
-        if partition.reset {
+        if partition.reset || partition.refuse {
             for core in &cut_off {
                 self.network.reset(Host::Core(*core));
                 self.reset_core_connections(*core);
@@ -66,6 +82,12 @@
         if partition.seeds {
             self.cut_off_come_first(&cut_off, for_ms);
         }
+        if partition.relieve {
+            self.visit_others(&cut_off, for_ms);
+            let others = self.present_cores().into_iter().filter(|core| !cut_off.contains(core)).collect();
+            let killed_at = self.now + for_ms + self.random.u64(RELIEVED_AFTER);
+            self.events.add(killed_at, Event::RestartCores(others));
+        }
         if partition.both {
             let others = self.present_cores().into_iter().filter(|core| !cut_off.contains(core)).collect();
             self.events.add(self.now + for_ms / 3, Event::RestartCores(cut_off));
@@ -145,6 +167,19 @@
         if side >> 31 == 1 {
             cut_off.truncate(self.plan.sizes.machines_lost);
         }
+        self.separate(cut_off, direction, for_ms)
+    }
+
+    /// Half of the core machines are cut from the other half, whatever the deployment has to bear; all others reach both.
+    pub(super) fn split_core(&mut self, for_ms: u64) -> Outcome {
+        let mut half = self.present_cores();
+        self.random.shuffle(&mut half);
+        half.truncate(half.len() / 2);
+        self.separate(half, Direction::Both, for_ms)
+    }
+
+    fn separate(&mut self, cut_off: Vec<usize>, direction: Direction, for_ms: u64) -> Outcome {
+        let present = self.present_cores();
         let others: Vec<usize> = present.iter().copied().filter(|core| !cut_off.contains(core)).collect();
         if cut_off.is_empty() || others.is_empty() {
             return Outcome::Begun;
@@ -160,6 +195,11 @@
         subjects.iter().for_each(|subject| self.calm.begin(*subject));
         let pairs = cut_off.iter().flat_map(|one| others.iter().map(move |other| (*one, *other)));
         let pairs = pairs.map(|(one, other)| (Host::Core(one), Host::Core(other))).collect();
+        if bearable {
+            for core in &cut_off {
+                self.cut_off.entry(*core).or_insert(self.now);
+            }
+        }
         self.cut(OpenCut { subjects, cores: lost, ..OpenCut::new(pairs, direction) }, for_ms);
         Outcome::Begun
     }
@@ -185,6 +225,7 @@
     fn cut(&mut self, cut: OpenCut, for_ms: u64) {
         self.calm.begin(Subject::Links);
         cut.paths.iter().for_each(|path| self.network.cut(*path));
+        cut.paths.iter().filter(|_| cut.refuses).for_each(|path| self.network.begin_refusal(*path));
         let number = self.next_cut;
         self.next_cut += 1;
         self.open_cuts.insert(number, cut);
@@ -201,6 +242,7 @@
             let pairs = others.iter().map(pair);
             let more: Vec<Path> = pairs.flat_map(|(one, other)| paths(one, other, cut.direction)).collect();
             more.iter().for_each(|path| self.network.cut(*path));
+            more.iter().filter(|_| cut.refuses).for_each(|path| self.network.begin_refusal(*path));
             cut.paths.extend(more);
             if joins_inside {
                 self.lost.begin(core);
@@ -217,12 +259,15 @@
         let pairs = cut_from.map(|core| (host, Host::Core(core))).collect();
         self.calm.begin(Subject::Machine(host));
         let subjects = vec![Subject::Machine(host)];
-        self.cut(OpenCut { subjects, takes_in_joining: false, ..OpenCut::new(pairs, direction) }, for_ms);
+        let takes_in_joining = cores == u32::MAX;
+        self.cut(OpenCut { subjects, takes_in_joining, ..OpenCut::new(pairs, direction) }, for_ms);
     }
 
     /// A cut ends.
     pub(super) fn heal(&mut self, number: u64) {
-        let Some(OpenCut { paths, subjects, cores, .. }) = self.open_cuts.remove(&number) else { return };
+        let Some(cut) = self.open_cuts.remove(&number) else { return };
+        let OpenCut { paths, subjects, cores, refuses, .. } = cut;
+        paths.iter().filter(|_| refuses).for_each(|path| self.network.end_refusal(*path));
         if !cores.is_empty() {
             self.calm.touch(self.now, Subject::Core);
         }
@@ -240,6 +285,18 @@
         self.ended(&subjects, &cores);
     }
 
+    /// A cut refuses what would open a connection, and says nothing to the rest.
+    pub(super) fn refuse_at_cut(&mut self, stream: Stream, delivery: Delivery) {
+        let refusal = match &delivery.message {
+            Message::LinkOpen(link) => Message::LinkReset(*link),
+            Message::Call(number, _) => Message::CallAnswered(*number, None),
+            _ => return self.network.hold(self.now, delivery.path, stream, delivery),
+        };
+        let path = delivery.path.back();
+        let back = Delivery { path, from_life: 0, to_life: Some(delivery.from_life), message: refusal };
+        self.events.add(self.now + 1, Event::Deliver(back));
+    }
+
     /// Packets between all core machines are lost.
     pub(super) fn lose_packets_in_core(&mut self, for_ms: u64) -> Outcome {
         let present = self.present_cores();
--- a/lab/src/emulator/world/mod.rs
+++ b/lab/src/emulator/world/mod.rs
@@ -1,5 +1,6 @@
 //! The emulated deployment: its machines, what is on its way between them, and the loop over events.
 
+mod behind;
 mod core_machine;
 mod core_process;
 mod core_trouble;
@@ -95,10 +96,14 @@
     after_sending: Vec<Fault>,
     /// Faults that wait for the next end of a worker that is acknowledged.
     after_end: Vec<Fault>,
+    /// Faults that wait for the next order that a worker takes.
+    after_order: Vec<Fault>,
     /// Spans in which answers to the operator are lost, with the share in a hundred of the newest.
     answers_lost: (u32, u32),
     /// Core machine that acknowledged a change or gave an order last.
     last_actor: usize,
+    /// Core machine that gave an order to a worker last.
+    last_giver: usize,
     /// Core machine that answered a reading last.
     last_reader: usize,
     /// How often each core machine was struck.
@@ -166,8 +171,10 @@
             after_acknowledgement: Vec::new(),
             after_sending: Vec::new(),
             after_end: Vec::new(),
+            after_order: Vec::new(),
             answers_lost: (0, 0),
             last_actor: 0,
+            last_giver: 0,
             last_reader: 0,
             struck: BTreeMap::new(),
             seeds_first: (0, Vec::new()),
@@ -267,6 +274,7 @@
         let delivery = Delivery { path, from_life: lives.0, to_life: lives.1, message };
         match self.network.route(self.now, path, stream) {
             Fate::Arrives(at) => self.events.add(at, Event::Deliver(delivery)),
+            Fate::Refused => self.refuse_at_cut(stream, delivery),
             Fate::Held => self.network.hold(self.now, path, stream, delivery),
         }
     }
--- a/lab/src/emulator/world/operator_calls.rs
+++ b/lab/src/emulator/world/operator_calls.rs
@@ -131,6 +131,14 @@
         }
     }
 
+    /// A worker took an order.
+    pub(super) fn trigger_after_order(&mut self) {
+        if let Some(fault) = take_first(&mut self.after_order) {
+            let at = self.now + self.random.u64(0..=SOON);
+            self.add_fault(at, fault);
+        }
+    }
+
     fn configuration_read(&mut self, began: u64, body: &[u8]) {
         self.reads += 1;
         let checkers = &mut self.checkers;
--- a/lab/src/emulator/world/trouble.rs
+++ b/lab/src/emulator/world/trouble.rs
@@ -69,6 +69,7 @@
             Fault::AfterAcknowledgement(fault) => self.after_acknowledgement.push(*fault),
             Fault::AfterSending(fault) => self.after_sending.push(*fault),
             Fault::AfterEnd(fault) => self.after_end.push(*fault),
+            Fault::AfterOrder(fault) => self.after_order.push(*fault),
             Fault::ChangeStorm { for_ms } => {
                 self.operator.begin_storm(self.now);
                 self.events.add(self.now + for_ms, Event::FaultEnds(Ending::StormPasses));
@@ -130,6 +131,7 @@
         let core = match pick {
             Pick::Number(number) => present[number % present.len()],
             Pick::Leader => known(self.last_actor),
+            Pick::Giver => known(self.last_giver),
             Pick::Reader => known(self.last_reader),
             Pick::Turn => {
                 let struck = |core| u64::from(self.struck.get(&core).copied().unwrap_or(0));
@@ -179,6 +181,7 @@
         match ending {
             Ending::Thaw(host, number) => self.thaw(host, number),
             Ending::Heal(number) => self.heal(number),
+            Ending::Behind { behind, dark_ms } => self.lose_those_ahead(&behind, dark_ms),
             Ending::PacketsPass { paths, subjects, cores } => {
                 paths.iter().for_each(|path| self.network.end_loss(*path));
                 self.calm.end(self.now, Subject::Links);
--- a/lab/src/emulator/world/worker_place.rs
+++ b/lab/src/emulator/world/worker_place.rs
@@ -199,6 +199,10 @@
             let what = format!("{} {:?}", order.model, order.adapter);
             checkers.loads.over_limit(now, &worker, &what, &mut checkers.violations);
         }
+        let is_taken = matches!(outcome.answer, OrderAnswer::Accepted | OrderAnswer::AlreadyHolds);
+        if is_taken {
+            self.trigger_after_order();
+        }
         outcome.answer
     }
 }
--- a/lab/tests/emulator_flaws.rs
+++ b/lab/tests/emulator_flaws.rs
@@ -8,7 +8,8 @@
 use googletest::prelude::*;
 use rstest::rstest;
 use switchhill_lab::emulator::checkers::Rule;
-use switchhill_lab::emulator::faults::{Direction, Fault, Partition, Pick, Reach};
+use switchhill_lab::emulator::disk::DiskFlaw;
+use switchhill_lab::emulator::faults::{Fault, Partition, Pick};
 use switchhill_lab::emulator::site::Sizes;
 use switchhill_lab::emulator::world::Flaw;
 
@@ -44,18 +45,7 @@
 
 /// Each core machine in turn is cut off from the others, while workers leave and tell it first.
 fn workers_leave_to_cut_machines() -> Vec<(u64, Fault)> {
-    let cut = |core| {
-        Fault::Partition(Partition {
-            core: Pick::Number(core),
-            count: 1,
-            reach: Reach::Core,
-            direction: Direction::Both,
-            reset: false,
-            seeds: false,
-            both: false,
-            for_ms: 5_000,
-        })
-    };
+    let cut = |core| Fault::Partition(Partition::of_one(Pick::Number(core), 5_000));
     let leaving = (0..8).map(|place| (7_000 + 500 * place as u64, Fault::DrainWorker { place }));
     let mut faults: Vec<(u64, Fault)> = vec![(6_500, cut(0)), (17_000, Fault::PowerOffAllCores)];
     faults.extend(leaving);
@@ -75,6 +65,35 @@
     vec![(6_000, Fault::ReplaceCore { core: Pick::Number(0), planned: true })]
 }
 
+/// Changes are missed by one machine, one of the others loses its disk as the cut heals, and the third is dark.
+fn left_behind() -> Vec<(u64, Fault)> {
+    let behind = |turn: usize| Fault::LeaveBehind { core: Pick::Number(turn), dark_ms: 3_000 };
+    vec![(6_000, behind(0)), (15_000, behind(1))]
+}
+
+fn workers_leave() -> impl Iterator<Item = (u64, Fault)> {
+    (0..8).map(|place| (7_000 + 500 * place as u64, Fault::DrainWorker { place }))
+}
+
+fn workers_leave_in_a_split() -> Vec<(u64, Fault)> {
+    [(6_500, Fault::SplitCore { for_ms: 6_000 })].into_iter().chain(workers_leave()).collect()
+}
+
+fn workers_leave_behind_a_refusing_cut() -> Vec<(u64, Fault)> {
+    let cut = Partition { refuse: true, ..Partition::of_one(Pick::Number(0), 6_000) };
+    [(6_500, Fault::Partition(cut))].into_iter().chain(workers_leave()).collect()
+}
+
+fn relieved() -> Vec<(u64, Fault)> {
+    let cut = Partition { relieve: true, ..Partition::of_one(Pick::Leader, 4_000) };
+    vec![(6_500, Fault::Partition(cut))]
+}
+
+fn giver_frozen_after_its_order() -> Vec<(u64, Fault)> {
+    let freeze = Fault::FreezeCore { core: Pick::Giver, for_ms: 9_000 };
+    vec![(6_000, Fault::AfterOrder(Box::new(freeze)))]
+}
+
 fn leaving() -> Vec<(u64, Fault)> {
     vec![(7_000, Fault::DrainWorker { place: 2 }), (9_000, Fault::DeregisterWorker { place: 3 })]
 }
@@ -138,6 +157,36 @@
     replaced_as_planned(),
     Rule::LeavesAfterSuccession
 )]
+#[case::a_replica_left_behind_and_one_that_forgets(
+    Flaw::Disk(DiskFlaw::KeepsIdentityWhenWiped),
+    THREE,
+    left_behind(),
+    Rule::AcknowledgedIsKept
+)]
+#[case::a_word_of_the_smaller_half(
+    Flaw::DrainsAlone,
+    THREE,
+    workers_leave_in_a_split(),
+    Rule::CutOffIsSilent
+)]
+#[case::a_word_behind_a_cut_that_refuses(
+    Flaw::DrainsAlone,
+    SIZES,
+    workers_leave_behind_a_refusing_cut(),
+    Rule::CutOffIsSilent
+)]
+#[case::old_readings_after_the_others_were_killed(
+    Flaw::ReadsAlone,
+    SIZES,
+    relieved(),
+    Rule::AcknowledgedIsKept
+)]
+#[case::one_epoch_for_the_successor_of_the_giver(
+    Flaw::OldEpoch,
+    SIZES,
+    giver_frozen_after_its_order(),
+    Rule::OneHolderPerEpoch
+)]
 #[gtest]
 fn a_planted_fault_is_noticed(
     #[case] flaw: Flaw,
--- a/lab/tests/emulator_found.rs
+++ b/lab/tests/emulator_found.rs
@@ -1,7 +1,7 @@
 //! Faults that seeds found, each kept as a script of what led to it.
 
 use googletest::prelude::*;
-use switchhill_lab::emulator::faults::{Direction, Fault, Partition, Pick, PlannedFault, Reach};
+use switchhill_lab::emulator::faults::{Direction, Fault, Partition, Pick, PlannedFault};
 use switchhill_lab::emulator::site::Sizes;
 use switchhill_lab::emulator::{play, Plan};
 
@@ -128,16 +128,7 @@
 #[gtest]
 fn machines_that_join_during_a_cut_are_behind_it() {
     let sizes = Sizes { zones: &[2, 2, 1], machines_lost: 2, ..SIZES };
-    let cut = Fault::Partition(Partition {
-        core: Pick::Number(0),
-        count: 1,
-        reach: Reach::Core,
-        direction: Direction::Both,
-        reset: false,
-        seeds: false,
-        both: false,
-        for_ms: 20_000,
-    });
+    let cut = Fault::Partition(Partition::of_one(Pick::Number(0), 20_000));
     let replace = |core| Fault::ReplaceCore { core: Pick::Number(core), planned: false };
     expect_holds(sizes, &[(6_000, cut), (7_000, replace(4)), (14_500, replace(3))], 28_000);
 }
