Emulator tests: one plan for all three files

Cause: emulator_checkers, emulator_flaws and emulator_found each began with the same sizes, seeds and way to play a script.

Change: they share emulator_plans; whether a report breaks a rule is Report::breaks. The scripts of emulator_found are now played with eight seeds instead of five, the others as before.

--- a/lab/src/emulator/run.rs
+++ b/lab/src/emulator/run.rs
@@ -1,6 +1,6 @@
 //! Runs by seed.
 
-use super::checkers::Violation;
+use super::checkers::{Rule, Violation};
 use super::faults::{self, Day};
 use super::figures::Figures;
 use super::site::Sizes;
@@ -50,6 +50,11 @@
     pub fn holds(&self) -> bool {
         self.violations.is_empty()
     }
+
+    /// Whether a rule was broken.
+    pub fn breaks(&self, rule: Rule) -> bool {
+        self.violations.iter().any(|violation| violation.rule == rule)
+    }
 }
 
 impl fmt::Display for Report {
--- a/lab/tests/emulator_checkers.rs
+++ b/lab/tests/emulator_checkers.rs
@@ -1,50 +1,28 @@
 //! Each checker notices the fault that is planted for it, and nothing without one.
 
+mod emulator_plans;
+
+use emulator_plans::{play_script, SIZES};
 use googletest::prelude::*;
 use switchhill_lab::emulator::calm::Calm;
 use switchhill_lab::emulator::checkers::{Changes, Loads, OrderSeen, Placers, Rule, Violations};
 use switchhill_lab::emulator::disk::DiskFlaw;
-use switchhill_lab::emulator::faults::{Direction, Fault, Pick, PlannedFault};
+use switchhill_lab::emulator::faults::{Direction, Fault, Pick};
 use switchhill_lab::emulator::host::Host;
 use switchhill_lab::emulator::operator::{Seen, SentOrder};
 use switchhill_lab::emulator::site::{Bounds, Sizes};
-use switchhill_lab::emulator::world::{Flaw, Plan};
-use switchhill_lab::emulator::{play, Report};
-
-/// Seeds of which at least one has to show a planted fault.
-const SEEDS: std::ops::Range<u64> = 1..9;
-
-const SIZES: Sizes = Sizes {
-    zones: &[2, 1, 1, 1],
-    machines_lost: 1,
-    zones_lost: 0,
-    edges: 4,
-    workers: 8,
-    fencing: true,
-    sync_ms: 3,
-};
-
-fn calm_plan(seed: u64) -> Plan {
-    Plan {
-        seed,
-        sizes: SIZES,
-        faults: Vec::new(),
-        plain_from: 0,
-        ends_at: 24_000,
-        flaw: None,
-        narrated: false,
-    }
-}
+use switchhill_lab::emulator::world::Flaw;
+use switchhill_lab::emulator::Report;
+
+/// When a run of these tests ends, in milliseconds.
+const ENDS_AT: u64 = 24_000;
 
 fn play_with(flaw: Option<Flaw>, sizes: Sizes, faults: &[(u64, Fault)]) -> Vec<Report> {
-    let planned = |(at, fault): &(u64, Fault)| PlannedFault { at: *at, fault: fault.clone() };
-    let faults: Vec<PlannedFault> = faults.iter().map(planned).collect();
-    let run = |seed| play(Plan { sizes, faults: faults.clone(), flaw, ..calm_plan(seed) });
-    SEEDS.map(run).collect()
+    play_script(flaw, sizes, faults, ENDS_AT)
 }
 
 fn shows(reports: &[Report], rule: Rule) -> bool {
-    reports.iter().any(|report| report.violations.iter().any(|violation| violation.rule == rule))
+    reports.iter().any(|report| report.breaks(rule))
 }
 
 fn after_acknowledgement(fault: Fault) -> Fault {
@@ -53,8 +31,8 @@
 
 #[gtest]
 fn a_calm_run_breaks_nothing() {
-    for seed in SEEDS {
-        let report = play(calm_plan(seed));
+    for report in play_with(None, SIZES, &[]) {
+        let seed = report.seed;
         expect_that!(report.violations, is_empty(), "seed {seed}");
         expect_that!(report.acknowledged, gt(10), "seed {seed}");
         expect_that!(report.orders, gt(20), "seed {seed}");
--- a/lab/tests/emulator_flaws.rs
+++ b/lab/tests/emulator_flaws.rs
@@ -4,7 +4,7 @@
 
 mod emulator_plans;
 
-use emulator_plans::{play_script, shows, SIZES};
+use emulator_plans::{play_script, SIZES};
 use googletest::prelude::*;
 use rstest::rstest;
 use switchhill_lab::emulator::checkers::Rule;
@@ -194,7 +194,8 @@
     #[case] faults: Vec<(u64, Fault)>,
     #[case] rule: Rule,
 ) {
-    expect_true!(shows(&play_script(Some(flaw), sizes, &faults, ENDS_AT), rule), "{rule:?}");
+    let reports = play_script(Some(flaw), sizes, &faults, ENDS_AT);
+    expect_true!(reports.iter().any(|report| report.breaks(rule)), "{rule:?}");
     for report in play_script(None, sizes, &faults, ENDS_AT) {
         expect_that!(report.violations, is_empty(), "without the planted fault, seed {}", report.seed);
     }
--- a/lab/tests/emulator_found.rs
+++ b/lab/tests/emulator_found.rs
@@ -1,30 +1,16 @@
 //! Faults that seeds found, each kept as a script of what led to it.
 
+mod emulator_plans;
+
+use emulator_plans::{play_script, SIZES};
 use googletest::prelude::*;
-use switchhill_lab::emulator::faults::{Direction, Fault, Partition, Pick, PlannedFault};
+use switchhill_lab::emulator::faults::{Direction, Fault, Partition, Pick};
 use switchhill_lab::emulator::site::Sizes;
 use switchhill_lab::emulator::{play, Plan};
 
-/// Seeds of all chance beside the script.
-const SEEDS: std::ops::Range<u64> = 1..6;
-
-const SIZES: Sizes = Sizes {
-    zones: &[2, 1, 1, 1],
-    machines_lost: 1,
-    zones_lost: 0,
-    edges: 4,
-    workers: 8,
-    fencing: true,
-    sync_ms: 3,
-};
-
 fn expect_holds(sizes: Sizes, faults: &[(u64, Fault)], ends_at: u64) {
-    let planned = |(at, fault): &(u64, Fault)| PlannedFault { at: *at, fault: fault.clone() };
-    let faults: Vec<PlannedFault> = faults.iter().map(planned).collect();
-    for seed in SEEDS {
-        let faults = faults.clone();
-        let report = play(Plan { seed, sizes, faults, plain_from: 0, ends_at, flaw: None, narrated: false });
-        expect_that!(report.violations, is_empty(), "seed {seed}");
+    for report in play_script(None, sizes, faults, ends_at) {
+        expect_that!(report.violations, is_empty(), "seed {}", report.seed);
     }
 }
 
--- a/lab/tests/emulator_plans/mod.rs
+++ b/lab/tests/emulator_plans/mod.rs
@@ -1,6 +1,5 @@
 //! Plans of the emulator's tests: a calm day of five core machines, with a script of faults or a planted fault.
 
-use switchhill_lab::emulator::checkers::Rule;
 use switchhill_lab::emulator::faults::{Fault, PlannedFault};
 use switchhill_lab::emulator::site::Sizes;
 use switchhill_lab::emulator::world::{Flaw, Plan};
@@ -28,8 +27,3 @@
         |seed| Plan { seed, sizes, faults: faults.clone(), plain_from: 0, ends_at, flaw, narrated: false };
     SEEDS.map(|seed| play(plan(seed))).collect()
 }
-
-/// Whether any of the runs broke a rule.
-pub fn shows(reports: &[Report], rule: Rule) -> bool {
-    reports.iter().any(|report| report.violations.iter().any(|violation| violation.rule == rule))
-}
