Emulator: no disk is lost ahead of a successor that is new

LeaveBehind took a successor of a machine that had gone with its disk for the machine left behind, and one ahead then lost its disk: two disks of three members, more than is to be borne.

Change: nothing is lost ahead where a machine behind has had its disk for less than the longest such cut and catchUpS.

--- a/lab/src/emulator/world/behind.rs
+++ b/lab/src/emulator/world/behind.rs
@@ -35,11 +35,18 @@
     }
 
     /// One of those that were not cut off loses its disk, all others of them lose power for a time. Nothing happens where one
-    /// of them counts as lost already: its disk may be the empty one.
+    /// of them counts as lost already, or where one that was cut off has a new disk: one disk too many would be lost.
     pub(super) fn lose_those_ahead(&mut self, behind: &[usize], dark_ms: u64) {
         let present = self.present_cores();
         let ahead: Vec<usize> = present.into_iter().filter(|core| !behind.contains(core)).collect();
         let is_lost = |core: &usize| self.lost.is_lost(self.now, *core);
+        let is_new = |core: &usize| {
+            let since = self.cores[*core].disk_since;
+            since > 0 && self.now < since + BEHIND_FOR.end() + self.bounds.catch_up_ms
+        };
+        if behind.iter().any(is_new) {
+            return;
+        }
         if ahead.is_empty() || ahead.iter().any(is_lost) || self.lost.replaced(self.now).next().is_some() {
             return;
         }
--- a/lab/tests/emulator_found.rs
+++ b/lab/tests/emulator_found.rs
@@ -118,3 +118,13 @@
     let replace = |core| Fault::ReplaceCore { core: Pick::Number(core), planned: false };
     expect_holds(sizes, &[(6_000, cut), (7_000, replace(4)), (14_500, replace(3))], 28_000);
 }
+
+/// A machine that is left behind is no successor whose predecessor has just gone with its disk: with the disk of one ahead lost as
+/// well, one of three members was left, which is more than is to be borne (seed 30118, a fault of the emulator).
+#[gtest]
+fn no_disk_is_lost_ahead_of_a_successor_that_is_new() {
+    let sizes = Sizes { zones: &[1, 1, 1], ..SIZES };
+    let replace = Fault::ReplaceCore { core: Pick::Number(0), planned: false };
+    let behind = Fault::LeaveBehind { core: Pick::Number(2), dark_ms: 1_400 };
+    expect_holds(sizes, &[(7_000, replace), (8_000, behind), (12_000, Fault::KillAllCores)], 32_000);
+}
