Control node's tests: one piece of support gives the settings of a node

Change: `tests/node_settings` gives them; each test states only what it needs otherwise. Every node gets the settings it had, and no assertion is touched.

--- a/crates/control/tests/authority_scripts.rs
+++ b/crates/control/tests/authority_scripts.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use googletest::prelude::*;
 use simulation::faults::Fault;
+use simulation::node_settings::node_settings;
 use simulation::operator::order;
 use simulation::{Plan, World};
 use std::collections::BTreeSet;
@@ -199,21 +200,7 @@
 }
 
 fn settings(replica: u64, life: u64) -> NodeSettings {
-    NodeSettings {
-        replica,
-        life,
-        node_name: "here".to_owned(),
-        address: "here".to_owned(),
-        seeds: vec!["here".to_owned()],
-        machines_lost: 1,
-        zone: String::new(),
-        zones_lost: 0,
-        worker_heartbeat_ms: 500,
-        lease_ms: 2_000,
-        ceiling_window_ms: 5_000,
-        fencing: true,
-        seed: 1,
-    }
+    NodeSettings { seed: 1, ..node_settings(replica, life, "here".to_owned(), vec!["here".to_owned()]) }
 }
 
 /// Numbers under which a node asks other nodes to acknowledge a worker's end.
--- a/crates/control/tests/catch_up/mod.rs
+++ b/crates/control/tests/catch_up/mod.rs
@@ -5,6 +5,8 @@
 
 mod documents;
 mod files;
+#[path = "../node_settings/mod.rs"]
+mod node_settings;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -20,6 +22,7 @@
 
 use files::Disk;
 pub use files::DiskTrouble;
+use node_settings::node_settings;
 
 /// Time in microseconds between two ticks of a core node, as in the program.
 const CORE_TICK_US: u64 = 25_000;
@@ -257,19 +260,11 @@
         let member = |core: usize| Member { id: ReplicaId(genesis_id(core)), address: address(core) };
         let life = (core as u64 + 1) << 32 | u64::from(machine.life);
         let settings = NodeSettings {
-            replica: identity.replica,
-            life,
             node_name: format!("core-{core}"),
-            address: address(core),
-            seeds,
             machines_lost: CORE_MACHINES_LOST,
-            zone: String::new(),
-            zones_lost: 0,
             worker_heartbeat_ms: 1_200,
-            lease_ms: 2_000,
             ceiling_window_ms: 10_000,
-            fencing: true,
-            seed: life,
+            ..node_settings(identity.replica, life, address(core), seeds)
         };
         let genesis = genesis.then(|| (0..3).map(member).collect());
         machine.node = Some(ControlNode::new(self.now / 1_000, settings, records, genesis));
--- a/crates/control/tests/core/mod.rs
+++ b/crates/control/tests/core/mod.rs
@@ -2,7 +2,11 @@
 //! once.
 #![allow(dead_code, reason = "each user of this module needs a part of it")]
 
+#[path = "../node_settings/mod.rs"]
+mod node_settings;
+
 use bytes::Bytes;
+use node_settings::node_settings;
 use std::collections::{BTreeMap, VecDeque};
 use switchhill_configuration::{Order, OrderKind};
 use switchhill_control::{
@@ -35,20 +39,14 @@
 }
 
 fn settings(nodes: u64, node: u64, life: u64) -> NodeSettings {
+    let seeds = (1..=nodes).map(address).collect();
     NodeSettings {
-        replica: node,
-        life,
         node_name: format!("core-{node}"),
-        address: address(node),
-        seeds: (1..=nodes).map(address).collect(),
         machines_lost: (nodes as usize - 1) / 2,
-        zone: String::new(),
-        zones_lost: 0,
         worker_heartbeat_ms: 1000,
         lease_ms: 3000,
-        ceiling_window_ms: 5000,
-        fencing: true,
         seed: 7,
+        ..node_settings(node, life, address(node), seeds)
     }
 }
 
--- a/crates/control/tests/electorate/main.rs
+++ b/crates/control/tests/electorate/main.rs
@@ -8,6 +8,8 @@
 mod faults;
 mod first_in_order;
 mod machine;
+#[path = "../node_settings/mod.rs"]
+mod node_settings;
 mod operator;
 mod second_loss;
 mod site;
--- a/crates/control/tests/electorate/world.rs
+++ b/crates/control/tests/electorate/world.rs
@@ -3,6 +3,7 @@
 use crate::checker::{is_bearable, lost_now, Checker, Figures};
 use crate::faults::{Fault, Faults};
 use crate::machine::{Disk, Machine, Power};
+use crate::node_settings::node_settings;
 use crate::operator::{Learnt, Operator};
 use crate::site::{Flaw, Site};
 use std::collections::{BTreeMap, VecDeque};
@@ -266,19 +267,13 @@
         let drops = self.flaw == Some(Flaw::DropsBelowQuorum);
         let ignores = self.flaw == Some(Flaw::IgnoresZones);
         NodeSettings {
-            replica: machine.replica,
-            life,
             node_name: format!("core-{index}"),
-            address: machine.address.clone(),
-            seeds: self.seeds.clone(),
             machines_lost: if drops { 0 } else { self.site.machines_lost },
             zone: format!("zone-{}", machine.zone),
             zones_lost: if ignores { 0 } else { self.site.zones_lost },
             worker_heartbeat_ms: 1_200,
             lease_ms: 3_000,
-            ceiling_window_ms: 5_000,
-            fencing: true,
-            seed: life,
+            ..node_settings(machine.replica, life, machine.address.clone(), self.seeds.clone())
         }
     }
 
--- a/crates/control/tests/orders_reordered.rs
+++ b/crates/control/tests/orders_reordered.rs
@@ -10,6 +10,7 @@
 use googletest::prelude::*;
 use simulation::core_machine::address;
 use simulation::flaws::{self, CoreNode, Flaw};
+use simulation::node_settings::node_settings;
 use simulation::operator::order;
 use std::collections::{BTreeMap, VecDeque};
 use switchhill_configuration::Order;
@@ -67,21 +68,10 @@
             .map(|node| Member { id: ReplicaId(1 + node as u64), address: address(node) })
             .collect();
         let node = |index: usize| {
-            let settings = NodeSettings {
-                replica: 1 + index as u64,
-                life: 100 + index as u64,
-                node_name: address(index),
-                address: address(index),
-                seeds: (0..NODES).map(address).collect(),
-                machines_lost: 1,
-                zone: String::new(),
-                zones_lost: 0,
-                worker_heartbeat_ms: 500,
-                lease_ms: 2_000,
-                ceiling_window_ms: 5_000,
-                fencing: true,
-                seed: index as u64,
-            };
+            let (replica, life) = (1 + index as u64, 100 + index as u64);
+            let seeds = (0..NODES).map(address).collect();
+            let settings =
+                NodeSettings { seed: index as u64, ..node_settings(replica, life, address(index), seeds) };
             flaws::node(flaw, 1_000, settings, Vec::new(), Some(members.clone()))
         };
         let mut cluster = Cluster {
--- a/crates/control/tests/simulation/core_machine.rs
+++ b/crates/control/tests/simulation/core_machine.rs
@@ -2,6 +2,7 @@
 
 use super::checkers::Word;
 use super::flaws::{self, CoreNode};
+use super::node_settings::node_settings;
 use super::{Connection, Event, World, TICK_EVERY};
 use std::collections::{BTreeMap, VecDeque};
 use switchhill_control::{Input, NodeSettings, SubscriberId};
@@ -57,20 +58,12 @@
             .map(|core| Member { id: ReplicaId(100 + core as u64), address: address(core) });
         let machine = &mut self.cores[core];
         machine.life += 1;
+        let life = machine.replica * 1_000 + machine.life;
         let settings = NodeSettings {
-            replica: machine.replica,
-            life: machine.replica * 1_000 + machine.life,
-            node_name: address(core),
-            address: address(core),
-            seeds,
             machines_lost: (self.plan.cores - 1) / 2,
-            zone: String::new(),
-            zones_lost: 0,
-            worker_heartbeat_ms: 500,
-            lease_ms: 2_000,
-            ceiling_window_ms: 5_000,
             fencing: false,
             seed: self.plan.seed * 1_000 + machine.replica * 10 + machine.life,
+            ..node_settings(machine.replica, life, address(core), seeds)
         };
         let genesis = is_genesis.then(|| members.collect());
         let node = flaws::node(self.plan.flaw, self.now, settings, machine.disk.clone(), genesis);
--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -9,6 +9,8 @@
 pub mod edge_machine;
 pub mod faults;
 pub mod flaws;
+#[path = "../node_settings/mod.rs"]
+pub mod node_settings;
 pub mod operator;
 pub mod worker;
 
