Emulator: a reading answered with code 3002 counts as a configuration older than any

Cause: nodes answer a reading of an empty register with 503 and code 3002; the emulator still looked for 404, so a core that had lost all that it acknowledged and said so was not noticed by its readings. Change: the code is read; only a configuration counts as read for liveness. The comment on in_quorum tells of the ballot.

--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -93,7 +93,7 @@
     /// Zone of the sender's machine.
     #[prost(string, tag = "13")]
     pub zone: String,
-    /// Whether the sender is in contact with a quorum and has read the register in this life.
+    /// Whether the sender is in contact with a quorum, has read the register in this life and has a ballot to propose with.
     #[prost(bool, tag = "14")]
     pub in_quorum: bool,
     /// Whether the sender was told to end and waits to be dropped from the electorate.
--- a/lab/src/emulator/operator.rs
+++ b/lab/src/emulator/operator.rs
@@ -4,8 +4,8 @@
 use bytes::Bytes;
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
-use switchhill_configuration::{Order, OrderKind};
-use switchhill_control::Call;
+use switchhill_configuration::{Order, OrderKind, ResultCode};
+use switchhill_control::{Answer, Call};
 
 /// Time in milliseconds for the answer to a call.
 const ANSWER_WITHIN: u64 = 1_000;
@@ -67,12 +67,28 @@
     routes: Vec<RouteHead>,
 }
 
+/// The numbered result of an answer without a configuration.
+#[derive(serde::Deserialize)]
+struct Coded {
+    code: u16,
+}
+
 #[derive(serde::Deserialize)]
 struct RouteHead {
     name: String,
 }
 
 impl Seen {
+    /// What an answer to a reading tells: a configuration, or that there is none, which is older than any. An answer that
+    /// leaves it open tells nothing.
+    pub fn of_answer(answer: &Answer) -> Option<Seen> {
+        if answer.status == 200 {
+            return Seen::read(&answer.body);
+        }
+        let coded: Coded = serde_json::from_slice(&answer.body).ok()?;
+        (coded.code == ResultCode::NoConfiguration.number()).then(Seen::default)
+    }
+
     /// Reads a configuration.
     pub fn read(document: &[u8]) -> Option<Seen> {
         let head: Head = serde_json::from_slice(document).ok()?;
--- a/lab/src/emulator/world/operator_calls.rs
+++ b/lab/src/emulator/world/operator_calls.rs
@@ -88,13 +88,12 @@
                 }
                 self.change_answered(order, answer.status);
             }
-            None if answer.status == 200 => {
-                self.last_reader = core;
-                self.configuration_read(open.began, &answer.body);
+            None => {
+                if answer.status == 200 {
+                    self.last_reader = core;
+                }
+                self.configuration_read(open.began, answer);
             }
-            // There is none: older than anything that was acknowledged.
-            None if answer.status == 404 => self.configuration_read(open.began, b"{\"revision\":0}"),
-            None => {}
         }
         let (spans, percent) = self.answers_lost;
         spans == 0 || self.random.u32(0..100) >= percent
@@ -139,13 +138,14 @@
         }
     }
 
-    fn configuration_read(&mut self, began: u64, body: &[u8]) {
-        self.reads += 1;
+    fn configuration_read(&mut self, began: u64, answer: &Answer) {
+        let Some(seen) = Seen::of_answer(answer) else { return };
         let checkers = &mut self.checkers;
-        checkers.liveness.reading_answered(self.now);
-        if let Some(seen) = Seen::read(body) {
-            checkers.changes.read(self.now, began, &seen, &mut checkers.violations);
+        if answer.status == 200 {
+            self.reads += 1;
+            checkers.liveness.reading_answered(self.now);
         }
+        checkers.changes.read(self.now, began, &seen, &mut checkers.violations);
     }
 
     /// An answer reaches the operator.
--- a/lab/tests/emulator_checkers.rs
+++ b/lab/tests/emulator_checkers.rs
@@ -4,6 +4,8 @@
 
 use emulator_plans::{play_script, SIZES};
 use googletest::prelude::*;
+use switchhill_configuration::ResultCode;
+use switchhill_control::Answer;
 use switchhill_lab::emulator::calm::Calm;
 use switchhill_lab::emulator::checkers::{Changes, Loads, OrderSeen, Placers, Rule, Violations};
 use switchhill_lab::emulator::disk::DiskFlaw;
@@ -29,6 +31,22 @@
     Fault::AfterAcknowledgement(Box::new(fault))
 }
 
+/// A core that answers so after an acknowledgement has lost what it acknowledged.
+#[gtest]
+fn an_answer_that_there_is_no_configuration_is_a_reading_older_than_any() {
+    let coded = |code: ResultCode| Answer {
+        status: 503,
+        body: format!("{{\"code\":{},\"error\":\"\"}}", code.number()).into(),
+    };
+    let nothing_taken = coded(ResultCode::NoConfiguration);
+    expect_that!(Seen::of_answer(&nothing_taken), some(eq(&Seen::default())));
+    expect_that!(Seen::of_answer(&coded(ResultCode::NoQuorum)), none());
+    let (mut changes, mut violations) = (changes_with(&[order(1, 0, true)]), Violations::default());
+    changes.answered(10, 1, 200, &mut violations);
+    changes.read(30, 20, &Seen::of_answer(&nothing_taken).expect("a reading"), &mut violations);
+    expect_true!(violations.has(Rule::AcknowledgedIsKept));
+}
+
 #[gtest]
 fn a_calm_run_breaks_nothing() {
     for report in play_with(None, SIZES, &[]) {
