--- a/lab/src/days/day.rs
+++ b/lab/src/days/day.rs
@@ -21,6 +21,9 @@
     /// Kind of request concerned.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub class: Option<String>,
+    /// Zone concerned.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
     /// How many.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub count: Option<u32>,
@@ -48,6 +51,7 @@
             on: None,
             service: None,
             class: None,
+            zone: None,
             count: None,
             share: None,
             x: None,
--- a/lab/src/days/draw.rs
+++ b/lab/src/days/draw.rs
@@ -1,4 +1,7 @@
 //! Draws days: a trouble of the catalogue in a form.
+//!
+//! A day's name says what was drawn: `form: trouble #number`, and for a pair ` with trouble` behind it. The table of
+//! played days reads it back.
 
 use super::catalogue::{Section, Trouble};
 use super::day::{Closing, Day, Entry, Goal};
@@ -74,14 +77,17 @@
 const BEFORE_END_S: f64 = 2.5;
 
 /// Final faults: kind, variant.
-const CLOSINGS: [(&str, &str); 7] = [
+const CLOSINGS: [(&str, &str); 10] = [
     ("power_off_all", ""),
     ("power_off_all", "timed"),
+    ("power_off_all", "taken"),
     ("wipe_after_ack", ""),
     ("wipe_after_ack", "oldest"),
     ("wipe_after_ack", "timed"),
+    ("wipe_after_ack", "taken"),
     ("kill_all", ""),
     ("kill_all", "timed"),
+    ("kill_all", "taken"),
 ];
 
 /// Draws `count` days: troubles in turn from a drawn place in the catalogue, forms in turn, the rest by chance.
@@ -98,6 +104,15 @@
         .collect()
 }
 
+/// Draws one day for each trouble, in the order of the catalogue. The forms take turns, shifted by the seed: as many
+/// seeds in a row as there are forms hold every trouble in every form.
+pub fn each(site: &Site, troubles: &[Trouble], forms: &[Form], seed: u64) -> Vec<Day> {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let turns = forms.iter().cycle().skip((seed % forms.len() as u64) as usize);
+    let cases = (0..troubles.len()).zip(turns);
+    cases.map(|(trouble, form)| day(site, troubles, trouble, *form, &mut random)).collect()
+}
+
 fn day(site: &Site, troubles: &[Trouble], index: usize, form: Form, random: &mut fastrand::Rng) -> Day {
     let trouble = &troubles[index];
     let seed = random.u64(1..1 << 40);
@@ -127,6 +142,7 @@
             add(&mut day, trouble, MIDDLE + jitter);
             let other = &troubles[random.usize(..troubles.len())];
             add(&mut day, other, MIDDLE + jitter + random.f64() * 3.0);
+            day.name = format!("{} with {}", day.name, other.label());
         }
         Form::Start => add(&mut day, trouble, random.f64()),
         Form::Change => {
--- a/lab/src/days/site.rs
+++ b/lab/src/days/site.rs
@@ -2,6 +2,7 @@
 
 use super::day::Day;
 use serde::Serialize;
+use std::collections::BTreeSet;
 use thiserror::Error;
 
 /// The line with which a day begins.
@@ -34,6 +35,10 @@
     pub service: String,
     /// Name of the first kind of request.
     pub class: String,
+    /// Zone of the first clients, where one is named.
+    pub zone: Option<String>,
+    /// Kinds of trouble that the site itself lists.
+    pub kinds: BTreeSet<String>,
     /// Clients of a day.
     pub traffic: toml::Value,
 }
@@ -54,6 +59,8 @@
         let is_trouble =
             |day: &&toml::Value| day.get("slot").and_then(toml::Value::as_str) == Some("trouble");
         let day = days.iter().find(is_trouble).or(days.last()).ok_or(SiteError::Missing("day"))?;
+        let traffic = day.get("traffic").cloned().ok_or(SiteError::Missing("traffic"))?;
+        let first_clients = traffic.as_array().and_then(|clients| clients.first());
         Ok(Site {
             before_days: before_days.to_owned(),
             name: text_of(&table, "name")?,
@@ -63,7 +70,12 @@
                 .ok_or(SiteError::Missing("length_s"))?,
             service: first_name(&table, "services")?,
             class: first_name(&table, "classes")?,
-            traffic: day.get("traffic").cloned().ok_or(SiteError::Missing("traffic"))?,
+            zone: first_clients
+                .and_then(|clients| clients.get("zone"))
+                .and_then(toml::Value::as_str)
+                .map(str::to_owned),
+            kinds: kinds(&table),
+            traffic,
         })
     }
 
@@ -84,3 +96,10 @@
     let name = first.and_then(|item| item.get("name")).and_then(toml::Value::as_str);
     name.map(str::to_owned).ok_or(SiteError::Missing(list))
 }
+
+/// Kinds in the site's list of troubles; none where it has no such list.
+fn kinds(table: &toml::Table) -> BTreeSet<String> {
+    let listed = table.get("troubles").and_then(toml::Value::as_array);
+    let kind = |entry: &toml::Value| entry.get("kind").and_then(toml::Value::as_str).map(str::to_owned);
+    listed.into_iter().flatten().filter_map(kind).collect()
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,7 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
-use switchhill_lab::days::{catalogue, draw, Day, Form, Site, Trouble};
+use switchhill_lab::days::{catalogue, draw, each, Day, Form, Site, Table, Trouble};
 use switchhill_lab::load::Live;
 use switchhill_lab::local_system;
 use switchhill_lab::run::{Outcome, Wanted};
@@ -169,6 +169,21 @@
         /// Forms: alone, twice, pair, start, change, return, final.
         #[arg(long, value_delimiter = ',', default_value = "alone,twice,pair,start,change,return,final")]
         forms: Vec<Form>,
+        /// One day for each trouble, the forms in turn by the seed, instead of a draw from all.
+        #[arg(long)]
+        each: bool,
+        /// Days of the draw to leave out before the first one written.
+        #[arg(long, default_value_t = 0)]
+        skip: usize,
+    },
+    /// Tells kind by kind what came of drawn days, from the journal's entries of their plays.
+    DaysTable {
+        /// Entries of the journal.
+        #[arg(required = true)]
+        entries: Vec<PathBuf>,
+        /// A site file, to name the troubles of the catalogue that were not played.
+        #[arg(long)]
+        site: Option<PathBuf>,
     },
     /// The least relay, to these addresses in turn.
     Bare {
@@ -339,6 +354,29 @@
     Ok(all_held)
 }
 
+fn read_site(path: &Path) -> Result<Site, Failed> {
+    let asked = |error: &dyn std::fmt::Display| Failed::Asked(format!("{}: {error}", path.display()));
+    let text = std::fs::read_to_string(path).map_err(|error| asked(&error))?;
+    Site::parse(&text).map_err(|error| asked(&error))
+}
+
+/// Prints the table of the days in these entries and, with a site, the troubles not played; false if a day failed.
+fn table_of_days(entries: &[PathBuf], site: Option<&Path>) -> Result<bool, Failed> {
+    let mut table = Table::default();
+    for path in entries {
+        let asked = |error: &dyn std::fmt::Display| Failed::Asked(format!("{}: {error}", path.display()));
+        let text = std::fs::read_to_string(path).map_err(|error| asked(&error))?;
+        table.add(&text).map_err(|error| asked(&error))?;
+    }
+    print!("{table}");
+    if let Some(path) = site {
+        let labels: Vec<String> = catalogue(&read_site(path)?).iter().map(Trouble::label).collect();
+        let missing = table.missing(labels.iter().map(String::as_str));
+        println!("\nnot played: {}", if missing.is_empty() { "none".to_owned() } else { missing.join(", ") });
+    }
+    Ok(table.days().iter().all(|day| !day.failed()))
+}
+
 /// Writes a copy of a site file with days drawn from the troubles whose label begins with `only`.
 fn write_days(
     path: &Path,
@@ -348,9 +386,8 @@
     draw_days: impl Fn(&Site, &[Trouble]) -> Vec<Day>,
 ) -> Result<bool, Failed> {
     let asked = |error: &dyn std::fmt::Display| Failed::Asked(format!("{}: {error}", path.display()));
-    let text = std::fs::read_to_string(path).map_err(|error| asked(&error))?;
-    let site = Site::parse(&text).map_err(|error| asked(&error))?;
-    let mut troubles = catalogue(&site.service, &site.class);
+    let site = read_site(path)?;
+    let mut troubles = catalogue(&site);
     troubles.retain(|trouble| trouble.label().starts_with(only));
     if troubles.is_empty() {
         return Err(asked(&format!("no trouble begins with `{only}`")));
@@ -393,9 +430,16 @@
             }
             Ok(true)
         }
-        Task::Days { site, out, name, count, seed, only, forms } => {
-            write_days(&site, &out, name, &only, |site, troubles| draw(site, troubles, &forms, count, seed))
+        Task::Days { site, out, name, count, seed, only, forms, each: one_each, skip } => {
+            write_days(&site, &out, name, &only, |site, troubles| {
+                let drawn = match one_each {
+                    true => each(site, troubles, &forms, seed),
+                    false => draw(site, troubles, &forms, skip + count, seed),
+                };
+                drawn.into_iter().skip(skip).take(count).collect()
+            })
         }
+        Task::DaysTable { entries, site } => table_of_days(&entries, site.as_deref()),
         Task::Bare { to } => {
             let relay = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let relayed = relay.and_then(|runtime| runtime.block_on(bare::relay(to)));
