Emulator: nobody ahead is lost while another cut keeps those behind away

In each a machine that was left behind had been cut off by a second, longer cut, while one of the other two lost its disk: the core of three had no majority until that cut healed, and the checkers took it for one. Also, the end of one cut let a machine count as reached that another cut still kept away.

--- a/lab/tests/emulator_found.rs
+++ b/lab/tests/emulator_found.rs
@@ -109,6 +109,18 @@
     expect_holds(SIZES, &faults, 20_000);
 }
 
+/// A machine that was left behind was cut off for longer by another cut, while one of the other two lost its disk: no majority for as
+/// long, which counted as one (seed 31815).
+#[gtest]
+fn nobody_ahead_is_lost_while_another_cut_keeps_the_others_away() {
+    let sizes = Sizes { zones: &[1, 1, 1], ..SIZES };
+    let behind = Fault::LeaveBehind { core: Pick::Number(0), dark_ms: 700 };
+    let cut = Fault::Partition(Partition::of_one(Pick::Number(0), 12_000));
+    let restarts = (0..4).map(|edge| (9_500 + 100 * edge as u64, Fault::PowerOffEdge { edge }));
+    let faults: Vec<_> = [(6_000, behind), (6_500, cut)].into_iter().chain(restarts).collect();
+    expect_holds(sizes, &faults, 24_000);
+}
+
 /// Machines that joined during a cut were not behind it: with two of them the machine that was cut off had a majority again, and
 /// gave its word 17.6 s after the cut had begun (seed 22742).
 #[gtest]
