--- a/src/data_plane/server.rs
+++ b/src/data_plane/server.rs
@@ -138,7 +138,7 @@
 }
 
 /// Waits for the shutdown and carries it out.
-async fn shut_down(shared: &Shared, times: ShutdownTimes) {
+pub(super) async fn shut_down(shared: &Shared, times: ShutdownTimes) {
     shared.shutdown.reached(Phase::Leaving).await;
     tokio::time::sleep(times.leaving).await;
     shared.shutdown.advance(Phase::Closing);
--- a/src/data_plane/tests.rs
+++ b/src/data_plane/tests.rs
@@ -4,6 +4,7 @@
 mod every_byte;
 mod kept_connections;
 mod planned_work;
+mod process_end;
 mod refusals;
 pub(crate) mod rig;
 pub(crate) mod scripted_worker;
--- a/src/data_plane/tests/rig.rs
+++ b/src/data_plane/tests/rig.rs
@@ -3,9 +3,9 @@
 use super::scripted_worker::{Answer, MemoryConnector, Plan, ReadRequest, Workers};
 use crate::data_plane::ingress;
 use crate::data_plane::pool::Pool;
-use crate::data_plane::server::spawn_repeated_work;
+use crate::data_plane::server::{shut_down, spawn_repeated_work};
 use crate::data_plane::shared::Shared;
-use crate::data_plane::shutdown::ShutdownHandle;
+use crate::data_plane::shutdown::{ShutdownHandle, ShutdownTimes};
 use crate::data_plane::view::View;
 use crate::data_plane::Feedback;
 use serde_json::{json, Value};
@@ -17,7 +17,7 @@
 use switchhill_routing::{Availability, ResidentModel, WorkerView};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio::sync::mpsc;
-use tokio::task::{JoinSet, LocalSet};
+use tokio::task::{JoinHandle, JoinSet, LocalSet};
 use tokio::time::Instant;
 
 /// Time limit of the routes.
@@ -162,6 +162,7 @@
     pub(crate) shared: Rc<Shared>,
     pub(crate) workers: Rc<Workers>,
     tasks: JoinSet<()>,
+    end: Option<JoinHandle<()>>,
     _feedback: mpsc::UnboundedReceiver<Feedback>,
 }
 
@@ -182,7 +183,7 @@
         let shared = Rc::new(shared);
         let mut tasks = JoinSet::new();
         spawn_repeated_work(&shared, &mut tasks);
-        MemoryRig { shared, workers, tasks, _feedback: feedback }
+        MemoryRig { shared, workers, tasks, end: None, _feedback: feedback }
     }
 
     /// Tells a view with these workers.
@@ -192,14 +193,22 @@
 
     /// Tells a view with another configuration.
     pub(crate) fn tell_routes(&self, revision: u64, routes: &[RouteUnderTest], workers: Vec<WorkerView>) {
-        let view = View {
-            document: Some(Arc::new(document(revision, routes))),
-            workers: workers.into_iter().map(Arc::new).collect(),
-            loads: None,
-            gatekeepers: 1,
-            confirmed: true,
-        };
-        self.shared.take_view(Arc::new(view));
+        self.shared.take_view(view(revision, routes, workers));
+    }
+
+    /// Tells the process to end, as SIGTERM does.
+    pub(crate) fn terminate(&mut self) {
+        let shared = self.shared.clone();
+        let times = ShutdownTimes::within(shared.settings.borrow().grace());
+        shared.shutdown.begin();
+        self.end = Some(tokio::task::spawn_local(async move { shut_down(&shared, times).await }));
+    }
+
+    /// Waits for the end of a process that was told to end: all its connections are closed.
+    pub(crate) async fn process_end(&mut self) {
+        let end = self.end.take().expect("it was told to end");
+        end.await.expect("the end does not panic");
+        self.tasks.shutdown().await;
     }
 
     /// Opens a connection of a client.
@@ -241,6 +250,17 @@
     }
 }
 
+/// A view with this configuration and these workers.
+pub(crate) fn view(revision: u64, routes: &[RouteUnderTest], workers: Vec<WorkerView>) -> Arc<View> {
+    Arc::new(View {
+        document: Some(Arc::new(document(revision, routes))),
+        workers: workers.into_iter().map(Arc::new).collect(),
+        loads: None,
+        gatekeepers: 1,
+        confirmed: true,
+    })
+}
+
 /// What a client gets until its connection ends.
 pub(crate) async fn read_to_end(mut client: DuplexStream) -> Answered {
     let sent = Instant::now();
