Data plane: after SIGTERM nothing is sent to a worker that may outlast the process

Change: a drain deadline. A request is sent to a worker only if its time limit, or the upper bound of run times learned from whole answers, ends before the process; else it is refused at once with 503, Retry-After and Connection: close. Held requests look again at SIGTERM. No retry, resumed stream or second worker that does not fit. New connections are taken only while what runs shows that requests fit. The process ends 0.1 s before graceS; graceS follows SIGHUP. A client that reads slowly gets its answer while there is time; what waits unread at the closing is read and answered. Sight: what the end cuts is logged with times to the signal; two invariants are counted and must be 0 in tests. The test that took a request with a limit of 5 s and 1.5 s of grace stated the fault as right: it has a limit that fits now, and a new one states the refusal; the test of every byte has a second, short grace.

--- a/src/data_plane/attempt.rs
+++ b/src/data_plane/attempt.rs
@@ -58,7 +58,7 @@
                 return AttemptEnd::NotSent;
             }
         };
-        if !self.shared.may_send(worker) {
+        if !self.shared.may_send(worker) || !self.ends_before_process() {
             self.trail.unsent += 1;
             return AttemptEnd::NotSent;
         }
@@ -66,6 +66,7 @@
             return AttemptEnd::OutOfBudget;
         }
         self.trail.sent += 1;
+        self.entry.sent();
         self.send(worker, lease, attempt, resume).await
     }
 
--- a/src/data_plane/delivery.rs
+++ b/src/data_plane/delivery.rs
@@ -4,6 +4,7 @@
 use super::attempt::{AttemptEnd, ResumePoint};
 use super::connection_headers::remove_connection_headers;
 use super::exchange::Exchange;
+use super::invariants::Invariant;
 use super::piped_answer::PipedAnswer;
 use super::policy;
 use super::replies::LocalReply;
@@ -27,20 +28,20 @@
     loop {
         let worker = match exchange.next_worker().await {
             Ok(worker) => worker,
-            Err(reply) => return reply.answer(exchange.request_id.as_ref()),
+            Err(reply) => return answer_itself(&exchange, reply),
         };
         match exchange.attempt(worker, ResumePoint::default()).await {
             AttemptEnd::Answered(answer) => match deliver(exchange, *answer).await {
                 Delivery::Passed(answer) => return answer,
                 Delivery::TimedOut(exchange) => {
-                    return LocalReply::TimedOut.answer(exchange.request_id.as_ref());
+                    return answer_itself(&exchange, LocalReply::TimedOut);
                 }
                 Delivery::Broken(returned) => exchange = *returned,
             },
             AttemptEnd::NotRun(StatusCode::BAD_REQUEST) if exchange.request_id.is_none() => {
-                return LocalReply::BadRequest.answer(exchange.request_id.as_ref());
+                return answer_itself(&exchange, LocalReply::BadRequest);
             }
-            AttemptEnd::TimedOut => return LocalReply::TimedOut.answer(exchange.request_id.as_ref()),
+            AttemptEnd::TimedOut => return answer_itself(&exchange, LocalReply::TimedOut),
             AttemptEnd::OutOfBudget => return give_up(&exchange),
             AttemptEnd::NotSent | AttemptEnd::NotRun(_) | AttemptEnd::MayHaveRun => {}
         }
@@ -51,7 +52,16 @@
 }
 
 fn give_up(exchange: &Exchange) -> Response<AnswerBody> {
-    exchange.give_up().answer(exchange.request_id.as_ref())
+    answer_itself(exchange, exchange.give_up())
+}
+
+/// The gatekeeper's own answer to a request.
+fn answer_itself(exchange: &Exchange, reply: LocalReply) -> Response<AnswerBody> {
+    let promises_not_run = matches!(reply, LocalReply::NotRun { .. });
+    if promises_not_run && exchange.trail.may_have_run {
+        exchange.shared.violations.report(Invariant::PromiseIsKept, &format!("{:?}", exchange.request_id));
+    }
+    reply.answer(exchange.request_id.as_ref())
 }
 
 async fn deliver(exchange: Exchange, answer: WorkerAnswer) -> Delivery {
@@ -97,6 +107,7 @@
         head.headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
     }
     let outcome = answer.outcome();
+    answer.attempt.learn_run_time(&exchange.profile, None);
     answer.complete(outcome);
     Response::from_parts(head, AnswerBody::whole(body))
 }
--- a/src/data_plane/exchange.rs
+++ b/src/data_plane/exchange.rs
@@ -6,6 +6,7 @@
 use super::policy;
 use super::replies::LocalReply;
 use super::request_head::RequestHead;
+use super::running_requests::RunningEntry;
 use super::shared::Shared;
 use super::statistics::RunningDemand;
 use hyper::header::HeaderValue;
@@ -53,6 +54,7 @@
     pub(crate) deadline: Instant,
     pub(crate) admitted: Option<AdmittedRequest>,
     pub(crate) trail: Trail,
+    pub(crate) entry: RunningEntry,
     pub(crate) _running: Counted,
     pub(crate) _running_demand: RunningDemand,
 }
@@ -133,11 +135,13 @@
             && self.trail.sent < self.rules.most_workers
             && self.trail.unsent < policy::UNSENT_ATTEMPTS
             && !self.time_left().is_zero()
+            && self.ends_before_process()
     }
 
     /// Whether the request may be sent once more and a worker other than those tried would take it.
     pub(crate) fn could_repeat_elsewhere(&self) -> bool {
-        let allowed = self.rules.idempotent && self.trail.sent < self.rules.most_workers;
+        let allowed =
+            self.rules.idempotent && self.trail.sent < self.rules.most_workers && self.ends_before_process();
         let in_budget =
             || self.shared.budget.borrow_mut().may_repeat(self.shared.now(), &self.profile.service);
         allowed && in_budget() && matches!(self.choose(), Choice::Send(_))
--- a/src/data_plane/ingress.rs
+++ b/src/data_plane/ingress.rs
@@ -9,8 +9,10 @@
 use super::policy;
 use super::replies::LocalReply;
 use super::request_head::RequestHead;
+use super::running_requests::RunningRequest;
 use super::shared::Shared;
 use super::shutdown::Phase;
+use super::watched_stream::{WatchedStream, Written};
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -34,12 +36,25 @@
     let places = Arc::new(Semaphore::new(shared.descriptors.clients));
     let closing = shared.shutdown.clone();
     tokio::select! {
-        () = accept_all(shared, listener, places) => {}
-        () = closing.reached(Phase::Closing) => {}
+        () = accept_all(&shared, &listener, &places) => {}
+        () = closing.reached(Phase::Closing) => accept_waiting(&shared, &listener, &places).await,
     }
 }
 
-async fn accept_all(shared: Rc<Shared>, listener: TcpListener, places: Arc<Semaphore>) {
+/// Takes the connections that the system has already accepted; with the listener they would be reset.
+async fn accept_waiting(shared: &Rc<Shared>, listener: &TcpListener, places: &Arc<Semaphore>) {
+    while let Ok(place) = places.clone().try_acquire_owned() {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = std::future::ready(()) => return,
+        };
+        let Ok((stream, _peer)) = accepted else { return };
+        tokio::task::spawn_local(serve_connection(shared.clone(), stream, place));
+    }
+}
+
+async fn accept_all(shared: &Rc<Shared>, listener: &TcpListener, places: &Arc<Semaphore>) {
     loop {
         let Ok(place) = places.clone().acquire_owned().await else { return };
         match listener.accept().await {
@@ -66,9 +81,13 @@
     let _open = Counted::one_more(&shared.client_connections);
     let limits = client_limits(&shared);
     let service = service_fn(|request| respond(shared.clone(), request));
-    let connection = connection_settings(&limits).serve_connection(TokioIo::new(stream), service);
+    let written = Rc::new(Written::counted(shared.unwritten_connections.clone()));
+    let stream = TokioIo::new(WatchedStream::new(stream, written));
+    let connection = connection_settings(&limits).serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
+        // What the client has sent by now is read first, and answered.
+        biased;
         ended = connection.as_mut() => ended,
         () = shared.shutdown.reached(Phase::Closing) => {
             connection.as_mut().graceful_shutdown();
@@ -178,6 +197,14 @@
         LocalReply::NotRun { retry_after_ms }
     })?;
     shared.statistics.borrow_mut().admitted(&route.name);
+    let time_limit = deadline.saturating_duration_since(arrived);
+    let entry = shared.running_requests.add(RunningRequest {
+        route: route.name.clone(),
+        request_id: head.request_id.clone(),
+        time_needed: shared.run_times.upper_bound(&profile).map_or(time_limit, |bound| bound.min(time_limit)),
+        arrived,
+        sent: None,
+    });
     Ok(Exchange {
         shared: shared.clone(),
         rules: RouteRules::of(route),
@@ -189,6 +216,7 @@
         deadline,
         admitted: Some(admitted),
         trail: Trail::default(),
+        entry,
         _running: running,
         _running_demand: running_demand,
     })
--- a/src/data_plane/policy.rs
+++ b/src/data_plane/policy.rs
@@ -88,9 +88,18 @@
 /// The same as a share of the time to SIGKILL, where that is short.
 pub(crate) const LEAVING_SHARE: f64 = 0.3;
 /// What is left of the time to SIGKILL when the process ends.
-pub(crate) const EXIT_MARGIN: Duration = Duration::from_millis(400);
-/// Time without a running request after which connections that are still open are left: either they never
-/// carried a request, or their client reads its last answer too slowly.
+pub(crate) const EXIT_MARGIN: Duration = Duration::from_millis(100);
+/// What has to be left until the end of the process when the answer of a request is expected that was taken after
+/// SIGTERM.
+pub(crate) const LAST_ANSWER_MARGIN: Duration = Duration::from_millis(100);
+/// Whole answers of a kind of request that have to be known before its run time is estimated.
+pub(crate) const LEAST_RUN_SAMPLES: u32 = 8;
+/// Mean run times are taken this many times as long: a gatekeeper that leaves its share to others slows workers.
+pub(crate) const RUN_TIME_SLACK: f64 = 1.25;
+/// Advice for a request that does not end before the process: the client's next connection goes elsewhere.
+pub(crate) const RETRY_AFTER_LEAVING_MS: u64 = 20;
+/// Time without a running request and without an answer that waits to be written, after which connections that are
+/// still open are left: they have never carried a request.
 pub(crate) const LAST_BYTES: Duration = Duration::from_secs(1);
 /// A client's idle connection is kept this much longer than the configuration promises.
 pub(crate) const IDLE_GRACE: Duration = Duration::from_secs(1);
--- a/src/data_plane/server.rs
+++ b/src/data_plane/server.rs
@@ -1,11 +1,12 @@
 //! The data plane as a whole: listeners, periodic work, shutdown.
 
+use super::drain::shut_down;
 use super::feedback::Feedback;
 use super::ingress;
 use super::policy;
 use super::readiness;
 use super::shared::Shared;
-use super::shutdown::{Phase, ShutdownHandle, ShutdownTimes};
+use super::shutdown::ShutdownHandle;
 use super::signals;
 use super::view::View;
 use crate::site_settings::SiteSettings;
@@ -17,10 +18,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, MissedTickBehavior};
-
-/// Interval at which the end of the running requests is looked for during a shutdown.
-const END_CHECK: Duration = Duration::from_millis(20);
+use tokio::time::MissedTickBehavior;
 
 /// A data plane whose listeners are open.
 pub struct DataPlane {
@@ -72,7 +70,6 @@
         views: watch::Receiver<Arc<View>>,
         feedback: mpsc::UnboundedSender<Feedback>,
     ) -> anyhow::Result<()> {
-        let times = ShutdownTimes::within(self.settings.grace());
         let shared = Rc::new(Shared::new(self.settings, feedback, self.shutdown));
         // Dropping the set at the end aborts the tasks.
         let mut tasks = JoinSet::new();
@@ -83,7 +80,7 @@
         if let Some(listener) = self.readiness {
             tasks.spawn_local(readiness::answer_checks(shared.clone(), listener));
         }
-        shut_down(&shared, times).await;
+        shut_down(&shared).await;
         Ok(())
     }
 }
@@ -136,21 +133,3 @@
         work();
     }
 }
-
-/// Waits for the shutdown and carries it out.
-pub(super) async fn shut_down(shared: &Shared, times: ShutdownTimes) {
-    shared.shutdown.reached(Phase::Leaving).await;
-    tokio::time::sleep(times.leaving).await;
-    shared.shutdown.advance(Phase::Closing);
-    let end = Instant::now() + times.closing;
-    let mut quiet_since = Instant::now();
-    while Instant::now() < end && shared.client_connections.get() > 0 {
-        if quiet_since.elapsed() >= policy::LAST_BYTES {
-            return;
-        }
-        if shared.running.get() > 0 {
-            quiet_since = Instant::now();
-        }
-        tokio::time::sleep(END_CHECK).await;
-    }
-}
--- a/src/data_plane/shared.rs
+++ b/src/data_plane/shared.rs
@@ -4,10 +4,13 @@
 use super::clock::now_ms;
 use super::descriptors::DescriptorShares;
 use super::feedback::{Feedback, Summary, WorkerLoad};
+use super::invariants::Violations;
 use super::missing::MissingModels;
 use super::policy;
 use super::pool::Pool;
-use super::shutdown::ShutdownHandle;
+use super::run_times::RunTimes;
+use super::running_requests::RunningRequests;
+use super::shutdown::{Phase, ShutdownHandle};
 use super::silence::SilentWorkers;
 use super::statistics::{Refusals, Statistics};
 use super::view::View;
@@ -32,12 +35,17 @@
     pub(crate) missing: MissingModels,
     pub(crate) silent: SilentWorkers,
     pub(crate) shutdown: ShutdownHandle,
-    /// Told after the router has taken a new view.
+    pub(crate) run_times: RunTimes,
+    pub(crate) running_requests: RunningRequests,
+    pub(crate) violations: Violations,
+    /// Told after the router has taken a new view, and when the process is told to end.
     pub(crate) view_changed: Notify,
     /// Requests whose heads have been read and whose answers are not complete.
     pub(crate) running: Rc<Cell<u32>>,
     /// Open connections of clients.
     pub(crate) client_connections: Rc<Cell<u32>>,
+    /// Those of them whose client has not taken all that was written.
+    pub(crate) unwritten_connections: Rc<Cell<u32>>,
     pub(crate) descriptors: DescriptorShares,
     view: RefCell<Arc<View>>,
     feedback: UnboundedSender<Feedback>,
@@ -62,9 +70,13 @@
             missing: MissingModels::default(),
             silent: SilentWorkers::default(),
             shutdown,
+            run_times: RunTimes::default(),
+            running_requests: RunningRequests::default(),
+            violations: Violations::default(),
             view_changed: Notify::new(),
             running: Rc::default(),
             client_connections: Rc::default(),
+            unwritten_connections: Rc::default(),
             descriptors,
             view: RefCell::default(),
             feedback,
@@ -87,9 +99,10 @@
         self.view.borrow().document.clone()
     }
 
-    /// Waits for a first configuration, no longer than told.
+    /// Waits for a first configuration, no longer than told and not in a process that has been told to end.
     pub(crate) async fn first_document(&self, until: Instant) {
-        while self.document().is_none() && Instant::now() < until {
+        let may_wait = || self.shutdown.phase() == Phase::Serving && Instant::now() < until;
+        while self.document().is_none() && may_wait() {
             let _ = tokio::time::timeout_at(until, self.view_changed.notified()).await;
         }
     }
--- a/src/data_plane/shutdown.rs
+++ b/src/data_plane/shutdown.rs
@@ -3,45 +3,53 @@
 use super::policy;
 use std::time::Duration;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// How far the end of the process has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     /// Requests are taken.
     Serving,
-    /// Not ready any more; new requests are still answered, each with `Connection: close`.
+    /// Not ready any more; new connections are still taken, and each answer carries `Connection: close`.
     Leaving,
     /// No new connection is taken, idle ones are closed, running requests end.
     Closing,
 }
 
+/// The phase, and when the process was told to end.
+#[derive(Debug, Clone, Copy)]
+struct Progress {
+    phase: Phase,
+    begun: Option<Instant>,
+}
+
 /// Tells a data plane to end.
 #[derive(Debug, Clone)]
 pub struct ShutdownHandle {
-    phase: watch::Sender<Phase>,
+    progress: watch::Sender<Progress>,
 }
 
-/// Times of an orderly end.
+/// Times of an orderly end, both from the signal on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct ShutdownTimes {
-    /// Time in which new requests are still taken.
+    /// Time in which new connections are still taken.
     pub(crate) leaving: Duration,
-    /// Time after that in which running requests end.
-    pub(crate) closing: Duration,
+    /// Time after which the process ends, whatever runs.
+    pub(crate) end: Duration,
 }
 
 impl ShutdownTimes {
     /// Times that fit before SIGKILL, which comes `grace` after SIGTERM.
     pub(crate) fn within(grace: Duration) -> ShutdownTimes {
-        let leaving = policy::LEAVING_LIMIT.min(grace.mul_f64(policy::LEAVING_SHARE));
-        let closing = grace.saturating_sub(leaving).saturating_sub(policy::EXIT_MARGIN);
-        ShutdownTimes { leaving, closing }
+        let end = grace.saturating_sub(policy::EXIT_MARGIN);
+        let leaving = policy::LEAVING_LIMIT.min(grace.mul_f64(policy::LEAVING_SHARE)).min(end);
+        ShutdownTimes { leaving, end }
     }
 }
 
 impl ShutdownHandle {
     pub(crate) fn new() -> ShutdownHandle {
-        ShutdownHandle { phase: watch::Sender::new(Phase::Serving) }
+        ShutdownHandle { progress: watch::Sender::new(Progress { phase: Phase::Serving, begun: None }) }
     }
 
     /// Starts the end; has no effect a second time.
@@ -51,14 +59,20 @@
 
     /// The present phase.
     pub fn phase(&self) -> Phase {
-        *self.phase.borrow()
+        self.progress.borrow().phase
+    }
+
+    /// When the process was told to end, if it was.
+    pub(crate) fn begun(&self) -> Option<Instant> {
+        self.progress.borrow().begun
     }
 
     pub(crate) fn advance(&self, phase: Phase) {
-        self.phase.send_if_modified(|present| {
-            let later = phase > *present;
+        self.progress.send_if_modified(|progress| {
+            let later = phase > progress.phase;
             if later {
-                *present = phase;
+                progress.phase = phase;
+                progress.begun.get_or_insert_with(Instant::now);
             }
             later
         });
@@ -66,8 +80,8 @@
 
     /// Waits until the phase is reached.
     pub async fn reached(&self, phase: Phase) {
-        let mut phases = self.phase.subscribe();
+        let mut progress = self.progress.subscribe();
         // The sender lives in `self`, so waiting cannot fail.
-        let _ = phases.wait_for(|present| *present >= phase).await;
+        let _ = progress.wait_for(|present| present.phase >= phase).await;
     }
 }
--- a/src/data_plane/statistics.rs
+++ b/src/data_plane/statistics.rs
@@ -65,6 +65,8 @@
     pub(crate) attempts: u32,
     /// It may have run.
     pub(crate) may_have_run: u32,
+    /// It would not have ended before the process.
+    pub(crate) leaving: u32,
 }
 
 #[derive(Debug, Default)]
--- a/src/data_plane/tests.rs
+++ b/src/data_plane/tests.rs
@@ -7,6 +7,7 @@
 mod process_end;
 mod refusals;
 pub(crate) mod rig;
+mod run_times;
 pub(crate) mod scripted_worker;
 mod silent_worker;
 mod statistics;
@@ -136,6 +137,7 @@
     for grace_ms in [500, 1000, 4000, 8000, 30_000] {
         let grace = Duration::from_millis(grace_ms);
         let times = ShutdownTimes::within(grace);
-        expect_that!(times.leaving + times.closing, lt(grace), "grace {grace_ms} ms");
+        expect_that!(times.leaving, le(times.end), "grace {grace_ms} ms");
+        expect_that!(times.end, lt(grace), "grace {grace_ms} ms");
     }
 }
--- a/src/data_plane/tests/planned_work.rs
+++ b/src/data_plane/tests/planned_work.rs
@@ -67,6 +67,44 @@
     }
 }
 
+/// A time to SIGKILL in which every request of the routes can be answered that is read when SIGTERM comes.
+const LONG_GRACE_S: f64 = 4.0;
+
+/// A time to SIGKILL that is shorter than the time limit of the routes, whose requests may therefore outlast it.
+const SHORT_GRACE_S: f64 = 1.5;
+
+#[gtest]
+fn a_process_about_to_end_refuses_a_request_that_may_outlast_it_at_any_byte() {
+    for route in ALL_ROUTES {
+        let bytes = request_bytes(route, "q1", "", "a body");
+        for phase in [Phase::Leaving, Phase::Closing] {
+            for sent in 0..bytes.len() {
+                let case = format!("{}, {phase:?} after {sent} bytes", route.name());
+                paused(async {
+                    let mut rig = MemoryRig::start();
+                    rig.shared.settings.borrow_mut().bounds.grace_s = SHORT_GRACE_S;
+                    rig.workers.otherwise(Plan::answering(route.answer()));
+                    let mut client = rig.connect();
+                    client.write_all(&bytes[..sent]).await.expect("window");
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                    rig.shared.shutdown.advance(phase);
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                    // It may have been closed.
+                    let _ = client.write_all(&bytes[sent..]).await;
+                    let answered = read_to_end(client).await;
+                    let is_refused = answered.status == 503
+                        && answered.complete
+                        && answered.header("retry-after").is_some()
+                        && answered.header("connection") == Some("close");
+                    let is_unread = answered.status == 0 && phase == Phase::Closing;
+                    expect_that!(is_refused || is_unread, eq(true), "{case}: {answered:?}");
+                    expect_that!(rig.workers.seen.borrow().arrivals.len(), eq(0), "{case}");
+                });
+            }
+        }
+    }
+}
+
 #[gtest]
 fn the_end_of_the_process_at_any_byte_of_a_request_answers_it_or_has_not_run_it() {
     for route in ALL_ROUTES {
@@ -76,6 +114,7 @@
                 let case = format!("{}, {phase:?} after {sent} bytes", route.name());
                 paused(async {
                     let mut rig = MemoryRig::start();
+                    rig.shared.settings.borrow_mut().bounds.grace_s = LONG_GRACE_S;
                     rig.workers.otherwise(Plan::answering(route.answer()));
                     let mut client = rig.connect();
                     client.write_all(&bytes[..sent]).await.expect("window");
--- a/src/data_plane/tests/process_end.rs
+++ b/src/data_plane/tests/process_end.rs
@@ -9,7 +9,7 @@
 use googletest::prelude::*;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncWriteExt, DuplexStream};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 
 /// Longest time in which a request that is given up is answered.
 const AT_ONCE: Duration = Duration::from_millis(20);
@@ -158,3 +158,60 @@
         });
     }
 }
+
+#[gtest]
+fn a_request_of_a_kind_that_is_known_to_be_short_is_taken_after_sigterm() {
+    for route in [RouteUnderTest::Safe, RouteUnderTest::Unsafe] {
+        paused(async {
+            let mut rig = MemoryRig::start();
+            rig.workers.otherwise(Plan::answering(route.answer()));
+            for number in 0..crate::data_plane::policy::LEAST_RUN_SAMPLES {
+                let answered = rig.ask(route, &format!("known-{number}"), "", "").await;
+                expect_that!(answered.status, eq(200));
+            }
+            rig.terminate();
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            let answered = rig.ask(route, "short", "", "").await;
+            expect_that!((answered.status, answered.complete), eq((200, true)), "{}", route.name());
+            rig.process_end().await;
+        });
+    }
+}
+
+/// Bytes of the answer to a client that reads slowly: more than the connection takes at once.
+const LONG_ANSWER: usize = 60_000;
+
+/// Bytes that the connection of a slow client takes before the client reads.
+const SMALL_WINDOW: usize = 1_000;
+
+#[gtest]
+fn a_client_that_reads_slowly_gets_its_whole_answer_while_there_is_time() {
+    paused(async {
+        let mut rig = MemoryRig::start();
+        rig.shared.settings.borrow_mut().bounds.grace_s = 8.0;
+        let body = "x".repeat(LONG_ANSWER);
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: slow\r\nResponse-Stamp: s\r\nContent-Length: {LONG_ANSWER}\r\n\r\n{body}"
+        );
+        rig.workers.plan(Plan::answering(Rc::new(move |_: &ReadRequest| answer.clone().into_bytes())));
+        let mut client = rig.connect_with(SMALL_WINDOW);
+        client.write_all(&request_bytes(RouteUnderTest::Safe, "slow", "", "")).await.expect("window");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        rig.terminate();
+        // 60,000 bytes in steps of 1,000 bytes each 100 ms take 6 s, within the 8 s to SIGKILL.
+        let reader = async move {
+            let mut read = 0;
+            let mut step = vec![0; SMALL_WINDOW];
+            while let Ok(count) = client.read(&mut step).await {
+                if count == 0 {
+                    break;
+                }
+                read += count;
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+            read
+        };
+        let (read, ()) = tokio::join!(reader, rig.process_end());
+        expect_that!(read, gt(LONG_ANSWER), "the answer was cut");
+    });
+}
--- a/src/data_plane/watched_stream.rs
+++ b/src/data_plane/watched_stream.rs
@@ -1,10 +1,10 @@
-//! A stream to a worker that knows whether all that was written has gone out.
+//! A stream that knows whether all that was written has gone out.
 //!
-//! The HTTP library takes a connection for ready once an answer has been read, also while the rest of the request
-//! before it is still in its buffer: a worker may answer before it has read a long body. Another request on such a
-//! connection would wait behind that body.
+//! The HTTP library takes a connection to a worker for ready once an answer has been read, also while the rest of the
+//! request before it is still in its buffer: a worker may answer before it has read a long body. Another request on such
+//! a connection would wait behind that body. On a client's connection the library may hold the end of an answer that
+//! has been handed to it whole, until a slow client has read what came before.
 
-use super::connector::WorkerStream;
 use std::cell::Cell;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -18,9 +18,23 @@
 pub(crate) struct Written {
     pending: Cell<bool>,
     flushed: Notify,
+    /// Streams that have something to write, where they are counted.
+    count: Option<Rc<Cell<u32>>>,
 }
 
 impl Written {
+    /// One that counts its stream for as long as something waits to be written.
+    pub(crate) fn counted(count: Rc<Cell<u32>>) -> Written {
+        Written { pending: Cell::default(), flushed: Notify::default(), count: Some(count) }
+    }
+
+    fn set_pending(&self, pending: bool) {
+        let was_pending = self.pending.replace(pending);
+        if let Some(count) = &self.count {
+            count.set(count.get() + u32::from(pending) - u32::from(was_pending));
+        }
+    }
+
     /// Whether nothing waits to be written.
     pub(crate) fn is_all(&self) -> bool {
         !self.pending.get()
@@ -34,20 +48,26 @@
     }
 }
 
+impl Drop for Written {
+    fn drop(&mut self) {
+        self.set_pending(false);
+    }
+}
+
 /// A stream with its [`Written`].
-pub(crate) struct WatchedStream {
-    stream: Box<dyn WorkerStream>,
+pub(crate) struct WatchedStream<S> {
+    stream: S,
     written: Rc<Written>,
 }
 
-impl WatchedStream {
+impl<S> WatchedStream<S> {
     /// Watches a stream.
-    pub(crate) fn new(stream: Box<dyn WorkerStream>, written: Rc<Written>) -> WatchedStream {
+    pub(crate) fn new(stream: S, written: Rc<Written>) -> WatchedStream<S> {
         WatchedStream { stream, written }
     }
 }
 
-impl AsyncRead for WatchedStream {
+impl<S: AsyncRead + Unpin> AsyncRead for WatchedStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -57,13 +77,13 @@
     }
 }
 
-impl AsyncWrite for WatchedStream {
+impl<S: AsyncWrite + Unpin> AsyncWrite for WatchedStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.written.pending.set(true);
+        self.written.set_pending(true);
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -72,7 +92,7 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.written.pending.set(true);
+        self.written.set_pending(true);
         Pin::new(&mut self.stream).poll_write_vectored(context, slices)
     }
 
@@ -83,7 +103,7 @@
     /// The library flushes only after it has written all of its buffer.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.stream).poll_flush(context))?;
-        self.written.pending.set(false);
+        self.written.set_pending(false);
         self.written.flushed.notify_waiters();
         Poll::Ready(Ok(()))
     }
--- a/src/data_plane/worker_choice.rs
+++ b/src/data_plane/worker_choice.rs
@@ -4,6 +4,7 @@
 use super::missing::WaitingRequest;
 use super::policy;
 use super::replies::LocalReply;
+use super::shutdown::Phase;
 use std::time::Duration;
 use switchhill_routing::{Choice, WorkerKey};
 use tokio::time::Instant;
@@ -17,6 +18,9 @@
             if self.time_left().is_zero() {
                 return Err(self.time_over());
             }
+            if !self.ends_before_process() {
+                return Err(self.give_up_leaving());
+            }
             let choice = self.choose();
             let hold_until = match choice {
                 Choice::Send(worker) => return Ok(worker),
@@ -35,8 +39,19 @@
         }
     }
 
+    /// The answer of a request that would not end before the process. Others like it are likely to come, and a refused
+    /// connection costs their clients less than a refused request.
+    fn give_up_leaving(&self) -> LocalReply {
+        self.shared.shutdown.advance(Phase::Closing);
+        self.shared.statistics.borrow_mut().refusals.leaving += 1;
+        self.not_run(policy::RETRY_AFTER_LEAVING_MS)
+    }
+
     /// The answer of a request that is given up, with advice by what the router says now.
     pub(crate) fn give_up(&self) -> LocalReply {
+        if !self.ends_before_process() {
+            return self.give_up_leaving();
+        }
         let choice = self.choose();
         if choice == Choice::Missing {
             self.report(self.shared.missing.begin(&self.profile).as_ref());
@@ -53,16 +68,21 @@
 
     fn give_up_after(&self, choice: Choice) -> LocalReply {
         self.count_refusal(choice);
-        if self.trail.may_have_run {
-            return LocalReply::MayHaveRun;
-        }
         let retry_after_ms = match choice {
             Choice::Send(_) => policy::RETRY_AFTER_REFUSED_MS,
             Choice::Busy { retry_after_ms } => retry_after_ms,
             Choice::Missing => self.load_time_ms(),
             Choice::NoWorker => policy::RETRY_AFTER_NO_WORKER_MS,
         };
-        LocalReply::NotRun { retry_after_ms }
+        self.not_run(retry_after_ms)
+    }
+
+    /// The promise that the request has not run, where that is so.
+    fn not_run(&self, retry_after_ms: u64) -> LocalReply {
+        match self.trail.may_have_run {
+            true => LocalReply::MayHaveRun,
+            false => LocalReply::NotRun { retry_after_ms },
+        }
     }
 
     fn count_refusal(&self, choice: Choice) {
@@ -92,7 +112,8 @@
         }
         let next_report = Instant::now() + Duration::from_millis(policy::MISSING_INTERVAL_MS);
         let changed = self.shared.view_changed.notified();
-        // Either the view has changed or the report is due; both are looked at next.
+        // The view has changed, the report is due or there is no time left to run; all are looked at next.
+        let until = self.latest_start().map_or(until, |latest| until.min(latest));
         let _ = tokio::time::timeout_at(until.min(next_report), changed).await;
     }
 
