Data plane: a worker's failure tells nothing of how long a success runs

Cause: an own reading of the mend: answers with a failure were learned as short runs, so that a long request could be taken after SIGTERM.

--- a/src/data_plane/delivery.rs
+++ b/src/data_plane/delivery.rs
@@ -107,7 +107,10 @@
         head.headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
     }
     let outcome = answer.outcome();
-    answer.attempt.learn_run_time(&exchange.profile, None);
+    // A worker's failure tells nothing of how long a success takes.
+    if head.status.is_success() {
+        answer.attempt.learn_run_time(&exchange.profile, None);
+    }
     answer.complete(outcome);
     Response::from_parts(head, AnswerBody::whole(body))
 }
--- a/src/data_plane/tests/process_end.rs
+++ b/src/data_plane/tests/process_end.rs
@@ -2,10 +2,11 @@
 //! answered whole or refused at once, with a promise and the time to come back.
 
 use super::rig::{
-    paused, read_to_end, request_bytes, settings, view, worker_view, Answered, MemoryRig, RouteUnderTest,
-    ALL_ROUTES,
+    paused, read_to_end, request_bytes, settings, stamped_failure, view, worker_view, Answered, MemoryRig,
+    RouteUnderTest, ALL_ROUTES,
 };
 use super::scripted_worker::{Plan, ReadRequest};
+use crate::data_plane::policy;
 use googletest::prelude::*;
 use std::rc::Rc;
 use std::time::Duration;
@@ -165,7 +166,7 @@
         paused(async {
             let mut rig = MemoryRig::start();
             rig.workers.otherwise(Plan::answering(route.answer()));
-            for number in 0..crate::data_plane::policy::LEAST_RUN_SAMPLES {
+            for number in 0..policy::LEAST_RUN_SAMPLES {
                 let answered = rig.ask(route, &format!("known-{number}"), "", "").await;
                 expect_that!(answered.status, eq(200));
             }
@@ -178,6 +179,23 @@
     }
 }
 
+#[gtest]
+fn failures_tell_nothing_of_how_long_a_success_runs() {
+    paused(async {
+        let mut rig = MemoryRig::start();
+        rig.workers.otherwise(Plan::answering(Rc::new(stamped_failure)));
+        for number in 0..2 * policy::LEAST_RUN_SAMPLES {
+            let answered = rig.ask(RouteUnderTest::Unsafe, &format!("failed-{number}"), "", "").await;
+            expect_that!(answered.status, eq(500));
+        }
+        rig.terminate();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let answered = rig.ask(RouteUnderTest::Unsafe, "late", "", "").await;
+        expect_that!((answered.status, rig.runs("late")), eq((503, 0)));
+        rig.process_end().await;
+    });
+}
+
 /// Bytes of the answer to a client that reads slowly: more than the connection takes at once.
 const LONG_ANSWER: usize = 60_000;
 
