Refuse settings read again that lack a field of those in force

Cause: most fields of a settings file have values without them, so a file that its writer has not finished may read as whole. At SIGHUP the data plane then took the default retry budget, which may be looser than the one given.

SiteSettings keeps the path of its file, the paths of all fields and list items that the file gave, and whether its last line ended. `reread` refuses a file that lacks one of them, or whose last line has no end where the former one had; the data plane uses it at SIGHUP, keeps the present settings and logs the file and the field. A field that is removed on purpose takes a restart. The first reading at a start is unchanged.

Tests: of all cuts of a YAML file and a JSON file none is accepted; a data plane that is sent SIGHUP over a file cut off logs the missing field.

--- a/src/data_plane/signals.rs
+++ b/src/data_plane/signals.rs
@@ -2,7 +2,6 @@
 
 use super::shared::Shared;
 use super::shutdown::ShutdownHandle;
-use crate::site_settings::SiteSettings;
 use std::rc::Rc;
 use tokio::signal::unix::{signal, SignalKind};
 
@@ -17,11 +16,13 @@
     }
 }
 
-/// Reads the settings again at each SIGHUP. Settings that cannot be read leave the present ones in force.
+/// Reads the settings again at each SIGHUP. A file that cannot be read, or lacks what the present one gives, leaves the
+/// present settings in force.
 pub(crate) async fn reload_at_sighup(shared: Rc<Shared>) {
     let Ok(mut hangup) = signal(SignalKind::hangup()) else { return };
     while hangup.recv().await.is_some() {
-        match SiteSettings::from_environment() {
+        let reread = shared.settings.borrow().reread();
+        match reread {
             Ok(settings) => shared.take_settings(settings),
             Err(error) => log::warn!("settings are kept: {error}"),
         }
--- a/src/process/document.rs
+++ b/src/process/document.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde_saphyr::Spanned;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
@@ -204,6 +205,33 @@
         }
     }
 
+    /// Paths (dots and `[n]`) of all fields and items that have a value.
+    #[must_use]
+    pub fn field_paths(&self) -> BTreeSet<String> {
+        let mut paths = BTreeSet::new();
+        self.collect_paths("", &mut paths);
+        paths
+    }
+
+    fn collect_paths(&self, path: &str, paths: &mut BTreeSet<String>) {
+        let mut add = |path: String, node: &Node| {
+            if !matches!(node.kind, Kind::Null) {
+                node.collect_paths(&path, paths);
+                paths.insert(path);
+            }
+        };
+        match &self.kind {
+            Kind::Map(map) => {
+                let dot = if path.is_empty() { "" } else { "." };
+                map.iter().for_each(|(key, node)| add(format!("{path}{dot}{}", key.value), node));
+            }
+            Kind::List(list) => {
+                list.iter().enumerate().for_each(|(index, node)| add(format!("{path}[{index}]"), node));
+            }
+            _ => {}
+        }
+    }
+
     /// Whether a mapping has this key.
     #[must_use]
     pub fn has(&self, key: &str) -> bool {
--- a/src/site_settings.rs
+++ b/src/site_settings.rs
@@ -1,7 +1,11 @@
 //! The settings file of a process of the system, which the variable `SWITCHHILL_CONFIG` names.
 //!
-//! Unknown fields are skipped; a bad one is named with file, line and field.
+//! Unknown fields are skipped; a bad one is named with file, line and field. A file that is read again must give all that the
+//! one in force gives.
 
+mod origin;
+
+use origin::Origin;
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -33,6 +37,22 @@
         /// Line, field and what is wrong with it.
         fault: String,
     },
+    /// The file was read again and lacks a field that the file in force gives.
+    #[error("{path}: `{field}` is missing, which the settings in force give: the file may be cut off")]
+    FieldMissing {
+        /// The file.
+        path: PathBuf,
+        /// Path of the first field that is missing, by name.
+        field: String,
+    },
+    /// The file was read again and its last line has no end, unlike that of the file in force.
+    #[error(
+        "{path}: the last line has no end, unlike that of the settings in force: the file may be cut off"
+    )]
+    LastLineOpen {
+        /// The file.
+        path: PathBuf,
+    },
 }
 
 /// Addresses that a role listens on.
@@ -168,6 +188,9 @@
     /// Figures of the rules.
     #[serde(default)]
     pub bounds: Bounds,
+    /// The file they were read from, where there is one.
+    #[serde(skip)]
+    origin: Option<Origin>,
 }
 
 fn default_heartbeat_ms() -> u64 {
@@ -186,9 +209,24 @@
         let text = std::fs::read_to_string(path)
             .map_err(|source| SettingsError::Unreadable { path: path.to_owned(), source })?;
         let invalid = |fault: String| SettingsError::Invalid { path: path.to_owned(), fault };
-        let settings: SiteSettings =
+        let mut settings: SiteSettings =
             serde_saphyr::from_str(&text).map_err(|error| invalid(error.to_string()))?;
         settings.check().map_err(invalid)?;
+        settings.origin = Some(Origin::of(path, &text));
+        Ok(settings)
+    }
+
+    /// Reads the file again that these settings came from, or the one that the environment names where they came from none.
+    ///
+    /// # Errors
+    /// The file can't be read, is wrong, or lacks what the file of these settings gives, as one does that its writer has
+    /// not finished.
+    pub fn reread(&self) -> Result<SiteSettings, SettingsError> {
+        let Some(in_force) = &self.origin else { return SiteSettings::from_environment() };
+        let settings = SiteSettings::read(in_force.path())?;
+        if let Some(origin) = &settings.origin {
+            origin.check_as_whole_as(in_force)?;
+        }
         Ok(settings)
     }
 
--- a/tests/site_settings.rs
+++ b/tests/site_settings.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use std::path::PathBuf;
-use switchhill::site_settings::SiteSettings;
+use switchhill::site_settings::{SettingsError, SiteSettings};
 
 const WHOLE: &str = r#"
 nodeName: "core-1"
@@ -105,3 +105,80 @@
     let fault = SiteSettings::read(&PathBuf::from("/nowhere/local.yaml")).expect_err("there is no such file");
     expect_that!(fault.to_string(), contains_substring("/nowhere/local.yaml"));
 }
+
+/// Settings as the platform writes them, with a figure of the retry budget at the end.
+const WITH_BUDGET: &str = r#"nodeName: "edge-1"
+ip: "10.1.0.35"
+zone: "north"
+zones:
+  north: "region"
+bind:
+  http: "10.1.0.35:8144"
+portRange:
+  - 7660
+  - 7675
+seeds:
+  - "10.1.0.38:8146"
+  - "10.2.0.30:8146"
+heartbeatMs: 1200
+bounds:
+  livenessMs: 3000
+  graceS: 12
+  retryBudgetRatio: 0.15
+  leaseMs: 3000
+  retryBudgetSlack: 18
+"#;
+
+/// What reading the file again says once `text` has taken the place of `former`.
+fn reread(name: &str, former: &str, text: &str) -> Result<SiteSettings, SettingsError> {
+    let path = file(name, former);
+    let in_force = SiteSettings::read(&path).expect("the settings are right");
+    std::fs::write(&path, text).expect("the file can be written");
+    let reread = in_force.reread();
+    std::fs::remove_file(path).expect("the file can be removed");
+    reread
+}
+
+#[gtest]
+fn no_file_that_is_cut_off_takes_the_place_of_the_whole_one() {
+    let as_json = r#"{"nodeName": "edge-1", "ip": "10.1.0.35", "zone": "north", "portRange": [7660, 7675],
+        "bounds": {"graceS": 12, "retryBudgetSlack": 18}}"#;
+    for whole in [WITH_BUDGET, as_json] {
+        let accepted: Vec<usize> =
+            (0..whole.len()).filter(|cut| reread("cut", whole, &whole[..*cut]).is_ok()).collect();
+        expect_that!(accepted, is_empty(), "bytes of {} after which the file was cut off", whole.len());
+        expect_true!(reread("cut", whole, whole).is_ok());
+    }
+}
+
+#[gtest]
+fn a_file_without_a_field_of_the_present_one_is_refused_by_name() {
+    for (line, field) in [
+        ("  retryBudgetRatio: 0.15\n", "bounds.retryBudgetRatio"),
+        ("  - \"10.2.0.30:8146\"\n", "seeds[1]"),
+        ("zones:\n  north: \"region\"\n", "zones"),
+    ] {
+        let refused =
+            reread("gone", WITH_BUDGET, &WITH_BUDGET.replace(line, "")).expect_err("a field is gone");
+        let named =
+            matches!(&refused, SettingsError::FieldMissing { field: missing, .. } if missing == field);
+        expect_true!(named, "{refused}");
+        expect_that!(refused.to_string(), contains_substring("switchhill-settings-"));
+    }
+}
+
+#[gtest]
+fn changed_and_added_fields_are_taken_and_must_stay() -> googletest::Result<()> {
+    let changed = WITH_BUDGET.replace("retryBudgetSlack: 18", "retryBudgetSlack: 20\n  drainMs: 1500");
+    let path = file("changed", WITH_BUDGET);
+    let first = SiteSettings::read(&path)?;
+    std::fs::write(&path, &changed)?;
+    let second = first.reread()?;
+    expect_that!(second.bounds.retry_budget_slack, eq(20.0));
+    expect_that!(second.bounds.drain_ms, eq(1500));
+    std::fs::write(&path, WITH_BUDGET)?;
+    let third = second.reread().expect_err("a field of the second file is gone");
+    expect_that!(third.to_string(), contains_substring("bounds.drainMs"));
+    std::fs::remove_file(path)?;
+    Ok(())
+}
--- /dev/null
+++ b/tests/system_signals.rs
@@ -0,0 +1,98 @@
+//! Signals to the system's programs, as real processes on loopback.
+#![allow(missing_docs)]
+
+use googletest::prelude::*;
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+use switchhill::site_settings::SETTINGS_VARIABLE;
+use switchhill_lab::stand_in::{program, signal};
+
+/// Longest time that anything awaited in a test may take.
+const BOUND: Duration = Duration::from_secs(20);
+
+/// Time between two looks at what is awaited.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+
+/// A program of the system, ended by its own id whatever happens.
+struct Program {
+    child: Child,
+    log: PathBuf,
+}
+
+impl Program {
+    fn start(command: &str, settings: &Path, folder: &Path) -> Program {
+        let log = folder.join("log");
+        let child = Command::new(program())
+            .arg(command)
+            .env(SETTINGS_VARIABLE, settings)
+            .env("RUST_LOG", "switchhill=debug")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(File::create(&log).expect("a file"))
+            .spawn()
+            .expect("it starts");
+        Program { child, log }
+    }
+
+    fn send(&self, name: &str) {
+        assert!(signal(self.child.id(), name), "{name} can't be sent");
+    }
+
+    fn logged(&self) -> String {
+        std::fs::read_to_string(&self.log).expect("the log")
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        // Both have no effect on a process that has ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn until<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let began = Instant::now();
+    while began.elapsed() < BOUND {
+        if let Some(found) = look() {
+            return found;
+        }
+        std::thread::sleep(LOOK_EVERY);
+    }
+    panic!("{what} took too long");
+}
+
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("switchhill-signals-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+fn settings(extra: &str) -> String {
+    format!(
+        "nodeName: \"m-1\"\nip: \"127.0.0.1\"\nzone: \"here\"\nportRange:\n  - 1\n  - 2\n{extra}\
+         bounds:\n  graceS: 1\n  retryBudgetRatio: 0.1\n  retryBudgetSlack: 3\n"
+    )
+}
+
+#[gtest]
+fn a_file_cut_off_at_sighup_is_named_with_the_missing_field() {
+    let folder = folder("cut");
+    let path = folder.join("local.yaml");
+    let whole = settings("bind:\n  http: \"127.0.0.1:0\"\n");
+    std::fs::write(&path, &whole).expect("written");
+    let data_plane = Program::start("data-plane", &path, &folder);
+    // The agent is called once the file has been read.
+    until("a call to the agent", || data_plane.logged().contains("the agent at").then_some(()));
+    let cut = whole.find("  retryBudgetRatio").expect("it is there");
+    std::fs::write(&path, &whole[..cut]).expect("written");
+    let told = until("the log line", || {
+        data_plane.send("-HUP");
+        data_plane.logged().lines().find(|line| line.contains("settings are kept")).map(str::to_owned)
+    });
+    expect_that!(told, contains_substring("WARN"));
+    expect_that!(told, contains_substring("local.yaml: `bounds.retryBudgetRatio` is missing"));
+    std::fs::remove_dir_all(folder).expect("removed");
+}
