Install signal handlers before settings are read and disks are opened

Cause: the three programs of the system installed their handlers late in the start, the control plane after the replica's file was opened and synced. Until then SIGHUP and SIGTERM ended the process at once.

The handlers are installed first and handed to the program. A SIGTERM that comes during the start is kept and carried out in order; an early SIGHUP ends nothing. The data plane takes its SIGTERM from the same place, and handles SIGINT like the others.

Test: the settings file is a pipe that is opened and not yet written when both signals are sent; then each program must end with 0.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::site_settings::SiteSettings;
 use crate::system::clock::Clock;
+use crate::system::stop::Stop;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use switchhill_distribution::{LinkSettings, Relay, RelayInput, RelayOutput};
@@ -17,7 +18,7 @@
 const SPARE_LINKS: usize = 2;
 
 /// Runs until the process is told to stop.
-pub async fn run(settings: SiteSettings) -> anyhow::Result<()> {
+pub async fn run(settings: SiteSettings, mut stop: Stop) -> anyhow::Result<()> {
     let (inputs, mut received) = mpsc::unbounded_channel();
     let feed_address = SocketAddr::from((Ipv4Addr::LOCALHOST, settings.feed_port()));
     let mut feeds = feeds::Feeds::listen(feed_address, inputs.clone()).await?;
@@ -32,7 +33,6 @@
     let clock = Clock::new();
     let mut ticks = tokio::time::interval(TICK_EVERY);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut stop = crate::system::stop::Stop::new()?;
     loop {
         let input = tokio::select! {
             _ = stop.requested() => return Ok(()),
--- a/src/control_plane/mod.rs
+++ b/src/control_plane/mod.rs
@@ -23,7 +23,7 @@
 const BEFORE_KILL: Duration = Duration::from_millis(1_000);
 
 /// Runs until the process is told to stop, and then until the electorate goes on without its replica.
-pub async fn run(settings: SiteSettings) -> anyhow::Result<()> {
+pub async fn run(settings: SiteSettings, mut stop: Stop) -> anyhow::Result<()> {
     let control =
         settings.bind.control.ok_or_else(|| anyhow::anyhow!("bind.control is missing from the settings"))?;
     let folder =
@@ -45,7 +45,6 @@
     let workers = workers::WorkerCalls::new(inputs.clone());
     let mut ticks = tokio::time::interval(TICK_EVERY);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut stop = Stop::new()?;
     let leave_within = settings.grace().saturating_sub(BEFORE_KILL);
     let mut leave_by: Option<tokio::time::Instant> = None;
     loop {
--- a/src/data_plane_feed.rs
+++ b/src/data_plane_feed.rs
@@ -5,10 +5,13 @@
 mod worker_views;
 
 pub use self::worker_views::{worker_view, WorkerViews};
-use crate::data_plane::{self, now_ms, Feedback, LoadsElsewhere, RouteElsewhere, View};
+use crate::data_plane::{
+    self, now_ms, DataPlane, Feedback, LoadsElsewhere, RouteElsewhere, ShutdownHandle, View,
+};
 use crate::site_settings::SiteSettings;
 use crate::system::connection::{self, LinkKind};
 use crate::system::outgoing::{self, Outgoing};
+use crate::system::stop::Stop;
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -29,13 +32,24 @@
 const FORGET_EVERY: Duration = Duration::from_secs(5);
 
 /// Runs the data plane and its feed until the process has stopped.
-pub async fn run(settings: SiteSettings) -> anyhow::Result<()> {
+///
+/// # Errors
+/// A listener cannot be opened, or the settings name no address for clients.
+pub async fn run(settings: SiteSettings, stop: Stop) -> anyhow::Result<()> {
     let (views, received_views) = watch::channel(Arc::new(View::default()));
     let (feedback, received_feedback) = mpsc::unbounded_channel();
     let agent = SocketAddr::from((Ipv4Addr::LOCALHOST, settings.feed_port())).to_string();
     let feed = Feed::new(&settings, views);
     tokio::task::spawn_local(feed.run(agent, received_feedback));
-    data_plane::run(settings, received_views, feedback).await
+    let data_plane = DataPlane::bind(settings)?;
+    tokio::task::spawn_local(end_when_told(stop, data_plane.shutdown_handle()));
+    data_plane.serve(received_views, feedback).await
+}
+
+/// Begins the end of the data plane. The signal may have come before the data plane was there.
+async fn end_when_told(mut stop: Stop, shutdown: ShutdownHandle) {
+    stop.told_to_end().await;
+    shutdown.begin();
 }
 
 /// What the agent told, and what the data plane is given of it.
--- a/src/system/command.rs
+++ b/src/system/command.rs
@@ -1,8 +1,8 @@
 //! Commands of the system's programs.
 
+use super::stop::Stop;
 use crate::site_settings::SiteSettings;
 use argh::FromArgs;
-use std::future::Future;
 use std::process::ExitCode;
 
 /// Commands that this module understands; all others are those of the gateway.
@@ -65,16 +65,19 @@
 }
 
 fn start(program: &Program) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    // First of all: until its handler is there, a signal ends the process.
+    let stop = handle_signals(&runtime)?;
     let settings = SiteSettings::from_environment()?;
+    let local = tokio::task::LocalSet::new();
     match program {
-        Program::DataPlane(_) => on_one_thread(crate::data_plane_feed::run(settings)),
-        Program::Agent(_) => on_one_thread(crate::agent::run(settings)),
-        Program::ControlPlane(_) => on_one_thread(crate::control_plane::run(settings)),
+        Program::DataPlane(_) => local.block_on(&runtime, crate::data_plane_feed::run(settings, stop)),
+        Program::Agent(_) => local.block_on(&runtime, crate::agent::run(settings, stop)),
+        Program::ControlPlane(_) => local.block_on(&runtime, crate::control_plane::run(settings, stop)),
     }
 }
 
-fn on_one_thread(program: impl Future<Output = anyhow::Result<()>>) -> anyhow::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let local = tokio::task::LocalSet::new();
-    local.block_on(&runtime, program)
+fn handle_signals(runtime: &tokio::runtime::Runtime) -> std::io::Result<Stop> {
+    let _context = runtime.enter();
+    Stop::new()
 }
--- a/src/system/stop.rs
+++ b/src/system/stop.rs
@@ -10,7 +10,10 @@
 }
 
 impl Stop {
-    /// Takes the signals over.
+    /// Takes the signals over. Those that come from now on are kept until they are asked for.
+    ///
+    /// # Errors
+    /// The system refuses a handler.
     pub fn new() -> std::io::Result<Stop> {
         Ok(Stop {
             terminate: signal(SignalKind::terminate())?,
@@ -29,4 +32,12 @@
             }
         }
     }
+
+    /// Completes when the process is told to stop. Hangups are for others to handle.
+    pub async fn told_to_end(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
 }
--- a/tests/system_signals.rs
+++ b/tests/system_signals.rs
@@ -2,9 +2,12 @@
 #![allow(missing_docs)]
 
 use googletest::prelude::*;
+use rstest::rstest;
 use std::fs::File;
+use std::io::Write;
+use std::net::TcpListener;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 use switchhill::site_settings::SETTINGS_VARIABLE;
 use switchhill_lab::stand_in::{program, signal};
@@ -40,11 +43,40 @@
         assert!(signal(self.child.id(), name), "{name} can't be sent");
     }
 
+    fn wait(&mut self) -> ExitStatus {
+        until("the program's end", || self.child.try_wait().expect("a child"))
+    }
+
     fn logged(&self) -> String {
         std::fs::read_to_string(&self.log).expect("the log")
     }
 }
 
+/// A settings file that is there to be read, but not yet written: its reader waits.
+struct UnwrittenSettings {
+    path: PathBuf,
+    text: String,
+}
+
+impl UnwrittenSettings {
+    fn new(folder: &Path, text: String) -> UnwrittenSettings {
+        let path = folder.join("local.yaml");
+        let made = Command::new("mkfifo").arg(&path).status().expect("mkfifo runs");
+        assert!(made.success(), "mkfifo: {made}");
+        UnwrittenSettings { path, text }
+    }
+
+    /// Waits until the file is being read, does something and then writes it. Later readers find a usual file.
+    fn write_after(&self, act: impl FnOnce()) {
+        let mut pipe = File::options().write(true).open(&self.path).expect("it is being read");
+        act();
+        let usual = self.path.with_extension("new");
+        std::fs::write(&usual, &self.text).expect("written");
+        std::fs::rename(usual, &self.path).expect("renamed");
+        pipe.write_all(self.text.as_bytes()).expect("the process is there and reads on");
+    }
+}
+
 impl Drop for Program {
     fn drop(&mut self) {
         // Both have no effect on a process that has ended.
@@ -70,9 +102,16 @@
     folder
 }
 
+/// A port that nobody listens on.
+fn free_port() -> u16 {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("its address").port()
+}
+
 fn settings(extra: &str) -> String {
+    let feed = free_port();
     format!(
-        "nodeName: \"m-1\"\nip: \"127.0.0.1\"\nzone: \"here\"\nportRange:\n  - 1\n  - 2\n{extra}\
+        "nodeName: \"m-1\"\nip: \"127.0.0.1\"\nzone: \"here\"\nportRange:\n  - 0\n  - {feed}\n{extra}\
          bounds:\n  graceS: 1\n  retryBudgetRatio: 0.1\n  retryBudgetSlack: 3\n"
     )
 }
@@ -96,3 +135,29 @@
     expect_that!(told, contains_substring("local.yaml: `bounds.retryBudgetRatio` is missing"));
     std::fs::remove_dir_all(folder).expect("removed");
 }
+
+/// What each program needs beside the common settings.
+fn own_settings(command: &str, folder: &Path) -> String {
+    match command {
+        "data-plane" => "bind:\n  http: \"127.0.0.1:0\"\n".to_owned(),
+        "control-plane" => format!("bind:\n  control: \"127.0.0.1:0\"\ndataDir: {folder:?}\n"),
+        _ => String::new(),
+    }
+}
+
+#[rstest]
+#[case::data_plane("data-plane")]
+#[case::agent("agent")]
+#[case::control_plane("control-plane")]
+fn signals_before_the_settings_are_read_end_nothing_at_once(#[case] command: &str) {
+    let folder = folder(command);
+    let unwritten = UnwrittenSettings::new(&folder, settings(&own_settings(command, &folder)));
+    let mut program = Program::start(command, &unwritten.path, &folder);
+    unwritten.write_after(|| {
+        program.send("-HUP");
+        program.send("-TERM");
+    });
+    let status = program.wait();
+    assert_eq!(status.code(), Some(0), "{status}: {}", program.logged());
+    std::fs::remove_dir_all(folder).expect("removed");
+}
