Answer calls in hand at SIGTERM and refuse later ones at once

Cause: a control plane that was told to end asked whether it may leave right after it had noted the signal. Where it may, nobody handled inputs from then on, but calls were still accepted and read for 150 ms; they and those in hand ended without an answer.

When it may leave, the control plane closes its listener, takes the connections that had come by then, refuses calls that its node does not have with 503 (new code 3005) and `Connection: close`, and goes on handling inputs until no call waits. Calls that still wait when the time to leave is over are answered 504 (3001). A call whose caller has gone is forgotten and not waited for.

--- a/crates/configuration/src/error.rs
+++ b/crates/configuration/src/error.rs
@@ -46,11 +46,13 @@
     OrderForgotten,
     /// This node has too many orders in hand; the order was not proposed.
     TooManyOrders,
+    /// This node is about to end; the order was not proposed.
+    Leaving,
 }
 
 impl ResultCode {
     /// All codes, in the order of their numbers.
-    pub const ALL: [ResultCode; 19] = [
+    pub const ALL: [ResultCode; 20] = [
         ResultCode::Unreadable,
         ResultCode::UnknownService,
         ResultCode::SharedPlace,
@@ -70,6 +72,7 @@
         ResultCode::NoConfiguration,
         ResultCode::OrderForgotten,
         ResultCode::TooManyOrders,
+        ResultCode::Leaving,
     ];
 
     /// The number of the code.
@@ -94,6 +97,7 @@
             ResultCode::NoConfiguration => 3002,
             ResultCode::OrderForgotten => 3003,
             ResultCode::TooManyOrders => 3004,
+            ResultCode::Leaving => 3005,
         }
     }
 
@@ -105,7 +109,8 @@
             ResultCode::NoQuorum
             | ResultCode::NoConfiguration
             | ResultCode::OrderForgotten
-            | ResultCode::TooManyOrders => 503,
+            | ResultCode::TooManyOrders
+            | ResultCode::Leaving => 503,
             ResultCode::OutcomeUnknown => 504,
             _ => 400,
         }
@@ -133,6 +138,7 @@
             ResultCode::NoConfiguration => "no configuration has been taken yet",
             ResultCode::OrderForgotten => "the order is too old to tell whether it was taken",
             ResultCode::TooManyOrders => "too many orders wait at this node; nothing was proposed",
+            ResultCode::Leaving => "this node is about to end; nothing was proposed",
         }
     }
 
--- a/src/control_plane/http.rs
+++ b/src/control_plane/http.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -18,7 +19,7 @@
 use switchhill_configuration::{Order, OrderKind, ResultCode};
 use switchhill_control::{Answer, Call, CallId, Input};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
 use crate::system::connection;
@@ -41,25 +42,27 @@
 /// Calls that wait for the node.
 #[derive(Clone)]
 pub(super) struct Calls {
-    waiting: Rc<RefCell<BTreeMap<CallId, oneshot::Sender<Answer>>>>,
+    waiting: WaitingCalls,
     next: Rc<Cell<u64>>,
     inputs: mpsc::UnboundedSender<Input>,
+    closed: Rc<watch::Sender<bool>>,
 }
 
+/// Where the answer of each call goes.
+type WaitingCalls = Rc<RefCell<BTreeMap<CallId, oneshot::Sender<Answer>>>>;
+
 impl Calls {
     /// Serves on a listener; calls go to `inputs`.
     pub(super) fn start(listener: TcpListener, inputs: mpsc::UnboundedSender<Input>) -> Calls {
-        let calls = Calls { waiting: Rc::default(), next: Rc::default(), inputs };
-        let serving = calls.clone();
-        tokio::task::spawn_local(async move {
-            loop {
-                let stream = connection::accept(&listener).await;
-                tokio::task::spawn_local(serve(stream, serving.clone()));
-            }
-        });
+        let calls = Calls::new(inputs);
+        tokio::task::spawn_local(accept(listener, calls.clone()));
         calls
     }
 
+    fn new(inputs: mpsc::UnboundedSender<Input>) -> Calls {
+        Calls { waiting: Rc::default(), next: Rc::default(), inputs, closed: Rc::default() }
+    }
+
     /// Answers a call.
     pub(super) fn answer(&mut self, id: CallId, answer: Answer) {
         if let Some(waiting) = self.waiting.borrow_mut().remove(&id) {
@@ -67,16 +70,41 @@
         }
     }
 
+    /// The process is about to end: no connection is taken any more, and calls that the node does not have yet are
+    /// refused at once. Has no effect a second time.
+    pub(super) fn close(&self) {
+        self.closed.send_if_modified(|closed| !std::mem::replace(closed, true));
+    }
+
+    /// Whether calls are refused and none waits for the node any more.
+    pub(super) fn are_done(&self) -> bool {
+        self.are_closed() && self.waiting.borrow().is_empty()
+    }
+
+    /// Answers all calls that wait: what comes of them is not known.
+    pub(super) fn leave_open(&self) {
+        let waiting = std::mem::take(&mut *self.waiting.borrow_mut());
+        for call in waiting.into_values() {
+            let _ = call.send(coded(ResultCode::OutcomeUnknown, "the process ends"));
+        }
+    }
+
+    fn are_closed(&self) -> bool {
+        *self.closed.borrow()
+    }
+
     async fn make(&self, call: Call) -> Answer {
+        if self.are_closed() {
+            return coded(ResultCode::Leaving, "call another node");
+        }
         let id = CallId(self.next.get());
         self.next.set(id.0 + 1);
         let (sender, answer) = oneshot::channel();
         self.waiting.borrow_mut().insert(id, sender);
+        let _forgotten_at_the_end = ForgetCall { waiting: self.waiting.clone(), id };
         let _ = self.inputs.send(Input::Call(id, call));
         let began = Instant::now();
-        let answer = tokio::time::timeout(ANSWER_WITHIN, answer).await;
-        self.waiting.borrow_mut().remove(&id);
-        match answer {
+        match tokio::time::timeout(ANSWER_WITHIN, answer).await {
             // One that was given before the process was frozen may be found only after.
             Ok(Ok(answer)) if began.elapsed() <= ANSWER_WITHIN => answer,
             _ => coded(ResultCode::OutcomeUnknown, "no answer in time"),
@@ -84,6 +112,34 @@
     }
 }
 
+/// Forgets a call when it is over, also one whose caller has gone.
+struct ForgetCall {
+    waiting: WaitingCalls,
+    id: CallId,
+}
+
+impl Drop for ForgetCall {
+    fn drop(&mut self) {
+        self.waiting.borrow_mut().remove(&self.id);
+    }
+}
+
+/// Takes connections until the calls are closed, those that had come by then included.
+async fn accept(listener: TcpListener, calls: Calls) {
+    let mut closed = calls.closed.subscribe();
+    loop {
+        tokio::select! {
+            stream = connection::accept(&listener) => {
+                tokio::task::spawn_local(serve(stream, calls.clone()));
+            }
+            _ = closed.wait_for(|closed| *closed) => break,
+        }
+    }
+    for stream in connection::accept_last(listener) {
+        tokio::task::spawn_local(serve(stream, calls.clone()));
+    }
+}
+
 async fn serve(stream: TcpStream, calls: Calls) {
     let service = service_fn(|request| handle(request, calls.clone()));
     let served = http1::Builder::new()
@@ -104,8 +160,11 @@
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut response = Response::new(Full::new(answer.body));
     *response.status_mut() = status;
-    let json = hyper::header::HeaderValue::from_static("application/json");
+    let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
+    if calls.are_closed() {
+        response.headers_mut().insert(hyper::header::CONNECTION, HeaderValue::from_static("close"));
+    }
     Ok(response)
 }
 
--- a/src/control_plane/http/tests.rs
+++ b/src/control_plane/http/tests.rs
@@ -7,7 +7,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use std::future::Future;
-use std::rc::Rc;
 use std::time::Duration;
 use switchhill_configuration::OrderKind;
 use switchhill_control::{Answer, Call, Input};
@@ -16,7 +15,7 @@
 
 fn calls() -> (Calls, mpsc::UnboundedReceiver<Input>) {
     let (inputs, received) = mpsc::unbounded_channel();
-    (Calls { waiting: Rc::default(), next: Rc::default(), inputs }, received)
+    (Calls::new(inputs), received)
 }
 
 /// Runs in paused time.
@@ -112,3 +111,51 @@
     });
     expect_that!(outcome, eq(&[200, 504, 504]));
 }
+
+#[gtest]
+fn calls_that_the_node_has_when_they_are_closed_are_awaited() {
+    run(async {
+        let (mut calls, mut inputs) = calls();
+        let making = calls.clone();
+        let made = tokio::task::spawn_local(async move { making.make(Call::Read).await });
+        let Some(Input::Call(id, _)) = inputs.recv().await else { panic!("a call is made") };
+        expect_false!(calls.are_done(), "they are not closed");
+        calls.close();
+        expect_false!(calls.are_done(), "one waits");
+        let late = calls.make(Call::Read).await;
+        expect_that!(late.status, eq(503));
+        expect_that!(String::from_utf8_lossy(&late.body), contains_substring("\"code\":3005"));
+        expect_true!(inputs.try_recv().is_err(), "the node is not asked any more");
+        calls.answer(id, ok());
+        expect_that!(made.await.expect("an answer").status, eq(200));
+        expect_true!(calls.are_done());
+    });
+}
+
+#[gtest]
+fn calls_that_wait_at_the_end_are_left_open() {
+    run(async {
+        let (calls, mut inputs) = calls();
+        let making = calls.clone();
+        let made = tokio::task::spawn_local(async move { making.make(Call::Read).await });
+        inputs.recv().await.expect("a call is made");
+        calls.leave_open();
+        let answer = made.await.expect("an answer");
+        expect_that!(answer.status, eq(504));
+        expect_that!(String::from_utf8_lossy(&answer.body), contains_substring("\"code\":3001"));
+    });
+}
+
+#[gtest]
+fn a_call_whose_caller_has_gone_is_not_awaited() {
+    run(async {
+        let (calls, mut inputs) = calls();
+        let making = calls.clone();
+        let made = tokio::task::spawn_local(async move { making.make(Call::Read).await });
+        inputs.recv().await.expect("a call is made");
+        made.abort();
+        expect_true!(made.await.expect_err("it was dropped").is_cancelled());
+        calls.close();
+        expect_true!(calls.are_done());
+    });
+}
--- a/src/control_plane/mod.rs
+++ b/src/control_plane/mod.rs
@@ -2,79 +2,141 @@
 
 mod disk;
 mod http;
+mod leave;
 mod links;
+#[cfg(test)]
+mod tests;
 mod workers;
 
 use crate::site_settings::SiteSettings;
 use crate::system::clock::Clock;
 use crate::system::{connection, stop::Stop};
+use anyhow::Context;
+use leave::Leave;
 use std::net::SocketAddr;
 use std::time::Duration;
 use switchhill_control::{ControlNode, Input, NodeSettings, Output};
+use switchhill_record_log::StandardFileSystem;
+use switchhill_replica_file::Writer;
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
 /// Time between two ticks of the node's decisions.
 const TICK_EVERY: Duration = Duration::from_millis(25);
 
-/// How long answers may still go out after the process was told to stop.
+/// How long answers may still go out, and calls are still refused, before the process ends.
 const LINGER: Duration = Duration::from_millis(150);
 
-/// Time before SIGKILL at which the process ends even if the electorate still needs its replica.
-const BEFORE_KILL: Duration = Duration::from_millis(1_000);
-
 /// Runs until the process is told to stop, and then until the electorate goes on without its replica.
+///
+/// # Errors
+/// The settings lack what a control plane needs, the replica's file cannot be read, or a listener cannot be opened.
 pub async fn run(settings: SiteSettings, mut stop: Stop) -> anyhow::Result<()> {
-    let control =
-        settings.bind.control.ok_or_else(|| anyhow::anyhow!("bind.control is missing from the settings"))?;
-    let folder =
-        settings.data_dir.clone().ok_or_else(|| anyhow::anyhow!("dataDir is missing from the settings"))?;
-    let internal = SocketAddr::from((settings.ip, settings.internal_port()));
-    let clock = Clock::new();
-    let (inputs, mut received) = mpsc::unbounded_channel();
+    ControlPlane::open(settings).await?.serve(async || stop.requested().await).await;
+    Ok(())
+}
 
-    let stored = disk::open(&folder, &internal.to_string(), is_first_voter(&settings))?;
-    let node_settings = node_settings(&settings, stored.identity.replica, internal);
-    let has_not_voted = stored.identity.genesis && stored.records.is_empty();
-    let genesis = has_not_voted.then(|| disk::genesis_members(&node_settings.seeds));
-    let mut node = ControlNode::new(clock.now(), node_settings, stored.records, genesis);
-    let disk = disk::Disk::start(stored.writer, inputs.clone());
+/// A control plane whose file and listeners are open.
+struct ControlPlane {
+    settings: SiteSettings,
+    clock: Clock,
+    node: ControlNode,
+    writer: Writer<StandardFileSystem>,
+    internal: TcpListener,
+    control: TcpListener,
+}
 
-    let listener = connection::listen(internal).await?;
-    let mut links = links::Links::start(listener, inputs.clone());
-    let mut calls = http::Calls::start(connection::listen(control).await?, inputs.clone());
-    let workers = workers::WorkerCalls::new(inputs.clone());
-    let mut ticks = tokio::time::interval(TICK_EVERY);
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let leave_within = settings.grace().saturating_sub(BEFORE_KILL);
-    let mut leave_by: Option<tokio::time::Instant> = None;
-    loop {
-        let is_over = |by: tokio::time::Instant| by <= tokio::time::Instant::now();
-        if leave_by.is_some_and(|by| is_over(by) || node.may_leave(clock.now())) {
-            break;
-        }
-        let input = tokio::select! {
-            _ = stop.requested() => {
-                leave_by.get_or_insert(tokio::time::Instant::now() + leave_within);
-                Input::Leave
+impl ControlPlane {
+    async fn open(settings: SiteSettings) -> anyhow::Result<ControlPlane> {
+        let control = settings.bind.control.context("bind.control is missing from the settings")?;
+        let folder = settings.data_dir.as_ref().context("dataDir is missing from the settings")?;
+        let internal = SocketAddr::from((settings.ip, settings.internal_port()));
+        let clock = Clock::new();
+        let stored = disk::open(folder, &internal.to_string(), is_first_voter(&settings))?;
+        let node_settings = node_settings(&settings, stored.identity.replica, internal);
+        let has_not_voted = stored.identity.genesis && stored.records.is_empty();
+        let genesis = has_not_voted.then(|| disk::genesis_members(&node_settings.seeds));
+        Ok(ControlPlane {
+            clock,
+            node: ControlNode::new(clock.now(), node_settings, stored.records, genesis),
+            writer: stored.writer,
+            internal: connection::listen(internal).await?,
+            control: connection::listen(control).await?,
+            settings,
+        })
+    }
+
+    /// Serves until it was told to stop and has left. It runs inside a [`tokio::task::LocalSet`].
+    async fn serve(self, mut stop: impl AsyncFnMut()) {
+        let ControlPlane { settings, clock, mut node, writer, internal, control } = self;
+        let (inputs, mut received) = mpsc::unbounded_channel();
+        let mut effects = Effects::start(writer, internal, control, &inputs);
+        let mut ticks = tokio::time::interval(TICK_EVERY);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut leave: Option<Leave> = None;
+        loop {
+            if let Some(leave) = &leave {
+                if node.may_leave(clock.now()) {
+                    effects.calls.close();
+                }
+                if leave.is_over() || effects.calls.are_done() {
+                    break;
+                }
             }
-            _ = ticks.tick() => Input::Tick,
-            Some(input) = received.recv() => input,
-        };
-        for output in node.handle(clock.now(), input) {
-            match output {
-                Output::Peer(address, frame) => links.send_peer(address, frame),
-                Output::Subscriber(id, message) => links.send_subscriber(id, message),
-                Output::CloseSubscriber(id) => links.close_subscriber(id),
-                Output::Answer(id, answer) => calls.answer(id, answer),
-                Output::Persist(token, record) => disk.append(token, record),
-                Output::Rewrite(records) => disk.rewrite(records),
-                Output::Order(call) => workers.order(call),
-                Output::AskReport(call) => workers.ask_report(call),
+            let input = tokio::select! {
+                () = stop() => {
+                    leave.get_or_insert_with(|| Leave::begin(&settings));
+                    Input::Leave
+                }
+                _ = ticks.tick() => Input::Tick,
+                Some(input) = received.recv() => input,
+            };
+            for output in node.handle(clock.now(), input) {
+                effects.carry_out(output);
             }
         }
+        effects.calls.close();
+        effects.calls.leave_open();
+        tokio::time::sleep(LINGER).await;
+    }
+}
+
+/// What carries out the node's decisions.
+struct Effects {
+    disk: disk::Disk,
+    links: links::Links,
+    calls: http::Calls,
+    workers: workers::WorkerCalls,
+}
+
+impl Effects {
+    /// Begins to serve. What comes of it goes to `inputs`.
+    fn start(
+        writer: Writer<StandardFileSystem>,
+        internal: TcpListener,
+        control: TcpListener,
+        inputs: &mpsc::UnboundedSender<Input>,
+    ) -> Effects {
+        Effects {
+            disk: disk::Disk::start(writer, inputs.clone()),
+            links: links::Links::start(internal, inputs.clone()),
+            calls: http::Calls::start(control, inputs.clone()),
+            workers: workers::WorkerCalls::new(inputs.clone()),
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Peer(address, frame) => self.links.send_peer(address, frame),
+            Output::Subscriber(id, message) => self.links.send_subscriber(id, message),
+            Output::CloseSubscriber(id) => self.links.close_subscriber(id),
+            Output::Answer(id, answer) => self.calls.answer(id, answer),
+            Output::Persist(token, record) => self.disk.append(token, record),
+            Output::Rewrite(records) => self.disk.rewrite(records),
+            Output::Order(call) => self.workers.order(call),
+            Output::AskReport(call) => self.workers.ask_report(call),
+        }
     }
-    tokio::time::sleep(LINGER).await;
-    Ok(())
 }
 
 /// Whether this machine is of the first electorate: the whole system starts and the machine is a seed.
--- a/src/system/connection.rs
+++ b/src/system/connection.rs
@@ -49,6 +49,17 @@
     }
 }
 
+/// Closes a listener and returns the connections that had come by then: closing alone would reset them.
+pub fn accept_last(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else { return Vec::new() };
+    let accepted = std::iter::from_fn(|| listener.accept().ok());
+    let streams = accepted.filter_map(|(stream, _)| {
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    });
+    streams.inspect(prepare).collect()
+}
+
 /// What a connection to a core node carries: its first byte.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[repr(u8)]
