End a control plane by the smaller of its old and its newest grace

Cause: the time to leave was fixed at the start. Where `bounds.graceS` was made smaller afterwards, a control plane that waited for its electorate was still there at SIGKILL.

At SIGTERM the settings file is read again, on a thread of its own so that a stalled disk holds up nothing, and the smaller grace holds. A file that is bad or cut off leaves the old one in force, and so does one whose grace is no time (negative, not a number), which is refused when it is read again.

--- a/src/control_plane/leave.rs
+++ b/src/control_plane/leave.rs
@@ -1,7 +1,11 @@
 //! How long a process that was told to end may still take.
 
+#[cfg(test)]
+mod tests;
+
 use crate::site_settings::SiteSettings;
 use std::time::Duration;
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 /// Time before SIGKILL at which the process ends even if the electorate still needs its replica.
@@ -10,17 +14,42 @@
 /// The end of the process, from SIGTERM on.
 #[derive(Debug)]
 pub(super) struct Leave {
-    by: Instant,
+    began: Instant,
+    within: Duration,
+    /// The time before SIGKILL that the settings file gives now, until it is known.
+    newest_grace: oneshot::Receiver<Duration>,
 }
 
 impl Leave {
-    /// The process was told to end.
+    /// The process was told to end. The settings file is read again: the time before SIGKILL may have become shorter.
     pub(super) fn begin(settings: &SiteSettings) -> Leave {
-        Leave { by: Instant::now() + settings.grace().saturating_sub(BEFORE_KILL) }
+        Leave {
+            began: Instant::now(),
+            within: time_to_leave(settings.grace()),
+            newest_grace: reread_grace(settings.clone()),
+        }
     }
 
     /// Whether the time is over.
-    pub(super) fn is_over(&self) -> bool {
-        self.by <= Instant::now()
+    pub(super) fn is_over(&mut self) -> bool {
+        if let Ok(grace) = self.newest_grace.try_recv() {
+            self.within = self.within.min(time_to_leave(grace));
+        }
+        self.began + self.within <= Instant::now()
     }
 }
+
+fn time_to_leave(grace: Duration) -> Duration {
+    grace.saturating_sub(BEFORE_KILL)
+}
+
+/// Reads the settings file on a thread of its own: the process goes on while the file cannot be read.
+fn reread_grace(settings: SiteSettings) -> oneshot::Receiver<Duration> {
+    let (tell, told) = oneshot::channel();
+    std::thread::spawn(move || match settings.reread() {
+        // Nobody listens any more where the process has left.
+        Ok(newest) => drop(tell.send(newest.grace())),
+        Err(error) => log::warn!("settings are kept: {error}"),
+    });
+    told
+}
--- a/src/control_plane/mod.rs
+++ b/src/control_plane/mod.rs
@@ -75,7 +75,7 @@
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut leave: Option<Leave> = None;
         loop {
-            if let Some(leave) = &leave {
+            if let Some(leave) = &mut leave {
                 if node.may_leave(clock.now()) {
                     effects.calls.close();
                 }
--- a/src/site_settings.rs
+++ b/src/site_settings.rs
@@ -223,7 +223,10 @@
     /// not finished.
     pub fn reread(&self) -> Result<SiteSettings, SettingsError> {
         let Some(in_force) = &self.origin else { return SiteSettings::from_environment() };
-        let settings = SiteSettings::read(in_force.path())?;
+        let path = in_force.path();
+        let settings = SiteSettings::read(path)?;
+        let invalid = |fault| SettingsError::Invalid { path: path.to_owned(), fault };
+        settings.check_grace().map_err(invalid)?;
         if let Some(origin) = &settings.origin {
             origin.check_as_whole_as(in_force)?;
         }
@@ -240,6 +243,12 @@
         Ok(())
     }
 
+    /// Whether [`SiteSettings::grace`] has a value.
+    fn check_grace(&self) -> Result<(), String> {
+        let grace = Duration::try_from_secs_f64(self.bounds.grace_s);
+        grace.map(drop).map_err(|error| format!("bounds.graceS: {error}"))
+    }
+
     /// Port on which core nodes speak to each other and to agents.
     pub fn internal_port(&self) -> u16 {
         self.port_range.0
--- a/tests/site_settings.rs
+++ b/tests/site_settings.rs
@@ -182,3 +182,12 @@
     std::fs::remove_file(path)?;
     Ok(())
 }
+
+#[gtest]
+fn a_grace_that_is_no_time_is_refused_when_the_file_is_read_again() {
+    for grace in ["-1", ".nan", "1e300"] {
+        let text = WITH_BUDGET.replace("graceS: 12", &format!("graceS: {grace}"));
+        let refused = reread("grace", WITH_BUDGET, &text).expect_err("it is no time");
+        expect_that!(refused.to_string(), contains_substring("bounds.graceS"), "{grace}");
+    }
+}
--- a/tests/system_signals.rs
+++ b/tests/system_signals.rs
@@ -161,3 +161,22 @@
     assert_eq!(status.code(), Some(0), "{status}: {}", program.logged());
     std::fs::remove_dir_all(folder).expect("removed");
 }
+
+/// A core machine that reaches no quorum leaves only when its time is over.
+#[gtest]
+fn a_grace_shortened_in_the_file_holds_for_a_core_machine_that_waits_for_others() {
+    let folder = folder("shortened");
+    let path = folder.join("local.yaml");
+    let alone = "seeds:\n  - \"127.0.0.1:1\"\n  - \"127.0.0.2:1\"\n  - \"127.0.0.3:1\"\nbootstrap: true\n";
+    let own = format!("{}{alone}", own_settings("control-plane", &folder));
+    let long = settings(&own).replace("graceS: 1\n", "graceS: 600\n");
+    std::fs::write(&path, &long).expect("written");
+    let mut core = Program::start("control-plane", &path, &folder);
+    // The file of the replica is there once the settings have been read.
+    until("the start", || folder.join("replica.log").exists().then_some(()));
+    std::fs::write(&path, long.replace("graceS: 600", "graceS: 2")).expect("written");
+    core.send("-TERM");
+    let status = core.wait();
+    expect_that!(status.code(), eq(Some(0)));
+    std::fs::remove_dir_all(folder).expect("removed");
+}
