Settings: a shorter grace in the file counts from SIGTERM on; lists may get shorter

Cause: graceS was taken at start or SIGHUP, though the file may change without a signal; and the reading again refused a file with fewer seeds, which the platform writes where fewer machines serve control.

Change: at SIGTERM a data plane takes the smaller of both graces. The data plane's own SIGTERM handler, which nothing uses any more, is gone.

--- a/src/data_plane/drain.rs
+++ b/src/data_plane/drain.rs
@@ -19,6 +19,19 @@
         Some(self.shutdown.begun()? + times.end)
     }
 
+    /// Takes the time before SIGKILL from the settings file if that is shorter than the one in force: the file may change
+    /// without a signal.
+    fn take_shorter_grace(&self) {
+        let reread = self.settings.borrow().reread();
+        match reread {
+            Ok(newest) => {
+                let bounds = &mut self.settings.borrow_mut().bounds;
+                bounds.grace_s = bounds.grace_s.min(newest.bounds.grace_s);
+            }
+            Err(error) => log::debug!("settings are kept: {error}"),
+        }
+    }
+
     /// Whether new connections are taken while the process is about to end.
     fn takes_connections(&self) -> bool {
         let times = ShutdownTimes::within(self.settings.borrow().grace());
@@ -53,6 +66,7 @@
 pub(super) async fn shut_down(shared: &Shared) {
     shared.shutdown.reached(Phase::Leaving).await;
     log::info!("told to end: {} requests run", shared.running_requests.all().len());
+    shared.take_shorter_grace();
     // Requests that wait look again whether there is time for them.
     shared.view_changed.notify_waiters();
     leave(shared).await;
--- a/src/data_plane/mod.rs
+++ b/src/data_plane/mod.rs
@@ -53,23 +53,3 @@
 pub use server::DataPlane;
 pub use shutdown::{Phase, ShutdownHandle};
 pub use view::{LoadsElsewhere, RouteElsewhere, View};
-
-use crate::site_settings::SiteSettings;
-use std::sync::Arc;
-use tokio::sync::{mpsc, watch};
-use tokio::task::LocalSet;
-
-/// Serves until a SIGTERM has been carried out. It needs a runtime of one thread.
-///
-/// # Errors
-/// A listener cannot be opened, or the settings name no address for clients.
-pub async fn run(
-    settings: SiteSettings,
-    views: watch::Receiver<Arc<View>>,
-    feedback: mpsc::UnboundedSender<Feedback>,
-) -> anyhow::Result<()> {
-    let data_plane = DataPlane::bind(settings)?;
-    let local = LocalSet::new();
-    local.spawn_local(signals::begin_shutdown_at_sigterm(data_plane.shutdown_handle()));
-    local.run_until(data_plane.serve(views, feedback)).await
-}
--- a/src/data_plane/tests/process_end.rs
+++ b/src/data_plane/tests/process_end.rs
@@ -7,10 +7,12 @@
 };
 use super::scripted_worker::{Plan, ReadRequest};
 use crate::data_plane::policy;
+use crate::site_settings::SiteSettings;
 use googletest::prelude::*;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::time::Instant;
 
 /// Longest time in which a request that is given up is answered.
 const AT_ONCE: Duration = Duration::from_millis(20);
@@ -233,3 +235,30 @@
         expect_that!(read, gt(LONG_ANSWER), "the answer was cut");
     });
 }
+
+#[gtest]
+fn a_shorter_time_to_sigkill_in_the_file_counts_from_sigterm_on() {
+    let path = std::env::temp_dir().join(format!("switchhill-grace-{}.yaml", std::process::id()));
+    let write = |grace_s: f64| {
+        let text = format!(
+            "nodeName: edge-1\nip: 127.0.0.1\nzone: here\nportRange: [7660, 7675]\nbounds:\n  graceS: {grace_s}\n"
+        );
+        std::fs::write(&path, text).expect("written");
+    };
+    paused(async {
+        let mut rig = MemoryRig::start();
+        write(30.0);
+        rig.shared.settings.replace(SiteSettings::read(&path).expect("settings"));
+        write(1.5);
+        rig.workers.plan(first_half(RouteUnderTest::Unsafe));
+        let mut client = rig.connect();
+        client.write_all(&request_bytes(RouteUnderTest::Unsafe, "q1", "", "")).await.expect("window");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        let told = Instant::now();
+        rig.terminate();
+        rig.process_end().await;
+        expect_that!(told.elapsed(), lt(Duration::from_millis(1500)));
+        expect_that!(told.elapsed(), gt(Duration::from_millis(1000)));
+    });
+    std::fs::remove_file(&path).expect("removed");
+}
--- a/src/process/document.rs
+++ b/src/process/document.rs
@@ -205,7 +205,7 @@
         }
     }
 
-    /// Paths (dots and `[n]`) of all fields and items that have a value.
+    /// Paths (dots) of all fields that have a value. A list counts as one, whatever the number of its items.
     #[must_use]
     pub fn field_paths(&self) -> BTreeSet<String> {
         let mut paths = BTreeSet::new();
@@ -214,21 +214,12 @@
     }
 
     fn collect_paths(&self, path: &str, paths: &mut BTreeSet<String>) {
-        let mut add = |path: String, node: &Node| {
-            if !matches!(node.kind, Kind::Null) {
-                node.collect_paths(&path, paths);
-                paths.insert(path);
-            }
-        };
-        match &self.kind {
-            Kind::Map(map) => {
-                let dot = if path.is_empty() { "" } else { "." };
-                map.iter().for_each(|(key, node)| add(format!("{path}{dot}{}", key.value), node));
-            }
-            Kind::List(list) => {
-                list.iter().enumerate().for_each(|(index, node)| add(format!("{path}[{index}]"), node));
-            }
-            _ => {}
+        let Kind::Map(map) = &self.kind else { return };
+        let dot = if path.is_empty() { "" } else { "." };
+        for (key, node) in map.iter().filter(|(_, node)| !matches!(node.kind, Kind::Null)) {
+            let path = format!("{path}{dot}{}", key.value);
+            node.collect_paths(&path, paths);
+            paths.insert(path);
         }
     }
 
