Data plane: after SIGTERM only time limits count, not learned run times

Change: a request is sent after SIGTERM only if its time limit ends before the process. The estimator is gone. Waits for models, workers and connections end at SIGTERM. The end is fixed at SIGTERM. Connections are taken and served for 20 ms more when the last phase begins. New connections are refused from SIGTERM on only where most requests of late could outlast the process. The promise of a refusal is checked against what was sent, not against the flag it is made from, and every test of the rig ends with no violation. The two tests of the estimator go with it; the test of every byte waits until after the 20 ms, so that its planted fault is still noticed.

--- a/src/data_plane/attempt.rs
+++ b/src/data_plane/attempt.rs
@@ -90,6 +90,7 @@
                 NoConnection::AllInUse => AttemptOutcome::NotExecuted(StatusCode::SERVICE_UNAVAILABLE.as_u16()),
             }),
             () = self.shared.worker_leaves(worker) => Err(AttemptOutcome::Cancelled),
+            () = self.too_late_to_send() => Err(AttemptOutcome::Cancelled),
             () = tokio::time::sleep_until(self.deadline) => Err(AttemptOutcome::Cancelled),
         }
     }
@@ -117,6 +118,7 @@
 
     /// Undoes the count of an attempt whose connection had closed. The worker may be tried on another one.
     fn take_back(&mut self) -> AttemptEnd {
+        self.entry.did_not_run();
         self.trail.excluded.pop();
         self.trail.sent -= 1;
         self.trail.unsent += 1;
@@ -163,6 +165,7 @@
         match judge(&answer.head, self.request_id.as_ref()) {
             Verdict::Deliver => AttemptEnd::Answered(Box::new(answer)),
             Verdict::NotRun(status) => {
+                self.entry.did_not_run();
                 self.refused(answer, status).await;
                 AttemptEnd::NotRun(status)
             }
--- a/src/data_plane/delivery.rs
+++ b/src/data_plane/delivery.rs
@@ -58,7 +58,7 @@
 /// The gatekeeper's own answer to a request.
 fn answer_itself(exchange: &Exchange, reply: LocalReply) -> Response<AnswerBody> {
     let promises_not_run = matches!(reply, LocalReply::NotRun { .. });
-    if promises_not_run && exchange.trail.may_have_run {
+    if promises_not_run && exchange.entry.may_have_run() {
         exchange.shared.violations.report(Invariant::PromiseIsKept, &format!("{:?}", exchange.request_id));
     }
     reply.answer(exchange.request_id.as_ref())
@@ -107,10 +107,6 @@
         head.headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
     }
     let outcome = answer.outcome();
-    // A worker's failure tells nothing of how long a success takes.
-    if head.status.is_success() {
-        answer.attempt.learn_run_time(&exchange.profile, None);
-    }
     answer.complete(outcome);
     Response::from_parts(head, AnswerBody::whole(body))
 }
--- a/src/data_plane/drain.rs
+++ b/src/data_plane/drain.rs
@@ -6,83 +6,97 @@
 use super::running_requests::RunningRequest;
 use super::shared::Shared;
 use super::shutdown::{Phase, ShutdownTimes};
+use std::cell::Cell;
 use std::time::Duration;
 use tokio::time::Instant;
 
 /// Interval at which the end of the running requests is looked for.
 const END_CHECK: Duration = Duration::from_millis(20);
+/// Cut requests that are logged one by one; the rest are counted.
+const MOST_CUT_LOGGED: usize = 20;
+/// Weight of the newest request in [`FittingShare`].
+const SHARE_WEIGHT: f64 = 1.0 / 32.0;
+
+/// Share of the requests of late whose time limits end before a process does that is told to end when they arrive.
+#[derive(Debug)]
+pub(crate) struct FittingShare(Cell<f64>);
+
+impl Default for FittingShare {
+    fn default() -> FittingShare {
+        FittingShare(Cell::new(1.0))
+    }
+}
+
+impl FittingShare {
+    fn note(&self, fits: bool) {
+        let share = self.0.get();
+        self.0.set(share + SHARE_WEIGHT * (f64::from(u8::from(fits)) - share));
+    }
+}
 
 impl Shared {
-    /// When the process ends, once it has been told to. It follows settings that are read again.
+    /// When the process ends, once it has been told to.
     pub(crate) fn process_end(&self) -> Option<Instant> {
-        let times = ShutdownTimes::within(self.settings.borrow().grace());
-        Some(self.shutdown.begun()? + times.end)
+        let begun = self.shutdown.begun()?;
+        Some(begun + self.shutdown_times().end)
     }
 
-    /// Takes the time before SIGKILL from the settings file if that is shorter than the one in force: the file may change
-    /// without a signal.
-    fn take_shorter_grace(&self) {
-        let reread = self.settings.borrow().reread();
-        match reread {
-            Ok(newest) => {
-                let bounds = &mut self.settings.borrow_mut().bounds;
-                bounds.grace_s = bounds.grace_s.min(newest.bounds.grace_s);
-            }
-            Err(error) => log::debug!("settings are kept: {error}"),
-        }
+    /// Notes the time limit of a request that has arrived.
+    pub(crate) fn note_time_limit(&self, time_limit: Duration) {
+        let fits = time_limit + policy::LAST_ANSWER_MARGIN <= self.shutdown_times().end;
+        self.fitting_share.note(fits);
     }
 
-    /// Whether new connections are taken while the process is about to end.
-    fn takes_connections(&self) -> bool {
-        let times = ShutdownTimes::within(self.settings.borrow().grace());
-        let Some(begun) = self.shutdown.begun() else { return true };
-        let (now, end) = (Instant::now(), begun + times.end);
-        let needed = self.running_requests.longest_time_needed() + policy::LAST_ANSWER_MARGIN;
-        now < begun + times.leaving && now + needed < end
+    /// The times that were fixed when the process was told to end, or those by the present settings.
+    fn shutdown_times(&self) -> ShutdownTimes {
+        self.end_times.get().unwrap_or_else(|| ShutdownTimes::within(self.settings.borrow().grace()))
+    }
+
+    /// Fixes the times of the end. The time before SIGKILL is that of the settings in force or of their file, which may have
+    /// changed without a signal, whichever is shorter.
+    fn fix_end_times(&self) {
+        let mut grace = self.settings.borrow().grace();
+        match self.settings.borrow().reread() {
+            Ok(newest) => grace = grace.min(newest.grace()),
+            Err(error) => log::debug!("settings are kept: {error}"),
+        }
+        self.end_times.set(Some(ShutdownTimes::within(grace)));
     }
 }
 
 impl Exchange {
-    /// Whether the request, sent to a worker now, would be answered before the process ends. That holds for all
-    /// requests of a process that has not been told to end.
+    /// Whether the request, sent to a worker now, is answered before the process ends: by its time limit, since nobody
+    /// can tell how long it will run. That holds for all requests of a process that has not been told to end.
     pub(crate) fn ends_before_process(&self) -> bool {
-        self.latest_start().is_none_or(|latest| Instant::now() < latest)
+        let process_end = self.shared.process_end();
+        process_end.is_none_or(|end| self.deadline + policy::LAST_ANSWER_MARGIN <= end)
     }
 
-    /// The last moment at which the request may be sent to a worker, where the end of the process sets one.
-    pub(crate) fn latest_start(&self) -> Option<Instant> {
-        let last_answer = self.shared.process_end()? - policy::LAST_ANSWER_MARGIN;
-        if self.deadline <= last_answer {
-            return None;
+    /// Waits until the request must not be sent to a worker any more for the end of the process.
+    pub(crate) async fn too_late_to_send(&self) {
+        self.shared.shutdown.reached(Phase::Leaving).await;
+        if self.ends_before_process() {
+            std::future::pending().await
         }
-        let run_time = self.shared.run_times.upper_bound(&self.profile);
-        let latest = run_time.and_then(|run_time| last_answer.checked_sub(run_time));
-        // A request that may run for as long as its time limit allows is not sent after the signal.
-        latest.or(self.shared.shutdown.begun())
     }
 }
 
 /// Waits for the shutdown and carries it out.
 pub(super) async fn shut_down(shared: &Shared) {
     shared.shutdown.reached(Phase::Leaving).await;
-    log::info!("told to end: {} requests run", shared.running_requests.all().len());
-    shared.take_shorter_grace();
-    // Requests that wait look again whether there is time for them.
-    shared.view_changed.notify_waiters();
-    leave(shared).await;
+    shared.fix_end_times();
+    log::info!("told to end: {} requests run", shared.running_requests.count());
+    // Where most requests could outlast the process, their clients lose less by a refused connection, after which they try
+    // another gatekeeper, than by a refused request.
+    if shared.fitting_share.0.get() >= policy::LEAST_FITTING_SHARE {
+        tokio::time::sleep(shared.shutdown_times().leaving).await;
+    }
     shared.shutdown.advance(Phase::Closing);
+    tokio::time::sleep(policy::CLOSING_PAUSE).await;
     finish_answers(shared).await;
     report_cut_requests(shared);
 }
 
-/// New connections are still taken while every request that is likely to come could be answered before the process
-/// ends. Those that run show what is likely to come; a request that had to be refused ends the phase from elsewhere.
-async fn leave(shared: &Shared) {
-    while shared.shutdown.phase() < Phase::Closing && shared.takes_connections() {
-        tokio::time::sleep(END_CHECK).await;
-    }
-}
-
 /// Waits until the connections have ended, or the time is over.
 async fn finish_answers(shared: &Shared) {
     let mut quiet_since = Instant::now();
@@ -101,12 +115,19 @@
 /// Logs the requests that the end of the process cuts, and checks that none of them was sent too late.
 fn report_cut_requests(shared: &Shared) {
     let Some(begun) = shared.shutdown.begun() else { return };
-    for request in shared.running_requests.all() {
-        let what = describe(&request, begun);
-        log::warn!("cut by the end of the process: {what}");
-        if request.sent.is_some_and(|sent| sent > begun) {
-            shared.violations.report(Invariant::TakenLateIsNotCut, &what);
-        }
+    let requests = shared.running_requests.all();
+    for request in requests.iter().take(MOST_CUT_LOGGED) {
+        log::warn!("cut by the end of the process: {}", describe(request, begun));
+    }
+    let unwritten = shared.unwritten_connections.get();
+    if requests.len() > MOST_CUT_LOGGED || unwritten > 0 {
+        log::warn!(
+            "cut by the end of the process: {} requests, {unwritten} answers not taken by clients",
+            requests.len()
+        );
+    }
+    for request in requests.iter().filter(|request| request.sent.is_some_and(|sent| sent > begun)) {
+        shared.violations.report(Invariant::TakenLateIsNotCut, &describe(request, begun));
     }
 }
 
--- a/src/data_plane/ingress.rs
+++ b/src/data_plane/ingress.rs
@@ -9,9 +9,8 @@
 use super::policy;
 use super::replies::LocalReply;
 use super::request_head::RequestHead;
-use super::running_requests::RunningRequest;
 use super::shared::Shared;
-use super::shutdown::Phase;
+use super::shutdown::{Phase, ShutdownHandle};
 use super::watched_stream::{WatchedStream, Written};
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -37,21 +36,14 @@
     let closing = shared.shutdown.clone();
     tokio::select! {
         () = accept_all(&shared, &listener, &places) => {}
-        () = closing.reached(Phase::Closing) => accept_waiting(&shared, &listener, &places).await,
+        () = closing_pause_over(&closing) => {}
     }
 }
 
-/// Takes the connections that the system has already accepted; with the listener they would be reset.
-async fn accept_waiting(shared: &Rc<Shared>, listener: &TcpListener, places: &Arc<Semaphore>) {
-    while let Ok(place) = places.clone().try_acquire_owned() {
-        let accepted = tokio::select! {
-            biased;
-            accepted = listener.accept() => accepted,
-            () = std::future::ready(()) => return,
-        };
-        let Ok((stream, _peer)) = accepted else { return };
-        tokio::task::spawn_local(serve_connection(shared.clone(), stream, place));
-    }
+/// Waits until what had come when the last phase began has been read.
+async fn closing_pause_over(shutdown: &ShutdownHandle) {
+    shutdown.reached(Phase::Closing).await;
+    tokio::time::sleep(policy::CLOSING_PAUSE).await;
 }
 
 async fn accept_all(shared: &Rc<Shared>, listener: &TcpListener, places: &Arc<Semaphore>) {
@@ -86,10 +78,8 @@
     let connection = connection_settings(&limits).serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
-        // What the client has sent by now is read first, and answered.
-        biased;
         ended = connection.as_mut() => ended,
-        () = shared.shutdown.reached(Phase::Closing) => {
+        () = closing_pause_over(&shared.shutdown) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -197,14 +187,8 @@
         LocalReply::NotRun { retry_after_ms }
     })?;
     shared.statistics.borrow_mut().admitted(&route.name);
-    let time_limit = deadline.saturating_duration_since(arrived);
-    let entry = shared.running_requests.add(RunningRequest {
-        route: route.name.clone(),
-        request_id: head.request_id.clone(),
-        time_needed: shared.run_times.upper_bound(&profile).map_or(time_limit, |bound| bound.min(time_limit)),
-        arrived,
-        sent: None,
-    });
+    shared.note_time_limit(deadline.saturating_duration_since(arrived));
+    let entry = shared.running_requests.add(&route.name, head.request_id.clone(), arrived);
     Ok(Exchange {
         shared: shared.clone(),
         rules: RouteRules::of(route),
--- a/src/data_plane/mod.rs
+++ b/src/data_plane/mod.rs
@@ -31,7 +31,6 @@
 mod readiness;
 mod replies;
 mod request_head;
-mod run_times;
 mod running_requests;
 mod server;
 mod shared;
--- a/src/data_plane/policy.rs
+++ b/src/data_plane/policy.rs
@@ -83,7 +83,7 @@
 /// Interval at which silent workers are looked for; the router takes longer gaps for a pause of the process.
 pub(crate) const SILENCE_TICK: Duration = Duration::from_millis(80);
 
-/// Longest time after SIGTERM in which new requests are still answered: the platform misses two checks by then.
+/// Longest time after SIGTERM in which new connections are taken: the platform misses two checks by then.
 pub(crate) const LEAVING_LIMIT: Duration = Duration::from_millis(2500);
 /// The same as a share of the time to SIGKILL, where that is short.
 pub(crate) const LEAVING_SHARE: f64 = 0.3;
@@ -92,10 +92,10 @@
 /// What has to be left until the end of the process when the answer of a request is expected that was taken after
 /// SIGTERM.
 pub(crate) const LAST_ANSWER_MARGIN: Duration = Duration::from_millis(100);
-/// Whole answers of a kind of request that have to be known before its run time is estimated.
-pub(crate) const LEAST_RUN_SAMPLES: u32 = 8;
-/// Mean run times are taken this many times as long: a gatekeeper that leaves its share to others slows workers.
-pub(crate) const RUN_TIME_SLACK: f64 = 1.25;
+/// Share of requests whose time limits end before the process, below which no new connections are taken after SIGTERM.
+pub(crate) const LEAST_FITTING_SHARE: f64 = 0.5;
+/// Time for which connections are still taken and served once the last phase has begun: what has come is read first.
+pub(crate) const CLOSING_PAUSE: Duration = Duration::from_millis(20);
 /// Advice for a request that does not end before the process: the client's next connection goes elsewhere.
 pub(crate) const RETRY_AFTER_LEAVING_MS: u64 = 20;
 /// Time without a running request and without an answer that waits to be written, after which connections that are
--- a/src/data_plane/running_requests.rs
+++ b/src/data_plane/running_requests.rs
@@ -1,10 +1,9 @@
-//! The requests that the data plane has read and not yet answered whole.
+//! The requests that the data plane has admitted and whose answers are not complete.
 
 use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::time::Instant;
 
 /// What is known of a request that runs.
@@ -14,12 +13,12 @@
     pub(crate) route: String,
     /// `Request-Id` of the client, if there is one.
     pub(crate) request_id: Option<HeaderValue>,
-    /// Upper bound of the time from its arrival to its answer.
-    pub(crate) time_needed: Duration,
     /// When its head was read.
     pub(crate) arrived: Instant,
     /// When it was last sent to a worker, if it was.
     pub(crate) sent: Option<Instant>,
+    /// Times it was sent to a worker that has not proved that it did not run it.
+    pub(crate) possible_runs: u32,
 }
 
 /// All running requests of a data plane.
@@ -37,31 +36,49 @@
 }
 
 impl RunningRequests {
-    /// Adds a request.
-    pub(crate) fn add(&self, request: RunningRequest) -> RunningEntry {
+    /// Adds a request that was sent to no worker yet.
+    pub(crate) fn add(&self, route: &str, request_id: Option<HeaderValue>, arrived: Instant) -> RunningEntry {
         let key = self.last_key.get() + 1;
         self.last_key.set(key);
+        let request =
+            RunningRequest { route: route.to_owned(), request_id, arrived, sent: None, possible_runs: 0 };
         self.table.borrow_mut().insert(key, request);
         RunningEntry { requests: self.clone(), key }
     }
 
-    /// The longest time that any of them may need from its arrival to its answer.
-    pub(crate) fn longest_time_needed(&self) -> Duration {
-        let table = self.table.borrow();
-        table.values().map(|request| request.time_needed).max().unwrap_or_default()
-    }
-
     /// The requests as they stand, in the order in which they were added.
     pub(crate) fn all(&self) -> Vec<RunningRequest> {
         self.table.borrow().values().cloned().collect()
     }
+
+    /// How many there are.
+    pub(crate) fn count(&self) -> usize {
+        self.table.borrow().len()
+    }
 }
 
 impl RunningEntry {
     /// Notes that the request is being sent to a worker.
     pub(crate) fn sent(&self) {
-        if let Some(request) = self.requests.table.borrow_mut().get_mut(&self.key) {
+        self.update(|request| {
             request.sent = Some(Instant::now());
+            request.possible_runs += 1;
+        });
+    }
+
+    /// Notes a proof that the worker to which it was last sent did not run it.
+    pub(crate) fn did_not_run(&self) {
+        self.update(|request| request.possible_runs = request.possible_runs.saturating_sub(1));
+    }
+
+    /// Whether a worker may have run it, or may run it later.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.requests.table.borrow().get(&self.key).is_some_and(|request| request.possible_runs > 0)
+    }
+
+    fn update(&self, change: impl FnOnce(&mut RunningRequest)) {
+        if let Some(request) = self.requests.table.borrow_mut().get_mut(&self.key) {
+            change(request);
         }
     }
 }
--- a/src/data_plane/shared.rs
+++ b/src/data_plane/shared.rs
@@ -3,14 +3,14 @@
 use super::admission_stage::AdmissionStage;
 use super::clock::now_ms;
 use super::descriptors::DescriptorShares;
+use super::drain::FittingShare;
 use super::feedback::{Feedback, Summary, WorkerLoad};
 use super::invariants::Violations;
 use super::missing::MissingModels;
 use super::policy;
 use super::pool::Pool;
-use super::run_times::RunTimes;
 use super::running_requests::RunningRequests;
-use super::shutdown::{Phase, ShutdownHandle};
+use super::shutdown::{Phase, ShutdownHandle, ShutdownTimes};
 use super::silence::SilentWorkers;
 use super::statistics::{Refusals, Statistics};
 use super::view::View;
@@ -35,10 +35,12 @@
     pub(crate) missing: MissingModels,
     pub(crate) silent: SilentWorkers,
     pub(crate) shutdown: ShutdownHandle,
-    pub(crate) run_times: RunTimes,
+    pub(crate) fitting_share: FittingShare,
+    /// Times of the end, once the process has been told to end.
+    pub(crate) end_times: Cell<Option<ShutdownTimes>>,
     pub(crate) running_requests: RunningRequests,
     pub(crate) violations: Violations,
-    /// Told after the router has taken a new view, and when the process is told to end.
+    /// Told after the router has taken a new view.
     pub(crate) view_changed: Notify,
     /// Requests whose heads have been read and whose answers are not complete.
     pub(crate) running: Rc<Cell<u32>>,
@@ -70,7 +72,8 @@
             missing: MissingModels::default(),
             silent: SilentWorkers::default(),
             shutdown,
-            run_times: RunTimes::default(),
+            fitting_share: FittingShare::default(),
+            end_times: Cell::default(),
             running_requests: RunningRequests::default(),
             violations: Violations::default(),
             view_changed: Notify::new(),
@@ -103,7 +106,11 @@
     pub(crate) async fn first_document(&self, until: Instant) {
         let may_wait = || self.shutdown.phase() == Phase::Serving && Instant::now() < until;
         while self.document().is_none() && may_wait() {
-            let _ = tokio::time::timeout_at(until, self.view_changed.notified()).await;
+            tokio::select! {
+                () = self.view_changed.notified() => {}
+                () = self.shutdown.reached(Phase::Leaving) => {}
+                () = tokio::time::sleep_until(until) => {}
+            }
         }
     }
 
--- a/src/data_plane/stream_answer.rs
+++ b/src/data_plane/stream_answer.rs
@@ -37,8 +37,6 @@
     announce: Option<u64>,
     /// Events at or below the last id are those the client has.
     resumed: bool,
-    /// Events passed on.
-    events: u64,
 }
 
 enum Step {
@@ -94,23 +92,11 @@
     fn end(&mut self) -> Piece {
         let answer = self.answer.take()?;
         let outcome = answer.outcome();
-        if !self.position.resumed {
-            let tokens = self.position.events.saturating_sub(1) * self.tokens_of_event();
-            answer.attempt.learn_run_time(&self.exchange.profile, Some(tokens));
-        }
         answer.complete(outcome);
         let rest = self.splitter.take_rest();
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
-    /// Tokens that one event of the stream holds, by the configuration.
-    fn tokens_of_event(&self) -> u64 {
-        let document = self.exchange.shared.document();
-        let service = document.as_ref().and_then(|document| document.service(&self.exchange.profile.service));
-        let engine = service.and_then(|service| service.engine.as_ref());
-        engine.map_or(1, |engine| u64::from(engine.stride.max(1)))
-    }
-
     /// Whether an end of the body here is one in the middle of an event that no length has announced.
     fn ends_within_event(&self) -> bool {
         !self.splitter.is_empty() && self.answer.as_ref().is_some_and(WorkerAnswer::ends_with_connection)
@@ -224,7 +210,6 @@
         self.versions = event.versions.or(self.versions);
         self.unnumbered |= event.id.is_none() && !event.is_comment;
         self.last_id = event.id.or(self.last_id);
-        self.events += u64::from(!event.is_comment);
         passed.extend_from_slice(&event.bytes);
     }
 
--- a/src/data_plane/tests.rs
+++ b/src/data_plane/tests.rs
@@ -7,7 +7,6 @@
 mod process_end;
 mod refusals;
 pub(crate) mod rig;
-mod run_times;
 pub(crate) mod scripted_worker;
 mod silent_worker;
 mod statistics;
--- a/src/data_plane/tests/planned_work.rs
+++ b/src/data_plane/tests/planned_work.rs
@@ -4,6 +4,7 @@
     paused, read_to_end, request_bytes, settings, worker_view, MemoryRig, RouteUnderTest, ALL_ROUTES,
 };
 use super::scripted_worker::{Plan, ReadRequest};
+use crate::data_plane::policy;
 use crate::data_plane::shutdown::Phase;
 use googletest::prelude::*;
 use std::rc::Rc;
@@ -48,7 +49,8 @@
                     client.write_all(&request_bytes(route, "q1", "", "a body")).await.expect("window");
                     tokio::time::sleep(Duration::from_millis(5)).await;
                     work(&rig);
-                    tokio::time::sleep(Duration::from_millis(5)).await;
+                    // Longer than connections are served as before once the last phase has begun.
+                    tokio::time::sleep(policy::CLOSING_PAUSE + Duration::from_millis(5)).await;
                     rig.workers.say(&whole[sent..]);
                     tokio::time::sleep(Duration::from_millis(5)).await;
                     // Connections at rest end with the process.
--- a/src/data_plane/tests/rig.rs
+++ b/src/data_plane/tests/rig.rs
@@ -209,7 +209,6 @@
         let end = self.end.take().expect("it was told to end");
         end.await.expect("the end does not panic");
         self.tasks.shutdown().await;
-        assert_eq!(self.shared.violations.count(), 0, "an invariant was violated");
     }
 
     /// Opens a connection of a client.
@@ -256,6 +255,14 @@
     }
 }
 
+impl Drop for MemoryRig {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            assert_eq!(self.shared.violations.count(), 0, "an invariant was violated");
+        }
+    }
+}
+
 /// A view with this configuration and these workers.
 pub(crate) fn view(revision: u64, routes: &[RouteUnderTest], workers: Vec<WorkerView>) -> Arc<View> {
     Arc::new(View {
--- a/src/data_plane/tests/silent_worker.rs
+++ b/src/data_plane/tests/silent_worker.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use switchhill_routing::{Availability, WorkerView};
-use tokio::io::{AsyncWriteExt, DuplexStream};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 
 const SILENT: &str = "10.0.0.1:80";
 /// Later than the silence at which another worker is asked, and before the time limit of the route.
@@ -184,3 +184,25 @@
         }
     }
 }
+
+#[gtest]
+fn a_request_leaves_no_silent_worker_once_the_process_is_about_to_end() {
+    paused(async {
+        let mut rig = MemoryRig::start();
+        let route = RouteUnderTest::Resumable;
+        let _streams = begin(&mut rig, route).await;
+        rig.workers.plan(Plan::answering(Rc::new(|_: &ReadRequest| Vec::new())));
+        let mut waits = rig.connect();
+        waits.write_all(&request_bytes(route, "waits", "", "")).await.expect("window");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        rig.workers.otherwise(Plan::answering(route.answer()));
+        rig.tell(vec![worker_view(1), worker_view(2)]);
+        rig.terminate();
+        // The worker has been silent for long enough to be left, and the process has not ended yet.
+        tokio::time::sleep(Duration::from_millis(1300)).await;
+        let given_up = tokio::time::timeout(Duration::from_millis(1), waits.read_u8()).await;
+        expect_that!(given_up.is_err(), eq(true), "{given_up:?}");
+        expect_that!(rig.workers.seen.borrow().arrivals.len(), eq(3));
+        rig.process_end().await;
+    });
+}
--- a/src/data_plane/worker_choice.rs
+++ b/src/data_plane/worker_choice.rs
@@ -4,7 +4,6 @@
 use super::missing::WaitingRequest;
 use super::policy;
 use super::replies::LocalReply;
-use super::shutdown::Phase;
 use std::time::Duration;
 use switchhill_routing::{Choice, WorkerKey};
 use tokio::time::Instant;
@@ -35,14 +34,21 @@
             if Instant::now() >= hold_until {
                 return Err(self.give_up_after(choice));
             }
-            self.wait_for_view(hold_until).await;
+            if let Some(admitted) = &mut self.admitted {
+                admitted.waits_for_load();
+            }
+            let too_late = tokio::select! {
+                () = self.too_late_to_send() => true,
+                () = self.wait_for_view(hold_until) => false,
+            };
+            if too_late {
+                return Err(self.give_up_leaving());
+            }
         }
     }
 
-    /// The answer of a request that would not end before the process. Others like it are likely to come, and a refused
-    /// connection costs their clients less than a refused request.
+    /// The answer of a request that may not end before the process.
     fn give_up_leaving(&self) -> LocalReply {
-        self.shared.shutdown.advance(Phase::Closing);
         self.shared.statistics.borrow_mut().refusals.leaving += 1;
         self.not_run(policy::RETRY_AFTER_LEAVING_MS)
     }
@@ -106,14 +112,10 @@
         router.choose_connected(self.shared.now(), &self.profile, &self.trail.excluded, &is_connected)
     }
 
-    async fn wait_for_view(&mut self, until: Instant) {
-        if let Some(admitted) = &mut self.admitted {
-            admitted.waits_for_load();
-        }
+    async fn wait_for_view(&self, until: Instant) {
         let next_report = Instant::now() + Duration::from_millis(policy::MISSING_INTERVAL_MS);
         let changed = self.shared.view_changed.notified();
-        // The view has changed, the report is due or there is no time left to run; all are looked at next.
-        let until = self.latest_start().map_or(until, |latest| until.min(latest));
+        // Either the view has changed or the report is due; both are looked at next.
         let _ = tokio::time::timeout_at(until.min(next_report), changed).await;
     }
 
--- a/src/site_settings.rs
+++ b/src/site_settings.rs
@@ -15,6 +15,9 @@
 /// Variable that holds the path of the settings file.
 pub const SETTINGS_VARIABLE: &str = "SWITCHHILL_CONFIG";
 
+/// Longest time between SIGTERM and SIGKILL that is taken for meant, in seconds.
+const LONGEST_GRACE_S: f64 = 86_400.0;
+
 /// What went wrong when the settings were read.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -223,10 +226,7 @@
     /// not finished.
     pub fn reread(&self) -> Result<SiteSettings, SettingsError> {
         let Some(in_force) = &self.origin else { return SiteSettings::from_environment() };
-        let path = in_force.path();
-        let settings = SiteSettings::read(path)?;
-        let invalid = |fault| SettingsError::Invalid { path: path.to_owned(), fault };
-        settings.check_grace().map_err(invalid)?;
+        let settings = SiteSettings::read(in_force.path())?;
         if let Some(origin) = &settings.origin {
             origin.check_as_whole_as(in_force)?;
         }
@@ -240,13 +240,17 @@
         if self.port_range.1 - self.port_range.0 < 1 {
             return Err("portRange: two ports are needed".into());
         }
-        Ok(())
+        self.check_grace()
     }
 
-    /// Whether [`SiteSettings::grace`] has a value.
+    /// Whether [`SiteSettings::grace`] is a time that moments can be computed with.
     fn check_grace(&self) -> Result<(), String> {
-        let grace = Duration::try_from_secs_f64(self.bounds.grace_s);
-        grace.map(drop).map_err(|error| format!("bounds.graceS: {error}"))
+        match (0.0..=LONGEST_GRACE_S).contains(&self.bounds.grace_s) {
+            true => Ok(()),
+            false => {
+                Err(format!("bounds.graceS: {} is not from 0 to {LONGEST_GRACE_S}", self.bounds.grace_s))
+            }
+        }
     }
 
     /// Port on which core nodes speak to each other and to agents.
