Lab: a soak of real processes under troubles drawn from a seed, checked

Need: requests that an edge took after its SIGTERM, or held and sent to a worker only later, were cut when the process ended. No test had clients that go on through planned ends of real processes, and nothing looked for other ways in which a request that was taken is lost.

Change: `switchhill-lab soak` plays core machines and edges as processes that a supervisor starts again, with stand-in workers that record each run, clients that keep and open connections, a platform with readiness checks, and an operator who changes the configuration all the time. Troubles come from the seed and overlap. The local system's pieces serve it: sites of any size, workers whose streams have a length and pace of their own, signals by system call.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -29,3 +29,5 @@
 pub mod run;
 #[cfg(feature = "bench")]
 pub mod scenario;
+#[cfg(feature = "bench")]
+pub mod soak;
--- a/lab/src/local_system/client.rs
+++ b/lab/src/local_system/client.rs
@@ -11,7 +11,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 /// Host of all routes of the stories.
-pub(super) const HOST: &str = "models.example";
+pub(crate) const HOST: &str = "models.example";
 
 /// Requests sent so far, for their ids.
 static REQUESTS: AtomicU64 = AtomicU64::new(0);
@@ -104,14 +104,18 @@
         Ok(true)
     }
 
-    /// Ids of the events that have come whole.
     fn event_ids(&self) -> Vec<u64> {
-        let whole = self.text.rsplit_once("\n\n").map_or("", |(whole, _)| whole);
-        let ids = whole.lines().filter_map(|line| line.strip_prefix("id: "));
-        ids.filter_map(|id| id.parse().ok()).collect()
+        event_ids(&self.text)
     }
 }
 
+/// Ids of the events that have come whole in the text of a stream.
+pub(crate) fn event_ids(text: &str) -> Vec<u64> {
+    let whole = text.rsplit_once("\n\n").map_or("", |(whole, _)| whole);
+    let ids = whole.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.filter_map(|id| id.parse().ok()).collect()
+}
+
 fn request(path: &str, model: &str) -> Request<Full<Bytes>> {
     let id = format!("{:08x}{:08x}", std::process::id(), REQUESTS.fetch_add(1, Ordering::SeqCst));
     Request::post(path)
--- a/lab/src/local_system/http.rs
+++ b/lab/src/local_system/http.rs
@@ -12,17 +12,17 @@
 use tokio::net::TcpStream;
 
 /// Time after which a caller moves on.
-pub(super) const CALL_WITHIN: Duration = Duration::from_secs(1);
+pub(crate) const CALL_WITHIN: Duration = Duration::from_secs(1);
 
 /// A whole answer to a call.
 #[derive(Debug, Clone)]
-pub(super) struct CallAnswer {
-    pub(super) status: u16,
-    pub(super) body: Bytes,
+pub(crate) struct CallAnswer {
+    pub(crate) status: u16,
+    pub(crate) body: Bytes,
 }
 
 /// Sends a request and returns the answer once its head is there. The connection lives as long as the body is read.
-pub(super) async fn send(
+pub(crate) async fn send(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> anyhow::Result<Response<Incoming>> {
@@ -34,7 +34,7 @@
 }
 
 /// One call, answered whole within [`CALL_WITHIN`].
-pub(super) async fn call(address: SocketAddr, request: Request<Full<Bytes>>) -> anyhow::Result<CallAnswer> {
+pub(crate) async fn call(address: SocketAddr, request: Request<Full<Bytes>>) -> anyhow::Result<CallAnswer> {
     let exchange = async {
         let response = send(address, request).await?;
         let status = response.status().as_u16();
@@ -45,7 +45,7 @@
 }
 
 /// A request with a JSON body.
-pub(super) fn post(
+pub(crate) fn post(
     address: SocketAddr,
     path: &str,
     headers: &[(&str, &str)],
@@ -60,7 +60,7 @@
 }
 
 /// A request without a body.
-pub(super) fn get(address: SocketAddr, path: &str) -> Request<Full<Bytes>> {
+pub(crate) fn get(address: SocketAddr, path: &str) -> Request<Full<Bytes>> {
     let request = Request::get(path).header("host", address.to_string());
     request.body(Full::default()).expect("the path is plain text")
 }
--- a/lab/src/local_system/machine.rs
+++ b/lab/src/local_system/machine.rs
@@ -7,50 +7,62 @@
 use std::path::{Path, PathBuf};
 
 /// Seconds that an edge has to finish its answers.
-pub(super) const GRACE_S: f64 = 5.0;
+pub(crate) const GRACE_S: f64 = 5.0;
 
 /// Time in milliseconds between two heartbeats of a worker.
-pub(super) const HEARTBEAT_MS: u64 = 300;
+pub(crate) const HEARTBEAT_MS: u64 = 300;
 
 /// Pause in milliseconds between orders of two placers.
 const LEASE_MS: u64 = 500;
 
+/// Descriptors of a process.
+const MAX_FDS: u32 = 1024;
+
+/// `retryBudgetSlack` of the first change of settings.
+const RETRY_BUDGET_SLACK: u32 = 40;
+
+/// Changed settings after which those of the first change come again.
+const SETTINGS_CHANGES: u32 = 5;
+
+/// What `leaseMs` rises by from one change to the next.
+const LEASE_STEP_MS: u64 = 50;
+
 /// Ports that all machines of a site share.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct SitePorts {
+pub(crate) struct SitePorts {
     /// Clients at edges, workers and the operator at core machines.
-    pub(super) service: u16,
+    pub(crate) service: u16,
     /// Readiness checks at edges.
-    pub(super) readiness: u16,
+    pub(crate) readiness: u16,
     /// First port of the range that the programs use among themselves.
-    pub(super) internal: u16,
+    pub(crate) internal: u16,
 }
 
 /// One machine: what runs on it, and how it is started again.
-pub(super) struct Machine {
-    pub(super) name: String,
-    pub(super) ip: Ipv4Addr,
+pub(crate) struct Machine {
+    pub(crate) name: String,
+    pub(crate) ip: Ipv4Addr,
     settings: Value,
     path: PathBuf,
-    launches: Vec<Launch>,
-    pub(super) running: Vec<Process>,
+    pub(crate) launches: Vec<Launch>,
+    pub(crate) running: Vec<Process>,
 }
 
 /// What a machine is made from.
-pub(super) struct MachinePlan<'a> {
-    pub(super) program: &'a Path,
-    pub(super) folder: &'a Path,
-    pub(super) name: String,
-    pub(super) ip: Ipv4Addr,
-    pub(super) ports: SitePorts,
+pub(crate) struct MachinePlan<'a> {
+    pub(crate) program: &'a Path,
+    pub(crate) folder: &'a Path,
+    pub(crate) name: String,
+    pub(crate) ip: Ipv4Addr,
+    pub(crate) ports: SitePorts,
     /// Port on 127.0.0.1 between agent and data plane.
-    pub(super) feed_port: u16,
-    pub(super) seeds: &'a [SocketAddr],
+    pub(crate) feed_port: u16,
+    pub(crate) seeds: &'a [SocketAddr],
 }
 
 impl Machine {
     /// A core machine, with its disk.
-    pub(super) fn core(plan: &MachinePlan<'_>) -> anyhow::Result<Machine> {
+    pub(crate) fn core(plan: &MachinePlan<'_>) -> anyhow::Result<Machine> {
         let mut settings = common_settings(plan);
         let disk = plan.folder.join(format!("{}-disk", plan.name));
         std::fs::create_dir_all(&disk)?;
@@ -60,7 +72,7 @@
     }
 
     /// An edge machine.
-    pub(super) fn edge(plan: &MachinePlan<'_>) -> anyhow::Result<Machine> {
+    pub(crate) fn edge(plan: &MachinePlan<'_>) -> anyhow::Result<Machine> {
         let mut settings = common_settings(plan);
         settings["bind"] = json!({
             "http": SocketAddr::from((plan.ip, plan.ports.service)),
@@ -84,18 +96,18 @@
     }
 
     /// Starts what runs on the machine.
-    pub(super) fn start(&mut self) -> anyhow::Result<()> {
+    pub(crate) fn start(&mut self) -> anyhow::Result<()> {
         self.running = self.launches.iter().map(Launch::start).collect::<Result<_, _>>()?;
         Ok(())
     }
 
     /// Ends all of it at once.
-    pub(super) fn kill(&mut self) -> anyhow::Result<()> {
+    pub(crate) fn kill(&mut self) -> anyhow::Result<()> {
         self.running.drain(..).try_for_each(Process::kill)
     }
 
     /// Removes all that its disk holds.
-    pub(super) fn wipe_disk(&self) -> anyhow::Result<()> {
+    pub(crate) fn wipe_disk(&self) -> anyhow::Result<()> {
         let disk = self.settings["dataDir"].as_str().context("the machine has no disk")?;
         std::fs::remove_dir_all(disk)?;
         std::fs::create_dir_all(disk)?;
@@ -103,17 +115,30 @@
     }
 
     /// How often a text stands in the logs of the machine's programs.
-    pub(super) fn logged(&self, text: &str) -> usize {
+    pub(crate) fn logged(&self, text: &str) -> usize {
         let logs = self.launches.iter().filter_map(|launch| std::fs::read_to_string(&launch.log).ok());
         logs.map(|log| log.matches(text).count()).sum()
     }
 
-    /// From now on the machine starts as part of a system that has run before.
-    pub(super) fn has_started_once(&mut self) -> anyhow::Result<()> {
-        self.settings["bootstrap"] = json!(false);
+    /// Writes the settings file with other figures, by a number that rises from change to change.
+    pub(crate) fn change_settings(&mut self, change: u32) -> anyhow::Result<()> {
+        let change = change % SETTINGS_CHANGES;
+        self.settings["bounds"]["leaseMs"] = json!(LEASE_MS + LEASE_STEP_MS * u64::from(change));
+        self.settings["bounds"]["retryBudgetSlack"] = json!(RETRY_BUDGET_SLACK + change);
+        self.settings["limits"]["maxFds"] = json!(MAX_FDS + change);
+        self.save_settings()
+    }
+
+    fn save_settings(&self) -> anyhow::Result<()> {
         std::fs::write(&self.path, self.settings.to_string())?;
         Ok(())
     }
+
+    /// From now on the machine starts as part of a system that has run before.
+    pub(crate) fn has_started_once(&mut self) -> anyhow::Result<()> {
+        self.settings["bootstrap"] = json!(false);
+        self.save_settings()
+    }
 }
 
 fn common_settings(plan: &MachinePlan<'_>) -> Value {
@@ -125,7 +150,7 @@
         "portRange": [plan.ports.internal, plan.feed_port],
         "seeds": plan.seeds,
         "bootstrap": true,
-        "limits": {"maxFds": 1024},
+        "limits": {"maxFds": MAX_FDS},
         "heartbeatMs": HEARTBEAT_MS,
         "faultTolerance": {"machines": 1},
         "bounds": {"graceS": GRACE_S, "leaseMs": LEASE_MS},
--- a/lab/src/local_system/mod.rs
+++ b/lab/src/local_system/mod.rs
@@ -4,17 +4,17 @@
 //! Each machine has an address of its own in 127.0.0.0/8. The stories in [`stories`] are what the command
 //! `local-system` shows and what the tests check.
 
-mod client;
-mod configuration;
-mod http;
-mod machine;
+pub(crate) mod client;
+pub(crate) mod configuration;
+pub(crate) mod http;
+pub(crate) mod machine;
 mod operator;
 mod ports;
-mod process;
+pub(crate) mod process;
 mod program;
 pub mod show;
 mod site;
-mod stand_in_worker;
+pub(crate) mod stand_in_worker;
 pub mod stories;
 mod wait;
 
@@ -22,6 +22,6 @@
 pub use operator::{Operator, OperatorAnswer};
 pub use process::Process;
 pub use program::{built_beside, built_by_cargo};
-pub use site::Site;
-pub use stand_in_worker::StandInWorker;
+pub use site::{Site, SiteSize};
+pub use stand_in_worker::{RunBook, RunEnd, RunRecord, StandInWorker};
 pub use wait::{until, LONGEST_WAIT};
--- a/lab/src/local_system/process.rs
+++ b/lab/src/local_system/process.rs
@@ -1,8 +1,8 @@
 //! One process of the system, ended by its own id whatever happens.
 
 use super::wait::until;
-use crate::stand_in::signal;
 use anyhow::Context;
+use rustix::process::{kill_process, Pid, Signal};
 use std::fs::File;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -16,20 +16,20 @@
 
 /// What starts a process, again and again.
 #[derive(Debug, Clone)]
-pub(super) struct Launch {
+pub(crate) struct Launch {
     /// The program.
-    pub(super) program: PathBuf,
+    pub(crate) program: PathBuf,
     /// Its command, such as `agent`.
-    pub(super) command: &'static str,
+    pub(crate) command: &'static str,
     /// Its settings file.
-    pub(super) settings: PathBuf,
+    pub(crate) settings: PathBuf,
     /// The file that its log is added to.
-    pub(super) log: PathBuf,
+    pub(crate) log: PathBuf,
 }
 
 impl Launch {
     /// Starts the process.
-    pub(super) fn start(&self) -> anyhow::Result<Process> {
+    pub(crate) fn start(&self) -> anyhow::Result<Process> {
         let log = open_log(&self.log)?;
         let mut command = Command::new(&self.program);
         command.arg(self.command).env(SETTINGS_VARIABLE, &self.settings);
@@ -74,7 +74,7 @@
     /// # Errors
     /// The signal cannot be sent.
     pub fn hang_up(&self) -> anyhow::Result<()> {
-        self.signal("-HUP")
+        self.signal(Signal::HUP)
     }
 
     /// Sends SIGTERM.
@@ -82,7 +82,23 @@
     /// # Errors
     /// The signal cannot be sent.
     pub fn terminate(&self) -> anyhow::Result<()> {
-        self.signal("-TERM")
+        self.signal(Signal::TERM)
+    }
+
+    /// Stops it where it is, with SIGSTOP.
+    ///
+    /// # Errors
+    /// The signal cannot be sent.
+    pub fn pause(&self) -> anyhow::Result<()> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Lets it go on after [`Process::pause`].
+    ///
+    /// # Errors
+    /// The signal cannot be sent.
+    pub fn resume(&self) -> anyhow::Result<()> {
+        self.signal(Signal::CONT)
     }
 
     /// Waits for its end.
@@ -100,9 +116,9 @@
         Ok(status)
     }
 
-    fn signal(&self, name: &str) -> anyhow::Result<()> {
-        anyhow::ensure!(signal(self.child.id(), name), "{} can't be sent {name}", self.name);
-        Ok(())
+    fn signal(&self, signal: Signal) -> anyhow::Result<()> {
+        let sent = kill_process(Pid::from_child(&self.child), signal);
+        sent.with_context(|| format!("{} can't be sent {signal:?}", self.name))
     }
 }
 
--- a/lab/src/local_system/site.rs
+++ b/lab/src/local_system/site.rs
@@ -15,17 +15,35 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-/// Core machines.
-const CORES: u8 = 3;
+/// Machines of a site.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SiteSize {
+    /// Core machines, [`SiteSize::MOST_CORES`] at the most.
+    pub cores: u8,
+    /// Edge machines, [`SiteSize::MOST_EDGES`] at the most.
+    pub edges: u8,
+}
 
-/// Edge machines.
-const EDGES: u8 = 2;
+impl SiteSize {
+    /// Addresses for core machines.
+    pub const MOST_CORES: u8 = FIRST_EDGE - 1;
+    /// Addresses for edges.
+    pub const MOST_EDGES: u8 = FIRST_WORKER - FIRST_EDGE;
+    /// The site of the stories.
+    const USUAL: SiteSize = SiteSize { cores: 3, edges: 2 };
+}
 
 /// Last part of the first edge's address; those of core machines begin at 1.
 const FIRST_EDGE: u8 = 11;
 
 /// Last part of the first worker's address.
-const FIRST_WORKER: u8 = 21;
+const FIRST_WORKER: u8 = 121;
+
+/// Addresses for workers.
+const WORKER_ADDRESSES: u8 = 120;
+
+/// Core machines that settings files name as seeds.
+const SEEDS: usize = 3;
 
 /// Folders made by this process.
 static FOLDERS: AtomicU32 = AtomicU32::new(0);
@@ -34,8 +52,8 @@
 pub struct Site {
     block: AddressBlock,
     ports: SitePorts,
-    cores: Vec<Machine>,
-    edges: Vec<Machine>,
+    pub(crate) cores: Vec<Machine>,
+    pub(crate) edges: Vec<Machine>,
     /// Workers that live.
     pub workers: Vec<StandInWorker>,
     started_workers: u8,
@@ -48,13 +66,20 @@
     /// # Errors
     /// A process cannot be started.
     pub fn start(program: &Path) -> anyhow::Result<Site> {
+        let mut site = Site::lay_out(program, SiteSize::USUAL)?;
+        site.machines().try_for_each(Machine::start)?;
+        Ok(site)
+    }
+
+    /// Chooses addresses and ports and writes settings; starts nothing.
+    pub(crate) fn lay_out(program: &Path, size: SiteSize) -> anyhow::Result<Site> {
         let block = AddressBlock::new();
-        let (ports, feeds) = choose_ports(block)?;
+        let (ports, feeds) = choose_ports(block, size)?;
         let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
         let folder = std::env::temp_dir().join(format!("switchhill-local-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let seeds: Vec<SocketAddr> =
-            core_ips(block).map(|ip| SocketAddr::from((ip, ports.service))).collect();
+            core_ips(block, size).take(SEEDS).map(|ip| SocketAddr::from((ip, ports.service))).collect();
         let plan = |name: String, ip: Ipv4Addr, feed_port: u16| MachinePlan {
             program,
             folder: &folder,
@@ -64,16 +89,14 @@
             feed_port,
             seeds: &seeds,
         };
-        let cores = core_ips(block)
+        let cores = core_ips(block, size)
             .zip(1..)
             .map(|(ip, number)| Machine::core(&plan(format!("core-{number}"), ip, feeds[0])));
-        let edges = edge_ips(block).zip(1..).zip(&feeds);
+        let edges = edge_ips(block, size).zip(1..).zip(&feeds);
         let edges =
             edges.map(|((ip, number), feed)| Machine::edge(&plan(format!("edge-{number}"), ip, *feed)));
         let (cores, edges) = (cores.collect::<Result<_, _>>()?, edges.collect::<Result<_, _>>()?);
-        let mut site = Site { block, ports, cores, edges, workers: Vec::new(), started_workers: 0, folder };
-        site.machines().try_for_each(Machine::start)?;
-        Ok(site)
+        Ok(Site { block, ports, cores, edges, workers: Vec::new(), started_workers: 0, folder })
     }
 
     fn machines(&mut self) -> impl Iterator<Item = &mut Machine> {
@@ -85,15 +108,35 @@
     /// # Errors
     /// Its address cannot be listened on.
     pub async fn start_worker(&mut self) -> anyhow::Result<()> {
-        let ip = self.block.address(FIRST_WORKER + self.started_workers);
+        let address = self.worker_address(self.started_workers);
         self.started_workers += 1;
         let id = format!("worker-{}", self.started_workers);
-        let address = SocketAddr::from((ip, self.ports.service));
         self.workers
             .push(StandInWorker::start(&id, address, &[USUAL_MODEL], self.control_addresses()).await?);
         Ok(())
     }
 
+    /// The address of a worker by its number; they come again after [`WORKER_ADDRESSES`].
+    fn worker_address(&self, number: u8) -> SocketAddr {
+        let ip = self.block.address(FIRST_WORKER + number % WORKER_ADDRESSES);
+        SocketAddr::from((ip, self.ports.service))
+    }
+
+    /// Addresses of workers.
+    pub(crate) fn worker_addresses(&self) -> Vec<SocketAddr> {
+        (0..WORKER_ADDRESSES).map(|number| self.worker_address(number)).collect()
+    }
+
+    /// `http` addresses of the edges.
+    pub(crate) fn edge_addresses(&self) -> Vec<SocketAddr> {
+        self.edges.iter().map(|edge| SocketAddr::from((edge.ip, self.ports.service))).collect()
+    }
+
+    /// `readiness` addresses of the edges.
+    pub(crate) fn readiness_addresses(&self) -> Vec<SocketAddr> {
+        self.edges.iter().map(|edge| SocketAddr::from((edge.ip, self.ports.readiness))).collect()
+    }
+
     /// `control` addresses of the core machines.
     pub fn control_addresses(&self) -> Vec<SocketAddr> {
         self.cores.iter().map(|core| SocketAddr::from((core.ip, self.ports.service))).collect()
@@ -106,7 +149,7 @@
 
     /// A client of each edge.
     pub fn clients(&self) -> Vec<Client> {
-        self.edges.iter().map(|edge| Client::of(SocketAddr::from((edge.ip, self.ports.service)))).collect()
+        self.edge_addresses().into_iter().map(Client::of).collect()
     }
 
     /// Waits until an edge answers readiness checks with a status, and returns the time it took.
@@ -216,20 +259,21 @@
     }
 }
 
-fn core_ips(block: AddressBlock) -> impl Iterator<Item = Ipv4Addr> {
-    (1..=CORES).map(move |last| block.address(last))
+fn core_ips(block: AddressBlock, size: SiteSize) -> impl Iterator<Item = Ipv4Addr> {
+    (1..=size.cores).map(move |last| block.address(last))
 }
 
-fn edge_ips(block: AddressBlock) -> impl Iterator<Item = Ipv4Addr> {
-    (FIRST_EDGE..FIRST_EDGE + EDGES).map(move |last| block.address(last))
+fn edge_ips(block: AddressBlock, size: SiteSize) -> impl Iterator<Item = Ipv4Addr> {
+    (FIRST_EDGE..FIRST_EDGE + size.edges).map(move |last| block.address(last))
 }
 
 /// The ports that all machines share, and one for each edge on 127.0.0.1. The internal port is the lowest, since it
 /// is the first of a range whose last is the edge's.
-fn choose_ports(block: AddressBlock) -> anyhow::Result<(SitePorts, Vec<u16>)> {
-    let every: Vec<Ipv4Addr> = core_ips(block).chain(edge_ips(block)).chain([Ipv4Addr::LOCALHOST]).collect();
+fn choose_ports(block: AddressBlock, size: SiteSize) -> anyhow::Result<(SitePorts, Vec<u16>)> {
+    let every: Vec<Ipv4Addr> =
+        core_ips(block, size).chain(edge_ips(block, size)).chain([Ipv4Addr::LOCALHOST]).collect();
     let mut ports = Vec::new();
-    for _ in 0..3 + EDGES {
+    for _ in 0..3 + size.edges {
         ports.push(free_port(&every, &ports)?);
     }
     ports.sort_unstable();
--- a/lab/src/local_system/stand_in_worker.rs
+++ b/lab/src/local_system/stand_in_worker.rs
@@ -1,9 +1,15 @@
 //! A stand-in worker: heartbeats, orders, reports, whole answers and streams of events.
 
 mod body;
+mod run_book;
+mod running;
 mod state;
 
-use self::body::{whole, EventBody, WorkerBody};
+pub use self::run_book::{RunBook, RunEnd, RunRecord};
+pub(crate) use self::running::{whole_answer, EVENTS, EVENTS_HEADER, PACE_HEADER};
+
+use self::body::{whole, BrokenOff, WorkerBody};
+use self::running::run;
 use self::state::{OrderRequest, State};
 use super::http::{call, post};
 use super::machine::HEARTBEAT_MS;
@@ -15,23 +21,13 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::Notify;
 use tokio::task::{JoinHandle, JoinSet};
 
-/// Events of each stream.
-pub(super) const EVENTS: u64 = 40;
-
-/// Time between two events.
-const EVENT_EVERY: Duration = Duration::from_millis(50);
-
-/// Time that a whole answer takes.
-const ANSWER_AFTER: Duration = Duration::from_millis(10);
-
 /// Time that loading a model takes.
 const LOAD_TAKES: Duration = Duration::from_millis(300);
 
@@ -51,6 +47,7 @@
     cores: Vec<SocketAddr>,
     heartbeats: JoinHandle<()>,
     serving: JoinHandle<()>,
+    cut: Arc<Notify>,
 }
 
 type Shared = Arc<Mutex<State>>;
@@ -69,15 +66,30 @@
         address: SocketAddr,
         models: &[&str],
         cores: Vec<SocketAddr>,
+    ) -> anyhow::Result<StandInWorker> {
+        StandInWorker::start_recorded(id, address, models, cores, RunBook::opened_at(Instant::now())).await
+    }
+
+    /// Starts a worker that notes its runs in a book.
+    ///
+    /// # Errors
+    /// The address cannot be listened on.
+    pub async fn start_recorded(
+        id: &str,
+        address: SocketAddr,
+        models: &[&str],
+        cores: Vec<SocketAddr>,
+        book: RunBook,
     ) -> anyhow::Result<StandInWorker> {
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
         socket.bind(address)?;
         let listener = socket.listen(BACKLOG)?;
-        let state: Shared = Arc::new(Mutex::new(State::new(id, address, models)));
-        let serving = tokio::spawn(serve(listener, state.clone()));
+        let state: Shared = Arc::new(Mutex::new(State::new(id, address, models, book)));
+        let cut = Arc::new(Notify::new());
+        let serving = tokio::spawn(serve(listener, state.clone(), cut.clone()));
         let heartbeats = tokio::spawn(tell_of_itself(state.clone(), cores.clone()));
-        Ok(StandInWorker { id: id.to_owned(), state, cores, heartbeats, serving })
+        Ok(StandInWorker { id: id.to_owned(), state, cores, heartbeats, serving, cut })
     }
 
     /// Its id.
@@ -118,6 +130,32 @@
         let _ = self.serving.await;
     }
 
+    /// Closes all its connections, whatever they carry.
+    pub fn cut_connections(&self) {
+        self.cut.notify_one();
+    }
+
+    /// For this long it breaks off some of the answers to what it has run.
+    pub fn lose_answers_for(&self, time: Duration) {
+        lock(&self.state).losing_until = Some(Instant::now() + time);
+    }
+
+    /// For this long it refuses some requests with `Not-Executed`.
+    pub fn refuse_for(&self, time: Duration) {
+        lock(&self.state).refusing_until = Some(Instant::now() + time);
+    }
+
+    /// Tells a core machine that it is gone.
+    pub async fn deregister(&self) {
+        let path = format!("/api/instances/{}/deregister", self.id);
+        for core in &self.cores {
+            let answer = call(*core, post(*core, &path, &[], Bytes::from_static(b"{}"))).await;
+            if answer.is_ok_and(|answer| answer.status < 300) {
+                return;
+            }
+        }
+    }
+
     /// Says that it leaves, until that is acknowledged. It goes on serving.
     ///
     /// # Errors
@@ -159,15 +197,18 @@
     answer.is_ok_and(|answer| answer.status == 200)
 }
 
-async fn serve(listener: TcpListener, state: Shared) {
+async fn serve(listener: TcpListener, state: Shared, cut: Arc<Notify>) {
     let mut connections = JoinSet::new();
+    let book = lock(&state).book.clone();
     loop {
         tokio::select! {
             accepted = listener.accept() => {
                 let Ok((stream, _)) = accepted else { continue };
                 connections.spawn(serve_connection(stream, state.clone()));
+                book.has_connections(connections.len());
             }
             Some(_) = connections.join_next() => {}
+            () = cut.notified() => connections.abort_all(),
         }
     }
 }
@@ -176,25 +217,25 @@
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| {
         let state = state.clone();
-        async move { Ok::<_, Infallible>(respond(&state, request).await) }
+        async move { respond(&state, request).await }
     });
     // A connection that breaks is the caller's matter.
     let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
 }
 
-async fn respond(state: &Shared, request: Request<Incoming>) -> Response<WorkerBody> {
+async fn respond(state: &Shared, request: Request<Incoming>) -> Result<Response<WorkerBody>, BrokenOff> {
     let (head, body) = request.into_parts();
-    let Ok(body) = body.collect().await else { return status(StatusCode::BAD_REQUEST) };
+    let Ok(body) = body.collect().await else { return Ok(status(StatusCode::BAD_REQUEST)) };
     let body = body.to_bytes();
     if !is_meant(state, &head.headers) {
-        return not_run(StatusCode::MISDIRECTED_REQUEST);
+        return Ok(not_run(StatusCode::MISDIRECTED_REQUEST));
     }
-    match (&head.method, head.uri.path()) {
+    Ok(match (&head.method, head.uri.path()) {
         (&Method::GET, "/api/report") => json(lock(state).report().to_string()),
         (&Method::POST, "/api/order") => take_order(state, &body),
         (&Method::GET, "/health") => status(StatusCode::OK),
-        (_, path) => run(state, path, &head.headers).await,
-    }
+        (_, path) => return run(state, path, &head.headers).await,
+    })
 }
 
 /// Whether a call that names a worker names this one.
@@ -219,55 +260,6 @@
     status(answer)
 }
 
-async fn run(state: &Shared, path: &str, headers: &HeaderMap) -> Response<WorkerBody> {
-    let started = Running::begin(state, text(headers, "model"), last_event_id(headers));
-    let running = match started {
-        Ok(running) => running,
-        Err(refused) => return with_id(not_run(refused), headers),
-    };
-    let stamp = lock(state).stamp();
-    let mut answer = if path.starts_with("/chat/") {
-        stream(running, last_event_id(headers).unwrap_or(0))
-    } else {
-        tokio::time::sleep(ANSWER_AFTER).await;
-        Response::new(whole(format!("answered by {}", lock(state).id)))
-    };
-    answer.headers_mut().insert("response-stamp", stamp.parse().expect("a stamp is plain text"));
-    with_id(answer, headers)
-}
-
-fn stream(running: Running, after: u64) -> Response<WorkerBody> {
-    let (events, body) = mpsc::channel(1);
-    tokio::spawn(async move {
-        let _running = running;
-        for id in after + 1..=EVENTS {
-            if events.send(Bytes::from(format!("id: {id}\ndata: token-{id}\n\n"))).await.is_err() {
-                return;
-            }
-            tokio::time::sleep(EVENT_EVERY).await;
-        }
-    });
-    let mut answer = Response::new(WorkerBody::Right(EventBody::new(body)));
-    answer.headers_mut().insert("content-type", "text/event-stream".parse().expect("plain text"));
-    answer
-}
-
-/// A request that runs, counted as long as this is kept.
-struct Running(Shared);
-
-impl Running {
-    fn begin(state: &Shared, model: &str, last_event_id: Option<u64>) -> Result<Running, StatusCode> {
-        lock(state).begin(model, last_event_id)?;
-        Ok(Running(state.clone()))
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        lock(&self.0).running -= 1;
-    }
-}
-
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
     headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
 }
--- a/lab/src/local_system/stand_in_worker/state.rs
+++ b/lab/src/local_system/stand_in_worker/state.rs
@@ -1,11 +1,13 @@
 //! What a stand-in worker holds and has taken.
 
+use super::run_book::RunBook;
 use crate::local_system::configuration::{SERVICE, SLOTS};
 use http::StatusCode;
 use serde::Deserialize;
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::time::Instant;
 
 /// Tokens that its memory holds.
 const MEMORY_TOKENS: u64 = 100_000;
@@ -55,11 +57,16 @@
     pub(super) running: u32,
     pub(super) runs: u64,
     pub(super) resumed_after: Option<u64>,
+    pub(super) book: RunBook,
+    /// Until then some answers are lost.
+    pub(super) losing_until: Option<Instant>,
+    /// Until then some requests are refused.
+    pub(super) refusing_until: Option<Instant>,
 }
 
 impl State {
     /// A worker that has just started.
-    pub(super) fn new(id: &str, address: SocketAddr, models: &[&str]) -> State {
+    pub(super) fn new(id: &str, address: SocketAddr, models: &[&str], book: RunBook) -> State {
         State {
             id: id.to_owned(),
             address,
@@ -72,6 +79,9 @@
             running: 0,
             runs: 0,
             resumed_after: None,
+            book,
+            losing_until: None,
+            refusing_until: None,
         }
     }
 
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -13,7 +13,7 @@
 use switchhill_lab::local_system;
 use switchhill_lab::run::{Outcome, Verdict, Wanted};
 use switchhill_lab::scenario::Scenario;
-use switchhill_lab::{bare, compare, hollow, live, report, run};
+use switchhill_lab::{bare, compare, hollow, live, report, run, soak};
 
 /// Real gateways on loopback against stand-in boxes, discovery and clients.
 ///
@@ -33,6 +33,30 @@
         #[arg(long, value_name = "FILE")]
         program: Option<PathBuf>,
     },
+    /// Plays the whole system on loopback under troubles drawn from a seed and checks what clients and workers saw.
+    Soak {
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many seeds.
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        /// How long troubles begin in each run.
+        #[arg(long, default_value_t = 60)]
+        seconds: u64,
+        /// Edge machines of each run.
+        #[arg(long, default_value_t = 2)]
+        edges: u8,
+        /// Core machines of each run.
+        #[arg(long, default_value_t = 3)]
+        cores: u8,
+        /// Runs at a time.
+        #[arg(long, default_value_t = 1)]
+        jobs: usize,
+        /// The system's program [default: beside this one, built first where cargo runs this].
+        #[arg(long, value_name = "FILE")]
+        program: Option<PathBuf>,
+    },
     /// Plays a scenario and tells what came of it.
     Run {
         /// The scenario's file.
@@ -211,7 +235,11 @@
 }
 
 fn runtime() -> Result<tokio::runtime::Runtime, Failed> {
-    let built = tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build();
+    runtime_of(3)
+}
+
+fn runtime_of(threads: usize) -> Result<tokio::runtime::Runtime, Failed> {
+    let built = tokio::runtime::Builder::new_multi_thread().worker_threads(threads).enable_all().build();
     built.map_err(|e| Failed::Ran(e.to_string()))
 }
 
@@ -222,6 +250,13 @@
     shown.map_err(failed)
 }
 
+fn play_soak(program: Option<PathBuf>, asked: soak::Asked) -> Result<bool, Failed> {
+    let failed = |error: anyhow::Error| Failed::Ran(format!("{error:#}"));
+    asked.check().map_err(|error| Failed::Asked(error.to_string()))?;
+    let program = program.map_or_else(local_system::built_by_cargo, Ok).map_err(failed)?;
+    runtime_of(processors())?.block_on(soak::soak(&program, asked)).map_err(failed)
+}
+
 fn play(
     scenario: &Arc<Scenario>,
     seed: u64,
@@ -411,6 +446,10 @@
 fn main() -> ExitCode {
     let done = match Line::parse().command {
         Task::LocalSystem { program } => show_local_system(program).map(|()| true),
+        Task::Soak { seed, seeds, seconds, edges, cores, jobs, program } => {
+            let size = local_system::SiteSize { cores, edges };
+            play_soak(program, soak::Asked { seed, seeds, seconds, size, jobs })
+        }
         Task::Run { scenario, seed, out, gateway, bare } => {
             run_one(&scenario, seed, out, gateway.as_deref(), bare)
         }
--- /dev/null
+++ b/lab/tests/soak.rs
@@ -0,0 +1,41 @@
+//! A short soak of the whole system: real processes on loopback under troubles drawn from fixed seeds.
+#![allow(missing_docs)]
+
+use googletest::prelude::*;
+use rstest::rstest;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+use switchhill_lab::local_system::{built_beside, SiteSize};
+use switchhill_lab::soak::record::TroubleKind;
+use switchhill_lab::soak::{run, Outcome, Wanted};
+
+/// One soak at a time: each is seven processes and some forty clients.
+static TURN: Mutex<()> = Mutex::new(());
+
+/// Troubles begin for this long.
+const LENGTH: Duration = Duration::from_secs(15);
+
+fn play(seed: u64) -> Outcome {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build();
+    let wanted = Wanted { seed, length: LENGTH, size: SiteSize { cores: 3, edges: 2 } };
+    let played = runtime.expect("a runtime").block_on(async { run(&built_beside()?, wanted).await });
+    played.unwrap_or_else(|error: anyhow::Error| panic!("{error:#}"))
+}
+
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+#[gtest]
+fn nothing_is_lost_under_troubles(#[case] seed: u64) {
+    let outcome = play(seed);
+    let found: Vec<String> = outcome.findings.iter().map(ToString::to_string).collect();
+    expect_that!(found, is_empty(), "seed {seed}, logs in {}", outcome.folder.display());
+    // A run that saw little would show little.
+    let figures = &outcome.figures;
+    expect_that!(figures.requests, gt(200), "seed {seed}: {figures}");
+    expect_that!(figures.troubles_of(TroubleKind::Terminate), gt(0), "seed {seed}: {figures}");
+    expect_that!(figures.changes.1, gt(5), "seed {seed}: {figures}");
+    expect_that!(figures.probes, gt(5), "seed {seed}: {figures}");
+}
