--- a/src/data_plane/tests/planned_work.rs
+++ b/src/data_plane/tests/planned_work.rs
@@ -1,7 +1,8 @@
 //! Planned work: a new configuration, new settings and the end of the process break no answer off.
 
 use super::rig::{
-    paused, read_to_end, request_bytes, settings, worker_view, MemoryRig, RouteUnderTest, ALL_ROUTES,
+    paused, read_to_end, request_bytes, settings, worker_view, Answered, MemoryRig, RouteUnderTest,
+    ALL_ROUTES,
 };
 use super::scripted_worker::{Plan, ReadRequest};
 use crate::data_plane::policy;
@@ -75,6 +76,18 @@
 /// A time to SIGKILL that is shorter than the time limit of the routes, whose requests may therefore outlast it.
 const SHORT_GRACE_S: f64 = 1.5;
 
+/// Sends a request of which only so many bytes have come when a phase of the end begins.
+async fn ask_across(rig: &mut MemoryRig, phase: Phase, bytes: &[u8], sent: usize) -> Answered {
+    let mut client = rig.connect();
+    client.write_all(&bytes[..sent]).await.expect("window");
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    rig.shared.shutdown.advance(phase);
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    // It may have been closed.
+    let _ = client.write_all(&bytes[sent..]).await;
+    read_to_end(client).await
+}
+
 #[gtest]
 fn a_process_about_to_end_refuses_a_request_that_may_outlast_it_at_any_byte() {
     for route in ALL_ROUTES {
@@ -86,14 +99,7 @@
                     let mut rig = MemoryRig::start();
                     rig.shared.settings.borrow_mut().bounds.grace_s = SHORT_GRACE_S;
                     rig.workers.otherwise(Plan::answering(route.answer()));
-                    let mut client = rig.connect();
-                    client.write_all(&bytes[..sent]).await.expect("window");
-                    tokio::time::sleep(Duration::from_millis(5)).await;
-                    rig.shared.shutdown.advance(phase);
-                    tokio::time::sleep(Duration::from_millis(5)).await;
-                    // It may have been closed.
-                    let _ = client.write_all(&bytes[sent..]).await;
-                    let answered = read_to_end(client).await;
+                    let answered = ask_across(&mut rig, phase, &bytes, sent).await;
                     let is_refused = answered.status == 503
                         && answered.complete
                         && answered.header("retry-after").is_some()
@@ -118,14 +124,7 @@
                     let mut rig = MemoryRig::start();
                     rig.shared.settings.borrow_mut().bounds.grace_s = LONG_GRACE_S;
                     rig.workers.otherwise(Plan::answering(route.answer()));
-                    let mut client = rig.connect();
-                    client.write_all(&bytes[..sent]).await.expect("window");
-                    tokio::time::sleep(Duration::from_millis(5)).await;
-                    rig.shared.shutdown.advance(phase);
-                    tokio::time::sleep(Duration::from_millis(5)).await;
-                    // It may have been closed.
-                    let _ = client.write_all(&bytes[sent..]).await;
-                    let answered = read_to_end(client).await;
+                    let answered = ask_across(&mut rig, phase, &bytes, sent).await;
                     let is_answered = answered.status == 200 && answered.complete && rig.runs("q1") == 1;
                     let is_unread = answered.status == 0 && rig.workers.seen.borrow().arrivals.is_empty();
                     expect_that!(is_answered || is_unread, eq(true), "{case}: {answered:?}");
