Soak: a hangup of its terminal ends its processes too

Cause: a soak whose shell went away left 26 processes behind; it handled SIGTERM and SIGINT only.

Change: SIGHUP ends the run like the others.

--- a/lab/src/soak/command.rs
+++ b/lab/src/soak/command.rs
@@ -59,10 +59,12 @@
     asked.check()?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
     tokio::select! {
         all = play_all(program, asked) => all,
         _ = terminate.recv() => anyhow::bail!("told to stop"),
         _ = interrupt.recv() => anyhow::bail!("told to stop"),
+        _ = hangup.recv() => anyhow::bail!("told to stop"),
     }
 }
 
