Soak: a request that fits before the end of the process may be held after SIGTERM

Change: the check asks whether the time limit ends after the process, as the program does; both sides are tested, and the former case still counts.

--- a/lab/src/soak/check/leaving.rs
+++ b/lab/src/soak/check/leaving.rs
@@ -16,8 +16,11 @@
             findings.push(Finding::new(Invariant::RefusalWithoutAdvice, context.tell(story)));
         }
         let held = story.ended.saturating_sub(story.sent.max(sigterm));
+        // One whose time limit ends before the process may still be sent, and is held like any other.
+        let may_outlast_process = story.sent + story.deadline > sigterm + context.observed.grace;
         let never_offered = context.arrivals(&story.id).is_empty();
         if never_offered
+            && may_outlast_process
             && held > story.objective / HOLD_SHARE
             && !context.is_excused(story)
             && !context.stalled(story.sent, story.ended)
--- a/lab/tests/soak_checks.rs
+++ b/lab/tests/soak_checks.rs
@@ -283,6 +283,12 @@
     let terminated = |ended, runs| observed(refused_at(ended), runs, vec![sigterm(at(20_100))]);
     expect_that!(broken(&terminated(at(20_600), vec![])), elements_are![eq(&Invariant::RefusedLate)]);
     expect_that!(broken(&terminated(at(20_300), vec![])), is_empty());
+    // A request whose time limit ends before the process may be held on.
+    let short = RequestStory { deadline: Duration::from_secs(5), ..refused_at(at(20_600)) };
+    expect_that!(broken(&observed(short.clone(), vec![], vec![sigterm(at(20_100))])), is_empty());
+    let long = RequestStory { deadline: Duration::from_millis(5_200), ..short };
+    let late = broken(&observed(long, vec![], vec![sigterm(at(20_100))]));
+    expect_that!(late, elements_are![eq(&Invariant::RefusedLate)]);
     let offered = vec![run(at(20_200), at(20_200), RunEnd::NotExecuted(503))];
     expect_that!(broken(&terminated(at(20_600), offered)), is_empty());
 }
