--- a/lab/src/local_system/machine.rs
+++ b/lab/src/local_system/machine.rs
@@ -129,8 +129,11 @@
         self.save_settings()
     }
 
+    /// Puts the settings file in place whole: a process that starts meanwhile reads the former or the new one.
     fn save_settings(&self) -> anyhow::Result<()> {
-        std::fs::write(&self.path, self.settings.to_string())?;
+        let whole = self.path.with_extension("new");
+        std::fs::write(&whole, self.settings.to_string())?;
+        std::fs::rename(whole, &self.path)?;
         Ok(())
     }
 
