Log of late and lost requests; settings of every decision for the laboratory

Change: a bounded log line for each request that was late, refused or not answered whole (wait for a worker, first byte, longest pause, sends). The defaults decide as before.

--- a/crates/admission/src/terms.rs
+++ b/crates/admission/src/terms.rs
@@ -1,7 +1,10 @@
 //! What the controller is told: settings, routes, loads, samples; and what it answers.
 
+use serde::Deserialize;
+
 /// Settings of a [`Controller`](crate::Controller).
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// Seed of the draws by which a part of a route's requests is refused.
     pub seed: u64,
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -32,6 +32,8 @@
     pub ceiling_window_ms: u64,
     /// Whether workers check fencing tokens.
     pub fencing: bool,
+    /// How models are placed; the time of watching is the node's own.
+    pub planner: placement::PlannerSettings,
     /// Seed of the node's random choices.
     pub seed: u64,
 }
--- a/crates/control/src/lone_node_tests.rs
+++ b/crates/control/src/lone_node_tests.rs
@@ -27,6 +27,7 @@
         lease_ms: 2_000,
         ceiling_window_ms: 10_000,
         fencing: true,
+        planner: Default::default(),
         seed: 1,
     };
     ControlNode::new(0, settings, Vec::new(), Some(vec![lone_member(address)]))
--- a/crates/control/src/placer.rs
+++ b/crates/control/src/placer.rs
@@ -187,7 +187,7 @@
         let Some(document) = self.state.document().cloned() else { return };
         let engines = engines(&document);
         // Reports lag: those asked for before this time may not show a predecessor's last order.
-        let settings = PlannerSettings { watch_ms: REPORTS_LAG, ..PlannerSettings::default() };
+        let settings = PlannerSettings { watch_ms: REPORTS_LAG, ..self.settings.planner.clone() };
         self.placer.planners.retain(|service, _| engines.contains_key(service));
         for (service, engine) in engines {
             match self.placer.planners.get_mut(&service) {
--- a/crates/control/tests/node_settings/mod.rs
+++ b/crates/control/tests/node_settings/mod.rs
@@ -18,6 +18,7 @@
         lease_ms: 2_000,
         ceiling_window_ms: 5_000,
         fencing: true,
+        planner: Default::default(),
         seed: life,
     }
 }
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -202,14 +202,20 @@
         self.next_policy_at = now + POLICY_INTERVAL_MS;
         self.drop_settled_wants(now);
         self.serve_overdue(now);
-        self.relieve_crowded(now);
+        if self.settings.crowded_first {
+            self.relieve_crowded(now);
+        }
         self.serve_missing(now);
         self.prepare(now);
         if now >= self.next_sample_at {
             self.next_sample_at = now + SAMPLE_INTERVAL_MS;
             self.sample_demand(now);
-            self.grow(now);
-            self.relieve(now);
+            if self.settings.growth {
+                self.grow(now);
+            }
+            if self.settings.relief {
+                self.relieve(now);
+            }
         }
     }
 
--- a/crates/placement/src/policy/anticipation.rs
+++ b/crates/placement/src/policy/anticipation.rs
@@ -10,7 +10,6 @@
 use crate::catalogue::ModelIndex;
 use crate::planner::Planner;
 use crate::policy::choice::Reason;
-use crate::policy::growth::WANTED_OCCUPANCY;
 
 /// How many places in the list demand may move on at once.
 const NEIGHBOURS: usize = 3;
@@ -35,13 +34,16 @@
         let busy = self.busy_by_rank();
         let models: Vec<(ModelIndex, usize)> = self.configured_models();
         self.anticipated.clear();
+        if !self.settings.anticipation {
+            return;
+        }
         for (model, rank) in models {
             let before = rank.saturating_sub(NEIGHBOURS)..rank;
             let most = before.filter_map(|rank| busy.get(&rank)).copied().fold(0.0, f64::max);
             if most < LEAST_OCCUPANCY * slots {
                 continue;
             }
-            let copies = (most * PREPARED_SHARE / (slots * WANTED_OCCUPANCY)).ceil() as usize;
+            let copies = (most * PREPARED_SHARE / (slots * self.settings.wanted_occupancy)).ceil() as usize;
             self.anticipated.insert(model, copies.min(MOST_COPIES).min(ready));
         }
     }
--- a/crates/placement/src/policy/growth.rs
+++ b/crates/placement/src/policy/growth.rs
@@ -5,10 +5,6 @@
 use crate::policy::choice::Reason;
 use crate::worker::WorkerKey;
 
-/// Share of a worker's slots that requests for one model should occupy at most.
-pub(crate) const WANTED_OCCUPANCY: f64 = 0.25;
-/// Share of a worker's slots from which the copies of a model are crowded: further ones go before all other loads.
-const CROWDED_OCCUPANCY: f64 = 0.4;
 /// Share of a worker's slots below which a copy is surplus.
 const SURPLUS_OCCUPANCY: f64 = 0.15;
 /// Requests a second from which a model should stand on two workers, so that the loss of one stops nothing.
@@ -32,11 +28,12 @@
         let ready = self.workers.values().filter(|worker| worker.is_ready()).count();
         let slots = f64::from(self.engine.slots.max(1));
         let adapter_slots = f64::from(self.engine.adapter_slots.max(1));
+        let wanted_occupancy = self.settings.wanted_occupancy;
         self.anticipate(ready);
         for (model, demand) in &mut self.demand {
             let load_ms = self.catalogue.spec(*model).load_ms;
             demand.sample(now);
-            let for_load = (demand.slots_ahead / (slots * WANTED_OCCUPANCY)).ceil() as usize;
+            let for_load = (demand.slots_ahead / (slots * wanted_occupancy)).ceil() as usize;
             let active = demand.adapters(now, ACTIVE_ADAPTER_MS).count() as f64;
             let for_adapters = (active / (adapter_slots * ADAPTERS_PER_SLOT)).ceil() as usize;
             let urgent = demand.urgency_ms < load_ms;
@@ -72,7 +69,7 @@
         for model in models {
             let copies = self.copies_of(model).count() as f64;
             let ahead = self.demand[&model].slots_ahead;
-            let excess = ahead - copies * slots * CROWDED_OCCUPANCY;
+            let excess = ahead - copies * slots * self.settings.crowded_occupancy;
             if copies > 0.0 && excess > 0.0 {
                 crowded.push((ahead / copies, model, excess));
             }
--- a/crates/placement/src/policy/victims.rs
+++ b/crates/placement/src/policy/victims.rs
@@ -4,7 +4,6 @@
 use crate::demand::ModelDemand;
 use crate::planner::Planner;
 use crate::policy::choice::Reason;
-use crate::policy::growth::WANTED_OCCUPANCY;
 use crate::worker::{Holding, Phase, WorkerKey};
 
 /// A model stays this long after its load unless it is never asked for, in milliseconds.
@@ -157,7 +156,7 @@
         }
         let bearable = match reason {
             Reason::Missing { .. } => load_after <= CROWDED,
-            Reason::Crowded { .. } => load_after <= WANTED_OCCUPANCY,
+            Reason::Crowded { .. } => load_after <= self.settings.wanted_occupancy,
             Reason::Growth | Reason::Anticipated => false,
         };
         bearable.then_some(cost::USEFUL + cost::LONG_IDLE * load_after)
--- a/crates/routing/src/cost.rs
+++ b/crates/routing/src/cost.rs
@@ -18,8 +18,6 @@
 const USUAL_SILENCE_MS: u64 = 250;
 /// Share of its memory up to which a worker is not short of it.
 const MEMORY_COMFORT: f64 = 0.8;
-/// Delay a worker with all its memory promised adds: preempted prompts are read again.
-const MEMORY_SHORT_MS: f64 = 400.0;
 /// Priorities up to this one are urgent.
 const URGENT_PRIORITY: u8 = 1;
 /// How much more urgent requests mind other requests.
@@ -72,9 +70,9 @@
         let urgency = if self.is_urgent() { URGENT_FACTOR } else { 1.0 };
         let queued = (load + 1.0 - slots).max(0.0);
         let duration = self.baselines.usual_duration(self.workload).unwrap_or(DEFAULT_DURATION_MS);
-        let waiting = queued * duration / slots + self.settings.full_batch_ms * load / slots;
+        let waiting = queued * duration / slots + self.step(worker) * load;
         let reading = self.reading(worker, load);
-        let slowness = worker.slowness.get(self.now) * self.coldness(worker);
+        let slowness = self.slowness(worker) * self.coldness(worker);
         let answering = self.baselines.usual_first_byte(self.workload).unwrap_or(DEFAULT_FIRST_BYTE_MS);
         let work = (waiting * urgency + reading + answering) * slowness;
         work + self.memory(worker, load)
@@ -107,7 +105,7 @@
 
     /// Delay that one more request at the worker means for the next.
     pub fn step(&self, worker: &WorkerState) -> f64 {
-        self.settings.full_batch_ms / f64::from(worker.view.slots.max(1))
+        self.settings.request_ms + self.settings.full_batch_ms / f64::from(worker.view.slots.max(1))
     }
 
     fn is_urgent(&self) -> bool {
@@ -126,6 +124,13 @@
         unread / self.settings.prefill_tokens_per_ms
     }
 
+    fn slowness(&self, worker: &WorkerState) -> f64 {
+        match self.settings.worker_speed {
+            true => worker.slowness.get(self.now),
+            false => 1.0,
+        }
+    }
+
     fn coldness(&self, worker: &WorkerState) -> f64 {
         if worker.cold_until > self.now {
             COLD_FACTOR
@@ -139,7 +144,7 @@
         let others = (load - f64::from(worker.outstanding)).max(0.0) * self.mean_tokens;
         let own = self.profile.total_tokens() as f64;
         let share = (worker.outstanding_tokens as f64 + others + own) / cache_tokens.max(1) as f64;
-        (share - MEMORY_COMFORT).max(0.0) / (1.0 - MEMORY_COMFORT) * MEMORY_SHORT_MS
+        (share - MEMORY_COMFORT).max(0.0) / (1.0 - MEMORY_COMFORT) * self.settings.memory_short_ms
     }
 
     fn silence(&self, worker: &WorkerState) -> f64 {
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -33,8 +33,6 @@
 const LONGEST_UNSEEN_MS: f64 = 1_000.0;
 /// Advantage of the session's last worker, on top of the time to read the session's part again.
 const SESSION_MS: f64 = 10.0;
-/// Greatest advantage of the session's last worker.
-const SESSION_MOST_MS: f64 = 60.0;
 
 /// Chooses workers for requests and learns from what becomes of them.
 #[derive(Debug)]
@@ -230,7 +228,7 @@
             worker.heard_at = now;
         }
         let looks_faulty = worker.health.finished(now, &attempt, outcome, others);
-        if looks_faulty {
+        if looks_faulty && self.settings.ejection {
             eject_within_bound(&mut self.table, now, attempt.worker);
         }
     }
@@ -263,7 +261,10 @@
         is_connected: &dyn Fn(&str) -> bool,
     ) -> Option<WorkerKey> {
         let prefixes = shared_prefixes(profile);
-        let homes = Homes::of(&prefixes, keys, &self.table);
+        let homes = match self.settings.prompt_homes {
+            true => Homes::of(&prefixes, keys, &self.table),
+            false => Homes::default(),
+        };
         let session_worker = profile.session.and_then(|session| self.sessions.worker(session));
         let count = self.compared(now, keys);
         let favourites = [homes.first, homes.second, session_worker];
@@ -396,7 +397,7 @@
 fn session_advantage(profile: &RequestProfile, settings: &RouterSettings) -> f64 {
     let own_tokens = profile.prompt_parts.last().map_or(0, |part| part.tokens);
     let reading = f64::from(own_tokens) / settings.prefill_tokens_per_ms * settings.kept_prompt_weight;
-    (SESSION_MS + reading).min(SESSION_MOST_MS)
+    (SESSION_MS + reading).min(settings.session_most_ms)
 }
 
 fn workload(profile: &RequestProfile) -> u64 {
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -1,7 +1,10 @@
 //! Settings of the router.
 
+use serde::Deserialize;
+
 /// Settings of a [`crate::Router`]. `Default` fits engines with event intervals of about 35 ms.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct RouterSettings {
     /// Zone of this gatekeeper; its own zone's workers are preferred by `other_zone_ms`.
     pub zone: String,
@@ -27,6 +30,18 @@
     pub prefixes_per_worker: usize,
     /// Sessions remembered in all.
     pub sessions: usize,
+    /// Delay in milliseconds that each request at a worker adds for the next one.
+    pub request_ms: f64,
+    /// Delay in milliseconds that a worker adds when all of its memory is promised; 0 ignores its memory.
+    pub memory_short_ms: f64,
+    /// Greatest advantage in milliseconds of the worker that served a session last; 0 forgets sessions.
+    pub session_most_ms: f64,
+    /// Whether shared prompts are assigned to workers by hash.
+    pub prompt_homes: bool,
+    /// Whether workers that fail requests are ejected.
+    pub ejection: bool,
+    /// Whether a worker's speed, as its answers show it, counts.
+    pub worker_speed: bool,
     /// Age in milliseconds at which a load told by other gatekeepers counts half; the rest is the mean.
     pub load_half_life_ms: f64,
 }
@@ -46,6 +61,12 @@
             silent_streams: 2,
             prefixes_per_worker: 256,
             sessions: 4096,
+            request_ms: 0.0,
+            memory_short_ms: 400.0,
+            session_most_ms: 60.0,
+            prompt_homes: true,
+            ejection: true,
+            worker_speed: true,
             load_half_life_ms: 500.0,
         }
     }
--- a/src/control_plane/mod.rs
+++ b/src/control_plane/mod.rs
@@ -160,6 +160,7 @@
         lease_ms: settings.bounds.lease_ms,
         ceiling_window_ms: (settings.bounds.ceiling_window_s * 1000.0) as u64,
         fencing: settings.bounds.fencing,
+        planner: settings.decisions.planner.clone(),
         seed: life,
     }
 }
--- a/src/data_plane/admission_stage.rs
+++ b/src/data_plane/admission_stage.rs
@@ -27,8 +27,8 @@
 
 impl AdmissionStage {
     /// A stage without routes.
-    pub(crate) fn new(seed: u64) -> AdmissionStage {
-        let settings = Settings { seed, ..Settings::default() };
+    pub(crate) fn new(settings: Settings, seed: u64) -> AdmissionStage {
+        let settings = Settings { seed, ..settings };
         AdmissionStage { controller: RefCell::new(Controller::new(settings)) }
     }
 
--- a/src/data_plane/attempt.rs
+++ b/src/data_plane/attempt.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
 use switchhill_routing::{AttemptOutcome, WorkerKey};
+use tokio::time::Instant;
 
 /// What differs where a stream is taken up again.
 #[derive(Debug, Clone, Copy, Default)]
@@ -134,10 +135,12 @@
         AttemptEnd::MayHaveRun
     }
 
-    async fn wait_for_head(&self, worker: WorkerKey, lease: &mut Lease, resume: ResumePoint) -> Sent {
+    async fn wait_for_head(&mut self, worker: WorkerKey, lease: &mut Lease, resume: ResumePoint) -> Sent {
         let worker_id = self.shared.router.borrow().worker(worker).map(|view| view.id.clone());
+        let worker_id = worker_id.unwrap_or_default();
+        self.timeline.sent(Instant::now(), &worker_id);
         let fields = AttemptFields {
-            worker_id: worker_id.unwrap_or_default(),
+            worker_id,
             time_left: self.time_left(),
             priority: self.rules.priority,
             last_event_id: resume.last_event_id,
--- a/src/data_plane/delivery.rs
+++ b/src/data_plane/delivery.rs
@@ -8,6 +8,7 @@
 use super::piped_answer::PipedAnswer;
 use super::policy;
 use super::replies::LocalReply;
+use super::request_log::RequestEnd;
 use super::stream_answer::StreamAnswer;
 use super::worker_answer::{BodyStart, WorkerAnswer};
 use bytes::Bytes;
@@ -28,39 +29,41 @@
     loop {
         let worker = match exchange.next_worker().await {
             Ok(worker) => worker,
-            Err(reply) => return answer_itself(&exchange, reply),
+            Err(reply) => return answer_itself(&mut exchange, reply),
         };
         match exchange.attempt(worker, ResumePoint::default()).await {
             AttemptEnd::Answered(answer) => match deliver(exchange, *answer).await {
                 Delivery::Passed(answer) => return answer,
-                Delivery::TimedOut(exchange) => {
-                    return answer_itself(&exchange, LocalReply::TimedOut);
+                Delivery::TimedOut(mut exchange) => {
+                    return answer_itself(&mut exchange, LocalReply::TimedOut);
                 }
                 Delivery::Broken(returned) => exchange = *returned,
             },
             AttemptEnd::NotRun(StatusCode::BAD_REQUEST) if exchange.request_id.is_none() => {
-                return answer_itself(&exchange, LocalReply::BadRequest);
+                return answer_itself(&mut exchange, LocalReply::BadRequest);
             }
-            AttemptEnd::TimedOut => return answer_itself(&exchange, LocalReply::TimedOut),
-            AttemptEnd::OutOfBudget => return give_up(&exchange),
+            AttemptEnd::TimedOut => return answer_itself(&mut exchange, LocalReply::TimedOut),
+            AttemptEnd::OutOfBudget => return give_up(&mut exchange),
             AttemptEnd::NotSent | AttemptEnd::NotRun(_) | AttemptEnd::MayHaveRun => {}
         }
         if !exchange.may_try_again() {
-            return give_up(&exchange);
+            return give_up(&mut exchange);
         }
     }
 }
 
-fn give_up(exchange: &Exchange) -> Response<AnswerBody> {
-    answer_itself(exchange, exchange.give_up())
+fn give_up(exchange: &mut Exchange) -> Response<AnswerBody> {
+    let reply = exchange.give_up();
+    answer_itself(exchange, reply)
 }
 
 /// The gatekeeper's own answer to a request.
-fn answer_itself(exchange: &Exchange, reply: LocalReply) -> Response<AnswerBody> {
+fn answer_itself(exchange: &mut Exchange, reply: LocalReply) -> Response<AnswerBody> {
     let promises_not_run = matches!(reply, LocalReply::NotRun { .. });
     if promises_not_run && exchange.entry.may_have_run() {
         exchange.shared.violations.report(Invariant::PromiseIsKept, &format!("{:?}", exchange.request_id));
     }
+    exchange.timeline.end = RequestEnd::Own(reply);
     reply.answer(exchange.request_id.as_ref())
 }
 
@@ -89,7 +92,7 @@
         }
     };
     match start {
-        BodyStart::Whole(body) => Delivery::Passed(deliver_whole(&exchange, answer, body)),
+        BodyStart::Whole(body) => Delivery::Passed(deliver_whole(&mut exchange, answer, body)),
         BodyStart::Longer(start) => Delivery::Passed(deliver_long(exchange, answer, start)),
         BodyStart::Broken => {
             exchange.trail.may_have_run = true;
@@ -99,7 +102,7 @@
     }
 }
 
-fn deliver_whole(exchange: &Exchange, answer: WorkerAnswer, body: Bytes) -> Response<AnswerBody> {
+fn deliver_whole(exchange: &mut Exchange, answer: WorkerAnswer, body: Bytes) -> Response<AnswerBody> {
     let mut head = client_head(&answer.head);
     let has_body = exchange.request.method() != Method::HEAD
         && !matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
@@ -108,6 +111,7 @@
     }
     let outcome = answer.outcome();
     answer.complete(outcome);
+    exchange.timeline.end = RequestEnd::Answered;
     Response::from_parts(head, AnswerBody::whole(body))
 }
 
--- a/src/data_plane/exchange.rs
+++ b/src/data_plane/exchange.rs
@@ -6,6 +6,7 @@
 use super::policy;
 use super::replies::LocalReply;
 use super::request_head::RequestHead;
+use super::request_log::Timeline;
 use super::running_requests::RunningEntry;
 use super::shared::Shared;
 use super::statistics::RunningDemand;
@@ -55,6 +56,7 @@
     pub(crate) admitted: Option<AdmittedRequest>,
     pub(crate) trail: Trail,
     pub(crate) entry: RunningEntry,
+    pub(crate) timeline: Timeline,
     pub(crate) _running: Counted,
     pub(crate) _running_demand: RunningDemand,
 }
@@ -121,11 +123,12 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Notes that the answer has begun.
+    /// Notes that the answer has begun or goes on.
     pub(crate) fn first_byte(&mut self) {
         if let Some(admitted) = &mut self.admitted {
             admitted.first_byte(self.shared.now());
         }
+        self.timeline.piece(Instant::now());
     }
 
     /// Whether another attempt is allowed after those made; the budget is asked when it is sent.
--- a/src/data_plane/ingress.rs
+++ b/src/data_plane/ingress.rs
@@ -9,6 +9,7 @@
 use super::policy;
 use super::replies::LocalReply;
 use super::request_head::RequestHead;
+use super::request_log::Timeline;
 use super::shared::Shared;
 use super::shutdown::{Phase, ShutdownHandle};
 use super::watched_stream::{WatchedStream, Written};
@@ -201,6 +202,7 @@
         admitted: Some(admitted),
         trail: Trail::default(),
         entry,
+        timeline: Timeline::of(route),
         _running: running,
         _running_demand: running_demand,
     })
--- a/src/data_plane/mod.rs
+++ b/src/data_plane/mod.rs
@@ -31,6 +31,7 @@
 mod readiness;
 mod replies;
 mod request_head;
+mod request_log;
 mod running_requests;
 mod server;
 mod shared;
--- a/src/data_plane/piped_answer.rs
+++ b/src/data_plane/piped_answer.rs
@@ -2,6 +2,7 @@
 
 use super::answer_body::{AnswerBroken, Piece, PieceSource};
 use super::exchange::Exchange;
+use super::request_log::RequestEnd;
 use super::worker_answer::{BodyStep, WorkerAnswer};
 use bytes::Bytes;
 use std::pin::Pin;
@@ -11,7 +12,7 @@
 /// The body of a long answer.
 pub(crate) struct PipedAnswer {
     // Held until the answer ends: it counts as a running request.
-    _exchange: Exchange,
+    exchange: Exchange,
     answer: Option<WorkerAnswer>,
     start: Option<Bytes>,
     deadline: Pin<Box<Sleep>>,
@@ -21,7 +22,7 @@
     /// A body that begins with `start`.
     pub(crate) fn new(exchange: Exchange, answer: WorkerAnswer, start: Bytes) -> PipedAnswer {
         let deadline = Box::pin(tokio::time::sleep_until(exchange.deadline));
-        PipedAnswer { _exchange: exchange, answer: Some(answer), start: Some(start), deadline }
+        PipedAnswer { exchange, answer: Some(answer), start: Some(start), deadline }
     }
 
     fn end(&mut self, outcome: AttemptOutcome) -> Piece {
@@ -50,6 +51,7 @@
                 let answer = self.answer.take()?;
                 let outcome = answer.outcome();
                 answer.complete(outcome);
+                self.exchange.timeline.end = RequestEnd::Answered;
                 None
             }
         }
--- a/src/data_plane/shared.rs
+++ b/src/data_plane/shared.rs
@@ -9,6 +9,7 @@
 use super::missing::MissingModels;
 use super::policy;
 use super::pool::Pool;
+use super::request_log::LineBudget;
 use super::running_requests::RunningRequests;
 use super::shutdown::{Phase, ShutdownHandle, ShutdownTimes};
 use super::silence::SilentWorkers;
@@ -40,6 +41,7 @@
     pub(crate) end_times: Cell<Option<ShutdownTimes>>,
     pub(crate) running_requests: RunningRequests,
     pub(crate) violations: Violations,
+    pub(crate) line_budget: LineBudget,
     /// Told after the router has taken a new view.
     pub(crate) view_changed: Notify,
     /// Requests whose heads have been read and whose answers are not complete.
@@ -63,9 +65,9 @@
     ) -> Shared {
         let descriptors = DescriptorShares::of(settings.limits.max_fds);
         Shared {
-            router: RefCell::new(Router::new(router_settings(&settings.zone), fastrand::u64(..))),
+            router: RefCell::new(Router::new(router_settings(&settings), fastrand::u64(..))),
             budget: RefCell::new(retry_budget(&settings)),
-            admission: Rc::new(AdmissionStage::new(fastrand::u64(..))),
+            admission: Rc::new(AdmissionStage::new(settings.decisions.admission, fastrand::u64(..))),
             settings: RefCell::new(settings),
             pool: Pool::new(descriptors.workers),
             statistics: RefCell::default(),
@@ -76,6 +78,7 @@
             end_times: Cell::default(),
             running_requests: RunningRequests::default(),
             violations: Violations::default(),
+            line_budget: LineBudget::default(),
             view_changed: Notify::new(),
             running: Rc::default(),
             client_connections: Rc::default(),
@@ -230,13 +233,17 @@
 
     /// Looks for workers whose streams have stopped.
     pub(crate) fn look_for_silence(&self) {
+        if !self.settings.borrow().decisions.holding.beside_silent_worker {
+            return;
+        }
         let silent = self.router.borrow_mut().silent_workers(self.now());
         self.silent.replace(silent);
     }
 }
 
-fn router_settings(zone: &str) -> RouterSettings {
-    RouterSettings { silent_ms: policy::STREAM_SILENCE_MS, ..RouterSettings::for_zone(zone) }
+fn router_settings(settings: &SiteSettings) -> RouterSettings {
+    let zone = settings.zone.clone();
+    RouterSettings { silent_ms: policy::STREAM_SILENCE_MS, zone, ..settings.decisions.router.clone() }
 }
 
 fn same_budget(one: &Bounds, other: &Bounds) -> bool {
--- a/src/data_plane/stream_answer.rs
+++ b/src/data_plane/stream_answer.rs
@@ -5,6 +5,7 @@
 use super::event_stream::{Event, EventSplitter};
 use super::exchange::Exchange;
 use super::policy;
+use super::request_log::RequestEnd;
 use super::worker_answer::{BodyStep, WorkerAnswer};
 use bytes::{Bytes, BytesMut};
 use hyper::header::HeaderMap;
@@ -93,6 +94,7 @@
         let answer = self.answer.take()?;
         let outcome = answer.outcome();
         answer.complete(outcome);
+        self.exchange.timeline.end = RequestEnd::Answered;
         let rest = self.splitter.take_rest();
         (!rest.is_empty()).then_some(Ok(rest))
     }
--- a/src/data_plane/tests.rs
+++ b/src/data_plane/tests.rs
@@ -6,6 +6,7 @@
 mod planned_work;
 mod process_end;
 mod refusals;
+mod request_log;
 pub(crate) mod rig;
 pub(crate) mod scripted_worker;
 mod silent_worker;
--- /dev/null
+++ b/src/data_plane/tests/request_log.rs
@@ -0,0 +1,58 @@
+//! Which requests get a line in the log, and how many lines there may be.
+
+use super::super::replies::LocalReply;
+use super::super::request_log::{LineBudget, RequestEnd, Timeline};
+use googletest::prelude::*;
+use std::time::Duration;
+use switchhill_configuration::{Document, Route};
+use tokio::time::Instant;
+
+/// A streaming route with an objective of 500 ms and pauses of 200 ms at most.
+fn route() -> Route {
+    let text = r#"{"revision":1,"routes":[{"name":"chat","host":"h.example","pathPrefix":"/c/","routeKind":"streaming",
+        "timeoutMs":5000,"targetLatencyMs":500,"priority":1,"service":"s","retries":1,"gap_aim_ms":200}],
+        "services":[{"name":"s","healthCheck":"/health","maxConnections":10,"protocol":"h1","tls":false}],
+        "limits":{"maxHeaderBytes":8192,"maxBodyBytes":65536,"headerTimeoutMs":1000,"idleTimeoutMs":15000}}"#;
+    let document = Document::parse(text.as_bytes()).expect("a sound configuration");
+    document.routes()[0].clone()
+}
+
+/// A timeline whose pieces came at these times after the arrival, in milliseconds.
+fn timeline(arrived: Instant, pieces: &[u64], end: RequestEnd) -> Timeline {
+    let mut timeline = Timeline::of(&route());
+    timeline.sent(arrived, "i-1");
+    for piece in pieces {
+        timeline.piece(arrived + Duration::from_millis(*piece));
+    }
+    timeline.end = end;
+    timeline
+}
+
+#[gtest]
+fn a_whole_answer_in_time_gets_no_line() {
+    let arrived = Instant::now();
+    expect_false!(timeline(arrived, &[400, 500, 690], RequestEnd::Answered).is_notable(arrived));
+}
+
+#[gtest]
+fn a_late_first_byte_a_long_pause_a_cut_and_a_refusal_get_a_line() {
+    let arrived = Instant::now();
+    expect_true!(timeline(arrived, &[501], RequestEnd::Answered).is_notable(arrived));
+    expect_true!(timeline(arrived, &[100, 301], RequestEnd::Answered).is_notable(arrived));
+    expect_true!(timeline(arrived, &[100, 200], RequestEnd::Cut).is_notable(arrived));
+    let refused = RequestEnd::Own(LocalReply::NotRun { retry_after_ms: 20 });
+    expect_true!(timeline(arrived, &[], refused).is_notable(arrived));
+}
+
+#[gtest]
+fn lines_are_bounded_and_those_left_out_are_counted() {
+    let budget = LineBudget::default();
+    let start = Instant::now();
+    let written = (0..100).filter(|_| budget.take(start).is_some()).count();
+    expect_that!(written, eq(20));
+    let later = start + Duration::from_millis(1_100);
+    expect_that!(budget.take(later), some(eq(80)));
+    expect_that!(budget.take(later), some(eq(0)));
+    let within_a_second = (0..100).filter(|_| budget.take(later).is_some()).count();
+    expect_that!(within_a_second, le(4));
+}
--- a/src/data_plane/worker_choice.rs
+++ b/src/data_plane/worker_choice.rs
@@ -37,6 +37,7 @@
             if let Some(admitted) = &mut self.admitted {
                 admitted.waits_for_load();
             }
+            self.timeline.waits_for_model();
             let too_late = tokio::select! {
                 () = self.too_late_to_send() => true,
                 () = self.wait_for_view(hold_until) => false,
@@ -122,6 +123,9 @@
     /// Until when a request is held for its model or adapter.
     fn model_hold_end(&self) -> Instant {
         let aim = self.rules.aim;
+        if !self.shared.settings.borrow().decisions.holding.for_model {
+            return self.arrived;
+        }
         let is_short = aim < Duration::from_millis(policy::SHORT_AIM_MS);
         let by_aim = match (is_short, &self.profile.adapter) {
             (false, _) => aim.mul_f64(policy::LONG_HOLD_SHARE),
--- a/src/site_settings.rs
+++ b/src/site_settings.rs
@@ -3,8 +3,10 @@
 //! Unknown fields are skipped; a bad one is named with file, line and field. A file that is read again must give all that the
 //! one in force gives.
 
+mod decisions;
 mod origin;
 
+pub use decisions::DecisionSettings;
 use origin::Origin;
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -191,6 +193,9 @@
     /// Figures of the rules.
     #[serde(default)]
     pub bounds: Bounds,
+    /// How the process decides; from the command line, not from this file.
+    #[serde(skip)]
+    pub decisions: DecisionSettings,
     /// The file they were read from, where there is one.
     #[serde(skip)]
     origin: Option<Origin>,
@@ -226,7 +231,8 @@
     /// not finished.
     pub fn reread(&self) -> Result<SiteSettings, SettingsError> {
         let Some(in_force) = &self.origin else { return SiteSettings::from_environment() };
-        let settings = SiteSettings::read(in_force.path())?;
+        let mut settings = SiteSettings::read(in_force.path())?;
+        settings.decisions = self.decisions.clone();
         if let Some(origin) = &settings.origin {
             origin.check_as_whole_as(in_force)?;
         }
--- a/src/system/command.rs
+++ b/src/system/command.rs
@@ -1,8 +1,9 @@
 //! Commands of the system's programs.
 
 use super::stop::Stop;
-use crate::site_settings::SiteSettings;
+use crate::site_settings::{DecisionSettings, SiteSettings};
 use argh::FromArgs;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// Commands that this module understands; all others are those of the gateway.
@@ -23,10 +24,24 @@
     ControlPlane(ControlPlaneCommand),
 }
 
+impl Program {
+    fn decisions(&self) -> Option<&Path> {
+        match self {
+            Program::DataPlane(command) => command.decisions.as_deref(),
+            Program::ControlPlane(command) => command.decisions.as_deref(),
+            Program::Agent(_) => None,
+        }
+    }
+}
+
 /// Serves clients: admission, routing, forwarding.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "data-plane")]
-struct DataPlaneCommand {}
+struct DataPlaneCommand {
+    /// file of settings of decisions that differ from the usual ones, for measurements in the laboratory
+    #[argh(option)]
+    decisions: Option<PathBuf>,
+}
 
 /// Keeps the link to the control plane and feeds the data plane of the same machine.
 #[derive(FromArgs)]
@@ -36,7 +51,11 @@
 /// Serves workers and the operator; replica of the register; places models.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "control-plane")]
-struct ControlPlaneCommand {}
+struct ControlPlaneCommand {
+    /// file of settings of decisions that differ from the usual ones, for measurements in the laboratory
+    #[argh(option)]
+    decisions: Option<PathBuf>,
+}
 
 /// Whether the command line names a program of the system.
 pub fn is_system_command(first: Option<&str>) -> bool {
@@ -68,7 +87,10 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     // First of all: until its handler is there, a signal ends the process.
     let stop = handle_signals(&runtime)?;
-    let settings = SiteSettings::from_environment()?;
+    let mut settings = SiteSettings::from_environment()?;
+    if let Some(path) = program.decisions() {
+        settings.decisions = DecisionSettings::read(path)?;
+    }
     let local = tokio::task::LocalSet::new();
     match program {
         Program::DataPlane(_) => local.block_on(&runtime, crate::data_plane_feed::run(settings, stop)),
