--- a/lab/src/days/mod.rs
+++ b/lab/src/days/mod.rs
@@ -9,11 +9,15 @@
 mod catalogue;
 mod day;
 mod draw;
+mod lost;
+mod reports;
 mod site;
 mod table;
 
 pub use catalogue::{catalogue, Section, Trouble};
 pub use day::{Day, Entry};
 pub use draw::{draw, each, Form};
+pub use lost::{Cause, LostRequest, LostRequests};
+pub use reports::{Pairs, ReportError};
 pub use site::{Site, SiteError};
 pub use table::{Played, Table, TableError};
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,7 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
-use switchhill_lab::days::{catalogue, draw, each, Day, Form, Site, Table, Trouble};
+use switchhill_lab::days::{catalogue, draw, each, Day, Form, LostRequests, Pairs, Site, Table, Trouble};
 use switchhill_lab::load::Live;
 use switchhill_lab::local_system;
 use switchhill_lab::run::{Outcome, Verdict, Wanted};
@@ -212,6 +212,22 @@
         #[arg(long)]
         site: Option<PathBuf>,
     },
+    /// Compares two programs over the same days and seeds, from the reports of the bench's runs.
+    DaysCompare {
+        /// Folder of the first program's reports, `*.json`.
+        first: PathBuf,
+        /// Folder of the second's, under the same names.
+        second: PathBuf,
+        /// Only figures whose name begins so.
+        #[arg(long, default_value = "")]
+        only: String,
+    },
+    /// Tells by route and cause which requests were late or lost, from the logs of a day's data planes.
+    Lost {
+        /// Logs, as the bench prints them or as the processes write them.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// The least relay, to these addresses in turn.
     Bare {
         /// Boxes.
@@ -416,6 +432,24 @@
     Ok(table.days().iter().all(|day| !day.failed()))
 }
 
+/// Prints the paired figures of two folders of reports.
+fn compare_days(first: &Path, second: &Path, only: &str) -> Result<(), Failed> {
+    let mut pairs = Pairs::read(first, second).map_err(|error| Failed::Asked(error.to_string()))?;
+    pairs.figures.retain(|name, _| name.starts_with(only));
+    print!("{pairs}");
+    Ok(())
+}
+
+/// Prints the account of each log.
+fn tell_lost(logs: &[PathBuf]) -> Result<(), Failed> {
+    for path in logs {
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| Failed::Asked(format!("{}: {error}", path.display())))?;
+        print!("{}", LostRequests::of_log(&text));
+    }
+    Ok(())
+}
+
 /// Writes a copy of a site file with days drawn from the troubles whose label begins with `only`.
 fn write_days(
     path: &Path,
@@ -485,6 +519,8 @@
             })
         }
         Task::DaysTable { entries, site } => table_of_days(&entries, site.as_deref()),
+        Task::DaysCompare { first, second, only } => compare_days(&first, &second, &only).map(|()| true),
+        Task::Lost { logs } => tell_lost(&logs).map(|()| true),
         Task::Bare { to } => {
             let relay = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let relayed = relay.and_then(|runtime| runtime.block_on(bare::relay(to)));
