Routing: a prompt's home that is far busier than the other copies is passed over

Cause: a kept prompt of 6,000 tokens outweighs any load, since a worker with 64 slots is never full while its queue of prompts to read is seconds long.

Change: consistent hashing with bounded loads. A worker with over 2.5 times the mean load of the other candidates, and 6 requests more, is chosen only where no other may be. Tests: a_kept_prompt_outweighs_some_load_but_not_a_crowd fails without it.

--- a/crates/routing/src/cost.rs
+++ b/crates/routing/src/cost.rs
@@ -45,11 +45,23 @@
     pub cache_tokens: Option<u64>,
     /// Mean of what others have outstanding at the candidates.
     pub mean_elsewhere: f64,
+    /// Load of all candidates together.
+    pub total_load: f64,
+    /// How many candidates there are.
+    pub candidates: f64,
     /// Mean memory of one request of ours.
     pub mean_tokens: f64,
 }
 
 impl CostBasis<'_> {
+    /// The same with the load of all of these candidates.
+    pub fn with_total_load<'w>(mut self, workers: impl Iterator<Item = &'w WorkerState>) -> Self {
+        let loads: Vec<f64> = workers.map(|worker| self.load(worker)).collect();
+        self.candidates = loads.len() as f64;
+        self.total_load = loads.iter().sum();
+        self
+    }
+
     /// Requests at the worker: ours, and those of others as far as the figure can still be believed.
     pub fn load(&self, worker: &WorkerState) -> f64 {
         f64::from(worker.outstanding) + self.elsewhere(worker)
@@ -63,6 +75,18 @@
         self.load(worker) >= slots + most_queued
     }
 
+    /// Whether the worker has far more requests than the other candidates: its queue outweighs any prompt that it has kept.
+    ///
+    /// This bounds the load of a prompt's home (consistent hashing with bounded loads): slots say little of it, as an
+    /// engine that reads long prompts has a queue of seconds while most of its slots are free.
+    pub fn is_crowded(&self, worker: &WorkerState) -> bool {
+        let load = self.load(worker);
+        let others = (self.total_load - load).max(0.0) / (self.candidates - 1.0).max(1.0);
+        self.settings.crowded_times > 0.0
+            && self.candidates > 1.0
+            && load > self.settings.crowded_times * others + self.settings.crowded_slack
+    }
+
     /// Expected delay of the request at the worker, without what kept prompts save.
     pub fn delay(&self, worker: &WorkerState) -> f64 {
         let slots = f64::from(worker.view.slots.max(1));
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -269,16 +269,15 @@
         let count = self.compared(now, keys);
         let favourites = [homes.first, homes.second, session_worker];
         let compared = shortlist(&mut self.rng, keys, count, &favourites);
-        let basis = CostBasis { is_connected, ..self.cost_basis(now, profile, &prefixes, homes, keys) };
-        let offers = self.offers(&basis, session_worker, &compared);
-        let chosen = least(&mut self.rng, &offers);
-        if chosen.is_some() || compared.len() == keys.len() {
-            return chosen;
+        // If all of the part are full or crowded, the rest are compared as well, and crowded ones come last.
+        for (some, may_be_crowded) in [(&compared[..], false), (keys, false), (keys, true)] {
+            let basis = CostBasis { is_connected, ..self.cost_basis(now, profile, &prefixes, homes, keys) };
+            let offers = self.offers(&basis, session_worker, some, may_be_crowded);
+            if let Some(worker) = least(&mut self.rng, &offers) {
+                return Some(worker);
+            }
         }
-        // All of the part were full: compare the rest as well.
-        let basis = CostBasis { is_connected, ..self.cost_basis(now, profile, &prefixes, homes, keys) };
-        let offers = self.offers(&basis, session_worker, keys);
-        least(&mut self.rng, &offers)
+        None
     }
 
     /// How many of the workers to compare: so few that what the other gatekeepers send to the best-looking
@@ -296,12 +295,18 @@
         (self.settings.unseen_requests / unseen.max(f64::MIN_POSITIVE)) as usize
     }
 
-    /// Cost of each worker that is not full.
-    fn offers(&self, basis: &CostBasis, session_worker: Option<WorkerKey>, keys: &[WorkerKey]) -> Vec<Offer> {
+    /// Cost of each worker that is not full nor, unless that is allowed, crowded.
+    fn offers(
+        &self,
+        basis: &CostBasis,
+        session_worker: Option<WorkerKey>,
+        keys: &[WorkerKey],
+        may_be_crowded: bool,
+    ) -> Vec<Offer> {
         let mut offers = Vec::with_capacity(keys.len());
         for &key in keys {
             let Some(worker) = self.table.get(key) else { continue };
-            if basis.is_full(worker) {
+            if basis.is_full(worker) || basis.is_crowded(worker) && !may_be_crowded {
                 continue;
             }
             let mut cost = basis.delay(worker) - basis.saving(key, worker);
@@ -336,8 +341,11 @@
             homes,
             cache_tokens: self.cache_tokens.get(&profile.service).copied(),
             mean_elsewhere: mean_elsewhere(now, workers()),
+            total_load: 0.0,
+            candidates: 0.0,
             mean_tokens: (tokens as f64 + own_tokens) / f64::from(outstanding + 1),
         }
+        .with_total_load(workers())
     }
 
     /// The answer when no worker can be sent to.
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -38,6 +38,11 @@
     pub session_most_ms: f64,
     /// Whether shared prompts are assigned to workers by hash.
     pub prompt_homes: bool,
+    /// How many times the mean load of the other candidates a worker may have before they are preferred, whatever it has
+    /// kept; 0 sets no bound.
+    pub crowded_times: f64,
+    /// Requests at a worker that count as crowded by no comparison.
+    pub crowded_slack: f64,
     /// Whether workers that fail requests are ejected.
     pub ejection: bool,
     /// Whether a worker's speed, as its answers show it, counts.
@@ -65,6 +70,8 @@
             memory_short_ms: 400.0,
             session_most_ms: 60.0,
             prompt_homes: true,
+            crowded_times: 2.5,
+            crowded_slack: 6.0,
             ejection: true,
             worker_speed: true,
             load_half_life_ms: 500.0,
--- a/crates/routing/tests/choose.rs
+++ b/crates/routing/tests/choose.rs
@@ -330,3 +330,43 @@
     });
     expect_that!(chosen_again.count(), gt(20));
 }
+
+/// A request with a shared prompt that takes long to read.
+fn with_shared_prompt(serial: u64) -> RequestProfile {
+    let shared = PromptPart { id: 7, tokens: 6_000 };
+    let own = PromptPart { id: 1_000 + serial, tokens: 400 };
+    RequestProfile { prompt_parts: vec![shared, own], prompt_tokens: 6_400, ..request(serial) }
+}
+
+/// Tells that others have so many requests at one worker and so many at each of the rest.
+fn tell_loads(router: &mut Router, now: u64, busy: &str, at_busy: u32, elsewhere: u32) {
+    let load = |view: &WorkerView| if view.id == busy { at_busy } else { elsewhere };
+    let loads = router.workers().map(|(view, _)| (view.id.clone(), load(view))).collect();
+    router.set_loads_elsewhere(now, &loads);
+}
+
+#[gtest]
+fn a_kept_prompt_outweighs_some_load_but_not_a_crowd() {
+    let mut router = router(1, 4);
+    let key = chosen(&mut router, 0, &with_shared_prompt(0), &[]);
+    let home = id(&router, key);
+    for (at_home, stays) in [(8, true), (12, true), (18, false), (40, false)] {
+        tell_loads(&mut router, 1_000, &home, at_home, 4);
+        for serial in 0..20 {
+            let key = chosen(&mut router, 1_000, &with_shared_prompt(serial), &[]);
+            expect_that!(id(&router, key) == home, eq(stays), "{at_home} requests at the home, 4 elsewhere");
+        }
+    }
+}
+
+#[gtest]
+fn a_crowded_worker_is_used_where_no_other_may_be() {
+    let mut router = router(1, 2);
+    let key = chosen(&mut router, 0, &with_shared_prompt(0), &[]);
+    let home = id(&router, key);
+    tell_loads(&mut router, 1_000, &home, 25, 2);
+    let other = chosen(&mut router, 1_000, &with_shared_prompt(1), &[]);
+    expect_that!(id(&router, other), not(eq(&home)));
+    let again = chosen(&mut router, 1_000, &with_shared_prompt(1), &[other]);
+    expect_that!(id(&router, again), eq(&home));
+}
