Workers that several gatekeepers cannot reach are suspected by the whole fleet at once

Cause: a crashed worker shows by missing heartbeats only after 3.1 s.

Change: a data plane whose connection to a worker fails closes the others that rest, tries a new one beside the request, and tells the core when none comes up.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod placer;
 mod subscribers;
+mod unreachable;
 mod workers;
 
 pub use input::{
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -6,6 +6,7 @@
 use crate::load::FleetLoad;
 use crate::placer::Placer;
 use crate::subscribers::Subscribers;
+use crate::unreachable::UnreachableWorkers;
 use crate::workers::PendingUpdates;
 use bytes::Bytes;
 use std::collections::BTreeSet;
@@ -30,6 +31,7 @@
     pub(crate) jobs: Jobs,
     pub(crate) subscribers: Subscribers,
     pub(crate) updates: PendingUpdates,
+    pub(crate) unreachable_workers: UnreachableWorkers,
     pub(crate) load: FleetLoad,
     pub(crate) placer: Placer,
     /// When the node began.
@@ -70,6 +72,7 @@
             jobs: Jobs::default(),
             subscribers: Subscribers::default(),
             updates: PendingUpdates::new(settings.life),
+            unreachable_workers: UnreachableWorkers::default(),
             load: FleetLoad::default(),
             placer: Placer::new(&settings),
             started_at: now,
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -112,6 +112,7 @@
             Some(PeerBody::WorkersHeard(heard)) => self.workers_heard(now, &heard),
             Some(PeerBody::Load(load)) => self.load.peer(now, from, load),
             Some(PeerBody::Missing(missing)) => self.missing(now, missing, false),
+            Some(PeerBody::Unreachable(report)) => self.unreachable(now, &report, false),
             Some(PeerBody::Residency(residency)) => self.residency(&residency),
             Some(PeerBody::Expectation(expectation)) => self.expectation(&expectation),
             None => {}
--- a/crates/control/src/subscribers.rs
+++ b/crates/control/src/subscribers.rs
@@ -78,6 +78,7 @@
                     table.apply(&summary);
                 }
             }
+            Some(UpstreamBody::Unreachable(report)) => self.unreachable(now, &report, true),
             None => {}
         }
     }
--- a/crates/control/src/workers.rs
+++ b/crates/control/src/workers.rs
@@ -169,7 +169,7 @@
     }
 
     /// Tells subscribers and other core nodes of entries that changed here.
-    fn tell_of_workers(&mut self, now: u64, workers: Vec<Worker>) {
+    pub(crate) fn tell_of_workers(&mut self, now: u64, workers: Vec<Worker>) {
         self.tell_peers_of_workers(now, &workers);
         self.workers_changed(now, &Change::Workers(workers));
     }
--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -6,8 +6,7 @@
 use crate::publisher::{Published, Publisher};
 use std::collections::BTreeMap;
 use switchhill_protocol::{
-    Configuration, Downstream, DownstreamBody, Fetch, Hello, Loads, Missing, Status, Summary, Upstream,
-    UpstreamBody,
+    Configuration, Downstream, DownstreamBody, Fetch, Hello, Loads, Status, Summary, Upstream, UpstreamBody,
 };
 use switchhill_registration::SuspectAfter;
 
@@ -292,8 +291,9 @@
         match message.body {
             Some(UpstreamBody::Hello(hello)) => self.feed_hello(id, &hello),
             Some(UpstreamBody::Fetch(fetch)) => self.feed_fetch(id, &fetch),
-            Some(UpstreamBody::Missing(missing)) => self.forward_missing(missing),
+            Some(body @ UpstreamBody::Missing(_)) => self.forward(body),
             Some(UpstreamBody::Summary(summary)) => self.forward_summary(id, summary),
+            Some(body @ UpstreamBody::Unreachable(_)) => self.forward(body),
             None => {}
         }
     }
@@ -330,11 +330,11 @@
         self.out.extend(message.map(|message| RelayOutput::ToFeed(id, message)));
     }
 
-    fn forward_missing(&mut self, missing: Missing) {
+    /// Passes what a data plane tells on to one core node.
+    fn forward(&mut self, body: UpstreamBody) {
         let link = self.links.home().or_else(|| self.links.up().next());
         if let Some(link) = link {
-            let message = Upstream { body: Some(UpstreamBody::Missing(missing)) };
-            self.out.push(RelayOutput::ToLink(link, message));
+            self.out.push(RelayOutput::ToLink(link, Upstream { body: Some(body) }));
         }
     }
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -16,5 +16,5 @@
 pub use subscription::{
     downstream::Body as DownstreamBody, upstream::Body as UpstreamBody, Configuration, Downstream,
     Expectation, Fetch, Hello, Loads, Missing, ModelDemand, Residency, ResidentModel, RouteAdmission, Status,
-    Summary, Upstream, WorkerLoad, Workers,
+    Summary, Unreachable, Upstream, WorkerLoad, Workers,
 };
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -1,6 +1,6 @@
 //! Messages between core nodes.
 
-use crate::subscription::{Expectation, Missing, Residency, Summary};
+use crate::subscription::{Expectation, Missing, Residency, Summary, Unreachable};
 
 /// What a core node sends to another.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -12,7 +12,7 @@
     #[prost(string, tag = "2")]
     pub address: String,
     /// The message.
-    #[prost(oneof = "peer_frame::Body", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "peer_frame::Body", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub body: Option<peer_frame::Body>,
 }
 
@@ -48,6 +48,9 @@
         /// When a missing model will stand.
         #[prost(message, tag = "11")]
         Expectation(super::Expectation),
+        /// A worker to which no connection came up at a gatekeeper.
+        #[prost(message, tag = "12")]
+        Unreachable(super::Unreachable),
     }
 }
 
--- a/crates/protocol/src/subscription.rs
+++ b/crates/protocol/src/subscription.rs
@@ -4,7 +4,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Upstream {
     /// The message.
-    #[prost(oneof = "upstream::Body", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "upstream::Body", tags = "1, 2, 3, 4, 5")]
     pub body: Option<upstream::Body>,
 }
 
@@ -25,6 +25,9 @@
         /// Load and demand at the subscriber.
         #[prost(message, tag = "4")]
         Summary(super::Summary),
+        /// A worker to which no connection came up.
+        #[prost(message, tag = "5")]
+        Unreachable(super::Unreachable),
     }
 }
 
@@ -76,6 +79,20 @@
     pub aim_ms: u64,
 }
 
+/// No connection to a worker came up at a gatekeeper.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Unreachable {
+    /// Name of the gatekeeper's machine.
+    #[prost(string, tag = "1")]
+    pub node: String,
+    /// The worker's id.
+    #[prost(string, tag = "2")]
+    pub worker: String,
+    /// Whether the worker's machine refused the connection; otherwise it said nothing.
+    #[prost(bool, tag = "3")]
+    pub refused: bool,
+}
+
 /// Load and demand at one gatekeeper, or summed over several.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Summary {
--- a/crates/registration/src/table.rs
+++ b/crates/registration/src/table.rs
@@ -296,6 +296,15 @@
         ended
     }
 
+    /// Suspects a worker that others found unreachable, and gives its entry to publish unless it is not known, has ended or
+    /// is suspected already. Its next heartbeat clears the suspicion.
+    pub fn suspect(&mut self, now: u64, id: &str) -> Option<Worker> {
+        let entry = self.entries.get_mut(id).filter(|entry| entry.may_be_suspected())?;
+        self.digest = self.digest.wrapping_sub(entry.digest());
+        self.next_forgetting = self.next_forgetting.min(now.saturating_add(FORGET_AFTER_MS));
+        Some(entry.suspect(now))
+    }
+
     /// Suspects workers that were silent for too long and gives their entries to publish; forgets old ones.
     ///
     /// `may_suspect` is false while this node has no contact with a quorum. Silence counts anew from the
--- a/lab/src/hollow/kinds.rs
+++ b/lab/src/hollow/kinds.rs
@@ -55,6 +55,7 @@
         Some(PeerBody::WorkersHeard(_)) => "workers heard",
         Some(PeerBody::Load(_)) => "load of a core node",
         Some(PeerBody::Missing(_)) => "missing",
+        Some(PeerBody::Unreachable(_)) => "unreachable worker",
         Some(PeerBody::Residency(_)) => "residency",
         Some(PeerBody::Expectation(_)) => "expectation",
         None => "nothing",
@@ -67,6 +68,7 @@
         Some(UpstreamBody::Hello(_)) => "hello",
         Some(UpstreamBody::Fetch(_)) => "fetch",
         Some(UpstreamBody::Missing(_)) => "missing",
+        Some(UpstreamBody::Unreachable(_)) => "unreachable worker",
         Some(UpstreamBody::Summary(_)) => "summary",
         None => "nothing",
     }
--- a/src/data_plane/attempt.rs
+++ b/src/data_plane/attempt.rs
@@ -77,18 +77,17 @@
 
     /// A connection to the worker, as long as requests may be sent to it.
     async fn lease(&self, worker: WorkerKey) -> Result<Lease, AttemptOutcome> {
-        let place =
-            self.shared.router.borrow().worker(worker).map(|view| (view.id.clone(), view.address.clone()));
-        let Some((id, address)) = place else { return Err(AttemptOutcome::Cancelled) };
-        let connect = self.rules.aim.mul_f64(policy::CONNECT_SHARE);
-        let limits = LeaseLimits {
-            connections: self.shared.connection_limit(&self.profile.service),
-            connect: connect.clamp(policy::LEAST_CONNECT_LIMIT, policy::CONNECT_LIMIT),
-        };
+        let Some((id, address)) = self.worker_place(worker) else { return Err(AttemptOutcome::Cancelled) };
+        let limits = self.lease_limits();
         tokio::select! {
-            leased = self.shared.pool.lease(&id, &address, limits) => leased.map_err(|reason| match reason {
-                NoConnection::ConnectFailed => AttemptOutcome::ConnectFailed,
-                NoConnection::AllInUse => AttemptOutcome::NotExecuted(StatusCode::SERVICE_UNAVAILABLE.as_u16()),
+            leased = self.shared.pool.lease(&id, &address, limits) => leased.map_err(|reason| {
+                self.shared.report_unreachable(&id, reason);
+                match reason {
+                    NoConnection::Refused | NoConnection::ConnectFailed => AttemptOutcome::ConnectFailed,
+                    NoConnection::AllInUse => {
+                        AttemptOutcome::NotExecuted(StatusCode::SERVICE_UNAVAILABLE.as_u16())
+                    }
+                }
             }),
             () = self.shared.worker_leaves(worker) => Err(AttemptOutcome::Cancelled),
             () = self.too_late_to_send() => Err(AttemptOutcome::Cancelled),
@@ -96,6 +95,21 @@
         }
     }
 
+    /// Id and address of a worker that is still listed.
+    pub(crate) fn worker_place(&self, worker: WorkerKey) -> Option<(String, String)> {
+        let router = self.shared.router.borrow();
+        router.worker(worker).map(|view| (view.id.clone(), view.address.clone()))
+    }
+
+    /// Bounds of a connection for this request.
+    pub(crate) fn lease_limits(&self) -> LeaseLimits {
+        let connect = self.rules.aim.mul_f64(policy::CONNECT_SHARE);
+        LeaseLimits {
+            connections: self.shared.connection_limit(&self.profile.service),
+            connect: connect.clamp(policy::LEAST_CONNECT_LIMIT, policy::CONNECT_LIMIT),
+        }
+    }
+
     async fn send(
         &mut self,
         worker: WorkerKey,
@@ -105,6 +119,9 @@
     ) -> AttemptEnd {
         self.trail.excluded.push(worker);
         let sent = self.wait_for_head(worker, &mut lease, resume).await;
+        if matches!(sent, Sent::Failed(_)) {
+            self.check_worker(worker);
+        }
         match sent {
             Sent::Answer(answer) => self.judge_answer(WorkerAnswer::new(answer, lease, attempt)).await,
             Sent::Failed(SendFailure::NotSent) => self.take_back(),
--- a/src/data_plane/feedback.rs
+++ b/src/data_plane/feedback.rs
@@ -16,6 +16,13 @@
         /// Shortest latency objective among them, in milliseconds.
         aim_ms: u64,
     },
+    /// No connection to a worker came up.
+    Unreachable {
+        /// Id of the worker.
+        worker: String,
+        /// Whether its machine refused the connection; otherwise it said nothing.
+        refused: bool,
+    },
     /// What has happened since the last summary.
     Summary(Summary),
 }
--- a/src/data_plane/mod.rs
+++ b/src/data_plane/mod.rs
@@ -28,6 +28,7 @@
 mod piped_answer;
 mod policy;
 mod pool;
+mod reachability;
 mod readiness;
 mod replies;
 mod request_head;
--- a/src/data_plane/policy.rs
+++ b/src/data_plane/policy.rs
@@ -16,6 +16,10 @@
 pub(crate) const IDLE_MARGIN: Duration = Duration::from_millis(400);
 /// The same as a share of the time the worker tells, where that is short.
 pub(crate) const IDLE_MARGIN_SHARE: f64 = 0.2;
+/// Idle time of a connection that was opened to see whether its worker still takes any, and has carried nothing yet.
+pub(crate) const CHECKED_CONNECTION_IDLE: Duration = Duration::from_secs(2);
+/// Least time between two reports that the same worker is unreachable, in milliseconds.
+pub(crate) const UNREACHABLE_INTERVAL_MS: u64 = 300;
 /// Idle time of a connection whose worker tells none, which then closes none on its own.
 pub(crate) const IDLE_DEFAULT: Duration = Duration::from_secs(30);
 /// Least number of connections a gatekeeper may hold to one worker, however many gatekeepers there are.
--- a/src/data_plane/pool.rs
+++ b/src/data_plane/pool.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::future::Future;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -14,7 +15,9 @@
 /// Why no connection could be had. Nothing was sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum NoConnection {
-    /// The address is not one, or the connection did not come up.
+    /// The worker's machine refused the connection.
+    Refused,
+    /// The address is not one, or the connection did not come up in time.
     ConnectFailed,
     /// All connections that this gatekeeper may hold to the worker are in use.
     AllInUse,
@@ -116,9 +119,31 @@
         }
     }
 
-    async fn connect(&self, address: &str) -> Option<WorkerConnection> {
-        let stream = self.connector.connect(address.parse().ok()?).await.ok()?;
-        WorkerConnection::over(stream).await.ok()
+    async fn connect(&self, address: &str) -> Result<WorkerConnection, NoConnection> {
+        let address = address.parse().map_err(|_| NoConnection::ConnectFailed)?;
+        let stream = self.connector.connect(address).await.map_err(|error| match error.kind() {
+            ErrorKind::ConnectionRefused => NoConnection::Refused,
+            _ => NoConnection::ConnectFailed,
+        })?;
+        WorkerConnection::over(stream).await.map_err(|_| NoConnection::ConnectFailed)
+    }
+
+    /// Closes the connections at rest to a worker one of whose connections has just failed, as they are likely dead too,
+    /// and tries whether a new one comes up.
+    pub(crate) async fn check(
+        &self,
+        worker_id: &str,
+        address: &str,
+        limits: LeaseLimits,
+    ) -> Result<(), NoConnection> {
+        let home = self.home(worker_id);
+        home.idle.borrow_mut().clear();
+        if home.count.open.get() >= limits.connections || !self.has_room() {
+            return Ok(());
+        }
+        let counted = CountedConnection::within(limits.connect, self.connect(address), &home.count).await?;
+        home.rest(counted, policy::CHECKED_CONNECTION_IDLE);
+        Ok(())
     }
 
     /// Whether a connection to the worker is at rest.
@@ -228,12 +253,12 @@
     /// A new connection, counted from the first attempt on.
     async fn within(
         limit: Duration,
-        connecting: impl Future<Output = Option<WorkerConnection>>,
+        connecting: impl Future<Output = Result<WorkerConnection, NoConnection>>,
         count: &Rc<ConnectionCount>,
     ) -> Result<CountedConnection, NoConnection> {
         let place = Place::take(count);
         let connected = tokio::time::timeout(limit, connecting).await;
-        let connection = connected.ok().flatten().ok_or(NoConnection::ConnectFailed)?;
+        let connection = connected.unwrap_or(Err(NoConnection::ConnectFailed))?;
         Ok(CountedConnection { connection, _place: place })
     }
 }
--- /dev/null
+++ b/src/data_plane/reachability.rs
@@ -0,0 +1,61 @@
+//! Telling the rest of the system of workers that this gatekeeper could not reach.
+
+use super::exchange::Exchange;
+use super::feedback::Feedback;
+use super::policy;
+use super::pool::{LeaseLimits, NoConnection};
+use super::shared::Shared;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use switchhill_routing::WorkerKey;
+
+/// Workers of which something was lately told or is being found out, with the time of it.
+#[derive(Debug, Default)]
+pub(crate) struct ReachabilityReports {
+    last: RefCell<HashMap<String, u64>>,
+}
+
+impl ReachabilityReports {
+    /// Whether the worker is due for a report; if so it counts as made.
+    fn is_due(&self, now: u64, worker: &str) -> bool {
+        let mut last = self.last.borrow_mut();
+        last.retain(|_, at| now.saturating_sub(*at) < policy::UNREACHABLE_INTERVAL_MS);
+        if last.contains_key(worker) {
+            return false;
+        }
+        last.insert(worker.to_owned(), now);
+        true
+    }
+}
+
+impl Shared {
+    /// Tells the agent that no connection to the worker came up, unless it has just been told.
+    pub(crate) fn report_unreachable(&self, worker: &str, reason: NoConnection) {
+        let refused = match reason {
+            NoConnection::Refused => true,
+            NoConnection::ConnectFailed => false,
+            NoConnection::AllInUse => return,
+        };
+        if self.reachability.is_due(self.now(), worker) {
+            self.tell(Feedback::Unreachable { worker: worker.to_owned(), refused });
+        }
+    }
+}
+
+impl Exchange {
+    /// After a connection to the worker has failed: finds out beside this request whether it still takes any.
+    pub(crate) fn check_worker(&self, worker: WorkerKey) {
+        let place = self.worker_place(worker);
+        let Some((id, address)) = place else { return };
+        let limits = self.lease_limits();
+        let shared = self.shared.clone();
+        tokio::task::spawn_local(check(shared, id, address, limits));
+    }
+}
+
+async fn check(shared: Rc<Shared>, id: String, address: String, limits: LeaseLimits) {
+    if let Err(reason) = shared.pool.check(&id, &address, limits).await {
+        shared.report_unreachable(&id, reason);
+    }
+}
--- a/src/data_plane/shared.rs
+++ b/src/data_plane/shared.rs
@@ -9,6 +9,7 @@
 use super::missing::MissingModels;
 use super::policy;
 use super::pool::Pool;
+use super::reachability::ReachabilityReports;
 use super::request_log::LineBudget;
 use super::running_requests::RunningRequests;
 use super::shutdown::{Phase, ShutdownHandle, ShutdownTimes};
@@ -42,6 +43,7 @@
     pub(crate) running_requests: RunningRequests,
     pub(crate) violations: Violations,
     pub(crate) line_budget: LineBudget,
+    pub(crate) reachability: ReachabilityReports,
     /// Told after the router has taken a new view.
     pub(crate) view_changed: Notify,
     /// Requests whose heads have been read and whose answers are not complete.
@@ -79,6 +81,7 @@
             running_requests: RunningRequests::default(),
             violations: Violations::default(),
             line_budget: LineBudget::default(),
+            reachability: ReachabilityReports::default(),
             view_changed: Notify::new(),
             running: Rc::default(),
             client_connections: Rc::default(),
--- a/src/data_plane/stream_answer.rs
+++ b/src/data_plane/stream_answer.rs
@@ -119,6 +119,9 @@
     /// Takes a stream whose connection has failed up at another worker.
     async fn take_up(&mut self, outcome: AttemptOutcome) -> bool {
         if let Some(answer) = self.answer.take() {
+            if outcome == AttemptOutcome::Broken {
+                self.exchange.check_worker(answer.attempt.worker());
+            }
             answer.abandon(outcome);
         }
         if !self.exchange.rules.resumable || self.position.unnumbered {
--- a/src/data_plane/tests.rs
+++ b/src/data_plane/tests.rs
@@ -5,6 +5,7 @@
 mod kept_connections;
 mod planned_work;
 mod process_end;
+mod reachability;
 mod refusals;
 mod request_log;
 pub(crate) mod rig;
--- /dev/null
+++ b/src/data_plane/tests/reachability.rs
@@ -0,0 +1,67 @@
+//! Why a connection to a worker did not come up, and what the agent is told of it.
+
+use super::super::connector::{Connecting, Connector};
+use super::super::feedback::Feedback;
+use super::super::pool::{LeaseLimits, NoConnection, Pool};
+use super::super::shared::Shared;
+use super::super::shutdown::ShutdownHandle;
+use super::rig::{paused, settings};
+use googletest::prelude::*;
+use std::io::{Error, ErrorKind};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+const LIMITS: LeaseLimits = LeaseLimits { connections: 2, connect: Duration::from_millis(100) };
+const ADDRESS: &str = "10.0.0.1:80";
+
+/// Fails with this error, or never comes up.
+#[derive(Debug)]
+struct Failing(Option<ErrorKind>);
+
+impl Connector for Failing {
+    fn connect(&self, _address: SocketAddr) -> Connecting {
+        let kind = self.0;
+        Box::pin(async move {
+            match kind {
+                Some(kind) => Err(Error::from(kind)),
+                None => std::future::pending().await,
+            }
+        })
+    }
+}
+
+#[gtest]
+fn a_refused_connection_is_told_apart_from_one_that_does_not_come_up() {
+    let cases = [
+        (Some(ErrorKind::ConnectionRefused), NoConnection::Refused),
+        (Some(ErrorKind::HostUnreachable), NoConnection::ConnectFailed),
+        (None, NoConnection::ConnectFailed),
+    ];
+    for (kind, expected) in cases {
+        paused(async {
+            let pool = Pool::over(Rc::new(Failing(kind)), 10);
+            let leased = pool.lease("w", ADDRESS, LIMITS).await.err();
+            expect_that!(leased, some(eq(expected)), "{kind:?}");
+            expect_that!(pool.check("w", ADDRESS, LIMITS).await, err(eq(expected)), "{kind:?}");
+        });
+    }
+}
+
+#[gtest]
+fn an_unreachable_worker_is_told_of_once_in_an_interval() {
+    paused(async {
+        let (feedback, mut told) = mpsc::unbounded_channel();
+        let shared = Shared::new(settings(), feedback, ShutdownHandle::new());
+        shared.report_unreachable("w1", NoConnection::Refused);
+        shared.report_unreachable("w1", NoConnection::Refused);
+        shared.report_unreachable("w2", NoConnection::ConnectFailed);
+        shared.report_unreachable("w3", NoConnection::AllInUse);
+        let mut reports = Vec::new();
+        while let Ok(Feedback::Unreachable { worker, refused }) = told.try_recv() {
+            reports.push((worker, refused));
+        }
+        expect_that!(reports, eq(&vec![("w1".to_owned(), true), ("w2".to_owned(), false)]));
+    });
+}
--- a/src/data_plane_feed.rs
+++ b/src/data_plane_feed.rs
@@ -18,7 +18,8 @@
 use std::time::Duration;
 use switchhill_distribution::{FeedState, LoadTable, LoadTeller};
 use switchhill_protocol::{
-    Downstream, Missing, ModelDemand, RouteAdmission, Summary, Upstream, UpstreamBody, WorkerLoad,
+    Downstream, Missing, ModelDemand, RouteAdmission, Summary, Unreachable, Upstream, UpstreamBody,
+    WorkerLoad,
 };
 use tokio::sync::{mpsc, watch};
 
@@ -54,6 +55,8 @@
 
 /// What the agent told, and what the data plane is given of it.
 struct Feed {
+    /// Name of this machine.
+    node: String,
     feed: FeedState,
     workers: WorkerViews,
     loads: Option<Arc<LoadsElsewhere>>,
@@ -67,6 +70,7 @@
 impl Feed {
     fn new(settings: &SiteSettings, views: watch::Sender<Arc<View>>) -> Feed {
         Feed {
+            node: settings.node_name.clone(),
             feed: FeedState::new(&settings.node_name, &settings.zone),
             workers: WorkerViews::default(),
             loads: None,
@@ -197,6 +201,9 @@
                 let adapter = adapter.unwrap_or_default();
                 UpstreamBody::Missing(Missing { service, model, adapter, waiting, aim_ms })
             }
+            Feedback::Unreachable { worker, refused } => {
+                UpstreamBody::Unreachable(Unreachable { node: self.node.clone(), worker, refused })
+            }
             Feedback::Summary(summary) => UpstreamBody::Summary(self.summary(summary)),
         };
         Upstream { body: Some(body) }
