--- a/tests/decision_settings.rs
+++ b/tests/decision_settings.rs
@@ -41,3 +41,14 @@
         err(displays_as(contains_substring("/nowhere/decisions.yaml")))
     )
 }
+
+#[gtest]
+fn an_empty_file_changes_nothing() -> Result<()> {
+    for (name, text) in
+        [("empty-map", "{}\n"), ("empty-section", "router: {}\n"), ("usual", "router:\n  ejection: true\n")]
+    {
+        let read = DecisionSettings::read(&file(name, text))?;
+        verify_that!(read, eq(&DecisionSettings::default()))?;
+    }
+    Ok(())
+}
