Placement: counts of what keeps loads back, logged by the placer every five seconds

Cause: why a want was not planned could not be seen; the placer logged orders alone, so the incident's hypotheses could not be told apart. Change: the planner counts reports of waiting requests by whether the model stands, comes or is unplanned, tries by obstacle (worker, token, room), forgotten wants and loads by reason; the placer logs them every 5 s. Measured: crate tests pass; no decision changed.

--- a/crates/control/src/placer.rs
+++ b/crates/control/src/placer.rs
@@ -36,6 +36,9 @@
 /// Time in milliseconds between two full lists of workers to the planners.
 const WORKERS_EVERY: u64 = 1_000;
 
+/// Time in milliseconds between two lines of the log on what is missing.
+const ACCOUNT_EVERY: u64 = 5_000;
+
 /// A planner, and its number in this life: numbers of orders begin anew with each planner.
 struct NumberedPlanner {
     number: u64,
@@ -58,6 +61,7 @@
     withheld: Vec<(String, OrderId)>,
     residency_version: u64,
     next_workers: u64,
+    next_account: u64,
 }
 
 impl Placer {
@@ -74,6 +78,7 @@
             withheld: Vec::new(),
             residency_version: 0,
             next_workers: 0,
+            next_account: 0,
         }
     }
 
@@ -144,6 +149,21 @@
             self.tell_planners_of_workers(now);
         }
         self.each_planner(now, |_| Some(Input::Tick));
+        self.log_account(now);
+    }
+
+    /// Logs what became of requests for models that stand nowhere, where there were any.
+    fn log_account(&mut self, now: u64) {
+        if now < self.placer.next_account {
+            return;
+        }
+        self.placer.next_account = now + ACCOUNT_EVERY;
+        for (service, numbered) in &mut self.placer.planners {
+            let account = numbered.planner.take_account();
+            if !account.is_empty() {
+                log::info!("placement of {service}: {account}");
+            }
+        }
     }
 
     /// Whether this node may give orders: its role has begun, and it was in contact with a quorum a moment ago.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -11,6 +11,7 @@
 //! - A worker gets one order at a time, conditional on the number of orders it has taken so far (`if_revision`), so
 //!   an order that arrives late or belongs to an earlier planner can't make the planner's view wrong unnoticed.
 
+mod account;
 mod catalogue;
 mod demand;
 mod message;
@@ -22,6 +23,7 @@
 mod store_rate;
 mod worker;
 
+pub use account::PlacementAccount;
 pub use message::{
     Input, Operation, OrderAnswer, OrderId, Output, Resident, WorkerId, WorkerState, WorkerView,
 };
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -5,6 +5,7 @@
 use fastrand::Rng;
 use slotmap::SlotMap;
 
+use crate::account::PlacementAccount;
 use crate::catalogue::{Catalogue, ModelIndex};
 use crate::demand::{ModelDemand, Sample};
 use crate::message::{Input, Operation, OrderId, Output, WorkerId, WorkerState, WorkerView};
@@ -69,6 +70,8 @@
     pub(crate) tokens_kept_for_crowded: f64,
     /// Whose turn the next load from the store is.
     pub(crate) turns: Turns,
+    /// What became of requests for what stands nowhere, for the log.
+    pub(crate) account: PlacementAccount,
     next_order: u64,
     next_policy_at: u64,
     next_sample_at: u64,
@@ -105,6 +108,7 @@
             anticipated: BTreeMap::new(),
             tokens_kept_for_crowded: 0.0,
             turns: Turns::default(),
+            account: PlacementAccount::default(),
             next_order: now.saturating_mul(ORDERS_A_MS) + 1,
             next_policy_at: now,
             next_sample_at: now,
@@ -126,6 +130,11 @@
         self.superseded
     }
 
+    /// Takes what was counted since the last call.
+    pub fn take_account(&mut self) -> PlacementAccount {
+        std::mem::take(&mut self.account)
+    }
+
     /// Takes one input and returns what is to be done for it. `now` is in milliseconds and never goes back.
     pub fn handle(&mut self, now: u64, input: Input) -> Vec<Output> {
         if self.superseded {
--- a/crates/placement/src/policy/choice.rs
+++ b/crates/placement/src/policy/choice.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::account::Obstacle;
 use crate::catalogue::ModelIndex;
 use crate::message::Operation;
 use crate::orders::UNLOAD_MS;
@@ -59,18 +60,27 @@
         let store_open = self.spare_tokens(now) >= 1.0 + kept;
         let zones = self.copies_by_zone(model);
         let mut best: Option<(f64, WorkerKey, Victims)> = None;
+        let mut obstacle = Obstacle::NoWorker;
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
         for key in keys {
-            if !self.may_load(now, key, model, store_open) {
+            if !self.may_load(now, key, model) {
                 continue;
             }
+            if !store_open && !self.workers[key].held.contains(&model) {
+                obstacle = obstacle.max(Obstacle::NoToken);
+                continue;
+            }
+            obstacle = Obstacle::NoRoom;
             let Some(victims) = self.choose_victims(now, key, model, reason) else { continue };
             let score = self.delay_score(now, key, model, &victims, &zones);
             if best.as_ref().is_none_or(|(least, _, _)| score < *least) {
                 best = Some((score, key, victims));
             }
         }
-        let Some((_, key, victims)) = best else { return false };
+        let Some((_, key, victims)) = best else {
+            self.account.met(obstacle);
+            return false;
+        };
         self.note_turn(key, model, reason);
         self.plan_model(now, key, model, victims);
         true
@@ -79,6 +89,10 @@
     /// Counts a load about to be planned as the turn of a missing model or as one of a copy.
     fn note_turn(&mut self, key: WorkerKey, model: ModelIndex, reason: Reason) {
         let stands_nowhere = self.copies_of(model).count() == 0;
+        match reason {
+            Reason::Missing { .. } => self.account.loads_for_missing += 1,
+            Reason::Crowded { .. } | Reason::Growth | Reason::Anticipated => self.account.loads_of_copies += 1,
+        }
         if stands_nowhere && matches!(reason, Reason::Missing { .. }) {
             self.turns.missing_planned();
         } else if !self.workers[key].held.contains(&model) {
@@ -102,14 +116,10 @@
         self.store.at(now + STORE_LOOKAHEAD_MS) - self.unsent_store_loads() as f64
     }
 
-    fn may_load(&self, now: u64, key: WorkerKey, model: ModelIndex, store_open: bool) -> bool {
+    fn may_load(&self, now: u64, key: WorkerKey, model: ModelIndex) -> bool {
         let worker = &self.workers[key];
         let rejected = worker.rejected.get(&model).is_some_and(|until| now < *until);
-        let from_disk = worker.held.contains(&model);
-        worker.takes_model_loads()
-            && !rejected
-            && worker.holding(model).is_none()
-            && (store_open || from_disk)
+        worker.takes_model_loads() && !rejected && worker.holding(model).is_none()
     }
 
     fn copies_by_zone(&mut self, model: ModelIndex) -> BTreeMap<String, usize> {
--- a/crates/placement/src/policy/missing.rs
+++ b/crates/placement/src/policy/missing.rs
@@ -138,6 +138,7 @@
         self.demand.entry(index).or_default().ask(now, adapter.clone());
         let want = Want { model: index, adapter };
         if self.stands(&want) {
+            self.account.asked_while_standing += 1;
             self.tell_expected(&want, Some(0));
             return;
         }
@@ -145,6 +146,10 @@
         if !self.must_queue(&want) {
             self.try_serve(now, &want);
         }
+        match self.is_planned(&want) {
+            true => self.account.asked_while_coming += 1,
+            false => self.account.asked_while_unplanned += 1,
+        }
         let ready_in_ms = self.expected(now, &want);
         self.tell_expected(&want, ready_in_ms);
         if let Some(entry) = self.missing.entries.get_mut(&want) {
@@ -158,7 +163,9 @@
         for want in wants {
             let silent = now.saturating_sub(self.missing.entries[&want].last_at) > FORGET_MS;
             let forgotten = silent && self.copies_of(want.model).coming.is_empty();
-            if forgotten || self.stands(&want) {
+            let stands = self.stands(&want);
+            if forgotten || stands {
+                self.account.forgotten += u32::from(!stands);
                 self.missing.entries.remove(&want);
             }
         }
