--- a/crates/placement/src/account.rs
+++ b/crates/placement/src/account.rs
@@ -2,15 +2,15 @@
 
 use std::fmt;
 
-/// Why a load could not be planned. Of several reasons, the one that was met last on the way to a worker.
+/// What a load lacked that could not be planned. Of several, the one that was met last on the way to a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Obstacle {
-    /// Every worker loads, is unknown or has lately rejected the model.
-    NoWorker,
-    /// The weight store allows no further load now.
-    NoToken,
-    /// What stands on the workers may not give way at the price that the load is worth.
-    NoRoom,
+    /// A free worker: every one loads, is unknown or has lately rejected the model.
+    Worker,
+    /// A token of the weight store.
+    Token,
+    /// Room: what stands on the workers may not give way at the price that the load is worth.
+    Room,
 }
 
 /// Counts since they were last taken.
@@ -44,9 +44,9 @@
 
     pub(crate) fn met(&mut self, obstacle: Obstacle) {
         let count = match obstacle {
-            Obstacle::NoWorker => &mut self.no_worker,
-            Obstacle::NoToken => &mut self.no_token,
-            Obstacle::NoRoom => &mut self.no_room,
+            Obstacle::Worker => &mut self.no_worker,
+            Obstacle::Token => &mut self.no_token,
+            Obstacle::Room => &mut self.no_room,
         };
         *count += 1;
     }
--- a/crates/placement/src/policy/choice.rs
+++ b/crates/placement/src/policy/choice.rs
@@ -60,17 +60,17 @@
         let store_open = self.spare_tokens(now) >= 1.0 + kept;
         let zones = self.copies_by_zone(model);
         let mut best: Option<(f64, WorkerKey, Victims)> = None;
-        let mut obstacle = Obstacle::NoWorker;
+        let mut obstacle = Obstacle::Worker;
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
         for key in keys {
             if !self.may_load(now, key, model) {
                 continue;
             }
             if !store_open && !self.workers[key].held.contains(&model) {
-                obstacle = obstacle.max(Obstacle::NoToken);
+                obstacle = obstacle.max(Obstacle::Token);
                 continue;
             }
-            obstacle = Obstacle::NoRoom;
+            obstacle = Obstacle::Room;
             let Some(victims) = self.choose_victims(now, key, model, reason) else { continue };
             let score = self.delay_score(now, key, model, &victims, &zones);
             if best.as_ref().is_none_or(|(least, _, _)| score < *least) {
@@ -91,7 +91,9 @@
         let stands_nowhere = self.copies_of(model).count() == 0;
         match reason {
             Reason::Missing { .. } => self.account.loads_for_missing += 1,
-            Reason::Crowded { .. } | Reason::Growth | Reason::Anticipated => self.account.loads_of_copies += 1,
+            Reason::Crowded { .. } | Reason::Growth | Reason::Anticipated => {
+                self.account.loads_of_copies += 1
+            }
         }
         if stands_nowhere && matches!(reason, Reason::Missing { .. }) {
             self.turns.missing_planned();
--- a/crates/placement/tests/fleet/load.rs
+++ b/crates/placement/tests/fleet/load.rs
@@ -11,6 +11,13 @@
 const TELL_MS: u64 = 500;
 const MISSING_MS: u64 = 250;
 
+/// How long a gatekeeper holds a request for a missing model, and when its client asks once more.
+#[derive(Debug, Clone, Copy)]
+pub struct Patience {
+    pub held_ms: u64,
+    pub back_after_ms: u64,
+}
+
 /// Requests for a model and adapter.
 #[derive(Debug, Clone)]
 pub struct Stream {
@@ -20,6 +27,8 @@
     pub aim_ms: u64,
     pub deadline_ms: u64,
     pub service_ms: u64,
+    /// None for requests that are held until their deadline.
+    pub patience: Option<Patience>,
     pub from_ms: u64,
     pub until_ms: u64,
 }
@@ -33,6 +42,7 @@
             aim_ms,
             deadline_ms: aim_ms.max(3_000) * 4,
             service_ms: 800,
+            patience: None,
             from_ms: 0,
             until_ms: u64::MAX,
         }
@@ -43,6 +53,12 @@
         self
     }
 
+    /// Requests are refused after a while, and come back once.
+    pub fn leaving(mut self, patience: Patience) -> Self {
+        self.patience = Some(patience);
+        self
+    }
+
     pub fn between(mut self, from_ms: u64, until_ms: u64) -> Self {
         self.from_ms = from_ms;
         self.until_ms = until_ms;
@@ -56,6 +72,8 @@
 struct Request {
     stream: usize,
     at: u64,
+    /// Whether it is its client's second try.
+    again: bool,
 }
 
 /// All requests of a run.
@@ -64,6 +82,8 @@
     pub streams: Vec<Stream>,
     pub served: ServedTable,
     waiting: Vec<Request>,
+    /// Refused requests whose clients come back, with the time at which they do.
+    returning: Vec<(u64, Request)>,
     running: BTreeMap<WorkerId, BTreeMap<ModelAndAdapter, Vec<u64>>>,
     asked_for: BTreeMap<usize, u64>,
     arrived: Vec<u32>,
@@ -78,6 +98,7 @@
             streams,
             served: ServedTable::new(),
             waiting: Vec::new(),
+            returning: Vec::new(),
             running: BTreeMap::new(),
             asked_for: BTreeMap::new(),
             arrived,
@@ -126,6 +147,22 @@
         total
     }
 
+    /// Number of models and adapters asked for at least `times`.
+    pub fn asked(&self, times: u64) -> usize {
+        self.served.values().filter(|served| served.asked >= times).count()
+    }
+
+    /// Share of the requests with an aim that were served at all.
+    pub fn share_served(&self, aim_ms: u64) -> f64 {
+        let of_aim = self.streams.iter().filter(|stream| stream.aim_ms == aim_ms);
+        let entries =
+            of_aim.filter_map(|stream| self.served.get(&(stream.model.clone(), stream.adapter.clone())));
+        let (served, asked) = entries.fold((0, 0), |(served, asked), entry| {
+            (served + entry.in_time + entry.late, asked + entry.asked)
+        });
+        served as f64 / asked.max(1) as f64
+    }
+
     /// Models and adapters asked for at least `times` and never served.
     pub fn starved(&self, times: u64) -> Vec<(String, Option<String>)> {
         let never = |served: &Served| served.asked >= times && served.in_time + served.late == 0;
@@ -162,7 +199,7 @@
             let stream = &self.streams[index];
             let open = now >= stream.from_ms && now < stream.until_ms;
             if open && self.random.f64() < stream.per_s * 0.01 {
-                self.waiting.push(Request { stream: index, at: now });
+                self.waiting.push(Request { stream: index, at: now, again: false });
                 self.arrived[index] += 1;
                 self.entry(index).asked += 1;
             }
@@ -176,7 +213,12 @@
         workers: &BTreeMap<WorkerId, SimWorker>,
     ) -> Vec<Input> {
         let mut missing: BTreeMap<usize, u32> = BTreeMap::new();
+        self.come_back(now);
         for request in std::mem::take(&mut self.waiting) {
+            if self.is_refused(now, &request) {
+                self.refuse(now, request);
+                continue;
+            }
             if now - request.at > self.streams[request.stream].deadline_ms {
                 self.entry(request.stream).lost += 1;
                 continue;
@@ -213,6 +255,30 @@
         self.missing_inputs(now, &missing)
     }
 
+    /// Whether a request has been held for as long as its gatekeeper holds it.
+    fn is_refused(&self, now: u64, request: &Request) -> bool {
+        let patience = self.streams[request.stream].patience;
+        patience.is_some_and(|patience| now - request.at >= patience.held_ms)
+    }
+
+    fn refuse(&mut self, now: u64, request: Request) {
+        match self.streams[request.stream].patience.filter(|_| !request.again) {
+            Some(patience) => {
+                let at = now + patience.back_after_ms;
+                self.returning.push((at, Request { at, again: true, ..request }));
+            }
+            None => self.entry(request.stream).lost += 1,
+        }
+    }
+
+    fn come_back(&mut self, now: u64) {
+        let is_due = |(at, _): &(u64, Request)| now >= *at;
+        let (due, later) = std::mem::take(&mut self.returning).into_iter().partition(is_due);
+        self.returning = later;
+        let due: Vec<(u64, Request)> = due;
+        self.waiting.extend(due.into_iter().map(|(_, request)| request));
+    }
+
     fn missing_inputs(&mut self, now: u64, missing: &BTreeMap<usize, u32>) -> Vec<Input> {
         let mut inputs = Vec::new();
         for (index, waiting) in missing {
