Placement: loads that wait for room are planned at the store's rate, not its burst

Cause: the tokens counted ahead for planned loads were capped by the bucket's burst, so three loads at a time could wait for their unloads (300 ms), 8 to 10 a second of 24.7 allowed. Change: the cap holds for what may be sent at one moment; tokens that come while a load waits count in full.

--- a/crates/placement/src/policy/choice.rs
+++ b/crates/placement/src/policy/choice.rs
@@ -115,7 +115,7 @@
     }
 
     fn spare_tokens(&self, now: u64) -> f64 {
-        self.store.at(now + STORE_LOOKAHEAD_MS) - self.unsent_store_loads() as f64
+        self.store.sendable_within(now, STORE_LOOKAHEAD_MS) - self.unsent_store_loads() as f64
     }
 
     fn may_load(&self, now: u64, key: WorkerKey, model: ModelIndex) -> bool {
--- a/crates/placement/src/store_rate.rs
+++ b/crates/placement/src/store_rate.rs
@@ -37,6 +37,13 @@
         self.tokens = (self.tokens + 1.0).min(self.burst);
     }
 
+    /// Loads that may be sent from `now` until `within_ms` later, each as its token comes. The burst bounds what may be
+    /// sent at one moment, not what is on its way to being sent: with it as the bound, loads that wait for room would
+    /// be begun at the burst over their wait, however many the store allows.
+    pub(crate) fn sendable_within(&self, now: u64, within_ms: u64) -> f64 {
+        self.at(now) + within_ms as f64 * self.per_ms
+    }
+
     /// Tokens there will be at `later` if none is taken.
     pub(crate) fn at(&self, later: u64) -> f64 {
         let elapsed = later.saturating_sub(self.as_of) as f64;
