Placement: a planner that takes over tells what each worker holds after its first report

Cause: routers believe a planner's word before a heartbeat, and a new planner compared with heartbeats alone what it would tell; where a predecessor's word was older, it stood. Change: only what this planner has told counts as told.

--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -8,7 +8,7 @@
 use crate::account::PlacementAccount;
 use crate::catalogue::{Catalogue, ModelIndex};
 use crate::demand::{ModelDemand, Sample};
-use crate::message::{Input, Operation, OrderId, Output, WorkerId, WorkerState, WorkerView};
+use crate::message::{Input, Operation, OrderId, Output, Resident, WorkerId, WorkerState, WorkerView};
 use crate::policy::{MissingTable, Turns, Want};
 use crate::settings::{Engine, PlannerSettings};
 use crate::store_rate::StoreRate;
@@ -181,11 +181,15 @@
     pub(crate) fn refresh(&mut self, key: WorkerKey) {
         self.reindex(key);
         let worker = &mut self.workers[key];
+        if !worker.may_be_announced() {
+            return;
+        }
         let servable = worker.servable(&self.catalogue);
-        if crate::worker::same_residents(&servable, &worker.announced) {
+        let is_told = |told: &Vec<Resident>| crate::worker::same_residents(&servable, told);
+        if worker.announced.as_ref().is_some_and(is_told) {
             return;
         }
-        worker.announced.clone_from(&servable);
+        worker.announced = Some(servable.clone());
         self.outputs.push(Output::Resident { worker: worker.id.clone(), models: servable });
     }
 
--- a/crates/placement/src/worker.rs
+++ b/crates/placement/src/worker.rs
@@ -116,7 +116,9 @@
     pub(crate) held_before: BTreeSet<ModelIndex>,
     /// Orders the worker rejected, with the time until which they aren't tried again.
     pub(crate) rejected: BTreeMap<ModelIndex, u64>,
-    pub(crate) announced: Vec<Resident>,
+    /// What routers were last told of it by this planner, if anything. They may hold the word of an earlier one, which
+    /// counts for more with them than a heartbeat; so nothing may be taken for told that this planner has not told.
+    pub(crate) announced: Option<Vec<Resident>>,
     pub(crate) heard_sequence: u64,
     pub(crate) changed_at: u64,
     pub(crate) checked_at: u64,
@@ -146,7 +148,7 @@
             held: BTreeSet::new(),
             held_before: BTreeSet::new(),
             rejected: BTreeMap::new(),
-            announced: view.models.clone(),
+            announced: None,
             heard_sequence: view.as_of_sequence,
             changed_at: now,
             checked_at: now,
@@ -179,6 +181,11 @@
         order_is_short && self.plan.iter().all(|step| step.adapter.is_some())
     }
 
+    /// Whether what it holds is known well enough to be told: once it has reported to this planner.
+    pub(crate) fn may_be_announced(&self) -> bool {
+        self.announced.is_some() || self.is_exact()
+    }
+
     /// Whether all orders it has taken are known.
     pub(crate) fn is_exact(&self) -> bool {
         matches!(self.knowledge, Knowledge::Exact { .. })
