Placement: loads behind unloads that wait for running requests hold no token of the store

Cause: a load whose unload waits for running requests (seconds) reserved a token all that time, so others were not begun. Change: such loads are left out of the reservations; they take their token when they are sent, as before.

--- a/crates/placement/src/policy/choice.rs
+++ b/crates/placement/src/policy/choice.rs
@@ -107,15 +107,19 @@
         self.spare_tokens(now) >= 1.0
     }
 
-    /// Loads from the store that are planned and not sent.
-    pub(crate) fn unsent_store_loads(&self) -> usize {
-        let draws =
-            |key: &&WorkerKey| self.workers[**key].plan.iter().any(|step| self.draws_on_store(**key, step));
-        self.attention.iter().filter(draws).count()
+    /// Loads from the store that are planned and not sent, and will be sent as soon as their tokens come. Those behind
+    /// an unload that waits for running requests are left out: they may wait for seconds, and the store for nobody.
+    pub(crate) fn unsent_store_loads(&self, now: u64) -> usize {
+        let draws = |key: &WorkerKey| {
+            let worker = &self.workers[*key];
+            !worker.waits_for_runs(now, self.settings.report_lag_ms)
+                && worker.plan.iter().any(|step| self.draws_on_store(*key, step))
+        };
+        self.attention.iter().filter(|key| draws(key)).count()
     }
 
     fn spare_tokens(&self, now: u64) -> f64 {
-        self.store.sendable_within(now, STORE_LOOKAHEAD_MS) - self.unsent_store_loads() as f64
+        self.store.sendable_within(now, STORE_LOOKAHEAD_MS) - self.unsent_store_loads(now) as f64
     }
 
     fn may_load(&self, now: u64, key: WorkerKey, model: ModelIndex) -> bool {
--- a/crates/placement/src/policy/missing.rs
+++ b/crates/placement/src/policy/missing.rs
@@ -270,7 +270,7 @@
         if self.store_allows(now) {
             return None;
         }
-        let wait = self.store.wait_ms(now, self.unsent_store_loads() + self.missing.len());
+        let wait = self.store.wait_ms(now, self.unsent_store_loads(now) + self.missing.len());
         Some(wait + self.catalogue.spec(model).load_ms + self.settings.report_lag_ms)
     }
 
--- a/crates/placement/src/worker.rs
+++ b/crates/placement/src/worker.rs
@@ -181,6 +181,14 @@
         order_is_short && self.plan.iter().all(|step| step.adapter.is_some())
     }
 
+    /// Whether it has been told to unload something and reports show it still there: requests run on it.
+    pub(crate) fn waits_for_runs(&self, now: u64, report_lag_ms: u64) -> bool {
+        self.order.as_ref().is_some_and(|order| {
+            let should_be_done = now > order.done_at + report_lag_ms;
+            order.step.operation == Operation::Unload && order.phase == OrderPhase::Taken && should_be_done
+        })
+    }
+
     /// Whether what it holds is known well enough to be told: once it has reported to this planner.
     pub(crate) fn may_be_announced(&self) -> bool {
         self.announced.is_some() || self.is_exact()
