--- a/crates/distribution/src/feed.rs
+++ b/crates/distribution/src/feed.rs
@@ -104,9 +104,8 @@
                 }
             }
             Some(DownstreamBody::Residency(residency)) => {
-                if self.state.merge_residency(&residency).is_some() {
-                    received.workers.push(residency.worker);
-                }
+                let changed = self.state.merge_residency(&residency).is_some();
+                received.workers.extend(changed.then_some(residency.worker));
             }
             Some(DownstreamBody::Loads(loads)) => {
                 self.loads.apply_fleet(&loads);
