Data plane: holds and refuses requests by when the placer expects their model to stand

Cause: an objective below 2 s was taken to leave no time for a load, so requests with 1,200 ms were held for 240 ms whatever the load took, and clients were told to come back after the bare load, before the model could stand; their second try was refused too. Change: with a short objective a request is held where the model is expected within 0.7 of it, refused at once with the expected time as Retry-After beyond, and held for a moment while the placer has not told. The placer's expectation counts unloads as unloads.

--- a/crates/placement/src/orders.rs
+++ b/crates/placement/src/orders.rs
@@ -144,6 +144,21 @@
         self.refresh(key);
     }
 
+    /// Time from the order of a step until the planner knows that it is done, in milliseconds.
+    pub(crate) fn known_after_ms(&self, key: WorkerKey, step: &Step) -> u64 {
+        self.step_ms(key, step) + self.lag_ms(step)
+    }
+
+    /// Time by which the planner learns late that a step is done, in milliseconds.
+    fn lag_ms(&self, step: &Step) -> u64 {
+        let known_by_time = step.adapter.is_some() && step.operation == Operation::Load;
+        if known_by_time {
+            0
+        } else {
+            self.settings.report_lag_ms
+        }
+    }
+
     fn step_ms(&self, key: WorkerKey, step: &Step) -> u64 {
         match step.operation {
             Operation::Load => self.load_ms(key, step),
@@ -153,8 +168,7 @@
 
     fn accepted(&mut self, now: u64, key: WorkerKey, mut order: ActiveOrder) {
         let duration = self.step_ms(key, &order.step);
-        let known_by_time = order.step.adapter.is_some() && order.step.operation == Operation::Load;
-        let lag = if known_by_time { 0 } else { self.settings.report_lag_ms };
+        let lag = self.lag_ms(&order.step);
         let worker = &mut self.workers[key];
         if let Knowledge::Exact { sequence } = worker.knowledge {
             worker.knowledge = Knowledge::Exact { sequence: sequence + 1 };
--- a/crates/placement/src/policy/missing.rs
+++ b/crates/placement/src/policy/missing.rs
@@ -279,16 +279,15 @@
         let is_it = |step: &Step| {
             step.model == want.model && (step.adapter == want.adapter || step.adapter.is_none())
         };
-        let lag = self.settings.report_lag_ms;
         let mut wait = 0;
         if let Some(order) = &worker.order {
-            wait = order.done_at.max(now) - now + lag;
+            wait = order.done_at.max(now) - now + self.settings.report_lag_ms;
             if order.phase == OrderPhase::Taken && is_it(&order.step) {
                 return Some(wait);
             }
         }
         for step in &worker.plan {
-            wait += self.load_ms(key, step).max(lag);
+            wait += self.known_after_ms(key, step);
             if is_it(step) {
                 return Some(wait);
             }
--- a/crates/placement/tests/fleet/mod.rs
+++ b/crates/placement/tests/fleet/mod.rs
@@ -314,6 +314,7 @@
                 self.routed.insert(worker, models);
             }
             Output::Expect { model, adapter, ready_in_ms } => {
+                self.load.expect(self.now, (model.clone(), adapter.clone()), ready_in_ms);
                 self.expected.insert((model, adapter), ready_in_ms);
             }
             Output::Superseded => self.superseded = true,
--- a/src/data_plane/policy.rs
+++ b/src/data_plane/policy.rs
@@ -40,8 +40,20 @@
 /// Pause before a worker is looked for again while a stream is being taken up.
 pub(crate) const RESUME_PAUSE: Duration = Duration::from_millis(50);
 
-/// Latency objectives below this, in milliseconds, leave no time to load a model.
+/// Latency objectives below this, in milliseconds, are taken to leave no time to load a model unless the placer expects
+/// it to stand in time.
 pub(crate) const SHORT_AIM_MS: u64 = 2000;
+/// Share of a short objective within which a model has to be expected for its requests to be held: loads come late
+/// rather than early, and the first byte takes its time after that. Beyond it an answer from a second try, after a
+/// refusal at once, is worth more than a late one.
+pub(crate) const EXPECTED_HOLD_SHARE: f64 = 0.7;
+/// Time in milliseconds by which a model that should stand already may still be awaited.
+pub(crate) const EXPECTED_LATE_MS: u64 = 1000;
+/// Time in milliseconds that a client is told to come back after its model is expected: gatekeepers hear of it then.
+pub(crate) const RETRY_AFTER_EXPECTED_MS: u64 = 50;
+/// Time in milliseconds that a load takes beside the bare load: the order, the unload that makes room, and the reports
+/// that tell of the end of both.
+pub(crate) const LOAD_OVERHEAD_MS: u64 = 500;
 /// Longest hold of a request with a short objective for an adapter, which comes in milliseconds.
 pub(crate) const SHORT_HOLD_ADAPTER: Duration = Duration::from_millis(150);
 /// The same as a share of the objective, where that is very short.
--- a/src/data_plane/worker_choice.rs
+++ b/src/data_plane/worker_choice.rs
@@ -1,7 +1,7 @@
 //! Waiting for a worker that can run a request.
 
 use super::exchange::Exchange;
-use super::missing::WaitingRequest;
+use super::missing::{model_key, WaitingRequest};
 use super::policy;
 use super::replies::LocalReply;
 use std::time::Duration;
@@ -78,7 +78,7 @@
         let retry_after_ms = match choice {
             Choice::Send(_) => policy::RETRY_AFTER_REFUSED_MS,
             Choice::Busy { retry_after_ms } => retry_after_ms,
-            Choice::Missing => self.load_time_ms(),
+            Choice::Missing => self.retry_after_load_ms(),
             Choice::NoWorker => policy::RETRY_AFTER_NO_WORKER_MS,
         };
         self.not_run(retry_after_ms)
@@ -127,14 +127,38 @@
             return self.arrived;
         }
         let is_short = aim < Duration::from_millis(policy::SHORT_AIM_MS);
-        let by_aim = match (is_short, &self.profile.adapter) {
-            (false, _) => aim.mul_f64(policy::LONG_HOLD_SHARE),
-            (true, Some(_)) => policy::SHORT_HOLD_ADAPTER.min(aim.mul_f64(policy::SHORT_HOLD_ADAPTER_SHARE)),
-            (true, None) => aim.mul_f64(policy::SHORT_HOLD_SHARE),
+        let by_aim = match is_short {
+            true => self.short_aim_hold(aim),
+            false => aim.mul_f64(policy::LONG_HOLD_SHARE),
         };
         self.hold_end(by_aim)
     }
 
+    /// How long a request with a short objective is held: for its whole objective where the model is expected within it,
+    /// not at all where it is expected later, and for a moment while the placer has not told.
+    fn short_aim_hold(&self, aim: Duration) -> Duration {
+        let Some(wait) = self.expected_wait() else {
+            return match &self.profile.adapter {
+                Some(_) => policy::SHORT_HOLD_ADAPTER.min(aim.mul_f64(policy::SHORT_HOLD_ADAPTER_SHARE)),
+                None => aim.mul_f64(policy::SHORT_HOLD_SHARE),
+            };
+        };
+        let in_time = self.arrived.elapsed() + wait <= aim.mul_f64(policy::EXPECTED_HOLD_SHARE);
+        match in_time {
+            true => aim.mul_f64(policy::LONG_HOLD_SHARE),
+            false => Duration::ZERO,
+        }
+    }
+
+    /// Time until the model or adapter should stand, if the placer has told; zero if it should stand already.
+    fn expected_wait(&self) -> Option<Duration> {
+        let key = model_key(&self.profile)?;
+        let ready_at = self.shared.view().expected.ready_at(&key)?;
+        let now = self.shared.now();
+        let still_awaited = now <= ready_at.saturating_add(policy::EXPECTED_LATE_MS);
+        still_awaited.then(|| Duration::from_millis(ready_at.saturating_sub(now)))
+    }
+
     /// Until when a request is held for a first worker of its service.
     fn worker_hold_end(&self) -> Instant {
         self.hold_end(policy::NO_WORKER_HOLD)
@@ -145,8 +169,11 @@
         self.arrived + longest.min(whole.mul_f64(policy::HOLD_LEFT_SHARE))
     }
 
-    /// About when the model should stand.
-    fn load_time_ms(&self) -> u64 {
+    /// When to come back for a model or adapter that stands nowhere, in milliseconds.
+    fn retry_after_load_ms(&self) -> u64 {
+        if let Some(wait) = self.expected_wait().filter(|wait| !wait.is_zero()) {
+            return wait.as_millis() as u64 + policy::RETRY_AFTER_EXPECTED_MS;
+        }
         if self.profile.adapter.is_some() && self.stands_without_adapter() {
             return policy::RETRY_AFTER_ADAPTER_MS;
         }
@@ -154,7 +181,9 @@
         let service = document.as_ref().and_then(|document| document.service(&self.profile.service));
         let name = self.profile.model.as_deref().unwrap_or_default();
         let model = service.and_then(|service| service.model(name));
-        model.map_or(policy::RETRY_AFTER_MODEL_MS, |model| (model.load_s * 1000.0) as u64)
+        model.map_or(policy::RETRY_AFTER_MODEL_MS, |model| {
+            (model.load_s * 1000.0) as u64 + policy::LOAD_OVERHEAD_MS
+        })
     }
 
     /// Whether some worker holds the model, so that only its adapter has to come.
