--- a/crates/placement/src/policy/victims.rs
+++ b/crates/placement/src/policy/victims.rs
@@ -14,8 +14,6 @@
 const SHORT_IDLE_MS: u64 = 3_000;
 /// Time from the first demand after which copies that demand doesn't need are surplus, in milliseconds.
 const DEMAND_KNOWN_AFTER_MS: u64 = 2_000;
-/// Share of a worker's slots up to which the remaining copies of a model may be filled when one gives way.
-const CROWDED: f64 = 0.5;
 /// How many times the requests that will miss it during a reload must wait for another model before the only copy of
 /// one in use gives way.
 const CLEARLY_GREATER: f64 = 1.5;
@@ -154,9 +152,9 @@
         if copies > keep {
             return Some(cost::SURPLUS + cost::LONG_IDLE * load_after);
         }
+        // Filled further, the remaining copies would call for another at once, and the two would give way in turn.
         let bearable = match reason {
-            Reason::Missing { .. } => load_after <= CROWDED,
-            Reason::Crowded { .. } => load_after <= self.settings.wanted_occupancy,
+            Reason::Missing { .. } | Reason::Crowded { .. } => load_after <= self.settings.wanted_occupancy,
             Reason::Growth | Reason::Anticipated => false,
         };
         bearable.then_some(cost::USEFUL + cost::LONG_IDLE * load_after)
