--- a/crates/placement/tests/turns.rs
+++ b/crates/placement/tests/turns.rs
@@ -214,6 +214,29 @@
     expect_that!(fleet.loads_of("r0"), eq(1), "{:?}", fleet.loads);
 }
 
+/// Where a missing model took such a copy, the planner loaded it again at once, and the two gave way in turn.
+#[gtest]
+fn a_lone_request_takes_no_copy_whose_loss_fills_the_others_beyond_the_wanted_load() {
+    let holder = |id: &str, other: &str| (id.to_owned(), vec![resident("r5"), resident(other)]);
+    let mut fleet = Fleet::new(4.0, vec![holder("w1", "left"), holder("w2", "right")]);
+    let in_use = |fleet: &mut Fleet, running: u32| {
+        fleet.demand("r5", f64::from(running), running);
+        fleet.demand("left", 8.0, 3);
+        fleet.demand("right", 8.0, 3);
+    };
+    fleet.run(5_000, |fleet| in_use(fleet, 12));
+    fleet.run(4_000, |fleet| {
+        in_use(fleet, 12);
+        fleet.missing("r0", None);
+    });
+    expect_that!(fleet.loads, is_empty(), "12 of 32 slots at one copy are more than a quarter");
+    fleet.run(8_000, |fleet| {
+        in_use(fleet, 6);
+        fleet.missing("r0", None);
+    });
+    expect_that!(fleet.loads_of("r0"), eq(1), "{:?}", fleet.loads);
+}
+
 #[gtest]
 fn a_model_asked_for_later_does_not_overtake_one_that_waits_for_a_worker() {
     let mut fleet = Fleet::new(4.0, vec![("w".to_owned(), vec![resident("busy"), resident("spare")])]);
