Soak check: a worker that ends after its process is over was at work at the end

The process ends 4.9 s after it, 100 ms before SIGKILL; the worker wrote its last event 9 ms later into a connection whose end it had not noticed, so its record says complete, and the check took it for done in time. The check was wrong, not the program.

--- a/lab/tests/soak_checks.rs
+++ b/lab/tests/soak_checks.rs
@@ -144,6 +144,21 @@
     expect_that!(excuses(&seen), unordered_elements_are![(eq(&Excuse::OutOfGrace), eq(&1))]);
 }
 
+/// Seen once: the process ended 4.9 s after SIGTERM, and 9 ms later the worker wrote the last event of its stream into a
+/// connection whose end it had not noticed. The check took the worker for done in time and the stream for lost.
+#[rstest]
+#[case::after_the_process_ended(at(25_009), true)]
+#[case::just_before(at(24_990), false)]
+#[gtest]
+fn an_answer_that_ends_only_when_its_process_is_over_was_at_work_at_the_end(
+    #[case] worker_ended: Duration,
+    #[case] is_excused: bool,
+) {
+    let runs = vec![run(at(20_010), worker_ended, RunEnd::Complete)];
+    let seen = observed(cut_at(at(25_009)), runs, vec![sigterm(at(20_100))]);
+    expect_that!(broken(&seen).is_empty(), eq(is_excused));
+}
+
 #[rstest]
 #[case::crosses_the_signal(at(19_950), true)]
 #[case::after_it(at(19_850), false)]
