Placement: reports of one model are answered once while nothing changes

The planner answers each report of a missing model to all gatekeepers, each of which reports it ten times a second. Change: a report is answered if the expected time moved by more than 100 ms since it was told, or was told a second ago; the expected time is worked out once for it, not twice. Measured: the new test fails on the former code (an answer each 5 ms).

--- a/crates/placement/src/policy/missing.rs
+++ b/crates/placement/src/policy/missing.rs
@@ -13,8 +13,13 @@
 const FORGET_MS: u64 = 3_000;
 /// Wants tried in one round; bounds the work of a round.
 const TRIED_A_ROUND: usize = 32;
-/// Change of an expected time that is worth telling, in milliseconds.
+/// Change of an expected time that is worth telling unasked, in milliseconds.
 const NOTABLE_CHANGE_MS: u64 = 500;
+/// The same when requests for it have just been reported, in milliseconds.
+const NOTABLE_WHEN_ASKED_MS: u64 = 100;
+/// An expected time that is asked for again this long after it was told is told once more, changed or not, in
+/// milliseconds: gatekeepers start, and messages to them may be lost.
+const REPEAT_MS: u64 = 1_000;
 /// What a second of waiting adds to the number of requests that wait.
 const PRESSURE_A_SECOND: f64 = 0.5;
 /// Urgency of a request with an aim of this length is that of the bare count, in milliseconds.
@@ -33,8 +38,15 @@
     aim_ms: u64,
     first_at: u64,
     last_at: u64,
-    /// When it was last told to stand, as a point in time.
-    told: Option<Option<u64>>,
+    told: Option<ToldExpectation>,
+}
+
+/// What all gatekeepers were last told of a want.
+#[derive(Debug, Clone, Copy)]
+struct ToldExpectation {
+    /// When it should stand; none if nothing was planned.
+    ready_at: Option<u64>,
+    told_at: u64,
 }
 
 /// All wants, by model and adapter.
@@ -108,6 +120,16 @@
     }
 }
 
+impl ToldExpectation {
+    /// Whether a time to stand differs by more than `notable_ms` from the one told.
+    fn differs(&self, ready_at: Option<u64>, notable_ms: u64) -> bool {
+        match (self.ready_at, ready_at) {
+            (Some(told), Some(ready_at)) => told.abs_diff(ready_at) > notable_ms,
+            (told, ready_at) => told != ready_at,
+        }
+    }
+}
+
 impl MissingEntry {
     fn rank(&self, now: u64) -> f64 {
         let urgency = 1.0 + USUAL_AIM_MS / self.aim_ms as f64;
@@ -150,11 +172,7 @@
             true => self.account.asked_while_coming += 1,
             false => self.account.asked_while_unplanned += 1,
         }
-        let ready_in_ms = self.expected(now, &want);
-        self.tell_expected(&want, ready_in_ms);
-        if let Some(entry) = self.missing.entries.get_mut(&want) {
-            entry.told = Some(ready_in_ms.map(|wait| now + wait));
-        }
+        self.tell_asked(now, &want);
     }
 
     /// Drops what stands or nobody asks for any more.
@@ -198,7 +216,7 @@
                 tried += 1;
                 self.missing.unplanned += usize::from(self.copies_of(want.model).count() == 0);
             }
-            self.tell_changed(now, want);
+            self.tell_changed(now, want, NOTABLE_CHANGE_MS);
         }
     }
 
@@ -235,18 +253,26 @@
         }
     }
 
-    fn tell_changed(&mut self, now: u64, want: &Want) {
+    /// Answers a report of requests. The answer goes to all gatekeepers, and many of them report the same want within
+    /// a short time: what they were told a moment ago is not said again.
+    fn tell_asked(&mut self, now: u64, want: &Want) {
+        let Some(entry) = self.missing.entries.get_mut(want) else { return };
+        if entry.told.is_some_and(|told| now.saturating_sub(told.told_at) >= REPEAT_MS) {
+            entry.told = None;
+        }
+        self.tell_changed(now, want, NOTABLE_WHEN_ASKED_MS);
+    }
+
+    /// Tells when a want should stand, if that differs by more than `notable_ms` from what was told.
+    fn tell_changed(&mut self, now: u64, want: &Want, notable_ms: u64) {
         let expected = self.expected(now, want);
         let Some(entry) = self.missing.entries.get_mut(want) else { return };
-        let at = expected.map(|wait| now + wait);
-        let changed = match (entry.told, at) {
-            (Some(Some(told)), Some(at)) => told.abs_diff(at) > NOTABLE_CHANGE_MS,
-            (told, at) => told != Some(at),
-        };
-        if changed {
-            entry.told = Some(at);
-            self.tell_expected(want, expected);
+        let ready_at = expected.map(|wait| now + wait);
+        if entry.told.is_some_and(|told| !told.differs(ready_at, notable_ms)) {
+            return;
         }
+        entry.told = Some(ToldExpectation { ready_at, told_at: now });
+        self.tell_expected(want, expected);
     }
 
     fn tell_expected(&mut self, want: &Want, ready_in_ms: Option<u64>) {
--- a/crates/placement/tests/planner.rs
+++ b/crates/placement/tests/planner.rs
@@ -270,6 +270,47 @@
     }
 }
 
+fn expectations(outputs: &[Output]) -> Vec<Option<u64>> {
+    let told = |output: &Output| match output {
+        Output::Expect { ready_in_ms, .. } => Some(*ready_in_ms),
+        _ => None,
+    };
+    outputs.iter().filter_map(told).collect()
+}
+
+/// All gatekeepers are told what the planner answers to one of them. Each of them reports a model that its requests wait
+/// for ten times a second, and with a message to all for each report a large fleet spent its time on hearing the same.
+#[gtest]
+fn reports_of_a_model_are_answered_once_while_nothing_changes() {
+    for state in [WorkerState::Ready, WorkerState::Draining] {
+        let mut planner = planner(&[("w", vec![])]);
+        planner.handle(20_000, Input::Workers(vec![WorkerView { state, ..view("w", vec![]) }]));
+        let first = expectations(&planner.handle(20_000, missing("a", None)));
+        let is_planned = state == WorkerState::Ready;
+        expect_that!(first.len(), eq(1), "{state:?}");
+        expect_that!(first[0].is_some(), eq(is_planned), "{state:?}");
+        for now in (20_005..21_000).step_by(5) {
+            let again = expectations(&planner.handle(now, missing("a", None)));
+            expect_that!(again, is_empty(), "{state:?} at {now}");
+        }
+        // A gatekeeper that started since, or lost the message, hears it then.
+        let repeated = expectations(&planner.handle(21_000, missing("a", None)));
+        expect_that!(repeated.len(), eq(1), "{state:?}");
+    }
+}
+
+#[gtest]
+fn a_report_of_a_model_that_comes_later_than_told_is_answered_at_once() {
+    let mut planner = planner(&[("w", vec![])]);
+    let outputs = planner.handle(20_000, missing("a", None));
+    expect_that!(expectations(&outputs).len(), eq(1));
+    let order = sent(&outputs).remove(0);
+    // The load begins 200 ms later than the planner reckoned.
+    answer(&mut planner, 20_200, &order, OrderAnswer::Accepted);
+    expect_that!(expectations(&planner.handle(20_210, missing("a", None))).len(), eq(1));
+    expect_that!(expectations(&planner.handle(20_220, missing("a", None))), is_empty());
+}
+
 #[gtest]
 fn a_model_not_configured_is_not_expected() {
     let mut planner = planner(&[("w", vec![])]);
