Routing: indexes of workers are kept up to date worker by worker

Change: a worker is taken out of the indexes and put back when its description moves it; the indexes stand in a module of their own, and the two ways of taking a list share one way of dropping workers.

--- a/crates/routing/src/candidates.rs
+++ b/crates/routing/src/candidates.rs
@@ -2,7 +2,8 @@
 
 use crate::choice::RequestProfile;
 use crate::health::Standing;
-use crate::table::{ServiceIndex, WorkerState, WorkerTable};
+use crate::indexes::ServiceIndex;
+use crate::table::{WorkerState, WorkerTable};
 use crate::worker::{Availability, WorkerKey};
 
 /// Workers that hold what a request needs, by what speaks for and against them.
--- a/crates/routing/src/ejection.rs
+++ b/crates/routing/src/ejection.rs
@@ -1,6 +1,7 @@
 //! The bound on how many workers of a service are ejected at once, and what they are compared with.
 
-use crate::table::{ServiceIndex, WorkerState, WorkerTable};
+use crate::indexes::ServiceIndex;
+use crate::table::{WorkerState, WorkerTable};
 use crate::worker::{Availability, WorkerKey};
 
 /// A service keeps at least this part of its ready workers: one of so many may be out.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 mod cost;
 mod ejection;
 mod health;
+mod indexes;
 mod pace;
 mod prefix;
 mod router;
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -1,5 +1,8 @@
 //! The workers of this router, indexed by id, service and model.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{HashMap, HashSet};
 use std::hash::{Hash, Hasher};
@@ -9,9 +12,10 @@
 
 use crate::attempt::Attempt;
 use crate::health::Health;
+use crate::indexes::{indexed_alike, ServiceIndex, WorkerIndexes};
 use crate::pace::{SendRate, Slowness};
 use crate::prefix::PrefixMemory;
-use crate::worker::{Availability, WorkerKey, WorkerView};
+use crate::worker::{WorkerKey, WorkerView};
 
 /// How long a residency that a worker denied is disbelieved, unless its list of models changes before.
 const DENIAL_MS: u64 = 2_500;
@@ -138,48 +142,20 @@
     }
 }
 
-/// Workers of one service.
-#[derive(Debug, Default)]
-pub(crate) struct ServiceIndex {
-    /// All that are not gone.
-    pub members: Vec<WorkerKey>,
-    /// Those that may hold a model.
-    holders: HashMap<String, Vec<WorkerKey>>,
-}
-
-impl ServiceIndex {
-    /// Members that hold the model as told, or all if no model is asked for.
-    pub fn holders(&self, model: Option<&str>) -> &[WorkerKey] {
-        match model {
-            Some(model) => self.holders.get(model).map_or(&[], Vec::as_slice),
-            None => &self.members,
-        }
-    }
-}
-
 /// All workers and their indexes.
 #[derive(Debug, Default)]
 pub(crate) struct WorkerTable {
     workers: SlotMap<WorkerKey, WorkerState>,
     by_id: HashMap<String, WorkerKey>,
-    services: HashMap<String, ServiceIndex>,
+    indexes: WorkerIndexes,
 }
 
 impl WorkerTable {
     /// Replaces the list. State of workers whose id stays is kept.
     pub fn replace(&mut self, now: u64, views: Vec<WorkerView>) {
-        let ids: HashSet<&str> = views.iter().map(|view| view.id.as_str()).collect();
-        let listed_before = self.workers.len();
-        self.workers.retain(|_, worker| ids.contains(worker.view.id.as_str()));
-        let workers = &self.workers;
-        self.by_id.retain(|_, key| workers.contains_key(*key));
-        let mut indexes_stale = self.workers.len() < listed_before;
+        self.drop_unlisted(views.iter().map(|view| view.id.as_str()).collect());
         for view in views {
-            indexes_stale |= self.put(now, view);
-        }
-        // Most lists change loads only.
-        if indexes_stale {
-            self.rebuild_indexes();
+            self.put(now, view);
         }
     }
 
@@ -187,7 +163,6 @@
     /// Returns whether anything differs.
     pub fn replace_shared(&mut self, now: u64, views: &[Arc<WorkerView>]) -> bool {
         let mut changed = false;
-        let mut indexes_stale = false;
         for view in views {
             let known = self.key(&view.id).and_then(|key| self.workers.get(key));
             let is_same =
@@ -196,24 +171,25 @@
                 continue;
             }
             changed = true;
-            indexes_stale |= self.put(now, WorkerView::clone(view));
-            if let Some(worker) = self.key(&view.id).and_then(|key| self.workers.get_mut(key)) {
-                worker.told = Some(view.clone());
-            }
+            let key = self.put(now, WorkerView::clone(view));
+            self.workers[key].told = Some(view.clone());
         }
         if self.workers.len() > views.len() {
-            self.drop_unlisted(views);
-            indexes_stale = true;
-        }
-        if indexes_stale {
-            self.rebuild_indexes();
+            changed = true;
+            self.drop_unlisted(views.iter().map(|view| view.id.as_str()).collect());
         }
-        changed || indexes_stale
+        changed
     }
 
-    fn drop_unlisted(&mut self, views: &[Arc<WorkerView>]) {
-        let ids: HashSet<&str> = views.iter().map(|view| view.id.as_str()).collect();
-        self.workers.retain(|_, worker| ids.contains(worker.view.id.as_str()));
+    fn drop_unlisted(&mut self, listed: HashSet<&str>) {
+        let indexes = &mut self.indexes;
+        self.workers.retain(|key, worker| {
+            let is_listed = listed.contains(worker.view.id.as_str());
+            if !is_listed {
+                indexes.remove(key, &worker.view);
+            }
+            is_listed
+        });
         let workers = &self.workers;
         self.by_id.retain(|_, key| workers.contains_key(*key));
     }
@@ -238,12 +214,12 @@
 
     /// Index of a service that has workers.
     pub fn service(&self, name: &str) -> Option<&ServiceIndex> {
-        self.services.get(name)
+        self.indexes.service(name)
     }
 
     /// Indexes of all services that have workers.
     pub fn services(&self) -> impl Iterator<Item = &ServiceIndex> {
-        self.services.values()
+        self.indexes.services()
     }
 
     /// All workers.
@@ -256,40 +232,28 @@
         self.by_id.get(id).copied()
     }
 
-    /// Adds or updates a worker and returns whether the indexes no longer fit.
-    fn put(&mut self, now: u64, view: WorkerView) -> bool {
-        if let Some(worker) = self.key(&view.id).and_then(|key| self.workers.get_mut(key)) {
-            let reindex = !indexed_alike(&worker.view, &view);
+    /// Adds or updates a worker.
+    fn put(&mut self, now: u64, view: WorkerView) -> WorkerKey {
+        let Some(key) = self.key(&view.id) else {
+            let id = view.id.clone();
+            let key = self.workers.insert(WorkerState::new(now, view));
+            self.by_id.insert(id, key);
+            self.indexes.add(key, &self.workers[key].view);
+            return key;
+        };
+        let worker = &mut self.workers[key];
+        // Most descriptions change loads only.
+        if indexed_alike(&worker.view, &view) {
             worker.update(now, view);
-            return reindex;
-        }
-        let id = view.id.clone();
-        let key = self.workers.insert(WorkerState::new(now, view));
-        self.by_id.insert(id, key);
-        true
-    }
-
-    fn rebuild_indexes(&mut self) {
-        self.services.clear();
-        for (key, worker) in &self.workers {
-            if worker.view.state == Availability::Gone {
-                continue;
-            }
-            let service = self.services.entry(worker.view.service.clone()).or_default();
-            service.members.push(key);
-            for model in &worker.view.models {
-                service.holders.entry(model.name.clone()).or_default().push(key);
-            }
+        } else {
+            self.indexes.remove(key, &worker.view);
+            worker.update(now, view);
+            self.indexes.add(key, &worker.view);
         }
+        key
     }
 }
 
-/// Whether two descriptions of a worker stand at the same places of the indexes.
-fn indexed_alike(one: &WorkerView, other: &WorkerView) -> bool {
-    let is_gone = |view: &WorkerView| view.state == Availability::Gone;
-    one.service == other.service && one.models == other.models && is_gone(one) == is_gone(other)
-}
-
 fn id_hash(id: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     id.hash(&mut hasher);
