Registration: one function suspects a worker; decision files may not name given fields

Change: displaced and silent workers go through suspect(); the field is gone; the four fields are refused with file, line and name.

--- a/crates/admission/src/terms.rs
+++ b/crates/admission/src/terms.rs
@@ -6,7 +6,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
-    /// Seed of the draws by which a part of a route's requests is refused.
+    /// Seed of the draws by which a part of a route's requests is refused. Given by the process, not read.
+    #[serde(skip)]
     pub seed: u64,
     /// Weight of the newest price in the smoothed one, above 0 and at most 1.
     pub alpha: f64,
--- a/crates/placement/src/settings.rs
+++ b/crates/placement/src/settings.rs
@@ -7,7 +7,9 @@
 #[serde(default, deny_unknown_fields)]
 pub struct PlannerSettings {
     /// Time after its creation in which a planner only watches, in milliseconds: the lease of a predecessor on another
-    /// node, or 0 where there was none. Reports asked for afterwards show everything the predecessor ordered.
+    /// node, or 0 where there was none. Reports asked for afterwards show everything the predecessor ordered. Given by the
+    /// process, not read.
+    #[serde(skip)]
     pub watch_ms: u64,
     /// Share of `loads_per_s` that the planner uses over time.
     pub store_share: f64,
--- a/crates/registration/src/table.rs
+++ b/crates/registration/src/table.rs
@@ -388,15 +388,7 @@
         let Some(address) = self.get(id).map(|worker| worker.address.clone()) else { return Vec::new() };
         let ids = self.by_address.get(&address).into_iter().flatten();
         let others: Vec<String> = ids.filter(|other| *other != id).cloned().collect();
-        let mut displaced = Vec::new();
-        for other in others {
-            if let Some(entry) = self.entries.get_mut(&other).filter(|entry| entry.may_be_suspected()) {
-                self.digest = self.digest.wrapping_sub(entry.digest());
-                displaced.push(entry.suspect(now));
-                self.next_forgetting = self.next_forgetting.min(now.saturating_add(FORGET_AFTER_MS));
-            }
-        }
-        displaced
+        others.iter().filter_map(|other| self.suspect(now, other)).collect()
     }
 
     fn forget(&mut self, now: u64) {
@@ -432,23 +424,20 @@
     }
 
     fn suspect_silent(&mut self, now: u64) -> Vec<Worker> {
-        let mut suspected = Vec::new();
         if now < self.next_suspicion {
-            return suspected;
+            return Vec::new();
         }
+        let mut silent = Vec::new();
         let mut next = u64::MAX;
-        for entry in self.entries.values_mut().filter(|entry| entry.may_be_suspected()) {
+        for entry in self.entries.values().filter(|entry| entry.may_be_suspected()) {
             let due = entry.last_heard.max(self.silence_from).saturating_add(self.suspect_after);
-            if now < due {
-                next = next.min(due);
-                continue;
+            match now < due {
+                true => next = next.min(due),
+                false => silent.push(entry.worker.id.clone()),
             }
-            self.digest = self.digest.wrapping_sub(entry.digest());
-            suspected.push(entry.suspect(now));
-            self.next_forgetting = self.next_forgetting.min(now.saturating_add(FORGET_AFTER_MS));
         }
         self.next_suspicion = next;
-        suspected
+        silent.iter().filter_map(|id| self.suspect(now, id)).collect()
     }
 }
 
--- a/crates/routing/src/cost.rs
+++ b/crates/routing/src/cost.rs
@@ -129,7 +129,7 @@
 
     /// Delay that one more request at the worker means for the next.
     pub fn step(&self, worker: &WorkerState) -> f64 {
-        self.settings.request_ms + self.settings.full_batch_ms / f64::from(worker.view.slots.max(1))
+        self.settings.full_batch_ms / f64::from(worker.view.slots.max(1))
     }
 
     fn is_urgent(&self) -> bool {
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -6,7 +6,8 @@
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RouterSettings {
-    /// Zone of this gatekeeper; its own zone's workers are preferred by `other_zone_ms`.
+    /// Zone of this gatekeeper; its own zone's workers are preferred by `other_zone_ms`. Given by the process, not read.
+    #[serde(skip)]
     pub zone: String,
     /// Prompt tokens an engine reads per millisecond.
     pub prefill_tokens_per_ms: f64,
@@ -22,7 +23,9 @@
     pub queue_ratio: f64,
     /// Requests that the other gatekeepers together may send to a worker unseen, because all compare it.
     pub unseen_requests: f64,
-    /// Silence of all streams of a worker after which they should be resumed elsewhere.
+    /// Silence of all streams of a worker after which they should be resumed elsewhere, in milliseconds. Given by the
+    /// process, not read.
+    #[serde(skip)]
     pub silent_ms: u64,
     /// Running streams a worker must have before its silence is believed.
     pub silent_streams: usize,
@@ -30,8 +33,6 @@
     pub prefixes_per_worker: usize,
     /// Sessions remembered in all.
     pub sessions: usize,
-    /// Delay in milliseconds that each request at a worker adds for the next one.
-    pub request_ms: f64,
     /// Delay in milliseconds that a worker adds when all of its memory is promised; 0 ignores its memory.
     pub memory_short_ms: f64,
     /// Greatest advantage in milliseconds of the worker that served a session last; 0 forgets sessions.
@@ -66,7 +67,6 @@
             silent_streams: 2,
             prefixes_per_worker: 256,
             sessions: 4096,
-            request_ms: 0.0,
             memory_short_ms: 400.0,
             session_most_ms: 60.0,
             prompt_homes: true,
--- a/tests/decision_settings.rs
+++ b/tests/decision_settings.rs
@@ -33,6 +33,21 @@
     verify_that!(fault, contains_substring("line 3"))
 }
 
+/// The process gives these itself: a value in the file would be taken and overridden without a word.
+#[gtest]
+fn a_field_that_the_process_gives_is_named_with_file_and_line() -> Result<()> {
+    let given = [("router", "silent_ms"), ("router", "zone"), ("planner", "watch_ms"), ("admission", "seed")];
+    for (section, field) in given {
+        let path = file(field, &format!("{section}:\n  {field}: 7\n"));
+        let Err(SettingsError::Invalid { path: named, fault }) = DecisionSettings::read(&path) else {
+            return fail!("{section}.{field} was taken");
+        };
+        expect_that!(named, eq(&path));
+        expect_that!(fault, all![contains_substring(field), contains_substring("line 2")]);
+    }
+    Ok(())
+}
+
 #[gtest]
 fn a_file_that_is_not_there_is_named() -> Result<()> {
     let path = PathBuf::from("/nowhere/decisions.yaml");
