Placement: what stands and is still reported missing after a second is told again

Workers are compared between machines by digest; what they hold is not in it, so a word of it that a frozen machine lost stayed lost until the next change on that worker, and its gatekeepers refused the model meanwhile. Change: reports of a model that stands which go on for a second show that somebody has not heard; the planner then tells its workers' residents once more, at most once a second. Reports on their way right after a load tell nothing again.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -21,6 +21,7 @@
 mod reports;
 mod settings;
 mod store_rate;
+mod unheard;
 mod worker;
 
 pub use account::PlacementAccount;
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -12,6 +12,7 @@
 use crate::policy::{MissingTable, Turns, Want};
 use crate::settings::{Engine, PlannerSettings};
 use crate::store_rate::StoreRate;
+use crate::unheard::UnheardTable;
 use crate::worker::{Knowledge, Phase, Worker, WorkerKey};
 
 /// Time between two rounds of the policy on ticks, in milliseconds.
@@ -70,6 +71,8 @@
     pub(crate) tokens_kept_for_crowded: f64,
     /// Whose turn the next load from the store is.
     pub(crate) turns: Turns,
+    /// Reports of requests for what stands.
+    pub(crate) unheard: UnheardTable,
     /// What became of requests for what stands nowhere, for the log.
     pub(crate) account: PlacementAccount,
     next_order: u64,
@@ -108,6 +111,7 @@
             anticipated: BTreeMap::new(),
             tokens_kept_for_crowded: 0.0,
             turns: Turns::default(),
+            unheard: UnheardTable::default(),
             account: PlacementAccount::default(),
             next_order: now.saturating_mul(ORDERS_A_MS) + 1,
             next_policy_at: now,
@@ -193,6 +197,16 @@
         self.outputs.push(Output::Resident { worker: worker.id.clone(), models: servable });
     }
 
+    /// Tells routers once more what the workers hold on which a model stands.
+    pub(crate) fn announce_again(&mut self, want: &Want) {
+        for key in self.copies_of(want.model).standing.clone() {
+            let worker = &self.workers[key];
+            if let Some(models) = worker.announced.clone() {
+                self.outputs.push(Output::Resident { worker: worker.id.clone(), models });
+            }
+        }
+    }
+
     /// Notes that a worker refused the fencing token: gives up for good.
     pub(crate) fn give_up(&mut self) {
         self.superseded = true;
--- a/crates/placement/src/policy/missing.rs
+++ b/crates/placement/src/policy/missing.rs
@@ -162,6 +162,9 @@
         if self.stands(&want) {
             self.account.asked_while_standing += 1;
             self.tell_expected(&want, Some(0));
+            if self.unheard.note(now, &want) {
+                self.announce_again(&want);
+            }
             return;
         }
         self.missing.note(now, &want, waiting, aim_ms);
@@ -177,6 +180,7 @@
 
     /// Drops what stands or nobody asks for any more.
     pub(crate) fn drop_settled_wants(&mut self, now: u64) {
+        self.unheard.forget(now);
         let wants: Vec<Want> = self.missing.entries.keys().cloned().collect();
         for want in wants {
             let silent = now.saturating_sub(self.missing.entries[&want].last_at) > FORGET_MS;
--- a/crates/placement/tests/take_over.rs
+++ b/crates/placement/tests/take_over.rs
@@ -78,3 +78,42 @@
     outputs.extend(planner.handle(2_210, report(5, &["first"])));
     expect_that!(told(&outputs), is_empty());
 }
+
+fn missing(model: &str) -> Input {
+    Input::Missing { model: model.to_owned(), adapter: None, waiting: 1, aim_ms: 1_000 }
+}
+
+fn planner_that_has_told() -> Planner {
+    let mut planner = Planner::new(1_000, PlannerSettings::default(), engine(), 1);
+    planner.handle(1_000, view(3, &["first"]));
+    planner.handle(1_010, report(5, &["first"]));
+    planner
+}
+
+/// A gatekeeper that was not told where a model stands, since a machine between was frozen, refused it until something
+/// else changed on that worker: workers are compared by digest, and what they hold is not in it.
+#[gtest]
+fn what_a_worker_holds_is_told_again_while_somebody_reports_it_missing() {
+    let mut planner = planner_that_has_told();
+    let mut told_at = Vec::new();
+    for now in (5_000..8_000).step_by(100) {
+        let outputs = planner.handle(now, missing("first"));
+        for models in told(&outputs) {
+            expect_that!(models, eq(&residents(&["first"])));
+            told_at.push(now);
+        }
+    }
+    expect_that!(told_at, elements_are![eq(&6_000), eq(&7_000)]);
+}
+
+#[gtest]
+fn reports_that_were_on_their_way_when_a_model_came_to_stand_tell_nothing_again() {
+    let mut planner = planner_that_has_told();
+    let mut outputs = Vec::new();
+    // Two bursts, each over before the next begins.
+    for now in (5_000..5_900).step_by(100).chain((9_000..9_900).step_by(100)) {
+        outputs.extend(planner.handle(now, missing("first")));
+        outputs.extend(planner.handle(now + 50, Input::Tick));
+    }
+    expect_that!(told(&outputs), is_empty());
+}
