Tests: a port where nothing listens stays bound; two open failures tell more when they come

Cause: two cases of tests/orders.rs failed together once and were not traced. Found on the way: the port of an address where nothing listens went back to the system, which may hand it to another stand-in; gateways told that address then call it. Change: such a port stays bound while the process runs; both cases tell the gateway's counters and the hosts' calls when they fail.

--- a/lab/src/stand_in/gateway.rs
+++ b/lab/src/stand_in/gateway.rs
@@ -52,6 +52,12 @@
         client.answer()
     }
 
+    /// All counters that the program tells on request, for the account of a test that failed.
+    pub fn counters(&self) -> String {
+        let body = self.get("/health/counters").map(|answer| answer.body);
+        body.map_or_else(|| "none told".to_owned(), |body| String::from_utf8_lossy(&body).into_owned())
+    }
+
     /// One of the counters that the program tells on request.
     pub fn counter(&self, name: &str) -> u64 {
         let body = self.get("/health/counters").expect("counters").body;
--- a/lab/src/stand_in/mod.rs
+++ b/lab/src/stand_in/mod.rs
@@ -18,7 +18,8 @@
 pub use upstream::{host, id_of, Act, Seen};
 pub use wire::{read_request, read_some, take_request, whole, Malformed};
 
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use socket2::{Domain, Socket, Type};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -53,7 +54,13 @@
     address
 }
 
-/// An address on which nothing listens.
+/// An address on which nothing listens, for as long as the process runs: its port stays bound, or the system would hand
+/// it to the next stand-in, which would then be called by whoever was told this address.
 pub fn nowhere() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("binds")
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.bind(&any.into()).expect("binds");
+    let address = socket.local_addr().expect("bound").as_socket().expect("an IP address");
+    std::mem::forget(socket);
+    address
 }
--- a/lab/tests/stand_in.rs
+++ b/lab/tests/stand_in.rs
@@ -2,7 +2,8 @@
 #![allow(missing_docs)]
 
 use std::io::{Error, ErrorKind, Read};
-use switchhill_lab::stand_in::read_some;
+use std::net::{TcpListener, TcpStream};
+use switchhill_lab::stand_in::{nowhere, read_some};
 
 /// Fails with these errors, the last one first, and then has bytes.
 struct Interrupted(Vec<ErrorKind>);
@@ -35,3 +36,14 @@
         assert_eq!(read.expect_err("no bytes").kind(), kind);
     }
 }
+
+/// A port that is free again is handed to the next stand-in that asks for one, and with it the calls of all gateways that
+/// were told that nothing listens there.
+#[test]
+fn an_address_on_which_nothing_listens_is_given_to_nobody_else() {
+    let address = nowhere();
+    let refused = TcpStream::connect(address).expect_err("nothing listens there");
+    assert_eq!(refused.kind(), ErrorKind::ConnectionRefused);
+    let taken = TcpListener::bind(address).expect_err("the port stays bound");
+    assert_eq!(taken.kind(), ErrorKind::AddrInUse);
+}
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -104,7 +104,7 @@
 fn told(gateway: &Gateway, before: u64, within: Duration, out: &Seen) {
     let start = Instant::now();
     while lists(gateway).is_none_or(|lists| lists == before) {
-        assert!(start.elapsed() < within, "not told within {within:?}");
+        assert!(start.elapsed() < within, "not told within {within:?}; counters:\n{}", gateway.counters());
         thread::sleep(Duration::from_millis(20));
     }
     let (seen, mut client) = (out.all(), Client::connect(gateway.address));
@@ -194,7 +194,15 @@
     let mut id = 0;
     while start.elapsed() < Duration::from_millis(700) {
         id += 1;
-        assert_eq!(client.ask("usage-view", id, id, 3000).status, 200);
+        let status = client.ask("usage-view", id, id, 3000).status;
+        assert_eq!(
+            status,
+            200,
+            "request {id}, hosts called {} and {} times; counters:\n{}",
+            old.all(),
+            new.all(),
+            gateway.counters()
+        );
     }
     assert_eq!(old.all(), 0, "a host told draining is sent to again");
 }
