Data plane: a process that stood still during its end does not cut what runs

An edge was stopped by SIGSTOP from 2.2 to 3.9 s after SIGTERM. The wait for running answers looked at the time since it last saw something run before it looked whether something runs; after the stop that time was over a second, so the process ended with two streams under way, a second before its time. Change: what runs is looked at first.

--- a/src/data_plane/drain.rs
+++ b/src/data_plane/drain.rs
@@ -102,11 +102,12 @@
     let mut quiet_since = Instant::now();
     while shared.process_end().is_some_and(|end| Instant::now() < end) && shared.client_connections.get() > 0
     {
-        if quiet_since.elapsed() >= policy::LAST_BYTES {
-            return;
-        }
-        if shared.running.get() > 0 || shared.unwritten_connections.get() > 0 {
+        // What runs is looked at before the time: a process that stood still finds that much time gone by at once.
+        let is_busy = shared.running.get() > 0 || shared.unwritten_connections.get() > 0;
+        if is_busy {
             quiet_since = Instant::now();
+        } else if quiet_since.elapsed() >= policy::LAST_BYTES {
+            return;
         }
         tokio::time::sleep(END_CHECK).await;
     }
--- a/src/data_plane/tests/process_end.rs
+++ b/src/data_plane/tests/process_end.rs
@@ -252,6 +252,39 @@
     });
 }
 
+/// Seen in a soak: a process was stopped for 1.7 s, 2.2 s after SIGTERM. When it went on, it took the time in which it had not
+/// looked for a time in which nothing ran, ended a second before its time, and cut two streams that it had taken after the
+/// signal. The evidence: both were cut 3.94 s after the signal, at the very moment of SIGCONT; its time was 4.9 s.
+#[gtest]
+fn a_process_that_stood_still_during_its_end_does_not_cut_what_runs() {
+    for route in ALL_ROUTES {
+        paused(async {
+            let mut rig = MemoryRig::start();
+            rig.shared.settings.borrow_mut().bounds.grace_s = LONG_GRACE_S;
+            rig.workers.plan(first_half(route));
+            rig.terminate();
+            // New connections are taken for 1.2 s.
+            tokio::time::sleep(Duration::from_millis(1_100)).await;
+            let mut client = rig.connect();
+            client.write_all(&request_bytes(route, "runs", "", "")).await.expect("window");
+            let workers = rig.workers.clone();
+            let stands_still = async move {
+                tokio::time::sleep(Duration::from_millis(200)).await;
+                tokio::time::advance(Duration::from_millis(1_050)).await;
+                tokio::time::sleep(Duration::from_millis(30)).await;
+                workers.say(&second_half(route, "runs"));
+            };
+            let (answered, (), ()) = tokio::join!(read_to_end(client), stands_still, rig.process_end());
+            expect_that!(
+                (answered.status, answered.complete),
+                eq((200, true)),
+                "{}: {answered:?}",
+                route.name()
+            );
+        });
+    }
+}
+
 /// A time to SIGKILL in which every request of the routes ends that is read when SIGTERM comes.
 const LONG_GRACE_S: f64 = 4.0;
 
