Core: small changes are told together, each message encoded once for all

The placer fell silent for over 0.8 s, its role changed hands five times, loads stopped. Change: a message for many is encoded once; what waits for a connection is written together; changes of what workers hold and expectations are told at once where none was told a moment ago, else once a tick, to subscribers with another home with the status. Drains, ends, suspicions and new workers go at once to all, as before.

--- /dev/null
+++ b/crates/control/src/announcements/tests.rs
@@ -0,0 +1,195 @@
+//! What a core node tells a large fleet of many small changes, and when.
+
+use super::ROUND_EVERY;
+use crate::input::{Call, CallId, Input, Output, SubscriberId};
+use crate::lone_node_tests::{lone_node, run};
+use crate::node::ControlNode;
+use googletest::prelude::*;
+use std::collections::BTreeMap;
+use switchhill_protocol::{
+    Downstream, DownstreamBody, Expectation, Hello, PeerBody, PeerFrame, Residency, Upstream, UpstreamBody,
+};
+
+const ADDRESS: &str = "10.0.0.1:7660";
+
+/// Subscribers of one of nine core nodes before 291 gatekeepers with four links each.
+const HOMES: u64 = 32;
+const OTHERS: u64 = 97;
+const WORKERS: u64 = 25;
+const STARTED_AT: u64 = 3_000;
+
+fn hello(id: u64, home: bool) -> Input {
+    let hello = Hello { node: format!("edge-{id}"), zone: "a".to_owned(), revision: 0, home };
+    Input::Subscriber(SubscriberId(id), Upstream { body: Some(UpstreamBody::Hello(hello)) })
+}
+
+fn from_placer(body: PeerBody) -> Input {
+    Input::Peer(PeerFrame { from: 2, address: "10.0.0.2:7660".to_owned(), body: Some(body) })
+}
+
+fn residency(worker: u64, version: u64) -> Input {
+    from_placer(PeerBody::Residency(Residency {
+        worker: format!("w{worker}"),
+        epoch: 1,
+        version,
+        models: Vec::new(),
+    }))
+}
+
+fn expectation(model: u64, ready_in_ms: u64) -> Input {
+    from_placer(PeerBody::Expectation(Expectation {
+        service: "s".to_owned(),
+        model: format!("m{model}"),
+        adapter: String::new(),
+        ready_in_ms: Some(ready_in_ms),
+    }))
+}
+
+fn heartbeat(worker: u64, sequence: u64, model: &str) -> Input {
+    let body = format!(
+        r#"{{"service":"s","address":"10.1.0.{worker}:80","zone":"a","revision":"1","slots":8,"state":"ready",
+        "coldRemainingMs":0,"sequence":{sequence},"models":[{{"name":"{model}"}}]}}"#
+    );
+    Input::Call(CallId(worker), Call::Heartbeat { id: format!("w{worker}"), body: body.into() })
+}
+
+/// A node that serves and knows the workers, with its subscribers.
+fn node() -> ControlNode {
+    let mut node = lone_node(ADDRESS);
+    run(&mut node, 0, STARTED_AT);
+    for worker in 0..WORKERS {
+        node.handle(STARTED_AT, heartbeat(worker, 1, "m0"));
+    }
+    for id in 0..HOMES + OTHERS {
+        node.handle(STARTED_AT, hello(id, id < HOMES));
+    }
+    node
+}
+
+/// What each subscriber was sent, in order.
+#[derive(Default)]
+struct Sent {
+    messages: BTreeMap<SubscriberId, Vec<Downstream>>,
+    /// Messages that the node made, each for one subscriber or many.
+    made: usize,
+}
+
+impl Sent {
+    fn take(&mut self, outputs: Vec<Output>) {
+        for output in outputs {
+            let Output::Subscribers(ids, message) = output else { continue };
+            if matches!(message.body, Some(DownstreamBody::Residency(_) | DownstreamBody::Expectation(_))) {
+                self.made += 1;
+                ids.iter().for_each(|id| self.messages.entry(*id).or_default().push(message.clone()));
+            }
+        }
+    }
+
+    fn to(&self, id: u64) -> &[Downstream] {
+        self.messages.get(&SubscriberId(id)).map_or(&[], Vec::as_slice)
+    }
+
+    /// The newest version that a subscriber was told of a worker.
+    fn newest(&self, id: u64, worker: u64) -> Option<u64> {
+        let version = |message: &Downstream| match &message.body {
+            Some(DownstreamBody::Residency(told)) if told.worker == format!("w{worker}") => {
+                Some(told.version)
+            }
+            _ => None,
+        };
+        self.to(id).iter().filter_map(version).max()
+    }
+}
+
+#[gtest]
+fn the_first_change_after_a_pause_is_told_to_home_subscribers_at_once() {
+    let mut node = node();
+    let mut sent = Sent::default();
+    sent.take(node.handle(STARTED_AT + 110, residency(1, 1)));
+    expect_that!(sent.newest(0, 1), some(eq(1)));
+    expect_that!(sent.newest(HOMES, 1), none());
+    sent.take(node.handle(STARTED_AT + 200, expectation(1, 600)));
+    expect_that!(sent.to(0).len(), eq(2));
+    expect_that!(sent.to(HOMES).len(), eq(0));
+}
+
+#[gtest]
+fn changes_by_the_hundred_cost_a_core_node_a_bounded_number_of_messages_a_second() {
+    let mut node = node();
+    let mut sent = Sent::default();
+    // In one second 25 workers change 40 times each, by one millisecond after another.
+    for ms in 0..1_000 {
+        let now = STARTED_AT + ms;
+        sent.take(node.handle(now, residency(ms % WORKERS, 1 + ms / WORKERS)));
+        if ms % ROUND_EVERY == 0 {
+            sent.take(node.handle(now, Input::Tick));
+        }
+    }
+    for now in [1_000, 1_100, 1_300] {
+        sent.take(node.handle(STARTED_AT + now, Input::Tick));
+    }
+    for (id, worker) in (0..HOMES + OTHERS).flat_map(|id| (0..WORKERS).map(move |worker| (id, worker))) {
+        expect_that!(sent.newest(id, worker), some(eq(40)), "worker {worker} at subscriber {id}");
+    }
+    // Another node's subscribers: each worker with each status, not with each change.
+    expect_that!(sent.to(HOMES).len(), le(25 * 6));
+    expect_that!(sent.made, le(1_000 + 25 * 6));
+    let written: usize = sent.messages.values().map(Vec::len).sum();
+    expect_that!(written, le(1_000 * HOMES as usize + 25 * 6 * OTHERS as usize));
+}
+
+#[gtest]
+fn of_several_expectations_within_a_tick_the_newest_is_told() {
+    let mut node = node();
+    let mut sent = Sent::default();
+    let now = STARTED_AT + 110;
+    sent.take(node.handle(now, expectation(1, 900)));
+    sent.take(node.handle(now + 1, expectation(1, 800)));
+    sent.take(node.handle(now + 2, expectation(1, 700)));
+    sent.take(node.handle(now + ROUND_EVERY, Input::Tick));
+    let ready = |message: &Downstream| match &message.body {
+        Some(DownstreamBody::Expectation(told)) => told.ready_in_ms,
+        _ => None,
+    };
+    let told: Vec<u64> = sent.to(0).iter().filter_map(ready).collect();
+    expect_that!(told, elements_are![eq(&900), eq(&700)]);
+}
+
+#[gtest]
+fn a_worker_that_says_that_it_holds_another_model_is_told_of_to_all() {
+    let mut node = node();
+    let mut told = BTreeMap::new();
+    let mut take = |outputs: Vec<Output>| {
+        for output in outputs {
+            let Output::Subscribers(ids, Downstream { body: Some(DownstreamBody::Workers(workers)) }) =
+                output
+            else {
+                continue;
+            };
+            ids.iter().for_each(|id| *told.entry(id.0).or_insert(0) += workers.entries.len());
+        }
+    };
+    take(node.handle(STARTED_AT + 110, heartbeat(1, 2, "m1")));
+    take(node.handle(STARTED_AT + 111, heartbeat(2, 2, "m1")));
+    take(node.handle(STARTED_AT + 112, heartbeat(3, 2, "m1")));
+    for ms in [140, 400] {
+        take(node.handle(STARTED_AT + ms, Input::Tick));
+    }
+    for id in 0..HOMES + OTHERS {
+        expect_that!(told.get(&id), some(ge(&3)), "subscriber {id}");
+    }
+}
+
+#[gtest]
+fn a_subscriber_that_changes_its_home_to_this_node_misses_nothing() {
+    let mut node = node();
+    // A status has just gone out.
+    node.handle(STARTED_AT + 100, Input::Tick);
+    node.handle(STARTED_AT + 110, residency(1, 1));
+    node.handle(STARTED_AT + 120, residency(1, 2));
+    node.handle(STARTED_AT + 135, Input::Tick);
+    // The home subscribers have been told; the others would be with the next status.
+    let mut sent = Sent::default();
+    sent.take(node.handle(STARTED_AT + 140, hello(HOMES, true)));
+    expect_that!(sent.newest(HOMES, 1), some(eq(2)));
+}
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -182,10 +182,10 @@
 /// What a node wants done.
 #[derive(Debug, Clone)]
 pub enum Output {
-    /// Send a message to the core node at an address.
-    Peer(String, PeerFrame),
-    /// Send a message to a subscriber.
-    Subscriber(SubscriberId, Downstream),
+    /// Send a message to the core nodes at these addresses.
+    Peers(Vec<String>, PeerFrame),
+    /// Send a message to these subscribers.
+    Subscribers(Vec<SubscriberId>, Downstream),
     /// Drop a subscriber's connection.
     CloseSubscriber(SubscriberId),
     /// Answer a call.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,7 @@
 //! composes the crates that decide: the register, the members, the worker table, the subscribers and the placer's
 //! role. The program around it owns sockets, the file and the clock; the emulator owns virtual ones.
 
+mod announcements;
 mod calls;
 mod electorate;
 mod freshness;
--- a/crates/control/src/load.rs
+++ b/crates/control/src/load.rs
@@ -3,6 +3,7 @@
 #[cfg(test)]
 mod tests;
 
+use crate::input::SubscriberId;
 use crate::node::ControlNode;
 use std::collections::BTreeMap;
 use switchhill_distribution::{LoadTable, LoadTeller};
@@ -108,7 +109,7 @@
         self.load.next_summary = now + SUMMARY_EVERY;
         let own = self.own_load(now);
         let told = self.load.tell_peers(&own);
-        self.send_all_peers(now, &PeerBody::Load(told));
+        self.send_all_peers(now, PeerBody::Load(told));
         let mut total = self.load.total(now, own);
         self.placer_demand(now, &total);
         total.demand.clear();
@@ -128,9 +129,14 @@
         self.load.fleet_sequence += 1;
         let sequence = self.load.fleet_sequence;
         let changes = Loads { loads: summary.loads, admission: summary.admission, delta: true, sequence };
-        for (id, is_new) in self.subscribers.homes_for_loads() {
-            let loads = if is_new { self.load.fleet.told().whole_fleet(sequence) } else { changes.clone() };
-            self.send_subscriber(id, Downstream { body: Some(DownstreamBody::Loads(loads)) });
+        let message = |loads: Loads| Downstream { body: Some(DownstreamBody::Loads(loads)) };
+        let (new, old): (Vec<_>, Vec<_>) =
+            self.subscribers.homes_for_loads().into_iter().partition(|(_, is_new)| *is_new);
+        let ids = |homes: Vec<(SubscriberId, bool)>| homes.into_iter().map(|(id, _)| id).collect();
+        if !new.is_empty() {
+            let whole = self.load.fleet.told().whole_fleet(sequence);
+            self.send_subscribers(ids(new), message(whole));
         }
+        self.send_subscribers(ids(old), message(changes));
     }
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,5 +1,6 @@
 //! The node: its parts, and which of them an input goes to.
 
+use crate::announcements::Announcements;
 use crate::freshness::Freshness;
 use crate::input::{Answer, Call, CallId, Input, NodeSettings, Output, SubscriberId};
 use crate::jobs::Jobs;
@@ -30,6 +31,7 @@
     pub(crate) state: MergedState,
     pub(crate) jobs: Jobs,
     pub(crate) subscribers: Subscribers,
+    pub(crate) announcements: Announcements,
     pub(crate) updates: PendingUpdates,
     pub(crate) unreachable_workers: UnreachableWorkers,
     pub(crate) load: FleetLoad,
@@ -71,6 +73,7 @@
             state: MergedState::new(SuspectAfter(suspect_after)),
             jobs: Jobs::default(),
             subscribers: Subscribers::default(),
+            announcements: Announcements::default(),
             updates: PendingUpdates::new(settings.life),
             unreachable_workers: UnreachableWorkers::default(),
             load: FleetLoad::default(),
@@ -145,6 +148,7 @@
         self.tick_placer(now);
         self.tick_jobs(now);
         self.tick_load(now);
+        self.announce(now);
         self.tick_subscribers(now);
     }
 
@@ -192,7 +196,18 @@
 
     /// Sends a message to a subscriber.
     pub(crate) fn send_subscriber(&mut self, id: SubscriberId, message: switchhill_protocol::Downstream) {
-        self.out.push(Output::Subscriber(id, message));
+        self.send_subscribers(vec![id], message);
+    }
+
+    /// Sends a message to several subscribers.
+    pub(crate) fn send_subscribers(
+        &mut self,
+        ids: Vec<SubscriberId>,
+        message: switchhill_protocol::Downstream,
+    ) {
+        if !ids.is_empty() {
+            self.out.push(Output::Subscribers(ids, message));
+        }
     }
 }
 
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -10,7 +10,13 @@
 impl ControlNode {
     /// A message to the core node at an address.
     pub(crate) fn send_peer(&mut self, address: String, body: PeerBody) {
-        if address == self.settings.address {
+        self.send_peers(vec![address], body);
+    }
+
+    /// A message to the core nodes at some addresses, the node's own left out.
+    fn send_peers(&mut self, mut addresses: Vec<String>, body: PeerBody) {
+        addresses.retain(|address| *address != self.settings.address);
+        if addresses.is_empty() {
             return;
         }
         let frame = PeerFrame {
@@ -18,14 +24,12 @@
             address: self.settings.address.clone(),
             body: Some(body),
         };
-        self.out.push(Output::Peer(address, frame));
+        self.out.push(Output::Peers(addresses, frame));
     }
 
     /// A message to all core nodes that are heard.
-    pub(crate) fn send_all_peers(&mut self, now: u64, body: &PeerBody) {
-        for address in self.live_peer_addresses(now) {
-            self.send_peer(address, body.clone());
-        }
+    pub(crate) fn send_all_peers(&mut self, now: u64, body: PeerBody) {
+        self.send_peers(self.live_peer_addresses(now), body);
     }
 
     fn live_peer_addresses(&self, now: u64) -> Vec<String> {
@@ -93,9 +97,8 @@
             in_quorum: self.is_in_quorum(now) && self.replica.can_propose(),
             leaving: self.leaving,
         };
-        for address in self.known_addresses() {
-            self.send_peer(address, PeerBody::Heartbeat(heartbeat.clone()));
-        }
+        let known = self.known_addresses().into_iter().collect();
+        self.send_peers(known, PeerBody::Heartbeat(heartbeat));
     }
 
     /// Takes in a message of another core node.
@@ -113,8 +116,8 @@
             Some(PeerBody::Load(load)) => self.load.peer(now, from, load),
             Some(PeerBody::Missing(missing)) => self.missing(now, missing, false),
             Some(PeerBody::Unreachable(report)) => self.unreachable(now, &report, false),
-            Some(PeerBody::Residency(residency)) => self.residency(&residency),
-            Some(PeerBody::Expectation(expectation)) => self.expectation(&expectation),
+            Some(PeerBody::Residency(residency)) => self.residency(now, &residency),
+            Some(PeerBody::Expectation(expectation)) => self.expectation(now, expectation),
             None => {}
         }
     }
--- a/crates/control/src/subscribers.rs
+++ b/crates/control/src/subscribers.rs
@@ -4,7 +4,7 @@
 use crate::node::ControlNode;
 use std::collections::BTreeMap;
 use switchhill_distribution::{LoadTable, Published, Publisher};
-use switchhill_protocol::{Downstream, DownstreamBody, Expectation, Fetch, Hello, Residency, Status};
+use switchhill_protocol::{Downstream, DownstreamBody, Fetch, Hello, Status};
 use switchhill_protocol::{Upstream, UpstreamBody};
 
 /// Time in milliseconds between two statuses.
@@ -54,6 +54,11 @@
         self.connected.iter().filter(|(_, subscriber)| subscriber.publisher.home).map(|(id, s)| (*id, s))
     }
 
+    /// Subscribers whose home another node is.
+    pub(crate) fn others(&self) -> impl Iterator<Item = SubscriberId> + '_ {
+        self.connected.iter().filter(|(_, subscriber)| !subscriber.publisher.home).map(|(id, _)| *id)
+    }
+
     /// Home subscribers that are told load now, and whether it is the first time.
     pub(crate) fn homes_for_loads(&mut self) -> Vec<(SubscriberId, bool)> {
         let homes = self.connected.iter_mut().filter(|(_, subscriber)| subscriber.publisher.home);
@@ -85,9 +90,13 @@
 
     fn hello(&mut self, now: u64, id: SubscriberId, hello: Hello) {
         if let Some(subscriber) = self.subscribers.connected.get_mut(&id) {
+            let becomes_home = hello.home && !subscriber.publisher.home;
             subscriber.publisher.home = hello.home;
             subscriber.knows_loads &= hello.home;
             subscriber.publisher.sent_revision = subscriber.publisher.sent_revision.max(hello.revision);
+            if becomes_home {
+                self.announce_to_new_home(id);
+            }
             self.send_configuration(now, id, None);
             return;
         }
@@ -163,26 +172,8 @@
 
     /// Sends a message to all subscribers.
     pub(crate) fn publish(&mut self, message: &Downstream) {
-        let ids: Vec<SubscriberId> = self.subscribers.connected.keys().copied().collect();
-        for id in ids {
-            self.send_subscriber(id, message.clone());
-        }
-    }
-
-    /// Takes in what a worker holds, as a placer tells.
-    pub(crate) fn residency(&mut self, residency: &Residency) {
-        if let Some(message) = self.state.merge_residency(residency).and_then(|change| change.message()) {
-            self.publish(&message);
-        }
-    }
-
-    /// Passes on when a missing model will stand.
-    pub(crate) fn expectation(&mut self, expectation: &Expectation) {
-        let message = Downstream { body: Some(DownstreamBody::Expectation(expectation.clone())) };
-        let homes: Vec<SubscriberId> = self.subscribers.homes().map(|(id, _)| id).collect();
-        for id in homes {
-            self.send_subscriber(id, message.clone());
-        }
+        let ids = self.subscribers.connected.keys().copied().collect();
+        self.send_subscribers(ids, message.clone());
     }
 
     fn status(&self, now: u64) -> Downstream {
@@ -202,6 +193,7 @@
     /// Sends the status to all subscribers.
     pub(crate) fn publish_status(&mut self, now: u64) {
         self.subscribers.next_status = now + STATUS_EVERY;
+        self.announce_to_others();
         let status = self.status(now);
         self.publish(&status);
     }
--- a/crates/control/src/unreachable.rs
+++ b/crates/control/src/unreachable.rs
@@ -60,7 +60,7 @@
     /// A gatekeeper could not reach a worker; `from_gatekeeper` tells whether it said so itself or by another core node.
     pub(crate) fn unreachable(&mut self, now: u64, report: &Unreachable, from_gatekeeper: bool) {
         if from_gatekeeper {
-            self.send_all_peers(now, &PeerBody::Unreachable(report.clone()));
+            self.send_all_peers(now, PeerBody::Unreachable(report.clone()));
         }
         let is_enough = self.unreachable_workers.note(now, report);
         // The nodes count alike; the one that hears the last report acts.
--- a/crates/control/src/workers.rs
+++ b/crates/control/src/workers.rs
@@ -158,10 +158,17 @@
     /// Takes a heartbeat into the table and tells of what it changed.
     fn take_beat(&mut self, now: u64, worker: Worker) {
         let id = worker.id.clone();
+        let before = self.state.workers().get(&id).cloned();
         let outcome = self.state.workers_mut().beat(now, worker);
         let mut changed = outcome.displaced;
         if outcome.merge == Merge::Changed {
-            changed.extend(self.state.workers().get(&id).cloned());
+            let present = self.state.workers().get(&id).cloned();
+            match present {
+                Some(present) if differs_in_models_alone(before.as_ref(), &present) => {
+                    self.models_changed(now, &id, true);
+                }
+                present => changed.extend(present),
+            }
         }
         if !changed.is_empty() {
             self.tell_of_workers(now, changed);
@@ -177,7 +184,7 @@
     fn tell_peers_of_workers(&mut self, now: u64, workers: &[Worker]) {
         let entries = workers.iter().map(Worker::to_bytes).collect();
         let update = WorkerUpdate { number: 0, entries, residency: Vec::new(), whole: false };
-        self.send_all_peers(now, &PeerBody::WorkerUpdate(update));
+        self.send_all_peers(now, PeerBody::WorkerUpdate(update));
     }
 
     fn workers_changed(&mut self, now: u64, change: &Change) {
@@ -190,11 +197,19 @@
     /// Another core node's entries.
     pub(crate) fn worker_update(&mut self, now: u64, address: String, update: WorkerUpdate) {
         let entries = update.entries.iter().filter_map(|entry| Worker::from_bytes(entry).ok());
-        if let Some(change) = self.state.merge_entries(now, entries) {
-            self.workers_changed(now, &change);
+        let entries: Vec<Worker> = entries.collect();
+        let before = |entry: &Worker| self.state.workers().get(&entry.id).cloned();
+        let before: BTreeMap<String, Worker> = entries.iter().filter_map(before).map(by_id).collect();
+        if let Some(Change::Workers(changed)) = self.state.merge_entries(now, entries.into_iter()) {
+            let models_alone = |worker: &Worker| differs_in_models_alone(before.get(&worker.id), worker);
+            let (models, all): (Vec<Worker>, Vec<Worker>) = changed.into_iter().partition(models_alone);
+            models.iter().for_each(|worker| self.models_changed(now, &worker.id, false));
+            if !all.is_empty() {
+                self.workers_changed(now, &Change::Workers(all));
+            }
         }
         for residency in &update.residency {
-            self.residency(residency);
+            self.residency(now, residency);
         }
         self.warm |= update.whole;
         if update.number > 0 {
@@ -266,7 +281,7 @@
         let told =
             |beat: HeardBeat| HeardWorker { id: beat.id, sequence: beat.sequence, material: beat.material };
         let workers = heard.beats.into_iter().map(told).collect();
-        self.send_all_peers(now, &PeerBody::WorkersHeard(WorkersHeard { workers }));
+        self.send_all_peers(now, PeerBody::WorkersHeard(WorkersHeard { workers }));
     }
 
     fn tick_updates(&mut self, now: u64) {
@@ -292,6 +307,18 @@
     }
 }
 
+fn by_id(worker: Worker) -> (String, Worker) {
+    (worker.id.clone(), worker)
+}
+
+/// Whether an entry says the same as the one before it, but for the models that the worker holds.
+fn differs_in_models_alone(before: Option<&Worker>, present: &Worker) -> bool {
+    before.is_some_and(|before| {
+        let with_models = Worker { models: present.models.clone(), ..before.clone() };
+        !with_models.differs_materially(present)
+    })
+}
+
 fn is_due(done_at: &mut BTreeMap<u64, u64>, now: u64, node: u64) -> bool {
     let due = done_at.get(&node).is_none_or(|at| now >= at + REPAIR_EVERY);
     if due {
--- a/crates/protocol/src/framing.rs
+++ b/crates/protocol/src/framing.rs
@@ -1,6 +1,6 @@
 //! Frames on a byte stream.
 
-use bytes::{BufMut, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use prost::Message;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
@@ -49,12 +49,11 @@
     Ok(M::decode(body.as_slice())?)
 }
 
-/// Writes one message.
-pub async fn write_frame<M, W>(writer: &mut W, message: &M) -> Result<(), FrameError>
-where
-    M: Message,
-    W: AsyncWrite + Unpin,
-{
+/// A message as it is written.
+///
+/// # Errors
+/// The message is longer than [`LARGEST_FRAME`].
+pub fn encode_frame<M: Message>(message: &M) -> Result<Bytes, FrameError> {
     let length = message.encoded_len();
     if length > LARGEST_FRAME {
         return Err(FrameError::TooLong(length));
@@ -62,8 +61,17 @@
     let mut frame = BytesMut::with_capacity(HEADER + length);
     frame.put_u32(length as u32);
     frame.put_u8(FRAME_VERSION);
-    frame.put(message.encode_to_vec().as_slice());
-    writer.write_all(&frame).await?;
+    message.encode(&mut frame).map_err(|_| FrameError::TooLong(length))?;
+    Ok(frame.freeze())
+}
+
+/// Writes one message.
+pub async fn write_frame<M, W>(writer: &mut W, message: &M) -> Result<(), FrameError>
+where
+    M: Message,
+    W: AsyncWrite + Unpin,
+{
+    writer.write_all(&encode_frame(message)?).await?;
     writer.flush().await?;
     Ok(())
 }
--- a/lab/src/emulator/world/core_process.rs
+++ b/lab/src/emulator/world/core_process.rs
@@ -12,7 +12,7 @@
 };
 use switchhill_distribution::LinkId;
 use switchhill_placement::OrderAnswer;
-use switchhill_protocol::PeerFrame;
+use switchhill_protocol::{Downstream, PeerFrame};
 use switchhill_register::{Ballot, Electorate};
 
 /// Time in milliseconds for a worker's answer.
@@ -108,15 +108,21 @@
         self.end_if_it_may(core);
     }
 
+    fn send_subscriber(&mut self, core: usize, id: SubscriberId, message: Downstream) {
+        let Some(process) = self.cores[core].process.as_ref() else { return };
+        let Some((edge, agent_life, link)) = process.connections.subscribers.get(&id).copied() else {
+            return;
+        };
+        self.send_link(core, edge, agent_life, link, Message::Downstream(link, message));
+    }
+
     fn core_output(&mut self, core: usize, output: Output) {
         match output {
-            Output::Peer(address, frame) => self.send_peer(core, &address, frame),
-            Output::Subscriber(id, message) => {
-                let Some(process) = self.cores[core].process.as_ref() else { return };
-                let Some((edge, agent_life, link)) = process.connections.subscribers.get(&id).copied() else {
-                    return;
-                };
-                self.send_link(core, edge, agent_life, link, Message::Downstream(link, message));
+            Output::Peers(addresses, frame) => {
+                addresses.iter().for_each(|address| self.send_peer(core, address, frame.clone()));
+            }
+            Output::Subscribers(ids, message) => {
+                ids.iter().for_each(|id| self.send_subscriber(core, *id, message.clone()));
             }
             Output::CloseSubscriber(id) => {
                 let Some(process) = self.cores[core].process.as_mut() else { return };
--- a/lab/src/hollow/core_nodes.rs
+++ b/lab/src/hollow/core_nodes.rs
@@ -81,17 +81,21 @@
     fn core_output(&mut self, core: usize, role: Role, output: Output) {
         let arrives = self.now + NETWORK_MS;
         match output {
-            Output::Peer(address, frame) => {
+            Output::Peers(addresses, frame) => {
                 let kind = peer_kind(&frame);
-                let encoded = self.encode(role, kind, &frame);
-                if let Some(to) = (0..self.sizes.cores).find(|to| core_address(*to) == address) {
-                    self.add(arrives, Event::Peer { core: to, frame: encoded });
+                for address in addresses {
+                    let encoded = self.encode(role, kind, &frame);
+                    if let Some(to) = (0..self.sizes.cores).find(|to| core_address(*to) == address) {
+                        self.add(arrives, Event::Peer { core: to, frame: encoded });
+                    }
                 }
             }
-            Output::Subscriber(id, message) => {
-                let encoded = self.encode(role, downstream_kind(&message), &message);
-                let (edge, link) = edge_and_link(id);
-                self.add(arrives, Event::Down { edge, link, frame: encoded });
+            Output::Subscribers(ids, message) => {
+                for id in ids {
+                    let encoded = self.encode(role, downstream_kind(&message), &message);
+                    let (edge, link) = edge_and_link(id);
+                    self.add(arrives, Event::Down { edge, link, frame: encoded });
+                }
             }
             Output::Persist(token, _) => {
                 let input = Box::new(Input::Persisted(token));
--- a/lab/tests/stand_in.rs
+++ b/lab/tests/stand_in.rs
@@ -3,7 +3,8 @@
 
 use std::io::{Error, ErrorKind, Read};
 use std::net::{TcpListener, TcpStream};
-use switchhill_lab::stand_in::{nowhere, read_some};
+use std::time::Duration;
+use switchhill_lab::stand_in::{nowhere, pause_in, read_some};
 
 /// Fails with these errors, the last one first, and then has bytes.
 struct Interrupted(Vec<ErrorKind>);
@@ -47,3 +48,11 @@
     let taken = TcpListener::bind(address).expect_err("the port stays bound");
     assert_eq!(taken.kind(), ErrorKind::AddrInUse);
 }
+
+#[test]
+fn only_a_gap_that_no_busy_machine_makes_is_a_pause() {
+    let ms = Duration::from_millis;
+    assert_eq!(pause_in(ms(5)), Duration::ZERO);
+    assert_eq!(pause_in(ms(100)), Duration::ZERO);
+    assert_eq!(pause_in(ms(3_005)), ms(3_000));
+}
--- a/src/agent/feeds.rs
+++ b/src/agent/feeds.rs
@@ -34,7 +34,7 @@
 
     /// Sends a message to a data plane. One that does not read has its connection reset.
     pub(super) fn send(&mut self, id: FeedId, message: Downstream) {
-        self.queues.send(&id, message);
+        self.queues.send(&[id], &message);
     }
 }
 
--- a/src/agent/links.rs
+++ b/src/agent/links.rs
@@ -45,17 +45,12 @@
     /// Sends a message on a link; one that has ended drops it, and one whose other side does not read is reset.
     pub(super) fn send(&mut self, id: LinkId, message: Upstream) {
         if let Some((outgoing, _)) = self.open.get(&id) {
-            outgoing.send(message);
+            outgoing.send(&message);
         }
     }
 }
 
-async fn serve(
-    id: LinkId,
-    address: String,
-    waiting: Waiting<Upstream>,
-    inputs: mpsc::UnboundedSender<RelayInput>,
-) {
+async fn serve(id: LinkId, address: String, waiting: Waiting, inputs: mpsc::UnboundedSender<RelayInput>) {
     match connection::connect(&address, LinkKind::Subscriber, CONNECT_WITHIN).await {
         Ok(stream) => {
             let _ = inputs.send(RelayInput::LinkUp(id));
--- a/src/control_plane/links.rs
+++ b/src/control_plane/links.rs
@@ -9,12 +9,13 @@
 mod unread_subscriber_tests;
 
 use crate::system::connection::{self, LinkKind};
-use crate::system::outgoing::Queues;
+use crate::system::outgoing::{Queues, BATCH_BYTES};
+use bytes::{Bytes, BytesMut};
 use newest::{ConnectionNumber, NewestConnections};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use switchhill_control::{Input, SubscriberId};
-use switchhill_protocol::{read_frame, write_frame, Downstream, FrameError, PeerFrame, Upstream};
+use switchhill_protocol::{encode_frame, read_frame, Downstream, FrameError, PeerFrame, Upstream};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -32,7 +33,7 @@
 
 /// All connections.
 pub(super) struct Links {
-    peers: BTreeMap<String, mpsc::Sender<PeerFrame>>,
+    peers: BTreeMap<String, mpsc::Sender<Bytes>>,
     subscribers: SubscriberQueues,
 }
 
@@ -44,8 +45,15 @@
         Links { peers: BTreeMap::new(), subscribers }
     }
 
-    /// Sends a message to the core node at an address.
-    pub(super) fn send_peer(&mut self, address: String, frame: PeerFrame) {
+    /// Sends a message to the core nodes at some addresses. It is encoded once for all of them.
+    pub(super) fn send_peers(&mut self, addresses: Vec<String>, frame: &PeerFrame) {
+        match encode_frame(frame) {
+            Ok(frame) => addresses.into_iter().for_each(|address| self.send_peer(address, frame.clone())),
+            Err(error) => log::warn!("not sent to other core nodes: {error}"),
+        }
+    }
+
+    fn send_peer(&mut self, address: String, frame: Bytes) {
         let sender = self.peers.entry(address.clone()).or_insert_with(|| {
             let (sender, queue) = mpsc::channel(PEER_QUEUE);
             tokio::task::spawn_local(serve_peer(queue, async move || {
@@ -56,9 +64,9 @@
         let _ = sender.try_send(frame);
     }
 
-    /// Sends a message to a subscriber. One that does not read has its connection reset.
-    pub(super) fn send_subscriber(&mut self, id: SubscriberId, message: Downstream) {
-        self.subscribers.send(&id, message);
+    /// Sends a message to subscribers. One that does not read has its connection reset.
+    pub(super) fn send_subscribers(&mut self, ids: &[SubscriberId], message: &Downstream) {
+        self.subscribers.send(ids, message);
     }
 
     /// Drops a subscriber's connection.
@@ -69,7 +77,7 @@
 
 /// Keeps a connection to a core node and writes to it; messages that wait while there is none are dropped. No message is
 /// written twice: one whose write failed is lost.
-async fn serve_peer<S>(mut queue: mpsc::Receiver<PeerFrame>, connect: impl AsyncFn() -> std::io::Result<S>)
+async fn serve_peer<S>(mut queue: mpsc::Receiver<Bytes>, connect: impl AsyncFn() -> std::io::Result<S>)
 where
     S: AsyncRead + AsyncWrite + Unpin,
 {
@@ -80,7 +88,8 @@
         };
         let mut next = Some(frame);
         while let Some(frame) = next {
-            match tokio::time::timeout(WRITE_WITHIN, write_frame(&mut stream, &frame)).await {
+            let frames = with_waiting(frame, &mut queue);
+            match tokio::time::timeout(WRITE_WITHIN, connection::write(&mut stream, &frames)).await {
                 Ok(Ok(())) => next = next_frame(&mut queue, &mut stream).await,
                 Ok(Err(_)) => break,
                 Err(_) => {
@@ -93,11 +102,23 @@
     }
 }
 
+/// A message and those that wait behind it, up to what is written in one call.
+fn with_waiting(first: Bytes, queue: &mut mpsc::Receiver<Bytes>) -> Bytes {
+    let Ok(second) = queue.try_recv() else { return first };
+    let mut frames = BytesMut::from(first);
+    frames.extend_from_slice(&second);
+    while frames.len() < BATCH_BYTES {
+        let Ok(next) = queue.try_recv() else { break };
+        frames.extend_from_slice(&next);
+    }
+    frames.freeze()
+}
+
 /// The next message, or nothing once the other side has closed: it never sends on this connection.
 async fn next_frame(
-    queue: &mut mpsc::Receiver<PeerFrame>,
+    queue: &mut mpsc::Receiver<Bytes>,
     stream: &mut (impl AsyncRead + Unpin),
-) -> Option<PeerFrame> {
+) -> Option<Bytes> {
     tokio::select! {
         frame = queue.recv() => frame,
         _ = stream.read_u8() => None,
--- a/src/control_plane/mod.rs
+++ b/src/control_plane/mod.rs
@@ -127,8 +127,8 @@
 
     fn carry_out(&mut self, output: Output) {
         match output {
-            Output::Peer(address, frame) => self.links.send_peer(address, frame),
-            Output::Subscriber(id, message) => self.links.send_subscriber(id, message),
+            Output::Peers(addresses, frame) => self.links.send_peers(addresses, &frame),
+            Output::Subscribers(ids, message) => self.links.send_subscribers(&ids, &message),
             Output::CloseSubscriber(id) => self.links.close_subscriber(id),
             Output::Answer(id, answer) => self.calls.answer(id, answer),
             Output::Persist(token, record) => self.disk.append(token, record),
--- a/src/data_plane_feed.rs
+++ b/src/data_plane_feed.rs
@@ -108,7 +108,7 @@
         let exchange = connection::exchange(stream, waiting, |message| received.send(message).is_ok());
         tokio::pin!(exchange);
         let mut forget = tokio::time::interval(FORGET_EVERY);
-        sender.send(self.feed.hello());
+        sender.send(&self.feed.hello());
         self.told = None;
         loop {
             tokio::select! {
@@ -118,7 +118,7 @@
                 }
                 Some(message) = messages.recv() => self.take_all(message, &mut messages, &sender),
                 Some(told) = feedback.recv() => {
-                    sender.send(self.feedback(told));
+                    sender.send(&self.feedback(told));
                 }
                 _ = forget.tick() => {
                     self.feed.tick(now_ms());
@@ -148,7 +148,7 @@
         let now = now_ms();
         let received = self.feed.receive(now, message);
         for answer in received.answers {
-            sender.send(answer);
+            sender.send(&answer);
         }
         for worker in &received.workers {
             self.workers.update(worker, self.feed.state());
--- a/src/system/connection.rs
+++ b/src/system/connection.rs
@@ -9,7 +9,7 @@
 use prost::Message;
 use std::net::SocketAddr;
 use std::time::Duration;
-use switchhill_protocol::{read_frame, write_frame, FrameError};
+use switchhill_protocol::{read_frame, FrameError};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
@@ -112,15 +112,11 @@
 /// taken nothing for too long, or the receiver says that it is gone. Returns why it ended.
 ///
 /// A connection that this side closes is reset: what the network still holds of it is not delivered later.
-pub async fn exchange<S, R>(
+pub async fn exchange<R: Message + Default>(
     mut stream: TcpStream,
-    waiting: Waiting<S>,
+    waiting: Waiting,
     received: impl Fn(R) -> bool,
-) -> String
-where
-    S: Message,
-    R: Message + Default,
-{
+) -> String {
     let (reader, writer) = stream.split();
     let end = tokio::select! {
         end = send(writer, &waiting) => end,
@@ -136,7 +132,7 @@
     end.to_string()
 }
 
-async fn send<S: Message>(writer: impl AsyncWrite + Unpin, waiting: &Waiting<S>) -> End {
+async fn send(writer: impl AsyncWrite + Unpin, waiting: &Waiting) -> End {
     let mut writer = ProgressWriter::new(writer);
     let progress = writer.progress();
     loop {
@@ -145,15 +141,21 @@
         tokio::select! {
             // Written first: however late this process is, a side that takes what is written has not stalled.
             biased;
-            written = write_frame(&mut writer, &next.message) => match written {
+            written = write(&mut writer, &next.frames) => match written {
                 Ok(()) => waiting.written(&next),
-                Err(error) => return error.into(),
+                Err(error) => return FrameError::from(error).into(),
             },
             () = progress.stalled_for(LONGEST_STALL) => return Closed::Stalled.into(),
         }
     }
 }
 
+/// Writes all of the bytes.
+pub async fn write(writer: &mut (impl AsyncWrite + Unpin), bytes: &[u8]) -> std::io::Result<()> {
+    writer.write_all(bytes).await?;
+    writer.flush().await
+}
+
 async fn receive<R: Message + Default>(reader: impl AsyncRead + Unpin, received: impl Fn(R) -> bool) -> End {
     let mut reader = BufReader::new(reader);
     loop {
--- a/src/system/connection/tests.rs
+++ b/src/system/connection/tests.rs
@@ -17,8 +17,8 @@
 /// ended, if it did.
 async fn read_after(pause: Duration) -> (Vec<Downstream>, Option<String>) {
     let (ours, mut theirs): (DuplexStream, DuplexStream) = tokio::io::duplex(4096);
-    let (queue, waiting) = outgoing::queue();
-    (1..=MESSAGES).for_each(|revision| queue.send(configuration(revision)));
+    let (queue, waiting) = outgoing::queue::<Downstream>();
+    (1..=MESSAGES).for_each(|revision| queue.send(&configuration(revision)));
     let reading = async {
         tokio::time::sleep(pause).await;
         let mut came = Vec::new();
@@ -55,9 +55,9 @@
 #[tokio::test(start_paused = true)]
 async fn a_side_that_takes_little_at_a_time_gets_all_of_it_however_long_it_takes() {
     let (ours, mut theirs): (DuplexStream, DuplexStream) = tokio::io::duplex(16);
-    let (queue, waiting) = outgoing::queue();
+    let (queue, waiting) = outgoing::queue::<Downstream>();
     let sent = configuration(1);
-    queue.send(sent.clone());
+    queue.send(&sent);
     let began = tokio::time::Instant::now();
     let reading = async {
         let mut frame = Vec::new();
--- a/src/system/outgoing.rs
+++ b/src/system/outgoing.rs
@@ -7,11 +7,14 @@
 #[cfg(test)]
 mod tests;
 
+use bytes::{Bytes, BytesMut};
 use prost::Message;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
+use std::marker::PhantomData;
 use std::rc::Rc;
 use std::time::Duration;
+use switchhill_protocol::encode_frame;
 use tokio::sync::Notify;
 
 /// Memory of the smallest process that keeps such queues, a core machine's.
@@ -34,6 +37,10 @@
 /// up: it would be sent the same again, and more.
 pub const LONGEST_STALL: Duration = Duration::from_millis(1_500);
 
+/// Bytes of small messages that are written in one call. A core machine tells each of its subscribers of many small changes
+/// within a tick; a call for each of them cost more processor time than making them.
+pub const BATCH_BYTES: usize = 32 << 10;
+
 /// Why nothing more is written to a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum Closed {
@@ -49,19 +56,22 @@
     /// Nothing was taken for too long.
     #[error("the other side does not read: it took nothing for {LONGEST_STALL:?}")]
     Stalled,
+    /// A message is longer than any that the other side accepts.
+    #[error("a message of more than {} bytes", switchhill_protocol::LARGEST_FRAME)]
+    TooLong,
 }
 
-/// A message that waits.
-pub(super) struct Waiter<S> {
-    pub(super) message: S,
-    bytes: usize,
+/// Messages that are written together, each as its frame.
+pub(super) struct Batch {
+    pub(super) frames: Bytes,
 }
 
-struct Queue<S> {
-    waiters: RefCell<VecDeque<Waiter<S>>>,
+struct Queue {
+    /// Frames of the messages that wait.
+    waiters: RefCell<VecDeque<Bytes>>,
     /// Bytes that wait or are being written.
     bytes: Cell<usize>,
-    /// Bytes of the message that is being written.
+    /// Bytes of the messages that are being written.
     writing: Cell<usize>,
     bytes_in_all: Rc<Cell<usize>>,
     closed: Cell<Option<Closed>>,
@@ -69,7 +79,7 @@
     ended: Notify,
 }
 
-impl<S> Queue<S> {
+impl Queue {
     fn add(&self, bytes: usize) {
         self.bytes.set(self.bytes.get() + bytes);
         self.bytes_in_all.set(self.bytes_in_all.get() + bytes);
@@ -87,7 +97,7 @@
             return true;
         }
         let waiters = self.waiters.borrow();
-        let waiting = waiters.iter().map(|waiter| waiter.bytes);
+        let waiting = waiters.iter().map(Bytes::len);
         let largest = waiting.chain([self.writing.get(), bytes]).max().unwrap_or(0);
         together <= largest + MOST_BESIDE_LARGEST_BYTES
     }
@@ -104,14 +114,17 @@
 }
 
 /// The end of a queue at which messages are put in. The connection is closed when it is dropped.
-pub struct Outgoing<S>(Rc<Queue<S>>);
+pub struct Outgoing<S> {
+    queue: Rc<Queue>,
+    messages: PhantomData<fn(S)>,
+}
 
 /// A queue of its own.
-pub fn queue<S: Message>() -> (Outgoing<S>, Waiting<S>) {
+pub fn queue<S: Message>() -> (Outgoing<S>, Waiting) {
     queue_in(Rc::default())
 }
 
-fn queue_in<S: Message>(bytes_in_all: Rc<Cell<usize>>) -> (Outgoing<S>, Waiting<S>) {
+fn queue_in<S: Message>(bytes_in_all: Rc<Cell<usize>>) -> (Outgoing<S>, Waiting) {
     let queue = Rc::new(Queue {
         waiters: RefCell::default(),
         bytes: Cell::new(0),
@@ -121,54 +134,76 @@
         arrived: Notify::new(),
         ended: Notify::new(),
     });
-    (Outgoing(queue.clone()), Waiting(queue))
+    (Outgoing { queue: queue.clone(), messages: PhantomData }, Waiting(queue))
 }
 
 impl<S: Message> Outgoing<S> {
     /// Puts a message in. Where too much waits already the connection is given up instead.
-    pub fn send(&self, message: S) {
-        if self.0.closed.get().is_some() {
+    pub fn send(&self, message: &S) {
+        if self.queue.closed.get().is_some() {
+            return;
+        }
+        match encode_frame(message) {
+            Ok(frame) => self.send_frame(frame),
+            Err(_) => self.queue.close(Closed::TooLong),
+        }
+    }
+
+    fn send_frame(&self, frame: Bytes) {
+        if self.queue.closed.get().is_some() {
             return;
         }
-        let bytes = message.encoded_len();
-        if !self.0.has_room(bytes) {
-            return self.0.close(Closed::TooManyBytes);
+        if !self.queue.has_room(frame.len()) {
+            return self.queue.close(Closed::TooManyBytes);
         }
-        self.0.add(bytes);
-        self.0.waiters.borrow_mut().push_back(Waiter { message, bytes });
-        self.0.arrived.notify_one();
+        self.queue.add(frame.len());
+        self.queue.waiters.borrow_mut().push_back(frame);
+        self.queue.arrived.notify_one();
     }
 }
 
 impl<S> Drop for Outgoing<S> {
     fn drop(&mut self) {
-        self.0.close(Closed::Unwanted);
+        self.queue.close(Closed::Unwanted);
     }
 }
 
 /// The end of a queue from which its connection writes.
-pub struct Waiting<S>(Rc<Queue<S>>);
+pub struct Waiting(Rc<Queue>);
 
-impl<S> Waiting<S> {
-    /// The next message, once there is one.
-    pub(super) async fn next(&self) -> Waiter<S> {
+impl Waiting {
+    /// The next message, once there is one, with those behind it that fit into one write.
+    pub(super) async fn next(&self) -> Batch {
         loop {
-            let next = self.0.waiters.borrow_mut().pop_front();
-            match next {
-                Some(waiter) => {
-                    self.0.writing.set(waiter.bytes);
-                    return waiter;
-                }
-                None => self.0.arrived.notified().await,
+            if let Some(batch) = self.take_batch() {
+                self.0.writing.set(batch.frames.len());
+                return batch;
             }
+            self.0.arrived.notified().await;
+        }
+    }
+
+    fn take_batch(&self) -> Option<Batch> {
+        let mut waiters = self.0.waiters.borrow_mut();
+        let first = waiters.pop_front()?;
+        let fits = |bytes: usize, next: &Bytes| bytes + next.len() <= BATCH_BYTES;
+        if !waiters.front().is_some_and(|next| fits(first.len(), next)) {
+            return Some(Batch { frames: first });
+        }
+        let mut frames = BytesMut::with_capacity(BATCH_BYTES);
+        frames.extend_from_slice(&first);
+        while let Some(next) = waiters.front().filter(|next| fits(frames.len(), next)) {
+            frames.extend_from_slice(next);
+            waiters.pop_front();
         }
+        Some(Batch { frames: frames.freeze() })
     }
 
-    /// Counts a message no more, which has been written.
-    pub(super) fn written(&self, waiter: &Waiter<S>) {
+    /// Counts messages no more, which have been written.
+    pub(super) fn written(&self, batch: &Batch) {
         self.0.writing.set(0);
         if self.0.closed.get().is_none() {
-            self.0.subtract(waiter.bytes);
+            self.0.subtract(batch.frames.len());
         }
     }
 
@@ -183,7 +218,7 @@
     }
 }
 
-impl<S> Drop for Waiting<S> {
+impl Drop for Waiting {
     fn drop(&mut self) {
         self.0.close(Closed::Unwanted);
     }
@@ -209,17 +244,21 @@
 
 impl<Id: Ord, S: Message> Queues<Id, S> {
     /// Opens the queue of a new connection.
-    pub fn open(&self, id: Id) -> Waiting<S> {
+    pub fn open(&self, id: Id) -> Waiting {
         let (outgoing, waiting) = queue_in(self.bytes_in_all.clone());
         self.by_id.borrow_mut().insert(id, outgoing);
         waiting
     }
 
-    /// Sends a message to a connection; one that has ended drops it.
-    pub fn send(&self, id: &Id, message: S) {
-        if let Some(outgoing) = self.by_id.borrow().get(id) {
-            outgoing.send(message);
+    /// Sends a message to some connections; those that have ended drop it. It is encoded once for all of them.
+    pub fn send(&self, ids: &[Id], message: &S) {
+        let by_id = self.by_id.borrow();
+        let receivers = ids.iter().filter_map(|id| by_id.get(id));
+        match encode_frame(message) {
+            Ok(frame) => receivers.for_each(|outgoing| outgoing.send_frame(frame.clone())),
+            Err(_) => receivers.for_each(|outgoing| outgoing.queue.close(Closed::TooLong)),
         }
+        drop(by_id);
         if self.bytes_in_all.get() > MOST_WAITING_IN_ALL_BYTES {
             self.close_longest();
         }
@@ -227,8 +266,8 @@
 
     fn close_longest(&self) {
         let by_id = self.by_id.borrow();
-        if let Some(longest) = by_id.values().max_by_key(|outgoing| outgoing.0.bytes.get()) {
-            longest.0.close(Closed::TooManyBytesInAll);
+        if let Some(longest) = by_id.values().max_by_key(|outgoing| outgoing.queue.bytes.get()) {
+            longest.queue.close(Closed::TooManyBytesInAll);
         }
     }
 
