Tests: two open failures traced to a machine that stood still; limits count running time

A 503 is taken only where the whole test stood still for over 1 s while the request was at its host, and the gateway counts one timed out attempt for it; anything else fails as before.

--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -166,15 +166,16 @@
     told(&gateway, before, Duration::from_secs(6), &old);
 }
 
-/// Time limit of a request, in milliseconds.
-const LIMIT_MS: u64 = 3000;
+/// A pause of the whole machine in which an attempt may time out, and the longest that its request may take beside it.
+const PAUSE_THAT_TIMES_OUT: Duration = Duration::from_secs(1);
+const BESIDE_THE_PAUSE: Duration = Duration::from_millis(250);
 
-/// Whether a request's limit passed only because the whole machine stood still: it was not sent any more, and its client
-/// was told so.
+/// Whether a request was refused because the whole machine stood still while it was at a host: its attempt timed out by
+/// the clock (`upstream_timed_out`), and its client was told so.
 fn is_over_by_a_pause(asked: Instant, stood_still_before: Duration, pauses: &Pauses) -> bool {
-    let (took, limit) = (asked.elapsed(), Duration::from_millis(LIMIT_MS));
     let stood_still = pauses.stood_still() - stood_still_before;
-    took >= limit && took.saturating_sub(stood_still) < limit
+    let ran = asked.elapsed().saturating_sub(stood_still);
+    stood_still >= PAUSE_THAT_TIMES_OUT && ran <= BESIDE_THE_PAUSE
 }
 
 #[rstest]
@@ -215,8 +216,9 @@
     while start.elapsed() < Duration::from_millis(700) {
         id += 1;
         let (asked, stood_still) = (Instant::now(), pauses.at_last_look());
-        let status = client.ask("usage-view", id, id, LIMIT_MS).status;
+        let status = client.ask("usage-view", id, id, 3000).status;
         if status == 503 && is_over_by_a_pause(asked, stood_still, &pauses) {
+            assert_eq!(gateway.counter("refused"), gateway.counter("upstream_timed_out"));
             continue;
         }
         assert_eq!(
