Placement: a round's work is bounded by tries and workers looked at; wants take turns

Change: half of the 32 tries of a round go by rank, half in turn; overdue wants count alike; room for a load is looked for on at most 64 workers, drawn by chance beyond that, those that held the model first. The placer's line in the log tells how many workers were considered.

--- a/crates/placement/src/account.rs
+++ b/crates/placement/src/account.rs
@@ -30,6 +30,8 @@
     pub no_room: u32,
     /// Wants dropped because nobody had asked for a while, without a load.
     pub forgotten: u32,
+    /// Workers on which room for a load was looked for.
+    pub workers_considered: u32,
     /// Loads planned because requests waited for the model.
     pub loads_for_missing: u32,
     /// Loads of further copies.
@@ -57,13 +59,14 @@
         write!(
             out,
             "asked for while standing {}, coming {}, unplanned {}; tries without worker {}, token {}, room {}; \
-             forgotten {}; loads for missing {}, of copies {}",
+             workers considered {}; forgotten {}; loads for missing {}, of copies {}",
             self.asked_while_standing,
             self.asked_while_coming,
             self.asked_while_unplanned,
             self.no_worker,
             self.no_token,
             self.no_room,
+            self.workers_considered,
             self.forgotten,
             self.loads_for_missing,
             self.loads_of_copies,
--- a/crates/placement/src/policy/choice.rs
+++ b/crates/placement/src/policy/choice.rs
@@ -45,6 +45,8 @@
 const ADAPTER_COST_MS: f64 = 60.0;
 /// An adapter asked for within this time is in use, in milliseconds.
 const ADAPTER_IN_USE_MS: u64 = 5_000;
+/// Workers on which room for one load is looked for. Bounds the work of a try in a fleet of any size.
+const MOST_CONSIDERED: usize = 64;
 /// Range of the random part that settles ties, in milliseconds.
 const TIE_MS: f64 = 20.0;
 
@@ -60,17 +62,15 @@
         let store_open = self.spare_tokens(now) >= 1.0 + kept;
         let zones = self.copies_by_zone(model);
         let mut best: Option<(f64, WorkerKey, Victims)> = None;
-        let mut obstacle = Obstacle::Worker;
-        let keys: Vec<WorkerKey> = self.workers.keys().collect();
-        for key in keys {
-            if !self.may_load(now, key, model) {
-                continue;
+        let candidates = match self.candidates(now, model, store_open) {
+            Ok(candidates) => candidates,
+            Err(obstacle) => {
+                self.account.met(obstacle);
+                return false;
             }
-            if !store_open && !self.workers[key].held.contains(&model) {
-                obstacle = obstacle.max(Obstacle::Token);
-                continue;
-            }
-            obstacle = Obstacle::Room;
+        };
+        for key in candidates {
+            self.account.workers_considered += 1;
             let Some(victims) = self.choose_victims(now, key, model, reason) else { continue };
             let score = self.delay_score(now, key, model, &victims, &zones);
             if best.as_ref().is_none_or(|(least, _, _)| score < *least) {
@@ -78,7 +78,7 @@
             }
         }
         let Some((_, key, victims)) = best else {
-            self.account.met(obstacle);
+            self.account.met(Obstacle::Room);
             return false;
         };
         self.note_turn(key, model, reason);
@@ -86,6 +86,37 @@
         true
     }
 
+    /// Workers on which room for a load is looked for, or what all of them lack. In a large fleet they are drawn by chance:
+    /// the best of some dozens is nearly as good as the best of all, and another try draws others.
+    fn candidates(
+        &mut self,
+        now: u64,
+        model: ModelIndex,
+        store_open: bool,
+    ) -> Result<Vec<WorkerKey>, Obstacle> {
+        let free: Vec<WorkerKey> =
+            self.workers.keys().filter(|key| self.may_load(now, *key, model)).collect();
+        if free.is_empty() {
+            return Err(Obstacle::Worker);
+        }
+        let has_held = |key: &WorkerKey| self.workers[*key].held.contains(&model);
+        let (mut candidates, mut others): (Vec<WorkerKey>, Vec<WorkerKey>) =
+            free.into_iter().partition(has_held);
+        if !store_open {
+            others.clear();
+        }
+        let drawn = MOST_CONSIDERED.saturating_sub(candidates.len()).min(others.len());
+        if drawn < others.len() {
+            let count = others.len();
+            (0..drawn).for_each(|place| others.swap(place, self.random.usize(place..count)));
+        }
+        candidates.extend(others.into_iter().take(drawn));
+        match candidates.is_empty() {
+            true => Err(Obstacle::Token),
+            false => Ok(candidates),
+        }
+    }
+
     /// Counts a load about to be planned as the turn of a missing model or as one of a copy.
     fn note_turn(&mut self, key: WorkerKey, model: ModelIndex, reason: Reason) {
         let stands_nowhere = self.copies_of(model).count() == 0;
--- a/crates/placement/src/policy/missing.rs
+++ b/crates/placement/src/policy/missing.rs
@@ -13,6 +13,9 @@
 const FORGET_MS: u64 = 3_000;
 /// Wants tried in one round; bounds the work of a round.
 const TRIED_A_ROUND: usize = 32;
+/// Of these, wants that are tried because their turn has come, where there are more than can be tried. By rank alone,
+/// wants that can't be placed would keep all others from being tried at all.
+const TRIED_IN_TURN: usize = TRIED_A_ROUND / 2;
 /// Change of an expected time that is worth telling unasked, in milliseconds.
 const NOTABLE_CHANGE_MS: u64 = 500;
 /// The same when requests for it have just been reported, in milliseconds.
@@ -55,6 +58,8 @@
     entries: BTreeMap<Want, MissingEntry>,
     /// Models wanted that the last round found no worker or token for.
     unplanned: usize,
+    /// The want that was last tried because its turn had come.
+    last_in_turn: Option<Want>,
 }
 
 impl MissingTable {
@@ -108,6 +113,23 @@
         ranked
     }
 
+    /// Which of some wants, given by rank, are tried in this round, in this order: the first by rank, then those whose turn
+    /// it is.
+    fn tried(&mut self, ranked: Vec<Want>) -> Vec<Want> {
+        if ranked.len() <= TRIED_A_ROUND {
+            return ranked;
+        }
+        let mut tried = ranked;
+        let mut others = tried.split_off(TRIED_A_ROUND - TRIED_IN_TURN);
+        others.sort_unstable();
+        let first = others.partition_point(|want| Some(want) <= self.last_in_turn.as_ref());
+        others.rotate_left(first);
+        others.truncate(TRIED_IN_TURN);
+        self.last_in_turn = others.last().cloned();
+        tried.extend(others);
+        tried
+    }
+
     /// Wants in the order in which they are tried: adapters, which are cheap, then by number waiting, aim and age.
     fn ranked(&self, now: u64) -> Vec<Want> {
         let mut ranked: Vec<(bool, f64, &Want)> = self
@@ -198,10 +220,9 @@
         if !self.turns.is_for_missing() {
             return;
         }
-        for want in self.missing.overdue(now) {
-            if self.copies_of(want.model).count() > 0 {
-                continue;
-            }
+        let mut overdue = self.missing.overdue(now);
+        overdue.retain(|want| self.copies_of(want.model).count() == 0);
+        for want in self.missing.tried(overdue) {
             self.try_serve(now, &want);
             if self.copies_of(want.model).count() > 0 {
                 return;
@@ -212,14 +233,16 @@
     /// Tries to plan what is missing, by rank.
     pub(crate) fn serve_missing(&mut self, now: u64) {
         let ranked = self.missing.ranked(now);
-        let mut tried = 0;
+        let unplanned = ranked.iter().filter(|want| !self.is_planned(want)).cloned().collect();
         self.missing.unplanned = 0;
-        for want in &ranked {
-            if tried < TRIED_A_ROUND && !self.is_planned(want) {
-                self.try_serve(now, want);
-                tried += 1;
-                self.missing.unplanned += usize::from(self.copies_of(want.model).count() == 0);
+        for want in self.missing.tried(unplanned) {
+            if self.is_planned(&want) {
+                continue;
             }
+            self.try_serve(now, &want);
+            self.missing.unplanned += usize::from(self.copies_of(want.model).count() == 0);
+        }
+        for want in &ranked {
             self.tell_changed(now, want, NOTABLE_CHANGE_MS);
         }
     }
