Placement: reports of a model that stands are answered to the fleet once a second

Cause: the second reading found that each report of what stands was answered to all gatekeepers; the limit that holds for what is missing did not cover it. Change: one table decides whether such a report is answered with nothing, with that it stands, or with where it stands.

--- a/crates/placement/src/policy/missing.rs
+++ b/crates/placement/src/policy/missing.rs
@@ -7,6 +7,7 @@
 use crate::planner::Planner;
 use crate::policy::choice::Reason;
 use crate::policy::turns::OVERDUE_MS;
+use crate::unheard::Answer;
 use crate::worker::{OrderPhase, Step, WorkerKey};
 
 /// A want that nobody has repeated for this long is dropped unless its model is on its way, in milliseconds.
@@ -183,10 +184,7 @@
         let want = Want { model: index, adapter };
         if self.stands(&want) {
             self.account.asked_while_standing += 1;
-            self.tell_expected(&want, Some(0));
-            if self.unheard.note(now, &want) {
-                self.announce_again(&want);
-            }
+            self.answer_standing(now, &want);
             return;
         }
         self.missing.note(now, &want, waiting, aim_ms);
@@ -200,6 +198,17 @@
         self.tell_asked(now, &want);
     }
 
+    /// Answers a report of something that stands.
+    fn answer_standing(&mut self, now: u64, want: &Want) {
+        let answer = self.unheard.note(now, want);
+        if answer != Answer::Nothing {
+            self.tell_expected(want, Some(0));
+        }
+        if answer == Answer::WhereItStands {
+            self.announce_again(want);
+        }
+    }
+
     /// Drops what stands or nobody asks for any more.
     pub(crate) fn drop_settled_wants(&mut self, now: u64) {
         self.unheard.forget(now);
--- a/crates/placement/src/unheard.rs
+++ b/crates/placement/src/unheard.rs
@@ -14,6 +14,17 @@
 /// Reports that pause for longer than this are taken for new ones, in milliseconds.
 const FORGET_MS: u64 = 3_000;
 
+/// What a report of something that stands is answered with, to all gatekeepers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Answer {
+    /// Nothing: they were told a moment ago.
+    Nothing,
+    /// That it stands.
+    ThatItStands,
+    /// That it stands, and once more what the workers hold on which it does.
+    WhereItStands,
+}
+
 #[derive(Debug)]
 struct Reports {
     since: u64,
@@ -27,18 +38,23 @@
 }
 
 impl UnheardTable {
-    /// Takes note of a report; returns whether it is time to tell again where the model stands.
-    pub(crate) fn note(&mut self, now: u64, want: &Want) -> bool {
-        let reports = self.reports.entry(want.clone()).or_insert(Reports { since: now, last_at: now });
-        if now.saturating_sub(reports.last_at) > FORGET_MS {
-            reports.since = now;
-        }
-        reports.last_at = now;
+    /// Takes note of a report and returns its answer.
+    pub(crate) fn note(&mut self, now: u64, want: &Want) -> Answer {
+        let Some(reports) = self.reports.get_mut(want) else {
+            self.reports.insert(want.clone(), Reports { since: now, last_at: now });
+            return Answer::ThatItStands;
+        };
+        let is_new = now.saturating_sub(reports.last_at) > FORGET_MS;
         let is_unheard = now.saturating_sub(reports.since) >= UNHEARD_AFTER_MS;
-        if is_unheard {
-            reports.since = now;
+        reports.last_at = now;
+        if !is_new && !is_unheard {
+            return Answer::Nothing;
+        }
+        reports.since = now;
+        match is_new {
+            true => Answer::ThatItStands,
+            false => Answer::WhereItStands,
         }
-        is_unheard
     }
 
     /// Forgets what nobody reports any more.
--- a/crates/placement/tests/planner.rs
+++ b/crates/placement/tests/planner.rs
@@ -404,3 +404,21 @@
     expect_that!(orders.len(), eq(1));
     expect_that!(orders[0].what, eq("b"));
 }
+
+/// Guarded against: each of many gatekeepers that report a model which stands was answered to all of them.
+#[gtest]
+fn reports_of_what_stands_are_answered_once_a_second_to_the_fleet() {
+    let mut planner = planner(&[("w", vec![resident("a", &[])])]);
+    let expected = |outputs: &[Output]| {
+        outputs.iter().filter(|output| matches!(output, Output::Expect { ready_in_ms: Some(0), .. })).count()
+    };
+    let first = planner.handle(20_000, missing("a", None));
+    expect_that!((expected(&first), residents_told(&first).len()), eq((1, 0)));
+    for now in (20_010..21_000).step_by(90) {
+        expect_that!(planner.handle(now, missing("a", None)), is_empty(), "at {now} ms");
+    }
+    let later = planner.handle(21_000, missing("a", None));
+    expect_that!((expected(&later), residents_told(&later).len()), eq((1, 1)));
+    let long_after = planner.handle(30_000, missing("a", None));
+    expect_that!((expected(&long_after), residents_told(&long_after).len()), eq((1, 0)));
+}
