--- a/crates/control/src/announcements/tests.rs
+++ b/crates/control/src/announcements/tests.rs
@@ -1,6 +1,5 @@
 //! What a core node tells a large fleet of many small changes, and when.
 
-use super::ROUND_EVERY;
 use crate::input::{Call, CallId, Input, Output, SubscriberId};
 use crate::lone_node_tests::{lone_node, run};
 use crate::node::ControlNode;
@@ -16,6 +15,8 @@
 const HOMES: u64 = 32;
 const OTHERS: u64 = 97;
 const WORKERS: u64 = 25;
+/// Time in milliseconds between two ticks, as in the program.
+const TICK_MS: u64 = 25;
 const STARTED_AT: u64 = 3_000;
 
 fn hello(id: u64, home: bool) -> Input {
@@ -102,15 +103,37 @@
 }
 
 #[gtest]
-fn the_first_change_after_a_pause_is_told_to_home_subscribers_at_once() {
+fn the_first_change_after_a_pause_is_told_at_once_and_the_next_to_home_subscribers_first() {
     let mut node = node();
     let mut sent = Sent::default();
-    sent.take(node.handle(STARTED_AT + 110, residency(1, 1)));
+    sent.take(node.handle(STARTED_AT + 300, residency(1, 1)));
     expect_that!(sent.newest(0, 1), some(eq(1)));
-    expect_that!(sent.newest(HOMES, 1), none());
-    sent.take(node.handle(STARTED_AT + 200, expectation(1, 600)));
-    expect_that!(sent.to(0).len(), eq(2));
-    expect_that!(sent.to(HOMES).len(), eq(0));
+    expect_that!(sent.newest(HOMES, 1), some(eq(1)));
+    sent.take(node.handle(STARTED_AT + 400, residency(1, 2)));
+    expect_that!(sent.newest(0, 1), some(eq(2)));
+    expect_that!(sent.newest(HOMES, 1), some(eq(1)));
+    sent.take(node.handle(STARTED_AT + 550, Input::Tick));
+    expect_that!(sent.newest(HOMES, 1), some(eq(2)));
+    sent.take(node.handle(STARTED_AT + 600, expectation(1, 600)));
+    expect_that!((sent.to(0).len(), sent.to(HOMES).len()), eq((3, 2)));
+}
+
+#[gtest]
+fn in_a_small_fleet_changes_do_not_wait() {
+    let mut node = lone_node(ADDRESS);
+    run(&mut node, 0, STARTED_AT);
+    node.handle(STARTED_AT, heartbeat(1, 1, "m0"));
+    for id in 0..4 {
+        node.handle(STARTED_AT, hello(id, id < 2));
+    }
+    let mut sent = Sent::default();
+    for version in 1..=100 {
+        let now = STARTED_AT + 10 * version;
+        sent.take(node.handle(now, residency(1, version)));
+        for id in 0..4 {
+            expect_that!(sent.newest(id, 1), some(eq(version)), "subscriber {id}");
+        }
+    }
 }
 
 #[gtest]
@@ -121,7 +144,7 @@
     for ms in 0..1_000 {
         let now = STARTED_AT + ms;
         sent.take(node.handle(now, residency(ms % WORKERS, 1 + ms / WORKERS)));
-        if ms % ROUND_EVERY == 0 {
+        if ms % TICK_MS == 0 {
             sent.take(node.handle(now, Input::Tick));
         }
     }
@@ -146,7 +169,7 @@
     sent.take(node.handle(now, expectation(1, 900)));
     sent.take(node.handle(now + 1, expectation(1, 800)));
     sent.take(node.handle(now + 2, expectation(1, 700)));
-    sent.take(node.handle(now + ROUND_EVERY, Input::Tick));
+    sent.take(node.handle(now + TICK_MS, Input::Tick));
     let ready = |message: &Downstream| match &message.body {
         Some(DownstreamBody::Expectation(told)) => told.ready_in_ms,
         _ => None,
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -108,6 +108,7 @@
             Input::OrderAnswered(ticket, answer) => self.order_answered(now, &ticket, answer),
             Input::Reported(report) => self.reported(now, report),
         }
+        self.announce(now);
         std::mem::take(&mut self.out)
     }
 
@@ -148,7 +149,6 @@
         self.tick_placer(now);
         self.tick_jobs(now);
         self.tick_load(now);
-        self.announce(now);
         self.tick_subscribers(now);
     }
 
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -116,8 +116,8 @@
             Some(PeerBody::Load(load)) => self.load.peer(now, from, load),
             Some(PeerBody::Missing(missing)) => self.missing(now, missing, false),
             Some(PeerBody::Unreachable(report)) => self.unreachable(now, &report, false),
-            Some(PeerBody::Residency(residency)) => self.residency(now, &residency),
-            Some(PeerBody::Expectation(expectation)) => self.expectation(now, expectation),
+            Some(PeerBody::Residency(residency)) => self.residency(&residency),
+            Some(PeerBody::Expectation(expectation)) => self.expectation(expectation),
             None => {}
         }
     }
--- a/crates/control/src/placer.rs
+++ b/crates/control/src/placer.rs
@@ -365,7 +365,7 @@
                 let service = service.to_owned();
                 let adapter = adapter.unwrap_or_default();
                 let expectation = Expectation { service, model, adapter, ready_in_ms };
-                self.expectation(now, expectation.clone());
+                self.expectation(expectation.clone());
                 self.send_all_peers(now, PeerBody::Expectation(expectation));
             }
             PlannerOutput::Superseded => self.placer.resign(),
@@ -382,7 +382,7 @@
             version: self.placer.residency_version,
             models: models.collect(),
         };
-        self.residency(now, &residency);
+        self.residency(&residency);
         self.send_all_peers(now, PeerBody::Residency(residency));
     }
 }
--- a/crates/control/src/workers.rs
+++ b/crates/control/src/workers.rs
@@ -165,7 +165,7 @@
             let present = self.state.workers().get(&id).cloned();
             match present {
                 Some(present) if differs_in_models_alone(before.as_ref(), &present) => {
-                    self.models_changed(now, &id, true);
+                    self.models_changed(&id, true);
                 }
                 present => changed.extend(present),
             }
@@ -203,13 +203,13 @@
         if let Some(Change::Workers(changed)) = self.state.merge_entries(now, entries.into_iter()) {
             let models_alone = |worker: &Worker| differs_in_models_alone(before.get(&worker.id), worker);
             let (models, all): (Vec<Worker>, Vec<Worker>) = changed.into_iter().partition(models_alone);
-            models.iter().for_each(|worker| self.models_changed(now, &worker.id, false));
+            models.iter().for_each(|worker| self.models_changed(&worker.id, false));
             if !all.is_empty() {
                 self.workers_changed(now, &Change::Workers(all));
             }
         }
         for residency in &update.residency {
-            self.residency(now, residency);
+            self.residency(residency);
         }
         self.warm |= update.whole;
         if update.number > 0 {
