Core: a status and a heartbeat come after the changes that their digest covers

Small changes told later than the digest that covers them make each status differ from the receiver's table while changes go on; after 700 ms it fetches the whole table, as core nodes do from one another. Change: what is still to be told goes out before a status and before a heartbeat.

--- a/crates/control/src/announcements.rs
+++ b/crates/control/src/announcements.rs
@@ -113,6 +113,14 @@
         }
     }
 
+    /// Tells all that is still to be told. A status holds a digest of the worker table: told before the changes that it
+    /// covers, it would show each subscriber a difference, and while changes go on, one status after the other would,
+    /// until the subscriber asks for the whole table.
+    pub(crate) fn announce_all(&mut self, now: u64) {
+        self.announce_to_homes(now);
+        self.announce_to_others(now);
+    }
+
     fn announce_to_homes(&mut self, now: u64) {
         self.announce_to_peers(now);
         let changed = std::mem::take(&mut self.announcements.for_homes);
@@ -143,7 +151,8 @@
         }
     }
 
-    fn announce_to_peers(&mut self, now: u64) {
+    /// Tells the other core nodes of the workers heard here whose lists of models changed.
+    pub(crate) fn announce_to_peers(&mut self, now: u64) {
         let workers = std::mem::take(&mut self.announcements.for_peers);
         let entries: Vec<Vec<u8>> =
             workers.iter().filter_map(|id| self.state.workers().get(id)).map(Worker::to_bytes).collect();
--- a/crates/control/src/announcements/tests.rs
+++ b/crates/control/src/announcements/tests.rs
@@ -6,8 +6,10 @@
 use googletest::prelude::*;
 use std::collections::BTreeMap;
 use switchhill_protocol::{
-    Downstream, DownstreamBody, Expectation, Hello, PeerBody, PeerFrame, Residency, Upstream, UpstreamBody,
+    Downstream, DownstreamBody, Expectation, Hello, PeerBody, PeerFrame, PeerHeartbeat, Residency, Upstream,
+    UpstreamBody,
 };
+use switchhill_registration::Worker;
 
 const ADDRESS: &str = "10.0.0.1:7660";
 
@@ -203,6 +205,83 @@
     }
 }
 
+/// Guarded against: a status whose digest covers changes that its receiver is told only later shows a difference, and
+/// while changes go on all the time the receiver fetches the whole worker table again and again.
+#[gtest]
+fn a_status_comes_after_all_changes_that_its_digest_covers() {
+    let mut node = node();
+    let mut sequence = 1;
+    let mut statuses = 0;
+    let mut untold: BTreeMap<u64, BTreeMap<String, u64>> = BTreeMap::new();
+    for ms in 0..2_000 {
+        let now = STARTED_AT + 100 + ms;
+        let mut outputs = Vec::new();
+        if ms % 7 == 0 {
+            sequence += 1;
+            let worker = ms % WORKERS;
+            outputs.extend(node.handle(now, heartbeat(worker, sequence, &format!("m{sequence}"))));
+            for id in 0..HOMES + OTHERS {
+                untold.entry(id).or_default().insert(format!("w{worker}"), sequence);
+            }
+        }
+        if ms % TICK_MS == 0 {
+            outputs.extend(node.handle(now, Input::Tick));
+        }
+        for output in outputs {
+            let Output::Subscribers(ids, message) = output else { continue };
+            match message.body {
+                Some(DownstreamBody::Workers(workers)) => {
+                    let entries = workers.entries.iter().filter_map(|entry| Worker::from_bytes(entry).ok());
+                    let told: Vec<String> = entries.map(|worker| worker.id).collect();
+                    for id in ids {
+                        untold.entry(id.0).or_default().retain(|worker, _| !told.contains(worker));
+                    }
+                }
+                Some(DownstreamBody::Status(_)) => {
+                    statuses += 1;
+                    for id in ids {
+                        expect_that!(untold.get(&id.0).map_or(0, BTreeMap::len), eq(0), "subscriber {id:?}");
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+    expect_that!(statuses, ge(7));
+}
+
+#[gtest]
+fn a_heartbeat_to_core_nodes_comes_after_all_changes_that_its_digest_covers() {
+    let mut node = node();
+    let peer = PeerHeartbeat { life: 2, node: "core-2".to_owned(), ..PeerHeartbeat::default() };
+    let mut untold = 0;
+    let mut heartbeats = 0;
+    for ms in 0..2_000 {
+        let now = STARTED_AT + 100 + ms;
+        let heard = PeerHeartbeat { sequence: 1 + ms, ..peer.clone() };
+        let mut outputs = node.handle(now, from_placer(PeerBody::Heartbeat(heard)));
+        let changed = ms % 7 == 0;
+        untold += u64::from(changed);
+        if changed {
+            outputs.extend(node.handle(now, heartbeat(ms % WORKERS, 2 + ms, &format!("m{ms}"))));
+        }
+        if ms % TICK_MS == 0 {
+            outputs.extend(node.handle(now, Input::Tick));
+        }
+        for output in outputs {
+            match output {
+                Output::Peers(_, PeerFrame { body: Some(PeerBody::WorkerUpdate(_)), .. }) => untold = 0,
+                Output::Peers(_, PeerFrame { body: Some(PeerBody::Heartbeat(_)), .. }) => {
+                    heartbeats += 1;
+                    expect_that!(untold, eq(0), "at {now} ms");
+                }
+                _ => {}
+            }
+        }
+    }
+    expect_that!(heartbeats, ge(7));
+}
+
 #[gtest]
 fn a_subscriber_that_changes_its_home_to_this_node_misses_nothing() {
     let mut node = node();
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -75,6 +75,8 @@
     }
 
     fn send_heartbeat_as(&mut self, now: u64, sequence: u64) {
+        // Its digest covers them.
+        self.announce_to_peers(now);
         let committed = self.committed_ballot().unwrap_or(Ballot::NONE);
         let accepted = self.replica.accepted_ballot();
         let echoes = self.contacts.echoes();
--- a/crates/control/src/subscribers.rs
+++ b/crates/control/src/subscribers.rs
@@ -193,6 +193,7 @@
     /// Sends the status to all subscribers.
     pub(crate) fn publish_status(&mut self, now: u64) {
         self.subscribers.next_status = now + STATUS_EVERY;
+        self.announce_all(now);
         let status = self.status(now);
         self.publish(&status);
     }
