--- a/review/stand_ins/site_of_processes.py
+++ b/review/stand_ins/site_of_processes.py
@@ -283,6 +283,7 @@
         self.state = "ready"
         self.server = None
         self.tasks = []
+        self.connections = set()
 
     async def start(self):
         self.server = await asyncio.start_server(self._serve, *self.address, limit=1 << 18)
@@ -318,6 +319,13 @@
                 return address
         return None
 
+    def end(self):
+        """The process of the worker ends: nothing listens any more and its connections are closed."""
+        self.stop_heartbeats()
+        self.server.close()
+        for connection in list(self.connections):
+            connection.close()
+
     def stop_heartbeats(self):
         for task in self.tasks:
             task.cancel()
@@ -356,6 +364,7 @@
             self.record(f"worker {self.id}: {model} is loaded")
 
     async def _serve(self, reader, writer):
+        self.connections.add(writer)
         try:
             while True:
                 head = await read_head(reader)
@@ -382,6 +391,7 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.connections.discard(writer)
             writer.close()
 
 
