--- a/review/stand_ins/site_of_processes.py
+++ b/review/stand_ins/site_of_processes.py
@@ -4,6 +4,7 @@
 lie in a temporary folder that is removed at the end.
 """
 import asyncio
+import ctypes
 import json
 import os
 import pathlib
@@ -36,6 +37,18 @@
         return time.monotonic() - self.start
 
 
+PR_SET_PDEATHSIG = 1
+LIBC = ctypes.CDLL(None)
+SCRIPT = os.getpid()
+
+
+def end_with_the_script():
+    """Run in a new process: it is killed when the script ends, also where the script is killed itself."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+    if os.getppid() != SCRIPT:
+        os._exit(1)
+
+
 def free_ports(addresses, count, reserved=()):
     """Ports that are free on all of the addresses, in rising order."""
     found = []
@@ -72,7 +85,7 @@
         with open(self.log_path, "ab") as log:
             self.child = subprocess.Popen(
                 [str(PROGRAM), self.command], cwd=ROOT, env=environment, stdout=log, stderr=log,
-                stdin=subprocess.DEVNULL)
+                stdin=subprocess.DEVNULL, preexec_fn=end_with_the_script)
 
     def alive(self):
         return self.child is not None and self.child.poll() is None
@@ -99,6 +112,15 @@
             self.child.wait()
 
 
+def kill_at_once(processes):
+    """Kills processes at the same moment, and then waits for them."""
+    processes = list(processes)
+    for process in processes:
+        process.signal(signal.SIGKILL)
+    for process in processes:
+        process.kill()
+
+
 class Site:
     """Core machines with a control plane each, edges with an agent and a data plane each."""
 
@@ -168,8 +190,7 @@
             process.start()
 
     def end(self, keep=False):
-        for process in self.processes():
-            process.kill()
+        kill_at_once(self.processes())
         if not keep:
             shutil.rmtree(self.folder, ignore_errors=True)
 
@@ -414,8 +435,9 @@
 def run_case(play, folder, within=115):
     """Runs a case; its exit status: 1 the rule was broken, 0 it held, 2 it could not run."""
     record = Record(pathlib.Path(folder) / "record.txt")
-    # Told to end, the case still ends all processes that it started.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    # Told to end, the case still ends all processes that it started and removes their files.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(2))
     try:
         return asyncio.run(asyncio.wait_for(play(record), within))
     except Exception:  # noqa: BLE001
