Bodies of requests stay within a share of the data plane's memory

Cause: each body was bounded, the sum was not, and a body stayed with its request until the answer's end though no attempt could follow. 19 a second x 4.9 s x 4 MiB. Bodies in chunks held the whole read buffer of each piece besides.

Change: BodyMemory reserves before a body is read, four tenths of limits.memoryMb in all; what finds no room gets 503 at once, and the rest of it is read and dropped. A body is dropped when its worker answers, where the route allows no further attempt.

--- a/src/data_plane/attempt.rs
+++ b/src/data_plane/attempt.rs
@@ -174,7 +174,9 @@
             last_event_id: resume.last_event_id,
             expect_version: resume.expect_version,
         };
-        let request = self.request.for_worker(&fields);
+        let Some(request) = self.request.for_worker(&fields) else {
+            return SendResult::Failed(SendError::NotSent);
+        };
         let stalled_with_alternative = async {
             self.shared.stalled_workers.wait_for(worker).await;
             if !self.may_retry_elsewhere() {
--- a/src/data_plane/delivery.rs
+++ b/src/data_plane/delivery.rs
@@ -70,7 +70,8 @@
     reply.response(exchange.request_id.as_ref())
 }
 
-async fn forward(exchange: Exchange, response: WorkerResponse) -> ForwardResult {
+async fn forward(mut exchange: Exchange, response: WorkerResponse) -> ForwardResult {
+    exchange.release_body_if_final();
     match response.is_event_stream() && exchange.request.method() != Method::HEAD {
         true => ForwardResult::Started(forward_stream(exchange, response)),
         false => forward_plain(exchange, response).await,
@@ -126,7 +127,13 @@
     Response::from_parts(head, ResponseBody::full(body))
 }
 
-fn forward_unbuffered(exchange: Exchange, response: WorkerResponse, start: Bytes) -> Response<ResponseBody> {
+fn forward_unbuffered(
+    mut exchange: Exchange,
+    response: WorkerResponse,
+    start: Bytes,
+) -> Response<ResponseBody> {
+    // The client receives the start of this response, so no other one can follow.
+    exchange.request.release_body();
     let head = client_response_head(&response.head);
     let length = head.headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse().ok());
     Response::from_parts(
--- a/src/data_plane/exchange.rs
+++ b/src/data_plane/exchange.rs
@@ -135,15 +135,24 @@
     pub(crate) fn may_retry(&self) -> bool {
         let may_repeat = self.rules.idempotent || !self.history.may_have_run;
         may_repeat
+            && self.request.has_body()
             && self.history.sent < self.rules.max_workers
             && self.history.unsent < policy::MAX_UNSENT_ATTEMPTS
             && !self.time_left().is_zero()
             && self.ends_before_shutdown()
     }
 
+    /// Releases the request's body if a worker has answered and the rules allow no further attempt.
+    pub(crate) fn release_body_if_final(&mut self) {
+        if !self.rules.idempotent || self.history.sent >= self.rules.max_workers {
+            self.request.release_body();
+        }
+    }
+
     /// Whether the request may be sent once more and a worker other than those tried could take it.
     pub(crate) fn may_retry_elsewhere(&self) -> bool {
         let allowed = self.rules.idempotent
+            && self.request.has_body()
             && self.history.sent < self.rules.max_workers
             && self.ends_before_shutdown();
         let within_budget =
--- a/src/data_plane/forwarded_request.rs
+++ b/src/data_plane/forwarded_request.rs
@@ -12,13 +12,13 @@
 /// Highest value of the `Priority` header, which is the lowest priority; 0 is the most urgent.
 const LOWEST_PRIORITY: u8 = 9;
 
-/// A request whose body has been read completely.
+/// A request whose body has been read completely. The body is held until it can no longer be sent again.
 #[derive(Debug, Clone)]
 pub(crate) struct ForwardedRequest {
     method: Method,
     target: Uri,
     headers: HeaderMap,
-    body: Bytes,
+    body: Option<Bytes>,
 }
 
 /// Header values that differ between the attempts of a request.
@@ -42,21 +42,31 @@
         if had_body {
             headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
         }
-        ForwardedRequest { method: parts.method, target: origin_form(parts.uri), headers, body }
+        ForwardedRequest { method: parts.method, target: origin_form(parts.uri), headers, body: Some(body) }
     }
 
     pub(crate) fn method(&self) -> &Method {
         &self.method
     }
 
-    /// The request for one attempt on a worker.
-    pub(crate) fn for_worker(&self, attempt: &AttemptHeaders) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    /// Drops the body, which ends its use of memory. The request cannot be sent any more.
+    pub(crate) fn release_body(&mut self) {
+        self.body = None;
+    }
+
+    /// Whether the body is still held.
+    pub(crate) fn has_body(&self) -> bool {
+        self.body.is_some()
+    }
+
+    /// The request for one attempt on a worker, or `None` if its body has been released.
+    pub(crate) fn for_worker(&self, attempt: &AttemptHeaders) -> Option<Request<Full<Bytes>>> {
+        let mut request = Request::new(Full::new(self.body.clone()?));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.target.clone();
         *request.headers_mut() = self.headers.clone();
         set_attempt_headers(request.headers_mut(), attempt);
-        request
+        Some(request)
     }
 }
 
--- a/src/data_plane/ingress.rs
+++ b/src/data_plane/ingress.rs
@@ -8,15 +8,15 @@
 use super::forwarded_request::ForwardedRequest;
 use super::policy;
 use super::replies::LocalReply;
+use super::request_body::{self, ReadBodyError};
 use super::request_head::RequestHead;
 use super::request_log::Timeline;
 use super::response_body::ResponseBody;
 use super::shared::Shared;
 use super::shutdown::{Phase, ShutdownHandle};
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, CONNECTION};
+use hyper::header::{HeaderValue, CONNECTION, EXPECT};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -127,8 +127,8 @@
     let head = RequestHead::parse(&parts);
     let request_id = head.request_id.clone();
     let timeout = body_read_timeout(shared, &head);
-    let body = tokio::time::timeout_at(arrived + timeout, read_body(shared, body)).await;
-    let body = body.unwrap_or(Err(LocalReply::NotRun { retry_after_ms: policy::RETRY_AFTER_REFUSED_MS }));
+    let awaits_continue = parts.headers.contains_key(EXPECT);
+    let body = read_body(shared, body, awaits_continue, arrived + timeout).await;
     if body.is_ok() {
         shared.wait_for_configuration(arrived + policy::MAX_CONFIGURATION_WAIT.min(timeout / 4)).await;
     }
@@ -151,13 +151,36 @@
     head.deadline.unwrap_or(timeout).min(timeout).min(policy::MAX_BODY_READ_TIME)
 }
 
-async fn read_body(shared: &Shared, body: Incoming) -> Result<Bytes, LocalReply> {
-    let limit = usize::try_from(client_limits(shared).max_body_bytes).unwrap_or(usize::MAX);
-    let collected = Limited::new(body, limit).collect().await;
-    collected.map(|body| body.to_bytes()).map_err(|error| match error.is::<LengthLimitError>() {
-        true => LocalReply::BodyTooLarge,
-        false => LocalReply::BodyUnreadable,
-    })
+/// Reads the body until the given time. If its memory is not free, the request is refused at once, while the
+/// client may still be sending.
+async fn read_body(
+    shared: &Shared,
+    mut body: Incoming,
+    awaits_continue: bool,
+    until: Instant,
+) -> Result<Bytes, LocalReply> {
+    let refused = LocalReply::NotRun { retry_after_ms: policy::RETRY_AFTER_REFUSED_MS };
+    let max_bytes = usize::try_from(client_limits(shared).max_body_bytes).unwrap_or(usize::MAX);
+    let read = request_body::read(&shared.body_memory, &mut body, max_bytes);
+    let read = tokio::time::timeout_at(until, read).await;
+    let error = match read {
+        Ok(Ok(bytes)) => return Ok(bytes),
+        Ok(Err(error)) => error,
+        Err(_) => return Err(refused),
+    };
+    match error {
+        ReadBodyError::TooLong => Err(LocalReply::BodyTooLarge),
+        ReadBodyError::Unreadable => Err(LocalReply::BodyUnreadable),
+        ReadBodyError::OutOfMemory => {
+            shared.statistics.borrow_mut().refusals.memory += 1;
+            // A client that waits for the go-ahead sends no body after a refusal.
+            if !awaits_continue {
+                let time_left = until.saturating_duration_since(Instant::now());
+                tokio::task::spawn_local(request_body::discard(body, time_left));
+            }
+            Err(refused)
+        }
+    }
 }
 
 /// Looks up the route in the newest configuration.
--- a/src/data_plane/shared.rs
+++ b/src/data_plane/shared.rs
@@ -1,6 +1,7 @@
 //! State shared by all connections and tasks of the data plane.
 
 use super::admission_stage::AdmissionStage;
+use super::body_memory::BodyMemory;
 use super::clock::now_ms;
 use super::connection_limits::ConnectionLimits;
 use super::drain::FittingShare;
@@ -56,6 +57,7 @@
     /// Number of client connections with written data that the client has not read yet.
     pub(crate) unwritten_connections: Rc<Cell<u32>>,
     pub(crate) connection_limits: ConnectionLimits,
+    pub(crate) body_memory: BodyMemory,
     view: RefCell<Arc<View>>,
     feedback: UnboundedSender<Feedback>,
     last_summary_at: Cell<u64>,
@@ -69,6 +71,7 @@
         shutdown: ShutdownHandle,
     ) -> Shared {
         let connection_limits = ConnectionLimits::from_fd_limit(settings.limits.max_fds);
+        let body_memory = BodyMemory::from_memory_limit(settings.limits.memory_mb);
         Shared {
             router: RefCell::new(Router::new(router_settings(&settings), fastrand::u64(..))),
             retry_budget: RefCell::new(retry_budget(&settings)),
@@ -91,6 +94,7 @@
             client_connections: Rc::default(),
             unwritten_connections: Rc::default(),
             connection_limits,
+            body_memory,
             view: RefCell::default(),
             feedback,
             last_summary_at: Cell::new(now_ms()),
--- a/src/data_plane/statistics.rs
+++ b/src/data_plane/statistics.rs
@@ -55,6 +55,8 @@
 pub(crate) struct Refusals {
     /// Refused by admission control.
     pub(crate) by_price: u32,
+    /// The bodies of other requests held the memory for bodies.
+    pub(crate) memory: u32,
     /// All workers that could run the request were busy.
     pub(crate) busy: u32,
     /// No worker has loaded the model.
--- a/src/data_plane/tests.rs
+++ b/src/data_plane/tests.rs
@@ -1,5 +1,6 @@
 //! Unit tests of the data plane's modules that do not use sockets.
 
+mod body_memory;
 mod client_disconnect;
 mod close_delimited;
 mod connection_reuse;
--- a/src/data_plane/tests/harness.rs
+++ b/src/data_plane/tests/harness.rs
@@ -9,6 +9,7 @@
 use crate::data_plane::shutdown::ShutdownHandle;
 use crate::data_plane::view::View;
 use crate::data_plane::Feedback;
+use crate::site_settings::SiteSettings;
 use serde_json::{json, Value};
 use std::future::Future;
 use std::rc::Rc;
@@ -175,11 +176,24 @@
         harness
     }
 
+    /// Starts a data plane with all routes, two workers and this memory limit in megabytes.
+    pub(crate) fn start_with_memory(memory_mb: u64) -> InMemoryHarness {
+        let mut settings = settings();
+        settings.limits.memory_mb = memory_mb;
+        let harness = InMemoryHarness::with_settings(settings);
+        harness.publish_workers(vec![worker_view(1), worker_view(2)]);
+        harness
+    }
+
     /// Starts a data plane without a configuration.
     pub(crate) fn start_unconfigured() -> InMemoryHarness {
+        InMemoryHarness::with_settings(settings())
+    }
+
+    fn with_settings(settings: SiteSettings) -> InMemoryHarness {
         let workers = Rc::new(Workers::default());
         let (feedback_sender, feedback) = mpsc::unbounded_channel();
-        let mut shared = Shared::new(settings(), feedback_sender, ShutdownHandle::new());
+        let mut shared = Shared::new(settings, feedback_sender, ShutdownHandle::new());
         shared.pool = Pool::with_connector(Rc::new(MemoryConnector(workers.clone())), 1000);
         let shared = Rc::new(shared);
         let mut tasks = JoinSet::new();
@@ -347,7 +361,7 @@
 }
 
 /// Settings of the data plane under test.
-pub(crate) fn settings() -> crate::site_settings::SiteSettings {
+pub(crate) fn settings() -> SiteSettings {
     let text = json!({
         "nodeName": "edge-1", "ip": "127.0.0.1", "zone": "here", "portRange": [7660, 7675],
         "bind": {"http": "127.0.0.1:0", "readiness": "127.0.0.1:0"},
--- a/src/site_settings.rs
+++ b/src/site_settings.rs
@@ -76,6 +76,8 @@
 #[derive(Debug, Clone, Deserialize)]
 #[serde(default, rename_all = "camelCase")]
 pub struct ProcessLimits {
+    /// Resident memory in megabytes.
+    pub memory_mb: u64,
     /// Descriptors, 200 of which are kept for other files.
     pub max_fds: u64,
     /// Disk space in megabytes.
@@ -84,7 +86,7 @@
 
 impl Default for ProcessLimits {
     fn default() -> Self {
-        ProcessLimits { max_fds: 1024, disk_mb: 0 }
+        ProcessLimits { memory_mb: 256, max_fds: 1024, disk_mb: 0 }
     }
 }
 
