Proposers back off for longer with each refused round, so that one gets through

Cause: a trial with a log of slow inputs and of writes between core machines showed all five machines proposing the same 2 MB value again and again, 50 to 100 ms a write, none of them chosen: a proposer refused waited 5 to 80 ms, the completion of a value began after 120 to 440 ms, and a round took longer than both. Each new round refused the others', for ever. Orders sent again, reads, completions and the placer's role were proposers enough.

Change: the bound of the wait doubles with each refused round, up to 2.56 s, until a value is chosen; new operations and completions wait accordingly while rounds are refused. Two proposers of small values still part after 5 to 160 ms.

--- a/crates/register/src/completion.rs
+++ b/crates/register/src/completion.rs
@@ -44,7 +44,7 @@
             return;
         };
         let delay = rank as u64 * COMPLETE_RANK_MS;
-        if now >= self.accepted_since.since + COMPLETE_AFTER_MS + delay {
+        if now >= self.accepted_since.since + self.backoff.scaled(COMPLETE_AFTER_MS + delay) {
             self.accepted_since.since = now;
             self.complete(Goal::Read);
         }
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod acceptor;
 mod api;
+mod backoff;
 mod ballots;
 mod catch_up;
 mod completion;
--- a/crates/register/src/operations.rs
+++ b/crates/register/src/operations.rs
@@ -35,6 +35,9 @@
             self.finish(Err(RegisterError::NoElectorate));
         } else if reads {
             self.start_inspect(now);
+        } else if self.backoff.is_contended() {
+            let until = now + self.backoff.wait_ms(&mut self.random);
+            self.set_stage(Stage::Waiting { until });
         } else {
             self.start_prepare(now);
         }
--- a/crates/register/src/prepare.rs
+++ b/crates/register/src/prepare.rs
@@ -4,10 +4,6 @@
 use crate::replica::{Replica, RESEND_MS};
 use crate::{Accepted, Ballot, Body, Output, RegisterError, ReplicaId, Value};
 
-/// Bounds of the wait after a refused round, in milliseconds: from less than a round trip to a few of them, so that of
-/// several proposers one gets through.
-const BACKOFF_MS: (u64, u64) = (5, 80);
-
 /// What a prepared proposer does next.
 enum Step {
     /// Ends the operation.
@@ -115,6 +111,7 @@
             return;
         };
         if round.times.retry_at.is_some_and(|retry_at| now >= retry_at) {
+            self.backoff.round_refused();
             self.start_prepare(now);
         } else if now >= round.times.sent_at + RESEND_MS {
             round.times.sent_at = now;
@@ -124,7 +121,7 @@
 
     /// A refused round goes on for a moment, in case a quorum answers all the same, and then starts anew above.
     pub(crate) fn on_reject(&mut self, now: u64, ballot: Ballot) {
-        let retry_at = now + self.random.between(BACKOFF_MS.0, BACKOFF_MS.1);
+        let retry_at = now + self.backoff.wait_ms(&mut self.random);
         let Some(active) = &mut self.active else {
             return;
         };
--- a/crates/register/src/replica.rs
+++ b/crates/register/src/replica.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::acceptor::Acceptor;
+use crate::backoff::Backoff;
 use crate::ballots::Ballots;
 use crate::catch_up::MissingValue;
 use crate::completion::Since;
@@ -23,6 +24,7 @@
     pub(crate) committed: Option<Accepted>,
     pub(crate) ballots: Ballots,
     pub(crate) random: Random,
+    pub(crate) backoff: Backoff,
     pub(crate) active: Option<Operation>,
     pub(crate) queue: VecDeque<Operation>,
     /// The value accepted here, and since when.
@@ -72,6 +74,7 @@
             committed: None,
             ballots,
             random: Random::new(seed),
+            backoff: Backoff::default(),
             active: None,
             queue: VecDeque::new(),
             accepted_since: Since::default(),
@@ -316,6 +319,7 @@
             return;
         }
         self.ballots.see(chosen.ballot);
+        self.backoff.value_chosen();
         self.acceptor.adopt(&chosen, &mut self.outputs);
         self.committed = Some(chosen.clone());
         self.learn_electorate(&chosen.value.electorate);
