A core machine reads only the routes that a change touches, and each value once

Cause: with 6,800 routes every core machine stood still for 0.24 to 0.46 s at each change, past its heartbeats: the proposer read the whole value to decide and again when it was chosen, the others once, and each route was read four times on the way. While all stood still, contact was lost, values were sent again and rounds were refused.

Change: an item keeps the route that was read from it, and configurations that follow each other share the items whose text is the same (Document::read_similar, KnownItems); the control node keeps the content of the last value (ValueDecoder). A request takes its route by reference.

--- a/crates/configuration/src/change.rs
+++ b/crates/configuration/src/change.rs
@@ -120,7 +120,7 @@
     for (list, value) in read_lists(upsert, UPSERT)? {
         let is_list = value.get().starts_with('[');
         edits.push(match is_list {
-            true => Edit::Upsert { items: parse_items(&list, value)?, list },
+            true => Edit::Upsert { items: parse_items(&list, value, &[])?, list },
             false if list == ROUTES || list == SERVICES => {
                 let error = ConfigurationError::new(ResultCode::BadField, "a list is expected");
                 return Err(error.at_field(&list));
--- a/crates/configuration/src/check.rs
+++ b/crates/configuration/src/check.rs
@@ -1,6 +1,7 @@
 //! Checks of a whole configuration.
 
 use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
 
 use garde::Validate;
 
@@ -16,7 +17,7 @@
         check_fields(service).map_err(|error| error.at_item(SERVICES, &service.name))?;
     }
     for route in document.routes() {
-        check_fields(route).map_err(|error| error.at_item(ROUTES, &route.name))?;
+        check_fields(route.as_ref()).map_err(|error| error.at_item(ROUTES, &route.name))?;
     }
     check_services_known(document)?;
     check_places(document.routes())
@@ -49,7 +50,7 @@
     Ok(())
 }
 
-fn check_places(routes: &[Route]) -> Result<(), ConfigurationError> {
+fn check_places(routes: &[Arc<Route>]) -> Result<(), ConfigurationError> {
     let mut places = HashMap::with_capacity(routes.len());
     for route in routes {
         let place = (normal_host(&route.host), route.path_prefix.as_str());
--- a/crates/configuration/src/document.rs
+++ b/crates/configuration/src/document.rs
@@ -21,7 +21,7 @@
 pub struct Document {
     members: Arc<Members>,
     revision: u64,
-    routes: Arc<[Route]>,
+    routes: Arc<[Arc<Route>]>,
     services: Arc<[Service]>,
     limits: ClientLimits,
     index: Arc<RouteIndex>,
@@ -49,14 +49,23 @@
     /// The body cannot be read. What [`Document::parse`] checks beyond this is not checked again, so that a
     /// later edition with more checks still reads what an earlier one took.
     pub fn read(body: &[u8]) -> Result<Document, ConfigurationError> {
-        Document::from_members(Members::parse(body)?)
+        Document::from_members(Members::parse(body, &Members::default())?)
+    }
+
+    /// As [`Document::read`], for a body that is mostly the text of `similar`: the items that did not change are shared
+    /// with it and not read again.
+    ///
+    /// # Errors
+    /// The body cannot be read.
+    pub fn read_similar(body: &[u8], similar: &Document) -> Result<Document, ConfigurationError> {
+        Document::from_members(Members::parse(body, similar.members())?)
     }
 
     /// Builds the typed views over the members.
     pub(crate) fn from_members(members: Members) -> Result<Document, ConfigurationError> {
         let revision = read_revision(members.plain(REVISION))?;
-        let routes = read_items(members.items(ROUTES), ROUTES, Route::read)?;
-        let services = read_items(members.items(SERVICES), SERVICES, Service::read)?;
+        let routes = read_items(members.items(ROUTES), ROUTES, Item::route)?;
+        let services = read_items(members.items(SERVICES), SERVICES, |item| Service::read(&item.raw))?;
         let limits = members.plain(LIMITS).map(ClientLimits::read).transpose();
         let limits = limits.map_err(|mut error| {
             error.list = Some(LIMITS.to_owned());
@@ -89,7 +98,7 @@
     }
 
     /// The routes, in the order of the text.
-    pub fn routes(&self) -> &[Route] {
+    pub fn routes(&self) -> &[Arc<Route>] {
         &self.routes
     }
 
@@ -110,7 +119,7 @@
 
     /// The route for a request: among those of `host` (any case, with or without port) the one with the
     /// longest prefix that begins `path`. What follows a `?` is not part of the path.
-    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         self.index.find(host, path).map(|place| &self.routes[place])
     }
 
@@ -139,8 +148,8 @@
 fn read_items<T>(
     items: &[Arc<Item>],
     list: &str,
-    read: fn(&RawValue) -> Result<T, ConfigurationError>,
+    read: fn(&Item) -> Result<T, ConfigurationError>,
 ) -> Result<Vec<T>, ConfigurationError> {
-    let read_item = |item: &Arc<Item>| read(&item.raw).map_err(|error| error.at_item(list, &item.name));
+    let read_item = |item: &Arc<Item>| read(item).map_err(|error| error.at_item(list, &item.name));
     items.iter().map(read_item).collect()
 }
--- /dev/null
+++ b/crates/configuration/src/known_items.rs
@@ -0,0 +1,46 @@
+//! Items that are known already, found again in a text that is mostly the same.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use serde_json::value::RawValue;
+
+use crate::error::ConfigurationError;
+use crate::members::Item;
+
+/// The items of an earlier list, and how far a later one has followed them.
+///
+/// A later list mostly has the same items in the same order, with some removed, replaced in their place or added. So the
+/// next known item is compared first; only where it differs is the text read and looked up by its name.
+pub(crate) struct KnownItems<'a> {
+    items: &'a [Arc<Item>],
+    next: usize,
+    /// Place of each item by its name, from the first difference on.
+    places: Option<HashMap<&'a str, usize>>,
+}
+
+impl<'a> KnownItems<'a> {
+    /// Begins with the first of these items.
+    pub(crate) fn new(items: &'a [Arc<Item>]) -> KnownItems<'a> {
+        KnownItems { items, next: 0, places: None }
+    }
+
+    /// The next item of the later list: a known one if its text is the same. `list` is named in the error.
+    pub(crate) fn item(&mut self, list: &str, text: &RawValue) -> Result<Arc<Item>, ConfigurationError> {
+        if let Some(item) = self.items.get(self.next).filter(|item| item.raw.get() == text.get()) {
+            self.next += 1;
+            return Ok(item.clone());
+        }
+        let item = Item::parse(list, text)?;
+        let Some(place) = self.place(&item.name) else { return Ok(Arc::new(item)) };
+        self.next = place + 1;
+        let known = &self.items[place];
+        Ok(if **known == item { known.clone() } else { Arc::new(item) })
+    }
+
+    fn place(&mut self, name: &str) -> Option<usize> {
+        let items = self.items;
+        let by_name = || items.iter().enumerate().map(|(place, item)| (item.name.as_str(), place)).collect();
+        self.places.get_or_insert_with(by_name).get(name).copied()
+    }
+}
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -10,6 +10,7 @@
 mod document;
 mod error;
 mod fields;
+mod known_items;
 mod limits;
 mod members;
 mod order;
--- a/crates/configuration/src/members.rs
+++ b/crates/configuration/src/members.rs
@@ -1,13 +1,15 @@
 //! The text of a configuration: its members in their order, and the named items of its lists.
 
 use std::collections::{HashMap, HashSet};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use serde::de::{Deserialize, Deserializer, MapAccess, Visitor};
 use serde::ser::{Serialize, SerializeMap, Serializer};
 use serde_json::value::RawValue;
 
 use crate::error::{ConfigurationError, ResultCode};
+use crate::known_items::KnownItems;
+use crate::route::Route;
 
 /// The lists whose items are read and checked.
 pub(crate) const ROUTES: &str = "routes";
@@ -66,11 +68,13 @@
     }
 }
 
-/// One item of a list: its name and its whole text.
+/// One item of a list: its name, its whole text, and the route that the text describes. Configurations that follow
+/// each other share the items that did not change, and so what was read from them.
 #[derive(Debug)]
 pub(crate) struct Item {
     pub(crate) name: String,
     pub(crate) raw: Box<RawValue>,
+    route: OnceLock<Arc<Route>>,
 }
 
 impl Item {
@@ -84,7 +88,16 @@
             error.list = Some(list.to_owned());
             error
         })?;
-        Ok(Item { name: named.name, raw: raw.to_owned() })
+        Ok(Item { name: named.name, raw: raw.to_owned(), route: OnceLock::new() })
+    }
+
+    /// The item as a route, which is read the first time.
+    pub(crate) fn route(&self) -> Result<Arc<Route>, ConfigurationError> {
+        if let Some(route) = self.route.get() {
+            return Ok(route.clone());
+        }
+        let route = Arc::new(Route::read(&self.raw)?);
+        Ok(self.route.get_or_init(|| route).clone())
     }
 }
 
@@ -94,6 +107,9 @@
     }
 }
 
+// Shared items are then compared by their address first.
+impl Eq for Item {}
+
 /// One member of a configuration.
 #[derive(Clone, Debug)]
 pub(crate) enum Member {
@@ -104,9 +120,10 @@
 }
 
 impl Member {
-    /// Reads a member; `routes` and `services` have to be lists of named items.
-    fn parse(name: &str, raw: &RawValue) -> Result<Member, ConfigurationError> {
-        let parsed = parse_items(name, raw);
+    /// Reads a member; `routes` and `services` have to be lists of named items. Items with the text of a known one
+    /// are shared with it.
+    fn parse(name: &str, raw: &RawValue, known: &[Arc<Item>]) -> Result<Member, ConfigurationError> {
+        let parsed = parse_items(name, raw, known);
         if name == ROUTES || name == SERVICES {
             return parsed.map(Member::Items);
         }
@@ -134,21 +151,31 @@
     }
 }
 
-/// Reads a list of named items and refuses a name that stands twice.
-pub(crate) fn parse_items(list: &str, raw: &RawValue) -> Result<Vec<Arc<Item>>, ConfigurationError> {
+/// Reads a list of named items and refuses a name that stands twice. Items with the text of a known one are shared
+/// with it.
+pub(crate) fn parse_items(
+    list: &str,
+    raw: &RawValue,
+    known: &[Arc<Item>],
+) -> Result<Vec<Arc<Item>>, ConfigurationError> {
     let elements: Vec<&RawValue> = serde_json::from_str(raw.get())
         .map_err(|error| ConfigurationError::new(ResultCode::BadField, error.to_string()).at_field(list))?;
-    let mut items = Vec::with_capacity(elements.len());
-    let mut names = HashSet::with_capacity(elements.len());
-    for element in elements {
-        let item = Item::parse(list, element)?;
-        if !names.insert(item.name.clone()) {
+    let mut known = KnownItems::new(known);
+    let items = elements.into_iter().map(|element| known.item(list, element));
+    let items = items.collect::<Result<Vec<_>, _>>()?;
+    check_names_unique(list, &items)?;
+    Ok(items)
+}
+
+fn check_names_unique(list: &str, items: &[Arc<Item>]) -> Result<(), ConfigurationError> {
+    let mut names = HashSet::with_capacity(items.len());
+    match items.iter().find(|item| !names.insert(item.name.as_str())) {
+        None => Ok(()),
+        Some(second) => {
             let error = ConfigurationError::new(ResultCode::DuplicateName, "the name stands twice");
-            return Err(error.at_item(list, &item.name));
+            Err(error.at_item(list, &second.name))
         }
-        items.push(Arc::new(item));
     }
-    Ok(items)
 }
 
 /// The members of a configuration in the order of its text.
@@ -156,12 +183,12 @@
 pub(crate) struct Members(Vec<(String, Member)>);
 
 impl Members {
-    /// Reads a whole configuration.
-    pub(crate) fn parse(body: &[u8]) -> Result<Members, ConfigurationError> {
+    /// Reads a whole configuration. Items with the text of an item of `known` are shared with it.
+    pub(crate) fn parse(body: &[u8], known: &Members) -> Result<Members, ConfigurationError> {
         let object = RawObject::parse(body)?;
         let mut members = Members::default();
         for (name, raw) in &object.0 {
-            members.set(name, Member::parse(name, raw)?);
+            members.set(name, Member::parse(name, raw, known.items(name))?);
         }
         Ok(members)
     }
--- a/crates/configuration/src/route_index.rs
+++ b/crates/configuration/src/route_index.rs
@@ -2,6 +2,7 @@
 
 use std::borrow::Cow;
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use crate::route::Route;
 
@@ -22,7 +23,7 @@
 
 impl RouteIndex {
     /// Indexes `routes`. Where two share host and prefix, the first counts.
-    pub(crate) fn new(routes: &[Route]) -> RouteIndex {
+    pub(crate) fn new(routes: &[Arc<Route>]) -> RouteIndex {
         let mut index = RouteIndex::default();
         for (place, route) in routes.iter().enumerate() {
             let host = index.hosts.entry(normal_host(&route.host).into_owned()).or_default();
--- a/crates/configuration/src/state.rs
+++ b/crates/configuration/src/state.rs
@@ -182,12 +182,25 @@
     /// # Errors
     /// The layout is not known or the bytes do not decode.
     pub fn decode(encoded: &[u8]) -> Result<ControlState, StateError> {
+        ControlState::decode_similar(encoded, None)
+    }
+
+    /// As [`ControlState::decode`]. What the configuration has in common with `similar` is shared with it and not read
+    /// again.
+    ///
+    /// # Errors
+    /// The layout is not known or the bytes do not decode.
+    pub fn decode_similar(encoded: &[u8], similar: Option<&Document>) -> Result<ControlState, StateError> {
         let (version, record) = encoded.split_first().ok_or(StateError::Empty)?;
         if *version != LAYOUT_VERSION {
             return Err(StateError::UnknownLayout(*version));
         }
         let record = StateRecord::decode(record)?;
-        let document = record.document.as_deref().map(Document::read).transpose()?;
+        let read = |text: &[u8]| match similar {
+            Some(similar) => Document::read_similar(text, similar),
+            None => Document::read(text),
+        };
+        let document = record.document.as_deref().map(read).transpose()?;
         let grant = |placer: GrantRecord| PlacerGrant { holder: placer.holder, epoch: placer.epoch };
         let taken: Vec<TakenOrder> = record.taken.iter().map(TakenRecord::to_taken).collect();
         let forgotten_up_to = record.forgotten_up_to.max(forgotten_before(&taken));
--- a/crates/configuration/tests/document.rs
+++ b/crates/configuration/tests/document.rs
@@ -14,7 +14,7 @@
     let text = format!(
         r#"{{"revision":1,"services":[{{"name":"a"}},{{"name":"b"}}],"routes":[{{"name":"r","host":"h","pathPrefix":"/",{fields}}}]}}"#
     );
-    Document::parse(text.as_bytes()).unwrap().routes()[0].clone()
+    Route::clone(&Document::parse(text.as_bytes()).unwrap().routes()[0])
 }
 
 #[gtest]
--- a/crates/configuration/tests/state.rs
+++ b/crates/configuration/tests/state.rs
@@ -4,8 +4,9 @@
 
 use common::{example_state, example_with, many_routes, replace, taken, update, EXAMPLE};
 use googletest::prelude::*;
+use std::sync::Arc;
 use switchhill_configuration::{
-    ControlState, Decision, Order, PlacerGrant, ResultCode, StateError, TAKEN_ORDERS_KEPT,
+    Change, ControlState, Decision, Document, Order, PlacerGrant, ResultCode, StateError, TAKEN_ORDERS_KEPT,
 };
 
 fn refusal(state: &ControlState, order: &Order) -> ResultCode {
@@ -171,3 +172,52 @@
     expect_that!(second.placer, some(eq(&PlacerGrant { holder: "node-1".to_owned(), epoch: 2 })));
     expect_that!(second.next_epoch, eq(2));
 }
+
+/// Guards against reading each route of a large configuration again at each change, which kept a core machine from its
+/// heartbeats for longer than the others wait for them.
+#[gtest]
+fn a_state_decoded_beside_a_similar_one_is_the_same_and_shares_its_routes() {
+    let route = |number: u32, timeout: u32| {
+        format!(
+            r#"{{"name":"r-{number}","host":"h.example","pathPrefix":"/{number}/","routeKind":"safe","timeoutMs":{timeout},"service":"s"}}"#
+        )
+    };
+    let document = |revision: u32, routes: &[String]| {
+        let text = format!(
+            r#"{{"revision":{revision},"routes":[{}],"services":[{{"name":"s","healthCheck":"/h"}}],"limits":{{}}}}"#,
+            routes.join(",")
+        );
+        Document::parse(text.as_bytes()).expect("a valid configuration")
+    };
+    let before: Vec<String> = (0..20).map(|number| route(number, 100)).collect();
+    let similar = document(1, &before);
+    // One replaced in its place, two taken out, one moved, two added.
+    let mut after = before.clone();
+    after[3] = route(3, 200);
+    after.remove(7);
+    after.remove(10);
+    let moved = after.remove(12);
+    after.insert(2, moved);
+    after.extend([route(30, 100), route(31, 100)]);
+    let state = ControlState { document: Some(document(2, &after)), ..example_state() };
+    let alone = ControlState::decode(&state.encode()).unwrap();
+    let decoded = ControlState::decode_similar(&state.encode(), Some(&similar)).unwrap();
+    expect_that!(decoded, eq(&alone));
+    let (decoded, alone) = (decoded.document.unwrap(), alone.document.unwrap());
+    expect_that!(decoded.routes(), eq(alone.routes()));
+    expect_that!(decoded.to_json(), eq(&alone.to_json()));
+    let shared =
+        decoded.routes().iter().filter(|route| similar.routes().iter().any(|old| Arc::ptr_eq(old, route)));
+    // All but the one replaced and the two added.
+    expect_that!(shared.count(), eq(after.len() - 3));
+}
+
+#[gtest]
+fn a_change_shares_the_routes_that_it_leaves_alone() {
+    let before = example_state().document.expect("a configuration");
+    let change = Change::parse(format!(r#"{{"revision":{}}}"#, before.revision() + 1).as_bytes()).unwrap();
+    let after = before.apply(&change).unwrap();
+    let pairs = before.routes().iter().zip(after.routes());
+    expect_that!(pairs.filter(|(old, new)| Arc::ptr_eq(old, new)).count(), eq(before.routes().len()));
+    expect_that!(before.routes(), not(is_empty()));
+}
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -3,7 +3,7 @@
 use crate::input::{Answer, CallId};
 use crate::jobs::Job;
 use crate::node::ControlNode;
-use switchhill_configuration::{ControlState, Order, ResultCode};
+use switchhill_configuration::{Order, ResultCode};
 use switchhill_distribution::ConfigurationDelta;
 use switchhill_register::{Accepted, Ballot};
 
@@ -51,7 +51,7 @@
 
     /// Applies a committed value of the register.
     pub(crate) fn apply_committed(&mut self, now: u64, accepted: &Accepted) {
-        let state = match ControlState::decode(&accepted.value.data) {
+        let state = match self.values.decode(&accepted.value.data) {
             Ok(state) => state,
             Err(error) => {
                 log::error!("failed to decode the committed register value: {error}");
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -109,7 +109,7 @@
     pub(crate) fn job_prepared(&mut self, now: u64, operation: u64, current: Option<Accepted>) {
         let Some(mut job) = self.jobs.take_current(operation) else { return };
         let decoded = match &current {
-            Some(accepted) => ControlState::decode(&accepted.value.data),
+            Some(accepted) => self.values.decode(&accepted.value.data),
             None => Ok(ControlState::default()),
         };
         let state = match decoded {
@@ -134,7 +134,7 @@
                     let call = *call;
                     self.answer(call, reply);
                 }
-                next.map(|data| (data, None))
+                next.map(|value| (self.encode_value(value), None))
             }
             Job::AcquirePlacerRole { grant, previous_holder } => {
                 let next = state.grant_placer(self.settings.holder());
@@ -157,6 +157,17 @@
         self.register_input(now, Input::Write { operation, data, members });
     }
 
+    fn encode_value(&mut self, value: NextValue) -> Bytes {
+        match value {
+            NextValue::Same(data) => data,
+            NextValue::New(state) => {
+                let data = Bytes::from(state.encode());
+                self.values.remember(data.clone(), *state);
+                data
+            }
+        }
+    }
+
     /// Whether a reported value is known to be chosen.
     fn is_chosen(&self, reported: &Accepted) -> bool {
         self.replica.committed().is_some_and(|committed| committed.value.origin() == reported.value.origin())
@@ -234,6 +245,15 @@
     }
 }
 
+/// A value that an order leads to.
+#[derive(Debug, PartialEq)]
+enum NextValue {
+    /// The current one.
+    Same(Bytes),
+    /// A new one, with this content.
+    New(Box<ControlState>),
+}
+
 /// Applies an order to a state. Returns the value to write, if any, and the answer to give once it is written.
 /// `is_chosen` tells whether the state, whose encoding is `data`, is known to be chosen.
 fn apply_order(
@@ -241,20 +261,24 @@
     order: &Order,
     data: Option<Bytes>,
     is_chosen: bool,
-) -> (Option<Bytes>, Answer) {
+) -> (Option<NextValue>, Answer) {
     match state.decide(order) {
         Decision::Take(next) => {
             let revision = next.document.as_ref().map_or(0, |document| document.revision());
-            (Some(Bytes::from(next.encode())), Answer::acknowledged(ResultCode::Taken, revision))
+            (Some(NextValue::New(next)), Answer::acknowledged(ResultCode::Taken, revision))
         }
         // The value is written again, so that it is certain to be committed before the order is acknowledged.
-        Decision::TakenBefore { revision } => (data, Answer::acknowledged(ResultCode::TakenBefore, revision)),
+        Decision::TakenBefore { revision } => {
+            (data.map(NextValue::Same), Answer::acknowledged(ResultCode::TakenBefore, revision))
+        }
         Decision::Forgotten => (
             None,
             Answer::undecided(ResultCode::OrderForgotten, "read the configuration to see what is in force"),
         ),
         // A state accepted only by a minority may still be replaced, and another node might then accept the order. The
         // order is therefore refused only once the state that conflicts with it is chosen.
-        Decision::Refused(error) => (data.filter(|_| !is_chosen), Answer::refused(&error)),
+        Decision::Refused(error) => {
+            (data.filter(|_| !is_chosen).map(NextValue::Same), Answer::refused(&error))
+        }
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,6 +15,7 @@
 mod node;
 mod peers;
 mod placer;
+mod register_values;
 #[cfg(test)]
 mod single_node_tests;
 mod subscribers;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -6,6 +6,7 @@
 use crate::jobs::Jobs;
 use crate::load::FleetLoad;
 use crate::placer::Placer;
+use crate::register_values::ValueDecoder;
 use crate::subscribers::Subscribers;
 use crate::unreachable::UnreachableWorkers;
 use crate::workers::PendingUpdates;
@@ -27,6 +28,7 @@
     pub(crate) replica: Replica,
     /// Content of the newest committed value of the register.
     pub(crate) control: ControlState,
+    pub(crate) values: ValueDecoder,
     /// Configuration, workers and residency, as published to subscribers.
     pub(crate) state: MergedState,
     pub(crate) jobs: Jobs,
@@ -71,6 +73,7 @@
             contacts: Contacts::new(settings.replica_id, settings.incarnation, ContactSettings::default()),
             replica,
             control: ControlState::default(),
+            values: ValueDecoder::default(),
             state: MergedState::new(SuspicionTimeout(suspect_after)),
             jobs: Jobs::default(),
             subscribers: Subscribers::default(),
--- a/crates/register/tests/large_values.rs
+++ b/crates/register/tests/large_values.rs
@@ -97,7 +97,7 @@
             machine.writes.pop_front();
             return self.input(id, Input::Persisted { token }, next);
         }
-        if (now + id) % TICK_MS == 0 {
+        if (now + id).is_multiple_of(TICK_MS) {
             return self.input(id, Input::Tick, next);
         }
         match machine.work.pop_front() {
--- a/src/data_plane/admission_stage.rs
+++ b/src/data_plane/admission_stage.rs
@@ -35,7 +35,7 @@
 
     /// Replaces the routes with those of a new configuration.
     pub(crate) fn set_routes(&self, now: u64, document: &Document) {
-        let terms: Vec<RouteConfig> = document.routes().iter().map(route_config).collect();
+        let terms: Vec<RouteConfig> = document.routes().iter().map(|route| route_config(route)).collect();
         self.controller.borrow_mut().set_routes(now, &terms);
     }
 
--- a/src/data_plane/ingress.rs
+++ b/src/data_plane/ingress.rs
@@ -184,7 +184,7 @@
 }
 
 /// Looks up the route in the newest configuration.
-fn find_route(shared: &Shared, head: &RequestHead) -> Result<Route, LocalReply> {
+fn find_route(shared: &Shared, head: &RequestHead) -> Result<Arc<Route>, LocalReply> {
     let retry_later = LocalReply::NotRun { retry_after_ms: policy::RETRY_AFTER_NO_CONFIGURATION_MS };
     let view = shared.view();
     let document = view.document.as_ref().ok_or(retry_later)?;
--- a/src/data_plane/tests/request_log.rs
+++ b/src/data_plane/tests/request_log.rs
@@ -14,7 +14,7 @@
         "services":[{"name":"s","healthCheck":"/health","maxConnections":10,"protocol":"h1","tls":false}],
         "limits":{"maxHeaderBytes":8192,"maxBodyBytes":65536,"headerTimeoutMs":1000,"idleTimeoutMs":15000}}"#;
     let document = Document::parse(text.as_bytes()).expect("a valid configuration");
-    document.routes()[0].clone()
+    Route::clone(&document.routes()[0])
 }
 
 /// A timeline whose pieces arrived at these times, in milliseconds after the request.
