Large values reach slow core machines, and queues and call bodies share a budget

Change: MemoryBudget (the data plane's BodyMemory, moved to src/system) also bounds the bodies of calls (a quarter of limits.memoryMb, 503 beyond, 408 after 30 s without the body) and what waits for core machines (an eighth). A peer is given up where it takes nothing for 0.7 s, not where a write lasts that long; a large frame is written without a copy. A body that is too long is refused at once, and read to its end, on both planes.

Evidence: four new tests; with the former timeout, or a budget that counts one byte, the tests of peers fail.

--- a/src/control_plane/http.rs
+++ b/src/control_plane/http.rs
@@ -4,7 +4,7 @@
 mod tests;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
@@ -23,14 +23,19 @@
 use tokio::time::Instant;
 
 use crate::system::connection;
+use crate::system::memory_budget::MemoryBudget;
+use crate::system::request_body::{self, ReadBodyError};
 
 /// Longest body of a call, in bytes.
 const LONGEST_BODY: usize = 8 << 20;
 
+/// Share of the process's memory for the bodies of calls.
+const BODY_MEMORY_SHARE: f64 = 0.25;
+
 /// Time for a call to be answered by the node.
 const ANSWER_WITHIN: Duration = Duration::from_millis(2500);
 
-/// Time that a caller's connection may rest or take over its head.
+/// Time that a caller's connection may rest, or take over its head or its body.
 const IDLE_FOR: Duration = Duration::from_secs(30);
 
 /// Path under which workers tell of themselves.
@@ -45,6 +50,7 @@
     waiting: WaitingCalls,
     next: Rc<Cell<u64>>,
     inputs: mpsc::UnboundedSender<Input>,
+    body_memory: MemoryBudget,
     closed: Rc<watch::Sender<bool>>,
 }
 
@@ -52,15 +58,20 @@
 type WaitingCalls = Rc<RefCell<BTreeMap<CallId, oneshot::Sender<Answer>>>>;
 
 impl Calls {
-    /// Serves on a listener; calls go to `inputs`.
-    pub(super) fn start(listener: TcpListener, inputs: mpsc::UnboundedSender<Input>) -> Calls {
-        let calls = Calls::new(inputs);
+    /// Serves on a listener; calls go to `inputs`. `memory_mb` is the process's memory limit.
+    pub(super) fn start(
+        listener: TcpListener,
+        inputs: mpsc::UnboundedSender<Input>,
+        memory_mb: u64,
+    ) -> Calls {
+        let calls = Calls::new(inputs, memory_mb);
         tokio::task::spawn_local(accept(listener, calls.clone()));
         calls
     }
 
-    fn new(inputs: mpsc::UnboundedSender<Input>) -> Calls {
-        Calls { waiting: Rc::default(), next: Rc::default(), inputs, closed: Rc::default() }
+    fn new(inputs: mpsc::UnboundedSender<Input>, memory_mb: u64) -> Calls {
+        let body_memory = MemoryBudget::share_of(memory_mb, BODY_MEMORY_SHARE);
+        Calls { waiting: Rc::default(), next: Rc::default(), inputs, body_memory, closed: Rc::default() }
     }
 
     /// Answers a call.
@@ -153,7 +164,7 @@
 }
 
 async fn handle(request: Request<Incoming>, calls: Calls) -> Result<Response<Full<Bytes>>, Infallible> {
-    let answer = match read_call(request).await {
+    let answer = match read_call(request, &calls.body_memory).await {
         Ok(call) => calls.make(call).await,
         Err(answer) => answer,
     };
@@ -177,13 +188,33 @@
     Answer { status: 404, body: Bytes::from_static(b"{\"error\":\"no such call\"}") }
 }
 
-async fn read_call(request: Request<Incoming>) -> Result<Call, Answer> {
-    let (head, body) = request.into_parts();
+fn body_refused(error: ReadBodyError) -> Answer {
+    match error {
+        ReadBodyError::OutOfMemory => {
+            log::info!("a call is refused: the bodies of others fill their share of the memory");
+            coded(ResultCode::TooManyOrders, "their bodies fill the memory; send it again")
+        }
+        ReadBodyError::TooLong | ReadBodyError::Unreadable => {
+            coded(ResultCode::Unreadable, "it can't be read whole or is too long")
+        }
+    }
+}
+
+/// Not a refusal: the caller may send the call again.
+fn body_late() -> Answer {
+    Answer { status: 408, body: Bytes::from_static(b"{\"error\":\"the body did not come in time\"}") }
+}
+
+async fn read_call(request: Request<Incoming>, memory: &MemoryBudget) -> Result<Call, Answer> {
+    let (head, mut body) = request.into_parts();
     let base_version =
         head.headers.get(BASE_VERSION).and_then(|value| value.to_str().ok()?.trim().parse().ok());
-    let body = Limited::new(body, LONGEST_BODY).collect().await;
-    let unreadable = |_| coded(ResultCode::Unreadable, "it can't be read whole or is too long");
-    let body = body.map_err(unreadable)?.to_bytes();
+    let read = request_body::read(memory, &mut body, LONGEST_BODY);
+    let read = tokio::time::timeout(IDLE_FOR, read).await.map_err(|_| body_late())?;
+    let body = read.map_err(|error| {
+        tokio::task::spawn_local(request_body::discard(body, IDLE_FOR));
+        body_refused(error)
+    })?;
     let path = head.uri.path();
     match (&head.method, path) {
         (&Method::GET, "/api/config/read") => Ok(Call::Read),
--- a/src/control_plane/http/tests.rs
+++ b/src/control_plane/http/tests.rs
@@ -13,9 +13,12 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::mpsc;
 
+/// Memory limit of the process, in megabytes.
+const MEMORY_MB: u64 = 64;
+
 fn calls() -> (Calls, mpsc::UnboundedReceiver<Input>) {
     let (inputs, received) = mpsc::unbounded_channel();
-    (Calls::new(inputs), received)
+    (Calls::new(inputs, MEMORY_MB), received)
 }
 
 /// Runs in paused time.
@@ -159,3 +162,49 @@
         expect_true!(calls.are_done());
     });
 }
+
+/// Guards against callers whose bodies, each within the limit of one, take a core machine over its memory together.
+#[gtest]
+fn a_call_is_answered_with_503_while_the_bodies_of_others_fill_the_memory() {
+    run(async {
+        let (calls, _inputs) = calls();
+        let share = (MEMORY_MB << 20) as usize / 4;
+        let mut open = Vec::new();
+        let mut refused = 0;
+        for _ in 0..20 {
+            let (mut client, server) = tokio::io::duplex(64 * 1024);
+            let calls = calls.clone();
+            let service = service_fn(move |request| handle(request, calls.clone()));
+            tokio::task::spawn_local(http1::Builder::new().serve_connection(TokioIo::new(server), service));
+            let head = "POST /api/config/replace HTTP/1.1\r\nHost: c\r\nBase-Version: 1\r\nContent-Length: 4194304\r\n\r\n";
+            client.write_all(head.as_bytes()).await.expect("written");
+            let mut answer = vec![0; 1024];
+            match tokio::time::timeout(Duration::from_millis(10), client.read(&mut answer)).await {
+                Ok(read) => {
+                    let text = String::from_utf8_lossy(&answer[..read.expect("an answer")]).into_owned();
+                    expect_that!(text, starts_with("HTTP/1.1 503"));
+                    refused += 1;
+                }
+                Err(_) => open.push(client),
+            }
+        }
+        expect_that!(open.len() * 4_194_304, le(share));
+        expect_that!((open.len(), refused), eq((3, 17)));
+    });
+}
+
+#[gtest]
+fn a_body_that_does_not_come_is_no_refusal() {
+    run(async {
+        let head =
+            "POST /api/config/replace HTTP/1.1\r\nHost: c\r\nBase-Version: 1\r\nContent-Length: 10\r\n\r\n";
+        let (calls, _inputs) = calls();
+        let (mut client, server) = tokio::io::duplex(64 * 1024);
+        let service = service_fn(move |request| handle(request, calls.clone()));
+        tokio::task::spawn_local(http1::Builder::new().serve_connection(TokioIo::new(server), service));
+        client.write_all(head.as_bytes()).await.expect("written");
+        let mut answer = vec![0; 1024];
+        let read = client.read(&mut answer).await.expect("an answer");
+        expect_that!(String::from_utf8_lossy(&answer[..read]), starts_with("HTTP/1.1 408"));
+    });
+}
--- a/src/control_plane/links.rs
+++ b/src/control_plane/links.rs
@@ -9,6 +9,7 @@
 mod unread_subscriber_tests;
 
 use crate::system::connection::{self, LinkKind};
+use crate::system::memory_budget::{reserved_bytes, MemoryBudget};
 use crate::system::outgoing::{Queues, BATCH_BYTES};
 use bytes::{Bytes, BytesMut};
 use newest::{ConnectionNumber, NewestConnections};
@@ -26,31 +27,49 @@
 /// Messages to one core node that may wait; more are dropped, as a network would.
 const PEER_QUEUE: usize = 512;
 
-/// Time for one message to be written before the connection is given up.
-const WRITE_WITHIN: Duration = Duration::from_millis(700);
+/// Share of the process's memory for messages that wait for other core nodes; more are dropped, as a network would.
+const PEER_MEMORY_SHARE: f64 = 0.125;
+
+/// Time for which another core node may take nothing of what is written before the connection is given up. A large value
+/// may take longer as a whole.
+const LONGEST_PEER_STALL: Duration = Duration::from_millis(700);
 
 type SubscriberQueues = Queues<SubscriberId, Downstream>;
 
 /// All connections.
 pub(super) struct Links {
     peers: BTreeMap<String, mpsc::Sender<Bytes>>,
+    peer_memory: MemoryBudget,
     subscribers: SubscriberQueues,
 }
 
 impl Links {
-    /// Accepts connections; what they bring goes to `inputs`.
-    pub(super) fn start(listener: TcpListener, inputs: mpsc::UnboundedSender<Input>) -> Links {
+    /// Accepts connections; what they bring goes to `inputs`. `memory_mb` is the process's memory limit.
+    pub(super) fn start(
+        listener: TcpListener,
+        inputs: mpsc::UnboundedSender<Input>,
+        memory_mb: u64,
+    ) -> Links {
         let subscribers = SubscriberQueues::default();
         tokio::task::spawn_local(accept(listener, subscribers.clone(), inputs));
-        Links { peers: BTreeMap::new(), subscribers }
+        let peer_memory = MemoryBudget::share_of(memory_mb, PEER_MEMORY_SHARE);
+        Links { peers: BTreeMap::new(), peer_memory, subscribers }
     }
 
     /// Sends a message to the core nodes at some addresses. It is encoded once for all of them.
     pub(super) fn send_peers(&mut self, addresses: Vec<String>, frame: &PeerFrame) {
-        match encode_frame(frame) {
-            Ok(frame) => addresses.into_iter().for_each(|address| self.send_peer(address, frame.clone())),
-            Err(error) => log::warn!("not sent to other core nodes: {error}"),
-        }
+        let frame = match encode_frame(frame) {
+            Ok(frame) => frame,
+            Err(error) => return log::warn!("not sent to other core nodes: {error}"),
+        };
+        let Some(reservation) = self.peer_memory.reserve(frame.len()) else {
+            return log::info!(
+                "not sent to other core nodes: {} bytes beside what waits for them",
+                frame.len()
+            );
+        };
+        let frame = reserved_bytes(frame, reservation);
+        addresses.into_iter().for_each(|address| self.send_peer(address, frame.clone()));
     }
 
     fn send_peer(&mut self, address: String, frame: Bytes) {
@@ -89,14 +108,14 @@
         let mut next = Some(frame);
         while let Some(frame) = next {
             let frames = with_waiting(frame, &mut queue);
-            match tokio::time::timeout(WRITE_WITHIN, connection::write(&mut stream, &frames)).await {
-                Ok(Ok(())) => next = next_frame(&mut queue, &mut stream).await,
-                Ok(Err(_)) => break,
-                Err(_) => {
+            match connection::write_unless_stalled(&mut stream, &frames, LONGEST_PEER_STALL).await {
+                Ok(()) => next = next_frame(&mut queue, &mut stream).await,
+                Err(error) if error.kind() == std::io::ErrorKind::TimedOut => {
                     // The other side doesn't read. What waits would only grow, to the size of a whole value each.
                     while queue.try_recv().is_ok() {}
                     break;
                 }
+                Err(_) => break,
             }
         }
     }
@@ -104,6 +123,9 @@
 
 /// A message and those that wait behind it, up to what is written in one call.
 fn with_waiting(first: Bytes, queue: &mut mpsc::Receiver<Bytes>) -> Bytes {
+    if first.len() >= BATCH_BYTES {
+        return first;
+    }
     let Ok(second) = queue.try_recv() else { return first };
     let mut frames = BytesMut::from(first);
     frames.extend_from_slice(&second);
--- a/src/control_plane/links/frozen_receiver_tests.rs
+++ b/src/control_plane/links/frozen_receiver_tests.rs
@@ -47,7 +47,7 @@
                     accepted.push(stream);
                 }
             });
-            let mut links = Links::start(own, inputs);
+            let mut links = Links::start(own, inputs, 256);
             let mut most = 0;
             for _ in 0..500 {
                 links.send_peers(vec![address.clone()], &frame());
@@ -60,3 +60,31 @@
     println!("{most} messages waited");
     assert_that!(most * VALUE_BYTES, lt(MOST_WAITING));
 }
+
+/// Guards against large values that together take a core machine over its memory while others do not read.
+#[tokio::test(start_paused = true)]
+async fn large_values_for_frozen_core_nodes_stay_within_their_share_of_the_memory() {
+    const MEMORY_MB: u64 = 64;
+    const LARGE_VALUE_BYTES: usize = 1 << 20;
+    let frozen = loopback().expect("a port of the loopback interface");
+    let address = frozen.local_addr().expect("it is bound").to_string();
+    let (inputs, _received) = mpsc::unbounded_channel();
+    let own = loopback().expect("a port of the loopback interface");
+    LocalSet::new()
+        .run_until(async {
+            let mut links = Links::start(own, inputs, MEMORY_MB);
+            let envelope = RegisterEnvelope { to: 2, message: vec![0; LARGE_VALUE_BYTES].into() };
+            let large =
+                PeerFrame { from: 1, address: String::new(), body: Some(PeerBody::Register(envelope)) };
+            for _ in 0..100 {
+                links.send_peers(vec![address.clone()], &large);
+            }
+            let waiting = PEER_QUEUE - links.peers[&address].capacity();
+            assert_that!(waiting * LARGE_VALUE_BYTES, all!(gt(0), le((MEMORY_MB as usize) << 17)));
+            // A share is kept for heartbeats.
+            let small = PeerFrame { from: 1, address: String::new(), body: None };
+            links.send_peers(vec![address.clone()], &small);
+            assert_that!(PEER_QUEUE - links.peers[&address].capacity(), eq(waiting + 1));
+        })
+        .await;
+}
--- a/src/control_plane/links/reconnect_tests.rs
+++ b/src/control_plane/links/reconnect_tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 use std::cell::Cell;
 use std::rc::Rc;
-use switchhill_protocol::{write_frame, PeerBody, PeerHeartbeat, WorkerUpdateAck};
+use switchhill_protocol::{write_frame, PeerBody, PeerHeartbeat, RegisterEnvelope, WorkerUpdateAck};
 use tokio::io::{AsyncWriteExt, DuplexStream};
 use tokio::task::{spawn_local, JoinHandle};
 
@@ -244,10 +244,10 @@
             let mut sender = Sender::new(held);
             sender.send(1..=3).await;
             let first = sender.connections.recv().await.expect("a connection");
-            tokio::time::sleep(WRITE_WITHIN + Duration::from_millis(10)).await;
+            tokio::time::sleep(LONGEST_PEER_STALL + Duration::from_millis(10)).await;
             let mut seen = numbers_on(first).await;
             sender.send(4..=4).await;
-            tokio::time::sleep(WRITE_WITHIN).await;
+            tokio::time::sleep(LONGEST_PEER_STALL).await;
             while let Ok(stream) = sender.connections.try_recv() {
                 seen.extend(numbers_on(stream).await);
                 tokio::time::sleep(Duration::from_millis(1)).await;
@@ -257,3 +257,27 @@
         });
     }
 }
+
+/// Guards against giving up a core node that takes a large value slowly: it was sent the whole value again and again, and
+/// never had it.
+#[test]
+fn a_large_frame_reaches_a_core_node_that_takes_a_little_at_a_time() {
+    const PIECE: usize = 64 << 10;
+    on_one_thread(async {
+        let mut sender = Sender::new(PIECE);
+        let envelope = RegisterEnvelope { to: 2, message: vec![7; 64 * PIECE].into() };
+        let frame =
+            PeerFrame { from: 1, address: SENDER.to_owned(), body: Some(PeerBody::Register(envelope)) };
+        let encoded = encode_frame(&frame).expect("within the limit");
+        sender.queue.send(encoded.clone()).await.expect("the task lives");
+        let mut stream = sender.connections.recv().await.expect("a connection");
+        let mut received = Vec::new();
+        while received.len() < encoded.len() {
+            // All of it takes several times as long as the longest stall.
+            tokio::time::sleep(LONGEST_PEER_STALL / 10).await;
+            let read = stream.read_buf(&mut received).await.expect("the connection lasts");
+            assert!(read > 0, "closed after {} bytes", received.len());
+        }
+        assert!(received == encoded, "the whole frame, unchanged");
+    });
+}
--- a/src/control_plane/links/unread_subscriber_tests.rs
+++ b/src/control_plane/links/unread_subscriber_tests.rs
@@ -82,7 +82,7 @@
     let (inputs, mut received) = mpsc::unbounded_channel();
     let kept = Arc::new(AtomicUsize::new(0));
     let run = async {
-        let mut links = Links::start(own, inputs);
+        let mut links = Links::start(own, inputs, 256);
         let _unread = subscribe(address).await.expect("a connection");
         let id = match received.recv().await {
             Some(Input::Subscriber(id, _)) => id,
--- a/src/control_plane/mod.rs
+++ b/src/control_plane/mod.rs
@@ -70,7 +70,7 @@
     async fn serve(self, mut stop: impl AsyncFnMut()) {
         let ControlPlane { settings, clock, mut node, writer, internal, control } = self;
         let (inputs, mut received) = mpsc::unbounded_channel();
-        let mut effects = Effects::start(writer, internal, control, &inputs);
+        let mut effects = Effects::start(writer, internal, control, &inputs, settings.limits.memory_mb);
         let mut ticks = tokio::time::interval(TICK_EVERY);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut leave: Option<Leave> = None;
@@ -110,17 +110,18 @@
 }
 
 impl Effects {
-    /// Begins to serve. What comes of it goes to `inputs`.
+    /// Begins to serve. What comes of it goes to `inputs`. `memory_mb` is the process's memory limit.
     fn start(
         writer: Writer<StandardFileSystem>,
         internal: TcpListener,
         control: TcpListener,
         inputs: &mpsc::UnboundedSender<Input>,
+        memory_mb: u64,
     ) -> Effects {
         Effects {
             disk: disk::Disk::start(writer, inputs.clone()),
-            links: links::Links::start(internal, inputs.clone()),
-            calls: http::Calls::start(control, inputs.clone()),
+            links: links::Links::start(internal, inputs.clone(), memory_mb),
+            calls: http::Calls::start(control, inputs.clone(), memory_mb),
             workers: workers::WorkerCalls::new(inputs.clone()),
         }
     }
--- a/src/data_plane/ingress.rs
+++ b/src/data_plane/ingress.rs
@@ -8,12 +8,12 @@
 use super::forwarded_request::ForwardedRequest;
 use super::policy;
 use super::replies::LocalReply;
-use super::request_body::{self, ReadBodyError};
 use super::request_head::RequestHead;
 use super::request_log::Timeline;
 use super::response_body::ResponseBody;
 use super::shared::Shared;
 use super::shutdown::{Phase, ShutdownHandle};
+use crate::system::request_body::{self, ReadBodyError};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, EXPECT};
@@ -151,8 +151,8 @@
     head.deadline.unwrap_or(timeout).min(timeout).min(policy::MAX_BODY_READ_TIME)
 }
 
-/// Reads the body until the given time. If its memory is not free, the request is refused at once, while the
-/// client may still be sending.
+/// Reads the body until the given time. If it is too long or its memory is not free, the request is refused at
+/// once, while the client may still be sending.
 async fn read_body(
     shared: &Shared,
     mut body: Incoming,
@@ -168,19 +168,19 @@
         Ok(Err(error)) => error,
         Err(_) => return Err(refused),
     };
-    match error {
-        ReadBodyError::TooLong => Err(LocalReply::BodyTooLarge),
-        ReadBodyError::Unreadable => Err(LocalReply::BodyUnreadable),
+    // A client that waits for the go-ahead sends no body after a refusal.
+    if !awaits_continue {
+        let time_left = until.saturating_duration_since(Instant::now());
+        tokio::task::spawn_local(request_body::discard(body, time_left));
+    }
+    Err(match error {
+        ReadBodyError::TooLong => LocalReply::BodyTooLarge,
+        ReadBodyError::Unreadable => LocalReply::BodyUnreadable,
         ReadBodyError::OutOfMemory => {
             shared.statistics.borrow_mut().refusals.memory += 1;
-            // A client that waits for the go-ahead sends no body after a refusal.
-            if !awaits_continue {
-                let time_left = until.saturating_duration_since(Instant::now());
-                tokio::task::spawn_local(request_body::discard(body, time_left));
-            }
-            Err(refused)
+            refused
         }
-    }
+    })
 }
 
 /// Looks up the route in the newest configuration.
--- a/src/data_plane/mod.rs
+++ b/src/data_plane/mod.rs
@@ -6,7 +6,6 @@
 
 mod admission_stage;
 mod attempt;
-mod body_memory;
 mod clock;
 mod connection_headers;
 mod connection_limits;
@@ -33,7 +32,6 @@
 mod reachability;
 mod readiness;
 mod replies;
-mod request_body;
 mod request_head;
 mod request_log;
 mod response_body;
--- a/src/data_plane/policy.rs
+++ b/src/data_plane/policy.rs
@@ -142,6 +142,9 @@
 /// Maximum number of attempts per request in which nothing was sent, because there was no connection or the
 /// worker had become unavailable.
 pub(crate) const MAX_UNSENT_ATTEMPTS: u32 = 4;
+/// Share of the process's memory for request bodies. The rest is for the buffers of the connections, responses
+/// that are read before they are forwarded, and the state of the system.
+pub(crate) const BODY_MEMORY_SHARE: f64 = 0.4;
 /// Longest time for reading a request body. The request's deadline may end it earlier.
 pub(crate) const MAX_BODY_READ_TIME: Duration = Duration::from_secs(30);
 /// Request size that admission assumes if a request does not state its tokens.
--- a/src/data_plane/shared.rs
+++ b/src/data_plane/shared.rs
@@ -1,7 +1,6 @@
 //! State shared by all connections and tasks of the data plane.
 
 use super::admission_stage::AdmissionStage;
-use super::body_memory::BodyMemory;
 use super::clock::now_ms;
 use super::connection_limits::ConnectionLimits;
 use super::drain::FittingShare;
@@ -18,6 +17,7 @@
 use super::statistics::{Refusals, Statistics};
 use super::view::View;
 use crate::site_settings::{Bounds, SiteSettings};
+use crate::system::memory_budget::MemoryBudget;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -57,7 +57,7 @@
     /// Number of client connections with written data that the client has not read yet.
     pub(crate) unwritten_connections: Rc<Cell<u32>>,
     pub(crate) connection_limits: ConnectionLimits,
-    pub(crate) body_memory: BodyMemory,
+    pub(crate) body_memory: MemoryBudget,
     view: RefCell<Arc<View>>,
     feedback: UnboundedSender<Feedback>,
     last_summary_at: Cell<u64>,
@@ -71,7 +71,7 @@
         shutdown: ShutdownHandle,
     ) -> Shared {
         let connection_limits = ConnectionLimits::from_fd_limit(settings.limits.max_fds);
-        let body_memory = BodyMemory::from_memory_limit(settings.limits.memory_mb);
+        let body_memory = MemoryBudget::share_of(settings.limits.memory_mb, policy::BODY_MEMORY_SHARE);
         Shared {
             router: RefCell::new(Router::new(router_settings(&settings), fastrand::u64(..))),
             retry_budget: RefCell::new(retry_budget(&settings)),
--- a/src/data_plane/tests/body_memory.rs
+++ b/src/data_plane/tests/body_memory.rs
@@ -2,7 +2,8 @@
 
 use super::harness::{read_to_end, request_bytes, run_in_paused_time, InMemoryHarness, RouteUnderTest};
 use super::scripted_worker::{Failure, FailurePoint, Plan};
-use crate::data_plane::body_memory::BodyMemory;
+use crate::data_plane::policy::BODY_MEMORY_SHARE;
+use crate::system::memory_budget::MemoryBudget;
 use googletest::prelude::*;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
@@ -181,7 +182,7 @@
 
 #[gtest]
 fn reservations_are_returned() {
-    let memory = BodyMemory::from_memory_limit(MEMORY_MB);
+    let memory = MemoryBudget::share_of(MEMORY_MB, BODY_MEMORY_SHARE);
     let all = memory.free_bytes();
     let mut reservation = memory.reserve(10_000).expect("free memory");
     expect_that!(memory.extend(&mut reservation, all / 2), eq(true));
--- a/src/system/connection.rs
+++ b/src/system/connection.rs
@@ -156,6 +156,24 @@
     writer.flush().await
 }
 
+/// Writes all of the bytes, however long that takes, as long as the other side goes on taking them.
+///
+/// # Errors
+/// The connection failed, or the other side has taken nothing for `longest_stall`, which is [`std::io::ErrorKind::TimedOut`].
+pub async fn write_unless_stalled(
+    writer: &mut (impl AsyncWrite + Unpin),
+    bytes: &[u8],
+    longest_stall: Duration,
+) -> std::io::Result<()> {
+    let mut writer = ProgressWriter::new(writer);
+    let progress = writer.progress();
+    tokio::select! {
+        biased;
+        written = write(&mut writer, bytes) => written,
+        () = progress.stalled_for(longest_stall) => Err(std::io::ErrorKind::TimedOut.into()),
+    }
+}
+
 async fn receive<R: Message + Default>(reader: impl AsyncRead + Unpin, received: impl Fn(R) -> bool) -> End {
     let mut reader = BufReader::new(reader);
     loop {
--- a/src/data_plane/body_memory.rs
+++ b/src/system/memory_budget.rs
@@ -1,8 +1,7 @@
-//! Limit on the memory that the bodies of all requests hold together.
+//! Limit on the memory that data of many sources holds together, such as the bodies of all requests.
 //!
-//! `maxBodyBytes` limits a single body and the descriptor limit the number of connections; their product is
-//! far more than the memory of an edge machine. Every body therefore reserves its memory before it is read,
-//! and the reservation ends with the last reference to the body's bytes.
+//! A limit on each single piece and one on their number multiply to far more than the memory of a machine. Every piece
+//! therefore reserves its memory before it is read or queued, and the reservation ends with the last reference to its bytes.
 
 use bytes::Bytes;
 use std::sync::Arc;
@@ -11,42 +10,38 @@
 /// Unit of a reservation in bytes.
 const BLOCK_BYTES: usize = 1024;
 
-/// Share of the process's memory for request bodies. The rest is for the buffers of the connections, responses
-/// that are read before they are forwarded, and the state of the system.
-const BODY_MEMORY_SHARE: f64 = 0.4;
+/// Share of a budget that only small pieces may use, so that a few large ones do not keep them out.
+const SMALL_PIECE_SHARE: f64 = 0.1;
 
-/// Share of the body memory that only small bodies may use, so that a few long ones do not keep them out.
-const SMALL_BODY_SHARE: f64 = 0.1;
+/// Largest piece in bytes that counts as small.
+const SMALL_PIECE_BYTES: usize = 64 * 1024;
 
-/// Longest body in bytes that counts as small.
-const SMALL_BODY_BYTES: usize = 64 * 1024;
-
-/// Memory for request bodies, in use and free.
-#[derive(Debug)]
-pub(crate) struct BodyMemory {
+/// Memory for the pieces of one kind, in use and free. Clones share it.
+#[derive(Debug, Clone)]
+pub(crate) struct MemoryBudget {
     free_blocks: Arc<Semaphore>,
-    /// Number of free blocks that bodies other than small ones leave untouched.
-    small_body_blocks: usize,
+    /// Number of free blocks that pieces other than small ones leave untouched.
+    small_piece_blocks: usize,
 }
 
-/// Memory reserved for one body. Dropping it returns the memory.
+/// Memory reserved for one piece. Dropping it returns the memory.
 #[derive(Debug)]
 pub(crate) struct Reservation {
     blocks: Option<OwnedSemaphorePermit>,
 }
 
-impl BodyMemory {
-    /// The share of a process's memory limit, which is in megabytes, that bodies may use.
-    pub(crate) fn from_memory_limit(memory_mb: u64) -> BodyMemory {
-        let bytes = memory_mb.saturating_mul(1 << 20) as f64 * BODY_MEMORY_SHARE;
+impl MemoryBudget {
+    /// A share of a process's memory limit, which is in megabytes.
+    pub(crate) fn share_of(memory_mb: u64, share: f64) -> MemoryBudget {
+        let bytes = memory_mb.saturating_mul(1 << 20) as f64 * share;
         let blocks = ((bytes / BLOCK_BYTES as f64) as usize).clamp(1, Semaphore::MAX_PERMITS);
-        BodyMemory {
+        MemoryBudget {
             free_blocks: Arc::new(Semaphore::new(blocks)),
-            small_body_blocks: (blocks as f64 * SMALL_BODY_SHARE) as usize,
+            small_piece_blocks: (blocks as f64 * SMALL_PIECE_SHARE) as usize,
         }
     }
 
-    /// Reserves memory for a body of this length, or returns `None` if too little is free.
+    /// Reserves memory for a piece of this length, or returns `None` if too little is free.
     pub(crate) fn reserve(&self, bytes: usize) -> Option<Reservation> {
         let mut reservation = Reservation { blocks: None };
         self.extend(&mut reservation, bytes).then_some(reservation)
@@ -56,7 +51,7 @@
     /// is unchanged.
     pub(crate) fn extend(&self, reservation: &mut Reservation, bytes: usize) -> bool {
         let additional = bytes.div_ceil(BLOCK_BYTES).saturating_sub(reservation.block_count());
-        let kept_free = if bytes <= SMALL_BODY_BYTES { 0 } else { self.small_body_blocks };
+        let kept_free = if bytes <= SMALL_PIECE_BYTES { 0 } else { self.small_piece_blocks };
         if additional.saturating_add(kept_free) > self.free_blocks.available_permits() {
             return false;
         }
@@ -96,19 +91,19 @@
     }
 }
 
-/// Bytes of a body together with their reservation.
-struct ReservedBytes {
-    bytes: Vec<u8>,
+/// Bytes together with their reservation.
+struct ReservedBytes<B> {
+    bytes: B,
     _reservation: Reservation,
 }
 
-impl AsRef<[u8]> for ReservedBytes {
+impl<B: AsRef<[u8]>> AsRef<[u8]> for ReservedBytes<B> {
     fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        self.bytes.as_ref()
     }
 }
 
 /// Couples the bytes to their reservation, which ends with the last reference to them.
-pub(crate) fn reserved_bytes(bytes: Vec<u8>, reservation: Reservation) -> Bytes {
+pub(crate) fn reserved_bytes(bytes: impl AsRef<[u8]> + Send + 'static, reservation: Reservation) -> Bytes {
     Bytes::from_owner(ReservedBytes { bytes, _reservation: reservation })
 }
--- a/src/system/mod.rs
+++ b/src/system/mod.rs
@@ -4,7 +4,9 @@
 pub mod clock;
 pub mod command;
 pub mod connection;
+pub(crate) mod memory_budget;
 pub mod outgoing;
+pub(crate) mod request_body;
 pub mod stop;
 
 use crate::site_settings::SiteSettings;
--- a/src/data_plane/request_body.rs
+++ b/src/system/request_body.rs
@@ -1,6 +1,6 @@
 //! Reading a request's body, within the limit of a single body and the memory for all of them.
 
-use super::body_memory::{reserved_bytes, BodyMemory, Reservation};
+use super::memory_budget::{reserved_bytes, MemoryBudget, Reservation};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -30,7 +30,7 @@
 /// # Errors
 /// The body is too long or cannot be read, or too little memory is free.
 pub(crate) async fn read(
-    memory: &BodyMemory,
+    memory: &MemoryBudget,
     body: &mut Incoming,
     max_bytes: usize,
 ) -> Result<Bytes, ReadBodyError> {
@@ -59,7 +59,7 @@
 
 /// A body that is being read.
 struct BodyBuffer<'a> {
-    memory: &'a BodyMemory,
+    memory: &'a MemoryBudget,
     max_bytes: usize,
     bytes: Vec<u8>,
     reservation: Reservation,
@@ -68,7 +68,7 @@
 impl BodyBuffer<'_> {
     /// A buffer for the whole body if its length is known, or else for the start of it.
     fn for_body<'a>(
-        memory: &'a BodyMemory,
+        memory: &'a MemoryBudget,
         body: &Incoming,
         max_bytes: usize,
     ) -> Result<BodyBuffer<'a>, ReadBodyError> {
