A configuration on its way to an agent is not fetched again at a fixed pace

Cause: an agent asks a publisher that is ahead for 150 ms for the whole configuration, on each of three links, again each 150 ms, and at once for each delta that doesn't fit. At this size it takes longer to come, so core machines sent it many times over: over 32 MB waited for all connections, 21 connections were given up, and a new one begins with the whole configuration.

Change: FetchPacing counts the fetches of an agent over all links; the wait doubles from 300 ms to 2.4 s until the agent has another revision.

--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod absent;
 mod feed;
+mod fetch_pacing;
 mod links;
 mod loads;
 mod merged;
--- a/crates/distribution/src/links.rs
+++ b/crates/distribution/src/links.rs
@@ -1,5 +1,6 @@
 //! Selection of publishers: a few links at a time, replaced when idle, one of them the home.
 
+use crate::fetch_pacing::FetchPacing;
 use std::collections::{BTreeMap, BTreeSet};
 use switchhill_protocol::Status;
 
@@ -87,6 +88,7 @@
     links: BTreeMap<LinkId, Link>,
     home: Option<LinkId>,
     next_link: u64,
+    fetch_pacing: FetchPacing,
 }
 
 impl LinkPlanner {
@@ -100,6 +102,7 @@
             links: BTreeMap::new(),
             home: None,
             next_link: 0,
+            fetch_pacing: FetchPacing::default(),
         }
     }
 
@@ -169,7 +172,8 @@
         let ahead = status.revision > revision;
         let diverged = status.quorum && status.warm && status.workers_digest != digest;
         let mut actions = Vec::new();
-        if persists(&mut link.ahead_since, ahead, now, settings.fetch_delay) {
+        let overdue = persists(&mut link.ahead_since, ahead, now, settings.fetch_delay);
+        if overdue && self.fetch_pacing.may_fetch(now, revision, settings.fetch_delay) {
             actions.push(LinkAction::Fetch(id, false));
         }
         if persists(&mut link.diverged_since, diverged, now, settings.workers_divergence_timeout) {
@@ -178,6 +182,11 @@
         actions
     }
 
+    /// Whether a subscriber that has `revision` may fetch the configuration now. If so, the fetch counts as made.
+    pub(crate) fn may_fetch(&mut self, now: u64, revision: u64) -> bool {
+        self.fetch_pacing.may_fetch(now, revision, self.settings.fetch_delay)
+    }
+
     /// Handles any other message on a link.
     pub fn message_received(&mut self, now: u64, id: LinkId) {
         if let Some(link) = self.links.get_mut(&id) {
--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -167,7 +167,7 @@
         self.links.message_received(now, id);
         match message.body {
             Some(DownstreamBody::Status(status)) => self.link_status(now, id, status),
-            Some(DownstreamBody::Configuration(configuration)) => self.configuration(id, &configuration),
+            Some(DownstreamBody::Configuration(configuration)) => self.configuration(now, id, &configuration),
             Some(DownstreamBody::Workers(workers)) => {
                 let change = self.state.merge_workers(now, &workers);
                 self.publish_change(change);
@@ -202,7 +202,7 @@
         }
     }
 
-    fn configuration(&mut self, id: LinkId, message: &Configuration) {
+    fn configuration(&mut self, now: u64, id: LinkId, message: &Configuration) {
         // A configuration that is not backed by a quorum may be stale and is not applied.
         if !message.confirmed {
             return;
@@ -214,7 +214,7 @@
                 let delta = old.zip(new).map(|(old, new)| ConfigurationDelta::between(&old, new));
                 self.publish_configuration(delta.as_ref());
             }
-            Some(Change::FullConfigurationRequired) => {
+            Some(Change::FullConfigurationRequired) if self.links.may_fetch(now, self.state.revision()) => {
                 let fetch = Fetch { have_revision: 0, workers: false };
                 self.out.push(RelayOutput::ToLink(id, Upstream { body: Some(UpstreamBody::Fetch(fetch)) }));
             }
--- a/crates/distribution/tests/links.rs
+++ b/crates/distribution/tests/links.rs
@@ -145,3 +145,27 @@
     let (_, opened) = planner_of_two_zones(0);
     expect_that!(opened, is_empty());
 }
+
+/// Guards against fetching a large configuration again and again while it is on its way: each publisher sent it whole many
+/// times over, and changes were in force seconds late.
+#[gtest]
+fn a_configuration_that_takes_long_to_come_is_fetched_a_few_times() {
+    let mut planner = planner(2);
+    let links = connect_all(&mut planner, 0);
+    let mut fetches = Vec::new();
+    for now in (10..3_010).step_by(50) {
+        for link in &links {
+            let actions = planner.status(now, *link, &status(true, REVISION + 1), REVISION, DIGEST);
+            fetches.extend(actions.iter().map(|_| now));
+        }
+    }
+    expect_that!(fetches, len(all!(ge(3), le(4))), "asked again at last, as an answer may be lost");
+    expect_that!(fetches[0], le(210));
+    // Once a configuration has come, a newer one is fetched as soon as the first was.
+    let newer = status(true, REVISION + 2);
+    for now in [3_010, 3_160, 3_210] {
+        let actions = planner.status(now, links[0], &newer, REVISION + 1, DIGEST);
+        fetches.extend(actions.iter().map(|_| now));
+    }
+    expect_that!(*fetches.last().expect("fetches"), ge(3_010));
+}
