A proposer forgets refused rounds after five seconds without one

Cause: the growing backoff was set back only by a newer value being chosen. A round refused with nothing chosen after it, as in a duel whose proposers gave up, would have let the next change wait for up to 2.56 s, however much later it came.

Change: refused rounds count no longer once none has been refused for 5.12 s, twice the longest wait; unit tests of the waits.

--- a/crates/register/src/backoff.rs
+++ b/crates/register/src/backoff.rs
@@ -4,6 +4,9 @@
 //! that wait for less than a round refuse each other for ever, so the bound doubles with each refused round until a value
 //! is chosen (randomized exponential backoff, as in Metcalfe and Boggs, "Ethernet", 1976).
 
+#[cfg(test)]
+mod tests;
+
 use crate::random::Random;
 
 /// Shortest wait, in milliseconds: less than a round trip.
@@ -15,21 +18,34 @@
 /// Refused rounds in a row after which the bound grows no further.
 const MAX_DOUBLINGS: u32 = 5;
 
+/// Time without a refused round after which nobody else proposes any more, in milliseconds: twice the longest wait.
+const FORGET_AFTER_MS: u64 = 2 * (FIRST_BOUND_MS << MAX_DOUBLINGS);
+
 /// Rounds refused in a row, and the waits that follow from them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(crate) struct Backoff {
     refused_rounds: u32,
+    /// Time of the last refused round, in milliseconds; 0 if none counts.
+    refused_at: u64,
 }
 
 impl Backoff {
     /// A round was refused and is given up.
-    pub(crate) fn round_refused(&mut self) {
+    pub(crate) fn round_refused(&mut self, now: u64) {
         self.refused_rounds = (self.refused_rounds + 1).min(MAX_DOUBLINGS);
+        self.refused_at = now;
     }
 
     /// A value was chosen: whoever proposes gets through.
     pub(crate) fn value_chosen(&mut self) {
-        self.refused_rounds = 0;
+        *self = Backoff::default();
+    }
+
+    /// Time has passed.
+    pub(crate) fn tick(&mut self, now: u64) {
+        if self.is_contended() && now >= self.refused_at + FORGET_AFTER_MS {
+            *self = Backoff::default();
+        }
     }
 
     /// A random wait before the next round, in milliseconds.
--- a/crates/register/src/proposal.rs
+++ b/crates/register/src/proposal.rs
@@ -133,7 +133,7 @@
             return;
         };
         if round.times.retry_at.is_some_and(|retry_at| now >= retry_at) {
-            self.backoff.round_refused();
+            self.backoff.round_refused(now);
             self.start_prepare(now);
         } else if now >= round.times.sent_at + RESEND_MS {
             round.times.sent_at = now;
--- a/crates/register/src/replica.rs
+++ b/crates/register/src/replica.rs
@@ -277,6 +277,7 @@
     }
 
     fn tick(&mut self, now: u64) {
+        self.backoff.tick(now);
         if now >= self.persist_again_at {
             self.acceptor.schedule(&mut self.outputs);
         }
