A real data plane stays within its memory under 300 long bodies at once

Change: a story of the local system and its test: 300 uploads of 1 MiB that lack their last byte, the most memory the data plane had resident below limits.memoryMb (256), some refused at once, a short request beside them served.

--- a/lab/src/local_system/client.rs
+++ b/lab/src/local_system/client.rs
@@ -9,6 +9,9 @@
 use hyper::body::Incoming;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 /// Host of all routes of the stories.
 pub(crate) const HOST: &str = "models.example";
@@ -16,6 +19,17 @@
 /// Requests sent so far, for their ids.
 static REQUESTS: AtomicU64 = AtomicU64::new(0);
 
+/// Time in which an edge reads what many clients send at once.
+const UPLOAD_READ_WITHIN: Duration = Duration::from_secs(2);
+
+/// A request whose body is not complete.
+#[derive(Debug)]
+pub(super) struct Upload {
+    /// Whether the edge has answered without waiting for the rest.
+    pub(super) answered: bool,
+    _stream: TcpStream,
+}
+
 /// A client of one edge.
 #[derive(Debug, Clone, Copy)]
 pub struct Client {
@@ -61,6 +75,28 @@
         tokio::time::timeout(LONGEST_WAIT, exchange).await.context("no answer in time")?
     }
 
+    /// Begins a request with a body of this length, sends all of it but the last byte, and waits until it is answered or so
+    /// long that the edge has read it.
+    ///
+    /// # Errors
+    /// The connection breaks, or nothing is taken for too long.
+    pub(super) async fn upload_unfinished(&self, path: &str, length: usize) -> anyhow::Result<Upload> {
+        let upload = async {
+            let mut stream = TcpStream::connect(self.edge).await?;
+            let head = format!(
+                "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {}\r\nContent-Length: {length}\r\n\r\n",
+                request_id()
+            );
+            stream.write_all(head.as_bytes()).await?;
+            stream.write_all(&vec![b'a'; length - 1]).await?;
+            anyhow::Ok(stream)
+        };
+        let stream =
+            tokio::time::timeout(LONGEST_WAIT, upload).await.context("the upload stands still")??;
+        let answered = tokio::time::timeout(UPLOAD_READ_WITHIN, stream.readable()).await.is_ok();
+        Ok(Upload { answered, _stream: stream })
+    }
+
     /// Opens a stream of events.
     ///
     /// # Errors
@@ -116,8 +152,13 @@
     ids.filter_map(|id| id.parse().ok()).collect()
 }
 
+/// An id that no other request has.
+fn request_id() -> String {
+    format!("{:08x}{:08x}", std::process::id(), REQUESTS.fetch_add(1, Ordering::SeqCst))
+}
+
 fn request(path: &str, model: &str) -> Request<Full<Bytes>> {
-    let id = format!("{:08x}{:08x}", std::process::id(), REQUESTS.fetch_add(1, Ordering::SeqCst));
+    let id = request_id();
     Request::post(path)
         .header("host", HOST)
         .header("request-id", id)
--- a/lab/src/local_system/configuration.rs
+++ b/lab/src/local_system/configuration.rs
@@ -15,6 +15,9 @@
 /// Requests that a worker runs at once.
 pub(super) const SLOTS: u32 = 8;
 
+/// Longest body of a request, in bytes.
+pub(super) const MAX_BODY_BYTES: usize = 1 << 20;
+
 /// The first configuration: whole answers under `/embed/`, streams under `/chat/`, long objectives under `/batch/`.
 pub(super) fn first(revision: u64) -> Value {
     let routes = [
@@ -41,7 +44,7 @@
                 "models": models,
             },
         }],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1_048_576, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": MAX_BODY_BYTES, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
     })
 }
 
--- a/lab/src/local_system/machine.rs
+++ b/lab/src/local_system/machine.rs
@@ -15,6 +15,9 @@
 /// Pause in milliseconds between orders of two placers.
 const LEASE_MS: u64 = 500;
 
+/// Memory that a process may use, in megabytes, as its settings state it.
+pub(super) const MEMORY_MB: u64 = 256;
+
 /// Descriptors of a process.
 const MAX_FDS: u32 = 1024;
 
@@ -153,7 +156,7 @@
         "portRange": [plan.ports.internal, plan.feed_port],
         "seeds": plan.seeds,
         "bootstrap": true,
-        "limits": {"maxFds": MAX_FDS},
+        "limits": {"maxFds": MAX_FDS, "memoryMb": MEMORY_MB},
         "heartbeatMs": HEARTBEAT_MS,
         "faultTolerance": {"machines": 1},
         "bounds": {"graceS": GRACE_S, "leaseMs": LEASE_MS},
--- a/lab/src/local_system/process.rs
+++ b/lab/src/local_system/process.rs
@@ -51,6 +51,18 @@
         &self.name
     }
 
+    /// The most memory that it has had resident so far, in bytes.
+    ///
+    /// # Errors
+    /// The system does not tell.
+    pub fn peak_resident_bytes(&self) -> anyhow::Result<u64> {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(&path).with_context(|| path.clone())?;
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")?.trim().strip_suffix(" kB"));
+        let kilobytes: u64 = peak.with_context(|| format!("{path} has no VmHWM"))?.trim().parse()?;
+        Ok(kilobytes * 1024)
+    }
+
     /// How it ended, if it did.
     ///
     /// # Errors
--- a/lab/src/local_system/stories.rs
+++ b/lab/src/local_system/stories.rs
@@ -2,13 +2,15 @@
 //! returns what happened, a line each; it fails where something else happened.
 
 use super::client::Whole;
-use super::configuration::{adding, first, RARE_MODEL, USUAL_MODEL};
+use super::configuration::{adding, first, MAX_BODY_BYTES, RARE_MODEL, USUAL_MODEL};
+use super::machine::MEMORY_MB;
 use super::site::Site;
 use super::stand_in_worker::EVENTS;
 use super::wait::until;
 use super::{Client, Operator};
 use anyhow::{ensure, Context};
 use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
 
 /// What happened in a story.
 pub type Told = anyhow::Result<Vec<String>>;
@@ -25,6 +27,9 @@
 /// Ends the line that a core machine logs when it makes all three core machines vote.
 const ELECTORATE_LINE: &str = "electorate: 3 members wanted";
 
+/// Uploads at one moment, each of the longest body: more than the memory of a process.
+const UPLOADS: usize = 300;
+
 /// Events after which a stream is disturbed.
 const EVENTS_BEFORE: usize = 5;
 
@@ -74,6 +79,29 @@
     Ok(vec![told, "a path without a route is answered 404".to_owned()])
 }
 
+/// More long bodies come in at once than the memory of a data plane holds: it stays within it, and serves on.
+///
+/// # Errors
+/// Something else happens.
+pub async fn long_bodies_leave_room(site: &mut Site) -> Told {
+    let client = site.clients().swap_remove(0);
+    let mut uploads = JoinSet::new();
+    for _ in 0..UPLOADS {
+        uploads.spawn(async move { client.upload_unfinished("/embed/long", MAX_BODY_BYTES).await });
+    }
+    let uploads: Vec<_> = uploads.join_all().await.into_iter().collect::<anyhow::Result<_>>()?;
+    let answer = client.ask("/embed/short", USUAL_MODEL).await?;
+    ensure!(answer.status == 200, "a short request beside them is answered {answer:?}");
+    let peak = site.data_plane(0).peak_resident_bytes()?;
+    ensure!(peak < MEMORY_MB << 20, "the data plane had {peak} bytes resident");
+    let refused = uploads.iter().filter(|upload| upload.answered).count();
+    ensure!((1..UPLOADS).contains(&refused), "{refused} of {UPLOADS} uploads are refused");
+    let megabytes = peak >> 20;
+    Ok(vec![format!(
+        "{UPLOADS} bodies of {MAX_BODY_BYTES} bytes at once: {refused} refused at once, {megabytes} MB at the most, a short request served"
+    )])
+}
+
 /// A request for a model that stands nowhere is held until a worker has loaded it.
 ///
 /// # Errors
--- a/lab/tests/local_system.rs
+++ b/lab/tests/local_system.rs
@@ -43,6 +43,15 @@
     });
 }
 
+/// Guards against bodies that together take a data plane over its memory, which ends its process and cuts its requests.
+#[gtest]
+fn a_data_plane_stays_within_its_memory_under_long_bodies() {
+    on_a_site(|mut site| async {
+        stories::long_bodies_leave_room(&mut site).await?;
+        Ok(site)
+    });
+}
+
 #[gtest]
 fn changes_are_in_force_at_all_edges_race_and_are_acknowledged_again() {
     on_a_site(|mut site| async {
