--- a/review/stand_ins_2/case_4.rs
+++ b/review/stand_ins_2/case_4.rs
@@ -4,6 +4,7 @@
 
 use kit::*;
 use std::net::TcpStream;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
 const CORES: usize = 5;
@@ -36,6 +37,31 @@
     (1..=REPLACED).map(place).max() < (REPLACED + 1..=REPLACED + CORES).map(place).min()
 }
 
+/// A second worker starts and the first one drains. How many requests reach the first one over `drainMs` (2 s) after the
+/// acknowledgement? This is told beside the verdict and is no part of it.
+fn drain(record: &Record, site: &mut Site, leaving: &Worker, handler: Arc<Handler>) -> usize {
+    let address = site.worker_address();
+    let _staying = Worker::start(record, "i-2", SERVICE, &address, site.controls(), handler);
+    pause(3_000);
+    leaving.draining.store(true, Ordering::SeqCst);
+    let acknowledged = (0..10).any(|round| leaving.beat(&site.cores[round % CORES].control()));
+    if !acknowledged {
+        record.note("the draining worker is not acknowledged");
+        return 0;
+    }
+    record.note("i-1 is acknowledged as draining");
+    pause(3_000);
+    let before = leaving.runs.lock().unwrap().len();
+    for edge in &site.edges {
+        let id = request_id();
+        let headers =
+            [("Host", HOST), ("Request-Id", id.as_str()), ("Model", "usual"), ("Request-Deadline-Ms", "3000")];
+        let status = call(&edge.http(), "POST", "/tile/1", &headers, b"tile", ms(3000)).map(|answer| answer.status);
+        record.note(&format!("{id} to {} on /tile/: {status:?}", edge.name));
+    }
+    leaving.runs.lock().unwrap().len() - before
+}
+
 fn main() {
     let record = Record::create("review/4/record.txt");
     // Which edge is struck depends on names and addresses. One is among these nine on the addresses chosen here.
@@ -52,7 +78,7 @@
         Ok(true)
     });
     let address = site.worker_address();
-    let worker = Worker::start(&record, "i-1", SERVICE, &address, site.controls(), handler);
+    let worker = Worker::start(&record, "i-1", SERVICE, &address, site.controls(), handler.clone());
     if !site.until_ready(ms(10_000)) {
         cannot_run("the edges do not become ready");
     }
@@ -100,6 +126,7 @@
             }
         }
     }
+    let sent_to_the_drained = drain(&record, &mut site, &worker, handler);
     for edge in &mut site.edges {
         for process in &mut edge.running {
             if let Some(status) = process.ended() {
@@ -108,7 +135,8 @@
         }
     }
     let verdict = format!(
-        "of {} requests on a route acknowledged 2.5 s to 10 s before, {served} were served, {old_version} got 404, {other} another answer",
+        "of {} requests on a route acknowledged 2.5 s to 10 s before, {served} were served, {old_version} got 404, {other} another answer; \
+         beside it, {sent_to_the_drained} of {EDGES} requests reached a worker 3 s after it was acknowledged as draining",
         ROUNDS * EDGES
     );
     finish(&record, old_version > 0, &verdict)
