Agents try addresses in turn and forget those that no core machine names any more

The edge called itself ready. Cause: an agent kept each address that it ever heard of and always tried the due one with the lowest hash. An attempt at a machine that is gone hangs; it held one of the three places for links for 500 ms and was due again 80 ms later. Enough such addresses before the living ones in an agent's order kept all places busy. Change: addresses that have not failed come first, then the one whose failure is longest ago; a link without a status counts towards the number of links for 250 ms only, then another attempt is begun beside it (RFC 8305, section 5), and a late one is closed if it is not needed; the delay of an address doubles with its failures; addresses and zones that no publisher has named for 3 s are forgotten while a publisher with quorum contact is connected, seeds never. An additional link is opened only into a zone that has none. Why it works: every known address gets its turn before any gets another, and one that hangs holds back one that answers for a quarter of a second, so the time to the links depends on neither the order nor how many machines were ever replaced.

--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -11,6 +11,7 @@
 mod loads;
 mod merged;
 mod publisher;
+mod publishers;
 mod relay;
 
 pub use feed::{FeedState, ReceiveOutcome};
--- a/crates/distribution/src/links.rs
+++ b/crates/distribution/src/links.rs
@@ -1,6 +1,10 @@
 //! Selection of publishers: a few links at a time, replaced when idle, one of them the home.
+//!
+//! Further attempts are begun while earlier ones hang, as in "Happy Eyeballs Version 2" (RFC 8305, section 5): a publisher
+//! that does not answer holds a place for [`LinkSettings::attempt_delay`] only.
 
 use crate::fetch_pacing::FetchPacing;
+use crate::publishers::{KnownPublishers, RetryDelays};
 use std::collections::{BTreeMap, BTreeSet};
 use switchhill_protocol::Status;
 
@@ -20,9 +24,13 @@
     pub idle_timeout: u64,
     /// Time limit for establishing a connection.
     pub connect_timeout: u64,
-    /// Delay before reconnecting to the same publisher.
+    /// Time for which a link without a status yet counts towards `target_links`; then another attempt is begun beside it.
+    pub attempt_delay: u64,
+    /// Delay before reconnecting to the same publisher. It doubles with each further failure.
     pub retry_delay: u64,
-    /// Reconnect delay while no publisher with quorum contact is connected.
+    /// Upper limit of the reconnect delay.
+    pub longest_retry_delay: u64,
+    /// Reconnect delay while no publisher with quorum contact is connected. It grows to `retry_delay`.
     pub retry_delay_without_quorum: u64,
     /// Time for which a publisher may be ahead before its revision is fetched; lets the home deliver it first.
     pub fetch_delay: u64,
@@ -40,7 +48,9 @@
             tolerated_zone_failures: 0,
             idle_timeout: 900,
             connect_timeout: 500,
+            attempt_delay: 250,
             retry_delay: 250,
+            longest_retry_delay: 1_000,
             retry_delay_without_quorum: 80,
             fetch_delay: 150,
             workers_divergence_timeout: 700,
@@ -62,13 +72,23 @@
     Fetch(LinkId, bool),
 }
 
+impl LinkSettings {
+    fn retry_delays(&self, has_quorum_contact: bool) -> RetryDelays {
+        match has_quorum_contact {
+            true => RetryDelays { first: self.retry_delay, longest: self.longest_retry_delay },
+            false => RetryDelays { first: self.retry_delay_without_quorum, longest: self.retry_delay },
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Link {
     address: String,
     opened_at: u64,
     up: bool,
     last_message_at: u64,
-    quorum: bool,
+    /// Whether the publisher has quorum contact; `None` until its first status.
+    quorum: Option<bool>,
     /// Whether the publisher's worker table is complete.
     warm: bool,
     next_hello: u64,
@@ -76,15 +96,36 @@
     diverged_since: Option<u64>,
 }
 
+impl Link {
+    fn new(now: u64, address: String) -> Link {
+        Link {
+            address,
+            opened_at: now,
+            up: false,
+            last_message_at: now,
+            quorum: None,
+            warm: false,
+            next_hello: now,
+            ahead_since: None,
+            diverged_since: None,
+        }
+    }
+
+    fn has_quorum_contact(&self) -> bool {
+        self.up && self.quorum == Some(true)
+    }
+
+    /// Whether the link has quorum contact or may still get it: its first status can yet be expected.
+    fn is_usable(&self, now: u64, attempt_delay: u64) -> bool {
+        self.quorum.unwrap_or(now < self.opened_at + attempt_delay)
+    }
+}
+
 /// Plans the links of one subscriber.
 #[derive(Debug)]
 pub struct LinkPlanner {
     settings: LinkSettings,
-    name_hash: u64,
-    /// Addresses of publishers, each with the time of the earliest next connection attempt.
-    known: BTreeMap<String, u64>,
-    /// Zones of publishers by address, as far as reported.
-    zones: BTreeMap<String, String>,
+    publishers: KnownPublishers,
     links: BTreeMap<LinkId, Link>,
     home: Option<LinkId>,
     next_link: u64,
@@ -96,9 +137,7 @@
     pub fn new(name: &str, seeds: impl IntoIterator<Item = String>, settings: LinkSettings) -> LinkPlanner {
         LinkPlanner {
             settings,
-            name_hash: hash(name.as_bytes(), 0),
-            known: seeds.into_iter().map(|address| (address, 0)).collect(),
-            zones: BTreeMap::new(),
+            publishers: KnownPublishers::new(name, seeds),
             links: BTreeMap::new(),
             home: None,
             next_link: 0,
@@ -118,17 +157,22 @@
 
     /// Returns whether a publisher with quorum contact is connected.
     pub fn has_quorum_contact(&self) -> bool {
-        self.links.values().any(|link| link.up && link.quorum)
+        self.links.values().any(Link::has_quorum_contact)
     }
 
     /// Returns whether a publisher has quorum contact and a complete worker table.
     pub fn has_full_worker_table(&self, id: LinkId) -> bool {
-        self.links.get(&id).is_some_and(|link| link.up && link.quorum && link.warm)
+        self.links.get(&id).is_some_and(|link| link.has_quorum_contact() && link.warm)
     }
 
-    /// Handles an established connection.
+    /// Handles an established connection. It is closed if other links have taken its place meanwhile.
     pub fn connected(&mut self, now: u64, id: LinkId) -> Vec<LinkAction> {
+        let has_enough_links = self.has_enough_links();
         let Some(link) = self.links.get_mut(&id) else { return Vec::new() };
+        if has_enough_links {
+            self.links.remove(&id);
+            return vec![LinkAction::Close(id)];
+        }
         link.up = true;
         link.last_message_at = now;
         link.next_hello = now + self.settings.hello_interval;
@@ -138,12 +182,7 @@
     /// Handles a connection that failed or was closed.
     pub fn disconnected(&mut self, now: u64, id: LinkId) {
         if let Some(link) = self.links.remove(&id) {
-            let delay = if self.has_quorum_contact() {
-                self.settings.retry_delay
-            } else {
-                self.settings.retry_delay_without_quorum
-            };
-            self.known.insert(link.address, now + delay);
+            self.publishers.failed(now, link.address);
         }
         if self.home == Some(id) {
             self.home = None;
@@ -159,15 +198,12 @@
         revision: u64,
         digest: u64,
     ) -> Vec<LinkAction> {
-        for address in &status.core {
-            self.known.entry(address.clone()).or_insert(0);
-        }
-        let zones = status.core.iter().zip(&status.core_zones).filter(|(_, zone)| !zone.is_empty());
-        self.zones.extend(zones.map(|(address, zone)| (address.clone(), zone.clone())));
+        self.publishers.named(now, status);
         let settings = self.settings;
         let Some(link) = self.links.get_mut(&id) else { return Vec::new() };
+        self.publishers.answered(&link.address);
         link.last_message_at = now;
-        link.quorum = status.quorum;
+        link.quorum = Some(status.quorum);
         link.warm = status.warm;
         let ahead = status.revision > revision;
         let diverged = status.quorum && status.warm && status.workers_digest != digest;
@@ -197,6 +233,9 @@
     /// Closes idle links, opens missing ones, selects the home and sends the hello messages that are due.
     pub fn tick(&mut self, now: u64) -> Vec<LinkAction> {
         let mut actions = self.close_idle(now);
+        if self.has_quorum_contact() {
+            self.publishers.forget_unnamed(now);
+        }
         actions.extend(self.open_missing(now));
         actions.extend(self.choose_home());
         actions.extend(self.send_hellos(now));
@@ -219,83 +258,87 @@
 
     fn open_missing(&mut self, now: u64) -> Vec<LinkAction> {
         let mut actions = Vec::new();
-        while self.usable().count() < self.settings.target_links {
-            let Some(address) = self.next_publisher(now) else { break };
+        while self.usable(now).count() < self.settings.target_links {
+            let Some(address) = self.next_publisher(now, |_| true) else { break };
             actions.push(self.open(now, address));
         }
         actions.extend(self.open_in_another_zone(now));
         actions
     }
 
-    /// Iterates over the links that are up with quorum contact or still connecting.
-    fn usable(&self) -> impl Iterator<Item = &Link> {
-        self.links.values().filter(|link| !link.up || link.quorum)
+    /// Iterates over the links that have quorum contact or may still get it.
+    fn usable(&self, now: u64) -> impl Iterator<Item = &Link> {
+        let attempt_delay = self.settings.attempt_delay;
+        self.links.values().filter(move |link| link.is_usable(now, attempt_delay))
+    }
+
+    /// Whether the links with quorum contact suffice, so that one that comes up now is not needed.
+    fn has_enough_links(&self) -> bool {
+        let established = || self.links.values().filter(|link| link.has_quorum_contact());
+        established().count() >= self.settings.target_links && self.span_enough_zones(established())
     }
 
     /// Opens an additional link if the tolerated zone failures could take down all current ones.
     fn open_in_another_zone(&mut self, now: u64) -> Option<LinkAction> {
-        if self.settings.tolerated_zone_failures == 0
-            || self.linked_zones().len() > self.settings.tolerated_zone_failures
-        {
+        if self.span_enough_zones(self.usable(now)) {
             return None;
         }
-        let address = self.next_publisher(now)?;
-        let zone = self.zones.get(&address)?;
-        let is_another = !self.linked_zones().contains(zone.as_str());
-        is_another.then(|| self.open(now, address))
+        let linked = self.zones_of(self.usable(now));
+        let is_in_another = |address: &str| {
+            let zone = self.publishers.zone(address);
+            zone.is_some_and(|zone| !linked.contains(zone))
+        };
+        let address = self.next_publisher(now, is_in_another)?;
+        Some(self.open(now, address))
     }
 
-    /// Returns the zones of the usable links.
-    fn linked_zones(&self) -> BTreeSet<&str> {
-        self.usable().filter_map(|link| self.zones.get(&link.address)).map(String::as_str).collect()
+    /// Whether the loss of the tolerated number of zones leaves at least one of the links.
+    fn span_enough_zones<'a>(&'a self, links: impl Iterator<Item = &'a Link>) -> bool {
+        let tolerated = self.settings.tolerated_zone_failures;
+        tolerated == 0 || self.zones_of(links).len() > tolerated
     }
 
-    /// Selects the next publisher to connect to; with zone tolerance, one in a zone with the fewest links.
-    fn next_publisher(&self, now: u64) -> Option<String> {
-        let is_free = |address: &String| !self.links.values().any(|link| link.address == *address);
-        let due = self.known.iter().filter(|(_, at)| now >= **at).map(|(address, _)| address);
-        let free = due.filter(|address| is_free(address));
-        free.min_by_key(|address| (self.links_in_zone_of(address), hash(address.as_bytes(), self.name_hash)))
-            .cloned()
+    fn zones_of<'a>(&'a self, links: impl Iterator<Item = &'a Link>) -> BTreeSet<&'a str> {
+        links.filter_map(|link| self.publishers.zone(&link.address)).collect()
+    }
+
+    /// Selects the next publisher to connect to among those that `is_wanted` accepts: the one whose last failure is longest
+    /// ago, and with zone tolerance one in a zone with the fewest links.
+    fn next_publisher(&self, now: u64, is_wanted: impl Fn(&str) -> bool) -> Option<String> {
+        let delays = self.settings.retry_delays(self.has_quorum_contact());
+        let is_free = |address: &str| !self.links.values().any(|link| link.address == address);
+        let due = self.publishers.due(now, delays);
+        let candidates = due.filter(|address| is_free(address) && is_wanted(address));
+        let order = |address: &&String| {
+            let links_in_zone = self.links_in_zone_of(now, address);
+            (self.publishers.failed_at(address), links_in_zone, self.publishers.rank(address))
+        };
+        candidates.min_by_key(order).cloned()
     }
 
     /// Counts the usable links into a publisher's zone; 0 without zone tolerance.
-    fn links_in_zone_of(&self, address: &String) -> usize {
+    fn links_in_zone_of(&self, now: u64, address: &str) -> usize {
         if self.settings.tolerated_zone_failures == 0 {
             return 0;
         }
-        let zone = self.zones.get(address);
-        self.usable().filter(|link| self.zones.get(&link.address) == zone).count()
+        let zone = self.publishers.zone(address);
+        self.usable(now).filter(|link| self.publishers.zone(&link.address) == zone).count()
     }
 
     fn open(&mut self, now: u64, address: String) -> LinkAction {
         let id = LinkId(self.next_link);
         self.next_link += 1;
-        self.known.insert(address.clone(), now + self.settings.retry_delay_without_quorum);
-        let link = Link {
-            address: address.clone(),
-            opened_at: now,
-            up: false,
-            last_message_at: now,
-            quorum: false,
-            warm: false,
-            next_hello: now,
-            ahead_since: None,
-            diverged_since: None,
-        };
-        self.links.insert(id, link);
+        self.links.insert(id, Link::new(now, address.clone()));
         LinkAction::Connect(id, address)
     }
 
     fn choose_home(&mut self) -> Vec<LinkAction> {
-        let is_eligible = |link: &Link| link.up && link.quorum;
-        if self.home.and_then(|id| self.links.get(&id)).is_some_and(is_eligible) {
+        if self.home.and_then(|id| self.links.get(&id)).is_some_and(Link::has_quorum_contact) {
             return Vec::new();
         }
-        let best = self.links.iter().filter(|(_, link)| is_eligible(link));
-        let best =
-            best.min_by_key(|(_, link)| hash(link.address.as_bytes(), self.name_hash)).map(|(id, _)| *id);
-        let Some(home) = best else { return Vec::new() };
+        let eligible = self.links.iter().filter(|(_, link)| link.has_quorum_contact());
+        let best = eligible.min_by_key(|(_, link)| self.publishers.rank(&link.address));
+        let Some(home) = best.map(|(id, _)| *id) else { return Vec::new() };
         let previous = self.home.replace(home).filter(|id| self.links.contains_key(id));
         let mut actions = vec![LinkAction::Hello(home, true)];
         actions.extend(previous.map(|id| LinkAction::Hello(id, false)));
@@ -327,13 +370,3 @@
     *since = Some(now);
     true
 }
-
-/// Seeded FNV-1a with a finalizer, so that similar addresses get unrelated hashes.
-fn hash(bytes: &[u8], seed: u64) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0100_0000_01b3;
-    let initial = OFFSET ^ seed.rotate_left(17);
-    let hashed = bytes.iter().fold(initial, |state, byte| (state ^ u64::from(*byte)).wrapping_mul(PRIME));
-    let mixed = (hashed ^ (hashed >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
-    mixed ^ (mixed >> 33)
-}
