Core machines forget those that are gone, and name only members and living ones

Callers would see: core machines whose work grows with every replacement, and agents that are told of machines that are gone. Times of repairs and numbers of gatekeepers were kept for good by replica. Change: a reported address is forgotten 60 s (`forget_timeout_ms`) after the newest report, in contact with a quorum only; statuses and heartbeats name members and machines that count as up; what is kept by replica goes with its contact. Why it works: a gone machine is named by nobody 1.5 s after its last heartbeat, or once it is no member, and so forgotten by all. Tests: crates/control/src/departed_nodes_tests.rs, 300 replacements one after the other. On two of three failed: heartbeats went to all of the 300 addresses to the end, statuses named a machine for 60 s. The third, that a node without a quorum forgets nothing, held before too. Now all three hold.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,12 +7,15 @@
 
 mod announcements;
 mod calls;
+#[cfg(test)]
+mod departed_nodes_tests;
 mod electorate;
 mod freshness;
 mod input;
 mod jobs;
 mod load;
 mod node;
+mod peer_addresses;
 mod peers;
 mod placer;
 mod register_values;
--- a/crates/control/src/load.rs
+++ b/crates/control/src/load.rs
@@ -88,6 +88,11 @@
         self.peer_gatekeepers.insert(from, (now, count));
     }
 
+    /// Keeps the number of gatekeepers only of the core nodes that `is_known` accepts.
+    pub(crate) fn retain_nodes(&mut self, is_known: impl Fn(u64) -> bool) {
+        self.peer_gatekeepers.retain(|id, _| is_known(*id));
+    }
+
     /// Number of gatekeepers in the fleet: the maximum of the last seconds, so that it does not drop while gatekeepers
     /// change their home.
     pub(crate) fn gatekeepers(&self, now: u64, own: u32) -> u32 {
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -5,6 +5,7 @@
 use crate::input::{Answer, Call, CallId, Input, NodeSettings, Output, SubscriberId};
 use crate::jobs::Jobs;
 use crate::load::FleetLoad;
+use crate::peer_addresses::PeerAddresses;
 use crate::placer::Placer;
 use crate::register_values::ValueDecoder;
 use crate::subscribers::Subscribers;
@@ -48,7 +49,7 @@
     /// Whether the process is shutting down.
     pub(crate) leaving: bool,
     /// Addresses of core nodes that other nodes reported in their heartbeats.
-    pub(crate) reported_addresses: BTreeSet<String>,
+    pub(crate) reported_addresses: PeerAddresses,
     pub(crate) outputs: Vec<Output>,
 }
 
@@ -87,7 +88,7 @@
             freshness: Freshness::default(),
             workers_complete: false,
             leaving: false,
-            reported_addresses: BTreeSet::new(),
+            reported_addresses: PeerAddresses::default(),
             outputs: Vec::new(),
             settings,
         }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -37,24 +37,39 @@
         up.map(|(_, contact)| contact.address.clone()).collect()
     }
 
-    /// Addresses of all known core nodes, including the node's own.
-    pub(crate) fn known_addresses(&self) -> BTreeSet<String> {
-        let mut known: BTreeSet<String> = self.settings.seeds.iter().cloned().collect();
+    /// Addresses of all known core nodes, including the node's own: seeds, members, and those heard or reported within
+    /// the time after which a node is forgotten.
+    fn known_addresses(&self, now: u64) -> BTreeSet<String> {
+        let mut known = self.core_addresses(now);
+        known.extend(self.settings.seeds.iter().cloned());
         known.extend(self.reported_addresses.iter().cloned());
-        known.extend(self.core_addresses());
+        known.extend(self.contacts.iter().map(|(_, contact)| contact.address.clone()));
         known
     }
 
-    /// Addresses of the core nodes that are members or have been heard, including the node's own.
-    pub(crate) fn core_addresses(&self) -> BTreeSet<String> {
-        let mut addresses = BTreeSet::from([self.settings.address.clone()]);
-        addresses.extend(self.contacts.iter().map(|(_, contact)| contact.address.clone()));
+    /// Addresses of the core nodes that are members or count as up, including the node's own. Subscribers and other core
+    /// nodes are told these: one that is gone is not passed on once it is no member any more.
+    pub(crate) fn core_addresses(&self, now: u64) -> BTreeSet<String> {
+        let mut addresses: BTreeSet<String> = self.live_peer_addresses(now).into_iter().collect();
+        addresses.insert(self.settings.address.clone());
         if let Some(electorate) = self.replica.electorate() {
             addresses.extend(electorate.members.iter().map(|member| member.address.clone()));
         }
         addresses
     }
 
+    /// Forgets what is kept of core nodes that have not been heard for long.
+    fn forget_departed_nodes(&mut self, now: u64) {
+        if self.has_quorum(now) {
+            let timeout_ms = self.contacts.settings().forget_timeout_ms;
+            self.reported_addresses.remove_expired(now, timeout_ms);
+        }
+        let contacts = &self.contacts;
+        let is_known = |id: u64| contacts.get(id).is_some();
+        self.updates.retain_nodes(is_known);
+        self.load.retain_nodes(is_known);
+    }
+
     /// Sends heartbeats if they are due.
     pub(crate) fn send_heartbeats(&mut self, now: u64) {
         let seeking = !self.is_in_quorum(now);
@@ -75,6 +90,7 @@
     }
 
     fn send_heartbeat_with(&mut self, now: u64, sequence: u64) {
+        self.forget_departed_nodes(now);
         // The changes precede the heartbeat because its digest covers them.
         self.send_model_changes_to_peers(now);
         let committed = self.committed_ballot().unwrap_or(Ballot::NONE);
@@ -94,7 +110,7 @@
             workers_digest: self.state.workers().digest(),
             warm: self.workers_complete,
             home_gatekeepers: self.subscribers.home_count(),
-            known: self.core_addresses().into_iter().collect(),
+            known: self.core_addresses(now).into_iter().collect(),
             life: self.contacts.incarnation(),
             accepted_counter: accepted.counter,
             accepted_proposer: accepted.proposer.0,
@@ -102,7 +118,7 @@
             in_quorum: self.is_in_quorum(now) && self.replica.can_propose(),
             leaving: self.leaving,
         };
-        let known = self.known_addresses().into_iter().collect();
+        let known = self.known_addresses(now).into_iter().collect();
         self.send_peers(known, PeerBody::Heartbeat(heartbeat));
     }
 
@@ -145,7 +161,7 @@
             },
         };
         self.contacts.receive_heartbeat(now, heard);
-        self.reported_addresses.extend(heartbeat.known);
+        self.reported_addresses.report(now, heartbeat.known);
         self.load.set_peer_gatekeepers(now, from, heartbeat.home_gatekeepers);
         let theirs = Ballot {
             counter: heartbeat.committed_counter,
--- a/crates/control/src/subscribers.rs
+++ b/crates/control/src/subscribers.rs
@@ -178,7 +178,7 @@
     }
 
     fn status(&self, now: u64) -> Downstream {
-        let core = self.core_addresses();
+        let core = self.core_addresses(now);
         let status = Status {
             quorum: self.serves(now),
             warm: self.workers_complete,
--- a/crates/control/src/workers.rs
+++ b/crates/control/src/workers.rs
@@ -64,6 +64,13 @@
         self.next_number
     }
 
+    /// Keeps the state of replication only to the nodes that `is_known` accepts.
+    pub(crate) fn retain_nodes(&mut self, is_known: impl Fn(u64) -> bool) {
+        for times in [&mut self.differ_since, &mut self.repaired_at, &mut self.committed_sent_at] {
+            times.retain(|id, _| is_known(*id));
+        }
+    }
+
     /// Whether the complete worker table may be sent to a node now. If so, the time is recorded.
     fn may_repair(&mut self, now: u64, node: u64) -> bool {
         mark_if_due(&mut self.repaired_at, now, node)
