The connection of a core machine that is sent nothing any more is given up

Callers would see: a control plane that holds a queue, a task and an attempt to connect for each core machine that was ever there. Change: the task ends after 10 s without a message, and with it its connection; closed queues are dropped when another is opened, and an address that is sent something again gets a new one. Why it works: heartbeats go five times a second to every core machine that is known, so one without any has been forgotten. Tests: src/control_plane/links/departed_peer_tests.rs, both seen failing without the end of the task (a time of 100,000 s): 100 queues kept of 100 machines, at most 5 expected; the queue is not given up.

--- a/src/control_plane/links.rs
+++ b/src/control_plane/links.rs
@@ -1,5 +1,7 @@
 //! Connections to and from other core nodes and subscribers.
 
+#[cfg(test)]
+mod departed_peer_tests;
 #[cfg(test)]
 mod frozen_receiver_tests;
 mod newest;
@@ -34,10 +36,15 @@
 /// may take longer as a whole.
 const LONGEST_PEER_STALL: Duration = Duration::from_millis(700);
 
+/// Time without a message for a core node after which its queue and its connection are given up. Heartbeats go to each known
+/// one several times a second, so the node has been forgotten by then.
+const PEER_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
 type SubscriberQueues = Queues<SubscriberId, Downstream>;
 
 /// All connections.
 pub(super) struct Links {
+    /// Queues of the core nodes, by address. The task of one that is closed has ended.
     peers: BTreeMap<String, mpsc::Sender<Bytes>>,
     peer_memory: MemoryBudget,
     subscribers: SubscriberQueues,
@@ -73,14 +80,22 @@
     }
 
     fn send_peer(&mut self, address: String, frame: Bytes) {
-        let sender = self.peers.entry(address.clone()).or_insert_with(|| {
-            let (sender, queue) = mpsc::channel(PEER_QUEUE);
-            tokio::task::spawn_local(serve_peer(queue, async move || {
-                connection::connect(&address, LinkKind::Peer, CONNECT_WITHIN).await
-            }));
-            sender
-        });
-        let _ = sender.try_send(frame);
+        if self.peers.get(&address).is_none_or(mpsc::Sender::is_closed) {
+            self.open_queue(address.clone());
+        }
+        if let Some(queue) = self.peers.get(&address) {
+            let _ = queue.try_send(frame);
+        }
+    }
+
+    /// Opens the queue of a core node and drops those that have been given up.
+    fn open_queue(&mut self, address: String) {
+        self.peers.retain(|_, queue| !queue.is_closed());
+        let (sender, queue) = mpsc::channel(PEER_QUEUE);
+        self.peers.insert(address.clone(), sender);
+        tokio::task::spawn_local(serve_peer(queue, async move || {
+            connection::connect(&address, LinkKind::Peer, CONNECT_WITHIN).await
+        }));
     }
 
     /// Sends a message to subscribers. One that does not read has its connection reset.
@@ -94,13 +109,13 @@
     }
 }
 
-/// Keeps a connection to a core node and writes to it; messages that wait while there is none are dropped. No message is
-/// written twice: one whose write failed is lost.
+/// Keeps a connection to a core node and writes to it, until nothing has been sent for [`PEER_IDLE_TIMEOUT`]; messages that
+/// wait while there is no connection are dropped. No message is written twice: one whose write failed is lost.
 async fn serve_peer<S>(mut queue: mpsc::Receiver<Bytes>, connect: impl AsyncFn() -> std::io::Result<S>)
 where
     S: AsyncRead + AsyncWrite + Unpin,
 {
-    while let Some(frame) = queue.recv().await {
+    while let Ok(Some(frame)) = tokio::time::timeout(PEER_IDLE_TIMEOUT, queue.recv()).await {
         let Ok(mut stream) = connect().await else {
             while queue.try_recv().is_ok() {}
             continue;
@@ -136,7 +151,8 @@
     frames.freeze()
 }
 
-/// The next message, or nothing once the other side has closed: it never sends on this connection.
+/// The next message, or nothing once there has been none for [`PEER_IDLE_TIMEOUT`] or the other side has closed: it never sends
+/// on this connection.
 async fn next_frame(
     queue: &mut mpsc::Receiver<Bytes>,
     stream: &mut (impl AsyncRead + Unpin),
@@ -144,6 +160,7 @@
     tokio::select! {
         frame = queue.recv() => frame,
         _ = stream.read_u8() => None,
+        () = tokio::time::sleep(PEER_IDLE_TIMEOUT) => None,
     }
 }
 
