Agents and core machines read the seeds again when the settings file changes

Callers would see: an edge that was cut off while all core machines that it knew were replaced, and never finds the core again. Change: `system::seeds` looks at the file's time and length once a second and reads it when they have changed, or at SIGHUP; a file that cannot be read or may be cut off is named and the seeds stay. Agent and control node take the new seeds.

--- a/crates/control/src/departed_nodes_tests.rs
+++ b/crates/control/src/departed_nodes_tests.rs
@@ -121,3 +121,15 @@
     let used = run_while_nodes_are_replaced(&mut node);
     expect_that!(used.newest.len(), eq(REPLACED as usize));
 }
+
+#[gtest]
+fn heartbeats_go_to_the_seeds_that_the_settings_name_now() {
+    let mut node = single_node(ADDRESS);
+    let seeds: Vec<String> = (1..=3).map(address_of).collect();
+    node.handle(0, Input::Seeds(seeds.clone()));
+    let mut used = Used::default();
+    for now in (0..LIVENESS_MS).step_by(TICK_MS as usize) {
+        node.handle(now, Input::Tick).into_iter().for_each(|output| used.note(now, output));
+    }
+    expect_that!(used.newest, container_eq(BTreeSet::from_iter(seeds)));
+}
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -89,6 +89,8 @@
 pub enum Input {
     /// Periodic timer tick.
     Tick,
+    /// The settings name the seed nodes at these internal addresses from now on.
+    Seeds(Vec<String>),
     /// A message from another core node.
     Peer(PeerFrame),
     /// A message from a subscriber.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -98,6 +98,7 @@
     pub fn handle(&mut self, now: u64, input: Input) -> Vec<Output> {
         match input {
             Input::Tick => self.tick(now),
+            Input::Seeds(seeds) => self.settings.seeds = seeds,
             Input::Peer(frame) => self.peer_frame(now, frame),
             Input::Subscriber(id, message) => self.subscriber_message(now, id, message),
             Input::SubscriberDisconnected(id) => self.subscribers.remove(id),
--- a/crates/distribution/src/links.rs
+++ b/crates/distribution/src/links.rs
@@ -145,6 +145,11 @@
         }
     }
 
+    /// Replaces the publishers that are known from the settings.
+    pub fn set_seeds(&mut self, seeds: impl IntoIterator<Item = String>) {
+        self.publishers.set_seeds(seeds);
+    }
+
     /// Returns the home link, if there is one.
     pub fn home(&self) -> Option<LinkId> {
         self.home
--- a/crates/distribution/src/publishers.rs
+++ b/crates/distribution/src/publishers.rs
@@ -52,11 +52,20 @@
 impl KnownPublishers {
     /// Creates the table of the subscriber `name`, which knows `seeds`.
     pub(crate) fn new(name: &str, seeds: impl IntoIterator<Item = String>) -> KnownPublishers {
-        let seeds: BTreeSet<String> = seeds.into_iter().collect();
-        KnownPublishers {
+        let mut publishers = KnownPublishers {
             order_seed: hash(name.as_bytes(), 0),
-            by_address: seeds.iter().map(|seed| (seed.clone(), Publisher::default())).collect(),
-            seeds,
+            seeds: BTreeSet::new(),
+            by_address: BTreeMap::new(),
+        };
+        publishers.set_seeds(seeds);
+        publishers
+    }
+
+    /// Replaces the seeds. Former ones stay known until they are forgotten like any other.
+    pub(crate) fn set_seeds(&mut self, seeds: impl IntoIterator<Item = String>) {
+        self.seeds = seeds.into_iter().collect();
+        for seed in &self.seeds {
+            self.by_address.entry(seed.clone()).or_default();
         }
     }
 
--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -29,6 +29,8 @@
 pub enum RelayInput {
     /// Periodic timer event.
     Tick,
+    /// The settings name these core nodes from now on.
+    Seeds(Vec<String>),
     /// A connection to a core node was established.
     LinkUp(LinkId),
     /// A connection to a core node failed or was closed.
@@ -111,6 +113,7 @@
         }
         match input {
             RelayInput::Tick => self.tick(now),
+            RelayInput::Seeds(seeds) => self.links.set_seeds(seeds),
             RelayInput::LinkUp(id) => {
                 let actions = self.links.connected(now, id);
                 self.apply_link_actions(actions);
--- a/crates/distribution/tests/replaced_publishers.rs
+++ b/crates/distribution/tests/replaced_publishers.rs
@@ -247,6 +247,32 @@
     }
 }
 
+/// Guards against a subscriber that finds no publisher any more: all that it knew were replaced while it was cut off. The
+/// settings name others by then.
+#[gtest]
+fn a_subscriber_whose_publishers_were_all_replaced_finds_the_seeds_that_the_settings_name_now() {
+    for edge in 1..=100 {
+        let name = format!("edge-{edge}");
+        let publishers = addresses(2 * PUBLISHERS);
+        let mut network = Network::new(&name, publishers[..PUBLISHERS].to_vec());
+        network.run(LIVENESS_MS);
+        network.cut();
+        network.named_after_loss_ms = 0;
+        for (old, new) in publishers.iter().zip(&publishers[PUBLISHERS..]) {
+            network.replace(old, new.clone());
+            network.run(REPLACED_EVERY_MS);
+        }
+        network.heal();
+        network.run(LIVENESS_MS);
+        expect_that!(network.living_links(), eq(0), "{name}: nothing tells it of the others");
+        network.planner.set_seeds(publishers[PUBLISHERS..PUBLISHERS + SEEDS].to_vec());
+        let time = network.time_to_links(1, 60_000);
+        expect_that!(time, le(LIVENESS_MS - CONFIG_MS), "{name}: the first link");
+        let time = network.time_to_links(TARGET_LINKS, 60_000);
+        expect_that!(time, le(LIVENESS_MS), "{name}: all links");
+    }
+}
+
 /// Guards against attempts that grow with every machine that was ever there: an address that no publisher names any more
 /// is not tried.
 #[gtest]
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::site_settings::SiteSettings;
 use crate::system::clock::Clock;
+use crate::system::seeds::Seeds;
 use crate::system::stop::Stop;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
@@ -23,13 +24,14 @@
     let feed_address = SocketAddr::from((Ipv4Addr::LOCALHOST, settings.feed_port()));
     let mut feeds = feeds::Feeds::listen(feed_address, inputs.clone()).await?;
     let mut links = links::Links::new(inputs.clone());
-    let seeds = crate::system::internal_addresses(&settings);
+    let mut seeds = Seeds::of(&settings)?;
     let link_settings = LinkSettings {
         target_links: settings.fault_tolerance.machines + SPARE_LINKS,
         tolerated_zone_failures: settings.fault_tolerance.domains(),
         ..LinkSettings::default()
     };
-    let mut relay = Relay::new(&settings.node_name, &settings.zone, seeds, link_settings);
+    let addresses = crate::system::internal_addresses(&settings);
+    let mut relay = Relay::new(&settings.node_name, &settings.zone, addresses, link_settings);
     let clock = Clock::new();
     let mut ticks = tokio::time::interval(TICK_EVERY);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -38,6 +40,7 @@
             _ = stop.requested() => return Ok(()),
             _ = ticks.tick() => RelayInput::Tick,
             Some(input) = received.recv() => input,
+            addresses = seeds.changed() => RelayInput::Seeds(addresses),
         };
         for output in relay.handle(clock.now(), input) {
             match output {
--- a/src/control_plane/mod.rs
+++ b/src/control_plane/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::site_settings::SiteSettings;
 use crate::system::clock::Clock;
-use crate::system::{connection, stop::Stop};
+use crate::system::{connection, seeds::Seeds, stop::Stop};
 use anyhow::Context;
 use leave::Leave;
 use std::net::SocketAddr;
@@ -39,6 +39,7 @@
 /// A control plane whose file and listeners are open.
 struct ControlPlane {
     settings: SiteSettings,
+    seeds: Seeds,
     clock: Clock,
     node: ControlNode,
     writer: Writer<StandardFileSystem>,
@@ -62,13 +63,14 @@
             writer: stored.writer,
             internal: connection::listen(internal).await?,
             control: connection::listen(control).await?,
+            seeds: Seeds::of(&settings)?,
             settings,
         })
     }
 
     /// Serves until it was told to stop and has left. It runs inside a [`tokio::task::LocalSet`].
     async fn serve(self, mut stop: impl AsyncFnMut()) {
-        let ControlPlane { settings, clock, mut node, writer, internal, control } = self;
+        let ControlPlane { settings, mut seeds, clock, mut node, writer, internal, control } = self;
         let (inputs, mut received) = mpsc::unbounded_channel();
         let mut effects = Effects::start(writer, internal, control, &inputs, settings.limits.memory_mb);
         let mut ticks = tokio::time::interval(TICK_EVERY);
@@ -90,6 +92,7 @@
                 }
                 _ = ticks.tick() => Input::Tick,
                 Some(input) = received.recv() => input,
+                addresses = seeds.changed() => Input::Seeds(addresses),
             };
             for output in node.handle(clock.now(), input) {
                 effects.carry_out(output);
--- a/src/site_settings.rs
+++ b/src/site_settings.rs
@@ -241,6 +241,11 @@
         Ok(settings)
     }
 
+    /// The file that the settings were read from, where there is one.
+    pub fn path(&self) -> Option<&Path> {
+        self.origin.as_ref().map(Origin::path)
+    }
+
     fn check(&self) -> Result<(), String> {
         if self.port_range.1 < self.port_range.0 {
             return Err(format!("portRange: the last port {} is below the first", self.port_range.1));
--- a/src/system/mod.rs
+++ b/src/system/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod memory_budget;
 pub mod outgoing;
 pub(crate) mod request_body;
+pub mod seeds;
 pub mod stop;
 
 use crate::site_settings::SiteSettings;
--- a/tests/system_signals.rs
+++ b/tests/system_signals.rs
@@ -180,3 +180,36 @@
     expect_that!(status.code(), eq(Some(0)));
     std::fs::remove_dir_all(folder).expect("removed");
 }
+
+/// Guards against a process that finds no core machine any more since it read the seeds at its start alone.
+#[rstest]
+#[case::agent("agent", false)]
+#[case::agent_at_sighup("agent", true)]
+#[case::control_plane("control-plane", false)]
+#[case::control_plane_at_sighup("control-plane", true)]
+fn seeds_that_the_file_names_later_are_called(#[case] command: &str, #[case] is_signalled: bool) {
+    let folder = folder(&format!("seeds-{command}-{is_signalled}"));
+    let path = folder.join("local.yaml");
+    let later = TcpListener::bind("127.0.0.2:0").expect("an address of the loopback interface");
+    let port = later.local_addr().expect("its address").port();
+    let feed = until("a port above", || Some(free_port()).filter(|feed| *feed > port));
+    let own = own_settings(command, &folder);
+    let first = format!(
+        "nodeName: \"m-1\"\nip: \"127.0.0.1\"\nzone: \"here\"\nportRange: [{port}, {feed}]\n{own}\
+         seeds:\n  - \"127.0.0.3:1\"\n"
+    );
+    std::fs::write(&path, &first).expect("written");
+    let program = Program::start(command, &path, &folder);
+    let has_begun =
+        || folder.join("replica.log").exists() || program.logged().contains("no link to 127.0.0.3");
+    until("the start", || has_begun().then_some(()));
+    later.set_nonblocking(true).expect("set");
+    assert!(later.accept().is_err(), "called before the file names it: {}", program.logged());
+    std::fs::write(&path, first.replace("127.0.0.3:1", "127.0.0.2:1")).expect("written");
+    if is_signalled {
+        program.send("-HUP");
+    }
+    until("a call", || later.accept().ok());
+    drop(program);
+    std::fs::remove_dir_all(folder).expect("removed");
+}
