--- a/crates/distribution/tests/replaced_publishers.rs
+++ b/crates/distribution/tests/replaced_publishers.rs
@@ -281,6 +281,11 @@
     let seeds = publishers[..SEEDS].to_vec();
     let mut network = Network::new("edge-1", publishers[..PUBLISHERS].to_vec());
     longest_time_to_all_links(&mut network, &publishers);
+    // With one link missing it tries what it knows.
+    for lost in network.living.split_off(TARGET_LINKS - 1) {
+        network.gone.insert(lost, u64::MAX - LIVENESS_MS);
+    }
+    network.run(30_000);
     let is_late = |(at, address): &&(u64, String)| {
         network.gone.get(address).is_some_and(|named_until| *at > named_until + LIVENESS_MS)
     };
--- a/lab/src/local_system/machine.rs
+++ b/lab/src/local_system/machine.rs
@@ -140,6 +140,44 @@
         Ok(())
     }
 
+    /// A machine of the core that takes this one's place: at another address, with an empty disk.
+    pub(crate) fn successor(&self, name: String, ip: Ipv4Addr) -> anyhow::Result<Machine> {
+        let folder = self.path.parent().context("the settings file lies in no folder")?;
+        let [launch] = self.launches.as_slice() else { anyhow::bail!("{} is no core machine", self.name) };
+        let disk = folder.join(format!("{name}-disk"));
+        std::fs::create_dir_all(&disk)?;
+        let path = folder.join(format!("{name}.yaml"));
+        let log = folder.join(format!("{name}-{}.log", launch.command));
+        let launches = vec![Launch { settings: path.clone(), log, ..launch.clone() }];
+        let mut settings = self.settings.clone();
+        settings["nodeName"] = json!(name);
+        settings["ip"] = json!(ip);
+        settings["dataDir"] = json!(disk);
+        settings["bind"]["control"] = json!(SocketAddr::from((ip, self.control_address()?.port())));
+        settings["bootstrap"] = json!(false);
+        let machine = Machine { name, ip, settings, path, launches, running: Vec::new() };
+        machine.save_settings()?;
+        Ok(machine)
+    }
+
+    /// Where a core machine is called by workers and the operator.
+    pub(crate) fn control_address(&self) -> anyhow::Result<SocketAddr> {
+        let address = self.settings["bind"]["control"].as_str().context("the machine serves no control")?;
+        Ok(address.parse()?)
+    }
+
+    /// Where other machines reach a core machine.
+    pub(crate) fn internal_address(&self) -> anyhow::Result<SocketAddr> {
+        let port = self.settings["portRange"][0].as_u64().context("the machine has no ports")?;
+        Ok(SocketAddr::from((self.ip, u16::try_from(port)?)))
+    }
+
+    /// Names other seeds in the settings file.
+    pub(crate) fn name_seeds(&mut self, seeds: &[SocketAddr]) -> anyhow::Result<()> {
+        self.settings["seeds"] = json!(seeds);
+        self.save_settings()
+    }
+
     /// From now on the machine starts as part of a system that has run before.
     pub(crate) fn has_started_once(&mut self) -> anyhow::Result<()> {
         self.settings["bootstrap"] = json!(false);
--- a/lab/src/local_system/mod.rs
+++ b/lab/src/local_system/mod.rs
@@ -6,6 +6,7 @@
 
 pub(crate) mod client;
 pub(crate) mod configuration;
+mod core_addresses;
 pub(crate) mod http;
 pub(crate) mod machine;
 mod operator;
@@ -13,15 +14,18 @@
 pub(crate) mod process;
 mod program;
 pub mod show;
+pub(crate) mod silent_address;
 mod site;
 pub(crate) mod stand_in_worker;
 pub mod stories;
 mod wait;
 
 pub use client::{Client, OpenStream, Whole};
+pub use core_addresses::CoreAddresses;
 pub use operator::{Operator, OperatorAnswer};
 pub use process::Process;
 pub use program::{built_beside, built_by_cargo};
+pub(crate) use site::SEEDS;
 pub use site::{Site, SiteSize};
 pub use stand_in_worker::{RunBook, RunEnd, RunRecord, StandInWorker};
 pub use wait::{until, LONGEST_WAIT};
--- a/lab/src/local_system/site.rs
+++ b/lab/src/local_system/site.rs
@@ -43,7 +43,10 @@
 const WORKER_ADDRESSES: u8 = 120;
 
 /// Core machines that settings files name as seeds.
-const SEEDS: usize = 3;
+pub(crate) const SEEDS: usize = 3;
+
+/// Last parts of the addresses for core machines that take the place of others.
+const SPARE_CORES: std::ops::RangeInclusive<u8> = FIRST_WORKER + WORKER_ADDRESSES..=254;
 
 /// Folders made by this process.
 static FOLDERS: AtomicU32 = AtomicU32::new(0);
@@ -122,6 +125,11 @@
         SocketAddr::from((ip, self.ports.service))
     }
 
+    /// Addresses for core machines that take the place of others.
+    pub(crate) fn spare_core_ips(&self) -> Vec<Ipv4Addr> {
+        SPARE_CORES.map(|last| self.block.address(last)).collect()
+    }
+
     /// Addresses of workers.
     pub(crate) fn worker_addresses(&self) -> Vec<SocketAddr> {
         (0..WORKER_ADDRESSES).map(|number| self.worker_address(number)).collect()
--- a/lab/src/local_system/stand_in_worker.rs
+++ b/lab/src/local_system/stand_in_worker.rs
@@ -11,6 +11,7 @@
 use self::body::{whole, BrokenOff, WorkerBody};
 use self::running::run;
 use self::state::{OrderRequest, State};
+use super::core_addresses::CoreAddresses;
 use super::http::{call, post};
 use super::machine::HEARTBEAT_MS;
 use super::wait::until;
@@ -44,7 +45,7 @@
 pub struct StandInWorker {
     id: String,
     state: Shared,
-    cores: Vec<SocketAddr>,
+    cores: CoreAddresses,
     heartbeats: JoinHandle<()>,
     serving: JoinHandle<()>,
     cut: Arc<Notify>,
@@ -67,7 +68,8 @@
         models: &[&str],
         cores: Vec<SocketAddr>,
     ) -> anyhow::Result<StandInWorker> {
-        StandInWorker::start_recorded(id, address, models, cores, RunBook::opened_at(Instant::now())).await
+        let (cores, book) = (CoreAddresses::of(cores), RunBook::opened_at(Instant::now()));
+        StandInWorker::start_recorded(id, address, models, cores, book).await
     }
 
     /// Starts a worker that notes its runs in a book.
@@ -78,7 +80,7 @@
         id: &str,
         address: SocketAddr,
         models: &[&str],
-        cores: Vec<SocketAddr>,
+        cores: CoreAddresses,
         book: RunBook,
     ) -> anyhow::Result<StandInWorker> {
         let socket = TcpSocket::new_v4()?;
@@ -148,8 +150,8 @@
     /// Tells a core machine that it is gone.
     pub async fn deregister(&self) {
         let path = format!("/api/instances/{}/deregister", self.id);
-        for core in &self.cores {
-            let answer = call(*core, post(*core, &path, &[], Bytes::from_static(b"{}"))).await;
+        for core in self.cores.list() {
+            let answer = call(core, post(core, &path, &[], Bytes::from_static(b"{}"))).await;
             if answer.is_ok_and(|answer| answer.status < 300) {
                 return;
             }
@@ -162,7 +164,8 @@
     /// It takes too long.
     pub async fn say_draining(&self) -> anyhow::Result<()> {
         lock(&self.state).draining = true;
-        let mut next = self.cores.iter().cycle();
+        let cores = self.cores.list();
+        let mut next = cores.iter().cycle();
         until("a draining worker is acknowledged", || {
             let address = *next.next().expect("there are core machines");
             let state = self.state.clone();
@@ -174,11 +177,12 @@
 }
 
 /// Sends heartbeats to a core machine as long as it acknowledges them, then to the next.
-async fn tell_of_itself(state: Shared, cores: Vec<SocketAddr>) {
+async fn tell_of_itself(state: Shared, cores: CoreAddresses) {
     let mut ticks = tokio::time::interval(Duration::from_millis(HEARTBEAT_MS));
-    let mut current = fastrand::usize(..cores.len());
+    let mut current = fastrand::usize(..cores.list().len());
     loop {
         ticks.tick().await;
+        let cores = cores.list();
         for _ in 0..cores.len() {
             if heartbeat(&state, cores[current]).await {
                 break;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -50,6 +50,9 @@
         /// Core machines of each run.
         #[arg(long, default_value_t = 3)]
         cores: u8,
+        /// Core machines are replaced one after the other, in place of their usual troubles.
+        #[arg(long)]
+        replace_cores: bool,
         /// Runs at a time.
         #[arg(long, default_value_t = 1)]
         jobs: usize,
@@ -480,9 +483,13 @@
 fn main() -> ExitCode {
     let done = match Line::parse().command {
         Task::LocalSystem { program } => show_local_system(program).map(|()| true),
-        Task::Soak { seed, seeds, seconds, edges, cores, jobs, program } => {
+        Task::Soak { seed, seeds, seconds, edges, cores, replace_cores, jobs, program } => {
             let size = local_system::SiteSize { cores, edges };
-            play_soak(program, soak::Asked { seed, seeds, seconds, size, jobs })
+            let core_troubles = match replace_cores {
+                true => soak::CoreTroubles::Replacements,
+                false => soak::CoreTroubles::Usual,
+            };
+            play_soak(program, soak::Asked { seed, seeds, seconds, size, core_troubles, jobs })
         }
         Task::Run { scenario, seed, out, gateway, bare } => {
             run_one(&scenario, seed, out, gateway.as_deref(), bare)
--- a/lab/src/soak/command.rs
+++ b/lab/src/soak/command.rs
@@ -1,5 +1,6 @@
 //! The command `soak`: runs of many seeds, some at a time.
 
+use super::plan::CoreTroubles;
 use super::run::{run, Outcome, Wanted};
 use crate::local_system::SiteSize;
 use anyhow::ensure;
@@ -27,6 +28,8 @@
     pub seconds: u64,
     /// The machines of each run.
     pub size: SiteSize,
+    /// What happens to core machines.
+    pub core_troubles: CoreTroubles,
     /// Runs at a time.
     pub jobs: usize,
 }
@@ -73,7 +76,8 @@
     let mut runs = JoinSet::new();
     for seed in asked.seed..asked.seed + asked.seeds {
         let (places, program) = (places.clone(), program.to_owned());
-        let wanted = Wanted { seed, length: Duration::from_secs(asked.seconds), size: asked.size };
+        let Asked { size, core_troubles, .. } = asked;
+        let wanted = Wanted { seed, length: Duration::from_secs(asked.seconds), size, core_troubles };
         runs.spawn(async move {
             let _place = places.acquire_owned().await?;
             run(&program, wanted).await
--- a/lab/src/soak/fleet.rs
+++ b/lab/src/soak/fleet.rs
@@ -3,7 +3,10 @@
 use super::journal::Journal;
 use super::record::{ProcessEnd, Target, TroubleKind};
 use crate::local_system::machine::Machine;
-use crate::local_system::Process;
+use crate::local_system::silent_address::SilentAddress;
+use crate::local_system::{CoreAddresses, Process, SEEDS};
+use anyhow::Context;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -18,9 +21,23 @@
 pub(super) struct Fleet {
     journal: Journal,
     grace: Duration,
+    cores: CoreAddresses,
+    /// Addresses for core machines that take the place of others.
+    spare_cores: Arc<Mutex<Vec<Ipv4Addr>>>,
     machines: Arc<Mutex<Vec<Supervised>>>,
 }
 
+/// What a fleet is made from.
+pub(super) struct FleetPlan {
+    pub(super) journal: Journal,
+    pub(super) grace: Duration,
+    /// `control` addresses of the core machines; those that take the place of others are put in.
+    pub(super) cores: CoreAddresses,
+    /// Addresses for core machines that take the place of others.
+    pub(super) spare_cores: Vec<Ipv4Addr>,
+    pub(super) machines: Vec<Machine>,
+}
+
 /// Number of a machine in its fleet.
 pub(super) type MachineNumber = usize;
 
@@ -31,6 +48,10 @@
     open_troubles: Vec<usize>,
     hang_ups: u32,
     lives: u32,
+    /// Name of the first machine in this place.
+    place: String,
+    /// Addresses of the machines that were in this place before.
+    departed: Vec<SilentAddress>,
 }
 
 /// One process of a machine.
@@ -43,16 +64,12 @@
 
 impl Fleet {
     /// Starts all processes of these machines.
-    pub(super) fn start(journal: Journal, grace: Duration, machines: Vec<Machine>) -> anyhow::Result<Fleet> {
-        let mut supervised = Vec::new();
-        for machine in machines {
-            let mut slots = Vec::new();
-            for launch in &machine.launches {
-                slots.push(Slot::with(launch.start()?));
-            }
-            supervised.push(Supervised { machine, slots, open_troubles: Vec::new(), hang_ups: 0, lives: 0 });
-        }
-        Ok(Fleet { journal, grace, machines: Arc::new(Mutex::new(supervised)) })
+    pub(super) fn start(plan: FleetPlan) -> anyhow::Result<Fleet> {
+        let FleetPlan { journal, grace, cores, spare_cores, machines } = plan;
+        let machines: Vec<Supervised> =
+            machines.into_iter().map(Supervised::start).collect::<Result<_, _>>()?;
+        let spare_cores = Arc::new(Mutex::new(spare_cores));
+        Ok(Fleet { journal, grace, cores, spare_cores, machines: Arc::new(Mutex::new(machines)) })
     }
 
     fn machines(&self) -> MutexGuard<'_, Vec<Supervised>> {
@@ -130,6 +147,19 @@
         machine.expect_a_new_start()
     }
 
+    /// A core machine is gone for good: its processes end at once, and connections to it hang. Another takes its place, with
+    /// an empty disk and at another address, which settings files name from now on.
+    pub(super) fn replace_core(&self, number: MachineNumber) -> anyhow::Result<()> {
+        let ip = self.spare_cores.lock().unwrap_or_else(PoisonError::into_inner).pop();
+        let ip = ip.context("no address is left for another core machine")?;
+        let mut machines = self.machines();
+        let former = machines[number].machine.control_address()?;
+        machines[number].replace(&self.journal, ip)?;
+        self.cores.replace(former, machines[number].machine.control_address()?);
+        let seeds: Vec<SocketAddr> = self.cores.list().into_iter().take(SEEDS).collect();
+        machines.iter_mut().try_for_each(|machine| machine.machine.name_seeds(&seeds))
+    }
+
     /// SIGSTOP to all processes of a machine, and SIGCONT after a time.
     pub(super) async fn pause(&self, machine: MachineNumber, length: Duration) -> anyhow::Result<()> {
         let target = self.machines()[machine].target();
@@ -162,6 +192,37 @@
 }
 
 impl Supervised {
+    fn start(machine: Machine) -> anyhow::Result<Supervised> {
+        let mut slots = Vec::new();
+        for launch in &machine.launches {
+            slots.push(Slot::with(launch.start()?));
+        }
+        Ok(Supervised {
+            place: machine.name.clone(),
+            machine,
+            slots,
+            open_troubles: Vec::new(),
+            hang_ups: 0,
+            lives: 0,
+            departed: Vec::new(),
+        })
+    }
+
+    /// Another machine takes this one's place, whose addresses are silent from now on.
+    fn replace(&mut self, journal: &Journal, ip: Ipv4Addr) -> anyhow::Result<()> {
+        self.begin(journal, TroubleKind::Replace);
+        for slot in &mut self.slots {
+            slot.note_end(journal)?;
+            slot.kill()?;
+        }
+        for address in [self.machine.control_address()?, self.machine.internal_address()?] {
+            self.departed.push(SilentAddress::at(address)?);
+        }
+        let name = format!("{}-at-{ip}", self.place);
+        self.machine = self.machine.successor(name, ip)?;
+        Ok(())
+    }
+
     fn target(&self) -> Target {
         Target::Machine(self.machine.name.clone())
     }
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -23,5 +23,5 @@
 pub use command::{soak, Asked};
 pub use figures::Figures;
 pub use finding::{Finding, Invariant};
-pub use plan::{draw, Action, Planned};
+pub use plan::{draw, Action, CoreTroubles, Planned};
 pub use run::{run, Outcome, Wanted};
--- a/lab/src/soak/operator.rs
+++ b/lab/src/soak/operator.rs
@@ -7,11 +7,10 @@
 use super::record::{Change, Probe, ReadBack};
 use crate::local_system::configuration::{route, USUAL_MODEL};
 use crate::local_system::http::{call, get};
-use crate::local_system::{Client, Operator};
+use crate::local_system::{Client, CoreAddresses, Operator};
 use fastrand::Rng;
 use serde_json::{json, Value};
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -48,7 +47,7 @@
     pub(super) journal: Journal,
     pub(super) fleet: Fleet,
     pub(super) platform: Platform,
-    pub(super) cores: Vec<SocketAddr>,
+    pub(super) cores: CoreAddresses,
     /// Number of the first edge in the fleet.
     pub(super) first_edge: MachineNumber,
     pub(super) stop: Arc<AtomicBool>,
@@ -73,7 +72,7 @@
             let revision = current + rng.u64(STEPS);
             let first = self.order(current, revision, removed.clone());
             let mut numbers = vec![first.entry];
-            let begins_with = rng.usize(..self.cores.len());
+            let begins_with = rng.usize(..self.cores.list().len());
             if rng.u32(..RACES_ONE_IN) == 0 {
                 let second = self.order(current, revision + 1, None);
                 numbers.push(second.entry);
@@ -113,7 +112,7 @@
     }
 
     async fn send(&self, order: &Order, begins_with: usize) {
-        let operator = Operator::of(self.cores.clone()).beginning_with(begins_with);
+        let operator = Operator::of(self.cores.list()).beginning_with(begins_with);
         // Without a clear answer it may or may not be in force.
         let Ok(answer) = operator.update(order.base, &order.body).await else { return };
         let now = self.journal.now();
@@ -130,7 +129,7 @@
     }
 
     async fn newest(&self) -> Option<u64> {
-        let read = Operator::of(self.cores.clone()).read().await.ok()?;
+        let read = Operator::of(self.cores.list()).read().await.ok()?;
         read["revision"].as_u64()
     }
 
@@ -156,7 +155,8 @@
         let mut rng = Rng::with_seed(seed);
         loop {
             tokio::time::sleep(READ_EVERY).await;
-            let core = self.cores[rng.usize(..self.cores.len())];
+            let cores = self.cores.list();
+            let core = cores[rng.usize(..cores.len())];
             let sent = self.journal.now();
             let Ok(answer) = call(core, get(core, "/api/config/read")).await else { continue };
             let body = serde_json::from_slice(&answer.body).ok().filter(|_| answer.status == 200);
@@ -168,7 +168,7 @@
     /// The last read, until it is answered.
     pub(super) async fn read_at_the_end(&self) {
         let sent = self.journal.now();
-        let read = Operator::of(self.cores.clone()).read().await.ok();
+        let read = Operator::of(self.cores.list()).read().await.ok();
         self.journal.seen().last_read = read.and_then(|body| read_back(sent, &body));
     }
 }
--- a/lab/src/soak/plan.rs
+++ b/lab/src/soak/plan.rs
@@ -60,6 +60,11 @@
         /// Whether it loses its disk.
         wipe: bool,
     },
+    /// A core machine is gone for good, and another takes its place at another address.
+    ReplaceCore {
+        /// Number of the core machine.
+        core: usize,
+    },
     /// SIGSTOP to a core machine, SIGCONT later.
     PauseCore {
         /// Number of the core machine.
@@ -78,16 +83,37 @@
     },
 }
 
+/// What happens to core machines.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum CoreTroubles {
+    /// Ends, lost disks and pauses.
+    #[default]
+    Usual,
+    /// One machine after the other is replaced. No process of an edge ends meanwhile: an agent that starts again forgets the
+    /// machines that are gone.
+    Replacements,
+}
+
 /// Draws the troubles of a run: lanes of troubles one after the other, which overlap each other.
-pub fn draw(seed: u64, size: SiteSize, seconds: Duration) -> Vec<Planned> {
+pub fn draw(seed: u64, size: SiteSize, seconds: Duration, core: CoreTroubles) -> Vec<Planned> {
     let mut rng = Rng::with_seed(seed);
     let lanes_of_edges = usize::from(size.edges).div_ceil(EDGES_A_LANE).max(LEAST_EDGE_LANES);
     let mut planned = Vec::new();
     for _ in 0..lanes_of_edges {
-        lane(&mut rng, seconds, &EDGE_REST_MS, &mut planned, |rng| edge_action(rng, size));
+        lane(&mut rng, seconds, &EDGE_REST_MS, &mut planned, |rng| match core {
+            CoreTroubles::Usual => edge_action(rng, size),
+            CoreTroubles::Replacements => lasting_edge_action(rng, size),
+        });
     }
     lane(&mut rng, seconds, &WORKER_REST_MS, &mut planned, worker_action);
-    lane(&mut rng, seconds, &CORE_REST_MS, &mut planned, |rng| core_action(rng, size));
+    match core {
+        CoreTroubles::Usual => {
+            lane(&mut rng, seconds, &CORE_REST_MS, &mut planned, |rng| core_action(rng, size))
+        }
+        CoreTroubles::Replacements => {
+            lane(&mut rng, seconds, &REPLACEMENT_REST_MS, &mut planned, |rng| replacement(rng, size))
+        }
+    }
     planned.sort_by_key(|planned| planned.at);
     planned
 }
@@ -107,6 +133,9 @@
 /// The same for core machines: one at a time, with time to catch up and for calm.
 const CORE_REST_MS: std::ops::Range<u64> = 12_000..24_000;
 
+/// The same for replacements of core machines: one at a time, with time to catch up (`catchUpS`).
+const REPLACEMENT_REST_MS: std::ops::Range<u64> = 6_000..9_000;
+
 fn lane(
     rng: &mut Rng,
     seconds: Duration,
@@ -137,6 +166,16 @@
     }
 }
 
+/// A trouble that ends no process.
+fn lasting_edge_action(rng: &mut Rng, size: SiteSize) -> Action {
+    loop {
+        let action = edge_action(rng, size);
+        if matches!(action, Action::HangUpEdge { .. } | Action::PauseEdge { .. }) {
+            return action;
+        }
+    }
+}
+
 fn worker_action(rng: &mut Rng) -> Action {
     let kinds = [
         TroubleKind::Cut,
@@ -159,3 +198,7 @@
         _ => Action::PauseCore { core, length: Duration::from_millis(rng.u64(200..2500)) },
     }
 }
+
+fn replacement(rng: &mut Rng, size: SiteSize) -> Action {
+    Action::ReplaceCore { core: rng.usize(..usize::from(size.cores)) }
+}
--- a/lab/src/soak/record.rs
+++ b/lab/src/soak/record.rs
@@ -110,6 +110,8 @@
     Kill,
     /// SIGKILL and an empty disk.
     Wipe,
+    /// SIGKILL, and another machine with an empty disk at another address; lasts until that one runs.
+    Replace,
     /// SIGSTOP until SIGCONT.
     Pause,
     /// A worker closes all connections.
@@ -129,8 +131,8 @@
 impl TroubleKind {
     /// Whether an operator does not plan it, and connections may break.
     pub fn is_unplanned(self) -> bool {
-        use TroubleKind::{Crash, Cut, Kill, LoseAnswers, Pause, Wipe, WorkerEnd};
-        matches!(self, Crash | Cut | Kill | LoseAnswers | Pause | WorkerEnd | Wipe)
+        use TroubleKind::{Crash, Cut, Kill, LoseAnswers, Pause, Replace, Wipe, WorkerEnd};
+        matches!(self, Crash | Cut | Kill | LoseAnswers | Pause | Replace | WorkerEnd | Wipe)
     }
 }
 
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -1,20 +1,20 @@
 //! One run: a site, its clients and workers, its troubles, and the checks of what was seen.
 
-use super::check::{check, RECOVERY_WITHIN};
+use super::check::{check, IN_FORCE_WITHIN, LIVENESS, RECOVERY_WITHIN};
 use super::clients::Clients;
 use super::figures::Figures;
 use super::finding::Finding;
-use super::fleet::Fleet;
+use super::fleet::{Fleet, FleetPlan};
 use super::journal::Journal;
 use super::operator::SoakOperator;
-use super::plan::{draw, Action, Planned};
+use super::plan::{draw, Action, CoreTroubles, Planned};
 use super::platform::{Edge, Platform};
 use super::record::Observed;
 use super::request::{models, routes};
 use super::workers::Workers;
 use crate::local_system::configuration::{whole, USUAL_MODEL};
 use crate::local_system::machine::GRACE_S;
-use crate::local_system::{Client, Operator, Site, SiteSize};
+use crate::local_system::{Client, CoreAddresses, Operator, Site, SiteSize};
 use anyhow::{ensure, Context};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -46,6 +46,10 @@
 /// Time for last records after the clients are done.
 const SETTLE: Duration = Duration::from_millis(500);
 
+/// Calm after the last replacement of a core machine: until probes count again, and as long again for probes of changes that
+/// came after it.
+const CALM_END: Duration = LIVENESS.saturating_mul(2).saturating_add(IN_FORCE_WITHIN).saturating_mul(2);
+
 /// Pause between two looks.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
@@ -58,6 +62,8 @@
     pub length: Duration,
     /// The machines.
     pub size: SiteSize,
+    /// What happens to core machines.
+    pub core_troubles: CoreTroubles,
 }
 
 /// What came of a run.
@@ -113,9 +119,15 @@
     let edges = names.zip(https).zip(readiness);
     let platform =
         Platform::before(edges.map(|((name, http), readiness)| Edge { name, http, readiness }).collect());
-    let (cores, workers) = (site.control_addresses(), Workers::none(&journal, site));
-    let machines = site.cores.drain(..).chain(site.edges.drain(..)).collect();
-    let fleet = Fleet::start(journal.clone(), grace, machines)?;
+    let cores = CoreAddresses::of(site.control_addresses());
+    let workers = Workers::none(&journal, site, cores.clone());
+    let fleet = Fleet::start(FleetPlan {
+        journal: journal.clone(),
+        grace,
+        cores: cores.clone(),
+        spare_cores: site.spare_core_ips(),
+        machines: site.cores.drain(..).chain(site.edges.drain(..)).collect(),
+    })?;
     let stop = Arc::new(AtomicBool::new(false));
     let operator = SoakOperator {
         journal: journal.clone(),
@@ -158,6 +170,9 @@
         }
         self.troubles().await?;
         self.recover().await;
+        if self.wanted.core_troubles == CoreTroubles::Replacements {
+            tokio::time::sleep(CALM_END).await;
+        }
         self.stop.store(true, Ordering::SeqCst);
         let ended = tokio::time::timeout(CLIENTS_END_WITHIN, async {
             while clients.join_next().await.is_some() {}
@@ -175,7 +190,7 @@
 
     /// The first configuration, workers, and the wait until all edges serve.
     async fn begin(&self) -> anyhow::Result<()> {
-        let operator = Operator::of(self.operator.cores.clone());
+        let operator = Operator::of(self.operator.cores.list());
         let answer = operator.replace(0, &whole(FIRST_REVISION, &routes(), &models())).await?;
         ensure!(answer.status == 200, "the first configuration is answered {answer:?}");
         for _ in 0..self.worker_count() {
@@ -195,7 +210,8 @@
     async fn troubles(&self) -> anyhow::Result<()> {
         let began = Instant::now();
         let mut under_way: JoinSet<anyhow::Result<()>> = JoinSet::new();
-        for Planned { at, action } in draw(self.wanted.seed, self.wanted.size, self.wanted.length) {
+        let Wanted { seed, length, size, core_troubles } = self.wanted;
+        for Planned { at, action } in draw(seed, size, length, core_troubles) {
             tokio::time::sleep(at.saturating_sub(began.elapsed())).await;
             under_way.spawn(play_trouble(
                 self.fleet.clone(),
@@ -260,6 +276,7 @@
         Action::PauseEdge { edge, length } => fleet.pause(first_edge + edge, length).await?,
         Action::TerminateCore { core } => fleet.terminate(core)?,
         Action::KillCore { core, wipe } => fleet.kill(core, wipe)?,
+        Action::ReplaceCore { core } => fleet.replace_core(core)?,
         Action::PauseCore { core, length } => fleet.pause(core, length).await?,
         Action::Worker { pick, kind, length } => workers.trouble(pick, kind, length).await?,
     }
--- a/lab/src/soak/workers.rs
+++ b/lab/src/soak/workers.rs
@@ -3,7 +3,7 @@
 use super::journal::Journal;
 use super::record::{Target, TroubleKind};
 use crate::local_system::configuration::USUAL_MODEL;
-use crate::local_system::{RunBook, Site, StandInWorker};
+use crate::local_system::{CoreAddresses, RunBook, Site, StandInWorker};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -26,7 +26,7 @@
 pub(super) struct Workers {
     journal: Journal,
     book: RunBook,
-    cores: Vec<SocketAddr>,
+    cores: CoreAddresses,
     addresses: Vec<SocketAddr>,
     started: Arc<AtomicU32>,
     alive: Arc<Mutex<Vec<StandInWorker>>>,
@@ -34,11 +34,11 @@
 
 impl Workers {
     /// No worker yet.
-    pub(super) fn none(journal: &Journal, site: &Site) -> Workers {
+    pub(super) fn none(journal: &Journal, site: &Site, cores: CoreAddresses) -> Workers {
         Workers {
             journal: journal.clone(),
             book: RunBook::opened_at(journal.began()),
-            cores: site.control_addresses(),
+            cores,
             addresses: site.worker_addresses(),
             started: Arc::default(),
             alive: Arc::default(),
--- a/lab/tests/soak_checks.rs
+++ b/lab/tests/soak_checks.rs
@@ -10,7 +10,7 @@
     Change, Ending, Observed, Probe, ProcessEnd, ReadBack, RequestStory, RouteClass, Target, Trouble,
     TroubleKind,
 };
-use switchhill_lab::soak::{draw, Invariant};
+use switchhill_lab::soak::{draw, CoreTroubles, Invariant};
 
 const GRACE: Duration = Duration::from_secs(5);
 const EDGE: &str = "edge-1";
@@ -435,7 +435,9 @@
 #[gtest]
 fn a_seed_gives_the_same_troubles_each_time() {
     let size = SiteSize { cores: 3, edges: 2 };
-    let plan = |seed| draw(seed, size, Duration::from_secs(60));
-    expect_that!(plan(7), eq(&plan(7)));
-    expect_that!(plan(7), not(eq(&plan(8))));
+    for core_troubles in [CoreTroubles::Usual, CoreTroubles::Replacements] {
+        let plan = |seed| draw(seed, size, Duration::from_secs(60), core_troubles);
+        expect_that!(plan(7), eq(&plan(7)));
+        expect_that!(plan(7), not(eq(&plan(8))));
+    }
 }
