--- a/src/data_plane/policy.rs
+++ b/src/data_plane/policy.rs
@@ -17,6 +17,8 @@
 pub(crate) const IDLE_CLOSE_MARGIN: Duration = Duration::from_millis(400);
 /// The same margin as a share of the worker's keep-alive time, for short keep-alive times.
 pub(crate) const IDLE_CLOSE_MARGIN_SHARE: f64 = 0.2;
+/// Maximum idle timeout of a connection, however long its worker announces to keep it.
+pub(crate) const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(86_400);
 /// Idle timeout of a connection that was opened to probe a worker and has not carried a request yet.
 pub(crate) const PROBE_CONNECTION_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Minimum interval in milliseconds between two reports that the same worker is unreachable.
--- a/src/data_plane/tests/connection_reuse.rs
+++ b/src/data_plane/tests/connection_reuse.rs
@@ -226,3 +226,31 @@
         }
     }
 }
+
+/// Guards against a request's task that ends in a panic, since the time that its worker announces lies beyond the clock.
+#[gtest]
+fn a_connection_whose_worker_announces_any_keep_alive_time_is_reused() {
+    for seconds in [1, 1 << 40, 1 << 63, u64::MAX] {
+        for route in ALL_ROUTES {
+            let case = format!("{}, {seconds} s", route.name());
+            run_in_paused_time(async {
+                let mut harness = InMemoryHarness::start();
+                harness.workers.set_default_plan(Plan::responding(announcing_keep_alive(route, seconds)));
+                for id in ["q1", "q2"] {
+                    let response = harness.exchange(route, id, "", "").await;
+                    expect_that!(response.status, eq(200), "{case}");
+                    expect_that!(response.body, eq(&route.expected_body(id)), "{case}");
+                }
+            });
+        }
+    }
+}
+
+fn announcing_keep_alive(route: RouteUnderTest, seconds: u64) -> ResponseFn {
+    let respond = route.respond_fn();
+    Rc::new(move |request: &ReceivedRequest| {
+        let response = String::from_utf8(respond(request)).expect("text");
+        let (status_line, rest) = response.split_once("\r\n").expect("a status line");
+        format!("{status_line}\r\nKeep-Alive: timeout={seconds}\r\n{rest}").into_bytes()
+    })
+}
--- a/src/data_plane/worker_response.rs
+++ b/src/data_plane/worker_response.rs
@@ -1,6 +1,7 @@
 //! A worker's response whose body is still being received.
 
 use super::outstanding::OutstandingAttempt;
+use super::policy;
 use super::pool::Lease;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -121,10 +122,11 @@
     }
 }
 
-/// Keep-alive timeout that the worker announces, if any.
+/// Keep-alive timeout that the worker announces, if any, within what the clock can represent.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
     let parameters = value.split(',').map(str::trim);
     let seconds = parameters.filter_map(|parameter| parameter.strip_prefix("timeout=")).next()?;
-    seconds.trim().parse().ok().map(Duration::from_secs)
+    let announced = seconds.trim().parse().ok().map(Duration::from_secs)?;
+    Some(announced.min(policy::MAX_IDLE_TIMEOUT))
 }
