Register: one function says what is due in a round, for all three kinds of round

Cause: prepare, accept and inspect rounds each decided by the same lines when to send again and when to start anew. Change: `RoundTimes::due_action`, and `restart_refused_round` for the two rounds that count a refusal. Behaviour is as before.

--- a/crates/register/src/operation.rs
+++ b/crates/register/src/operation.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 
+use crate::replica::RESEND_MS;
 use crate::{Accepted, Ballot, Electorate, Member, ReplicaId};
 
 /// One operation of the caller, or the replica's own completion of a value not known to be chosen.
@@ -83,10 +84,33 @@
     pub(crate) retry_at: Option<u64>,
 }
 
+/// What is due in a round.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DueAction {
+    /// Nothing yet.
+    Wait,
+    /// Its messages are sent again.
+    Resend,
+    /// It was refused and starts anew.
+    Restart,
+}
+
 impl RoundTimes {
     pub(crate) fn started(now: u64) -> RoundTimes {
         RoundTimes { sent_at: now, retry_at: None }
     }
+
+    /// What is due now. Messages that are due count as sent.
+    pub(crate) fn due_action(&mut self, now: u64) -> DueAction {
+        if self.retry_at.is_some_and(|retry_at| now >= retry_at) {
+            return DueAction::Restart;
+        }
+        if now < self.sent_at + RESEND_MS {
+            return DueAction::Wait;
+        }
+        self.sent_at = now;
+        DueAction::Resend
+    }
 }
 
 /// A prepare round.
--- a/crates/register/src/prepare.rs
+++ b/crates/register/src/prepare.rs
@@ -1,7 +1,7 @@
 //! The prepare round, and what follows from it.
 
-use crate::operation::{Goal, Operation, PrepareRound, Prepared, RoundTimes, Stage, Write};
-use crate::replica::{Replica, RESEND_MS};
+use crate::operation::{DueAction, Goal, Operation, PrepareRound, Prepared, RoundTimes, Stage, Write};
+use crate::replica::Replica;
 use crate::{Accepted, Ballot, Body, Output, RegisterError, ReplicaId, Value};
 
 /// What a prepared proposer does next.
@@ -110,15 +110,19 @@
         let Some(round) = self.prepare_round() else {
             return;
         };
-        if round.times.retry_at.is_some_and(|retry_at| now >= retry_at) {
-            self.backoff.round_refused(now);
-            self.start_prepare(now);
-        } else if now >= round.times.sent_at + RESEND_MS {
-            round.times.sent_at = now;
-            self.send_prepares();
+        match round.times.due_action(now) {
+            DueAction::Wait => {}
+            DueAction::Resend => self.send_prepares(),
+            DueAction::Restart => self.restart_refused_round(now),
         }
     }
 
+    /// Gives up a refused round and starts a new one.
+    pub(crate) fn restart_refused_round(&mut self, now: u64) {
+        self.backoff.round_refused(now);
+        self.start_prepare(now);
+    }
+
     /// A refused round goes on for a moment, in case a quorum answers all the same, and then starts anew above.
     pub(crate) fn on_reject(&mut self, now: u64, ballot: Ballot) {
         let retry_at = now + self.backoff.wait_ms(&mut self.random);
--- a/crates/register/src/proposal.rs
+++ b/crates/register/src/proposal.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use crate::operation::{voters, AcceptRound, Goal, Prepared, RoundTimes, Stage};
+use crate::operation::{voters, AcceptRound, DueAction, Goal, Prepared, RoundTimes, Stage};
 use crate::prepare::{settled_result, verdict};
-use crate::replica::{Replica, RESEND_MS};
+use crate::replica::Replica;
 use crate::{Accepted, Ballot, Body, Electorate, ReplicaId, Value};
 
 impl Replica {
@@ -132,12 +132,10 @@
         let Some(round) = self.accept_round() else {
             return;
         };
-        if round.times.retry_at.is_some_and(|retry_at| now >= retry_at) {
-            self.backoff.round_refused(now);
-            self.start_prepare(now);
-        } else if now >= round.times.sent_at + RESEND_MS {
-            round.times.sent_at = now;
-            self.send_accepts();
+        match round.times.due_action(now) {
+            DueAction::Wait => {}
+            DueAction::Resend => self.send_accepts(),
+            DueAction::Restart => self.restart_refused_round(now),
         }
     }
 }
--- a/crates/register/src/read.rs
+++ b/crates/register/src/read.rs
@@ -4,8 +4,8 @@
 //! chosen before the read began has been accepted by a replica of each quorum, so none is newer. Where the reports differ,
 //! the read goes through a prepare and an accept round.
 
-use crate::operation::{InspectRound, RoundTimes, Stage};
-use crate::replica::{Replica, RESEND_MS};
+use crate::operation::{DueAction, InspectRound, RoundTimes, Stage};
+use crate::replica::Replica;
 use crate::{Accepted, Ballot, Body, RegisterError, ReplicaId};
 
 /// How long a read waits for further reports when those of a quorum differ, in milliseconds: most often a change is just
@@ -144,13 +144,14 @@
         let Some(round) = self.inspect_round() else {
             return;
         };
-        if round.times.retry_at.is_some_and(|retry_at| now >= retry_at) {
-            self.start_prepare(now);
-        } else if now >= round.times.sent_at + RESEND_MS {
-            round.times.sent_at = now;
-            round.fetching = Ballot::NONE;
-            self.send_inspects();
-            self.evaluate_inspect(now);
+        match round.times.due_action(now) {
+            DueAction::Wait => {}
+            DueAction::Resend => {
+                round.fetching = Ballot::NONE;
+                self.send_inspects();
+                self.evaluate_inspect(now);
+            }
+            DueAction::Restart => self.start_prepare(now),
         }
     }
 }
