--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -24,6 +24,8 @@
 #[cfg(feature = "bench")]
 pub mod local_system;
 #[cfg(feature = "bench")]
+pub mod process_faults;
+#[cfg(feature = "bench")]
 pub mod report;
 #[cfg(feature = "bench")]
 pub mod run;
--- a/lab/src/local_system/mod.rs
+++ b/lab/src/local_system/mod.rs
@@ -10,7 +10,7 @@
 pub(crate) mod http;
 pub(crate) mod machine;
 mod operator;
-mod ports;
+pub(crate) mod ports;
 pub(crate) mod process;
 mod program;
 pub mod show;
--- a/lab/src/local_system/ports.rs
+++ b/lab/src/local_system/ports.rs
@@ -18,21 +18,21 @@
 
 /// The addresses of one site: 127.A.B.1 to 127.A.B.254, with A and B of its own.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct AddressBlock {
+pub(crate) struct AddressBlock {
     second: u8,
     third: u8,
 }
 
 impl AddressBlock {
     /// A block that no other site of this host is likely to have.
-    pub(super) fn new() -> AddressBlock {
+    pub(crate) fn new() -> AddressBlock {
         let number = std::process::id().wrapping_mul(31).wrapping_add(SITES.fetch_add(1, Ordering::SeqCst));
         let part = |value: u32| u8::try_from(1 + value % BLOCKS).unwrap_or(1);
         AddressBlock { second: part(number), third: part(number / BLOCKS) }
     }
 
     /// The address with this last part.
-    pub(super) fn address(self, last: u8) -> Ipv4Addr {
+    pub(crate) fn address(self, last: u8) -> Ipv4Addr {
         Ipv4Addr::new(127, self.second, self.third, last)
     }
 }
@@ -41,7 +41,7 @@
 ///
 /// # Errors
 /// None was found.
-pub(super) fn free_port(addresses: &[Ipv4Addr], taken: &[u16]) -> anyhow::Result<u16> {
+pub(crate) fn free_port(addresses: &[Ipv4Addr], taken: &[u16]) -> anyhow::Result<u16> {
     let is_free = |port: &u16| {
         !taken.contains(port)
             && addresses.iter().all(|ip| TcpListener::bind(SocketAddr::from((*ip, *port))).is_ok())
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -13,7 +13,7 @@
 use switchhill_lab::local_system;
 use switchhill_lab::run::{Outcome, Verdict, Wanted};
 use switchhill_lab::scenario::Scenario;
-use switchhill_lab::{bare, compare, hollow, live, report, run, soak};
+use switchhill_lab::{bare, compare, hollow, live, process_faults, report, run, soak};
 
 /// Real gateways on loopback against stand-in boxes, discovery and clients.
 ///
@@ -33,6 +33,12 @@
         #[arg(long, value_name = "FILE")]
         program: Option<PathBuf>,
     },
+    /// Floods single processes of the system, and starts them on machines that are not ready; prints what each did.
+    ProcessFaults {
+        /// The system's program [default: beside this one, built first where cargo runs this].
+        #[arg(long, value_name = "FILE")]
+        program: Option<PathBuf>,
+    },
     /// Plays the whole system on loopback under troubles drawn from a seed and checks what clients and workers saw.
     Soak {
         /// The first seed.
@@ -269,6 +275,12 @@
     shown.map_err(failed)
 }
 
+fn play_process_faults(program: Option<PathBuf>) -> Result<bool, Failed> {
+    let failed = |error: anyhow::Error| Failed::Ran(format!("{error:#}"));
+    let program = program.map_or_else(local_system::built_by_cargo, Ok).map_err(failed)?;
+    runtime()?.block_on(process_faults::print_all(&program)).map_err(failed)
+}
+
 fn play_soak(program: Option<PathBuf>, asked: soak::Asked) -> Result<bool, Failed> {
     let failed = |error: anyhow::Error| Failed::Ran(format!("{error:#}"));
     asked.check().map_err(|error| Failed::Asked(error.to_string()))?;
@@ -483,6 +495,7 @@
 fn main() -> ExitCode {
     let done = match Line::parse().command {
         Task::LocalSystem { program } => show_local_system(program).map(|()| true),
+        Task::ProcessFaults { program } => play_process_faults(program),
         Task::Soak { seed, seeds, seconds, edges, cores, replace_cores, jobs, program } => {
             let size = local_system::SiteSize { cores, edges };
             let core_troubles = match replace_cores {
--- /dev/null
+++ b/lab/src/process_faults/memory_cases.rs
@@ -0,0 +1,142 @@
+//! Floods that fill the memory of a process.
+
+use super::lone_process::{LoneProcess, ProcessLimits, CORE_LIMITS, EDGE_LIMITS};
+use super::unfinished_head::hold_unfinished_heads;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+
+/// How long a flood is held.
+const HELD_FOR: Duration = Duration::from_secs(2);
+
+/// Time for one connection to come up and be written to.
+const WRITE_WITHIN: Duration = Duration::from_secs(2);
+
+/// First byte of a connection that carries the messages of a subscriber.
+const SUBSCRIBER_KIND: u8 = 2;
+
+/// Version of the frames.
+const FRAME_VERSION: u8 = 1;
+
+/// A listener of a program.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Listener {
+    /// Calls of workers and the operator, at a control plane.
+    Control,
+    /// Other core machines and agents, at a control plane.
+    Internal,
+    /// The data plane beside it, at an agent.
+    Feed,
+    /// Clients, at a data plane.
+    Clients,
+    /// Readiness checks, at a data plane.
+    Readiness,
+}
+
+impl Listener {
+    fn command(self) -> &'static str {
+        match self {
+            Listener::Control | Listener::Internal => "control-plane",
+            Listener::Feed => "agent",
+            Listener::Clients | Listener::Readiness => "data-plane",
+        }
+    }
+
+    /// Limits of the process that has the listener.
+    pub fn limits(self) -> ProcessLimits {
+        match self {
+            Listener::Control | Listener::Internal => CORE_LIMITS,
+            Listener::Feed | Listener::Clients | Listener::Readiness => EDGE_LIMITS,
+        }
+    }
+
+    fn address(self, process: &LoneProcess) -> SocketAddr {
+        let addresses = process.addresses;
+        match self {
+            Listener::Control | Listener::Clients => addresses.socket(addresses.service),
+            Listener::Internal => addresses.socket(addresses.internal),
+            Listener::Readiness => addresses.socket(addresses.readiness),
+            Listener::Feed => SocketAddr::from((std::net::Ipv4Addr::LOCALHOST, addresses.feed)),
+        }
+    }
+}
+
+/// Connections that send much and finish nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Flood {
+    /// Where they connect.
+    pub listener: Listener,
+    /// How many.
+    pub connections: usize,
+    /// What each sends, in bytes.
+    pub bytes_each: usize,
+}
+
+/// What a flood did.
+#[derive(Debug, Clone)]
+pub struct MemoryOutcome {
+    /// Connections that came up.
+    pub connected: usize,
+    /// The most memory that was resident, in megabytes.
+    pub peak_mb: u64,
+    /// Whether the process still ran.
+    pub runs: bool,
+    /// Whether its listener took a connection once the flood had ended.
+    pub answers_afterwards: bool,
+}
+
+/// Floods a listener with requests whose heads do not end.
+///
+/// # Errors
+/// The process does not start, or the system does not tell its memory.
+pub async fn flood_heads(program: &Path, flood: Flood) -> anyhow::Result<MemoryOutcome> {
+    let process = LoneProcess::start(program, flood.listener.command(), flood.listener.limits()).await?;
+    let address = flood.listener.address(&process);
+    let held = hold_unfinished_heads(address, flood.connections, flood.bytes_each).await;
+    outcome(process, flood.listener, held).await
+}
+
+/// Floods a listener for internal messages with frames that do not end: each announces `announced_bytes`.
+///
+/// # Errors
+/// The process does not start, or the system does not tell its memory.
+pub async fn flood_internal_frames(
+    program: &Path,
+    flood: Flood,
+    announced_bytes: u32,
+) -> anyhow::Result<MemoryOutcome> {
+    let process = LoneProcess::start(program, flood.listener.command(), flood.listener.limits()).await?;
+    let address = flood.listener.address(&process);
+    let mut bytes = vec![SUBSCRIBER_KIND];
+    bytes.extend(announced_bytes.to_be_bytes());
+    bytes.push(FRAME_VERSION);
+    bytes.resize(flood.bytes_each, 0);
+    let bytes: &'static [u8] = bytes.leak();
+    let mut opening = JoinSet::new();
+    for _ in 0..flood.connections {
+        opening.spawn(async move {
+            let mut stream = TcpStream::connect(address).await.ok()?;
+            let _ = tokio::time::timeout(WRITE_WITHIN, stream.write_all(bytes)).await;
+            Some(stream)
+        });
+    }
+    let held = opening.join_all().await.into_iter().flatten().collect();
+    outcome(process, flood.listener, held).await
+}
+
+async fn outcome(
+    mut process: LoneProcess,
+    listener: Listener,
+    held: Vec<TcpStream>,
+) -> anyhow::Result<MemoryOutcome> {
+    tokio::time::sleep(HELD_FOR).await;
+    let connected = held.len();
+    let peak_mb = process.process().peak_resident_bytes()? >> 20;
+    let runs = process.process().ended()?.is_none();
+    drop(held);
+    let answers = tokio::time::timeout(WRITE_WITHIN, TcpStream::connect(listener.address(&process))).await;
+    Ok(MemoryOutcome { connected, peak_mb, runs, answers_afterwards: matches!(answers, Ok(Ok(_))) })
+}
--- /dev/null
+++ b/lab/src/process_faults/mod.rs
@@ -0,0 +1,16 @@
+//! Ways in which a process of the system might end by itself, played on real processes on loopback: floods that fill its
+//! memory, and starts on a machine that is not ready for them.
+//!
+//! Each case says what it saw. The command `process-faults` prints all of them as a table, for any build of the program; the
+//! tests check single cases.
+
+mod lone_process;
+mod memory_cases;
+mod start_cases;
+mod table;
+mod unfinished_head;
+
+pub use lone_process::{LoneProcess, ProcessLimits, CORE_LIMITS, EDGE_LIMITS};
+pub use memory_cases::{flood_heads, flood_internal_frames, Flood, Listener, MemoryOutcome};
+pub use start_cases::{play_start, StartCase, StartOutcome};
+pub use table::print_all;
--- /dev/null
+++ b/lab/src/process_faults/table.rs
@@ -0,0 +1,80 @@
+//! All cases as a table.
+
+use super::memory_cases::{flood_heads, flood_internal_frames, Flood, Listener, MemoryOutcome};
+use super::start_cases::{play_start, StartCase};
+use std::path::Path;
+
+/// Floods of heads: listener, connections, bytes of each.
+const HEAD_FLOODS: [(Listener, usize, usize); 7] = [
+    (Listener::Control, 2037, 16 << 10),
+    (Listener::Control, 3800, 64 << 10),
+    (Listener::Control, 3800, 256 << 10),
+    (Listener::Readiness, 2000, 256 << 10),
+    (Listener::Clients, 2000, 15 << 10),
+    (Listener::Clients, 2000, 64 << 10),
+    (Listener::Clients, 2000, 256 << 10),
+];
+
+/// Floods of frames: listener, connections, bytes of each.
+const FRAME_FLOODS: [(Listener, usize, usize); 2] =
+    [(Listener::Internal, 200, 2 << 20), (Listener::Feed, 200, 2 << 20)];
+
+/// Length that the frames of a flood announce, in bytes.
+const ANNOUNCED_BYTES: u32 = 8 << 20;
+
+/// Starts: program and case.
+const STARTS: [(&str, StartCase); 14] = [
+    ("control-plane", StartCase::AddressHeld),
+    ("agent", StartCase::AddressHeld),
+    ("data-plane", StartCase::AddressHeld),
+    ("control-plane", StartCase::SettingsEmpty),
+    ("agent", StartCase::SettingsEmpty),
+    ("data-plane", StartCase::SettingsEmpty),
+    ("control-plane", StartCase::SettingsCut),
+    ("agent", StartCase::SettingsCut),
+    ("data-plane", StartCase::SettingsCut),
+    ("control-plane", StartCase::MachineBeside),
+    ("agent", StartCase::MachineBeside),
+    ("data-plane", StartCase::MachineBeside),
+    ("control-plane", StartCase::ReplicaFileSpoilt),
+    ("control-plane", StartCase::ReplicaFileCut),
+];
+
+/// Plays all cases on a program, one after the other, and prints a line each. True if no process went over its memory or ended.
+///
+/// # Errors
+/// A case cannot be set up.
+pub async fn print_all(program: &Path) -> anyhow::Result<bool> {
+    let mut held = true;
+    for (listener, connections, bytes_each) in HEAD_FLOODS {
+        let flood = Flood { listener, connections, bytes_each };
+        held &= print_memory("heads", flood, &flood_heads(program, flood).await?);
+    }
+    for (listener, connections, bytes_each) in FRAME_FLOODS {
+        let flood = Flood { listener, connections, bytes_each };
+        held &= print_memory("frames", flood, &flood_internal_frames(program, flood, ANNOUNCED_BYTES).await?);
+    }
+    for (command, case) in STARTS {
+        let outcome = play_start(program, command, case).await?;
+        let verdict = if outcome.runs { "runs" } else { "ENDED" };
+        println!("{command:13} {case:?}: {verdict}; last line: {}", outcome.last_line);
+        held &= outcome.runs;
+    }
+    Ok(held)
+}
+
+fn print_memory(what: &str, flood: Flood, outcome: &MemoryOutcome) -> bool {
+    let limit_mb = flood.listener.limits().memory_mb;
+    let is_within = outcome.peak_mb < limit_mb && outcome.runs;
+    let verdict = if is_within { "within" } else { "OVER" };
+    println!(
+        "{:9} {:4} {what} of {:3} KiB: {} MB of {limit_mb}, {verdict}; {} connected, answers afterwards: {}",
+        format!("{:?}", flood.listener),
+        flood.connections,
+        flood.bytes_each >> 10,
+        outcome.peak_mb,
+        outcome.connected,
+        outcome.answers_afterwards,
+    );
+    is_within
+}
