Each process logs its start, its panics, its memory near the limit, and how it ended

The last line names role, exit code and cause, in one line; before, a settings file that can't be read ended in a part of a drawing, a proper end in nothing, a panic without its role. Above three quarters of limits.memoryMb a warning tells what the budgets hold. A panic in a task without which the process does not do its work (feed, listeners, periodic tasks, the disk thread) ends the process with a logged cause; it went on without it before.

--- a/src/agent/feeds.rs
+++ b/src/agent/feeds.rs
@@ -6,6 +6,7 @@
 mod unread_feed_tests;
 
 use crate::system::connection;
+use crate::system::essential_tasks::EssentialTasks;
 use crate::system::outgoing::Queues;
 use std::net::SocketAddr;
 use switchhill_distribution::{FeedId, RelayInput};
@@ -25,10 +26,11 @@
     pub(super) async fn listen(
         address: SocketAddr,
         inputs: mpsc::UnboundedSender<RelayInput>,
+        tasks: &mut EssentialTasks,
     ) -> anyhow::Result<Feeds> {
         let listener = connection::listen(address).await?;
         let queues = FeedQueues::default();
-        tokio::task::spawn_local(accept(listener, queues.clone(), inputs));
+        tasks.spawn_local("feeds", accept(listener, queues.clone(), inputs));
         Ok(Feeds { queues })
     }
 
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -5,6 +5,8 @@
 
 use crate::site_settings::SiteSettings;
 use crate::system::clock::Clock;
+use crate::system::essential_tasks::EssentialTasks;
+use crate::system::memory_watch::watch_memory;
 use crate::system::seeds::Seeds;
 use crate::system::stop::Stop;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -19,10 +21,15 @@
 const SPARE_LINKS: usize = 2;
 
 /// Runs until the process is told to stop.
+///
+/// # Errors
+/// The feed's address cannot be listened on, or an essential task has panicked.
 pub async fn run(settings: SiteSettings, mut stop: Stop) -> anyhow::Result<()> {
     let (inputs, mut received) = mpsc::unbounded_channel();
     let feed_address = SocketAddr::from((Ipv4Addr::LOCALHOST, settings.feed_port()));
-    let mut feeds = feeds::Feeds::listen(feed_address, inputs.clone()).await?;
+    let mut tasks = EssentialTasks::default();
+    let mut feeds = feeds::Feeds::listen(feed_address, inputs.clone(), &mut tasks).await?;
+    tasks.spawn_local("memory watch", watch_memory(settings.limits.memory_mb, Vec::new()));
     let mut links = links::Links::new(inputs.clone());
     let mut seeds = Seeds::of(&settings)?;
     let link_settings = LinkSettings {
@@ -41,6 +48,7 @@
             _ = ticks.tick() => RelayInput::Tick,
             Some(input) = received.recv() => input,
             addresses = seeds.changed() => RelayInput::Seeds(addresses),
+            failed = tasks.failed() => return Err(failed.into()),
         };
         for output in relay.handle(clock.now(), input) {
             match output {
--- a/src/control_plane/disk.rs
+++ b/src/control_plane/disk.rs
@@ -1,5 +1,6 @@
 //! The replica's file, written by a thread of its own: the process goes on while the disk stalls.
 
+use crate::system::essential_tasks::EssentialTasks;
 use anyhow::Context;
 use std::hash::{BuildHasher, Hasher};
 use std::path::Path;
@@ -64,9 +65,14 @@
 
 impl Disk {
     /// Starts the thread. What is durable goes to `inputs`.
-    pub(super) fn start(writer: Writer<StandardFileSystem>, inputs: UnboundedSender<Input>) -> Disk {
+    pub(super) fn start(
+        writer: Writer<StandardFileSystem>,
+        inputs: UnboundedSender<Input>,
+        tasks: &mut EssentialTasks,
+    ) -> Disk {
         let (work, queue) = mpsc::channel();
-        std::thread::spawn(move || writer.run(&mut Queue(queue), &mut |report| tell(&inputs, report)));
+        let write = move || writer.run(&mut Queue(queue), &mut |report| tell(&inputs, report));
+        tasks.spawn_thread("replica file", write);
         Disk { work }
     }
 
--- a/src/control_plane/http.rs
+++ b/src/control_plane/http.rs
@@ -23,6 +23,7 @@
 use tokio::time::Instant;
 
 use crate::system::connection;
+use crate::system::essential_tasks::EssentialTasks;
 use crate::system::memory_budget::MemoryBudget;
 use crate::system::request_body::{self, ReadBodyError};
 
@@ -63,14 +64,20 @@
         listener: TcpListener,
         inputs: mpsc::UnboundedSender<Input>,
         memory_mb: u64,
+        tasks: &mut EssentialTasks,
     ) -> Calls {
         let calls = Calls::new(inputs, memory_mb);
-        tokio::task::spawn_local(accept(listener, calls.clone()));
+        tasks.spawn_local("calls", accept(listener, calls.clone()));
         calls
     }
 
+    /// What the bodies of calls may hold.
+    pub(super) fn memory_budgets(&self) -> Vec<MemoryBudget> {
+        vec![self.body_memory.clone()]
+    }
+
     fn new(inputs: mpsc::UnboundedSender<Input>, memory_mb: u64) -> Calls {
-        let body_memory = MemoryBudget::share_of(memory_mb, BODY_MEMORY_SHARE);
+        let body_memory = MemoryBudget::new("bodies of calls", memory_mb, BODY_MEMORY_SHARE);
         Calls { waiting: Rc::default(), next: Rc::default(), inputs, body_memory, closed: Rc::default() }
     }
 
--- a/src/control_plane/links.rs
+++ b/src/control_plane/links.rs
@@ -11,6 +11,7 @@
 mod unread_subscriber_tests;
 
 use crate::system::connection::{self, LinkKind};
+use crate::system::essential_tasks::EssentialTasks;
 use crate::system::memory_budget::{reserved_bytes, MemoryBudget};
 use crate::system::outgoing::{Queues, BATCH_BYTES};
 use bytes::{Bytes, BytesMut};
@@ -56,13 +57,19 @@
         listener: TcpListener,
         inputs: mpsc::UnboundedSender<Input>,
         memory_mb: u64,
+        tasks: &mut EssentialTasks,
     ) -> Links {
         let subscribers = SubscriberQueues::default();
-        tokio::task::spawn_local(accept(listener, subscribers.clone(), inputs));
-        let peer_memory = MemoryBudget::share_of(memory_mb, PEER_MEMORY_SHARE);
+        tasks.spawn_local("links", accept(listener, subscribers.clone(), inputs));
+        let peer_memory = MemoryBudget::new("messages for core nodes", memory_mb, PEER_MEMORY_SHARE);
         Links { peers: BTreeMap::new(), peer_memory, subscribers }
     }
 
+    /// What messages that wait may hold.
+    pub(super) fn memory_budgets(&self) -> Vec<MemoryBudget> {
+        vec![self.peer_memory.clone()]
+    }
+
     /// Sends a message to the core nodes at some addresses. It is encoded once for all of them.
     pub(super) fn send_peers(&mut self, addresses: Vec<String>, frame: &PeerFrame) {
         let frame = match encode_frame(frame) {
--- a/src/control_plane/links/departed_peer_tests.rs
+++ b/src/control_plane/links/departed_peer_tests.rs
@@ -1,6 +1,7 @@
 //! Queues, tasks and connections of core nodes that are gone.
 
 use super::*;
+use crate::system::essential_tasks::EssentialTasks;
 use std::net::Ipv4Addr;
 use switchhill_protocol::{PeerBody, PeerHeartbeat};
 use tokio::task::LocalSet;
@@ -33,7 +34,8 @@
     let (inputs, _received) = mpsc::unbounded_channel();
     let (queues, open) = LocalSet::new()
         .run_until(async {
-            let mut links = Links::start(own, inputs, 256);
+            let mut tasks = EssentialTasks::default();
+            let mut links = Links::start(own, inputs, 256, &mut tasks);
             for number in 0..REPLACED {
                 for _ in 0..HEARTBEATS {
                     links.send_peers(vec![address(number)], &heartbeat());
@@ -58,7 +60,8 @@
     let (inputs, _received) = mpsc::unbounded_channel();
     LocalSet::new()
         .run_until(async {
-            let mut links = Links::start(own, inputs, 256);
+            let mut tasks = EssentialTasks::default();
+            let mut links = Links::start(own, inputs, 256, &mut tasks);
             for round in 0..3 {
                 links.send_peers(vec![address.clone()], &heartbeat());
                 let (mut stream, _) = other.accept().await.expect("a connection");
--- a/src/control_plane/links/frozen_receiver_tests.rs
+++ b/src/control_plane/links/frozen_receiver_tests.rs
@@ -1,6 +1,7 @@
 //! Messages to a core node that accepts connections and does not read.
 
 use super::{Links, PEER_QUEUE};
+use crate::system::essential_tasks::EssentialTasks;
 use googletest::prelude::*;
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -47,7 +48,8 @@
                     accepted.push(stream);
                 }
             });
-            let mut links = Links::start(own, inputs, 256);
+            let mut tasks = EssentialTasks::default();
+            let mut links = Links::start(own, inputs, 256, &mut tasks);
             let mut most = 0;
             for _ in 0..500 {
                 links.send_peers(vec![address.clone()], &frame());
@@ -72,7 +74,8 @@
     let own = loopback().expect("a port of the loopback interface");
     LocalSet::new()
         .run_until(async {
-            let mut links = Links::start(own, inputs, MEMORY_MB);
+            let mut tasks = EssentialTasks::default();
+            let mut links = Links::start(own, inputs, MEMORY_MB, &mut tasks);
             let envelope = RegisterEnvelope { to: 2, message: vec![0; LARGE_VALUE_BYTES].into() };
             let large =
                 PeerFrame { from: 1, address: String::new(), body: Some(PeerBody::Register(envelope)) };
--- a/src/control_plane/links/unread_subscriber_tests.rs
+++ b/src/control_plane/links/unread_subscriber_tests.rs
@@ -1,6 +1,7 @@
 //! Messages to a subscriber that has said hello and does not read.
 
 use super::Links;
+use crate::system::essential_tasks::EssentialTasks;
 use googletest::prelude::*;
 use std::net::Ipv4Addr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -82,7 +83,8 @@
     let (inputs, mut received) = mpsc::unbounded_channel();
     let kept = Arc::new(AtomicUsize::new(0));
     let run = async {
-        let mut links = Links::start(own, inputs, 256);
+        let mut tasks = EssentialTasks::default();
+        let mut links = Links::start(own, inputs, 256, &mut tasks);
         let _unread = subscribe(address).await.expect("a connection");
         let id = match received.recv().await {
             Some(Input::Subscriber(id, _)) => id,
--- a/src/control_plane/mod.rs
+++ b/src/control_plane/mod.rs
@@ -10,6 +10,9 @@
 
 use crate::site_settings::SiteSettings;
 use crate::system::clock::Clock;
+use crate::system::essential_tasks::{EssentialTaskFailed, EssentialTasks};
+use crate::system::memory_budget::MemoryBudget;
+use crate::system::memory_watch::watch_memory;
 use crate::system::{connection, seeds::Seeds, stop::Stop};
 use anyhow::Context;
 use leave::Leave;
@@ -30,9 +33,10 @@
 /// Runs until the process is told to stop, and then until the electorate goes on without its replica.
 ///
 /// # Errors
-/// The settings lack what a control plane needs, the replica's file cannot be read, or a listener cannot be opened.
+/// The settings lack what a control plane needs, the replica's file cannot be read, a listener cannot be opened, or an
+/// essential task has panicked.
 pub async fn run(settings: SiteSettings, mut stop: Stop) -> anyhow::Result<()> {
-    ControlPlane::open(settings).await?.serve(async || stop.requested().await).await;
+    ControlPlane::open(settings).await?.serve(async || stop.requested().await).await?;
     Ok(())
 }
 
@@ -69,10 +73,13 @@
     }
 
     /// Serves until it was told to stop and has left. It runs inside a [`tokio::task::LocalSet`].
-    async fn serve(self, mut stop: impl AsyncFnMut()) {
+    async fn serve(self, mut stop: impl AsyncFnMut()) -> Result<(), EssentialTaskFailed> {
         let ControlPlane { settings, mut seeds, clock, mut node, writer, internal, control } = self;
         let (inputs, mut received) = mpsc::unbounded_channel();
-        let mut effects = Effects::start(writer, internal, control, &inputs, settings.limits.memory_mb);
+        let memory_mb = settings.limits.memory_mb;
+        let mut tasks = EssentialTasks::default();
+        let mut effects = Effects::start(writer, internal, control, &inputs, memory_mb, &mut tasks);
+        tasks.spawn_local("memory watch", watch_memory(memory_mb, effects.memory_budgets()));
         let mut ticks = tokio::time::interval(TICK_EVERY);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut leave: Option<Leave> = None;
@@ -93,6 +100,7 @@
                 _ = ticks.tick() => Input::Tick,
                 Some(input) = received.recv() => input,
                 addresses = seeds.changed() => Input::Seeds(addresses),
+                failed = tasks.failed() => return Err(failed),
             };
             for output in node.handle(clock.now(), input) {
                 effects.carry_out(output);
@@ -101,6 +109,7 @@
         effects.calls.close();
         effects.calls.leave_open();
         tokio::time::sleep(LINGER).await;
+        Ok(())
     }
 }
 
@@ -120,15 +129,20 @@
         control: TcpListener,
         inputs: &mpsc::UnboundedSender<Input>,
         memory_mb: u64,
+        tasks: &mut EssentialTasks,
     ) -> Effects {
         Effects {
-            disk: disk::Disk::start(writer, inputs.clone()),
-            links: links::Links::start(internal, inputs.clone(), memory_mb),
-            calls: http::Calls::start(control, inputs.clone(), memory_mb),
+            disk: disk::Disk::start(writer, inputs.clone(), tasks),
+            links: links::Links::start(internal, inputs.clone(), memory_mb, tasks),
+            calls: http::Calls::start(control, inputs.clone(), memory_mb, tasks),
             workers: workers::WorkerCalls::new(inputs.clone()),
         }
     }
 
+    fn memory_budgets(&self) -> Vec<MemoryBudget> {
+        [self.calls.memory_budgets(), self.links.memory_budgets()].concat()
+    }
+
     fn carry_out(&mut self, output: Output) {
         match output {
             Output::Peers(addresses, frame) => self.links.send_peers(addresses, &frame),
--- a/src/control_plane/tests.rs
+++ b/src/control_plane/tests.rs
@@ -38,7 +38,11 @@
         let stop = Rc::new(Notify::new());
         let told = stop.clone();
         let serving = plane.serve(async move || told.notified().await);
-        let lone = Lone { address, stop, ended: tokio::task::spawn_local(serving) };
+        let lone = Lone {
+            address,
+            stop,
+            ended: tokio::task::spawn_local(async move { serving.await.expect("no task panics") }),
+        };
         lone.until_it_serves().await;
         lone
     }
--- a/src/data_plane/server.rs
+++ b/src/data_plane/server.rs
@@ -10,6 +10,8 @@
 use super::signals;
 use super::view::View;
 use crate::site_settings::SiteSettings;
+use crate::system::essential_tasks::EssentialTasks;
+use crate::system::memory_watch::watch_memory;
 use anyhow::Context;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,7 +19,6 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{mpsc, watch};
-use tokio::task::JoinSet;
 use tokio::time::MissedTickBehavior;
 
 /// A data plane whose listeners are open.
@@ -64,41 +65,45 @@
     /// Serves until a shutdown is complete. Must run inside a [`tokio::task::LocalSet`].
     ///
     /// # Errors
-    /// None at present. Callers have to treat an error as fatal to the process.
+    /// An essential task has panicked. Callers have to treat an error as fatal to the process.
     pub async fn serve(
         self,
         views: watch::Receiver<Arc<View>>,
         feedback: mpsc::UnboundedSender<Feedback>,
     ) -> anyhow::Result<()> {
         let shared = Rc::new(Shared::new(self.settings, feedback, self.shutdown));
-        // Dropping the set at the end aborts the tasks.
-        let mut tasks = JoinSet::new();
-        tasks.spawn_local(apply_views(shared.clone(), views));
+        // Dropping them at the end aborts the tasks.
+        let mut tasks = EssentialTasks::default();
+        tasks.spawn_local("views", apply_views(shared.clone(), views));
         spawn_periodic_tasks(&shared, &mut tasks);
-        tasks.spawn_local(signals::reload_at_sighup(shared.clone()));
-        tasks.spawn_local(ingress::accept(shared.clone(), self.http));
+        tasks.spawn_local("settings", signals::reload_at_sighup(shared.clone()));
+        tasks.spawn_local("clients", ingress::accept(shared.clone(), self.http));
         if let Some(listener) = self.readiness {
-            tasks.spawn_local(readiness::serve_readiness_checks(shared.clone(), listener));
+            tasks.spawn_local("readiness", readiness::serve_readiness_checks(shared.clone(), listener));
+        }
+        let memory_mb = shared.settings.borrow().limits.memory_mb;
+        tasks.spawn_local("memory watch", watch_memory(memory_mb, shared.memory_budgets()));
+        tokio::select! {
+            () = shut_down(&shared) => Ok(()),
+            failed = tasks.failed() => Err(failed.into()),
         }
-        shut_down(&shared).await;
-        Ok(())
     }
 }
 
-/// Interval and function of a periodic task.
-type PeriodicTask = (Duration, fn(&Shared));
+/// Name, interval and function of a periodic task.
+type PeriodicTask = (&'static str, Duration, fn(&Shared));
 
 /// Starts the periodic tasks of the data plane.
-pub(crate) fn spawn_periodic_tasks(shared: &Rc<Shared>, tasks: &mut JoinSet<()>) {
+pub(crate) fn spawn_periodic_tasks(shared: &Rc<Shared>, tasks: &mut EssentialTasks) {
     let periodic: [PeriodicTask; 4] = [
-        (policy::HOUSEKEEPING_INTERVAL, Shared::tick),
-        (policy::SUMMARY_INTERVAL, Shared::summarize),
-        (policy::STALL_CHECK_INTERVAL, Shared::check_stalled_workers),
-        (policy::REFUSAL_LOG_INTERVAL, Shared::log_refusals),
+        ("housekeeping", policy::HOUSEKEEPING_INTERVAL, Shared::tick),
+        ("summaries", policy::SUMMARY_INTERVAL, Shared::summarize),
+        ("stall check", policy::STALL_CHECK_INTERVAL, Shared::check_stalled_workers),
+        ("refusal log", policy::REFUSAL_LOG_INTERVAL, Shared::log_refusals),
     ];
-    for (interval, task) in periodic {
+    for (name, interval, task) in periodic {
         let shared = shared.clone();
-        tasks.spawn_local(run_periodically(interval, move || task(&shared)));
+        tasks.spawn_local(name, run_periodically(interval, move || task(&shared)));
     }
 }
 
--- a/src/data_plane/shared.rs
+++ b/src/data_plane/shared.rs
@@ -71,7 +71,7 @@
         shutdown: ShutdownHandle,
     ) -> Shared {
         let connection_limits = ConnectionLimits::from_fd_limit(settings.limits.max_fds);
-        let body_memory = MemoryBudget::share_of(settings.limits.memory_mb, policy::BODY_MEMORY_SHARE);
+        let body_memory = MemoryBudget::new("bodies", settings.limits.memory_mb, policy::BODY_MEMORY_SHARE);
         Shared {
             router: RefCell::new(Router::new(router_settings(&settings), fastrand::u64(..))),
             retry_budget: RefCell::new(retry_budget(&settings)),
@@ -101,6 +101,11 @@
         }
     }
 
+    /// Budgets of what requests and responses may hold.
+    pub(crate) fn memory_budgets(&self) -> Vec<MemoryBudget> {
+        vec![self.body_memory.clone()]
+    }
+
     /// Current time in milliseconds, on the clock that all decisions use.
     pub(crate) fn now(&self) -> u64 {
         now_ms()
--- a/src/data_plane/tests/body_memory.rs
+++ b/src/data_plane/tests/body_memory.rs
@@ -182,7 +182,7 @@
 
 #[gtest]
 fn reservations_are_returned() {
-    let memory = MemoryBudget::share_of(MEMORY_MB, BODY_MEMORY_SHARE);
+    let memory = MemoryBudget::new("bodies", MEMORY_MB, BODY_MEMORY_SHARE);
     let all = memory.free_bytes();
     let mut reservation = memory.reserve(10_000).expect("free memory");
     expect_that!(memory.extend(&mut reservation, all / 2), eq(true));
--- a/src/data_plane/tests/harness.rs
+++ b/src/data_plane/tests/harness.rs
@@ -10,6 +10,7 @@
 use crate::data_plane::view::View;
 use crate::data_plane::Feedback;
 use crate::site_settings::SiteSettings;
+use crate::system::essential_tasks::EssentialTasks;
 use serde_json::{json, Value};
 use std::future::Future;
 use std::rc::Rc;
@@ -163,7 +164,8 @@
 pub(crate) struct InMemoryHarness {
     pub(crate) shared: Rc<Shared>,
     pub(crate) workers: Rc<Workers>,
-    tasks: JoinSet<()>,
+    connections: JoinSet<()>,
+    _periodic_tasks: EssentialTasks,
     shutdown_task: Option<JoinHandle<()>>,
     _feedback: mpsc::UnboundedReceiver<Feedback>,
 }
@@ -196,9 +198,16 @@
         let mut shared = Shared::new(settings, feedback_sender, ShutdownHandle::new());
         shared.pool = Pool::with_connector(Rc::new(MemoryConnector(workers.clone())), 1000);
         let shared = Rc::new(shared);
-        let mut tasks = JoinSet::new();
-        spawn_periodic_tasks(&shared, &mut tasks);
-        InMemoryHarness { shared, workers, tasks, shutdown_task: None, _feedback: feedback }
+        let mut periodic_tasks = EssentialTasks::default();
+        spawn_periodic_tasks(&shared, &mut periodic_tasks);
+        InMemoryHarness {
+            shared,
+            workers,
+            connections: JoinSet::new(),
+            _periodic_tasks: periodic_tasks,
+            shutdown_task: None,
+            _feedback: feedback,
+        }
     }
 
     /// Publishes a view with all routes and these workers.
@@ -222,7 +231,7 @@
     pub(crate) async fn wait_for_shutdown(&mut self) {
         let shutdown_task = self.shutdown_task.take().expect("the shutdown has begun");
         shutdown_task.await.expect("the shutdown does not panic");
-        self.tasks.shutdown().await;
+        self.connections.shutdown().await;
     }
 
     /// Opens a client connection.
@@ -233,7 +242,7 @@
     /// Opens a client connection that buffers `capacity` bytes in each direction.
     pub(crate) fn connect_with_buffer(&mut self, capacity: usize) -> DuplexStream {
         let (client, served) = tokio::io::duplex(capacity);
-        self.tasks.spawn_local(ingress::serve_stream(self.shared.clone(), served));
+        self.connections.spawn_local(ingress::serve_stream(self.shared.clone(), served));
         client
     }
 
--- a/src/data_plane_feed.rs
+++ b/src/data_plane_feed.rs
@@ -11,6 +11,7 @@
 };
 use crate::site_settings::SiteSettings;
 use crate::system::connection::{self, LinkKind};
+use crate::system::essential_tasks::EssentialTasks;
 use crate::system::outgoing::{self, Outgoing};
 use crate::system::stop::Stop;
 use std::collections::BTreeMap;
@@ -39,16 +40,20 @@
 /// Runs the data plane and its feed until the process has stopped.
 ///
 /// # Errors
-/// A listener cannot be opened, or the settings name no address for clients.
+/// A listener cannot be opened, the settings name no address for clients, or an essential task has panicked.
 pub async fn run(settings: SiteSettings, stop: Stop) -> anyhow::Result<()> {
     let (views, received_views) = watch::channel(Arc::new(View::default()));
     let (feedback, received_feedback) = mpsc::unbounded_channel();
     let agent = SocketAddr::from((Ipv4Addr::LOCALHOST, settings.feed_port())).to_string();
     let feed = Feed::new(&settings, views);
-    tokio::task::spawn_local(feed.run(agent, received_feedback));
+    let mut tasks = EssentialTasks::default();
+    tasks.spawn_local("feed", feed.run(agent, received_feedback));
     let data_plane = DataPlane::bind(settings)?;
-    tokio::task::spawn_local(end_when_told(stop, data_plane.shutdown_handle()));
-    data_plane.serve(received_views, feedback).await
+    tasks.spawn_local("signals", end_when_told(stop, data_plane.shutdown_handle()));
+    tokio::select! {
+        served = data_plane.serve(received_views, feedback) => served,
+        failed = tasks.failed() => Err(failed.into()),
+    }
 }
 
 /// Begins the end of the data plane. The signal may have come before the data plane was there.
--- a/src/site_settings.rs
+++ b/src/site_settings.rs
@@ -220,7 +220,7 @@
             .map_err(|source| SettingsError::Unreadable { path: path.to_owned(), source })?;
         let invalid = |fault: String| SettingsError::Invalid { path: path.to_owned(), fault };
         let mut settings: SiteSettings =
-            serde_saphyr::from_str(&text).map_err(|error| invalid(error.to_string()))?;
+            serde_saphyr::from_str(&text).map_err(|error| invalid(error.without_snippet().to_string()))?;
         settings.check().map_err(invalid)?;
         settings.origin = Some(Origin::of(path, &text));
         Ok(settings)
--- a/src/system/command.rs
+++ b/src/system/command.rs
@@ -1,8 +1,11 @@
 //! Commands of the system's programs.
 
+use super::process_log::{log_end, log_panics, log_start};
 use super::stop::Stop;
 use crate::site_settings::{DecisionSettings, SiteSettings};
 use argh::FromArgs;
+use std::fmt;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -24,7 +27,33 @@
     ControlPlane(ControlPlaneCommand),
 }
 
+/// A program of the system, as its log names it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Role {
+    DataPlane,
+    Agent,
+    ControlPlane,
+}
+
+impl fmt::Display for Role {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Role::DataPlane => "data-plane",
+            Role::Agent => "agent",
+            Role::ControlPlane => "control-plane",
+        })
+    }
+}
+
 impl Program {
+    fn role(&self) -> Role {
+        match self {
+            Program::DataPlane(_) => Role::DataPlane,
+            Program::Agent(_) => Role::Agent,
+            Program::ControlPlane(_) => Role::ControlPlane,
+        }
+    }
+
     fn decisions(&self) -> Option<&Path> {
         match self {
             Program::DataPlane(command) => command.decisions.as_deref(),
@@ -74,13 +103,10 @@
     };
     let filter = env_logger::Env::default().default_filter_or("info");
     env_logger::Builder::from_env(filter).format_timestamp(None).init();
-    match start(&command.program) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log::error!("{error:#}");
-            ExitCode::FAILURE
-        }
-    }
+    let role = command.program.role();
+    log_panics(role);
+    let result = catch_unwind(AssertUnwindSafe(|| start(&command.program)));
+    log_end(role, &result)
 }
 
 fn start(program: &Program) -> anyhow::Result<()> {
@@ -91,6 +117,7 @@
     if let Some(path) = program.decisions() {
         settings.decisions = DecisionSettings::read(path)?;
     }
+    log_start(program.role(), &settings);
     let local = tokio::task::LocalSet::new();
     match program {
         Program::DataPlane(_) => local.block_on(&runtime, crate::data_plane_feed::run(settings, stop)),
--- a/src/system/memory_budget.rs
+++ b/src/system/memory_budget.rs
@@ -4,6 +4,7 @@
 //! therefore reserves its memory before it is read or queued, and the reservation ends with the last reference to its bytes.
 
 use bytes::Bytes;
+use std::fmt;
 use std::sync::Arc;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -19,6 +20,9 @@
 /// Memory for the pieces of one kind, in use and free. Clones share it.
 #[derive(Debug, Clone)]
 pub(crate) struct MemoryBudget {
+    /// What the pieces are, for the log.
+    name: &'static str,
+    blocks: usize,
     free_blocks: Arc<Semaphore>,
     /// Number of free blocks that pieces other than small ones leave untouched.
     small_piece_blocks: usize,
@@ -31,11 +35,13 @@
 }
 
 impl MemoryBudget {
-    /// A share of a process's memory limit, which is in megabytes.
-    pub(crate) fn share_of(memory_mb: u64, share: f64) -> MemoryBudget {
+    /// Memory for pieces that the log calls `name`: a share of a process's memory limit, which is in megabytes.
+    pub(crate) fn new(name: &'static str, memory_mb: u64, share: f64) -> MemoryBudget {
         let bytes = memory_mb.saturating_mul(1 << 20) as f64 * share;
         let blocks = ((bytes / BLOCK_BYTES as f64) as usize).clamp(1, Semaphore::MAX_PERMITS);
         MemoryBudget {
+            name,
+            blocks,
             free_blocks: Arc::new(Semaphore::new(blocks)),
             small_piece_blocks: (blocks as f64 * SMALL_PIECE_SHARE) as usize,
         }
@@ -70,6 +76,15 @@
     }
 }
 
+/// What is reserved of how much, such as `bodies 3.0 of 104.0 MB`.
+impl fmt::Display for MemoryBudget {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let megabytes = |blocks: usize| (blocks * BLOCK_BYTES) as f64 / f64::from(1 << 20);
+        let reserved = self.blocks - self.free_blocks.available_permits();
+        write!(formatter, "{} {:.1} of {:.1} MB", self.name, megabytes(reserved), megabytes(self.blocks))
+    }
+}
+
 impl Reservation {
     fn block_count(&self) -> usize {
         self.blocks.as_ref().map_or(0, OwnedSemaphorePermit::num_permits)
--- a/src/system/mod.rs
+++ b/src/system/mod.rs
@@ -1,11 +1,15 @@
-//! What the programs of the system share: command line, clock, check of files, connections and what waits for them, signals.
+//! What the programs of the system share: command line, clock, check of files, connections and what waits for them, signals,
+//! essential tasks, and what the log says of a process as a whole.
 
 pub mod check;
 pub mod clock;
 pub mod command;
 pub mod connection;
+pub(crate) mod essential_tasks;
 pub(crate) mod memory_budget;
+pub(crate) mod memory_watch;
 pub mod outgoing;
+mod process_log;
 pub(crate) mod request_body;
 pub mod seeds;
 pub mod stop;
