Unfinished heads leave every process within its memory, and keep nobody out

Seen: connections that begin a request and never finish its head took a control plane to 961 MB of 256 and a data plane to 533 of 260 by its readiness listener; 3,000 of them at a data plane's clients kept every other client out. Cause: each head was bounded, by the library or the configuration, the sum and the number of connections were not, or only by descriptors. Change: a head beyond the connection's first buffer reserves its memory (5% of limits.memoryMb at a control plane, 8% at a data plane) and holds it as long as the request; a read takes 8 KiB at the most, so that buffers do not grow with bodies; listeners have a greatest number of connections by descriptors and memory, and at it the one that has waited longest without a request gives way.

--- a/lab/src/process_faults/memory_cases.rs
+++ b/lab/src/process_faults/memory_cases.rs
@@ -2,6 +2,7 @@
 
 use super::lone_process::{LoneProcess, ProcessLimits, CORE_LIMITS, EDGE_LIMITS};
 use super::unfinished_head::hold_unfinished_heads;
+use crate::local_system::http::{get, send};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -15,6 +16,9 @@
 /// Time for one connection to come up and be written to.
 const WRITE_WITHIN: Duration = Duration::from_secs(2);
 
+/// Time for a caller to be answered. A data plane waits for its first configuration for a second.
+const ANSWER_WITHIN: Duration = Duration::from_secs(4);
+
 /// First byte of a connection that carries the messages of a subscriber.
 const SUBSCRIBER_KIND: u8 = 2;
 
@@ -84,6 +88,8 @@
     pub peak_mb: u64,
     /// Whether the process still ran.
     pub runs: bool,
+    /// Whether the listener answered a caller while the flood was held. Only listeners for requests answer.
+    pub answers_meanwhile: bool,
     /// Whether its listener took a connection once the flood had ended.
     pub answers_afterwards: bool,
 }
@@ -134,9 +140,22 @@
 ) -> anyhow::Result<MemoryOutcome> {
     tokio::time::sleep(HELD_FOR).await;
     let connected = held.len();
+    let address = listener.address(&process);
+    let answer = tokio::time::timeout(ANSWER_WITHIN, call_once(address)).await;
     let peak_mb = process.process().peak_resident_bytes()? >> 20;
     let runs = process.process().ended()?.is_none();
     drop(held);
-    let answers = tokio::time::timeout(WRITE_WITHIN, TcpStream::connect(listener.address(&process))).await;
-    Ok(MemoryOutcome { connected, peak_mb, runs, answers_afterwards: matches!(answers, Ok(Ok(_))) })
+    let connects = tokio::time::timeout(WRITE_WITHIN, TcpStream::connect(address)).await;
+    Ok(MemoryOutcome {
+        connected,
+        peak_mb,
+        runs,
+        answers_meanwhile: matches!(answer, Ok(Ok(_))),
+        answers_afterwards: matches!(connects, Ok(Ok(_))),
+    })
+}
+
+/// A call that is answered whatever the state of the process.
+async fn call_once(address: SocketAddr) -> anyhow::Result<()> {
+    send(address, get(address, "/api/ready")).await.map(drop)
 }
--- a/lab/src/process_faults/table.rs
+++ b/lab/src/process_faults/table.rs
@@ -68,12 +68,13 @@
     let is_within = outcome.peak_mb < limit_mb && outcome.runs;
     let verdict = if is_within { "within" } else { "OVER" };
     println!(
-        "{:9} {:4} {what} of {:3} KiB: {} MB of {limit_mb}, {verdict}; {} connected, answers afterwards: {}",
+        "{:9} {:4} {what} of {:3} KiB: {} MB of {limit_mb}, {verdict}; {} connected, answers meanwhile: {}, afterwards: {}",
         format!("{:?}", flood.listener),
         flood.connections,
         flood.bytes_each >> 10,
         outcome.peak_mb,
         outcome.connected,
+        outcome.answers_meanwhile,
         outcome.answers_afterwards,
     );
     is_within
--- /dev/null
+++ b/lab/tests/process_faults.rs
@@ -0,0 +1,37 @@
+//! Floods that fill the memory of a process, and starts on a machine that is not ready, with real processes on loopback.
+#![allow(missing_docs)]
+
+use googletest::prelude::*;
+use rstest::rstest;
+use std::future::Future;
+use std::sync::{Mutex, PoisonError};
+use switchhill_lab::local_system::built_beside;
+use switchhill_lab::process_faults::{flood_heads, Flood, Listener};
+
+/// One flood at a time: each has some thousand connections.
+static TURN: Mutex<()> = Mutex::new(());
+
+fn run<T>(test: impl Future<Output = anyhow::Result<T>>) -> T {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    runtime.expect("a runtime").block_on(test).unwrap_or_else(|error| panic!("{error:#}"))
+}
+
+#[rstest]
+#[case::short_heads_at_control(Listener::Control, 3800, 16 << 10)]
+#[case::long_heads_at_control(Listener::Control, 3800, 256 << 10)]
+#[case::long_heads_at_readiness(Listener::Readiness, 2000, 256 << 10)]
+#[case::short_heads_of_clients(Listener::Clients, 3000, 15 << 10)]
+#[case::long_heads_of_clients(Listener::Clients, 3000, 60 << 10)]
+#[gtest]
+fn unfinished_heads_leave_a_process_within_its_memory_and_keep_nobody_out(
+    #[case] listener: Listener,
+    #[case] connections: usize,
+    #[case] bytes_each: usize,
+) {
+    let flood = Flood { listener, connections, bytes_each };
+    let outcome = run(async { flood_heads(&built_beside()?, flood).await });
+    expect_that!(outcome.peak_mb, lt(listener.limits().memory_mb), "{flood:?}: {outcome:?}");
+    expect_true!(outcome.runs, "{flood:?}: {outcome:?}");
+    expect_true!(outcome.answers_meanwhile, "{flood:?}: {outcome:?}");
+}
--- a/src/control_plane/http.rs
+++ b/src/control_plane/http.rs
@@ -18,12 +18,16 @@
 use std::time::Duration;
 use switchhill_configuration::{Order, OrderKind, ResultCode};
 use switchhill_control::{Answer, Call, CallId, Input};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
+use crate::site_settings::ProcessLimits;
 use crate::system::connection;
+use crate::system::connection_slots::{most_connections, BusySlot, ConnectionSlots};
 use crate::system::essential_tasks::EssentialTasks;
+use crate::system::head_memory::{HeadMemory, HeadMemoryStream, RequestHeadMemory};
 use crate::system::memory_budget::MemoryBudget;
 use crate::system::request_body::{self, ReadBodyError};
 
@@ -33,6 +37,15 @@
 /// Share of the process's memory for the bodies of calls.
 const BODY_MEMORY_SHARE: f64 = 0.25;
 
+/// Share of the process's memory for the heads of calls.
+const HEAD_MEMORY_SHARE: f64 = 0.05;
+
+/// Longest head of a call, in bytes.
+const LONGEST_HEAD: usize = 64 << 10;
+
+/// Share of the descriptors for the connections of callers. The others are for core nodes, agents and calls to workers.
+const DESCRIPTOR_SHARE: f64 = 0.5;
+
 /// Time for a call to be answered by the node.
 const ANSWER_WITHIN: Duration = Duration::from_millis(2500);
 
@@ -52,6 +65,8 @@
     next: Rc<Cell<u64>>,
     inputs: mpsc::UnboundedSender<Input>,
     body_memory: MemoryBudget,
+    head_memory: MemoryBudget,
+    connections: ConnectionSlots,
     closed: Rc<watch::Sender<bool>>,
 }
 
@@ -59,26 +74,34 @@
 type WaitingCalls = Rc<RefCell<BTreeMap<CallId, oneshot::Sender<Answer>>>>;
 
 impl Calls {
-    /// Serves on a listener; calls go to `inputs`. `memory_mb` is the process's memory limit.
+    /// Serves on a listener; calls go to `inputs`.
     pub(super) fn start(
         listener: TcpListener,
         inputs: mpsc::UnboundedSender<Input>,
-        memory_mb: u64,
+        limits: &ProcessLimits,
         tasks: &mut EssentialTasks,
     ) -> Calls {
-        let calls = Calls::new(inputs, memory_mb);
+        let calls = Calls::new(inputs, limits);
         tasks.spawn_local("calls", accept(listener, calls.clone()));
         calls
     }
 
-    /// What the bodies of calls may hold.
+    /// What calls may hold.
     pub(super) fn memory_budgets(&self) -> Vec<MemoryBudget> {
-        vec![self.body_memory.clone()]
+        vec![self.body_memory.clone(), self.head_memory.clone()]
     }
 
-    fn new(inputs: mpsc::UnboundedSender<Input>, memory_mb: u64) -> Calls {
-        let body_memory = MemoryBudget::new("bodies of calls", memory_mb, BODY_MEMORY_SHARE);
-        Calls { waiting: Rc::default(), next: Rc::default(), inputs, body_memory, closed: Rc::default() }
+    fn new(inputs: mpsc::UnboundedSender<Input>, limits: &ProcessLimits) -> Calls {
+        let descriptors = (limits.max_fds as f64 * DESCRIPTOR_SHARE) as usize;
+        Calls {
+            waiting: Rc::default(),
+            next: Rc::default(),
+            inputs,
+            body_memory: MemoryBudget::new("bodies of calls", limits.memory_mb, BODY_MEMORY_SHARE),
+            head_memory: MemoryBudget::new("heads of calls", limits.memory_mb, HEAD_MEMORY_SHARE),
+            connections: ConnectionSlots::new(descriptors.clamp(1, most_connections(limits.memory_mb))),
+            closed: Rc::default(),
+        }
     }
 
     /// Answers a call.
@@ -147,7 +170,7 @@
     let mut closed = calls.closed.subscribe();
     loop {
         tokio::select! {
-            stream = connection::accept(&listener) => {
+            stream = accept_with_room(&listener, &calls.connections) => {
                 tokio::task::spawn_local(serve(stream, calls.clone()));
             }
             _ = closed.wait_for(|closed| *closed) => break,
@@ -158,20 +181,46 @@
     }
 }
 
-async fn serve(stream: TcpStream, calls: Calls) {
-    let service = service_fn(|request| handle(request, calls.clone()));
+/// What a call holds of its connection until it is answered and its body has been read.
+struct CallInWork {
+    _slot: BusySlot,
+    _head: RequestHeadMemory,
+}
+
+async fn accept_with_room(listener: &TcpListener, connections: &ConnectionSlots) -> TcpStream {
+    connections.room().await;
+    connection::accept(listener).await
+}
+
+async fn serve(stream: impl AsyncRead + AsyncWrite + Unpin, calls: Calls) {
+    let slot = calls.connections.open();
+    let memory = HeadMemory::new(calls.head_memory.clone());
+    let service = service_fn(|request| {
+        let in_work = Rc::new(CallInWork { _slot: slot.busy(), _head: memory.head_complete() });
+        handle(request, calls.clone(), in_work)
+    });
+    let stream = TokioIo::new(HeadMemoryStream::new(stream, memory.clone()));
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_FOR)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
-    if let Err(error) = served {
-        log::debug!("caller's connection ended: {error}");
+        .max_buf_size(LONGEST_HEAD)
+        .serve_connection(stream, service);
+    tokio::select! {
+        // Polled first: a call that has come is taken before the connection may be closed.
+        biased;
+        served = served => if let Err(error) = served {
+            log::debug!("caller's connection ended: {error}");
+        },
+        () = slot.evicted() => log::debug!("caller's connection gave way to another one"),
     }
 }
 
-async fn handle(request: Request<Incoming>, calls: Calls) -> Result<Response<Full<Bytes>>, Infallible> {
-    let answer = match read_call(request, &calls.body_memory).await {
+async fn handle(
+    request: Request<Incoming>,
+    calls: Calls,
+    in_work: Rc<CallInWork>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let answer = match read_call(request, &calls.body_memory, &in_work).await {
         Ok(call) => calls.make(call).await,
         Err(answer) => answer,
     };
@@ -212,14 +261,18 @@
     Answer { status: 408, body: Bytes::from_static(b"{\"error\":\"the body did not come in time\"}") }
 }
 
-async fn read_call(request: Request<Incoming>, memory: &MemoryBudget) -> Result<Call, Answer> {
+async fn read_call(
+    request: Request<Incoming>,
+    memory: &MemoryBudget,
+    in_work: &Rc<CallInWork>,
+) -> Result<Call, Answer> {
     let (head, mut body) = request.into_parts();
     let base_version =
         head.headers.get(BASE_VERSION).and_then(|value| value.to_str().ok()?.trim().parse().ok());
     let read = request_body::read(memory, &mut body, LONGEST_BODY);
     let read = tokio::time::timeout(IDLE_FOR, read).await.map_err(|_| body_late())?;
     let body = read.map_err(|error| {
-        tokio::task::spawn_local(request_body::discard(body, IDLE_FOR));
+        tokio::task::spawn_local(request_body::discard(body, IDLE_FOR, in_work.clone()));
         body_refused(error)
     })?;
     let path = head.uri.path();
--- a/src/control_plane/http/tests.rs
+++ b/src/control_plane/http/tests.rs
@@ -1,11 +1,9 @@
 //! Tests of the calls' interface over in-memory streams, in paused time.
 
-use super::{handle, Calls, ANSWER_WITHIN};
+use super::{serve, Calls, ANSWER_WITHIN};
+use crate::site_settings::ProcessLimits;
 use bytes::Bytes;
 use googletest::prelude::*;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use std::future::Future;
 use std::time::Duration;
 use switchhill_configuration::OrderKind;
@@ -18,7 +16,7 @@
 
 fn calls() -> (Calls, mpsc::UnboundedReceiver<Input>) {
     let (inputs, received) = mpsc::unbounded_channel();
-    (Calls::new(inputs, MEMORY_MB), received)
+    (Calls::new(inputs, &ProcessLimits { memory_mb: MEMORY_MB, ..ProcessLimits::default() }), received)
 }
 
 /// Runs in paused time.
@@ -39,8 +37,7 @@
             }
         }
     });
-    let service = service_fn(move |request| handle(request, calls.clone()));
-    tokio::task::spawn_local(http1::Builder::new().serve_connection(TokioIo::new(server), service));
+    tokio::task::spawn_local(serve(server, calls.clone()));
     client.write_all(request.as_bytes()).await.expect("written");
     let mut text = Vec::new();
     client.read_to_end(&mut text).await.expect("read");
@@ -174,8 +171,7 @@
         for _ in 0..20 {
             let (mut client, server) = tokio::io::duplex(64 * 1024);
             let calls = calls.clone();
-            let service = service_fn(move |request| handle(request, calls.clone()));
-            tokio::task::spawn_local(http1::Builder::new().serve_connection(TokioIo::new(server), service));
+            tokio::task::spawn_local(serve(server, calls.clone()));
             let head = "POST /api/config/replace HTTP/1.1\r\nHost: c\r\nBase-Version: 1\r\nContent-Length: 4194304\r\n\r\n";
             client.write_all(head.as_bytes()).await.expect("written");
             let mut answer = vec![0; 1024];
@@ -200,8 +196,7 @@
             "POST /api/config/replace HTTP/1.1\r\nHost: c\r\nBase-Version: 1\r\nContent-Length: 10\r\n\r\n";
         let (calls, _inputs) = calls();
         let (mut client, server) = tokio::io::duplex(64 * 1024);
-        let service = service_fn(move |request| handle(request, calls.clone()));
-        tokio::task::spawn_local(http1::Builder::new().serve_connection(TokioIo::new(server), service));
+        tokio::task::spawn_local(serve(server, calls.clone()));
         client.write_all(head.as_bytes()).await.expect("written");
         let mut answer = vec![0; 1024];
         let read = client.read(&mut answer).await.expect("an answer");
--- a/src/control_plane/mod.rs
+++ b/src/control_plane/mod.rs
@@ -8,7 +8,7 @@
 mod tests;
 mod workers;
 
-use crate::site_settings::SiteSettings;
+use crate::site_settings::{ProcessLimits, SiteSettings};
 use crate::system::clock::Clock;
 use crate::system::essential_tasks::{EssentialTaskFailed, EssentialTasks};
 use crate::system::memory_budget::MemoryBudget;
@@ -76,10 +76,9 @@
     async fn serve(self, mut stop: impl AsyncFnMut()) -> Result<(), EssentialTaskFailed> {
         let ControlPlane { settings, mut seeds, clock, mut node, writer, internal, control } = self;
         let (inputs, mut received) = mpsc::unbounded_channel();
-        let memory_mb = settings.limits.memory_mb;
         let mut tasks = EssentialTasks::default();
-        let mut effects = Effects::start(writer, internal, control, &inputs, memory_mb, &mut tasks);
-        tasks.spawn_local("memory watch", watch_memory(memory_mb, effects.memory_budgets()));
+        let mut effects = Effects::start(writer, internal, control, &inputs, &settings.limits, &mut tasks);
+        tasks.spawn_local("memory watch", watch_memory(settings.limits.memory_mb, effects.memory_budgets()));
         let mut ticks = tokio::time::interval(TICK_EVERY);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut leave: Option<Leave> = None;
@@ -122,19 +121,19 @@
 }
 
 impl Effects {
-    /// Begins to serve. What comes of it goes to `inputs`. `memory_mb` is the process's memory limit.
+    /// Begins to serve. What comes of it goes to `inputs`.
     fn start(
         writer: Writer<StandardFileSystem>,
         internal: TcpListener,
         control: TcpListener,
         inputs: &mpsc::UnboundedSender<Input>,
-        memory_mb: u64,
+        limits: &ProcessLimits,
         tasks: &mut EssentialTasks,
     ) -> Effects {
         Effects {
             disk: disk::Disk::start(writer, inputs.clone(), tasks),
-            links: links::Links::start(internal, inputs.clone(), memory_mb, tasks),
-            calls: http::Calls::start(control, inputs.clone(), memory_mb, tasks),
+            links: links::Links::start(internal, inputs.clone(), limits.memory_mb, tasks),
+            calls: http::Calls::start(control, inputs.clone(), limits, tasks),
             workers: workers::WorkerCalls::new(inputs.clone()),
         }
     }
--- a/src/data_plane/exchange.rs
+++ b/src/data_plane/exchange.rs
@@ -10,6 +10,8 @@
 use super::running_requests::RunningEntry;
 use super::shared::Shared;
 use super::statistics::RunningDemand;
+use crate::system::connection_slots::BusySlot;
+use crate::system::head_memory::RequestHeadMemory;
 use hyper::header::HeaderValue;
 use std::rc::Rc;
 use std::time::Duration;
@@ -43,6 +45,12 @@
     pub(crate) excluded: Vec<WorkerKey>,
 }
 
+/// What a request holds of its connection until its response is complete: the connection's slot and the memory of the head.
+pub(crate) struct RequestInWork {
+    pub(crate) _slot: BusySlot,
+    pub(crate) _head: RequestHeadMemory,
+}
+
 /// An admitted request with its whole body and its route.
 pub(crate) struct Exchange {
     pub(crate) shared: Rc<Shared>,
@@ -58,6 +66,7 @@
     pub(crate) running_entry: RunningEntry,
     pub(crate) timeline: Timeline,
     pub(crate) _running: CountGuard,
+    pub(crate) _in_work: Rc<RequestInWork>,
     pub(crate) _running_demand: RunningDemand,
 }
 
--- a/src/data_plane/ingress.rs
+++ b/src/data_plane/ingress.rs
@@ -3,7 +3,9 @@
 use super::connector;
 use super::count_guard::CountGuard;
 use super::delivery;
-use super::exchange::{deadline, request_profile, select_service, AttemptHistory, Exchange, RouteRules};
+use super::exchange::{
+    deadline, request_profile, select_service, AttemptHistory, Exchange, RequestInWork, RouteRules,
+};
 use super::flush_tracking::{FlushState, FlushTrackingStream};
 use super::forwarded_request::ForwardedRequest;
 use super::policy;
@@ -13,6 +15,8 @@
 use super::response_body::ResponseBody;
 use super::shared::Shared;
 use super::shutdown::{Phase, ShutdownHandle};
+use crate::system::connection_slots::{ConnectionSlot, ConnectionSlots};
+use crate::system::head_memory::{HeadMemory, HeadMemoryStream};
 use crate::system::request_body::{self, ReadBodyError};
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -28,15 +32,14 @@
 use switchhill_configuration::{ClientLimits, Route};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 
 /// Accepts client connections until shortly after the closing phase has begun.
 pub(crate) async fn accept(shared: Rc<Shared>, listener: TcpListener) {
-    let permits = Arc::new(Semaphore::new(shared.connection_limits.clients));
+    let connections = ConnectionSlots::new(shared.connection_limits.clients);
     let closing = shared.shutdown.clone();
     tokio::select! {
-        () = accept_loop(&shared, &listener, &permits) => {}
+        () = accept_loop(&shared, &listener, &connections) => {}
         () = closing_grace_elapsed(&closing) => {}
     }
 }
@@ -47,12 +50,12 @@
     tokio::time::sleep(policy::CLOSING_GRACE).await;
 }
 
-async fn accept_loop(shared: &Rc<Shared>, listener: &TcpListener, permits: &Arc<Semaphore>) {
+async fn accept_loop(shared: &Rc<Shared>, listener: &TcpListener, connections: &ConnectionSlots) {
     loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else { return };
+        connections.room().await;
         match listener.accept().await {
             Ok((stream, _peer)) => {
-                tokio::task::spawn_local(serve_connection(shared.clone(), stream, permit));
+                tokio::task::spawn_local(serve_connection(shared.clone(), stream, connections.open()));
             }
             Err(error) => {
                 log::warn!("failed to accept a client connection: {error}");
@@ -62,24 +65,36 @@
     }
 }
 
-async fn serve_connection(shared: Rc<Shared>, stream: TcpStream, _permit: OwnedSemaphorePermit) {
+async fn serve_connection(shared: Rc<Shared>, stream: TcpStream, slot: Rc<ConnectionSlot>) {
     if let Err(error) = connector::set_socket_options(&stream, policy::CLIENT_TCP_USER_TIMEOUT) {
         log::debug!("failed to set the socket options of a client connection: {error}");
     }
-    serve_stream(shared, stream).await;
+    serve_stream(shared, stream, slot).await;
 }
 
-/// Serves the requests on one client connection until it is closed.
-pub(crate) async fn serve_stream(shared: Rc<Shared>, stream: impl AsyncRead + AsyncWrite + Unpin + 'static) {
+/// Serves the requests on one client connection until it is closed or gives way to another one.
+pub(crate) async fn serve_stream(
+    shared: Rc<Shared>,
+    stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+    slot: Rc<ConnectionSlot>,
+) {
     let _open = CountGuard::new(&shared.client_connections);
     let limits = client_limits(&shared);
-    let service = service_fn(|request| respond(shared.clone(), request));
+    let memory = HeadMemory::new(shared.head_memory.clone());
+    let service = service_fn(|request| {
+        let in_work = Rc::new(RequestInWork { _slot: slot.busy(), _head: memory.head_complete() });
+        respond(shared.clone(), request, in_work)
+    });
     let flush_state = Rc::new(FlushState::counted(shared.unwritten_connections.clone()));
-    let stream = TokioIo::new(FlushTrackingStream::new(stream, flush_state));
+    let stream = HeadMemoryStream::new(stream, memory.clone());
+    let stream = TokioIo::new(FlushTrackingStream::new(stream, flush_state.clone()));
     let connection = connection_builder(&limits).serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
+        // Polled first: a request that has come is taken before the connection may be closed.
+        biased;
         result = connection.as_mut() => result,
+        () = evicted(&slot, &flush_state) => return log::debug!("client connection evicted"),
         () = closing_grace_elapsed(&shared.shutdown) => {
             connection.as_mut().graceful_shutdown();
             connection.await
@@ -90,6 +105,17 @@
     }
 }
 
+/// Completes once the connection has to give way to another one and its last response has been written.
+async fn evicted(slot: &ConnectionSlot, flush_state: &FlushState) {
+    loop {
+        slot.evicted().await;
+        flush_state.flushed().await;
+        if slot.must_close() {
+            return;
+        }
+    }
+}
+
 fn client_limits(shared: &Shared) -> ClientLimits {
     shared.document().map(|document| *document.limits()).unwrap_or_default()
 }
@@ -112,15 +138,20 @@
 async fn respond(
     shared: Rc<Shared>,
     request: Request<Incoming>,
+    in_work: Rc<RequestInWork>,
 ) -> Result<Response<ResponseBody>, Infallible> {
-    let mut response = process_request(&shared, request).await;
+    let mut response = process_request(&shared, request, in_work).await;
     if shared.shutdown.phase() != Phase::Serving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response)
 }
 
-async fn process_request(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<ResponseBody> {
+async fn process_request(
+    shared: &Rc<Shared>,
+    request: Request<Incoming>,
+    in_work: Rc<RequestInWork>,
+) -> Response<ResponseBody> {
     let arrived = Instant::now();
     let running = CountGuard::new(&shared.running);
     let (parts, body) = request.into_parts();
@@ -128,13 +159,13 @@
     let request_id = head.request_id.clone();
     let timeout = body_read_timeout(shared, &head);
     let awaits_continue = parts.headers.contains_key(EXPECT);
-    let body = read_body(shared, body, awaits_continue, arrived + timeout).await;
+    let body = read_body(shared, body, awaits_continue, arrived + timeout, &in_work).await;
     if body.is_ok() {
         shared.wait_for_configuration(arrived + policy::MAX_CONFIGURATION_WAIT.min(timeout / 4)).await;
     }
     let admitted = body.and_then(|body| {
         let route = find_route(shared, &head)?;
-        admit(shared, &route, &head, ForwardedRequest::new(parts, body), arrived, running)
+        admit(shared, &route, &head, ForwardedRequest::new(parts, body), arrived, running, in_work)
     });
     match admitted {
         Ok(exchange) => delivery::handle_request(exchange).await,
@@ -158,6 +189,7 @@
     mut body: Incoming,
     awaits_continue: bool,
     until: Instant,
+    in_work: &Rc<RequestInWork>,
 ) -> Result<Bytes, LocalReply> {
     let refused = LocalReply::NotRun { retry_after_ms: policy::RETRY_AFTER_REFUSED_MS };
     let max_bytes = usize::try_from(client_limits(shared).max_body_bytes).unwrap_or(usize::MAX);
@@ -171,7 +203,7 @@
     // A client that waits for the go-ahead sends no body after a refusal.
     if !awaits_continue {
         let time_left = until.saturating_duration_since(Instant::now());
-        tokio::task::spawn_local(request_body::discard(body, time_left));
+        tokio::task::spawn_local(request_body::discard(body, time_left, in_work.clone()));
     }
     Err(match error {
         ReadBodyError::TooLong => LocalReply::BodyTooLarge,
@@ -202,6 +234,7 @@
     request: ForwardedRequest,
     arrived: Instant,
     running: CountGuard,
+    in_work: Rc<RequestInWork>,
 ) -> Result<Exchange, LocalReply> {
     let profile = request_profile(route, head, select_service(route, head));
     let now = shared.now();
@@ -232,6 +265,7 @@
         running_entry,
         timeline: Timeline::new(route),
         _running: running,
+        _in_work: in_work,
         _running_demand: running_demand,
     })
 }
--- a/src/data_plane/policy.rs
+++ b/src/data_plane/policy.rs
@@ -139,6 +139,8 @@
 pub(crate) const CLIENT_DESCRIPTOR_SHARE: f64 = 0.6;
 /// Length of the queue of connections that wait to be accepted.
 pub(crate) const LISTEN_BACKLOG: u32 = 1024;
+/// Maximum number of connections for readiness checks.
+pub(crate) const MAX_READINESS_CONNECTIONS: usize = 128;
 /// Smallest head buffer that the HTTP library accepts.
 pub(crate) const MIN_HEAD_BUFFER_BYTES: usize = 8192;
 /// Maximum number of attempts per request in which nothing was sent, because there was no connection or the
@@ -147,6 +149,8 @@
 /// Share of the process's memory for request bodies. The rest is for the buffers of the connections, responses
 /// that are read before they are forwarded, and the state of the system.
 pub(crate) const BODY_MEMORY_SHARE: f64 = 0.4;
+/// Share of the process's memory for the heads of requests beyond the first buffer of each connection.
+pub(crate) const HEAD_MEMORY_SHARE: f64 = 0.08;
 /// Longest time for reading a request body. The request's deadline may end it earlier.
 pub(crate) const MAX_BODY_READ_TIME: Duration = Duration::from_secs(30);
 /// Request size that admission assumes if a request does not state its tokens.
--- a/src/data_plane/shared.rs
+++ b/src/data_plane/shared.rs
@@ -58,6 +58,7 @@
     pub(crate) unwritten_connections: Rc<Cell<u32>>,
     pub(crate) connection_limits: ConnectionLimits,
     pub(crate) body_memory: MemoryBudget,
+    pub(crate) head_memory: MemoryBudget,
     view: RefCell<Arc<View>>,
     feedback: UnboundedSender<Feedback>,
     last_summary_at: Cell<u64>,
@@ -70,7 +71,8 @@
         feedback: UnboundedSender<Feedback>,
         shutdown: ShutdownHandle,
     ) -> Shared {
-        let connection_limits = ConnectionLimits::from_fd_limit(settings.limits.max_fds);
+        let connection_limits = ConnectionLimits::of(&settings.limits);
+        let head_memory = MemoryBudget::new("heads", settings.limits.memory_mb, policy::HEAD_MEMORY_SHARE);
         let body_memory = MemoryBudget::new("bodies", settings.limits.memory_mb, policy::BODY_MEMORY_SHARE);
         Shared {
             router: RefCell::new(Router::new(router_settings(&settings), fastrand::u64(..))),
@@ -95,6 +97,7 @@
             unwritten_connections: Rc::default(),
             connection_limits,
             body_memory,
+            head_memory,
             view: RefCell::default(),
             feedback,
             last_summary_at: Cell::new(now_ms()),
@@ -103,7 +106,7 @@
 
     /// Budgets of what requests and responses may hold.
     pub(crate) fn memory_budgets(&self) -> Vec<MemoryBudget> {
-        vec![self.body_memory.clone()]
+        vec![self.body_memory.clone(), self.head_memory.clone()]
     }
 
     /// Current time in milliseconds, on the clock that all decisions use.
--- a/src/data_plane/tests.rs
+++ b/src/data_plane/tests.rs
@@ -21,6 +21,7 @@
 use super::outcome::{classify, ResponseClass};
 use super::request_head::{ModelName, RequestHead};
 use super::shutdown::ShutdownTimes;
+use crate::site_settings::ProcessLimits;
 use googletest::prelude::*;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response, StatusCode};
@@ -139,11 +140,23 @@
     }
 }
 
+fn limits_of(max_fds: u64, memory_mb: u64) -> ProcessLimits {
+    ProcessLimits { max_fds, memory_mb, ..ProcessLimits::default() }
+}
+
+#[gtest]
+fn client_connections_are_as_many_as_the_memory_suffices_for() {
+    let few_descriptors = ConnectionLimits::of(&limits_of(4200, 260)).clients;
+    let many_descriptors = ConnectionLimits::of(&limits_of(100_000, 260)).clients;
+    expect_that!(few_descriptors, eq(2361));
+    expect_that!(many_descriptors, eq(2662));
+}
+
 #[gtest]
 fn connection_limits_stay_below_the_descriptor_limit() {
-    let limits = ConnectionLimits::from_fd_limit(4100);
+    let limits = ConnectionLimits::of(&limits_of(4100, 260));
     expect_that!(limits.clients as u64 + u64::from(limits.workers), le(4100 - 200));
-    expect_that!(ConnectionLimits::from_fd_limit(0), eq(ConnectionLimits { clients: 1, workers: 1 }));
+    expect_that!(ConnectionLimits::of(&limits_of(0, 260)), eq(ConnectionLimits { clients: 1, workers: 1 }));
 }
 
 #[gtest]
--- a/src/data_plane/tests/harness.rs
+++ b/src/data_plane/tests/harness.rs
@@ -10,6 +10,7 @@
 use crate::data_plane::view::View;
 use crate::data_plane::Feedback;
 use crate::site_settings::SiteSettings;
+use crate::system::connection_slots::ConnectionSlots;
 use crate::system::essential_tasks::EssentialTasks;
 use serde_json::{json, Value};
 use std::future::Future;
@@ -242,7 +243,8 @@
     /// Opens a client connection that buffers `capacity` bytes in each direction.
     pub(crate) fn connect_with_buffer(&mut self, capacity: usize) -> DuplexStream {
         let (client, served) = tokio::io::duplex(capacity);
-        self.connections.spawn_local(ingress::serve_stream(self.shared.clone(), served));
+        let slot = ConnectionSlots::new(1).open();
+        self.connections.spawn_local(ingress::serve_stream(self.shared.clone(), served, slot));
         client
     }
 
--- a/src/system/request_body.rs
+++ b/src/system/request_body.rs
@@ -49,8 +49,9 @@
 }
 
 /// Reads and drops the rest of a body, so that the client can send all of it, read the response and use the
-/// connection again. Gives up after the time limit, which closes the connection.
-pub(crate) async fn discard(mut body: Incoming, limit: Duration) {
+/// connection again. Gives up after the time limit, which closes the connection. What the request holds of its connection is
+/// dropped at the end.
+pub(crate) async fn discard<H>(mut body: Incoming, limit: Duration, _in_work: H) {
     let read_all = async { while let Some(Ok(_)) = body.frame().await {} };
     if timeout(limit, read_all).await.is_err() {
         log::debug!("the body of a refused request was not received in time");
