A start waits two seconds for a settings file that its writer has not finished

Seen: control plane, agent and data plane ended with 1 at once when the file was empty or cut in the middle and whole 300 ms later. Cause: a running process keeps its settings then; a starting one read once. Change: a file that is not there or has a fault is read again for 2 s, with a warning, and SIGTERM ends the wait. A file cut at the end of a line may still read as whole: nothing tells a first reader.

--- a/src/site_settings.rs
+++ b/src/site_settings.rs
@@ -210,8 +210,12 @@
 impl SiteSettings {
     /// Reads the file that the environment names.
     pub fn from_environment() -> Result<SiteSettings, SettingsError> {
-        let path = std::env::var_os(SETTINGS_VARIABLE).ok_or(SettingsError::NoVariable)?;
-        SiteSettings::read(Path::new(&path))
+        SiteSettings::read(&SiteSettings::path_from_environment()?)
+    }
+
+    /// Path of the file that the environment names.
+    pub fn path_from_environment() -> Result<PathBuf, SettingsError> {
+        Ok(std::env::var_os(SETTINGS_VARIABLE).ok_or(SettingsError::NoVariable)?.into())
     }
 
     /// Reads a file.
--- a/src/system/command.rs
+++ b/src/system/command.rs
@@ -1,5 +1,6 @@
 //! Commands of the system's programs.
 
+use super::first_settings::read_first;
 use super::process_log::{log_end, log_panics, log_start};
 use super::stop::Stop;
 use crate::site_settings::{DecisionSettings, SiteSettings};
@@ -112,8 +113,17 @@
 fn start(program: &Program) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     // First of all: until its handler is there, a signal ends the process.
-    let stop = handle_signals(&runtime)?;
-    let mut settings = SiteSettings::from_environment()?;
+    let mut stop = handle_signals(&runtime)?;
+    let path = SiteSettings::path_from_environment()?;
+    let read = runtime.block_on(async {
+        tokio::select! {
+            biased;
+            read = read_first(&path) => Some(read),
+            () = stop.requested() => None,
+        }
+    });
+    let Some(read) = read else { return Ok(()) };
+    let mut settings = read?;
     if let Some(path) = program.decisions() {
         settings.decisions = DecisionSettings::read(path)?;
     }
--- a/src/system/mod.rs
+++ b/src/system/mod.rs
@@ -7,6 +7,7 @@
 pub mod connection;
 pub(crate) mod connection_slots;
 pub(crate) mod essential_tasks;
+mod first_settings;
 pub(crate) mod head_memory;
 pub(crate) mod memory_budget;
 pub(crate) mod memory_watch;
