A start waits ten seconds for an address that another socket still holds

Seen: all three programs ended with 1 at once when another socket held one of their addresses for 300 ms, agent and control plane without naming it. Cause: one try. Change: one function listens for all of them, tries again for 10 s with a warning that names the address, and SIGTERM ends the wait. Tests: src/system/listen; lab/tests/process_faults.rs a_start_waits_..., nine cases, all of which ended before.

--- a/lab/tests/process_faults.rs
+++ b/lab/tests/process_faults.rs
@@ -6,7 +6,7 @@
 use std::future::Future;
 use std::sync::{Mutex, PoisonError};
 use switchhill_lab::local_system::built_beside;
-use switchhill_lab::process_faults::{flood_heads, Flood, Listener};
+use switchhill_lab::process_faults::{flood_heads, play_start, Flood, Listener, StartCase};
 
 /// One flood at a time: each has some thousand connections.
 static TURN: Mutex<()> = Mutex::new(());
@@ -35,3 +35,23 @@
     expect_true!(outcome.runs, "{flood:?}: {outcome:?}");
     expect_true!(outcome.answers_meanwhile, "{flood:?}: {outcome:?}");
 }
+
+#[rstest]
+#[gtest]
+fn a_start_waits_for_an_address_that_another_socket_still_holds(
+    #[values("control-plane", "agent", "data-plane")] command: &'static str,
+) {
+    let outcome = run(async { play_start(&built_beside()?, command, StartCase::AddressHeld).await });
+    expect_true!(outcome.runs, "{command}: {}", outcome.log);
+    expect_that!(outcome.log, contains_substring("failed to listen on "), "{command}");
+}
+
+#[rstest]
+#[gtest]
+fn a_start_waits_for_a_settings_file_that_its_writer_has_not_finished(
+    #[values("control-plane", "agent", "data-plane")] command: &'static str,
+    #[values(StartCase::SettingsEmpty, StartCase::SettingsCut)] case: StartCase,
+) {
+    let outcome = run(async { play_start(&built_beside()?, command, case).await });
+    expect_true!(outcome.runs, "{command}, {case:?}: {}", outcome.log);
+}
--- a/src/agent/feeds.rs
+++ b/src/agent/feeds.rs
@@ -7,6 +7,7 @@
 
 use crate::system::connection;
 use crate::system::essential_tasks::EssentialTasks;
+use crate::system::listen::listen;
 use crate::system::outgoing::Queues;
 use std::net::SocketAddr;
 use switchhill_distribution::{FeedId, RelayInput};
@@ -28,7 +29,7 @@
         inputs: mpsc::UnboundedSender<RelayInput>,
         tasks: &mut EssentialTasks,
     ) -> anyhow::Result<Feeds> {
-        let listener = connection::listen(address).await?;
+        let listener = listen(address).await?;
         let queues = FeedQueues::default();
         tasks.spawn_local("feeds", accept(listener, queues.clone(), inputs));
         Ok(Feeds { queues })
--- a/src/agent/feeds/unread_feed_tests.rs
+++ b/src/agent/feeds/unread_feed_tests.rs
@@ -1,6 +1,7 @@
 //! A data plane that said hello and does not read.
 
 use super::*;
+use crate::system::listen::listen;
 use crate::system::outgoing::MOST_WAITING_BYTES;
 use googletest::prelude::*;
 use std::time::Duration;
@@ -22,7 +23,7 @@
 
 /// Feeds with one data plane, which has connected and reads nothing.
 async fn feeds_with_unread(inputs: mpsc::UnboundedSender<RelayInput>) -> (Feeds, TcpStream) {
-    let listener = connection::listen(SocketAddr::from(([127, 0, 0, 1], 0))).await.expect("a port");
+    let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).await.expect("a port");
     let address = listener.local_addr().expect("bound");
     let queues = FeedQueues::default();
     tokio::task::spawn_local(accept(listener, queues.clone(), inputs));
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -28,7 +28,11 @@
     let (inputs, mut received) = mpsc::unbounded_channel();
     let feed_address = SocketAddr::from((Ipv4Addr::LOCALHOST, settings.feed_port()));
     let mut tasks = EssentialTasks::default();
-    let mut feeds = feeds::Feeds::listen(feed_address, inputs.clone(), &mut tasks).await?;
+    let mut feeds = tokio::select! {
+        biased;
+        feeds = feeds::Feeds::listen(feed_address, inputs.clone(), &mut tasks) => feeds?,
+        () = stop.requested() => return Ok(()),
+    };
     tasks.spawn_local("memory watch", watch_memory(settings.limits.memory_mb, Vec::new()));
     let mut links = links::Links::new(inputs.clone());
     let mut seeds = Seeds::of(&settings)?;
--- a/src/control_plane/mod.rs
+++ b/src/control_plane/mod.rs
@@ -11,9 +11,10 @@
 use crate::site_settings::{ProcessLimits, SiteSettings};
 use crate::system::clock::Clock;
 use crate::system::essential_tasks::{EssentialTaskFailed, EssentialTasks};
+use crate::system::listen::listen;
 use crate::system::memory_budget::MemoryBudget;
 use crate::system::memory_watch::watch_memory;
-use crate::system::{connection, seeds::Seeds, stop::Stop};
+use crate::system::{seeds::Seeds, stop::Stop};
 use anyhow::Context;
 use leave::Leave;
 use std::net::SocketAddr;
@@ -36,7 +37,12 @@
 /// The settings lack what a control plane needs, the replica's file cannot be read, a listener cannot be opened, or an
 /// essential task has panicked.
 pub async fn run(settings: SiteSettings, mut stop: Stop) -> anyhow::Result<()> {
-    ControlPlane::open(settings).await?.serve(async || stop.requested().await).await?;
+    let opened = tokio::select! {
+        biased;
+        opened = ControlPlane::open(settings) => opened?,
+        () = stop.requested() => return Ok(()),
+    };
+    opened.serve(async || stop.requested().await).await?;
     Ok(())
 }
 
@@ -65,8 +71,8 @@
             clock,
             node: ControlNode::new(clock.now(), node_settings, stored.records, genesis),
             writer: stored.writer,
-            internal: connection::listen(internal).await?,
-            control: connection::listen(control).await?,
+            internal: listen(internal).await?,
+            control: listen(control).await?,
             seeds: Seeds::of(&settings)?,
             settings,
         })
--- a/src/data_plane/policy.rs
+++ b/src/data_plane/policy.rs
@@ -137,8 +137,6 @@
 pub(crate) const PROCESS_DESCRIPTORS: u64 = 64;
 /// Share of the remaining descriptors for client connections. Worker connections get the rest.
 pub(crate) const CLIENT_DESCRIPTOR_SHARE: f64 = 0.6;
-/// Length of the queue of connections that wait to be accepted.
-pub(crate) const LISTEN_BACKLOG: u32 = 1024;
 /// Maximum number of connections for readiness checks.
 pub(crate) const MAX_READINESS_CONNECTIONS: usize = 128;
 /// Smallest head buffer that the HTTP library accepts.
--- a/src/data_plane/server.rs
+++ b/src/data_plane/server.rs
@@ -11,13 +11,14 @@
 use super::view::View;
 use crate::site_settings::SiteSettings;
 use crate::system::essential_tasks::EssentialTasks;
+use crate::system::listen::listen;
 use crate::system::memory_watch::watch_memory;
 use anyhow::Context;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::time::MissedTickBehavior;
 
@@ -34,14 +35,14 @@
     ///
     /// # Errors
     /// If an address cannot be listened on, or if none is configured for clients.
-    pub fn bind(settings: SiteSettings) -> anyhow::Result<DataPlane> {
+    pub async fn bind(settings: SiteSettings) -> anyhow::Result<DataPlane> {
         let http = settings.bind.http.context("bind.http: the data plane needs an address")?;
-        Ok(DataPlane {
-            http: listen(http)?,
-            readiness: settings.bind.readiness.map(listen).transpose()?,
-            shutdown: ShutdownHandle::new(),
-            settings,
-        })
+        let http = listen(http).await?;
+        let readiness = match settings.bind.readiness {
+            Some(address) => Some(listen(address).await?),
+            None => None,
+        };
+        Ok(DataPlane { http, readiness, shutdown: ShutdownHandle::new(), settings })
     }
 
     /// The address on which clients connect.
@@ -107,16 +108,6 @@
     }
 }
 
-fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    let open = || {
-        let socket = TcpSocket::new_v4()?;
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(policy::LISTEN_BACKLOG)
-    };
-    open().with_context(|| format!("failed to listen on {address}"))
-}
-
 /// Applies each new view to the shared state until the agent has closed the channel.
 pub(super) async fn apply_views(shared: Rc<Shared>, mut views: watch::Receiver<Arc<View>>) {
     loop {
--- a/src/data_plane_feed.rs
+++ b/src/data_plane_feed.rs
@@ -41,14 +41,18 @@
 ///
 /// # Errors
 /// A listener cannot be opened, the settings name no address for clients, or an essential task has panicked.
-pub async fn run(settings: SiteSettings, stop: Stop) -> anyhow::Result<()> {
+pub async fn run(settings: SiteSettings, mut stop: Stop) -> anyhow::Result<()> {
     let (views, received_views) = watch::channel(Arc::new(View::default()));
     let (feedback, received_feedback) = mpsc::unbounded_channel();
     let agent = SocketAddr::from((Ipv4Addr::LOCALHOST, settings.feed_port())).to_string();
     let feed = Feed::new(&settings, views);
     let mut tasks = EssentialTasks::default();
     tasks.spawn_local("feed", feed.run(agent, received_feedback));
-    let data_plane = DataPlane::bind(settings)?;
+    let data_plane = tokio::select! {
+        biased;
+        bound = DataPlane::bind(settings) => bound?,
+        () = stop.told_to_end() => return Ok(()),
+    };
     tasks.spawn_local("signals", end_when_told(stop, data_plane.shutdown_handle()));
     tokio::select! {
         served = data_plane.serve(received_views, feedback) => served,
--- a/src/system/connection.rs
+++ b/src/system/connection.rs
@@ -11,10 +11,7 @@
 use std::time::Duration;
 use switchhill_protocol::{read_frame, FrameError};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
-
-/// Connections that may wait to be accepted.
-const BACKLOG: u32 = 1024;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Pause after a failed accept, as when descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -25,14 +22,6 @@
 /// Time a written message may stay unacknowledged before the connection is given up.
 const UNACKNOWLEDGED_FOR: Duration = Duration::from_millis(1500);
 
-/// Listens on an address that may have been used a moment ago.
-pub async fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 /// Accepts a connection, whatever happens.
 pub async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
--- a/tests/data_plane_support/mod.rs
+++ b/tests/data_plane_support/mod.rs
@@ -8,7 +8,9 @@
 use serde_json::{json, Value};
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use switchhill::data_plane::{DataPlane, ExpectedLoads, Feedback, ShutdownHandle, View};
 use switchhill::site_settings::SiteSettings;
@@ -44,10 +46,19 @@
     views: watch::Sender<Arc<View>>,
 }
 
+/// The result of a future that waits for nothing: the addresses are free.
+fn ready_at_once<T>(future: impl Future<Output = T>) -> T {
+    let mut context = Context::from_waker(Waker::noop());
+    match pin!(future).poll(&mut context) {
+        Poll::Ready(result) => result,
+        Poll::Pending => panic!("it waits"),
+    }
+}
+
 impl Harness {
     /// Starts a data plane without a configuration.
     pub fn start() -> Harness {
-        let data_plane = DataPlane::bind(settings()).expect("bind");
+        let data_plane = ready_at_once(DataPlane::bind(settings())).expect("bind");
         let (views, view_receiver) = watch::channel(Arc::new(View::default()));
         let (feedback_sender, feedback) = mpsc::unbounded_channel();
         Harness {
