An agent feeds its data plane on the machine's own address, not on 127.0.0.1

Seen: of two machines of one host with the same portRange, each at its own address, the second's agent ended at once, each time: Address already in use. Cause: the agent listened on 127.0.0.1, which such machines share. Change: it listens on the machine's address, and the data plane connects from there; a connection from any other address is closed before it is read, so the feed is as closed to other machines as before. The laboratory's sites use one port for all edges now, so local_system and soak cover it.

--- a/lab/src/local_system/machine.rs
+++ b/lab/src/local_system/machine.rs
@@ -39,6 +39,8 @@
     pub(crate) readiness: u16,
     /// First port of the range that the programs use among themselves.
     pub(crate) internal: u16,
+    /// Last port of that range, between agent and data plane.
+    pub(crate) feed: u16,
 }
 
 /// One machine: what runs on it, and how it is started again.
@@ -58,8 +60,6 @@
     pub(crate) name: String,
     pub(crate) ip: Ipv4Addr,
     pub(crate) ports: SitePorts,
-    /// Port on 127.0.0.1 between agent and data plane.
-    pub(crate) feed_port: u16,
     pub(crate) seeds: &'a [SocketAddr],
 }
 
@@ -191,7 +191,7 @@
         "ip": plan.ip,
         "zone": "here",
         "zones": {"here": "nearby"},
-        "portRange": [plan.ports.internal, plan.feed_port],
+        "portRange": [plan.ports.internal, plan.ports.feed],
         "seeds": plan.seeds,
         "bootstrap": true,
         "limits": {"maxFds": MAX_FDS, "memoryMb": MEMORY_MB},
--- a/lab/src/local_system/site.rs
+++ b/lab/src/local_system/site.rs
@@ -77,27 +77,25 @@
     /// Chooses addresses and ports and writes settings; starts nothing.
     pub(crate) fn lay_out(program: &Path, size: SiteSize) -> anyhow::Result<Site> {
         let block = AddressBlock::new();
-        let (ports, feeds) = choose_ports(block, size)?;
+        let ports = choose_ports(block, size)?;
         let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
         let folder = std::env::temp_dir().join(format!("switchhill-local-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let seeds: Vec<SocketAddr> =
             core_ips(block, size).take(SEEDS).map(|ip| SocketAddr::from((ip, ports.service))).collect();
-        let plan = |name: String, ip: Ipv4Addr, feed_port: u16| MachinePlan {
+        let plan = |name: String, ip: Ipv4Addr| MachinePlan {
             program,
             folder: &folder,
             name,
             ip,
             ports,
-            feed_port,
             seeds: &seeds,
         };
         let cores = core_ips(block, size)
             .zip(1..)
-            .map(|(ip, number)| Machine::core(&plan(format!("core-{number}"), ip, feeds[0])));
-        let edges = edge_ips(block, size).zip(1..).zip(&feeds);
-        let edges =
-            edges.map(|((ip, number), feed)| Machine::edge(&plan(format!("edge-{number}"), ip, *feed)));
+            .map(|(ip, number)| Machine::core(&plan(format!("core-{number}"), ip)));
+        let edges = edge_ips(block, size).zip(1..);
+        let edges = edges.map(|(ip, number)| Machine::edge(&plan(format!("edge-{number}"), ip)));
         let (cores, edges) = (cores.collect::<Result<_, _>>()?, edges.collect::<Result<_, _>>()?);
         Ok(Site { block, ports, cores, edges, workers: Vec::new(), started_workers: 0, folder })
     }
@@ -275,16 +273,14 @@
     (FIRST_EDGE..FIRST_EDGE + size.edges).map(move |last| block.address(last))
 }
 
-/// The ports that all machines share, and one for each edge on 127.0.0.1. The internal port is the lowest, since it
-/// is the first of a range whose last is the edge's.
-fn choose_ports(block: AddressBlock, size: SiteSize) -> anyhow::Result<(SitePorts, Vec<u16>)> {
-    let every: Vec<Ipv4Addr> =
-        core_ips(block, size).chain(edge_ips(block, size)).chain([Ipv4Addr::LOCALHOST]).collect();
+/// The ports that all machines share. The internal port is the lowest and that of the feed the highest, since they are the
+/// first and the last of a range.
+fn choose_ports(block: AddressBlock, size: SiteSize) -> anyhow::Result<SitePorts> {
+    let every: Vec<Ipv4Addr> = core_ips(block, size).chain(edge_ips(block, size)).collect();
     let mut ports = Vec::new();
-    for _ in 0..3 + size.edges {
+    for _ in 0..4 {
         ports.push(free_port(&every, &ports)?);
     }
     ports.sort_unstable();
-    let shared = SitePorts { internal: ports[0], service: ports[1], readiness: ports[2] };
-    Ok((shared, ports[3..].to_vec()))
+    Ok(SitePorts { internal: ports[0], service: ports[1], readiness: ports[2], feed: ports[3] })
 }
--- a/lab/src/process_faults/lone_process.rs
+++ b/lab/src/process_faults/lone_process.rs
@@ -130,7 +130,7 @@
         let launch = Launch { program: program.to_owned(), command, settings: path, log: log.clone() };
         let lone = LoneProcess { process: launch.start()?, addresses, log, _folder: folder };
         let listener = match command {
-            "agent" => SocketAddr::from((Ipv4Addr::LOCALHOST, addresses.feed)),
+            "agent" => addresses.socket(addresses.feed),
             _ => addresses.socket(addresses.service),
         };
         until("the process listens", || async move { TcpStream::connect(listener).await.ok() }).await?;
--- a/lab/src/process_faults/memory_cases.rs
+++ b/lab/src/process_faults/memory_cases.rs
@@ -7,7 +7,7 @@
 use std::path::Path;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinSet;
 
 /// How long a flood is held.
@@ -63,7 +63,7 @@
             Listener::Control | Listener::Clients => addresses.socket(addresses.service),
             Listener::Internal => addresses.socket(addresses.internal),
             Listener::Readiness => addresses.socket(addresses.readiness),
-            Listener::Feed => SocketAddr::from((std::net::Ipv4Addr::LOCALHOST, addresses.feed)),
+            Listener::Feed => addresses.socket(addresses.feed),
         }
     }
 }
@@ -124,7 +124,7 @@
     let mut opening = JoinSet::new();
     for _ in 0..flood.connections {
         opening.spawn(async move {
-            let mut stream = TcpStream::connect(address).await.ok()?;
+            let mut stream = connect_from_same_address(address).await.ok()?;
             let _ = tokio::time::timeout(WRITE_WITHIN, stream.write_all(bytes)).await;
             Some(stream)
         });
@@ -133,6 +133,13 @@
     outcome(process, flood.listener, held).await
 }
 
+/// Connects from the address that it connects to, as the programs of one machine do.
+async fn connect_from_same_address(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::from((address.ip(), 0)))?;
+    socket.connect(address).await
+}
+
 async fn outcome(
     mut process: LoneProcess,
     listener: Listener,
--- a/lab/tests/process_faults.rs
+++ b/lab/tests/process_faults.rs
@@ -55,3 +55,13 @@
     let outcome = run(async { play_start(&built_beside()?, command, case).await });
     expect_true!(outcome.runs, "{command}, {case:?}: {}", outcome.log);
 }
+
+#[rstest]
+#[gtest]
+fn machines_that_share_a_host_and_their_ports_run_at_their_own_addresses(
+    #[values("control-plane", "agent", "data-plane")] command: &'static str,
+) {
+    let outcome = run(async { play_start(&built_beside()?, command, StartCase::MachineBeside).await });
+    expect_true!(outcome.runs, "{command}: {}", outcome.log);
+    expect_that!(outcome.log, not(contains_substring("failed to listen")), "{command}");
+}
--- a/src/agent/feeds.rs
+++ b/src/agent/feeds.rs
@@ -1,4 +1,4 @@
-//! Connections of data planes on the loopback address.
+//! Connections of data planes on the address of this machine.
 
 #[cfg(test)]
 mod tests;
@@ -45,11 +45,23 @@
     let mut next = 0;
     loop {
         let stream = connection::accept(&listener).await;
+        if !is_from_this_machine(&stream) {
+            log::debug!("feed refused: {:?} is no address of this machine", stream.peer_addr().ok());
+            continue;
+        }
         next += 1;
         tokio::task::spawn_local(serve(FeedId(next), stream, queues.clone(), inputs.clone()));
     }
 }
 
+/// Whether a connection comes from the address that it came to: the data plane of this machine connects from there.
+fn is_from_this_machine(stream: &TcpStream) -> bool {
+    match (stream.peer_addr(), stream.local_addr()) {
+        (Ok(peer), Ok(local)) => peer.ip() == local.ip(),
+        _ => false,
+    }
+}
+
 /// Speaks with one data plane until its connection ends. Nothing is kept of it then.
 async fn serve(
     id: FeedId,
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -9,7 +9,6 @@
 use crate::system::memory_watch::watch_memory;
 use crate::system::seeds::Seeds;
 use crate::system::stop::Stop;
-use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use switchhill_distribution::{LinkSettings, Relay, RelayInput, RelayOutput};
 use tokio::sync::mpsc;
@@ -26,7 +25,7 @@
 /// The feed's address cannot be listened on, or an essential task has panicked.
 pub async fn run(settings: SiteSettings, mut stop: Stop) -> anyhow::Result<()> {
     let (inputs, mut received) = mpsc::unbounded_channel();
-    let feed_address = SocketAddr::from((Ipv4Addr::LOCALHOST, settings.feed_port()));
+    let feed_address = settings.feed_address();
     let mut tasks = EssentialTasks::default();
     let mut feeds = tokio::select! {
         biased;
--- a/src/data_plane_feed.rs
+++ b/src/data_plane_feed.rs
@@ -15,7 +15,7 @@
 use crate::system::outgoing::{self, Outgoing};
 use crate::system::stop::Stop;
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use switchhill_distribution::{FeedState, LoadDeltaEncoder, LoadTable};
@@ -44,7 +44,7 @@
 pub async fn run(settings: SiteSettings, mut stop: Stop) -> anyhow::Result<()> {
     let (views, received_views) = watch::channel(Arc::new(View::default()));
     let (feedback, received_feedback) = mpsc::unbounded_channel();
-    let agent = SocketAddr::from((Ipv4Addr::LOCALHOST, settings.feed_port())).to_string();
+    let agent = settings.feed_address();
     let feed = Feed::new(&settings, views);
     let mut tasks = EssentialTasks::default();
     tasks.spawn_local("feed", feed.run(agent, received_feedback));
@@ -95,9 +95,9 @@
         }
     }
 
-    async fn run(mut self, agent: String, mut feedback: mpsc::UnboundedReceiver<Feedback>) {
+    async fn run(mut self, agent: SocketAddr, mut feedback: mpsc::UnboundedReceiver<Feedback>) {
         loop {
-            match connection::connect(&agent, LinkKind::Subscriber, CONNECT_WITHIN).await {
+            match connection::connect_from(agent.ip(), agent, LinkKind::Subscriber, CONNECT_WITHIN).await {
                 Ok(stream) => self.exchange(stream, &mut feedback).await,
                 Err(error) => log::debug!("the agent at {agent}: {error}"),
             }
--- a/src/site_settings.rs
+++ b/src/site_settings.rs
@@ -275,9 +275,10 @@
         self.port_range.0
     }
 
-    /// Port on the loopback address on which the agent feeds the data plane.
-    pub fn feed_port(&self) -> u16 {
-        self.port_range.1
+    /// Address on which the agent feeds the data plane. It is the machine's own: machines that share a host, each with an address
+    /// of its own, share 127.0.0.1 too.
+    pub fn feed_address(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, self.port_range.1))
     }
 
     /// What goes with the machine where a zone is lost: its zone, or its region where the loss of regions is to be borne.
--- a/src/system/connection.rs
+++ b/src/system/connection.rs
@@ -7,11 +7,11 @@
 use super::outgoing::{Closed, Waiting, LONGEST_STALL};
 use progress::ProgressWriter;
 use prost::Message;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use switchhill_protocol::{read_frame, FrameError};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// Pause after a failed accept, as when descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -62,7 +62,25 @@
 /// Connects within a time.
 pub async fn connect(address: &str, kind: LinkKind, within: Duration) -> std::io::Result<TcpStream> {
     let address: SocketAddr = address.parse().map_err(std::io::Error::other)?;
-    let mut stream = tokio::time::timeout(within, TcpStream::connect(address)).await??;
+    let stream = tokio::time::timeout(within, TcpStream::connect(address)).await??;
+    begin(stream, kind).await
+}
+
+/// Connects within a time from an address of this machine. The system would choose 127.0.0.1 for any address of the loopback
+/// network.
+pub async fn connect_from(
+    source: IpAddr,
+    address: SocketAddr,
+    kind: LinkKind,
+    within: Duration,
+) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::from((source, 0)))?;
+    let stream = tokio::time::timeout(within, socket.connect(address)).await??;
+    begin(stream, kind).await
+}
+
+async fn begin(mut stream: TcpStream, kind: LinkKind) -> std::io::Result<TcpStream> {
     prepare(&stream);
     stream.write_u8(kind as u8).await?;
     Ok(stream)
