Unfinished internal messages leave core machines and agents within their memory

Seen: 200 connections to the internal port of a control plane, or to an agent's feed, that announce a message of 8 MiB and bring 2 MiB took the process to 409 MB of 256 and 260. Cause: each message is bounded (32 MiB), the sum was not, and the buffer was made at the announced length. Change: the buffer grows with what has come, its memory is reserved from an eighth of limits.memoryMb, and a message that has begun has to come within 10 s. Tests: src/system/incoming, lab/tests/process_faults.rs unfinished_messages_...

--- a/crates/protocol/src/framing.rs
+++ b/crates/protocol/src/framing.rs
@@ -10,6 +10,9 @@
 /// Longest message that is accepted, in bytes: a whole configuration with room to spare.
 pub const LARGEST_FRAME: usize = 32 << 20;
 
+/// First size in bytes of the buffer for a message.
+const FIRST_BUFFER_BYTES: usize = 16 << 10;
+
 /// Bytes before the message: length and version.
 const HEADER: usize = 5;
 
@@ -25,6 +28,12 @@
     /// The message is longer than any that this program sends.
     #[error("message of {0} bytes, at most {LARGEST_FRAME} are accepted")]
     TooLong(usize),
+    /// The message stood still while it was read.
+    #[error("message of {0} bytes: it did not come in time")]
+    Late(usize),
+    /// Other messages that are being read hold the memory.
+    #[error("message of {0} bytes: too little memory is free")]
+    OutOfMemory(usize),
     /// The bytes are no message.
     #[error("message: {0}")]
     Malformed(#[from] prost::DecodeError),
@@ -35,6 +44,19 @@
 where
     M: Message + Default,
     R: AsyncRead + Unpin,
+{
+    let length = read_frame_length(reader).await?;
+    let body = read_frame_body(reader, length, |_| true).await?;
+    Ok(M::decode(body.as_slice())?)
+}
+
+/// Reads what stands before a message and returns the message's length in bytes.
+///
+/// # Errors
+/// The connection failed, or this program does not take the message.
+pub async fn read_frame_length<R>(reader: &mut R) -> Result<usize, FrameError>
+where
+    R: AsyncRead + Unpin,
 {
     let length = reader.read_u32().await? as usize;
     let version = reader.read_u8().await?;
@@ -44,9 +66,34 @@
     if length > LARGEST_FRAME {
         return Err(FrameError::TooLong(length));
     }
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).await?;
-    Ok(M::decode(body.as_slice())?)
+    Ok(length)
+}
+
+/// Reads a message of this length into a buffer that grows with what has come: a length that is only announced takes no
+/// memory. `reserve` is asked before the buffer grows to a size in bytes.
+///
+/// # Errors
+/// The connection failed, or `reserve` has refused.
+pub async fn read_frame_body<R>(
+    reader: &mut R,
+    length: usize,
+    mut reserve: impl FnMut(usize) -> bool,
+) -> Result<Vec<u8>, FrameError>
+where
+    R: AsyncRead + Unpin,
+{
+    let mut body = Vec::new();
+    while body.len() < length {
+        let read = body.len();
+        let size = length.min((2 * read).max(FIRST_BUFFER_BYTES));
+        if !reserve(size) {
+            return Err(FrameError::OutOfMemory(length));
+        }
+        body.reserve_exact(size - read);
+        body.resize(size, 0);
+        reader.read_exact(&mut body[read..]).await?;
+    }
+    Ok(body)
 }
 
 /// A message as it is written.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -8,7 +8,10 @@
 mod peer;
 mod subscription;
 
-pub use framing::{encode_frame, read_frame, write_frame, FrameError, FRAME_VERSION, LARGEST_FRAME};
+pub use framing::{
+    encode_frame, read_frame, read_frame_body, read_frame_length, write_frame, FrameError, FRAME_VERSION,
+    LARGEST_FRAME,
+};
 pub use peer::{
     peer_frame::Body as PeerBody, Echo, HeardWorker, LoadSummary, PeerFrame, PeerHeartbeat, RegisterEnvelope,
     WorkerUpdate, WorkerUpdateAck, WorkersHeard,
--- a/lab/tests/process_faults.rs
+++ b/lab/tests/process_faults.rs
@@ -6,7 +6,9 @@
 use std::future::Future;
 use std::sync::{Mutex, PoisonError};
 use switchhill_lab::local_system::built_beside;
-use switchhill_lab::process_faults::{flood_heads, play_start, Flood, Listener, StartCase};
+use switchhill_lab::process_faults::{
+    flood_heads, flood_internal_frames, play_start, Flood, Listener, StartCase,
+};
 
 /// One flood at a time: each has some thousand connections.
 static TURN: Mutex<()> = Mutex::new(());
@@ -65,3 +67,14 @@
     expect_true!(outcome.runs, "{command}: {}", outcome.log);
     expect_that!(outcome.log, not(contains_substring("failed to listen")), "{command}");
 }
+
+#[rstest]
+#[gtest]
+fn unfinished_messages_leave_a_process_within_its_memory(
+    #[values(Listener::Internal, Listener::Feed)] listener: Listener,
+) {
+    let flood = Flood { listener, connections: 200, bytes_each: 2 << 20 };
+    let outcome = run(async { flood_internal_frames(&built_beside()?, flood, 8 << 20).await });
+    expect_that!(outcome.peak_mb, lt(listener.limits().memory_mb), "{flood:?}: {outcome:?}");
+    expect_true!(outcome.runs && outcome.answers_afterwards, "{flood:?}: {outcome:?}");
+}
--- a/src/agent/feeds.rs
+++ b/src/agent/feeds.rs
@@ -8,6 +8,7 @@
 use crate::system::connection;
 use crate::system::essential_tasks::EssentialTasks;
 use crate::system::listen::listen;
+use crate::system::memory_budget::MemoryBudget;
 use crate::system::outgoing::Queues;
 use std::net::SocketAddr;
 use switchhill_distribution::{FeedId, RelayInput};
@@ -26,12 +27,13 @@
     /// Listens; what happens to connections goes to `inputs`.
     pub(super) async fn listen(
         address: SocketAddr,
+        memory: MemoryBudget,
         inputs: mpsc::UnboundedSender<RelayInput>,
         tasks: &mut EssentialTasks,
     ) -> anyhow::Result<Feeds> {
         let listener = listen(address).await?;
         let queues = FeedQueues::default();
-        tasks.spawn_local("feeds", accept(listener, queues.clone(), inputs));
+        tasks.spawn_local("feeds", accept(listener, queues.clone(), memory, inputs));
         Ok(Feeds { queues })
     }
 
@@ -41,7 +43,12 @@
     }
 }
 
-async fn accept(listener: TcpListener, queues: FeedQueues, inputs: mpsc::UnboundedSender<RelayInput>) {
+async fn accept(
+    listener: TcpListener,
+    queues: FeedQueues,
+    memory: MemoryBudget,
+    inputs: mpsc::UnboundedSender<RelayInput>,
+) {
     let mut next = 0;
     loop {
         let stream = connection::accept(&listener).await;
@@ -50,7 +57,7 @@
             continue;
         }
         next += 1;
-        tokio::task::spawn_local(serve(FeedId(next), stream, queues.clone(), inputs.clone()));
+        tokio::task::spawn_local(serve(FeedId(next), stream, queues.clone(), memory.clone(), inputs.clone()));
     }
 }
 
@@ -67,6 +74,7 @@
     id: FeedId,
     mut stream: TcpStream,
     queues: FeedQueues,
+    memory: MemoryBudget,
     inputs: mpsc::UnboundedSender<RelayInput>,
 ) {
     if let Err(error) = connection::read_kind(&mut stream).await {
@@ -75,7 +83,7 @@
     }
     let waiting = queues.open(id);
     let received = |message: Upstream| inputs.send(RelayInput::Feed(id, message)).is_ok();
-    let ended = connection::exchange(stream, waiting, received).await;
+    let ended = connection::exchange(stream, waiting, &memory, received).await;
     log::debug!("feed ended: {ended}");
     queues.close(&id);
     let _ = inputs.send(RelayInput::FeedGone(id));
--- a/src/agent/feeds/tests.rs
+++ b/src/agent/feeds/tests.rs
@@ -1,6 +1,7 @@
 //! What is kept of connections.
 
 use super::*;
+use crate::system::incoming::incoming_memory;
 use tokio::io::AsyncWriteExt;
 
 #[test]
@@ -14,7 +15,7 @@
         let (stream, _) = listener.accept().await.expect("a connection");
         let (inputs, mut received) = mpsc::unbounded_channel();
         let queues = FeedQueues::default();
-        serve(FeedId(1), stream, queues.clone(), inputs).await;
+        serve(FeedId(1), stream, queues.clone(), incoming_memory(64), inputs).await;
         assert!(queues.is_empty());
         assert!(received.recv().await.is_none(), "the agent never hears of it");
     });
@@ -28,7 +29,7 @@
         let address = listener.local_addr().expect("bound");
         let queues = FeedQueues::default();
         let (inputs, _received) = mpsc::unbounded_channel();
-        tokio::task::spawn_local(accept(listener, queues.clone(), inputs));
+        tokio::task::spawn_local(accept(listener, queues.clone(), incoming_memory(64), inputs));
         let within = std::time::Duration::from_secs(5);
         let kind = connection::LinkKind::Subscriber;
         let other = "127.0.0.1".parse().expect("an address");
--- a/src/agent/feeds/unread_feed_tests.rs
+++ b/src/agent/feeds/unread_feed_tests.rs
@@ -1,6 +1,7 @@
 //! A data plane that said hello and does not read.
 
 use super::*;
+use crate::system::incoming::incoming_memory;
 use crate::system::listen::listen;
 use crate::system::outgoing::MOST_WAITING_BYTES;
 use googletest::prelude::*;
@@ -26,7 +27,7 @@
     let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).await.expect("a port");
     let address = listener.local_addr().expect("bound");
     let queues = FeedQueues::default();
-    tokio::task::spawn_local(accept(listener, queues.clone(), inputs));
+    tokio::task::spawn_local(accept(listener, queues.clone(), incoming_memory(64), inputs));
     let mut stream = TcpStream::connect(address).await.expect("connects");
     stream.write_u8(connection::LinkKind::Subscriber as u8).await.expect("written");
     while queues.is_empty() {
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -6,6 +6,7 @@
 use crate::site_settings::SiteSettings;
 use crate::system::clock::Clock;
 use crate::system::essential_tasks::EssentialTasks;
+use crate::system::incoming::incoming_memory;
 use crate::system::memory_watch::watch_memory;
 use crate::system::seeds::Seeds;
 use crate::system::stop::Stop;
@@ -25,15 +26,16 @@
 /// The feed's address cannot be listened on, or an essential task has panicked.
 pub async fn run(settings: SiteSettings, mut stop: Stop) -> anyhow::Result<()> {
     let (inputs, mut received) = mpsc::unbounded_channel();
+    let memory = incoming_memory(settings.limits.memory_mb);
     let feed_address = settings.feed_address();
     let mut tasks = EssentialTasks::default();
     let mut feeds = tokio::select! {
         biased;
-        feeds = feeds::Feeds::listen(feed_address, inputs.clone(), &mut tasks) => feeds?,
+        feeds = feeds::Feeds::listen(feed_address, memory.clone(), inputs.clone(), &mut tasks) => feeds?,
         () = stop.requested() => return Ok(()),
     };
-    tasks.spawn_local("memory watch", watch_memory(settings.limits.memory_mb, Vec::new()));
-    let mut links = links::Links::new(inputs.clone());
+    tasks.spawn_local("memory watch", watch_memory(settings.limits.memory_mb, vec![memory.clone()]));
+    let mut links = links::Links::new(memory.clone(), inputs.clone());
     let mut seeds = Seeds::of(&settings)?;
     let link_settings = LinkSettings {
         target_links: settings.fault_tolerance.machines + SPARE_LINKS,
--- a/src/control_plane/links.rs
+++ b/src/control_plane/links.rs
@@ -12,6 +12,7 @@
 
 use crate::system::connection::{self, LinkKind};
 use crate::system::essential_tasks::EssentialTasks;
+use crate::system::incoming::{incoming_memory, read_message};
 use crate::system::memory_budget::{reserved_bytes, MemoryBudget};
 use crate::system::outgoing::{Queues, BATCH_BYTES};
 use bytes::{Bytes, BytesMut};
@@ -19,7 +20,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 use switchhill_control::{Input, SubscriberId};
-use switchhill_protocol::{encode_frame, read_frame, Downstream, FrameError, PeerFrame, Upstream};
+use switchhill_protocol::{encode_frame, Downstream, FrameError, PeerFrame, Upstream};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -48,6 +49,7 @@
     /// Queues of the core nodes, by address. The task of one that is closed has ended.
     peers: BTreeMap<String, mpsc::Sender<Bytes>>,
     peer_memory: MemoryBudget,
+    incoming_memory: MemoryBudget,
     subscribers: SubscriberQueues,
 }
 
@@ -60,14 +62,15 @@
         tasks: &mut EssentialTasks,
     ) -> Links {
         let subscribers = SubscriberQueues::default();
-        tasks.spawn_local("links", accept(listener, subscribers.clone(), inputs));
+        let incoming_memory = incoming_memory(memory_mb);
+        tasks.spawn_local("links", accept(listener, subscribers.clone(), incoming_memory.clone(), inputs));
         let peer_memory = MemoryBudget::new("messages for core nodes", memory_mb, PEER_MEMORY_SHARE);
-        Links { peers: BTreeMap::new(), peer_memory, subscribers }
+        Links { peers: BTreeMap::new(), peer_memory, incoming_memory, subscribers }
     }
 
     /// What messages that wait may hold.
     pub(super) fn memory_budgets(&self) -> Vec<MemoryBudget> {
-        vec![self.peer_memory.clone()]
+        vec![self.peer_memory.clone(), self.incoming_memory.clone()]
     }
 
     /// Sends a message to the core nodes at some addresses. It is encoded once for all of them.
@@ -171,7 +174,12 @@
     }
 }
 
-async fn accept(listener: TcpListener, subscribers: SubscriberQueues, inputs: mpsc::UnboundedSender<Input>) {
+async fn accept(
+    listener: TcpListener,
+    subscribers: SubscriberQueues,
+    memory: MemoryBudget,
+    inputs: mpsc::UnboundedSender<Input>,
+) {
     let newest = NewestConnections::default();
     let mut next = 0;
     loop {
@@ -182,6 +190,7 @@
             stream,
             newest.clone(),
             subscribers.clone(),
+            memory.clone(),
             inputs.clone(),
         ));
     }
@@ -192,15 +201,16 @@
     mut stream: TcpStream,
     newest: NewestConnections,
     subscribers: SubscriberQueues,
+    memory: MemoryBudget,
     inputs: mpsc::UnboundedSender<Input>,
 ) {
     match connection::read_kind(&mut stream).await {
         Ok(LinkKind::Peer) => {
-            let ended = receive_peer(stream, number, &newest, &inputs).await;
+            let ended = receive_peer(stream, number, &newest, &memory, &inputs).await;
             log::debug!("connection of a core node ended: {ended}");
         }
         Ok(LinkKind::Subscriber) => {
-            serve_subscriber(SubscriberId(number.0), stream, subscribers, inputs).await
+            serve_subscriber(SubscriberId(number.0), stream, subscribers, &memory, inputs).await
         }
         Err(error) => log::debug!("connection refused: {error}"),
     }
@@ -211,11 +221,12 @@
     stream: impl AsyncRead + Unpin,
     number: ConnectionNumber,
     newest: &NewestConnections,
+    memory: &MemoryBudget,
     inputs: &mpsc::UnboundedSender<Input>,
 ) -> String {
     let mut reader = BufReader::new(stream);
     loop {
-        let read: Result<PeerFrame, FrameError> = read_frame(&mut reader).await;
+        let read: Result<PeerFrame, FrameError> = read_message(memory, &mut reader).await;
         let frame = match read {
             Ok(frame) => frame,
             Err(error) => return error.to_string(),
@@ -233,11 +244,12 @@
     id: SubscriberId,
     stream: TcpStream,
     subscribers: SubscriberQueues,
+    memory: &MemoryBudget,
     inputs: mpsc::UnboundedSender<Input>,
 ) {
     let waiting = subscribers.open(id);
     let received = |message: Upstream| inputs.send(Input::Subscriber(id, message)).is_ok();
-    let ended = connection::exchange(stream, waiting, received).await;
+    let ended = connection::exchange(stream, waiting, memory, received).await;
     log::debug!("subscriber's connection ended: {ended}");
     subscribers.close(&id);
     let _ = inputs.send(Input::SubscriberDisconnected(id));
--- a/src/control_plane/links/departed_peer_tests.rs
+++ b/src/control_plane/links/departed_peer_tests.rs
@@ -66,10 +66,11 @@
                 links.send_peers(vec![address.clone()], &heartbeat());
                 let (mut stream, _) = other.accept().await.expect("a connection");
                 assert_eq!(connection::read_kind(&mut stream).await.expect("a kind"), LinkKind::Peer);
-                let frame = read_frame::<PeerFrame, _>(&mut stream).await.expect("a message");
+                let frame =
+                    switchhill_protocol::read_frame::<PeerFrame, _>(&mut stream).await.expect("a message");
                 assert!(matches!(frame.body, Some(PeerBody::Heartbeat(_))), "round {round}");
                 tokio::time::sleep(KEPT_FOR).await;
-                let ended = read_frame::<PeerFrame, _>(&mut stream).await;
+                let ended = switchhill_protocol::read_frame::<PeerFrame, _>(&mut stream).await;
                 assert!(ended.is_err(), "round {round}: the connection is closed");
                 assert!(links.peers[&address].is_closed(), "round {round}: the queue is given up");
             }
--- a/src/control_plane/links/reconnect_tests.rs
+++ b/src/control_plane/links/reconnect_tests.rs
@@ -49,8 +49,9 @@
     fn accept(&self, number: u64) -> (DuplexStream, JoinHandle<String>) {
         let (ours, theirs) = tokio::io::duplex(4096);
         let (newest, inputs) = (self.newest.clone(), self.inputs.clone());
-        let task =
-            spawn_local(async move { receive_peer(ours, ConnectionNumber(number), &newest, &inputs).await });
+        let task = spawn_local(async move {
+            receive_peer(ours, ConnectionNumber(number), &newest, &incoming_memory(64), &inputs).await
+        });
         (theirs, task)
     }
 
@@ -196,7 +197,10 @@
 async fn numbers_on(mut stream: DuplexStream) -> Vec<u64> {
     let mut numbers = Vec::new();
     loop {
-        let frame = tokio::time::timeout(Duration::from_millis(5), read_frame::<PeerFrame, _>(&mut stream));
+        let frame = tokio::time::timeout(
+            Duration::from_millis(5),
+            switchhill_protocol::read_frame::<PeerFrame, _>(&mut stream),
+        );
         match frame.await {
             Ok(Ok(frame)) => numbers.push(number_of(&frame)),
             _ => return numbers,
--- a/src/data_plane_feed.rs
+++ b/src/data_plane_feed.rs
@@ -12,6 +12,8 @@
 use crate::site_settings::SiteSettings;
 use crate::system::connection::{self, LinkKind};
 use crate::system::essential_tasks::EssentialTasks;
+use crate::system::incoming::incoming_memory;
+use crate::system::memory_budget::MemoryBudget;
 use crate::system::outgoing::{self, Outgoing};
 use crate::system::stop::Stop;
 use std::collections::BTreeMap;
@@ -79,6 +81,8 @@
     /// What the agent was told of them on this connection, if anything.
     told: Option<LoadDeltaEncoder>,
     views: watch::Sender<Arc<View>>,
+    /// Memory for messages that are being read.
+    memory: MemoryBudget,
 }
 
 impl Feed {
@@ -92,6 +96,7 @@
             own: LoadTable::default(),
             told: None,
             views,
+            memory: incoming_memory(settings.limits.memory_mb),
         }
     }
 
@@ -114,7 +119,9 @@
     ) {
         let (sender, waiting) = outgoing::queue::<Upstream>();
         let (received, mut messages) = mpsc::unbounded_channel::<Downstream>();
-        let exchange = connection::exchange(stream, waiting, |message| received.send(message).is_ok());
+        let memory = self.memory.clone();
+        let exchange =
+            connection::exchange(stream, waiting, &memory, |message| received.send(message).is_ok());
         tokio::pin!(exchange);
         let mut forget = tokio::time::interval(FORGET_EVERY);
         sender.send(&self.feed.hello());
--- a/src/system/connection.rs
+++ b/src/system/connection.rs
@@ -4,12 +4,14 @@
 #[cfg(test)]
 mod tests;
 
+use super::incoming::read_message;
+use super::memory_budget::MemoryBudget;
 use super::outgoing::{Closed, Waiting, LONGEST_STALL};
 use progress::ProgressWriter;
 use prost::Message;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
-use switchhill_protocol::{read_frame, FrameError};
+use switchhill_protocol::FrameError;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
@@ -116,18 +118,20 @@
 }
 
 /// Sends queued messages and hands on received ones until the connection ends, the queue is closed, the other side has
-/// taken nothing for too long, or the receiver says that it is gone. Returns why it ended.
+/// taken nothing for too long, or the receiver says that it is gone. Messages that are being read share `memory` with those of
+/// other connections. Returns why it ended.
 ///
 /// A connection that this side closes is reset: what the network still holds of it is not delivered later.
-pub async fn exchange<R: Message + Default>(
+pub(crate) async fn exchange<R: Message + Default>(
     mut stream: TcpStream,
     waiting: Waiting,
+    memory: &MemoryBudget,
     received: impl Fn(R) -> bool,
 ) -> String {
     let (reader, writer) = stream.split();
     let end = tokio::select! {
         end = send(writer, &waiting) => end,
-        end = receive(reader, received) => end,
+        end = receive(reader, memory, received) => end,
         reason = waiting.closed() => reason.into(),
     };
     if let End::Closed(reason) = end {
@@ -181,10 +185,14 @@
     }
 }
 
-async fn receive<R: Message + Default>(reader: impl AsyncRead + Unpin, received: impl Fn(R) -> bool) -> End {
+async fn receive<R: Message + Default>(
+    reader: impl AsyncRead + Unpin,
+    memory: &MemoryBudget,
+    received: impl Fn(R) -> bool,
+) -> End {
     let mut reader = BufReader::new(reader);
     loop {
-        let message = match read_frame(&mut reader).await {
+        let message = match read_message(memory, &mut reader).await {
             Ok(message) => message,
             Err(error) => return error.into(),
         };
--- a/src/system/connection/tests.rs
+++ b/src/system/connection/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::system::outgoing::{self, LONGEST_STALL};
-use switchhill_protocol::{Configuration, Downstream, DownstreamBody};
+use switchhill_protocol::{read_frame, Configuration, Downstream, DownstreamBody};
 use tokio::io::DuplexStream;
 
 const MESSAGES: u64 = 10;
--- a/src/system/head_memory.rs
+++ b/src/system/head_memory.rs
@@ -76,14 +76,7 @@
             return Ok(());
         }
         let needed = *received * BUFFER_FACTOR;
-        let is_reserved = match reservation {
-            Some(reservation) => self.budget.extend(reservation, needed),
-            None => {
-                *reservation = self.budget.reserve(needed);
-                reservation.is_some()
-            }
-        };
-        match is_reserved {
+        match self.budget.reserve_or_extend(reservation, needed) {
             true => Ok(()),
             false => {
                 Err(io::Error::new(io::ErrorKind::OutOfMemory, "the heads of other requests hold the memory"))
--- a/src/system/memory_budget.rs
+++ b/src/system/memory_budget.rs
@@ -53,6 +53,14 @@
         self.extend(&mut reservation, bytes).then_some(reservation)
     }
 
+    /// Reserves memory of this length, or extends a reservation to it. Returns whether enough was free.
+    pub(crate) fn reserve_or_extend(&self, reservation: &mut Option<Reservation>, bytes: usize) -> bool {
+        let mut extended = reservation.take().unwrap_or(Reservation { blocks: None });
+        let is_reserved = self.extend(&mut extended, bytes);
+        *reservation = Some(extended);
+        is_reserved
+    }
+
     /// Extends a reservation to this length. Returns whether enough memory was free; if not, the reservation
     /// is unchanged.
     pub(crate) fn extend(&self, reservation: &mut Reservation, bytes: usize) -> bool {
--- a/src/system/mod.rs
+++ b/src/system/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod essential_tasks;
 mod first_settings;
 pub(crate) mod head_memory;
+pub(crate) mod incoming;
 pub(crate) mod listen;
 pub(crate) mod memory_budget;
 pub(crate) mod memory_watch;
--- a/src/system/outgoing/tests.rs
+++ b/src/system/outgoing/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::system::connection;
+use crate::system::incoming::incoming_memory;
 use googletest::prelude::*;
 use std::net::Ipv4Addr;
 use switchhill_protocol::{Configuration, Downstream, DownstreamBody, Status, Upstream};
@@ -106,7 +107,7 @@
     let (outgoing, waiting) = queue::<Downstream>();
     outgoing.send(&configuration(LARGE));
     let began = Instant::now();
-    let end = connection::exchange(ours, waiting, |_: Upstream| true).await;
+    let end = connection::exchange(ours, waiting, &incoming_memory(64), |_: Upstream| true).await;
     assert_that!(end, eq(&Closed::Stalled.to_string()));
     // The clock of the runtime moves only when nothing else can go on.
     assert_that!(began.elapsed(), ge(LONGEST_STALL));
@@ -117,7 +118,8 @@
 async fn a_connection_that_is_given_up_is_reset() {
     let (ours, mut theirs) = connected().await;
     let (outgoing, waiting) = queue::<Downstream>();
-    let exchange = connection::exchange(ours, waiting, |_: Upstream| true);
+    let memory = incoming_memory(64);
+    let exchange = connection::exchange(ours, waiting, &memory, |_: Upstream| true);
     outgoing.send(&status());
     drop(outgoing);
     exchange.await;
@@ -137,7 +139,8 @@
         tokio::time::sleep(Duration::from_millis(100)).await;
         drop(outgoing);
     });
-    let end = local.run_until(connection::exchange(ours, waiting, |_: Upstream| true)).await;
+    let end =
+        local.run_until(connection::exchange(ours, waiting, &incoming_memory(64), |_: Upstream| true)).await;
     assert_that!(end, eq("closed"));
     assert_that!(began.elapsed(), lt(LONGEST_STALL));
 }
--- a/tests/site_settings.rs
+++ b/tests/site_settings.rs
@@ -70,7 +70,7 @@
     std::fs::remove_file(path).expect("the file can be removed");
     expect_that!(settings.node_name, eq("core-1"));
     expect_that!(settings.internal_port(), eq(7660));
-    expect_that!(settings.feed_address().to_string(), eq("10.1.0.35:7675"));
+    expect_that!(settings.feed_address().to_string(), eq("10.1.0.38:7675"));
     expect_that!(settings.seeds, len(eq(2)));
     expect_that!(settings.bootstrap, eq(true));
     expect_that!(settings.fault_tolerance.machines, eq(2));
