What is cut off the replica's file at a start is told in the log

A file of 5,000 random bytes, or one cut to 3, started as a new replica without a word; a rest of a torn write was cut off likewise. Now a warning names folder, bytes and whether anything was kept; an error at its opening names the folder. What is done stays: the machine starts as a new replica under a new identity. Test: lab/tests/process_faults.rs a_replica_file_that_holds_no_records_is_told.

--- a/crates/control/tests/catch_up/files.rs
+++ b/crates/control/tests/catch_up/files.rs
@@ -133,7 +133,7 @@
     pub fn start(&mut self, now_us: u64, fault: DiskFault, fresh: Identity) -> (Identity, Vec<Vec<u8>>) {
         let options = Options { rewrite_above_bytes: REWRITE_ABOVE };
         let stored = open(self.files.clone(), Path::new("/data"), options, || fresh);
-        let OpenedReplica { writer, identity, records } = stored.expect("the file opens");
+        let OpenedReplica { writer, identity, records, .. } = stored.expect("the file opens");
         self.writer = Some(writer);
         self.waiting.clear();
         self.writing = false;
--- a/crates/record_log/src/log.rs
+++ b/crates/record_log/src/log.rs
@@ -33,6 +33,8 @@
     directory_sync_pending: bool,
     /// Length of the file in bytes above which the next rewrite is needed.
     rewrite_above_bytes: u64,
+    /// Bytes that were cut off when the file was opened, since they are no valid records.
+    discarded_bytes: u64,
 }
 
 /// The end of a frame: its offset, and the checksum that the next frame continues.
@@ -93,6 +95,7 @@
             tail_dirty: false,
             directory_sync_pending: false,
             rewrite_above_bytes: options.rewrite_above_bytes,
+            discarded_bytes: content.len() as u64 - scanned.length,
         };
         Ok((log, scanned.records))
     }
@@ -140,6 +143,11 @@
         self.written.length > self.rewrite_above_bytes
     }
 
+    /// Bytes that were cut off when the file was opened, since they are no valid records.
+    pub fn discarded_bytes(&self) -> u64 {
+        self.discarded_bytes
+    }
+
     /// Length of the file in bytes.
     pub fn length(&self) -> u64 {
         self.written.length
--- a/crates/replica_file/src/lib.rs
+++ b/crates/replica_file/src/lib.rs
@@ -30,6 +30,10 @@
     pub identity: Identity,
     /// Records of the register, oldest first.
     pub records: Vec<Vec<u8>>,
+    /// Bytes at the end of the file that were cut off, since they are no valid records.
+    pub discarded_bytes: u64,
+    /// Whether the file held no identity and was given a new one.
+    pub is_new: bool,
 }
 
 /// Opens the replica's file in `directory`. If it holds no identity, `new_identity` is written and synced first.
@@ -43,7 +47,10 @@
     new_identity: impl FnOnce() -> Identity,
 ) -> Result<OpenedReplica<S>, LogError> {
     let (mut log, records) = RecordLog::open_with(file_system, directory, LOG_NAME, options)?;
-    let identity = match records.iter().find_map(|record| decode_identity(record)) {
+    let discarded_bytes = log.discarded_bytes();
+    let stored = records.iter().find_map(|record| decode_identity(record));
+    let is_new = stored.is_none();
+    let identity = match stored {
         Some(identity) => identity,
         None => {
             let identity = new_identity();
@@ -53,5 +60,5 @@
         }
     };
     let records = records.into_iter().filter_map(decode_register_record).collect();
-    Ok(OpenedReplica { writer: Writer::new(log, identity), identity, records })
+    Ok(OpenedReplica { writer: Writer::new(log, identity), identity, records, discarded_bytes, is_new })
 }
--- a/lab/tests/process_faults.rs
+++ b/lab/tests/process_faults.rs
@@ -78,3 +78,14 @@
     expect_that!(outcome.peak_mb, lt(listener.limits().memory_mb), "{flood:?}: {outcome:?}");
     expect_true!(outcome.runs && outcome.answers_afterwards, "{flood:?}: {outcome:?}");
 }
+
+#[rstest]
+#[case(StartCase::ReplicaFileSpoilt, 5000)]
+#[case(StartCase::ReplicaFileCut, 3)]
+#[gtest]
+fn a_replica_file_that_holds_no_records_is_told(#[case] case: StartCase, #[case] bytes: usize) {
+    let outcome = run(async { play_start(&built_beside()?, "control-plane", case).await });
+    expect_true!(outcome.runs, "{case:?}: {}", outcome.log);
+    let told = format!("{bytes} bytes that are no records were cut off; nothing else was in it");
+    expect_that!(outcome.log, contains_substring(told), "{case:?}");
+}
--- a/src/control_plane/disk.rs
+++ b/src/control_plane/disk.rs
@@ -29,7 +29,27 @@
         true => Identity { replica: genesis_replica(address), genesis: true },
         false => Identity { replica: random_number(address), genesis: false },
     };
-    switchhill_replica_file::open(StandardFileSystem, folder, options, fresh).context("the replica's file")
+    let opened = switchhill_replica_file::open(StandardFileSystem, folder, options, fresh)
+        .with_context(|| format!("the replica's file in {}", folder.display()))?;
+    log_discarded(folder, &opened);
+    Ok(opened)
+}
+
+/// Tells what was cut off the file. A few bytes are the rest of a write that a loss of power has cut; a whole file that held no
+/// identity is a lost disk.
+fn log_discarded(folder: &Path, opened: &OpenedReplica<StandardFileSystem>) {
+    if opened.discarded_bytes == 0 {
+        return;
+    }
+    let what = match opened.is_new {
+        true => "nothing else was in it: this machine starts as a new replica",
+        false => "the records before them are kept",
+    };
+    log::warn!(
+        "the replica's file in {}: {} bytes that are no records were cut off; {what}",
+        folder.display(),
+        opened.discarded_bytes
+    );
 }
 
 /// Members of the first electorate.
