--- a/lab/src/process_faults/lone_process.rs
+++ b/lab/src/process_faults/lone_process.rs
@@ -3,6 +3,7 @@
 use crate::local_system::ports::{free_port, AddressBlock};
 use crate::local_system::process::Launch;
 use crate::local_system::{until, Process};
+use rustix::process::{getrlimit, setrlimit, Resource};
 use serde_json::{json, Value};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -82,6 +83,15 @@
     }
 }
 
+/// Raises the limit on this process's descriptors, and so on those of the processes that it starts, as far as the system
+/// allows: floods have some thousand connections.
+fn raise_descriptor_limit() {
+    let mut limit = getrlimit(Resource::Nofile);
+    limit.current = limit.maximum;
+    // Where it is refused, connections that fail tell it.
+    let _ = setrlimit(Resource::Nofile, limit);
+}
+
 /// The settings file of a machine as the pages show it, in the order of its fields.
 pub(super) fn settings(addresses: Addresses, limits: ProcessLimits, disk: &Path) -> Value {
     json!({
@@ -123,6 +133,7 @@
         command: &'static str,
         limits: ProcessLimits,
     ) -> anyhow::Result<LoneProcess> {
+        raise_descriptor_limit();
         let (folder, addresses) = (Folder::new()?, Addresses::free()?);
         let path = folder.0.join("local.yaml");
         std::fs::write(&path, settings(addresses, limits, &folder.0.join("disk")).to_string())?;
