Tests of the log use the programs of the tests of signals, which end with the test

Cause: process_log.rs wrote again what system_signals.rs had, without its end of the child: a test that failed left its process running; nine were found from one failed run. Change: tests/system_program holds Program, until, folder and free_port for both. Assertions are as they were.

--- a/tests/system_signals.rs
+++ b/tests/system_signals.rs
@@ -1,56 +1,16 @@
 //! Signals to the system's programs, as real processes on loopback.
 #![allow(missing_docs)]
 
+mod system_program;
+
 use googletest::prelude::*;
 use rstest::rstest;
 use std::fs::File;
 use std::io::Write;
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
-use std::time::{Duration, Instant};
-use switchhill::site_settings::SETTINGS_VARIABLE;
-use switchhill_lab::stand_in::{program, signal};
-
-/// Longest time that anything awaited in a test may take.
-const BOUND: Duration = Duration::from_secs(20);
-
-/// Time between two looks at what is awaited.
-const LOOK_EVERY: Duration = Duration::from_millis(10);
-
-/// A program of the system, ended by its own id whatever happens.
-struct Program {
-    child: Child,
-    log: PathBuf,
-}
-
-impl Program {
-    fn start(command: &str, settings: &Path, folder: &Path) -> Program {
-        let log = folder.join("log");
-        let child = Command::new(program())
-            .arg(command)
-            .env(SETTINGS_VARIABLE, settings)
-            .env("RUST_LOG", "switchhill=debug")
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(File::create(&log).expect("a file"))
-            .spawn()
-            .expect("it starts");
-        Program { child, log }
-    }
-
-    fn send(&self, name: &str) {
-        assert!(signal(self.child.id(), name), "{name} can't be sent");
-    }
-
-    fn wait(&mut self) -> ExitStatus {
-        until("the program's end", || self.child.try_wait().expect("a child"))
-    }
-
-    fn logged(&self) -> String {
-        std::fs::read_to_string(&self.log).expect("the log")
-    }
-}
+use std::process::Command;
+use system_program::{folder, free_port, until, Program};
 
 /// A settings file that is there to be read, but not yet written: its reader waits.
 struct UnwrittenSettings {
@@ -77,37 +37,6 @@
     }
 }
 
-impl Drop for Program {
-    fn drop(&mut self) {
-        // Both have no effect on a process that has ended.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-fn until<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
-    let began = Instant::now();
-    while began.elapsed() < BOUND {
-        if let Some(found) = look() {
-            return found;
-        }
-        std::thread::sleep(LOOK_EVERY);
-    }
-    panic!("{what} took too long");
-}
-
-fn folder(name: &str) -> PathBuf {
-    let folder = std::env::temp_dir().join(format!("switchhill-signals-{}-{name}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("a folder");
-    folder
-}
-
-/// A port that nobody listens on.
-fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("its address").port()
-}
-
 fn settings(extra: &str) -> String {
     let feed = free_port();
     format!(
@@ -122,7 +51,7 @@
     let path = folder.join("local.yaml");
     let whole = settings("bind:\n  http: \"127.0.0.1:0\"\n");
     std::fs::write(&path, &whole).expect("written");
-    let data_plane = Program::start("data-plane", &path, &folder);
+    let data_plane = Program::start("data-plane", Some(&path), &folder);
     // The agent is called once the file has been read.
     until("a call to the agent", || data_plane.logged().contains("the agent at").then_some(()));
     let cut = whole.find("  retryBudgetRatio").expect("it is there");
@@ -152,7 +81,7 @@
 fn signals_before_the_settings_are_read_end_nothing_at_once(#[case] command: &str) {
     let folder = folder(command);
     let unwritten = UnwrittenSettings::new(&folder, settings(&own_settings(command, &folder)));
-    let mut program = Program::start(command, &unwritten.path, &folder);
+    let mut program = Program::start(command, Some(&unwritten.path), &folder);
     unwritten.write_after(|| {
         program.send("-HUP");
         program.send("-TERM");
@@ -171,7 +100,7 @@
     let own = format!("{}{alone}", own_settings("control-plane", &folder));
     let long = settings(&own).replace("graceS: 1\n", "graceS: 600\n");
     std::fs::write(&path, &long).expect("written");
-    let mut core = Program::start("control-plane", &path, &folder);
+    let mut core = Program::start("control-plane", Some(&path), &folder);
     // The file of the replica is there once the settings have been read.
     until("the start", || folder.join("replica.log").exists().then_some(()));
     std::fs::write(&path, long.replace("graceS: 600", "graceS: 2")).expect("written");
@@ -199,7 +128,7 @@
          seeds:\n  - \"127.0.0.3:1\"\n"
     );
     std::fs::write(&path, &first).expect("written");
-    let program = Program::start(command, &path, &folder);
+    let program = Program::start(command, Some(&path), &folder);
     let has_begun =
         || folder.join("replica.log").exists() || program.logged().contains("no link to 127.0.0.3");
     until("the start", || has_begun().then_some(()));
