One RequestInWork for requests and calls

Cause: the data plane and the control plane each had a struct with the same two fields, made in the same way. Change: one type in src/system, made by RequestInWork::begin. Behaviour as before.

--- a/src/control_plane/http.rs
+++ b/src/control_plane/http.rs
@@ -25,11 +25,12 @@
 
 use crate::site_settings::ProcessLimits;
 use crate::system::connection;
-use crate::system::connection_slots::{most_connections, BusySlot, ConnectionSlots};
+use crate::system::connection_slots::{most_connections, ConnectionSlots};
 use crate::system::essential_tasks::EssentialTasks;
-use crate::system::head_memory::{HeadMemory, HeadMemoryStream, RequestHeadMemory};
+use crate::system::head_memory::{HeadMemory, HeadMemoryStream};
 use crate::system::memory_budget::MemoryBudget;
 use crate::system::request_body::{self, ReadBodyError};
+use crate::system::request_in_work::RequestInWork;
 
 /// Longest body of a call, in bytes.
 const LONGEST_BODY: usize = 8 << 20;
@@ -181,12 +182,6 @@
     }
 }
 
-/// What a call holds of its connection until it is answered and its body has been read.
-struct CallInWork {
-    _slot: BusySlot,
-    _head: RequestHeadMemory,
-}
-
 async fn accept_with_room(listener: &TcpListener, connections: &ConnectionSlots) -> TcpStream {
     connections.room().await;
     connection::accept(listener).await
@@ -196,7 +191,7 @@
     let slot = calls.connections.open();
     let memory = HeadMemory::new(calls.head_memory.clone());
     let service = service_fn(|request| {
-        let in_work = Rc::new(CallInWork { _slot: slot.busy(), _head: memory.head_complete() });
+        let in_work = RequestInWork::begin(&slot, &memory);
         handle(request, calls.clone(), in_work)
     });
     let stream = TokioIo::new(HeadMemoryStream::new(stream, memory.clone()));
@@ -218,7 +213,7 @@
 async fn handle(
     request: Request<Incoming>,
     calls: Calls,
-    in_work: Rc<CallInWork>,
+    in_work: Rc<RequestInWork>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let answer = match read_call(request, &calls.body_memory, &in_work).await {
         Ok(call) => calls.make(call).await,
@@ -264,7 +259,7 @@
 async fn read_call(
     request: Request<Incoming>,
     memory: &MemoryBudget,
-    in_work: &Rc<CallInWork>,
+    in_work: &Rc<RequestInWork>,
 ) -> Result<Call, Answer> {
     let (head, mut body) = request.into_parts();
     let base_version =
--- a/src/data_plane/exchange.rs
+++ b/src/data_plane/exchange.rs
@@ -10,8 +10,7 @@
 use super::running_requests::RunningEntry;
 use super::shared::Shared;
 use super::statistics::RunningDemand;
-use crate::system::connection_slots::BusySlot;
-use crate::system::head_memory::RequestHeadMemory;
+use crate::system::request_in_work::RequestInWork;
 use hyper::header::HeaderValue;
 use std::rc::Rc;
 use std::time::Duration;
@@ -45,12 +44,6 @@
     pub(crate) excluded: Vec<WorkerKey>,
 }
 
-/// What a request holds of its connection until its response is complete: the connection's slot and the memory of the head.
-pub(crate) struct RequestInWork {
-    pub(crate) _slot: BusySlot,
-    pub(crate) _head: RequestHeadMemory,
-}
-
 /// An admitted request with its whole body and its route.
 pub(crate) struct Exchange {
     pub(crate) shared: Rc<Shared>,
--- a/src/data_plane/ingress.rs
+++ b/src/data_plane/ingress.rs
@@ -3,9 +3,7 @@
 use super::connector;
 use super::count_guard::CountGuard;
 use super::delivery;
-use super::exchange::{
-    deadline, request_profile, select_service, AttemptHistory, Exchange, RequestInWork, RouteRules,
-};
+use super::exchange::{deadline, request_profile, select_service, AttemptHistory, Exchange, RouteRules};
 use super::flush_tracking::{FlushState, FlushTrackingStream};
 use super::forwarded_request::ForwardedRequest;
 use super::policy;
@@ -18,6 +16,7 @@
 use crate::system::connection_slots::{ConnectionSlot, ConnectionSlots};
 use crate::system::head_memory::{HeadMemory, HeadMemoryStream};
 use crate::system::request_body::{self, ReadBodyError};
+use crate::system::request_in_work::RequestInWork;
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, EXPECT};
@@ -82,7 +81,7 @@
     let limits = client_limits(&shared);
     let memory = HeadMemory::new(shared.head_memory.clone());
     let service = service_fn(|request| {
-        let in_work = Rc::new(RequestInWork { _slot: slot.busy(), _head: memory.head_complete() });
+        let in_work = RequestInWork::begin(&slot, &memory);
         respond(shared.clone(), request, in_work)
     });
     let flush_state = Rc::new(FlushState::counted(shared.unwritten_connections.clone()));
--- a/src/system/mod.rs
+++ b/src/system/mod.rs
@@ -16,6 +16,7 @@
 pub mod outgoing;
 mod process_log;
 pub(crate) mod request_body;
+pub(crate) mod request_in_work;
 pub mod seeds;
 pub mod stop;
 
