Laboratory: floods of heads and of messages hold their connections by one function

Cause: the two floods opened and held connections in loops of their own, with a time limit each, and chose the limits of a machine in four places. Change: hold_connections serves both, ProcessLimits::of names the limits of a program. The floods and their checks are as before. Result: process_faults, 21 passed.

--- a/lab/src/process_faults/lone_process.rs
+++ b/lab/src/process_faults/lone_process.rs
@@ -23,10 +23,20 @@
 }
 
 /// Limits of a core machine of a small deployment.
-pub const CORE_LIMITS: ProcessLimits = ProcessLimits { memory_mb: 256, max_fds: 4096 };
+const CORE_LIMITS: ProcessLimits = ProcessLimits { memory_mb: 256, max_fds: 4096 };
 
 /// Limits of an edge machine of a small deployment.
-pub const EDGE_LIMITS: ProcessLimits = ProcessLimits { memory_mb: 260, max_fds: 4200 };
+const EDGE_LIMITS: ProcessLimits = ProcessLimits { memory_mb: 260, max_fds: 4200 };
+
+impl ProcessLimits {
+    /// Limits of the machine that a program runs on.
+    pub(super) fn of(command: &str) -> ProcessLimits {
+        match command {
+            "control-plane" => CORE_LIMITS,
+            _ => EDGE_LIMITS,
+        }
+    }
+}
 
 /// Addresses and ports of a machine on which one program runs.
 #[derive(Debug, Clone, Copy)]
@@ -92,8 +102,9 @@
     let _ = setrlimit(Resource::Nofile, limit);
 }
 
-/// The settings file of a machine as the pages show it, in the order of its fields.
-pub(super) fn settings(addresses: Addresses, limits: ProcessLimits, disk: &Path) -> Value {
+/// The settings file of a machine that runs this program, as the pages show it, in the order of its fields.
+pub(super) fn settings(command: &str, addresses: Addresses, disk: &Path) -> Value {
+    let limits = ProcessLimits::of(command);
     json!({
         "nodeName": format!("machine-{}", addresses.ip),
         "ip": addresses.ip,
@@ -128,15 +139,11 @@
     ///
     /// # Errors
     /// It cannot be started, or ends.
-    pub async fn start(
-        program: &Path,
-        command: &'static str,
-        limits: ProcessLimits,
-    ) -> anyhow::Result<LoneProcess> {
+    pub async fn start(program: &Path, command: &'static str) -> anyhow::Result<LoneProcess> {
         raise_descriptor_limit();
         let (folder, addresses) = (Folder::new()?, Addresses::free()?);
         let path = folder.0.join("local.yaml");
-        std::fs::write(&path, settings(addresses, limits, &folder.0.join("disk")).to_string())?;
+        std::fs::write(&path, settings(command, addresses, &folder.0.join("disk")).to_string())?;
         let log = folder.0.join("log");
         let launch = Launch { program: program.to_owned(), command, settings: path, log: log.clone() };
         let lone = LoneProcess { process: launch.start()?, addresses, log, _folder: folder };
--- a/lab/src/process_faults/memory_cases.rs
+++ b/lab/src/process_faults/memory_cases.rs
@@ -1,30 +1,19 @@
 //! Floods that fill the memory of a process.
 
-use super::lone_process::{LoneProcess, ProcessLimits, CORE_LIMITS, EDGE_LIMITS};
-use super::unfinished_head::hold_unfinished_heads;
+use super::lone_process::{LoneProcess, ProcessLimits};
+use super::unfinished::{hold_connections, unfinished_frame, unfinished_head, CONNECTION_WITHIN};
 use crate::local_system::http::{get, send};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpSocket, TcpStream};
-use tokio::task::JoinSet;
+use tokio::net::TcpStream;
 
 /// How long a flood is held.
 const HELD_FOR: Duration = Duration::from_secs(2);
 
-/// Time for one connection to come up and be written to.
-const WRITE_WITHIN: Duration = Duration::from_secs(2);
-
 /// Time for a caller to be answered. A data plane waits for its first configuration for a second.
 const ANSWER_WITHIN: Duration = Duration::from_secs(4);
 
-/// First byte of a connection that carries the messages of a subscriber.
-const SUBSCRIBER_KIND: u8 = 2;
-
-/// Version of the frames.
-const FRAME_VERSION: u8 = 1;
-
 /// A listener of a program.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Listener {
@@ -51,10 +40,7 @@
 
     /// Limits of the process that has the listener.
     pub fn limits(self) -> ProcessLimits {
-        match self {
-            Listener::Control | Listener::Internal => CORE_LIMITS,
-            Listener::Feed | Listener::Clients | Listener::Readiness => EDGE_LIMITS,
-        }
+        ProcessLimits::of(self.command())
     }
 
     fn address(self, process: &LoneProcess) -> SocketAddr {
@@ -99,9 +85,10 @@
 /// # Errors
 /// The process does not start, or the system does not tell its memory.
 pub async fn flood_heads(program: &Path, flood: Flood) -> anyhow::Result<MemoryOutcome> {
-    let process = LoneProcess::start(program, flood.listener.command(), flood.listener.limits()).await?;
+    let process = LoneProcess::start(program, flood.listener.command()).await?;
     let address = flood.listener.address(&process);
-    let held = hold_unfinished_heads(address, flood.connections, flood.bytes_each).await;
+    let head = unfinished_head(flood.bytes_each);
+    let held = hold_connections(address, flood.connections, head).await;
     outcome(process, flood.listener, held).await
 }
 
@@ -114,32 +101,13 @@
     flood: Flood,
     announced_bytes: u32,
 ) -> anyhow::Result<MemoryOutcome> {
-    let process = LoneProcess::start(program, flood.listener.command(), flood.listener.limits()).await?;
+    let process = LoneProcess::start(program, flood.listener.command()).await?;
     let address = flood.listener.address(&process);
-    let mut bytes = vec![SUBSCRIBER_KIND];
-    bytes.extend(announced_bytes.to_be_bytes());
-    bytes.push(FRAME_VERSION);
-    bytes.resize(flood.bytes_each, 0);
-    let bytes: &'static [u8] = bytes.leak();
-    let mut opening = JoinSet::new();
-    for _ in 0..flood.connections {
-        opening.spawn(async move {
-            let mut stream = connect_from_same_address(address).await.ok()?;
-            let _ = tokio::time::timeout(WRITE_WITHIN, stream.write_all(bytes)).await;
-            Some(stream)
-        });
-    }
-    let held = opening.join_all().await.into_iter().flatten().collect();
+    let frame = unfinished_frame(announced_bytes, flood.bytes_each);
+    let held = hold_connections(address, flood.connections, frame).await;
     outcome(process, flood.listener, held).await
 }
 
-/// Connects from the address that it connects to, as the programs of one machine do.
-async fn connect_from_same_address(address: SocketAddr) -> std::io::Result<TcpStream> {
-    let socket = TcpSocket::new_v4()?;
-    socket.bind(SocketAddr::from((address.ip(), 0)))?;
-    socket.connect(address).await
-}
-
 async fn outcome(
     mut process: LoneProcess,
     listener: Listener,
@@ -152,7 +120,7 @@
     let peak_mb = process.process().peak_resident_bytes()? >> 20;
     let runs = process.process().ended()?.is_none();
     drop(held);
-    let connects = tokio::time::timeout(WRITE_WITHIN, TcpStream::connect(address)).await;
+    let connects = tokio::time::timeout(CONNECTION_WITHIN, TcpStream::connect(address)).await;
     Ok(MemoryOutcome {
         connected,
         peak_mb,
--- a/lab/src/process_faults/mod.rs
+++ b/lab/src/process_faults/mod.rs
@@ -8,9 +8,9 @@
 mod memory_cases;
 mod start_cases;
 mod table;
-mod unfinished_head;
+mod unfinished;
 
-pub use lone_process::{LoneProcess, ProcessLimits, CORE_LIMITS, EDGE_LIMITS};
+pub use lone_process::{LoneProcess, ProcessLimits};
 pub use memory_cases::{flood_heads, flood_internal_frames, Flood, Listener, MemoryOutcome};
 pub use start_cases::{play_start, StartCase, StartOutcome};
 pub use table::print_all;
--- a/lab/src/process_faults/start_cases.rs
+++ b/lab/src/process_faults/start_cases.rs
@@ -1,6 +1,6 @@
 //! Starts on a machine that is not ready for the process yet, or that other processes share.
 
-use super::lone_process::{settings, Addresses, Folder, CORE_LIMITS, EDGE_LIMITS};
+use super::lone_process::{settings, Addresses, Folder};
 use crate::local_system::process::Launch;
 use crate::local_system::Process;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -54,8 +54,7 @@
     let disk = folder.0.join("disk");
     let path = folder.0.join("local.yaml");
     let log = folder.0.join("log");
-    let limits = if command == "control-plane" { CORE_LIMITS } else { EDGE_LIMITS };
-    let text = serde_json::to_string_pretty(&settings(addresses, limits, &disk))? + "\n";
+    let text = serde_json::to_string_pretty(&settings(command, addresses, &disk))? + "\n";
     let launch = Launch { program: program.to_owned(), command, settings: path.clone(), log: log.clone() };
     std::fs::write(&path, &text)?;
     let mut beside = None;
@@ -110,9 +109,8 @@
 }
 
 fn start_beside(launch: &Launch, addresses: Addresses, folder: &Path) -> anyhow::Result<Process> {
-    let limits = if launch.command == "control-plane" { CORE_LIMITS } else { EDGE_LIMITS };
     let path: PathBuf = folder.join("beside.yaml");
-    let settings = settings(addresses.next_machine(), limits, &folder.join("disk-beside"));
+    let settings = settings(launch.command, addresses.next_machine(), &folder.join("disk-beside"));
     std::fs::write(&path, settings.to_string())?;
     Launch { settings: path, log: folder.join("log-beside"), ..launch.clone() }.start()
 }
