Memory warnings tell connections, running requests and the configuration's size

What callers saw: processes that end without a last line. Before, a warning near the limit listed the shares of bodies, heads and messages only, which explained 30 of 226 MB; a configuration that grows and answers that pile up looked the same. Now a data plane tells its connections to clients and workers and its running requests, and each program the size and number of routes of its configuration.

--- a/crates/configuration/src/document.rs
+++ b/crates/configuration/src/document.rs
@@ -1,5 +1,6 @@
 //! A whole configuration: its text, and typed views of it.
 
+use std::fmt;
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -25,6 +26,23 @@
     services: Arc<[Service]>,
     limits: ClientLimits,
     index: Arc<RouteIndex>,
+    size: DocumentSize,
+}
+
+/// How large a configuration is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DocumentSize {
+    /// Number of routes.
+    pub routes: usize,
+    /// Bytes of the text of all items.
+    pub bytes: usize,
+}
+
+impl fmt::Display for DocumentSize {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let megabytes = self.bytes as f64 / f64::from(1 << 20);
+        write!(formatter, "configuration {megabytes:.1} MB, {} routes", self.routes)
+    }
 }
 
 impl PartialEq for Document {
@@ -71,6 +89,7 @@
             error.list = Some(LIMITS.to_owned());
             error
         })?;
+        let size = DocumentSize { routes: routes.len(), bytes: members.text_bytes() };
         Ok(Document {
             members: Arc::new(members),
             revision,
@@ -78,6 +97,7 @@
             routes: routes.into(),
             services: services.into(),
             limits: limits.unwrap_or_default(),
+            size,
         })
     }
 
@@ -123,6 +143,11 @@
         self.index.find(host, path).map(|place| &self.routes[place])
     }
 
+    /// How large it is.
+    pub fn size(&self) -> DocumentSize {
+        self.size
+    }
+
     /// The whole text, with all fields that are not known here.
     pub fn to_json(&self) -> Vec<u8> {
         self.members.to_json()
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub use change::Change;
 pub use delta::{Delta, DeltaError};
-pub use document::Document;
+pub use document::{Document, DocumentSize};
 pub use error::{ConfigurationError, ResultCode};
 pub use limits::ClientLimits;
 pub use order::{Order, OrderKind};
--- a/crates/configuration/src/members.rs
+++ b/crates/configuration/src/members.rs
@@ -132,6 +132,15 @@
     }
 }
 
+impl Member {
+    fn text_bytes(&self) -> usize {
+        match self {
+            Member::Items(items) => items.iter().map(|item| item.raw.get().len()).sum(),
+            Member::Plain(raw) => raw.get().len(),
+        }
+    }
+}
+
 impl PartialEq for Member {
     fn eq(&self, other: &Member) -> bool {
         match (self, other) {
@@ -258,6 +267,11 @@
         self.set(list, Member::Items(items));
     }
 
+    /// Bytes of the texts of all members, without what stands between them.
+    pub(crate) fn text_bytes(&self) -> usize {
+        self.0.iter().map(|(name, member)| name.len() + member.text_bytes()).sum()
+    }
+
     /// The whole text.
     pub(crate) fn to_json(&self) -> Vec<u8> {
         // Writing texts that were read as JSON into memory has no way to fail.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -13,7 +13,7 @@
 use crate::workers::PendingUpdates;
 use bytes::Bytes;
 use std::collections::BTreeSet;
-use switchhill_configuration::{ConfigurationError, ControlState, ResultCode};
+use switchhill_configuration::{ConfigurationError, ControlState, DocumentSize, ResultCode};
 use switchhill_distribution::MergedState;
 use switchhill_membership::{ContactSettings, Contacts};
 use switchhill_register::{Member, Output as RegisterOutput, Record, Replica, ReplicaId};
@@ -142,6 +142,11 @@
         self.state.revision()
     }
 
+    /// Size of the newest committed configuration known to the node.
+    pub fn configuration_size(&self) -> DocumentSize {
+        self.state.configuration_size()
+    }
+
     /// Epoch of the placer role if this node holds it.
     pub fn placer_epoch(&self) -> Option<u64> {
         self.placer.epoch()
--- a/crates/distribution/src/merged.rs
+++ b/crates/distribution/src/merged.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use switchhill_configuration::{Delta, Document};
+use switchhill_configuration::{Delta, Document, DocumentSize};
 use switchhill_protocol::{Configuration, Residency, Workers};
 use switchhill_registration::{MergeOutcome, SuspicionTimeout, Worker, WorkerTable};
 
@@ -66,6 +66,11 @@
         self.document.as_ref().map_or(0, |document| document.revision())
     }
 
+    /// Returns the size of the configuration.
+    pub fn configuration_size(&self) -> DocumentSize {
+        self.document.as_ref().map(|document| document.size()).unwrap_or_default()
+    }
+
     /// Returns whether a publisher with quorum contact sent or confirmed the current configuration.
     pub fn confirmed(&self) -> bool {
         self.confirmed
--- a/lab/src/local_system/machine.rs
+++ b/lab/src/local_system/machine.rs
@@ -19,7 +19,41 @@
 pub(super) const MEMORY_MB: u64 = 256;
 
 /// Descriptors of a process.
-const MAX_FDS: u32 = 1024;
+const MAX_FDS: u64 = 1024;
+
+/// What a process may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ProcessLimits {
+    /// Resident memory in megabytes.
+    pub memory_mb: u64,
+    /// Descriptors.
+    pub max_fds: u64,
+}
+
+impl ProcessLimits {
+    /// Limits of a core machine of a small deployment.
+    pub const SMALL_CORE: ProcessLimits = ProcessLimits { memory_mb: 256, max_fds: 4096 };
+    /// Limits of an edge machine of a small deployment.
+    pub const SMALL_EDGE: ProcessLimits = ProcessLimits { memory_mb: 260, max_fds: 4200 };
+    /// Limits of the machines of the stories.
+    const USUAL: ProcessLimits = ProcessLimits { memory_mb: MEMORY_MB, max_fds: MAX_FDS };
+}
+
+/// Limits of the machines of a site.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct SiteLimits {
+    pub(crate) core: ProcessLimits,
+    pub(crate) edge: ProcessLimits,
+}
+
+impl SiteLimits {
+    /// Limits of the stories.
+    pub(crate) const USUAL: SiteLimits =
+        SiteLimits { core: ProcessLimits::USUAL, edge: ProcessLimits::USUAL };
+    /// Limits of a small deployment.
+    pub(crate) const SMALL_DEPLOYMENT: SiteLimits =
+        SiteLimits { core: ProcessLimits::SMALL_CORE, edge: ProcessLimits::SMALL_EDGE };
+}
 
 /// `retryBudgetSlack` of the first change of settings.
 const RETRY_BUDGET_SLACK: u32 = 40;
@@ -61,12 +95,13 @@
     pub(crate) ip: Ipv4Addr,
     pub(crate) ports: SitePorts,
     pub(crate) seeds: &'a [SocketAddr],
+    pub(crate) limits: SiteLimits,
 }
 
 impl Machine {
     /// A core machine, with its disk.
     pub(crate) fn core(plan: &MachinePlan<'_>) -> anyhow::Result<Machine> {
-        let mut settings = common_settings(plan);
+        let mut settings = common_settings(plan, plan.limits.core);
         let disk = plan.folder.join(format!("{}-disk", plan.name));
         std::fs::create_dir_all(&disk)?;
         settings["dataDir"] = json!(disk);
@@ -76,7 +111,7 @@
 
     /// An edge machine.
     pub(crate) fn edge(plan: &MachinePlan<'_>) -> anyhow::Result<Machine> {
-        let mut settings = common_settings(plan);
+        let mut settings = common_settings(plan, plan.limits.edge);
         settings["bind"] = json!({
             "http": SocketAddr::from((plan.ip, plan.ports.service)),
             "readiness": SocketAddr::from((plan.ip, plan.ports.readiness)),
@@ -128,7 +163,7 @@
         let change = change % SETTINGS_CHANGES;
         self.settings["bounds"]["leaseMs"] = json!(LEASE_MS + LEASE_STEP_MS * u64::from(change));
         self.settings["bounds"]["retryBudgetSlack"] = json!(RETRY_BUDGET_SLACK + change);
-        self.settings["limits"]["maxFds"] = json!(MAX_FDS + change);
+        self.settings["limits"]["maxFds"] = json!(MAX_FDS + u64::from(change));
         self.save_settings()
     }
 
@@ -185,7 +220,7 @@
     }
 }
 
-fn common_settings(plan: &MachinePlan<'_>) -> Value {
+fn common_settings(plan: &MachinePlan<'_>, limits: ProcessLimits) -> Value {
     json!({
         "nodeName": plan.name,
         "ip": plan.ip,
@@ -194,7 +229,7 @@
         "portRange": [plan.ports.internal, plan.ports.feed],
         "seeds": plan.seeds,
         "bootstrap": true,
-        "limits": {"maxFds": MAX_FDS, "memoryMb": MEMORY_MB},
+        "limits": {"maxFds": limits.max_fds, "memoryMb": limits.memory_mb},
         "heartbeatMs": HEARTBEAT_MS,
         "faultTolerance": {"machines": 1},
         "bounds": {"graceS": GRACE_S, "leaseMs": LEASE_MS},
--- a/lab/src/local_system/mod.rs
+++ b/lab/src/local_system/mod.rs
@@ -22,6 +22,8 @@
 
 pub use client::{Client, OpenStream, Whole};
 pub use core_addresses::CoreAddresses;
+pub use machine::ProcessLimits;
+pub(crate) use machine::SiteLimits;
 pub use operator::{Operator, OperatorAnswer};
 pub use process::Process;
 pub use program::{built_beside, built_by_cargo};
--- a/lab/src/local_system/site.rs
+++ b/lab/src/local_system/site.rs
@@ -3,7 +3,7 @@
 use super::client::Client;
 use super::configuration::USUAL_MODEL;
 use super::http::{call, get};
-use super::machine::{Machine, MachinePlan, SitePorts};
+use super::machine::{Machine, MachinePlan, SiteLimits, SitePorts};
 use super::operator::Operator;
 use super::ports::{free_port, AddressBlock};
 use super::process::Process;
@@ -69,13 +69,18 @@
     /// # Errors
     /// A process cannot be started.
     pub fn start(program: &Path) -> anyhow::Result<Site> {
-        let mut site = Site::lay_out(program, SiteSize::USUAL)?;
+        Site::start_with(program, SiteSize::USUAL, SiteLimits::USUAL)
+    }
+
+    /// Starts all machines of a site of this size, with these limits.
+    pub(crate) fn start_with(program: &Path, size: SiteSize, limits: SiteLimits) -> anyhow::Result<Site> {
+        let mut site = Site::lay_out(program, size, limits)?;
         site.machines().try_for_each(Machine::start)?;
         Ok(site)
     }
 
     /// Chooses addresses and ports and writes settings; starts nothing.
-    pub(crate) fn lay_out(program: &Path, size: SiteSize) -> anyhow::Result<Site> {
+    pub(crate) fn lay_out(program: &Path, size: SiteSize, limits: SiteLimits) -> anyhow::Result<Site> {
         let block = AddressBlock::new();
         let ports = choose_ports(block, size)?;
         let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
@@ -90,6 +95,7 @@
             ip,
             ports,
             seeds: &seeds,
+            limits,
         };
         let cores = core_ips(block, size)
             .zip(1..)
@@ -118,7 +124,7 @@
     }
 
     /// The address of a worker by its number; they come again after [`WORKER_ADDRESSES`].
-    fn worker_address(&self, number: u8) -> SocketAddr {
+    pub(crate) fn worker_address(&self, number: u8) -> SocketAddr {
         let ip = self.block.address(FIRST_WORKER + number % WORKER_ADDRESSES);
         SocketAddr::from((ip, self.ports.service))
     }
--- a/lab/src/process_faults/lone_process.rs
+++ b/lab/src/process_faults/lone_process.rs
@@ -2,7 +2,7 @@
 
 use crate::local_system::ports::{free_port, AddressBlock};
 use crate::local_system::process::Launch;
-use crate::local_system::{until, Process};
+use crate::local_system::{until, Process, ProcessLimits};
 use rustix::process::{getrlimit, setrlimit, Resource};
 use serde_json::{json, Value};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -13,28 +13,11 @@
 /// Folders made by this process.
 static FOLDERS: AtomicU32 = AtomicU32::new(0);
 
-/// What a process may use.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ProcessLimits {
-    /// Resident memory in megabytes.
-    pub memory_mb: u64,
-    /// Descriptors.
-    pub max_fds: u64,
-}
-
-/// Limits of a core machine of a small deployment.
-const CORE_LIMITS: ProcessLimits = ProcessLimits { memory_mb: 256, max_fds: 4096 };
-
-/// Limits of an edge machine of a small deployment.
-const EDGE_LIMITS: ProcessLimits = ProcessLimits { memory_mb: 260, max_fds: 4200 };
-
-impl ProcessLimits {
-    /// Limits of the machine that a program runs on.
-    pub(super) fn of(command: &str) -> ProcessLimits {
-        match command {
-            "control-plane" => CORE_LIMITS,
-            _ => EDGE_LIMITS,
-        }
+/// Limits of the machine that a program runs on.
+pub(super) fn limits_of(command: &str) -> ProcessLimits {
+    match command {
+        "control-plane" => ProcessLimits::SMALL_CORE,
+        _ => ProcessLimits::SMALL_EDGE,
     }
 }
 
@@ -95,7 +78,7 @@
 
 /// Raises the limit on this process's descriptors, and so on those of the processes that it starts, as far as the system
 /// allows: floods have some thousand connections.
-fn raise_descriptor_limit() {
+pub(super) fn raise_descriptor_limit() {
     let mut limit = getrlimit(Resource::Nofile);
     limit.current = limit.maximum;
     // Where it is refused, connections that fail tell it.
@@ -104,7 +87,7 @@
 
 /// The settings file of a machine that runs this program, as the pages show it, in the order of its fields.
 pub(super) fn settings(command: &str, addresses: Addresses, disk: &Path) -> Value {
-    let limits = ProcessLimits::of(command);
+    let limits = limits_of(command);
     json!({
         "nodeName": format!("machine-{}", addresses.ip),
         "ip": addresses.ip,
--- a/lab/src/process_faults/memory_cases.rs
+++ b/lab/src/process_faults/memory_cases.rs
@@ -1,8 +1,9 @@
 //! Floods that fill the memory of a process.
 
-use super::lone_process::{LoneProcess, ProcessLimits};
+use super::lone_process::{limits_of, LoneProcess};
 use super::unfinished::{hold_connections, unfinished_frame, unfinished_head, CONNECTION_WITHIN};
 use crate::local_system::http::{get, send};
+use crate::local_system::ProcessLimits;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -40,7 +41,7 @@
 
     /// Limits of the process that has the listener.
     pub fn limits(self) -> ProcessLimits {
-        ProcessLimits::of(self.command())
+        limits_of(self.command())
     }
 
     fn address(self, process: &LoneProcess) -> SocketAddr {
--- a/lab/src/process_faults/table.rs
+++ b/lab/src/process_faults/table.rs
@@ -1,8 +1,13 @@
 //! All cases as a table.
 
+use super::answer_cases::{flood_answers, AnswerFlood};
+use super::flood_worker::AnswerCase;
+use super::growth_case::{grow_configuration, Growth, GrowthOutcome};
 use super::memory_cases::{flood_heads, flood_internal_frames, Flood, Listener, MemoryOutcome};
 use super::start_cases::{play_start, StartCase};
+use crate::local_system::ProcessLimits;
 use std::path::Path;
+use std::time::Duration;
 
 /// Floods of heads: listener, connections, bytes of each.
 const HEAD_FLOODS: [(Listener, usize, usize); 7] = [
@@ -22,6 +27,18 @@
 /// Length that the frames of a flood announce, in bytes.
 const ANNOUNCED_BYTES: u32 = 8 << 20;
 
+/// Floods of answers: case, requests, and seconds for which they are held.
+const ANSWER_FLOODS: [(AnswerCase, usize, u64); 5] = [
+    (AnswerCase::EndlessEvent, 200, 12),
+    (AnswerCase::EndlessEvent, 1500, 4),
+    (AnswerCase::Long, 1500, 4),
+    (AnswerCase::Stalled, 1500, 4),
+    (AnswerCase::Stalled, 200, 4),
+];
+
+/// Growth of a configuration.
+const GROWTH: Growth = Growth { changes: 60, routes_each: 3000 };
+
 /// Starts: program and case.
 const STARTS: [(&str, StartCase); 14] = [
     ("control-plane", StartCase::AddressHeld),
@@ -54,6 +71,11 @@
         let flood = Flood { listener, connections, bytes_each };
         held &= print_memory("frames", flood, &flood_internal_frames(program, flood, ANNOUNCED_BYTES).await?);
     }
+    for (case, requests, held_s) in ANSWER_FLOODS {
+        held &= print_answers(program, AnswerFlood { case, requests, held_for: Duration::from_secs(held_s) })
+            .await?;
+    }
+    held &= print_growth(&grow_configuration(program, GROWTH).await?);
     for (command, case) in STARTS {
         let outcome = play_start(program, command, case).await?;
         let verdict = if outcome.runs { "runs" } else { "ENDED" };
@@ -79,3 +101,40 @@
     );
     is_within
 }
+
+async fn print_answers(program: &Path, flood: AnswerFlood) -> anyhow::Result<bool> {
+    let outcome = flood_answers(program, flood).await?;
+    let limit_mb = ProcessLimits::SMALL_EDGE.memory_mb;
+    let is_within = outcome.peak_mb < limit_mb && outcome.all_run;
+    println!(
+        "data-plane {:4} answers {:?} for {} s: {} MB of {limit_mb}, {}; serves afterwards: {}",
+        flood.requests,
+        flood.case,
+        flood.held_for.as_secs(),
+        outcome.peak_mb,
+        if is_within { "within" } else { "OVER" },
+        outcome.serves_afterwards,
+    );
+    Ok(is_within)
+}
+
+fn print_growth(outcome: &GrowthOutcome) -> bool {
+    println!(
+        "growing configuration: {} changes acknowledged, {} routes, {:?} read back, the slowest after {} ms; unanswered: {}; refused: {:?}; in force: {}; MB by program: {:?}; ended: {:?}",
+        outcome.acknowledged,
+        outcome.routes,
+        outcome.read_back,
+        outcome.slowest.as_millis(),
+        outcome.unanswered,
+        outcome.refused,
+        outcome.in_force,
+        outcome.peak_mb,
+        outcome.ended,
+    );
+    let is_within = |(program, peak_mb): (&String, &u64)| {
+        let limits =
+            if program == "control-plane" { ProcessLimits::SMALL_CORE } else { ProcessLimits::SMALL_EDGE };
+        *peak_mb < limits.memory_mb
+    };
+    outcome.ended.is_none() && outcome.peak_mb.iter().all(is_within)
+}
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -14,7 +14,7 @@
 use super::workers::Workers;
 use crate::local_system::configuration::{whole, USUAL_MODEL};
 use crate::local_system::machine::GRACE_S;
-use crate::local_system::{Client, CoreAddresses, Operator, Site, SiteSize};
+use crate::local_system::{Client, CoreAddresses, Operator, Site, SiteLimits, SiteSize};
 use anyhow::{ensure, Context};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -95,7 +95,7 @@
 /// # Errors
 /// The site does not start, or a process cannot be started or ended.
 pub async fn run(program: &Path, wanted: Wanted) -> anyhow::Result<Outcome> {
-    let mut site = Site::lay_out(program, wanted.size)?;
+    let mut site = Site::lay_out(program, wanted.size, SiteLimits::USUAL)?;
     let folder = site.folder().to_owned();
     let played = play(&mut site, wanted).await;
     let told = || format!("seed {}, files in {}", wanted.seed, folder.display());
--- a/lab/tests/process_faults.rs
+++ b/lab/tests/process_faults.rs
@@ -5,9 +5,11 @@
 use rstest::rstest;
 use std::future::Future;
 use std::sync::{Mutex, PoisonError};
-use switchhill_lab::local_system::built_beside;
+use std::time::Duration;
+use switchhill_lab::local_system::{built_beside, ProcessLimits};
 use switchhill_lab::process_faults::{
-    flood_heads, flood_internal_frames, play_start, Flood, Listener, StartCase,
+    flood_answers, flood_heads, flood_internal_frames, grow_configuration, play_start, AnswerCase,
+    AnswerFlood, Flood, Growth, GrowthOutcome, Listener, StartCase,
 };
 
 /// One flood at a time: each has some thousand connections.
@@ -89,3 +91,48 @@
     let told = format!("{bytes} bytes that are no records were cut off; nothing else was in it");
     expect_that!(outcome.log, contains_substring(told), "{case:?}");
 }
+
+#[rstest]
+#[case::events_without_an_end(AnswerCase::EndlessEvent, 200, 12)]
+#[case::long_answers_that_nobody_reads(AnswerCase::Long, 1500, 3)]
+#[case::answers_that_stand_still(AnswerCase::Stalled, 1500, 3)]
+#[gtest]
+fn answers_leave_a_data_plane_within_its_memory(
+    #[case] case: AnswerCase,
+    #[case] requests: usize,
+    #[case] held_s: u64,
+) {
+    let flood = AnswerFlood { case, requests, held_for: Duration::from_secs(held_s) };
+    let outcome = run(async { flood_answers(&built_beside()?, flood).await });
+    expect_that!(outcome.peak_mb, lt(ProcessLimits::SMALL_EDGE.memory_mb), "{flood:?}: {outcome:?}");
+    expect_true!(outcome.all_run && outcome.serves_afterwards, "{flood:?}: {outcome:?}");
+}
+
+fn expect_within_memory(outcome: &GrowthOutcome) {
+    for (program, peak_mb) in &outcome.peak_mb {
+        let limits = match program.as_str() {
+            "control-plane" => ProcessLimits::SMALL_CORE,
+            _ => ProcessLimits::SMALL_EDGE,
+        };
+        expect_that!(*peak_mb, lt(limits.memory_mb), "{program}: {outcome:?}");
+    }
+    expect_that!(outcome.ended, none(), "{outcome:?}");
+    expect_that!(outcome.read_back, some(eq(outcome.routes)), "{outcome:?}");
+    expect_true!(outcome.in_force, "{outcome:?}");
+}
+
+#[gtest]
+fn a_configuration_that_grows_to_sixty_thousand_routes_leaves_every_process_within_its_memory() {
+    let growth = Growth { changes: 20, routes_each: 3000 };
+    let outcome = run(async { grow_configuration(&built_beside()?, growth).await });
+    expect_that!(outcome.acknowledged, eq(growth.changes), "{outcome:?}");
+    expect_within_memory(&outcome);
+}
+
+#[gtest]
+fn a_configuration_that_grows_without_end_is_refused_before_a_process_is_over_its_memory() {
+    let growth = Growth { changes: 60, routes_each: 3000 };
+    let outcome = run(async { grow_configuration(&built_beside()?, growth).await });
+    expect_that!(outcome.refused, some((eq(&413), contains_substring("too large"))), "{outcome:?}");
+    expect_within_memory(&outcome);
+}
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -10,7 +10,10 @@
 use crate::system::memory_watch::watch_memory;
 use crate::system::seeds::Seeds;
 use crate::system::stop::Stop;
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
+use switchhill_configuration::DocumentSize;
 use switchhill_distribution::{LinkSettings, Relay, RelayInput, RelayOutput};
 use tokio::sync::mpsc;
 
@@ -34,7 +37,12 @@
         feeds = feeds::Feeds::listen(feed_address, memory.clone(), inputs.clone(), &mut tasks) => feeds?,
         () = stop.requested() => return Ok(()),
     };
-    tasks.spawn_local("memory watch", watch_memory(settings.limits.memory_mb, vec![memory.clone()]));
+    let configuration_size = Rc::new(Cell::new(DocumentSize::default()));
+    let uses = {
+        let (memory, configuration_size) = (memory.clone(), configuration_size.clone());
+        move || vec![memory.to_string(), configuration_size.get().to_string()]
+    };
+    tasks.spawn_local("memory watch", watch_memory(settings.limits.memory_mb, uses));
     let mut links = links::Links::new(memory.clone(), inputs.clone());
     let mut seeds = Seeds::of(&settings)?;
     let link_settings = LinkSettings {
@@ -63,5 +71,6 @@
                 RelayOutput::ToFeed(id, message) => feeds.send(id, message),
             }
         }
+        configuration_size.set(relay.state().configuration_size());
     }
 }
--- a/src/control_plane/mod.rs
+++ b/src/control_plane/mod.rs
@@ -17,8 +17,11 @@
 use crate::system::{seeds::Seeds, stop::Stop};
 use anyhow::Context;
 use leave::Leave;
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
+use switchhill_configuration::DocumentSize;
 use switchhill_control::{ControlNode, Input, NodeSettings, Output};
 use switchhill_record_log::StandardFileSystem;
 use switchhill_replica_file::Writer;
@@ -84,7 +87,9 @@
         let (inputs, mut received) = mpsc::unbounded_channel();
         let mut tasks = EssentialTasks::default();
         let mut effects = Effects::start(writer, internal, control, &inputs, &settings.limits, &mut tasks);
-        tasks.spawn_local("memory watch", watch_memory(settings.limits.memory_mb, effects.memory_budgets()));
+        let configuration_size = Rc::new(Cell::new(node.configuration_size()));
+        let uses = memory_uses(effects.memory_budgets(), configuration_size.clone());
+        tasks.spawn_local("memory watch", watch_memory(settings.limits.memory_mb, uses));
         let mut ticks = tokio::time::interval(TICK_EVERY);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut leave: Option<Leave> = None;
@@ -110,6 +115,7 @@
             for output in node.handle(clock.now(), input) {
                 effects.carry_out(output);
             }
+            configuration_size.set(node.configuration_size());
         }
         effects.calls.close();
         effects.calls.leave_open();
@@ -118,6 +124,17 @@
     }
 }
 
+/// What takes memory in this process, for the log.
+fn memory_uses(
+    budgets: Vec<MemoryBudget>,
+    configuration: Rc<Cell<DocumentSize>>,
+) -> impl Fn() -> Vec<String> {
+    move || {
+        let budgets = budgets.iter().map(MemoryBudget::to_string);
+        budgets.chain([configuration.get().to_string()]).collect()
+    }
+}
+
 /// What carries out the node's decisions.
 struct Effects {
     disk: disk::Disk,
--- a/src/data_plane/pool.rs
+++ b/src/data_plane/pool.rs
@@ -149,6 +149,11 @@
         Ok(())
     }
 
+    /// Number of open connections to all workers.
+    pub(crate) fn open_connections(&self) -> u32 {
+        self.open.get()
+    }
+
     /// Whether the pool holds an idle connection to the worker.
     pub(crate) fn has_idle(&self, worker_id: &str) -> bool {
         self.workers.borrow().get(worker_id).is_some_and(|pool| pool.idle_since().is_some())
--- a/src/data_plane/server.rs
+++ b/src/data_plane/server.rs
@@ -83,7 +83,11 @@
             tasks.spawn_local("readiness", readiness::serve_readiness_checks(shared.clone(), listener));
         }
         let memory_mb = shared.settings.borrow().limits.memory_mb;
-        tasks.spawn_local("memory watch", watch_memory(memory_mb, shared.memory_budgets()));
+        let uses = {
+            let shared = shared.clone();
+            move || shared.memory_uses()
+        };
+        tasks.spawn_local("memory watch", watch_memory(memory_mb, uses));
         tokio::select! {
             () = shut_down(&shared) => Ok(()),
             failed = tasks.failed() => Err(failed.into()),
--- a/src/data_plane/shared.rs
+++ b/src/data_plane/shared.rs
@@ -104,9 +104,17 @@
         }
     }
 
-    /// Budgets of what requests and responses may hold.
-    pub(crate) fn memory_budgets(&self) -> Vec<MemoryBudget> {
-        vec![self.body_memory.clone(), self.head_memory.clone()]
+    /// What takes memory in this process, for the log.
+    pub(crate) fn memory_uses(&self) -> Vec<String> {
+        let configuration = self.document().map(|document| document.size()).unwrap_or_default();
+        vec![
+            self.body_memory.to_string(),
+            self.head_memory.to_string(),
+            format!("client connections {}", self.client_connections.get()),
+            format!("worker connections {}", self.pool.open_connections()),
+            format!("running requests {}", self.running.get()),
+            configuration.to_string(),
+        ]
     }
 
     /// Current time in milliseconds, on the clock that all decisions use.
--- a/src/system/memory_watch.rs
+++ b/src/system/memory_watch.rs
@@ -4,7 +4,6 @@
 #[cfg(test)]
 mod tests;
 
-use super::memory_budget::MemoryBudget;
 use std::time::Duration;
 use tokio::time::MissedTickBehavior;
 
@@ -49,8 +48,9 @@
     }
 }
 
-/// Watches the memory of this process for its lifetime. `limit_mb` is its limit in megabytes.
-pub(crate) async fn watch_memory(limit_mb: u64, budgets: Vec<MemoryBudget>) {
+/// Watches the memory of this process for its lifetime. `limit_mb` is its limit in megabytes; `uses` tells what takes it, each
+/// with its figure.
+pub(crate) async fn watch_memory(limit_mb: u64, uses: impl Fn() -> Vec<String>) {
     let mut watch = MemoryWatch::new(limit_mb);
     let mut looks = tokio::time::interval(LOOK_EVERY);
     looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -58,7 +58,7 @@
         looks.tick().await;
         let Some(resident_bytes) = resident_bytes() else { return };
         if watch.is_warning_due(resident_bytes) {
-            log::warn!("memory: {} of {limit_mb} MB resident; {}", resident_bytes >> 20, uses(&budgets));
+            log::warn!("memory: {} of {limit_mb} MB resident; {}", resident_bytes >> 20, uses().join(", "));
         }
     }
 }
@@ -73,8 +73,3 @@
         status.lines().find_map(|line| line.strip_prefix("VmRSS:")?.trim().strip_suffix(" kB"))?;
     Some(kilobytes.trim().parse::<u64>().ok()?.saturating_mul(1024))
 }
-
-fn uses(budgets: &[MemoryBudget]) -> String {
-    let uses: Vec<String> = budgets.iter().map(MemoryBudget::to_string).collect();
-    uses.join(", ")
-}
--- a/src/system/memory_watch/tests.rs
+++ b/src/system/memory_watch/tests.rs
@@ -1,4 +1,4 @@
-use super::{resident_bytes, resident_in, uses, MemoryWatch};
+use super::{resident_bytes, resident_in, MemoryWatch};
 use crate::system::memory_budget::MemoryBudget;
 use googletest::prelude::*;
 
@@ -31,8 +31,8 @@
 }
 
 #[gtest]
-fn budgets_tell_their_names_and_what_is_reserved() {
-    let (bodies, heads) = (MemoryBudget::new("bodies", 8, 0.5), MemoryBudget::new("heads", 8, 0.25));
+fn a_budget_tells_its_name_and_what_is_reserved() {
+    let bodies = MemoryBudget::new("bodies", 8, 0.5);
     let _reserved = bodies.reserve(3 << 20).expect("free memory");
-    expect_that!(uses(&[bodies, heads]), eq("bodies 3.0 of 4.0 MB, heads 0.0 of 2.0 MB"));
+    expect_that!(bodies.to_string(), eq("bodies 3.0 of 4.0 MB"));
 }
