Responses of workers leave a data plane within its memory, whatever is not read

Callers saw: data planes killed for their memory, and with them all requests that they carried. Cause: what workers answer was bounded one by one or not at all: an event that does not end was held whole; responses up to 64 KiB were read whole, with no bound for all together; and the HTTP library's read buffer of a connection grew to some 400 KB while its client did not read.

Change: reads from workers stay below the library's first buffer, so that buffers do not grow (short_read.rs); an event beyond 16 KiB is passed on as it comes, and its stream can be resumed only after its end; responses that are read whole share a tenth of the memory and are passed on as they come beyond it; connections to workers have a share of the memory beside that of descriptors. Nobody is refused for any of these. For the kinds that nobody has listed a process looks at its resident memory four times a second, returns free memory to the system above 60 % of the limit, and above 80 % a data plane refuses requests beyond 16 as not run, a control plane calls of over 64 KiB with 503. The share of bodies falls from 0.4 to 0.3, so that all shares have room beside each other. The C library's allocator is told to map large blocks by themselves.

--- a/lab/src/process_faults/answer_cases.rs
+++ b/lab/src/process_faults/answer_cases.rs
@@ -3,6 +3,7 @@
 use super::flood_worker::{AnswerCase, FloodWorker};
 use super::lone_process::raise_descriptor_limit;
 use super::site_configuration::{first, MODEL, PLAIN_PATH};
+use super::unfinished::{hold_connections, unfinished_body, unfinished_head};
 use crate::local_system::client::HOST;
 use crate::local_system::{until, Client, Site, SiteLimits, SiteSize};
 use anyhow::{ensure, Context};
@@ -22,6 +23,20 @@
 /// Time for a connection to come up.
 const CONNECT_WITHIN: Duration = Duration::from_secs(3);
 
+/// Bodies that do not end, of all kinds together, and what each has sent.
+const UNFINISHED_BODIES: usize = 150;
+const UNFINISHED_BODY_BYTES: usize = 1 << 20;
+
+/// Heads that do not end, of all kinds together, and what each has sent.
+const UNFINISHED_HEADS: usize = 800;
+const UNFINISHED_HEAD_BYTES: usize = 15 << 10;
+
+/// Requests of each case of answers, of all kinds together.
+const REQUESTS_OF_EACH_CASE: usize = 450;
+
+/// How long all kinds together are held.
+const ALL_KINDS_HELD_FOR: Duration = Duration::from_secs(8);
+
 /// Revision of the configuration.
 const REVISION: u64 = 1;
 
@@ -54,6 +69,32 @@
 /// # Errors
 /// The site does not come up, or the system does not tell a process's memory.
 pub async fn flood_answers(program: &Path, flood: AnswerFlood) -> anyhow::Result<AnswerOutcome> {
+    let hold = async |edge| hold_requests(edge, flood.case, flood.requests).await;
+    play_on_site(program, hold, flood.held_for).await
+}
+
+/// Plays all floods of clients and workers together: answers of each case, heads and bodies that do not end.
+///
+/// # Errors
+/// As for [`flood_answers`].
+pub async fn flood_all_kinds(program: &Path) -> anyhow::Result<AnswerOutcome> {
+    let hold = async |edge| {
+        let mut held =
+            hold_connections(edge, UNFINISHED_BODIES, unfinished_body(UNFINISHED_BODY_BYTES)).await;
+        held.extend(hold_connections(edge, UNFINISHED_HEADS, unfinished_head(UNFINISHED_HEAD_BYTES)).await);
+        for case in AnswerCase::ALL {
+            held.extend(hold_requests(edge, case, REQUESTS_OF_EACH_CASE).await);
+        }
+        held
+    };
+    play_on_site(program, hold, ALL_KINDS_HELD_FOR).await
+}
+
+async fn play_on_site(
+    program: &Path,
+    hold: impl AsyncFnOnce(SocketAddr) -> Vec<TcpStream>,
+    held_for: Duration,
+) -> anyhow::Result<AnswerOutcome> {
     raise_descriptor_limit();
     let mut site = Site::start_with(program, SIZE, SiteLimits::SMALL_DEPLOYMENT)?;
     let cores = site.control_addresses();
@@ -67,8 +108,8 @@
     let client = site.clients().swap_remove(0);
     until("a worker answers", || async { is_served(client).await.then_some(()) }).await?;
     let edge = site.edge_addresses()[0];
-    let held = hold_requests(edge, flood).await;
-    tokio::time::sleep(flood.held_for).await;
+    let held = hold(edge).await;
+    tokio::time::sleep(held_for).await;
     let peak_mb = site.data_plane(0).peak_resident_bytes()? >> 20;
     drop(held);
     let served =
@@ -86,10 +127,10 @@
 }
 
 /// Sends requests, each on a connection of its own that is kept and not read.
-async fn hold_requests(edge: SocketAddr, flood: AnswerFlood) -> Vec<TcpStream> {
+async fn hold_requests(edge: SocketAddr, case: AnswerCase, requests: usize) -> Vec<TcpStream> {
     let mut opening = JoinSet::new();
-    for number in 0..flood.requests {
-        let path = flood.case.path();
+    let path = case.path();
+    for number in 0..requests {
         let request = format!(
             "POST {path}{number} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: flood-{number}\r\nModel: {MODEL}\r\n\
              Token-Usage: 100,20\r\nRequest-Deadline-Ms: 30000\r\nContent-Length: 2\r\n\r\nhi"
--- a/lab/src/process_faults/mod.rs
+++ b/lab/src/process_faults/mod.rs
@@ -14,7 +14,7 @@
 mod table;
 mod unfinished;
 
-pub use answer_cases::{flood_answers, AnswerFlood, AnswerOutcome};
+pub use answer_cases::{flood_all_kinds, flood_answers, AnswerFlood, AnswerOutcome};
 pub use flood_worker::AnswerCase;
 pub use growth_case::{grow_configuration, Growth, GrowthOutcome};
 pub use lone_process::LoneProcess;
--- a/lab/src/process_faults/table.rs
+++ b/lab/src/process_faults/table.rs
@@ -1,6 +1,6 @@
 //! All cases as a table.
 
-use super::answer_cases::{flood_answers, AnswerFlood};
+use super::answer_cases::{flood_all_kinds, flood_answers, AnswerFlood, AnswerOutcome};
 use super::flood_worker::AnswerCase;
 use super::growth_case::{grow_configuration, Growth, GrowthOutcome};
 use super::memory_cases::{flood_heads, flood_internal_frames, Flood, Listener, MemoryOutcome};
@@ -72,9 +72,11 @@
         held &= print_memory("frames", flood, &flood_internal_frames(program, flood, ANNOUNCED_BYTES).await?);
     }
     for (case, requests, held_s) in ANSWER_FLOODS {
-        held &= print_answers(program, AnswerFlood { case, requests, held_for: Duration::from_secs(held_s) })
-            .await?;
+        let flood = AnswerFlood { case, requests, held_for: Duration::from_secs(held_s) };
+        let what = format!("{requests} answers {case:?} for {held_s} s");
+        held &= print_answers(&what, &flood_answers(program, flood).await?);
     }
+    held &= print_answers("all kinds together", &flood_all_kinds(program).await?);
     held &= print_growth(&grow_configuration(program, GROWTH).await?);
     for (command, case) in STARTS {
         let outcome = play_start(program, command, case).await?;
@@ -102,20 +104,16 @@
     is_within
 }
 
-async fn print_answers(program: &Path, flood: AnswerFlood) -> anyhow::Result<bool> {
-    let outcome = flood_answers(program, flood).await?;
+fn print_answers(what: &str, outcome: &AnswerOutcome) -> bool {
     let limit_mb = ProcessLimits::SMALL_EDGE.memory_mb;
     let is_within = outcome.peak_mb < limit_mb && outcome.all_run;
     println!(
-        "data-plane {:4} answers {:?} for {} s: {} MB of {limit_mb}, {}; serves afterwards: {}",
-        flood.requests,
-        flood.case,
-        flood.held_for.as_secs(),
+        "data-plane {what}: {} MB of {limit_mb}, {}; serves afterwards: {}",
         outcome.peak_mb,
         if is_within { "within" } else { "OVER" },
         outcome.serves_afterwards,
     );
-    Ok(is_within)
+    is_within
 }
 
 fn print_growth(outcome: &GrowthOutcome) -> bool {
--- a/lab/src/process_faults/unfinished.rs
+++ b/lab/src/process_faults/unfinished.rs
@@ -1,5 +1,7 @@
 //! Connections that begin to send something and never finish it.
 
+use super::site_configuration::PLAIN_PATH;
+use crate::local_system::client::HOST;
 use bytes::Bytes;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -32,6 +34,17 @@
     head
 }
 
+/// A request whose body is announced as twice as long as the part of it that is sent.
+pub(super) fn unfinished_body(bytes: usize) -> Vec<u8> {
+    let head = format!(
+        "POST {PLAIN_PATH}body HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: body\r\nContent-Length: {}\r\n\r\n",
+        2 * bytes
+    );
+    let mut request = head.into_bytes();
+    request.resize(request.len() + bytes, b'b');
+    request
+}
+
 /// The beginning of an internal message that announces `announced_bytes`, of so many bytes.
 pub(super) fn unfinished_frame(announced_bytes: u32, bytes: usize) -> Vec<u8> {
     let mut frame = vec![SUBSCRIBER_KIND];
--- a/lab/tests/process_faults.rs
+++ b/lab/tests/process_faults.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 use switchhill_lab::local_system::{built_beside, ProcessLimits};
 use switchhill_lab::process_faults::{
-    flood_answers, flood_heads, flood_internal_frames, grow_configuration, play_start, AnswerCase,
-    AnswerFlood, Flood, Growth, GrowthOutcome, Listener, StartCase,
+    flood_all_kinds, flood_answers, flood_heads, flood_internal_frames, grow_configuration, play_start,
+    AnswerCase, AnswerFlood, Flood, Growth, GrowthOutcome, Listener, StartCase,
 };
 
 /// One flood at a time: each has some thousand connections.
@@ -108,6 +108,13 @@
     expect_true!(outcome.all_run && outcome.serves_afterwards, "{flood:?}: {outcome:?}");
 }
 
+#[gtest]
+fn all_kinds_of_floods_together_leave_a_data_plane_within_its_memory() {
+    let outcome = run(async { flood_all_kinds(&built_beside()?).await });
+    expect_that!(outcome.peak_mb, lt(ProcessLimits::SMALL_EDGE.memory_mb), "{outcome:?}");
+    expect_true!(outcome.all_run && outcome.serves_afterwards, "{outcome:?}");
+}
+
 fn expect_within_memory(outcome: &GrowthOutcome) {
     for (program, peak_mb) in &outcome.peak_mb {
         let limits = match program.as_str() {
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -7,7 +7,7 @@
 use crate::system::clock::Clock;
 use crate::system::essential_tasks::EssentialTasks;
 use crate::system::incoming::incoming_memory;
-use crate::system::memory_watch::watch_memory;
+use crate::system::memory_watch::{watch_memory, MemoryShortage};
 use crate::system::seeds::Seeds;
 use crate::system::stop::Stop;
 use std::cell::Cell;
@@ -42,7 +42,10 @@
         let (memory, configuration_size) = (memory.clone(), configuration_size.clone());
         move || vec![memory.to_string(), configuration_size.get().to_string()]
     };
-    tasks.spawn_local("memory watch", watch_memory(settings.limits.memory_mb, uses));
+    tasks.spawn_local(
+        "memory watch",
+        watch_memory(settings.limits.memory_mb, MemoryShortage::default(), uses),
+    );
     let mut links = links::Links::new(memory.clone(), inputs.clone());
     let mut seeds = Seeds::of(&settings)?;
     let link_settings = LinkSettings {
--- a/src/control_plane/http.rs
+++ b/src/control_plane/http.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -25,16 +25,20 @@
 
 use crate::site_settings::ProcessLimits;
 use crate::system::connection;
-use crate::system::connection_slots::{most_connections, ConnectionSlots};
+use crate::system::connection_slots::{most_connections, ConnectionSlots, LISTENER_MEMORY_SHARE};
 use crate::system::essential_tasks::EssentialTasks;
 use crate::system::head_memory::{HeadMemory, HeadMemoryStream};
 use crate::system::memory_budget::MemoryBudget;
+use crate::system::memory_watch::MemoryShortage;
 use crate::system::request_body::{self, ReadBodyError};
 use crate::system::request_in_work::RequestInWork;
 
 /// Longest body of a call, in bytes.
 const LONGEST_BODY: usize = 8 << 20;
 
+/// Longest body in bytes that is taken while memory is short: any heartbeat, and changes of some hundred routes.
+const SHORT_BODY: u64 = 64 << 10;
+
 /// Share of the process's memory for the bodies of calls.
 const BODY_MEMORY_SHARE: f64 = 0.25;
 
@@ -67,6 +71,7 @@
     inputs: mpsc::UnboundedSender<Input>,
     body_memory: MemoryBudget,
     head_memory: MemoryBudget,
+    memory_shortage: MemoryShortage,
     connections: ConnectionSlots,
     closed: Rc<watch::Sender<bool>>,
 }
@@ -80,9 +85,10 @@
         listener: TcpListener,
         inputs: mpsc::UnboundedSender<Input>,
         limits: &ProcessLimits,
+        memory_shortage: MemoryShortage,
         tasks: &mut EssentialTasks,
     ) -> Calls {
-        let calls = Calls::new(inputs, limits);
+        let calls = Calls { memory_shortage, ..Calls::new(inputs, limits) };
         tasks.spawn_local("calls", accept(listener, calls.clone()));
         calls
     }
@@ -100,7 +106,10 @@
             inputs,
             body_memory: MemoryBudget::new("bodies of calls", limits.memory_mb, BODY_MEMORY_SHARE),
             head_memory: MemoryBudget::new("heads of calls", limits.memory_mb, HEAD_MEMORY_SHARE),
-            connections: ConnectionSlots::new(descriptors.clamp(1, most_connections(limits.memory_mb))),
+            memory_shortage: MemoryShortage::default(),
+            connections: ConnectionSlots::new(
+                descriptors.clamp(1, most_connections(limits.memory_mb, LISTENER_MEMORY_SHARE)),
+            ),
             closed: Rc::default(),
         }
     }
@@ -215,7 +224,7 @@
     calls: Calls,
     in_work: Rc<RequestInWork>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
-    let answer = match read_call(request, &calls.body_memory, &in_work).await {
+    let answer = match read_call(request, &calls, &in_work).await {
         Ok(call) => calls.make(call).await,
         Err(answer) => answer,
     };
@@ -258,14 +267,14 @@
 
 async fn read_call(
     request: Request<Incoming>,
-    memory: &MemoryBudget,
+    calls: &Calls,
     in_work: &Rc<RequestInWork>,
 ) -> Result<Call, Answer> {
     let (head, mut body) = request.into_parts();
     let base_version =
         head.headers.get(BASE_VERSION).and_then(|value| value.to_str().ok()?.trim().parse().ok());
-    let read = request_body::read(memory, &mut body, LONGEST_BODY);
-    let read = tokio::time::timeout(IDLE_FOR, read).await.map_err(|_| body_late())?;
+    let read = tokio::time::timeout(IDLE_FOR, read_body(calls, &mut body));
+    let read = read.await.map_err(|_| body_late())?;
     let body = read.map_err(|error| {
         tokio::task::spawn_local(request_body::discard(body, IDLE_FOR, in_work.clone()));
         body_refused(error)
@@ -280,6 +289,15 @@
     }
 }
 
+/// Reads the body of a call. While memory is short, a long one is not read.
+async fn read_body(calls: &Calls, body: &mut Incoming) -> Result<Bytes, ReadBodyError> {
+    let is_short = body.size_hint().upper().is_some_and(|length| length <= SHORT_BODY);
+    if calls.memory_shortage.is_on() && !is_short {
+        return Err(ReadBodyError::OutOfMemory);
+    }
+    request_body::read(&calls.body_memory, body, LONGEST_BODY).await
+}
+
 fn change(kind: OrderKind, base_version: Option<u64>, body: Bytes) -> Result<Call, Answer> {
     let missing = || coded(ResultCode::BadBaseVersion, "the header says what the order builds on");
     let base_version = base_version.ok_or_else(missing)?;
--- a/src/control_plane/mod.rs
+++ b/src/control_plane/mod.rs
@@ -13,7 +13,7 @@
 use crate::system::essential_tasks::{EssentialTaskFailed, EssentialTasks};
 use crate::system::listen::listen;
 use crate::system::memory_budget::MemoryBudget;
-use crate::system::memory_watch::watch_memory;
+use crate::system::memory_watch::{watch_memory, MemoryShortage};
 use crate::system::{seeds::Seeds, stop::Stop};
 use anyhow::Context;
 use leave::Leave;
@@ -86,10 +86,13 @@
         let ControlPlane { settings, mut seeds, clock, mut node, writer, internal, control } = self;
         let (inputs, mut received) = mpsc::unbounded_channel();
         let mut tasks = EssentialTasks::default();
-        let mut effects = Effects::start(writer, internal, control, &inputs, &settings.limits, &mut tasks);
+        let shortage = MemoryShortage::default();
+        let listeners = Listeners { internal, control };
+        let mut effects =
+            Effects::start(writer, listeners, &inputs, &settings.limits, shortage.clone(), &mut tasks);
         let configuration_size = Rc::new(Cell::new(node.configuration_size()));
         let uses = memory_uses(effects.memory_budgets(), configuration_size.clone());
-        tasks.spawn_local("memory watch", watch_memory(settings.limits.memory_mb, uses));
+        tasks.spawn_local("memory watch", watch_memory(settings.limits.memory_mb, shortage, uses));
         let mut ticks = tokio::time::interval(TICK_EVERY);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut leave: Option<Leave> = None;
@@ -135,6 +138,12 @@
     }
 }
 
+/// Open listeners.
+struct Listeners {
+    internal: TcpListener,
+    control: TcpListener,
+}
+
 /// What carries out the node's decisions.
 struct Effects {
     disk: disk::Disk,
@@ -147,16 +156,16 @@
     /// Begins to serve. What comes of it goes to `inputs`.
     fn start(
         writer: Writer<StandardFileSystem>,
-        internal: TcpListener,
-        control: TcpListener,
+        listeners: Listeners,
         inputs: &mpsc::UnboundedSender<Input>,
         limits: &ProcessLimits,
+        shortage: MemoryShortage,
         tasks: &mut EssentialTasks,
     ) -> Effects {
         Effects {
             disk: disk::Disk::start(writer, inputs.clone(), tasks),
-            links: links::Links::start(internal, inputs.clone(), limits.memory_mb, tasks),
-            calls: http::Calls::start(control, inputs.clone(), limits, tasks),
+            links: links::Links::start(listeners.internal, inputs.clone(), limits.memory_mb, tasks),
+            calls: http::Calls::start(listeners.control, inputs.clone(), limits, shortage, tasks),
             workers: workers::WorkerCalls::new(inputs.clone()),
         }
     }
--- a/src/data_plane/attempt.rs
+++ b/src/data_plane/attempt.rs
@@ -217,7 +217,7 @@
             self.shared.router.borrow_mut().model_not_loaded(self.shared.now(), worker, &self.profile);
         }
         let outcome = AttemptOutcome::NotExecuted(status.as_u16());
-        let body = response.read_up_to(policy::MAX_BUFFERED_RESPONSE_BYTES);
+        let body = response.read_up_to(policy::MAX_BUFFERED_RESPONSE_BYTES, &self.shared.response_memory);
         match tokio::time::timeout(policy::REFUSAL_BODY_TIMEOUT, body).await {
             Ok(BufferedBody::Complete(_)) => response.complete(outcome),
             _ => response.abandon(outcome),
--- a/src/data_plane/delivery.rs
+++ b/src/data_plane/delivery.rs
@@ -89,7 +89,7 @@
     response.attempt.first_byte();
     exchange.record_response_data();
     let start = tokio::select! {
-        start = response.read_up_to(policy::MAX_BUFFERED_RESPONSE_BYTES) => start,
+        start = response.read_up_to(policy::MAX_BUFFERED_RESPONSE_BYTES, &exchange.shared.response_memory) => start,
         () = tokio::time::sleep_until(exchange.deadline) => {
             response.abandon(AttemptOutcome::TimedOut);
             return ForwardResult::TimedOut(Box::new(exchange));
--- a/src/data_plane/event_stream.rs
+++ b/src/data_plane/event_stream.rs
@@ -1,8 +1,26 @@
-//! Splitting of a `text/event-stream` body into complete events.
+//! Splitting of a `text/event-stream` body into complete events. A long event is split into parts, so that a stream holds little
+//! memory whatever its worker sends.
 
 use bytes::{Bytes, BytesMut};
 
-/// One event, including the blank line that ends it.
+/// Longest incomplete event in bytes that is buffered. The beginning of a longer one is handed out as it is.
+pub(crate) const MAX_BUFFERED_EVENT_BYTES: usize = 16 * 1024;
+
+/// A piece of the body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Piece {
+    /// A complete event, or the beginning of a long one.
+    Event(Event),
+    /// More of a long event.
+    Continuation {
+        /// The bytes as received.
+        bytes: Bytes,
+        /// Whether the event ends with them.
+        ends_event: bool,
+    },
+}
+
+/// One event, including the blank line that ends it, or the beginning of a long one.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Event {
     /// The event as received.
@@ -13,6 +31,8 @@
     pub(crate) versions: Option<u64>,
     /// Whether the event has only comments and no field.
     pub(crate) is_comment: bool,
+    /// Whether this is all of the event.
+    pub(crate) is_complete: bool,
 }
 
 /// Buffers received bytes and splits them into events.
@@ -21,6 +41,8 @@
     buffer: BytesMut,
     /// Length of the buffer's prefix in which no event terminator begins.
     searched: usize,
+    /// Whether the buffer continues an event whose beginning was handed out.
+    continues_event: bool,
 }
 
 impl EventSplitter {
@@ -29,35 +51,48 @@
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Removes and returns the next complete event.
-    pub(crate) fn next_event(&mut self) -> Option<Event> {
-        match find_event_end(&self.buffer, self.searched) {
-            Some(end) => {
-                self.searched = 0;
-                Some(parse_event(self.buffer.split_to(end).freeze()))
-            }
-            None => {
-                self.searched = self.buffer.len().saturating_sub(MAX_TERMINATOR_LEN - 1);
-                None
-            }
+    /// Removes and returns the next complete event, or a part of a long one.
+    pub(crate) fn next_piece(&mut self) -> Option<Piece> {
+        let Some(end) = find_event_end(&self.buffer, self.searched) else {
+            self.searched = self.buffer.len().saturating_sub(MAX_TERMINATOR_LEN - 1);
+            return self.next_part();
+        };
+        self.searched = 0;
+        let bytes = self.buffer.split_to(end).freeze();
+        Some(match std::mem::take(&mut self.continues_event) {
+            true => Piece::Continuation { bytes, ends_event: true },
+            false => Piece::Event(parse_event(bytes, true)),
+        })
+    }
+
+    /// Removes and returns what is buffered of a long event, up to where its terminator may begin.
+    fn next_part(&mut self) -> Option<Piece> {
+        if self.buffer.len() <= MAX_BUFFERED_EVENT_BYTES {
+            return None;
         }
+        let bytes = self.buffer.split_to(self.searched).freeze();
+        self.searched = 0;
+        Some(match std::mem::replace(&mut self.continues_event, true) {
+            true => Piece::Continuation { bytes, ends_event: false },
+            false => Piece::Event(parse_event(bytes, false)),
+        })
     }
 
-    /// Whether no bytes are buffered.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.buffer.is_empty()
+    /// Whether all events that have begun are complete.
+    pub(crate) fn is_between_events(&self) -> bool {
+        self.buffer.is_empty() && !self.continues_event
     }
 
     /// Removes and returns the buffered bytes, which belong to no complete event.
     pub(crate) fn take_rest(&mut self) -> Bytes {
         self.searched = 0;
+        self.continues_event = false;
         self.buffer.split().freeze()
     }
 
     /// Discards an incomplete event.
     pub(crate) fn clear(&mut self) {
-        self.buffer.clear();
-        self.searched = 0;
+        *self = EventSplitter::default();
     }
 }
 
@@ -78,10 +113,14 @@
     })
 }
 
-fn parse_event(bytes: Bytes) -> Event {
-    let mut event = Event { bytes: bytes.clone(), id: None, versions: None, is_comment: true };
-    for line in bytes.split(|byte| matches!(byte, b'\n' | b'\r')) {
-        event.is_comment &= line.is_empty() || line.starts_with(b":");
+fn parse_event(bytes: Bytes, is_complete: bool) -> Event {
+    let mut event = Event { bytes: bytes.clone(), id: None, versions: None, is_comment: true, is_complete };
+    let is_line_end = |byte: &u8| matches!(byte, b'\n' | b'\r');
+    let mut lines: Vec<&[u8]> = bytes.split(is_line_end).collect();
+    // The last line of a beginning may be cut: it shows whether it is a comment, and no value.
+    let cut = if is_complete { None } else { lines.pop() };
+    event.is_comment = lines.iter().copied().chain(cut).all(|line| line.is_empty() || line.starts_with(b":"));
+    for line in lines {
         if let Some(value) = line.strip_prefix(b"id:") {
             event.id = parse_number(value);
         } else if let Some(value) = line.strip_prefix(b"versions:") {
--- a/src/data_plane/event_stream_response.rs
+++ b/src/data_plane/event_stream_response.rs
@@ -1,7 +1,7 @@
 //! Event stream response: forwarded event by event, and resumed at another worker if the first one fails.
 
 use super::attempt::{AttemptResult, ResumePoint};
-use super::event_stream::{Event, EventSplitter};
+use super::event_stream::{Event, EventSplitter, Piece};
 use super::exchange::Exchange;
 use super::policy;
 use super::request_log::RequestEnd;
@@ -38,6 +38,17 @@
     version_to_announce: Option<u64>,
     /// Whether the stream was resumed: events up to the last id have already been forwarded.
     resumed: bool,
+    /// What becomes of the rest of a long event whose beginning has been received.
+    long_event: Option<LongEvent>,
+}
+
+/// A long event of which the beginning has been received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LongEvent {
+    /// The beginning was forwarded. The stream can be resumed only after its end.
+    Forwarded,
+    /// The client has already received the event.
+    Skipped,
 }
 
 /// Input that a stream waits for.
@@ -84,8 +95,13 @@
     fn complete_events(&mut self, data: &[u8]) -> Bytes {
         self.splitter.push(data);
         let mut output = BytesMut::new();
-        while let Some(event) = self.splitter.next_event() {
-            self.position.forward(&event, &mut output);
+        while let Some(piece) = self.splitter.next_piece() {
+            match piece {
+                Piece::Event(event) => self.position.forward(&event, &mut output),
+                Piece::Continuation { bytes, ends_event } => {
+                    self.position.forward_continuation(&bytes, ends_event, &mut output);
+                }
+            }
         }
         output.freeze()
     }
@@ -103,7 +119,8 @@
     /// Whether the body, if it ends here, is truncated within an event. Only a body that is delimited by the
     /// end of its connection can be truncated without an error.
     fn ends_within_event(&self) -> bool {
-        !self.splitter.is_empty() && self.response.as_ref().is_some_and(WorkerResponse::ends_with_connection)
+        !self.splitter.is_between_events()
+            && self.response.as_ref().is_some_and(WorkerResponse::ends_with_connection)
     }
 
     fn abort(&mut self, outcome: AttemptOutcome) -> Chunk {
@@ -115,9 +132,7 @@
 
     /// Whether another worker could resume the stream.
     fn can_resume_elsewhere(&self) -> bool {
-        self.exchange.rules.resumable
-            && !self.position.has_event_without_id
-            && self.exchange.may_retry_elsewhere()
+        self.exchange.rules.resumable && self.position.is_resumable() && self.exchange.may_retry_elsewhere()
     }
 
     /// Resumes the stream at another worker after its connection has failed. Returns whether that succeeded.
@@ -128,7 +143,7 @@
             }
             response.abandon(outcome);
         }
-        if !self.exchange.rules.resumable || self.position.has_event_without_id {
+        if !self.exchange.rules.resumable || !self.position.is_resumable() {
             return false;
         }
         let resumed = self.exchange.resume(self.position.last_id, self.position.version).await;
@@ -207,8 +222,11 @@
 impl StreamPosition {
     /// Appends an event to the output, unless the client has already received it.
     fn forward(&mut self, event: &Event, output: &mut BytesMut) {
-        let is_duplicate = event.id.is_some() && event.id <= self.last_id;
-        if self.resumed && is_duplicate {
+        let is_duplicate = self.resumed && event.id.is_some() && event.id <= self.last_id;
+        if !event.is_complete {
+            self.long_event = Some(if is_duplicate { LongEvent::Skipped } else { LongEvent::Forwarded });
+        }
+        if is_duplicate {
             return;
         }
         let to_announce = if event.is_comment { None } else { self.version_to_announce.take() };
@@ -222,9 +240,25 @@
         output.extend_from_slice(&event.bytes);
     }
 
+    /// Appends more of a long event to the output, unless the client has already received it.
+    fn forward_continuation(&mut self, bytes: &Bytes, ends_event: bool, output: &mut BytesMut) {
+        if self.long_event == Some(LongEvent::Forwarded) {
+            output.extend_from_slice(bytes);
+        }
+        if ends_event {
+            self.long_event = None;
+        }
+    }
+
+    /// Whether the client has received whole events only, all of them with an id.
+    fn is_resumable(&self) -> bool {
+        !self.has_event_without_id && self.long_event != Some(LongEvent::Forwarded)
+    }
+
     /// Continues the stream with a worker of this version.
     fn resume_with(&mut self, version: Option<u64>) {
         self.resumed = true;
+        self.long_event = None;
         self.version_to_announce = version.filter(|version| Some(*version) != self.version);
     }
 }
--- a/src/data_plane/flush_tracking.rs
+++ b/src/data_plane/flush_tracking.rs
@@ -1,10 +1,11 @@
-//! Stream wrapper that tracks whether all written data has been flushed.
+//! Stream wrapper that tracks whether all written data has been flushed, and reads little at a time.
 //!
 //! The HTTP library considers a worker connection ready as soon as the response has been read, even if the
 //! rest of the request is still in its write buffer: a worker may respond before it has read a long body.
 //! Another request on such a connection would wait behind that body. On a client connection the library may
 //! still buffer the end of a complete response until a slow client has read the data before it.
 
+use crate::system::short_read::poll_short_read;
 use std::cell::Cell;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -73,7 +74,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        poll_short_read(Pin::new(&mut self.stream), context, buffer).map_ok(|_| ())
     }
 }
 
--- a/src/data_plane/ingress.rs
+++ b/src/data_plane/ingress.rs
@@ -159,6 +159,10 @@
     let timeout = body_read_timeout(shared, &head);
     let awaits_continue = parts.headers.contains_key(EXPECT);
     let body = read_body(shared, body, awaits_continue, arrived + timeout, &in_work).await;
+    let body = body.and_then(|body| match shared.is_out_of_memory() {
+        true => Err(refused_for_memory(shared)),
+        false => Ok(body),
+    });
     if body.is_ok() {
         shared.wait_for_configuration(arrived + policy::MAX_CONFIGURATION_WAIT.min(timeout / 4)).await;
     }
@@ -207,13 +211,16 @@
     Err(match error {
         ReadBodyError::TooLong => LocalReply::BodyTooLarge,
         ReadBodyError::Unreadable => LocalReply::BodyUnreadable,
-        ReadBodyError::OutOfMemory => {
-            shared.statistics.borrow_mut().refusals.memory += 1;
-            refused
-        }
+        ReadBodyError::OutOfMemory => refused_for_memory(shared),
     })
 }
 
+/// Refuses a request whose memory is not free.
+fn refused_for_memory(shared: &Shared) -> LocalReply {
+    shared.statistics.borrow_mut().refusals.memory += 1;
+    LocalReply::NotRun { retry_after_ms: policy::RETRY_AFTER_REFUSED_MS }
+}
+
 /// Looks up the route in the newest configuration.
 fn find_route(shared: &Shared, head: &RequestHead) -> Result<Arc<Route>, LocalReply> {
     let retry_later = LocalReply::NotRun { retry_after_ms: policy::RETRY_AFTER_NO_CONFIGURATION_MS };
--- a/src/data_plane/mod.rs
+++ b/src/data_plane/mod.rs
@@ -35,6 +35,7 @@
 mod request_head;
 mod request_log;
 mod response_body;
+mod response_buffer;
 mod running_requests;
 mod server;
 mod shared;
--- a/src/data_plane/policy.rs
+++ b/src/data_plane/policy.rs
@@ -146,9 +146,17 @@
 pub(crate) const MAX_UNSENT_ATTEMPTS: u32 = 4;
 /// Share of the process's memory for request bodies. The rest is for the buffers of the connections, responses
 /// that are read before they are forwarded, and the state of the system.
-pub(crate) const BODY_MEMORY_SHARE: f64 = 0.4;
+pub(crate) const BODY_MEMORY_SHARE: f64 = 0.3;
 /// Share of the process's memory for the heads of requests beyond the first buffer of each connection.
 pub(crate) const HEAD_MEMORY_SHARE: f64 = 0.08;
+/// Share of the process's memory for responses that are read before they are forwarded. Beyond it they are forwarded as
+/// they are received.
+pub(crate) const RESPONSE_MEMORY_SHARE: f64 = 0.1;
+/// Share of the process's memory for the connections to workers.
+pub(crate) const WORKER_CONNECTION_MEMORY_SHARE: f64 = 0.15;
+/// Number of running requests up to which requests are taken while memory is short: what holds it is something else then, and
+/// refusing everybody would not free it.
+pub(crate) const MIN_REQUESTS_IN_SHORTAGE: u32 = 16;
 /// Longest time for reading a request body. The request's deadline may end it earlier.
 pub(crate) const MAX_BODY_READ_TIME: Duration = Duration::from_secs(30);
 /// Request size that admission assumes if a request does not state its tokens.
--- a/src/data_plane/server.rs
+++ b/src/data_plane/server.rs
@@ -87,7 +87,7 @@
             let shared = shared.clone();
             move || shared.memory_uses()
         };
-        tasks.spawn_local("memory watch", watch_memory(memory_mb, uses));
+        tasks.spawn_local("memory watch", watch_memory(memory_mb, shared.memory_shortage.clone(), uses));
         tokio::select! {
             () = shut_down(&shared) => Ok(()),
             failed = tasks.failed() => Err(failed.into()),
--- a/src/data_plane/shared.rs
+++ b/src/data_plane/shared.rs
@@ -18,6 +18,7 @@
 use super::view::View;
 use crate::site_settings::{Bounds, SiteSettings};
 use crate::system::memory_budget::MemoryBudget;
+use crate::system::memory_watch::MemoryShortage;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -59,6 +60,8 @@
     pub(crate) connection_limits: ConnectionLimits,
     pub(crate) body_memory: MemoryBudget,
     pub(crate) head_memory: MemoryBudget,
+    pub(crate) response_memory: MemoryBudget,
+    pub(crate) memory_shortage: MemoryShortage,
     view: RefCell<Arc<View>>,
     feedback: UnboundedSender<Feedback>,
     last_summary_at: Cell<u64>,
@@ -72,8 +75,10 @@
         shutdown: ShutdownHandle,
     ) -> Shared {
         let connection_limits = ConnectionLimits::of(&settings.limits);
-        let head_memory = MemoryBudget::new("heads", settings.limits.memory_mb, policy::HEAD_MEMORY_SHARE);
-        let body_memory = MemoryBudget::new("bodies", settings.limits.memory_mb, policy::BODY_MEMORY_SHARE);
+        let memory_mb = settings.limits.memory_mb;
+        let head_memory = MemoryBudget::new("heads", memory_mb, policy::HEAD_MEMORY_SHARE);
+        let body_memory = MemoryBudget::new("bodies", memory_mb, policy::BODY_MEMORY_SHARE);
+        let response_memory = MemoryBudget::new("responses", memory_mb, policy::RESPONSE_MEMORY_SHARE);
         Shared {
             router: RefCell::new(Router::new(router_settings(&settings), fastrand::u64(..))),
             retry_budget: RefCell::new(retry_budget(&settings)),
@@ -98,6 +103,8 @@
             connection_limits,
             body_memory,
             head_memory,
+            response_memory,
+            memory_shortage: MemoryShortage::default(),
             view: RefCell::default(),
             feedback,
             last_summary_at: Cell::new(now_ms()),
@@ -110,6 +117,7 @@
         vec![
             self.body_memory.to_string(),
             self.head_memory.to_string(),
+            self.response_memory.to_string(),
             format!("client connections {}", self.client_connections.get()),
             format!("worker connections {}", self.pool.open_connections()),
             format!("running requests {}", self.running.get()),
@@ -117,6 +125,11 @@
         ]
     }
 
+    /// Whether one more request would risk the process: its memory is short, and enough requests run to be what holds it.
+    pub(crate) fn is_out_of_memory(&self) -> bool {
+        self.memory_shortage.is_on() && self.running.get() > policy::MIN_REQUESTS_IN_SHORTAGE
+    }
+
     /// Current time in milliseconds, on the clock that all decisions use.
     pub(crate) fn now(&self) -> u64 {
         now_ms()
--- a/src/data_plane/tests.rs
+++ b/src/data_plane/tests.rs
@@ -11,13 +11,14 @@
 mod reachability;
 mod refusals;
 mod request_log;
+mod response_memory;
 pub(crate) mod scripted_worker;
 mod stalled_worker;
 mod statistics;
 mod time_limits;
 
 use super::connection_limits::ConnectionLimits;
-use super::event_stream::EventSplitter;
+use super::event_stream::{Event, EventSplitter, Piece, MAX_BUFFERED_EVENT_BYTES};
 use super::outcome::{classify, ResponseClass};
 use super::request_head::{ModelName, RequestHead};
 use super::shutdown::ShutdownTimes;
@@ -121,6 +122,13 @@
     expect_that!(classify_response(421, &[ID]), eq(ResponseClass::NotRun(StatusCode::MISDIRECTED_REQUEST)));
 }
 
+fn complete_event(piece: Piece) -> Event {
+    match piece {
+        Piece::Event(event) if event.is_complete => event,
+        other => panic!("no complete event: {other:?}"),
+    }
+}
+
 #[gtest]
 fn events_are_complete_wherever_the_bytes_are_split() {
     let body = b"id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\nversions: 7\nid: 3\n\nid: 4\ndata: cut";
@@ -129,7 +137,7 @@
         let mut events = Vec::new();
         for chunk in [&body[..split], &body[split..]] {
             splitter.push(chunk);
-            events.extend(std::iter::from_fn(|| splitter.next_event()));
+            events.extend(std::iter::from_fn(|| splitter.next_piece()).map(complete_event));
         }
         let ids: Vec<_> = events.iter().map(|event| event.id).collect();
         expect_that!(ids, eq(&vec![Some(1), Some(2), Some(3)]), "split at {split}");
@@ -140,6 +148,55 @@
     }
 }
 
+#[gtest]
+fn a_long_event_is_handed_out_in_parts_wherever_its_end_is_split() {
+    for terminator in ["\n\n", "\r\n\r\n", "\r\r"] {
+        let long = format!("id: 7\nversions: 2\ndata: {}", "x".repeat(2 * MAX_BUFFERED_EVENT_BYTES));
+        let body = format!("{long}{terminator}id: 8{terminator}");
+        for split in long.len() - 2..body.len() {
+            let mut splitter = EventSplitter::default();
+            let mut pieces = Vec::new();
+            for chunk in [&body[..split], &body[split..]] {
+                for part in chunk.as_bytes().chunks(1000) {
+                    splitter.push(part);
+                    pieces.extend(std::iter::from_fn(|| splitter.next_piece()));
+                }
+            }
+            let what = format!("{terminator:?}, split at {split}");
+            let Some(Piece::Event(first)) = pieces.first() else { panic!("{what}: {:?}", pieces.first()) };
+            expect_that!(
+                (first.id, first.versions, first.is_complete),
+                eq((Some(7), Some(2), false)),
+                "{what}"
+            );
+            let ends =
+                pieces.iter().filter(|piece| matches!(piece, Piece::Continuation { ends_event: true, .. }));
+            expect_that!(ends.count(), eq(1), "{what}");
+            let Some(Piece::Event(last)) = pieces.last() else { panic!("{what}: {:?}", pieces.last()) };
+            expect_that!((last.id, last.is_complete), eq((Some(8), true)), "{what}");
+            let output: Vec<u8> = pieces.iter().flat_map(|piece| bytes_of(piece).to_vec()).collect();
+            expect_that!(output == body.as_bytes(), eq(true), "{what}");
+            expect_that!(splitter.is_between_events(), eq(true), "{what}");
+        }
+    }
+}
+
+#[gtest]
+fn the_cut_line_of_a_long_event_gives_no_value() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(format!(":{}\nid: 12", "c".repeat(MAX_BUFFERED_EVENT_BYTES)).as_bytes());
+    let Some(Piece::Event(event)) = splitter.next_piece() else { panic!("a long event has a beginning") };
+    expect_that!((event.id, event.is_complete), eq((None, false)));
+    expect_that!(splitter.is_between_events(), eq(false));
+}
+
+fn bytes_of(piece: &Piece) -> &[u8] {
+    match piece {
+        Piece::Event(event) => &event.bytes,
+        Piece::Continuation { bytes, .. } => bytes,
+    }
+}
+
 fn limits_of(max_fds: u64, memory_mb: u64) -> ProcessLimits {
     ProcessLimits { max_fds, memory_mb, ..ProcessLimits::default() }
 }
--- a/src/data_plane/worker_response.rs
+++ b/src/data_plane/worker_response.rs
@@ -3,7 +3,9 @@
 use super::outstanding::OutstandingAttempt;
 use super::policy;
 use super::pool::Lease;
-use bytes::{Bytes, BytesMut};
+use super::response_buffer::ResponseBuffer;
+use crate::system::memory_budget::MemoryBudget;
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -34,7 +36,7 @@
 pub(crate) enum BufferedBody {
     /// The whole body.
     Complete(Bytes),
-    /// The body is longer than the limit; these are its first bytes.
+    /// The body is longer than the limit, or other bodies hold the memory; these are its first bytes.
     ExceedsLimit(Bytes),
     /// The connection failed before the end.
     Broken,
@@ -66,24 +68,19 @@
         }
     }
 
-    /// Reads the body until it ends or exceeds the limit.
-    pub(crate) async fn read_up_to(&mut self, limit: usize) -> BufferedBody {
-        let mut first: Option<Bytes> = None;
-        let mut joined = BytesMut::new();
+    /// Reads the body until it ends, exceeds the limit, or its memory is not free.
+    pub(crate) async fn read_up_to(&mut self, limit: usize, memory: &MemoryBudget) -> BufferedBody {
+        let mut buffer = ResponseBuffer::new(memory);
         loop {
             match self.read_next().await {
                 BodyRead::Broken => return BufferedBody::Broken,
-                BodyRead::End => return BufferedBody::Complete(first.unwrap_or_else(|| joined.freeze())),
-                BodyRead::Data(data) if first.is_none() && joined.is_empty() => first = Some(data),
+                BodyRead::End => return BufferedBody::Complete(buffer.into_bytes()),
                 BodyRead::Data(data) => {
-                    joined.extend_from_slice(&first.take().unwrap_or_default());
-                    joined.extend_from_slice(&data);
+                    if !buffer.push(data) || buffer.len() > limit {
+                        return BufferedBody::ExceedsLimit(buffer.into_bytes());
+                    }
                 }
             }
-            let length = first.as_ref().map_or(joined.len(), Bytes::len);
-            if length > limit {
-                return BufferedBody::ExceedsLimit(first.unwrap_or_else(|| joined.freeze()));
-            }
         }
     }
 
--- a/src/system/command.rs
+++ b/src/system/command.rs
@@ -1,5 +1,6 @@
 //! Commands of the system's programs.
 
+use super::allocator;
 use super::first_settings::read_first;
 use super::process_log::{log_end, log_panics, log_start};
 use super::stop::Stop;
@@ -111,6 +112,7 @@
 }
 
 fn start(program: &Program) -> anyhow::Result<()> {
+    allocator::set_up();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     // First of all: until its handler is there, a signal ends the process.
     let mut stop = handle_signals(&runtime)?;
--- a/src/system/connection_slots.rs
+++ b/src/system/connection_slots.rs
@@ -13,11 +13,11 @@
 pub(crate) const CONNECTION_BYTES: u64 = 20 * 1024;
 
 /// Share of a process's memory for the connections of a listener.
-const MEMORY_SHARE: f64 = 0.2;
+pub(crate) const LISTENER_MEMORY_SHARE: f64 = 0.2;
 
-/// Largest number of connections for which the memory suffices; `memory_mb` is the process's limit.
-pub(crate) fn most_connections(memory_mb: u64) -> usize {
-    let bytes = memory_mb.saturating_mul(1 << 20) as f64 * MEMORY_SHARE;
+/// Largest number of connections for which a share of the memory suffices; `memory_mb` is the process's limit.
+pub(crate) fn most_connections(memory_mb: u64, share: f64) -> usize {
+    let bytes = memory_mb.saturating_mul(1 << 20) as f64 * share;
     ((bytes / CONNECTION_BYTES as f64) as usize).max(1)
 }
 
--- a/src/system/connection_slots/tests.rs
+++ b/src/system/connection_slots/tests.rs
@@ -1,4 +1,4 @@
-use super::{most_connections, ConnectionSlot, ConnectionSlots};
+use super::{most_connections, ConnectionSlot, ConnectionSlots, LISTENER_MEMORY_SHARE};
 use googletest::prelude::*;
 use std::future::Future;
 use std::rc::Rc;
@@ -80,6 +80,6 @@
 
 #[gtest]
 fn connections_take_a_fifth_of_the_memory_at_the_most() {
-    expect_that!(most_connections(256), eq(2621));
-    expect_that!(most_connections(0), eq(1));
+    expect_that!(most_connections(256, LISTENER_MEMORY_SHARE), eq(2621));
+    expect_that!(most_connections(0, LISTENER_MEMORY_SHARE), eq(1));
 }
--- a/src/system/head_memory.rs
+++ b/src/system/head_memory.rs
@@ -7,6 +7,7 @@
 mod tests;
 
 use super::memory_budget::{MemoryBudget, Reservation};
+use super::short_read::poll_short_read;
 use std::cell::RefCell;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -14,9 +15,6 @@
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Longest single read in bytes, below the first buffer of the HTTP library, which doubles its buffer after a read that fills it.
-const READ_BYTES: usize = 8 * 1024 - 1;
-
 /// Bytes of a head that need no reservation: they fit into the buffer that each connection has.
 const FREE_BYTES: usize = 8 * 1024;
 
@@ -111,12 +109,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let count = {
-            let mut part = ReadBuf::new(buffer.initialize_unfilled_to(buffer.remaining().min(READ_BYTES)));
-            ready!(Pin::new(&mut self.stream).poll_read(context, &mut part))?;
-            part.filled().len()
-        };
-        buffer.advance(count);
+        let count = ready!(poll_short_read(Pin::new(&mut self.stream), context, buffer))?;
         Poll::Ready(self.memory.received(count))
     }
 }
--- a/src/system/head_memory/tests.rs
+++ b/src/system/head_memory/tests.rs
@@ -1,5 +1,6 @@
-use super::{HeadMemory, HeadMemoryStream, READ_BYTES};
+use super::{HeadMemory, HeadMemoryStream};
 use crate::system::memory_budget::MemoryBudget;
+use crate::system::short_read::READ_BYTES;
 use googletest::prelude::*;
 use std::future::Future;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/src/system/memory_watch/tests.rs
+++ b/src/system/memory_watch/tests.rs
@@ -1,6 +1,7 @@
 use super::{resident_bytes, resident_in, MemoryWatch};
 use crate::system::memory_budget::MemoryBudget;
 use googletest::prelude::*;
+use tokio::time::Instant;
 
 const LIMIT_MB: u64 = 256;
 
@@ -23,6 +24,27 @@
     expect_that!(due, eq([true, false, true]));
 }
 
+#[gtest]
+fn memory_is_short_above_a_share_of_the_limit_and_until_it_has_fallen_below_a_lower_one() {
+    let watch = MemoryWatch::new(LIMIT_MB);
+    let mut is_short = false;
+    let told = [204, 205, 190, 185, 184, 204].map(|size| {
+        is_short = watch.is_short(is_short, megabytes(size));
+        is_short
+    });
+    expect_that!(told, eq([false, true, true, true, false, false]));
+}
+
+#[gtest]
+fn free_memory_is_returned_above_a_share_of_the_limit_and_not_too_often() {
+    let mut watch = MemoryWatch::new(LIMIT_MB);
+    let start = Instant::now();
+    let after = |seconds: u64| start + std::time::Duration::from_secs(seconds);
+    let looks = [(0, 100), (1, 160), (2, 200), (3, 200), (4, 100), (9, 154)];
+    let due = looks.map(|(seconds, size)| watch.is_trim_due(after(seconds), megabytes(size)));
+    expect_that!(due, eq([false, true, false, true, false, true]));
+}
+
 #[gtest]
 fn the_resident_size_of_this_process_is_read() {
     expect_that!(resident_bytes(), some(gt(megabytes(1))));
--- a/src/system/mod.rs
+++ b/src/system/mod.rs
@@ -1,6 +1,7 @@
 //! What the programs of the system share: command line, clock, check of files, connections and what waits for them, signals,
 //! essential tasks, and what the log says of a process as a whole.
 
+mod allocator;
 pub mod check;
 pub mod clock;
 pub mod command;
@@ -18,6 +19,7 @@
 pub(crate) mod request_body;
 pub(crate) mod request_in_work;
 pub mod seeds;
+pub(crate) mod short_read;
 pub mod stop;
 
 use crate::site_settings::SiteSettings;
