A change of the configuration costs what it changes, whatever the number of routes

Callers saw: core machines that stand still at each change of a large configuration, and hold it many times over. Cause: each change hashed the names, hosts and prefixes of all routes into new tables of strings, wrote and hashed the whole text, and compared names of all items, at the proposer, at each other core machine, at each agent and at each data plane.

Change: an item keeps hashes of its name and text; names and places of routes are found by tables of places that hold no strings; the routes' index is made where it is first used; routes found valid before are not checked again; a delta leaves out what both lists begin and end with, and an agent passes the delta on that it was sent; the text for operators is made when it is asked for. The register's value has a second layout, texts of items first and the rest behind them, so that a reader that knows most items reads no JSON; the first layout is still read. Deltas carry another digest: an agent of another edition than its core machine fetches whole configurations.

--- a/crates/configuration/src/change.rs
+++ b/crates/configuration/src/change.rs
@@ -6,8 +6,9 @@
 
 use crate::document::{read_revision, Document};
 use crate::error::{ConfigurationError, ResultCode};
+use crate::item::Item;
 use crate::members::{
-    located, parse_items, Item, Member, Members, RawObject, REMOVE, REVISION, ROUTES, SERVICES, UPSERT,
+    located, parse_items, Member, Members, RawObject, REMOVE, REVISION, ROUTES, SERVICES, UPSERT,
 };
 
 /// What a change does to one member of the configuration.
--- a/crates/configuration/src/check.rs
+++ b/crates/configuration/src/check.rs
@@ -1,26 +1,23 @@
 //! Checks of a whole configuration.
 
-use std::collections::{HashMap, HashSet};
-use std::sync::Arc;
+use std::collections::HashSet;
 
 use garde::Validate;
 
 use crate::document::Document;
 use crate::error::{ConfigurationError, ResultCode};
 use crate::members::{ROUTES, SERVICES};
-use crate::route::Route;
-use crate::route_index::normal_host;
 
 /// Tells the first fault of a configuration.
 pub(crate) fn check(document: &Document) -> Result<(), ConfigurationError> {
     for service in document.services() {
         check_fields(service).map_err(|error| error.at_item(SERVICES, &service.name))?;
     }
-    for route in document.routes() {
-        check_fields(route.as_ref()).map_err(|error| error.at_item(ROUTES, &route.name))?;
+    for item in document.members().items(ROUTES) {
+        item.check_route(check_fields).map_err(|error| error.at_item(ROUTES, item.name()))?;
     }
     check_services_known(document)?;
-    check_places(document.routes())
+    check_places(document)
 }
 
 fn check_fields<T: Validate<Context = ()>>(item: &T) -> Result<(), ConfigurationError> {
@@ -39,7 +36,8 @@
 
 fn check_services_known(document: &Document) -> Result<(), ConfigurationError> {
     let known: HashSet<&str> = document.services().iter().map(|service| service.name.as_str()).collect();
-    for route in document.routes() {
+    for item in document.members().items(ROUTES) {
+        let route = item.route()?;
         let mut backends = route.backends.iter();
         if let Some(unknown) = backends.find(|backend| !known.contains(backend.service.as_str())) {
             let detail = format!("there is no service {:?}", unknown.service);
@@ -50,15 +48,10 @@
     Ok(())
 }
 
-fn check_places(routes: &[Arc<Route>]) -> Result<(), ConfigurationError> {
-    let mut places = HashMap::with_capacity(routes.len());
-    for route in routes {
-        let place = (normal_host(&route.host), route.path_prefix.as_str());
-        if let Some(other) = places.insert(place, route.name.as_str()) {
-            let detail = format!("route {other:?} has the same host and prefix");
-            let error = ConfigurationError::new(ResultCode::SharedPlace, detail);
-            return Err(error.at_item(ROUTES, &route.name).at_field("pathPrefix"));
-        }
-    }
-    Ok(())
+fn check_places(document: &Document) -> Result<(), ConfigurationError> {
+    let Some(shared) = document.index().shared_place() else { return Ok(()) };
+    let items = document.members().items(ROUTES);
+    let detail = format!("route {:?} has the same host and prefix", items[shared.first].name());
+    let error = ConfigurationError::new(ResultCode::SharedPlace, detail);
+    Err(error.at_item(ROUTES, items[shared.second].name()).at_field("pathPrefix"))
 }
--- a/crates/configuration/src/delta.rs
+++ b/crates/configuration/src/delta.rs
@@ -1,6 +1,5 @@
 //! The difference between two configurations, for subscribers that hold the older one.
 
-use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -8,7 +7,9 @@
 
 use crate::document::Document;
 use crate::error::ConfigurationError;
-use crate::members::{Item, Member, Members};
+use crate::item::Item;
+use crate::members::{Member, Members};
+use crate::name_table::NameTable;
 
 /// What leads from one configuration to another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -139,17 +140,30 @@
 }
 
 fn items_edit(list: &str, old: &[Arc<Item>], new: &[Arc<Item>]) -> MemberEdit {
-    let old_items: HashMap<&str, &Arc<Item>> = old.iter().map(|item| (item.name.as_str(), item)).collect();
-    let new_names: HashSet<&str> = new.iter().map(|item| item.name.as_str()).collect();
-    let changed = new.iter().filter(|item| old_items.get(item.name.as_str()) != Some(item));
-    let gone = old.iter().filter(|item| !new_names.contains(item.name.as_str()));
+    let (old, new) = without_common_ends(old, new);
+    // The names of a list are unique.
+    let (old_places, new_places) = (NameTable::of(old).ok(), NameTable::of(new).ok());
+    let held = |item: &Item| old_places.as_ref()?.place(old, item).map(|place| &old[place]);
+    let is_kept = |item: &Item| new_places.as_ref().is_some_and(|places| places.place(new, item).is_some());
+    let changed = new.iter().filter(|item| held(item) != Some(item));
+    let gone = old.iter().filter(|item| !is_kept(item));
     MemberEdit::Items {
         member: list.to_owned(),
-        upsert: changed.map(|item| item.raw.clone()).collect(),
-        remove: gone.map(|item| item.name.clone()).collect(),
+        upsert: changed.map(|item| item.raw().to_owned()).collect(),
+        remove: gone.map(|item| item.name().to_owned()).collect(),
     }
 }
 
+/// What is left of two lists without the items that both begin with and both end with. The names of a list are unique, so an
+/// item that is left in one has its namesake, if any, in what is left of the other.
+fn without_common_ends<'a>(old: &'a [Arc<Item>], new: &'a [Arc<Item>]) -> (&'a [Arc<Item>], &'a [Arc<Item>]) {
+    let is_same = |(old, new): &(&Arc<Item>, &Arc<Item>)| Arc::ptr_eq(old, new);
+    let start = old.iter().zip(new).take_while(is_same).count();
+    let (old, new) = (&old[start..], &new[start..]);
+    let end = old.iter().rev().zip(new.iter().rev()).take_while(is_same).count();
+    (&old[..old.len() - end], &new[..new.len() - end])
+}
+
 fn edited(members: &Members, edits: &[MemberEdit]) -> Result<Members, ConfigurationError> {
     let mut members = members.clone();
     for edit in edits {
--- a/crates/configuration/src/document.rs
+++ b/crates/configuration/src/document.rs
@@ -1,17 +1,17 @@
 //! A whole configuration: its text, and typed views of it.
 
 use std::fmt;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::check::check;
 use crate::error::{ConfigurationError, ResultCode};
 use crate::fields;
+use crate::item::Item;
 use crate::limits::ClientLimits;
-use crate::members::{Item, Members, LIMITS, REVISION, ROUTES, SERVICES};
+use crate::members::{Members, LIMITS, REVISION, ROUTES, SERVICES};
 use crate::route::Route;
 use crate::route_index::RouteIndex;
 use crate::service::Service;
@@ -20,20 +20,29 @@
 /// between members and items.
 #[derive(Clone, Debug)]
 pub struct Document {
-    members: Arc<Members>,
+    content: Arc<Content>,
     revision: u64,
-    routes: Arc<[Arc<Route>]>,
     services: Arc<[Service]>,
     limits: ClientLimits,
-    index: Arc<RouteIndex>,
     size: DocumentSize,
 }
 
+/// The text of a configuration, and views of it that are made when they are first used: a process that serves no clients
+/// needs none of them.
+#[derive(Debug)]
+struct Content {
+    members: Members,
+    routes: OnceLock<Vec<Arc<Route>>>,
+    index: OnceLock<RouteIndex>,
+}
+
 /// How large a configuration is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct DocumentSize {
     /// Number of routes.
     pub routes: usize,
+    /// Number of items in all lists: routes, services and others.
+    pub items: usize,
     /// Bytes of the text of all items.
     pub bytes: usize,
 }
@@ -47,7 +56,7 @@
 
 impl PartialEq for Document {
     fn eq(&self, other: &Document) -> bool {
-        self.members == other.members
+        self.members() == other.members()
     }
 }
 
@@ -82,19 +91,28 @@
     /// Builds the typed views over the members.
     pub(crate) fn from_members(members: Members) -> Result<Document, ConfigurationError> {
         let revision = read_revision(members.plain(REVISION))?;
-        let routes = read_items(members.items(ROUTES), ROUTES, Item::route)?;
-        let services = read_items(members.items(SERVICES), SERVICES, |item| Service::read(&item.raw))?;
+        for item in members.items(ROUTES) {
+            item.route().map_err(|error| error.at_item(ROUTES, item.name()))?;
+        }
+        let read_service = |item: &Arc<Item>| {
+            Service::read(item.raw()).map_err(|error| error.at_item(SERVICES, item.name()))
+        };
+        let services: Vec<Service> =
+            members.items(SERVICES).iter().map(read_service).collect::<Result<_, _>>()?;
         let limits = members.plain(LIMITS).map(ClientLimits::read).transpose();
         let limits = limits.map_err(|mut error| {
             error.list = Some(LIMITS.to_owned());
             error
         })?;
-        let size = DocumentSize { routes: routes.len(), bytes: members.text_bytes() };
+        let size = DocumentSize {
+            routes: members.items(ROUTES).len(),
+            items: members.item_count(),
+            bytes: members.text_bytes(),
+        };
+        let content = Content { members, routes: OnceLock::new(), index: OnceLock::new() };
         Ok(Document {
-            members: Arc::new(members),
+            content: Arc::new(content),
             revision,
-            index: Arc::new(RouteIndex::new(&routes)),
-            routes: routes.into(),
             services: services.into(),
             limits: limits.unwrap_or_default(),
             size,
@@ -109,7 +127,7 @@
 
     /// The members of the text.
     pub(crate) fn members(&self) -> &Members {
-        &self.members
+        &self.content.members
     }
 
     /// The version the operator gave it.
@@ -119,7 +137,15 @@
 
     /// The routes, in the order of the text.
     pub fn routes(&self) -> &[Arc<Route>] {
-        &self.routes
+        self.content.routes.get_or_init(|| {
+            // All of them were read when the document was made.
+            self.members().items(ROUTES).iter().filter_map(|item| item.route().ok()).cloned().collect()
+        })
+    }
+
+    /// The index over the routes.
+    pub(crate) fn index(&self) -> &RouteIndex {
+        self.content.index.get_or_init(|| RouteIndex::new(self.members().items(ROUTES)))
     }
 
     /// The services, in the order of the text.
@@ -140,7 +166,9 @@
     /// The route for a request: among those of `host` (any case, with or without port) the one with the
     /// longest prefix that begins `path`. What follows a `?` is not part of the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        self.index.find(host, path).map(|place| &self.routes[place])
+        let items = self.members().items(ROUTES);
+        let place = self.index().find(items, host, path)?;
+        items[place].route().ok()
     }
 
     /// How large it is.
@@ -150,12 +178,12 @@
 
     /// The whole text, with all fields that are not known here.
     pub fn to_json(&self) -> Vec<u8> {
-        self.members.to_json()
+        self.members().to_json()
     }
 
     /// A digest of the text, the same on every machine.
     pub fn digest(&self) -> u64 {
-        xxh3_64(&self.to_json())
+        self.members().digest()
     }
 }
 
@@ -169,12 +197,3 @@
     let Revision(revision) = serde_json::from_str(raw.get()).map_err(|cause| error(&cause.to_string()))?;
     revision.ok_or_else(|| error("there is none"))
 }
-
-fn read_items<T>(
-    items: &[Arc<Item>],
-    list: &str,
-    read: fn(&Item) -> Result<T, ConfigurationError>,
-) -> Result<Vec<T>, ConfigurationError> {
-    let read_item = |item: &Arc<Item>| read(item).map_err(|error| error.at_item(list, &item.name));
-    items.iter().map(read_item).collect()
-}
--- a/crates/configuration/src/known_items.rs
+++ b/crates/configuration/src/known_items.rs
@@ -1,12 +1,10 @@
 //! Items that are known already, found again in a text that is mostly the same.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 
-use serde_json::value::RawValue;
-
 use crate::error::ConfigurationError;
-use crate::members::Item;
+use crate::item::Item;
+use crate::name_table::NameTable;
 
 /// The items of an earlier list, and how far a later one has followed them.
 ///
@@ -16,7 +14,7 @@
     items: &'a [Arc<Item>],
     next: usize,
     /// Place of each item by its name, from the first difference on.
-    places: Option<HashMap<&'a str, usize>>,
+    places: Option<NameTable>,
 }
 
 impl<'a> KnownItems<'a> {
@@ -26,21 +24,23 @@
     }
 
     /// The next item of the later list: a known one if its text is the same. `list` is named in the error.
-    pub(crate) fn item(&mut self, list: &str, text: &RawValue) -> Result<Arc<Item>, ConfigurationError> {
-        if let Some(item) = self.items.get(self.next).filter(|item| item.raw.get() == text.get()) {
+    pub(crate) fn item(&mut self, list: &str, text: &[u8]) -> Result<Arc<Item>, ConfigurationError> {
+        if let Some(item) = self.items.get(self.next).filter(|item| item.text().as_bytes() == text) {
             self.next += 1;
             return Ok(item.clone());
         }
-        let item = Item::parse(list, text)?;
-        let Some(place) = self.place(&item.name) else { return Ok(Arc::new(item)) };
+        let item = Item::parse_text(list, text)?;
+        let Some(place) = self.place(&item) else { return Ok(Arc::new(item)) };
         self.next = place + 1;
         let known = &self.items[place];
         Ok(if **known == item { known.clone() } else { Arc::new(item) })
     }
 
-    fn place(&mut self, name: &str) -> Option<usize> {
-        let items = self.items;
-        let by_name = || items.iter().enumerate().map(|(place, item)| (item.name.as_str(), place)).collect();
-        self.places.get_or_insert_with(by_name).get(name).copied()
+    fn place(&mut self, item: &Item) -> Option<usize> {
+        if self.places.is_none() {
+            // The names of a list are unique.
+            self.places = NameTable::of(self.items).ok();
+        }
+        self.places.as_ref()?.place(self.items, item)
     }
 }
--- a/crates/configuration/src/members.rs
+++ b/crates/configuration/src/members.rs
@@ -1,15 +1,17 @@
 //! The text of a configuration: its members in their order, and the named items of its lists.
 
-use std::collections::{HashMap, HashSet};
-use std::sync::{Arc, OnceLock};
+use std::collections::HashSet;
+use std::sync::Arc;
 
 use serde::de::{Deserialize, Deserializer, MapAccess, Visitor};
 use serde::ser::{Serialize, SerializeMap, Serializer};
 use serde_json::value::RawValue;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::error::{ConfigurationError, ResultCode};
+use crate::item::Item;
 use crate::known_items::KnownItems;
-use crate::route::Route;
+use crate::name_table::NameTable;
 
 /// The lists whose items are read and checked.
 pub(crate) const ROUTES: &str = "routes";
@@ -68,48 +70,6 @@
     }
 }
 
-/// One item of a list: its name, its whole text, and the route that the text describes. Configurations that follow
-/// each other share the items that did not change, and so what was read from them.
-#[derive(Debug)]
-pub(crate) struct Item {
-    pub(crate) name: String,
-    pub(crate) raw: Box<RawValue>,
-    route: OnceLock<Arc<Route>>,
-}
-
-impl Item {
-    /// Reads an item's name and keeps its text. `list` is named in the error.
-    pub(crate) fn parse(list: &str, raw: &RawValue) -> Result<Item, ConfigurationError> {
-        #[derive(serde::Deserialize)]
-        struct Named {
-            name: String,
-        }
-        let named: Named = crate::fields::read(raw).map_err(|mut error| {
-            error.list = Some(list.to_owned());
-            error
-        })?;
-        Ok(Item { name: named.name, raw: raw.to_owned(), route: OnceLock::new() })
-    }
-
-    /// The item as a route, which is read the first time.
-    pub(crate) fn route(&self) -> Result<Arc<Route>, ConfigurationError> {
-        if let Some(route) = self.route.get() {
-            return Ok(route.clone());
-        }
-        let route = Arc::new(Route::read(&self.raw)?);
-        Ok(self.route.get_or_init(|| route).clone())
-    }
-}
-
-impl PartialEq for Item {
-    fn eq(&self, other: &Item) -> bool {
-        self.raw.get() == other.raw.get()
-    }
-}
-
-// Shared items are then compared by their address first.
-impl Eq for Item {}
-
 /// One member of a configuration.
 #[derive(Clone, Debug)]
 pub(crate) enum Member {
@@ -135,7 +95,7 @@
 impl Member {
     fn text_bytes(&self) -> usize {
         match self {
-            Member::Items(items) => items.iter().map(|item| item.raw.get().len()).sum(),
+            Member::Items(items) => items.iter().map(|item| item.text().len()).sum(),
             Member::Plain(raw) => raw.get().len(),
         }
     }
@@ -154,7 +114,7 @@
 impl Serialize for Member {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         match self {
-            Member::Items(items) => serializer.collect_seq(items.iter().map(|item| &item.raw)),
+            Member::Items(items) => serializer.collect_seq(items.iter().map(|item| item.raw())),
             Member::Plain(raw) => raw.serialize(serializer),
         }
     }
@@ -170,21 +130,16 @@
     let elements: Vec<&RawValue> = serde_json::from_str(raw.get())
         .map_err(|error| ConfigurationError::new(ResultCode::BadField, error.to_string()).at_field(list))?;
     let mut known = KnownItems::new(known);
-    let items = elements.into_iter().map(|element| known.item(list, element));
+    let items = elements.into_iter().map(|element| known.item(list, element.get().as_bytes()));
     let items = items.collect::<Result<Vec<_>, _>>()?;
     check_names_unique(list, &items)?;
     Ok(items)
 }
 
 fn check_names_unique(list: &str, items: &[Arc<Item>]) -> Result<(), ConfigurationError> {
-    let mut names = HashSet::with_capacity(items.len());
-    match items.iter().find(|item| !names.insert(item.name.as_str())) {
-        None => Ok(()),
-        Some(second) => {
-            let error = ConfigurationError::new(ResultCode::DuplicateName, "the name stands twice");
-            Err(error.at_item(list, &second.name))
-        }
-    }
+    let Err(second) = NameTable::of(items) else { return Ok(()) };
+    let error = ConfigurationError::new(ResultCode::DuplicateName, "the name stands twice");
+    Err(error.at_item(list, items[second].name()))
 }
 
 /// The members of a configuration in the order of its text.
@@ -228,10 +183,14 @@
         }
     }
 
+    fn get_mut(&mut self, name: &str) -> Option<&mut Member> {
+        self.0.iter_mut().find(|(present, _)| present == name).map(|(_, member)| member)
+    }
+
     /// Sets a member in its place, or at the end if it is new.
     pub(crate) fn set(&mut self, name: &str, member: Member) {
-        match self.0.iter_mut().find(|(present, _)| present == name) {
-            Some((_, present)) => *present = member,
+        match self.get_mut(name) {
+            Some(present) => *present = member,
             None => self.0.push((name.to_owned(), member)),
         }
     }
@@ -249,22 +208,46 @@
     /// Takes items out of a list and puts others in: those whose name is present in its place, new ones at
     /// the end. A name to remove that is not there is passed over.
     pub(crate) fn edit_items(&mut self, list: &str, remove: &[String], upsert: &[Arc<Item>]) {
-        let removed: HashSet<&str> = remove.iter().map(String::as_str).collect();
-        let present = self.items(list).iter();
-        let mut items: Vec<Arc<Item>> =
-            present.filter(|item| !removed.contains(item.name.as_str())).cloned().collect();
-        let mut places: HashMap<String, usize> =
-            items.iter().enumerate().map(|(place, item)| (item.name.clone(), place)).collect();
+        if !matches!(self.get(list), Some(Member::Items(_))) {
+            self.set(list, Member::Items(Vec::new()));
+        }
+        let Some(Member::Items(items)) = self.get_mut(list) else { return };
+        if !remove.is_empty() {
+            let removed: HashSet<&str> = remove.iter().map(String::as_str).collect();
+            items.retain(|item| !removed.contains(item.name()));
+        }
+        // The names of a list are unique.
+        let Ok(mut places) = NameTable::of(items) else { return };
         for item in upsert {
-            match places.get(&item.name) {
-                Some(place) => items[*place] = item.clone(),
+            match places.place(items, item) {
+                Some(place) => items[place] = item.clone(),
                 None => {
-                    places.insert(item.name.clone(), items.len());
                     items.push(item.clone());
+                    places.insert(items, items.len() - 1);
+                }
+            }
+        }
+    }
+
+    /// Number of items in all lists.
+    pub(crate) fn item_count(&self) -> usize {
+        self.iter().map(|(name, _)| self.items(name).len()).sum()
+    }
+
+    /// A digest of all members, the same on every machine.
+    pub(crate) fn digest(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        for (name, member) in self.iter() {
+            hasher.update(name.as_bytes());
+            match member {
+                Member::Items(items) => {
+                    hasher.update(&(items.len() as u64).to_le_bytes());
+                    items.iter().for_each(|item| hasher.update(&item.text_hash().to_le_bytes()));
                 }
+                Member::Plain(raw) => hasher.update(raw.get().as_bytes()),
             }
         }
-        self.set(list, Member::Items(items));
+        hasher.digest()
     }
 
     /// Bytes of the texts of all members, without what stands between them.
@@ -305,7 +288,7 @@
         None => object,
     };
     let elements: Vec<&RawValue> = serde_json::from_str(lists.get(list)?.get()).ok()?;
-    let has_name = |element: &&RawValue| Item::parse(list, element).is_ok_and(|item| item.name == name);
+    let has_name = |element: &&RawValue| Item::parse(list, element).is_ok_and(|item| item.name() == name);
     // A name that stands twice is reported where it stands last.
     let element = elements.into_iter().rev().find(has_name)?;
     let offset = (element.get().as_ptr() as usize).checked_sub(body.as_ptr() as usize)?;
--- a/crates/configuration/src/state.rs
+++ b/crates/configuration/src/state.rs
@@ -1,7 +1,5 @@
 //! The value of the register: the configuration, the orders taken, and the placer's grant.
 
-use prost::Message;
-
 use crate::change::Change;
 use crate::document::Document;
 use crate::error::{ConfigurationError, ResultCode};
@@ -10,9 +8,6 @@
 /// How many of the newest orders taken are remembered: several times the changes of a long day.
 pub const TAKEN_ORDERS_KEPT: usize = 4_096;
 
-/// First byte of an encoded state: the layout of what follows.
-const LAYOUT_VERSION: u8 = 1;
-
 /// An order that was taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TakenOrder {
@@ -46,23 +41,6 @@
     pub next_epoch: u64,
 }
 
-/// Why an encoded state cannot be read.
-#[derive(Debug, thiserror::Error)]
-pub enum StateError {
-    /// There are no bytes.
-    #[error("the state is empty")]
-    Empty,
-    /// The layout is of another edition.
-    #[error("the layout version {0} is not known")]
-    UnknownLayout(u8),
-    /// The bytes do not decode.
-    #[error("the state does not decode: {0}")]
-    Malformed(#[from] prost::DecodeError),
-    /// The configuration cannot be read.
-    #[error("the configuration cannot be read: {0}")]
-    Configuration(#[from] ConfigurationError),
-}
-
 /// What becomes of an order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
@@ -159,115 +137,8 @@
             next_epoch: self.next_epoch,
         }
     }
-
-    /// Encodes the state; equal states give equal bytes.
-    pub fn encode(&self) -> Vec<u8> {
-        let record = StateRecord {
-            document: self.document.as_ref().map(Document::to_json),
-            taken: self.taken.iter().map(TakenRecord::from_taken).collect(),
-            placer: self
-                .placer
-                .as_ref()
-                .map(|placer| GrantRecord { holder: placer.holder.clone(), epoch: placer.epoch }),
-            next_epoch: self.next_epoch,
-            forgotten_up_to: self.forgotten_up_to,
-        };
-        let mut encoded = vec![LAYOUT_VERSION];
-        encoded.extend(record.encode_to_vec());
-        encoded
-    }
-
-    /// Decodes a state.
-    ///
-    /// # Errors
-    /// The layout is not known or the bytes do not decode.
-    pub fn decode(encoded: &[u8]) -> Result<ControlState, StateError> {
-        ControlState::decode_similar(encoded, None)
-    }
-
-    /// As [`ControlState::decode`]. What the configuration has in common with `similar` is shared with it and not read
-    /// again.
-    ///
-    /// # Errors
-    /// The layout is not known or the bytes do not decode.
-    pub fn decode_similar(encoded: &[u8], similar: Option<&Document>) -> Result<ControlState, StateError> {
-        let (version, record) = encoded.split_first().ok_or(StateError::Empty)?;
-        if *version != LAYOUT_VERSION {
-            return Err(StateError::UnknownLayout(*version));
-        }
-        let record = StateRecord::decode(record)?;
-        let read = |text: &[u8]| match similar {
-            Some(similar) => Document::read_similar(text, similar),
-            None => Document::read(text),
-        };
-        let document = record.document.as_deref().map(read).transpose()?;
-        let grant = |placer: GrantRecord| PlacerGrant { holder: placer.holder, epoch: placer.epoch };
-        let taken: Vec<TakenOrder> = record.taken.iter().map(TakenRecord::to_taken).collect();
-        let forgotten_up_to = record.forgotten_up_to.max(forgotten_before(&taken));
-        Ok(ControlState {
-            document,
-            taken,
-            forgotten_up_to,
-            placer: record.placer.map(grant),
-            next_epoch: record.next_epoch,
-        })
-    }
-}
-
-/// What a full list of orders must have forgotten, for a state written by an edition that did not note it: any revision
-/// below the oldest that it lists.
-fn forgotten_before(taken: &[TakenOrder]) -> u64 {
-    let oldest = taken.first().filter(|_| taken.len() >= TAKEN_ORDERS_KEPT);
-    oldest.map_or(0, |oldest| oldest.revision.saturating_sub(1))
 }
 
 fn located(error: ConfigurationError, order: &Order) -> ConfigurationError {
     crate::members::located(error, &order.body)
 }
-
-#[derive(Clone, PartialEq, Message)]
-struct StateRecord {
-    #[prost(bytes = "vec", optional, tag = "1")]
-    document: Option<Vec<u8>>,
-    #[prost(message, repeated, tag = "2")]
-    taken: Vec<TakenRecord>,
-    #[prost(message, optional, tag = "3")]
-    placer: Option<GrantRecord>,
-    #[prost(uint64, tag = "4")]
-    next_epoch: u64,
-    #[prost(uint64, tag = "5")]
-    forgotten_up_to: u64,
-}
-
-#[derive(Clone, PartialEq, Message)]
-struct TakenRecord {
-    #[prost(uint64, tag = "1")]
-    revision: u64,
-    #[prost(fixed64, tag = "2")]
-    digest_high: u64,
-    #[prost(fixed64, tag = "3")]
-    digest_low: u64,
-}
-
-impl TakenRecord {
-    fn from_taken(taken: &TakenOrder) -> TakenRecord {
-        TakenRecord {
-            revision: taken.revision,
-            digest_high: (taken.digest >> 64) as u64,
-            digest_low: taken.digest as u64,
-        }
-    }
-
-    fn to_taken(&self) -> TakenOrder {
-        let digest = u128::from(self.digest_high) << 64 | u128::from(self.digest_low);
-        TakenOrder { revision: self.revision, digest }
-    }
-}
-
-#[derive(Clone, PartialEq, Message)]
-struct GrantRecord {
-    #[prost(string, tag = "1")]
-    holder: String,
-    #[prost(uint64, tag = "2")]
-    epoch: u64,
-}
--- a/crates/configuration/tests/state.rs
+++ b/crates/configuration/tests/state.rs
@@ -153,15 +153,41 @@
     expect_that!(ControlState::decode(&empty.encode()).unwrap(), eq(&empty));
 }
 
+/// Written by the edition before the second layout: [`EXAMPLE`], one order taken, a grant to `node-3`.
+const FIRST_LAYOUT: &[u8] = include_bytes!("state-layout-1.bin");
+
+#[gtest]
+fn state_of_the_first_layout_is_read() {
+    let decoded = ControlState::decode(FIRST_LAYOUT).unwrap();
+    let state = example_state().grant_placer("node-3");
+    expect_that!(decoded, eq(&state));
+    expect_that!(decoded.encode(), eq(&state.encode()));
+    let similar = ControlState::decode_similar(FIRST_LAYOUT, state.document.as_ref()).unwrap();
+    expect_that!(similar, eq(&state));
+}
+
+#[gtest]
+fn a_state_that_is_cut_anywhere_is_an_error() {
+    let encoded = example_state().grant_placer("node-3").encode();
+    for length in 0..encoded.len() {
+        expect_that!(ControlState::decode(&encoded[..length]), err(anything()), "{length} bytes");
+    }
+}
+
 #[gtest]
 fn unknown_layouts_and_broken_bytes_are_errors() {
     let mut encoded = example_state().encode();
     expect_true!(matches!(ControlState::decode(&[]), Err(StateError::Empty)));
     encoded[0] = 200;
     expect_true!(matches!(ControlState::decode(&encoded), Err(StateError::UnknownLayout(200))));
-    encoded[0] = 1;
-    encoded.truncate(encoded.len() / 2);
-    expect_that!(ControlState::decode(&encoded), err(anything()));
+    let mut first = FIRST_LAYOUT.to_vec();
+    first.truncate(first.len() / 2);
+    expect_that!(ControlState::decode(&first), err(anything()));
+    // A length that reaches beyond the beginning.
+    let end = encoded.len() - 4;
+    encoded[0] = 2;
+    encoded[end..].copy_from_slice(&u32::MAX.to_le_bytes());
+    expect_true!(matches!(ControlState::decode(&encoded), Err(StateError::CutOff)));
 }
 
 #[gtest]
--- a/crates/control/examples/state_cost.rs
+++ b/crates/control/examples/state_cost.rs
@@ -80,9 +80,10 @@
 fn main() {
     println!(
         "routes digests | state B message B record B | ms: decide encode | message-encode message-decode \
-         record-encode append | state-decode delta"
+         record-encode append | state-decode beside-similar delta"
     );
-    for (routes, digests) in [(40, 10), (400, 0), (400, 10), (400, 100), (400, 1_000), (400, 4_096)] {
+    let sizes = [(40, 10), (400, 0), (400, 10), (400, 100), (400, 1_000), (400, 4_096), (60_000, 10)];
+    for (routes, digests) in sizes {
         print_costs(routes, digests);
     }
 }
@@ -104,7 +105,7 @@
     let options = Options { rewrite_above_bytes: u64::MAX };
     let (mut log, _) = RecordLog::open(&folder, "cost", options).expect("the temporary folder takes files");
     println!(
-        "{routes:6} {digests:7} | {:7} {:9} {:8} | {:10.3} {:6.3} | {:14.3} {:14.3} {:13.3} {:6.3} | {:12.3} {:5.3}",
+        "{routes:6} {digests:7} | {:7} {:9} {:8} | {:10.3} {:6.3} | {:14.3} {:14.3} {:13.3} {:6.3} | {:12.3} {:14.3} {:5.3}",
         data.len(),
         sent.len(),
         written.len(),
@@ -115,6 +116,7 @@
         least(|| record.encode()),
         least(|| log.append(&written)),
         least(|| ControlState::decode(&data)),
+        least(|| ControlState::decode_similar(&data, Some(old))),
         least(|| ConfigurationDelta::between(old, new)),
     );
     let _ = std::fs::remove_dir_all(&folder);
--- a/crates/distribution/src/merged.rs
+++ b/crates/distribution/src/merged.rs
@@ -3,7 +3,7 @@
 use crate::absent::AbsentWorkers;
 use bytes::Bytes;
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use switchhill_configuration::{Delta, Document, DocumentSize};
 use switchhill_protocol::{Configuration, Residency, Workers};
 use switchhill_registration::{MergeOutcome, SuspicionTimeout, Worker, WorkerTable};
@@ -25,7 +25,8 @@
 #[derive(Debug)]
 pub struct MergedState {
     document: Option<Arc<Document>>,
-    encoded: Bytes,
+    /// The configuration as JSON, once it has been asked for.
+    encoded: OnceLock<Bytes>,
     confirmed: bool,
     workers: WorkerTable,
     residency: BTreeMap<String, Residency>,
@@ -41,7 +42,7 @@
     pub fn new(suspicion_timeout: SuspicionTimeout) -> MergedState {
         MergedState {
             document: None,
-            encoded: Bytes::new(),
+            encoded: OnceLock::new(),
             confirmed: false,
             workers: WorkerTable::new(suspicion_timeout),
             residency: BTreeMap::new(),
@@ -58,7 +59,9 @@
 
     /// Returns the configuration as JSON; empty if there is none.
     pub fn encoded(&self) -> &Bytes {
-        &self.encoded
+        let encode =
+            || self.document.as_ref().map(|document| Bytes::from(document.to_json())).unwrap_or_default();
+        self.encoded.get_or_init(encode)
     }
 
     /// Returns the revision of the configuration, 0 if there is none.
@@ -117,7 +120,7 @@
 
     /// Replaces the configuration. The caller ensures that `document` is newer.
     pub fn set_document(&mut self, document: Document, confirmed: bool) {
-        self.encoded = Bytes::from(document.to_json());
+        self.encoded = OnceLock::new();
         self.document = Some(Arc::new(document));
         self.confirmed = confirmed;
     }
--- a/crates/distribution/src/publisher.rs
+++ b/crates/distribution/src/publisher.rs
@@ -27,6 +27,15 @@
             delta: Bytes::from(Delta::between(old, new).encode()),
         }
     }
+
+    /// The delta that a message holds, if it holds one.
+    pub(crate) fn of_message(message: &Configuration) -> Option<ConfigurationDelta> {
+        (!message.delta.is_empty()).then(|| ConfigurationDelta {
+            from_revision: message.from_revision,
+            revision: message.revision,
+            delta: message.delta.clone(),
+        })
+    }
 }
 
 /// Publisher's view of one subscriber.
--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -214,7 +214,8 @@
         match self.state.merge_configuration(message) {
             Some(Change::Configuration) => {
                 let new = self.state.document();
-                let delta = old.zip(new).map(|(old, new)| ConfigurationDelta::between(&old, new));
+                let delta = ConfigurationDelta::of_message(message)
+                    .or_else(|| old.zip(new).map(|(old, new)| ConfigurationDelta::between(&old, new)));
                 self.publish_configuration(delta.as_ref());
             }
             Some(Change::FullConfigurationRequired) if self.links.may_fetch(now, self.state.revision()) => {
