A configuration too large for core machines is refused by name, not taken and lost

Callers saw: changes that were acknowledged until core machines ended for their memory, and then could not be read back. Cause: the body of a change had a limit, the value that many changes lead to had none.

Change: a core machine decides on an order within a limit that follows from limits.memoryMb: three eighths of it for four copies of the text (the value accepted, the one proposed, the items, the text for callers) and 640 bytes an item. Beyond it the order is refused with 413 and code 1010, before anything is proposed; the answer names size and limit. One that makes a configuration smaller is always taken. A body longer than the longest text gets the same code (before: 400 and 1000, from 8 MiB on).

Measured: crates/configuration/tests/state.rs a_configuration_over_the_memory_limit_is_refused_and_one_that_shrinks_is_taken; without the limit it does not end.

--- a/crates/configuration/src/error.rs
+++ b/crates/configuration/src/error.rs
@@ -28,6 +28,8 @@
     BadRevision,
     /// The version the order builds on is missing or is not a whole number.
     BadBaseVersion,
+    /// The configuration would take more memory than core machines have for it.
+    TooLarge,
     /// Another version than the one the order builds on is current.
     BaseVersionDiffers,
     /// The revision is not above the current one.
@@ -52,7 +54,7 @@
 
 impl ResultCode {
     /// All codes, in the order of their numbers.
-    pub const ALL: [ResultCode; 20] = [
+    pub const ALL: [ResultCode; 21] = [
         ResultCode::Unreadable,
         ResultCode::UnknownService,
         ResultCode::SharedPlace,
@@ -63,6 +65,7 @@
         ResultCode::BadField,
         ResultCode::BadRevision,
         ResultCode::BadBaseVersion,
+        ResultCode::TooLarge,
         ResultCode::BaseVersionDiffers,
         ResultCode::RevisionNotAbove,
         ResultCode::Taken,
@@ -88,6 +91,7 @@
             ResultCode::BadField => 1007,
             ResultCode::BadRevision => 1008,
             ResultCode::BadBaseVersion => 1009,
+            ResultCode::TooLarge => 1010,
             ResultCode::BaseVersionDiffers => 1100,
             ResultCode::RevisionNotAbove => 1101,
             ResultCode::Taken => 2000,
@@ -106,6 +110,7 @@
         match self {
             ResultCode::Taken | ResultCode::TakenBefore => 200,
             ResultCode::BaseVersionDiffers => 412,
+            ResultCode::TooLarge => 413,
             ResultCode::NoQuorum
             | ResultCode::NoConfiguration
             | ResultCode::OrderForgotten
@@ -129,6 +134,7 @@
             ResultCode::BadField => "a field is missing, of the wrong type or out of range",
             ResultCode::BadRevision => "the revision is missing or not a whole number",
             ResultCode::BadBaseVersion => "`Base-Version` is missing or not a whole number",
+            ResultCode::TooLarge => "the configuration would be too large",
             ResultCode::BaseVersionDiffers => "another version than `Base-Version` is current",
             ResultCode::RevisionNotAbove => "the revision is not above the current one",
             ResultCode::Taken => "the order is taken",
--- a/crates/configuration/src/state.rs
+++ b/crates/configuration/src/state.rs
@@ -3,6 +3,7 @@
 use crate::change::Change;
 use crate::document::Document;
 use crate::error::{ConfigurationError, ResultCode};
+use crate::memory_limit::MemoryLimit;
 use crate::order::{Order, OrderKind};
 
 /// How many of the newest orders taken are remembered: several times the changes of a long day.
@@ -63,13 +64,21 @@
         self.document.as_ref().map_or(0, Document::revision)
     }
 
-    /// Decides on an order: the same again, unreadable, on another base, not above, not valid, taken.
+    /// As [`ControlState::decide_within`], for a configuration of any size.
     pub fn decide(&self, order: &Order) -> Decision {
+        self.decide_within(order, MemoryLimit::NONE)
+    }
+
+    /// Decides on an order: the same again, unreadable, on another base, not above, not valid, too large, taken.
+    pub fn decide_within(&self, order: &Order, limit: MemoryLimit) -> Decision {
         let digest = order.digest();
         if let Some(taken) = self.taken.iter().rev().find(|taken| taken.digest == digest) {
             return Decision::TakenBefore { revision: taken.revision };
         }
-        match self.result_of(order) {
+        let result = self
+            .result_of(order)
+            .and_then(|document| limit.check(self.document.as_ref(), &document).map(|()| document));
+        match result {
             Ok(document) => Decision::Take(Box::new(self.with_document(document, digest))),
             Err(error) if error.code == ResultCode::OrderForgotten => Decision::Forgotten,
             Err(error) => Decision::Refused(error),
--- a/crates/configuration/tests/state.rs
+++ b/crates/configuration/tests/state.rs
@@ -6,7 +6,8 @@
 use googletest::prelude::*;
 use std::sync::Arc;
 use switchhill_configuration::{
-    Change, ControlState, Decision, Document, Order, PlacerGrant, ResultCode, StateError, TAKEN_ORDERS_KEPT,
+    Change, ControlState, Decision, Document, MemoryLimit, Order, PlacerGrant, ResultCode, StateError,
+    TAKEN_ORDERS_KEPT,
 };
 
 fn refusal(state: &ControlState, order: &Order) -> ResultCode {
@@ -247,3 +248,46 @@
     expect_that!(pairs.filter(|(old, new)| Arc::ptr_eq(old, new)).count(), eq(before.routes().len()));
     expect_that!(before.routes(), not(is_empty()));
 }
+
+/// A change that adds routes, numbered from `first`.
+fn growth(base: u64, first: usize, count: usize) -> Order {
+    let route = |number: usize| {
+        format!(
+            r#"{{"name":"g{number}","host":"grown.example","pathPrefix":"/{number}/","routeKind":"safe","timeoutMs":1000,"service":"large"}}"#
+        )
+    };
+    let routes: Vec<String> = (first..first + count).map(route).collect();
+    update(base, &format!(r#"{{"revision":{},"upsert":{{"routes":[{}]}}}}"#, base + 1, routes.join(",")))
+}
+
+/// Guards against a configuration that grows by changes, each of them small, until core machines are over their memory.
+#[gtest]
+fn a_configuration_over_the_memory_limit_is_refused_and_one_that_shrinks_is_taken() {
+    let limit = MemoryLimit::of_process(1);
+    let mut state = example_state();
+    let mut count = 0;
+    let refusal = loop {
+        match state.decide_within(&growth(state.revision(), count, 20), limit) {
+            Decision::Take(next) => state = *next,
+            Decision::Refused(error) => break error,
+            other => panic!("decided {other:?}"),
+        }
+        count += 20;
+    };
+    expect_that!(refusal.code, eq(ResultCode::TooLarge));
+    expect_that!(refusal.code.http_status(), eq(413));
+    expect_that!(refusal.to_string(), contains_substring("routes would take 1 MB of a core machine"));
+    let held = state.document.as_ref().unwrap().size();
+    expect_that!(held.memory_bytes(), all!(gt(300_000), le(393_216)), "three eighths of a megabyte");
+    // A change that leaves the size as it is, and one that makes it smaller, are taken even above the limit.
+    let lower = MemoryLimit::of_process(0);
+    let idle = idle_change(state.revision(), state.revision() + 1);
+    let smaller = update(
+        state.revision(),
+        &format!(r#"{{"revision":{},"remove":{{"routes":["g3","g4"]}}}}"#, state.revision() + 1),
+    );
+    expect_true!(matches!(state.decide_within(&smaller, lower), Decision::Take(_)));
+    expect_true!(matches!(state.decide_within(&idle, MemoryLimit::NONE), Decision::Take(_)));
+    let larger = growth(state.revision(), count, 1);
+    expect_true!(matches!(state.decide_within(&larger, lower), Decision::Refused(_)));
+}
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -1,7 +1,7 @@
 //! Inputs, outputs and settings of a core node.
 
 use bytes::Bytes;
-use switchhill_configuration::Order;
+use switchhill_configuration::{MemoryLimit, Order};
 use switchhill_placement as placement;
 use switchhill_protocol::{Downstream, PeerFrame, Upstream};
 
@@ -32,6 +32,8 @@
     pub ceiling_window_ms: u64,
     /// Whether workers check fencing tokens.
     pub fencing: bool,
+    /// The most memory that a configuration may take here.
+    pub configuration_limit: MemoryLimit,
     /// Settings of model placement. The node overrides `watch_ms`.
     pub planner: placement::PlannerSettings,
     /// Seed of the node's random number generators.
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -128,7 +128,8 @@
         let data = current.map(|accepted| accepted.value.data);
         let write = match &mut job {
             Job::Change { call, order, answer, .. } => {
-                let (next, reply) = apply_order(&state, order, data, is_chosen);
+                let decision = state.decide_within(order, self.settings.configuration_limit);
+                let (next, reply) = apply_decision(decision, data, is_chosen);
                 *answer = Some(reply.clone());
                 if next.is_none() {
                     let call = *call;
@@ -254,15 +255,10 @@
     New(Box<ControlState>),
 }
 
-/// Applies an order to a state. Returns the value to write, if any, and the answer to give once it is written.
-/// `is_chosen` tells whether the state, whose encoding is `data`, is known to be chosen.
-fn apply_order(
-    state: &ControlState,
-    order: &Order,
-    data: Option<Bytes>,
-    is_chosen: bool,
-) -> (Option<NextValue>, Answer) {
-    match state.decide(order) {
+/// Applies the decision on an order. Returns the value to write, if any, and the answer to give once it is written.
+/// `is_chosen` tells whether the state on which it was decided, whose encoding is `data`, is known to be chosen.
+fn apply_decision(decision: Decision, data: Option<Bytes>, is_chosen: bool) -> (Option<NextValue>, Answer) {
+    match decision {
         Decision::Take(next) => {
             let revision = next.document.as_ref().map_or(0, |document| document.revision());
             (Some(NextValue::New(next)), Answer::acknowledged(ResultCode::Taken, revision))
--- a/crates/control/src/jobs/tests.rs
+++ b/crates/control/src/jobs/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of applying orders to a state, and of jobs that end after the state has changed.
 
-use super::{apply_order, Job, NextValue};
+use super::{apply_decision, Job, NextValue};
 use crate::node::ControlNode;
 use crate::single_node_tests::{only_member, run, single_node};
 use bytes::Bytes;
@@ -14,7 +14,7 @@
 }
 
 fn state_after(first: &Order) -> (ControlState, Bytes) {
-    let (value, _) = apply_order(&ControlState::default(), first, None, true);
+    let (value, _) = apply_decision(ControlState::default().decide(first), None, true);
     let Some(NextValue::New(state)) = value else { panic!("the first order is taken, not {value:?}") };
     let data = Bytes::from(state.encode());
     (ControlState::decode(&data).expect("a state that was encoded"), data)
@@ -23,7 +23,7 @@
 #[gtest]
 fn an_order_is_refused_immediately_if_the_state_is_chosen() {
     let (state, data) = state_after(&order(0, 3));
-    let (write, answer) = apply_order(&state, &order(0, 4), Some(data), true);
+    let (write, answer) = apply_decision(state.decide(&order(0, 4)), Some(data), true);
     expect_that!(write, none());
     expect_that!(answer.status, eq(412));
 }
@@ -31,7 +31,7 @@
 #[gtest]
 fn an_order_is_refused_only_after_the_conflicting_state_is_written_again() {
     let (state, data) = state_after(&order(0, 3));
-    let (write, answer) = apply_order(&state, &order(0, 4), Some(data.clone()), false);
+    let (write, answer) = apply_decision(state.decide(&order(0, 4)), Some(data.clone()), false);
     expect_that!(write, some(eq(&NextValue::Same(data))));
     expect_that!(answer.status, eq(412));
 }
--- a/crates/control/src/single_node_tests.rs
+++ b/crates/control/src/single_node_tests.rs
@@ -27,6 +27,7 @@
         lease_ms: 2_000,
         ceiling_window_ms: 10_000,
         fencing: true,
+        configuration_limit: switchhill_configuration::MemoryLimit::NONE,
         planner: Default::default(),
         seed: 1,
     };
--- a/crates/control/tests/node_settings/mod.rs
+++ b/crates/control/tests/node_settings/mod.rs
@@ -18,6 +18,7 @@
         lease_ms: 2_000,
         ceiling_window_ms: 5_000,
         fencing: true,
+        configuration_limit: switchhill_configuration::MemoryLimit::NONE,
         planner: Default::default(),
         seed: incarnation,
     }
--- a/lab/src/emulator/world/core_machine.rs
+++ b/lab/src/emulator/world/core_machine.rs
@@ -129,6 +129,7 @@
             lease_ms: self.bounds.lease_ms,
             ceiling_window_ms: self.bounds.ceiling_window_ms,
             fencing: self.plan.sizes.fencing,
+            configuration_limit: switchhill_configuration::MemoryLimit::NONE,
             planner: Default::default(),
             seed: life_number,
         };
--- a/lab/src/hollow/core_nodes.rs
+++ b/lab/src/hollow/core_nodes.rs
@@ -50,6 +50,7 @@
         lease_ms: LEASE_MS,
         ceiling_window_ms: CEILING_WINDOW_MS,
         fencing: true,
+        configuration_limit: switchhill_configuration::MemoryLimit::NONE,
         planner: Default::default(),
         seed: seed.wrapping_add(core as u64),
     };
--- a/src/control_plane/http.rs
+++ b/src/control_plane/http.rs
@@ -16,7 +16,7 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
-use switchhill_configuration::{Order, OrderKind, ResultCode};
+use switchhill_configuration::{MemoryLimit, Order, OrderKind, ResultCode};
 use switchhill_control::{Answer, Call, CallId, Input};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
@@ -33,9 +33,6 @@
 use crate::system::request_body::{self, ReadBodyError};
 use crate::system::request_in_work::RequestInWork;
 
-/// Longest body of a call, in bytes.
-const LONGEST_BODY: usize = 8 << 20;
-
 /// Longest body in bytes that is taken while memory is short: any heartbeat, and changes of some hundred routes.
 const SHORT_BODY: u64 = 64 << 10;
 
@@ -72,6 +69,8 @@
     body_memory: MemoryBudget,
     head_memory: MemoryBudget,
     memory_shortage: MemoryShortage,
+    /// Longest body of a call, in bytes: that of the largest configuration.
+    longest_body: usize,
     connections: ConnectionSlots,
     closed: Rc<watch::Sender<bool>>,
 }
@@ -107,6 +106,8 @@
             body_memory: MemoryBudget::new("bodies of calls", limits.memory_mb, BODY_MEMORY_SHARE),
             head_memory: MemoryBudget::new("heads of calls", limits.memory_mb, HEAD_MEMORY_SHARE),
             memory_shortage: MemoryShortage::default(),
+            longest_body: usize::try_from(MemoryLimit::of_process(limits.memory_mb).longest_text())
+                .unwrap_or(usize::MAX),
             connections: ConnectionSlots::new(
                 descriptors.clamp(1, most_connections(limits.memory_mb, LISTENER_MEMORY_SHARE)),
             ),
@@ -254,9 +255,8 @@
             log::info!("a call is refused: the bodies of others fill their share of the memory");
             coded(ResultCode::TooManyOrders, "their bodies fill the memory; send it again")
         }
-        ReadBodyError::TooLong | ReadBodyError::Unreadable => {
-            coded(ResultCode::Unreadable, "it can't be read whole or is too long")
-        }
+        ReadBodyError::TooLong => coded(ResultCode::TooLarge, "its body is longer than the largest one"),
+        ReadBodyError::Unreadable => coded(ResultCode::Unreadable, "it can't be read whole"),
     }
 }
 
@@ -295,7 +295,7 @@
     if calls.memory_shortage.is_on() && !is_short {
         return Err(ReadBodyError::OutOfMemory);
     }
-    request_body::read(&calls.body_memory, body, LONGEST_BODY).await
+    request_body::read(&calls.body_memory, body, calls.longest_body).await
 }
 
 fn change(kind: OrderKind, base_version: Option<u64>, body: Bytes) -> Result<Call, Answer> {
--- a/src/control_plane/http/tests.rs
+++ b/src/control_plane/http/tests.rs
@@ -66,10 +66,10 @@
 
 #[gtest]
 fn body_over_the_limit_is_refused_with_its_code() {
-    let body = " ".repeat(super::LONGEST_BODY + 1);
+    let body = " ".repeat(calls().0.longest_body + 1);
     let (status, body) = run(exchange(post("/api/config/replace", "Base-Version: 0\r\n", &body), ok()));
-    expect_that!(status, eq("HTTP/1.1 400 Bad Request"));
-    expect_that!(body, contains_substring("\"code\":1000"));
+    expect_that!(status, eq("HTTP/1.1 413 Payload Too Large"));
+    expect_that!(body, contains_substring("\"code\":1010"));
 }
 
 #[gtest]
--- a/src/control_plane/mod.rs
+++ b/src/control_plane/mod.rs
@@ -21,7 +21,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use switchhill_configuration::DocumentSize;
+use switchhill_configuration::{DocumentSize, MemoryLimit};
 use switchhill_control::{ControlNode, Input, NodeSettings, Output};
 use switchhill_record_log::StandardFileSystem;
 use switchhill_replica_file::Writer;
@@ -209,6 +209,7 @@
         lease_ms: settings.bounds.lease_ms,
         ceiling_window_ms: (settings.bounds.ceiling_window_s * 1000.0) as u64,
         fencing: settings.bounds.fencing,
+        configuration_limit: MemoryLimit::of_process(settings.limits.memory_mb),
         planner: settings.decisions.planner.clone(),
         seed: life,
     }
