--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -197,9 +197,9 @@
     /// Answer a call.
     Answer(CallId, Answer),
     /// Append a record, make it durable and answer with [`Input::Persisted`] or [`Input::PersistFailed`].
-    Persist(u64, Vec<u8>),
+    Persist(u64, Bytes),
     /// Replace all records in the log file with these.
-    RewriteLog(Vec<Vec<u8>>),
+    RewriteLog(Vec<Bytes>),
     /// Send an order to a worker.
     Order(OrderCall),
     /// Request a report from a worker.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -59,7 +59,7 @@
     pub fn new(
         now: u64,
         settings: NodeSettings,
-        records: Vec<Vec<u8>>,
+        records: Vec<Bytes>,
         genesis: Option<Vec<Member>>,
     ) -> ControlNode {
         let id = ReplicaId(settings.replica_id);
@@ -175,7 +175,7 @@
         match output {
             RegisterOutput::Send { address, message, .. } => self.send_register(address, &message),
             RegisterOutput::Persist { token, record } => {
-                self.outputs.push(Output::Persist(token, record.encode().to_vec()))
+                self.outputs.push(Output::Persist(token, record.encode()))
             }
             RegisterOutput::Prepared { operation, current } => self.job_prepared(now, operation, current),
             RegisterOutput::Done { operation, result } => self.job_done(now, operation, result),
@@ -184,7 +184,7 @@
     }
 
     fn rewrite_log(&mut self) {
-        let records = self.replica.records().iter().map(|record| record.encode().to_vec()).collect();
+        let records = self.replica.records().iter().map(Record::encode).collect();
         self.outputs.push(Output::RewriteLog(records));
     }
 
--- a/crates/control/tests/catch_up/files.rs
+++ b/crates/control/tests/catch_up/files.rs
@@ -1,5 +1,6 @@
 //! In-memory files and a disk writer thread simulated in virtual time.
 
+use bytes::Bytes;
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{ErrorKind, Result};
 use std::path::{Path, PathBuf};
@@ -130,7 +131,7 @@
     }
 
     /// Opens the replica file for a new process; returns the stored identity and records.
-    pub fn start(&mut self, now_us: u64, fault: DiskFault, fresh: Identity) -> (Identity, Vec<Vec<u8>>) {
+    pub fn start(&mut self, now_us: u64, fault: DiskFault, fresh: Identity) -> (Identity, Vec<Bytes>) {
         let options = Options { rewrite_above_bytes: REWRITE_ABOVE };
         let stored = open(self.files.clone(), Path::new("/data"), options, || fresh);
         let OpenedReplica { writer, identity, records, .. } = stored.expect("the file opens");
@@ -177,7 +178,7 @@
 fn request_bytes(request: &WriteRequest) -> usize {
     match request {
         WriteRequest::Append(_, record) => record.len(),
-        WriteRequest::Rewrite(records) => records.iter().map(Vec::len).sum(),
+        WriteRequest::Rewrite(records) => records.iter().map(Bytes::len).sum(),
     }
 }
 
--- a/crates/control/tests/catch_up/mod.rs
+++ b/crates/control/tests/catch_up/mod.rs
@@ -8,6 +8,7 @@
 #[path = "../node_settings/mod.rs"]
 mod node_settings;
 
+use bytes::Bytes;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
@@ -463,10 +464,12 @@
 
     fn check_register_message(&mut self, from: usize, frame: &PeerFrame) {
         let Some(PeerBody::Register(envelope)) = &frame.body else { return };
-        let Ok(Message { body: Body::Accept { value, .. }, .. }) = Message::decode(&envelope.message) else {
-            return;
+        let electorate = match Message::decode(&envelope.message).map(|message| message.body) {
+            Ok(Body::Accept { value, .. }) => value.electorate,
+            Ok(Body::AcceptDelta { delta, .. }) => delta.electorate,
+            _ => return,
         };
-        if value.electorate.is_joint() && self.cores[from].is_behind() {
+        if electorate.is_joint() && self.cores[from].is_behind() {
             let error = format!(
                 "{} ms: core {from} changes the electorate before it has caught up",
                 self.now / 1_000
@@ -474,7 +477,7 @@
             self.violations.push(error);
         }
         for machine in self.cores.iter_mut().filter(|machine| machine.node.is_some()) {
-            if !value.electorate.is_joint() && value.electorate.contains(machine.replica) {
+            if !electorate.is_joint() && electorate.contains(machine.replica) {
                 machine.voter_at.get_or_insert(self.now);
             }
         }
@@ -754,7 +757,7 @@
         Output::Peers(addresses, frame) => addresses.len() * frame.encoded_len(),
         Output::Subscribers(ids, message) => ids.len() * message.encoded_len(),
         Output::Persist(_, record) => record.len(),
-        Output::RewriteLog(records) => records.iter().map(Vec::len).sum(),
+        Output::RewriteLog(records) => records.iter().map(Bytes::len).sum(),
         _ => 0,
     }
 }
--- a/crates/control/tests/core/mod.rs
+++ b/crates/control/tests/core/mod.rs
@@ -22,7 +22,7 @@
 pub struct Core {
     pub now: u64,
     nodes: BTreeMap<u64, ControlNode>,
-    records: BTreeMap<u64, Vec<Vec<u8>>>,
+    records: BTreeMap<u64, Vec<Bytes>>,
     in_flight: VecDeque<(u64, PeerFrame)>,
     /// Whether a message to the given node is lost.
     pub is_lost: fn(u64, &PeerFrame) -> bool,
--- a/crates/control/tests/electorate/machine.rs
+++ b/crates/control/tests/electorate/machine.rs
@@ -1,5 +1,6 @@
 //! A simulated core machine: its process, disk and active faults.
 
+use bytes::Bytes;
 use std::collections::VecDeque;
 use switchhill_control::{ControlNode, Input};
 
@@ -9,8 +10,8 @@
 /// A disk with its synced records and its pending writes (due time, token, record).
 #[derive(Default)]
 pub struct Disk {
-    pub synced: Vec<Vec<u8>>,
-    pub pending: VecDeque<(u64, u64, Vec<u8>)>,
+    pub synced: Vec<Bytes>,
+    pub pending: VecDeque<(u64, u64, Bytes)>,
     pub stalled_until: u64,
 }
 
--- a/crates/control/tests/electorate/world.rs
+++ b/crates/control/tests/electorate/world.rs
@@ -485,6 +485,7 @@
     let Some(PeerBody::Register(envelope)) = &frame.body else { return None };
     match Message::decode(&envelope.message).ok()?.body {
         Body::Accept { value, .. } => Some(value.electorate),
+        Body::AcceptDelta { delta, .. } => Some(delta.electorate),
         _ => None,
     }
 }
--- a/crates/control/tests/orders_scripts.rs
+++ b/crates/control/tests/orders_scripts.rs
@@ -224,7 +224,7 @@
     for core in 0..3 {
         world.kill_core(core, false);
         let records = [Record::FirstElectorate(electorate.clone()), Record::Accepted(accepted.clone())];
-        world.cores[core].disk = records.iter().map(|record| record.encode().to_vec()).collect();
+        world.cores[core].disk = records.iter().map(|record| record.encode()).collect();
         world.start_core(core, false);
     }
     world.run_for(2_000);
--- a/crates/control/tests/simulation/core_machine.rs
+++ b/crates/control/tests/simulation/core_machine.rs
@@ -4,6 +4,7 @@
 use super::flaws::{self, CoreNode};
 use super::node_settings::node_settings;
 use super::{Connection, Event, World, TICK_INTERVAL_MS};
+use bytes::Bytes;
 use std::collections::{BTreeMap, VecDeque};
 use switchhill_control::{Input, NodeSettings, SubscriberId};
 use switchhill_protocol::{Downstream, DownstreamBody, PeerBody, PeerFrame};
@@ -17,7 +18,7 @@
 
 pub struct CoreMachine {
     pub index: usize,
-    pub disk: Vec<Vec<u8>>,
+    pub disk: Vec<Bytes>,
     pub replica: u64,
     pub incarnation: u64,
     pub frozen: bool,
@@ -152,7 +153,7 @@
         self.after(delay, Event::Peer { from, to, frame });
     }
 
-    pub fn persist(&mut self, core: usize, token: u64, record: Vec<u8>) {
+    pub fn persist(&mut self, core: usize, token: u64, record: Bytes) {
         let delay =
             if self.random.u32(0..20) == 0 { self.random.u64(20..=150) } else { self.random.u64(1..=4) };
         let machine = &mut self.cores[core];
@@ -161,7 +162,7 @@
         self.after(wait, Event::Persisted { core, incarnation, token, record });
     }
 
-    pub fn persisted(&mut self, core: usize, incarnation: u64, token: u64, record: Vec<u8>) {
+    pub fn persisted(&mut self, core: usize, incarnation: u64, token: u64, record: Bytes) {
         let machine = &mut self.cores[core];
         if machine.incarnation != incarnation || machine.process.is_none() {
             return;
--- a/crates/control/tests/simulation/flaws.rs
+++ b/crates/control/tests/simulation/flaws.rs
@@ -43,12 +43,12 @@
     flaw: Option<Flaw>,
     now: u64,
     settings: NodeSettings,
-    disk: Vec<Vec<u8>>,
+    disk: Vec<Bytes>,
     genesis: Option<Vec<Member>>,
 ) -> Box<dyn CoreNode> {
     let replica = settings.replica_id;
     let incarnation = settings.incarnation;
-    let accepted = disk.iter().filter_map(|record| accepted(record)).next_back();
+    let accepted = disk.iter().filter_map(accepted).next_back();
     let node = ControlNode::new(now, settings, disk, genesis);
     let Some(flaw) = flaw else { return Box::new(node) };
     Box::new(FlawedNode {
@@ -79,7 +79,7 @@
     accepted: Option<Accepted>,
 }
 
-fn accepted(record: &[u8]) -> Option<Accepted> {
+fn accepted(record: &Bytes) -> Option<Accepted> {
     match Record::decode(record) {
         Ok(Record::Accepted(accepted)) => Some(accepted),
         _ => None,
--- a/crates/control/tests/simulation/mod.rs
+++ b/crates/control/tests/simulation/mod.rs
@@ -15,6 +15,7 @@
 pub mod operator;
 pub mod worker;
 
+use bytes::Bytes;
 use checkers::{Checkers, MessageKind};
 use core_machine::CoreMachine;
 use edge_machine::EdgeMachine;
@@ -100,7 +101,7 @@
     Step(Caller),
     Fault(Fault),
     Peer { from: usize, to: usize, frame: PeerFrame },
-    Persisted { core: usize, incarnation: u64, token: u64, record: Vec<u8> },
+    Persisted { core: usize, incarnation: u64, token: u64, record: Bytes },
     Connected(Connection),
     ConnectFailed { edge: usize, edge_incarnation: u64, link: LinkId },
     Disconnected(Connection),
--- a/crates/protocol/src/framing.rs
+++ b/crates/protocol/src/framing.rs
@@ -47,7 +47,7 @@
 {
     let length = read_frame_length(reader).await?;
     let body = read_frame_body(reader, length, |_| true).await?;
-    Ok(M::decode(body.as_slice())?)
+    Ok(M::decode(Bytes::from(body))?)
 }
 
 /// Reads what stands before a message and returns the message's length in bytes.
--- a/crates/record_log/src/log.rs
+++ b/crates/record_log/src/log.rs
@@ -2,6 +2,8 @@
 
 use std::path::{Path, PathBuf};
 
+use bytes::Bytes;
+
 use crate::frame::{scan, write_frame, INITIAL_CHECKSUM};
 use crate::{FileSystem, LogError, LogFile, StandardFileSystem};
 
@@ -46,17 +48,14 @@
 
 impl RecordLog {
     /// Opens the log `name` in `directory` on the file system of the operating system; see [`RecordLog::open_with`].
-    pub fn open(
-        directory: &Path,
-        name: &str,
-        options: Options,
-    ) -> Result<(RecordLog, Vec<Vec<u8>>), LogError> {
+    pub fn open(directory: &Path, name: &str, options: Options) -> Result<(RecordLog, Vec<Bytes>), LogError> {
         RecordLog::open_with(StandardFileSystem, directory, name, options)
     }
 }
 
 impl<S: FileSystem> RecordLog<S> {
-    /// Opens the file `name.log` in `directory` and returns the log and its records.
+    /// Opens the file `name.log` in `directory` and returns the log and its records. All of them share the memory of the
+    /// file's content, as long as one of them is held.
     ///
     /// Directory and file are created durably if they do not exist. A file left by an interrupted rewrite is removed,
     /// and bytes after the last valid record are truncated.
@@ -65,7 +64,7 @@
         directory: &Path,
         name: &str,
         options: Options,
-    ) -> Result<(RecordLog<S>, Vec<Vec<u8>>), LogError> {
+    ) -> Result<(RecordLog<S>, Vec<Bytes>), LogError> {
         let path = directory.join(format!("{name}.log"));
         let replacement_path = directory.join(format!("{name}.log.new"));
         file_system.create_directory(directory).map_err(LogError::Open)?;
@@ -73,7 +72,7 @@
             file_system.remove(&replacement_path).map_err(LogError::Open)?;
         }
         let mut file = file_system.open(&path).map_err(LogError::Open)?;
-        let content = file.read_all().map_err(LogError::Open)?;
+        let content = Bytes::from(file.read_all().map_err(LogError::Open)?);
         let scanned = scan(&content);
         if (content.len() as u64) > scanned.length {
             file.set_length(scanned.length).map_err(LogError::Open)?;
@@ -105,10 +104,15 @@
     /// After an error the record is not part of the log; earlier records are. It can reappear only after a power loss
     /// before the next sync, if it had been written completely.
     pub fn append(&mut self, record: &[u8]) -> Result<(), LogError> {
-        check_length(record)?;
+        self.append_parts(&[record])
+    }
+
+    /// As [`RecordLog::append`], of a record that consists of several parts.
+    pub fn append_parts(&mut self, parts: &[&[u8]]) -> Result<(), LogError> {
+        check_length(parts.iter().map(|part| part.len()).sum())?;
         self.truncate_dirty_tail().map_err(LogError::Append)?;
         let mut frame = Vec::new();
-        let checksum = write_frame(&mut frame, self.written.checksum, record);
+        let checksum = write_frame(&mut frame, self.written.checksum, parts);
         if let Err(error) = self.file.write_at(self.written.length, &frame) {
             self.tail_dirty = true;
             let _ = self.truncate_dirty_tail();
@@ -158,8 +162,8 @@
     /// After an error the log holds either the old or the new records and accepts further ones; if it holds the new
     /// ones, the next [`RecordLog::sync`] makes the replacement durable first. `records` must therefore include the
     /// effect of everything appended so far.
-    pub fn rewrite(&mut self, records: &[Vec<u8>]) -> Result<(), LogError> {
-        records.iter().try_for_each(|record| check_length(record))?;
+    pub fn rewrite(&mut self, records: &[impl AsRef<[u8]>]) -> Result<(), LogError> {
+        records.iter().try_for_each(|record| check_length(record.as_ref().len()))?;
         // The limit grows with the file: otherwise a failed rewrite, or a compacted state above the configured limit,
         // would trigger a rewrite after every append.
         self.rewrite_above_bytes = self.written.length + self.options.rewrite_above_bytes;
@@ -180,11 +184,11 @@
     }
 
     /// Writes the replacement file, syncs it and renames it to the log's path.
-    fn write_replacement(&self, records: &[Vec<u8>]) -> std::io::Result<(S::File, Position)> {
+    fn write_replacement(&self, records: &[impl AsRef<[u8]>]) -> std::io::Result<(S::File, Position)> {
         let mut content = Vec::new();
         let mut checksum = INITIAL_CHECKSUM;
         for record in records {
-            checksum = write_frame(&mut content, checksum, record);
+            checksum = write_frame(&mut content, checksum, &[record.as_ref()]);
         }
         let mut file = self.file_system.open(&self.replacement_path)?;
         file.set_length(0)?;
@@ -227,9 +231,9 @@
     }
 }
 
-fn check_length(record: &[u8]) -> Result<(), LogError> {
-    if record.len() > MAX_RECORD_BYTES {
-        return Err(LogError::RecordTooLong { length: record.len(), limit: MAX_RECORD_BYTES });
+fn check_length(length: usize) -> Result<(), LogError> {
+    if length > MAX_RECORD_BYTES {
+        return Err(LogError::RecordTooLong { length, limit: MAX_RECORD_BYTES });
     }
     Ok(())
 }
--- a/crates/record_log/tests/crash_points.rs
+++ b/crates/record_log/tests/crash_points.rs
@@ -5,6 +5,7 @@
 
 mod power;
 
+use bytes::Bytes;
 use std::path::Path;
 
 use googletest::prelude::*;
@@ -75,7 +76,7 @@
         Ok(())
     }
 
-    fn check(&self, records: &[Vec<u8>]) -> std::result::Result<(), String> {
+    fn check(&self, records: &[Bytes]) -> std::result::Result<(), String> {
         let Some((identity, states)) = records.split_first() else {
             return if self.has_identity { Err("the file is empty".into()) } else { Ok(()) };
         };
--- a/crates/record_log/tests/record_log.rs
+++ b/crates/record_log/tests/record_log.rs
@@ -14,7 +14,9 @@
 type FaultyLog = RecordLog<FaultyFileSystem>;
 
 fn open(disk: &FaultyFileSystem) -> (FaultyLog, Vec<Vec<u8>>) {
-    RecordLog::open_with(disk.clone(), Path::new(DIRECTORY), "register", OPTIONS).expect("log opens")
+    let opened = RecordLog::open_with(disk.clone(), Path::new(DIRECTORY), "register", OPTIONS);
+    let (log, records) = opened.expect("log opens");
+    (log, records.iter().map(|record| record.to_vec()).collect())
 }
 
 fn path() -> PathBuf {
--- a/crates/register/src/catch_up.rs
+++ b/crates/register/src/catch_up.rs
@@ -4,6 +4,14 @@
 use crate::replica::{Replica, RESEND_MS};
 use crate::{Accepted, Ballot, Body, ReplicaId, Value};
 
+/// Longest content in bytes that a replica is sent because it has told of an older one. A longer one is announced, and the
+/// replica asks for it if it still lacks it: it may be on its way already.
+const LONGEST_REPAIR_BYTES: usize = 64 << 10;
+
+/// Doublings of the wait for a value that was asked for, after which it grows no further: a large value takes longer to come
+/// than a lost message to be missed.
+const MAX_FETCH_DOUBLINGS: u32 = 4;
+
 /// How often a chosen value is asked for. After that the replica waits for the next change, or for [`Input::Learn`](crate::Input::Learn).
 const FETCH_ATTEMPTS: u32 = 8;
 
@@ -17,6 +25,14 @@
     attempts_left: u32,
 }
 
+impl MissingValue {
+    /// When it is asked for again, in milliseconds.
+    fn ask_again_at(&self) -> u64 {
+        let asked_again = FETCH_ATTEMPTS - self.attempts_left;
+        self.asked_at + (RESEND_MS << asked_again.min(MAX_FETCH_DOUBLINGS))
+    }
+}
+
 impl Replica {
     pub(crate) fn on_committed(&mut self, now: u64, from: ReplicaId, ballot: Ballot, value: Option<Value>) {
         if ballot <= self.committed_ballot() {
@@ -42,8 +58,7 @@
     pub(crate) fn tick_fetch(&mut self, now: u64) {
         let committed = self.committed_ballot();
         self.missing.take_if(|missing| missing.ballot <= committed || missing.attempts_left == 0);
-        let Some(missing) = self.missing.as_mut().filter(|missing| now >= missing.asked_at + RESEND_MS)
-        else {
+        let Some(missing) = self.missing.as_mut().filter(|missing| now >= missing.ask_again_at()) else {
             return;
         };
         missing.asked_at = now;
@@ -59,7 +74,8 @@
         }
     }
 
-    /// Sends the newest chosen value to a replica that has told of an older one, unless a newer one is on its way.
+    /// Sends the newest chosen value to a replica that has told of an older one, or announces it, unless a newer one is on
+    /// its way.
     pub(crate) fn repair(&mut self, to: ReplicaId, accepted: Ballot) {
         let proposing =
             self.active.as_ref().is_some_and(|active| matches!(active.stage, Stage::Proposing(_)));
@@ -67,7 +83,9 @@
             return;
         };
         if to != self.id && accepted < committed.ballot {
-            self.send(to, Body::Committed { ballot: committed.ballot, value: Some(committed.value) });
+            let is_short = committed.value.data.len() <= LONGEST_REPAIR_BYTES;
+            let value = is_short.then_some(committed.value);
+            self.send(to, Body::Committed { ballot: committed.ballot, value });
         }
     }
 }
--- a/crates/register/src/durability.rs
+++ b/crates/register/src/durability.rs
@@ -1,5 +1,7 @@
 //! What of a replica's state is durable, and which messages wait for it.
 
+use bytes::Bytes;
+
 use crate::{Accepted, Ballot, Body, Electorate, Output, Record, ReplicaId};
 
 /// How far each kind of state is written.
@@ -70,6 +72,13 @@
         }
     }
 
+    /// Gives the value a content of its own: that of a record refers to the bytes of the whole file.
+    pub(crate) fn detach(&mut self) {
+        if let Some(accepted) = &mut self.accepted {
+            accepted.value.data = Bytes::copy_from_slice(&accepted.value.data);
+        }
+    }
+
     pub(crate) fn extent(&self) -> Extent {
         Extent {
             first_electorate: self.first_electorate.is_some(),
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -29,6 +29,7 @@
 mod ballots;
 mod catch_up;
 mod completion;
+mod content_delta;
 mod durability;
 mod error;
 mod message;
@@ -45,7 +46,7 @@
 
 pub use api::{Input, Output};
 pub use error::{DecodeError, RegisterError};
-pub use message::{Body, Message};
+pub use message::{Body, Message, ValueDelta};
 pub use record::Record;
 pub use replica::Replica;
 pub use types::{Accepted, Ballot, Electorate, Member, ReplicaId, Value};
--- a/crates/register/src/message.rs
+++ b/crates/register/src/message.rs
@@ -1,5 +1,7 @@
 //! Messages between replicas.
 
+use bytes::Bytes;
+
 use crate::{Accepted, Ballot, Electorate, ReplicaId, Value};
 
 /// A message and the replica it is meant for; any other one ignores it.
@@ -11,6 +13,19 @@
     pub body: Body,
 }
 
+/// A value, told by what leads to it from another one that the receiver has accepted or knows to be chosen.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct ValueDelta {
+    /// Ballot under which the receiver holds the other value.
+    pub base: Ballot,
+    /// Electorate of the value.
+    pub electorate: Electorate,
+    /// Lineage of the value.
+    pub lineage: Vec<Ballot>,
+    /// What leads from the content of the other value to that of this one.
+    pub difference: Bytes,
+}
+
 /// What a message says.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Body {
@@ -39,7 +54,19 @@
         /// The value proposed under it.
         value: Value,
     },
-    /// Answers [`Body::Accept`].
+    /// As [`Body::Accept`], for a receiver that is expected to hold the value that this one is built on.
+    AcceptDelta {
+        /// The ballot prepared.
+        ballot: Ballot,
+        /// The value proposed under it.
+        delta: ValueDelta,
+    },
+    /// Answers [`Body::AcceptDelta`]: the receiver does not hold the other value, and needs this one whole.
+    ValueNeeded {
+        /// The ballot proposed.
+        ballot: Ballot,
+    },
+    /// Answers [`Body::Accept`] and [`Body::AcceptDelta`].
     AcceptReply {
         /// The ballot accepted.
         ballot: Ballot,
--- a/crates/register/src/operation.rs
+++ b/crates/register/src/operation.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 
 use crate::replica::RESEND_MS;
-use crate::{Accepted, Ballot, Electorate, Member, ReplicaId};
+use crate::{Accepted, Ballot, Body, Electorate, Member, ReplicaId, ValueDelta};
 
 /// One operation of the caller, or the replica's own completion of a value not known to be chosen.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -74,6 +74,8 @@
     pub(crate) current: Option<Accepted>,
     /// Whether the promises show that the current value is chosen.
     pub(crate) chosen: bool,
+    /// Who has promised without holding the current value.
+    pub(crate) behind: BTreeSet<ReplicaId>,
 }
 
 /// When a round sends its messages again and when it is given up after a refusal.
@@ -133,6 +135,12 @@
     /// Electorates each of which must accept by a quorum.
     pub(crate) electorates: Vec<Electorate>,
     pub(crate) accepted_by: BTreeSet<ReplicaId>,
+    /// The proposal by what leads to it from the value prepared, if that is short.
+    pub(crate) delta: Option<ValueDelta>,
+    /// Who does not hold the value prepared.
+    pub(crate) lacking: BTreeSet<ReplicaId>,
+    /// How often the proposal has been sent again.
+    pub(crate) resends: u32,
     pub(crate) times: RoundTimes,
 }
 
@@ -183,7 +191,10 @@
     pub(crate) fn into_prepared(self, committed: Ballot) -> Prepared {
         let known = self.highest.as_ref().is_some_and(|highest| highest.ballot == committed);
         let chosen = known || self.highest_is_chosen();
-        Prepared { ballot: self.ballot, electorate: self.electorate, current: self.highest, chosen }
+        let highest = self.highest.as_ref().map_or(Ballot::NONE, |highest| highest.ballot);
+        let behind = self.promises.iter().filter(|(_, accepted)| **accepted != highest);
+        let behind = behind.map(|(id, _)| *id).collect();
+        Prepared { ballot: self.ballot, electorate: self.electorate, current: self.highest, chosen, behind }
     }
 }
 
@@ -195,6 +206,27 @@
     pub(crate) fn unanswered(&self) -> Vec<ReplicaId> {
         voters(&self.electorates).difference(&self.accepted_by).copied().collect()
     }
+
+    /// The proposal, whole.
+    pub(crate) fn whole(&self) -> Body {
+        let Accepted { ballot, value } = self.proposal.clone();
+        Body::Accept { ballot, value }
+    }
+
+    /// The message that proposes to a replica now, if one is due.
+    ///
+    /// A whole value that has a delta is large: it is sent to those who lack the base, and then after longer and longer
+    /// times, also to those who have not answered to its delta, which an earlier edition does not know.
+    pub(crate) fn message_for(&self, to: ReplicaId) -> Option<Body> {
+        let Some(delta) = &self.delta else { return Some(self.whole()) };
+        let is_whole_due = self.resends > 1 && self.resends.is_power_of_two();
+        let is_lacking = self.lacking.contains(&to);
+        if is_whole_due || is_lacking && self.resends == 0 {
+            return Some(self.whole());
+        }
+        let delta = Body::AcceptDelta { ballot: self.proposal.ballot, delta: delta.clone() };
+        (!is_lacking).then_some(delta)
+    }
 }
 
 impl InspectRound {
--- a/crates/register/src/proposal.rs
+++ b/crates/register/src/proposal.rs
@@ -5,7 +5,7 @@
 use crate::operation::{voters, AcceptRound, DueAction, Goal, Prepared, RoundTimes, Stage};
 use crate::prepare::{settled_result, verdict};
 use crate::replica::Replica;
-use crate::{Accepted, Ballot, Body, Electorate, ReplicaId, Value};
+use crate::{content_delta, Accepted, Ballot, Body, ReplicaId, Value, ValueDelta};
 
 impl Replica {
     /// Proposes the operation's own value on top of the prepared one.
@@ -22,13 +22,13 @@
         };
         let previous = prepared.current.as_ref().map(|current| &current.value);
         let value = Value::successor(previous, write.origin, electorate, write.data.clone());
-        self.start_accept(now, prepared.ballot, value, prepared.electorate);
+        self.start_accept(now, prepared, value);
     }
 
     /// Proposes the prepared value again, unchanged.
     pub(crate) fn propose_current(&mut self, now: u64, prepared: Prepared) {
-        if let Some(current) = prepared.current {
-            self.start_accept(now, prepared.ballot, current.value, prepared.electorate);
+        if let Some(value) = prepared.current.as_ref().map(|current| current.value.clone()) {
+            self.start_accept(now, prepared, value);
         }
     }
 
@@ -38,20 +38,24 @@
             let electorate = prepared.electorate.settled();
             let data = current.value.data.clone();
             let value = Value::successor(Some(&current.value), prepared.ballot, electorate, data);
-            self.start_accept(now, prepared.ballot, value, prepared.electorate);
+            self.start_accept(now, prepared, value);
         }
     }
 
-    fn start_accept(&mut self, now: u64, ballot: Ballot, value: Value, replaced: Electorate) {
+    fn start_accept(&mut self, now: u64, prepared: Prepared, value: Value) {
         self.learn_electorate(&value.electorate);
-        let mut electorates = vec![replaced];
+        let delta = prepared.current.as_ref().and_then(|current| delta_from(current, &value));
+        let mut electorates = vec![prepared.electorate];
         if electorates[0] != value.electorate {
             electorates.push(value.electorate.clone());
         }
         let round = AcceptRound {
-            proposal: Accepted { ballot, value },
+            proposal: Accepted { ballot: prepared.ballot, value },
             electorates,
             accepted_by: BTreeSet::new(),
+            delta,
+            lacking: prepared.behind,
+            resends: 0,
             times: RoundTimes::started(now),
         };
         self.set_stage(Stage::Proposing(round));
@@ -66,12 +70,47 @@
     }
 
     fn send_accepts(&mut self) {
+        let own_id = self.id;
         let Some(round) = self.accept_round() else {
             return;
         };
-        let Accepted { ballot, value } = round.proposal.clone();
-        let receivers = round.unanswered();
-        self.send_to_all(receivers, &Body::Accept { ballot, value });
+        // This replica shares the value with its proposal.
+        let message_for = |to| match to == own_id {
+            true => Some((to, round.whole())),
+            false => Some((to, round.message_for(to)?)),
+        };
+        let messages: Vec<(ReplicaId, Body)> =
+            round.unanswered().into_iter().filter_map(message_for).collect();
+        for (to, message) in messages {
+            self.send(to, message);
+        }
+    }
+
+    /// A replica does not hold the value that the proposal is built on.
+    pub(crate) fn on_value_needed(&mut self, from: ReplicaId, ballot: Ballot) {
+        let Some(round) = self.accept_round().filter(|round| round.proposal.ballot == ballot) else {
+            return;
+        };
+        if round.lacking.insert(from) {
+            let whole = round.whole();
+            self.send(from, whole);
+        }
+    }
+
+    /// Accepts a proposal told by a delta, or asks for all of it.
+    pub(crate) fn accept_delta(&mut self, from: ReplicaId, ballot: Ballot, delta: ValueDelta) {
+        match self.value_by(&delta) {
+            Some(value) => self.accept_proposal(from, Accepted { ballot, value }),
+            None => self.send(from, Body::ValueNeeded { ballot }),
+        }
+    }
+
+    /// The value that a delta leads to, if its base is held.
+    fn value_by(&self, delta: &ValueDelta) -> Option<Value> {
+        let held = [self.acceptor.state.accepted.as_ref(), self.committed.as_ref()];
+        let base = held.into_iter().flatten().find(|held| held.ballot == delta.base)?;
+        let data = content_delta::apply(&base.value.data, &delta.difference).ok()?;
+        Some(Value { electorate: delta.electorate.clone(), data, lineage: delta.lineage.clone() })
     }
 
     pub(crate) fn on_accept_reply(&mut self, now: u64, from: ReplicaId, ballot: Ballot) {
@@ -134,8 +173,18 @@
         };
         match round.times.due_action(now) {
             DueAction::Wait => {}
-            DueAction::Resend => self.send_accepts(),
+            DueAction::Resend => {
+                round.resends += 1;
+                self.send_accepts();
+            }
             DueAction::Restart => self.restart_refused_round(now),
         }
     }
 }
+
+/// What leads from the value prepared to the one proposed, if that is short.
+fn delta_from(current: &Accepted, value: &Value) -> Option<ValueDelta> {
+    let difference = content_delta::difference(&current.value.data, &value.data)?;
+    let (electorate, lineage) = (value.electorate.clone(), value.lineage.clone());
+    Some(ValueDelta { base: current.ballot, electorate, lineage, difference })
+}
--- a/crates/register/src/replica.rs
+++ b/crates/register/src/replica.rs
@@ -62,6 +62,7 @@
     pub fn recover(id: ReplicaId, records: impl Iterator<Item = Record>, seed: u64) -> Replica {
         let mut state = State::default();
         records.for_each(|record| state.apply(record));
+        state.detach();
         Replica::with_acceptor(id, Acceptor::recovered(state), seed)
     }
 
@@ -192,10 +193,15 @@
             }
             Body::Accept { ballot, value } => {
                 if self.may_vote(&value.electorate) {
-                    self.acceptor.accept(from, Accepted { ballot, value }, &mut self.outputs);
-                    self.learn_addresses();
+                    self.accept_proposal(from, Accepted { ballot, value });
                 }
             }
+            Body::AcceptDelta { ballot, delta } => {
+                if self.may_vote(&delta.electorate) {
+                    self.accept_delta(from, ballot, delta);
+                }
+            }
+            Body::ValueNeeded { ballot } => self.on_value_needed(from, ballot),
             Body::Inspect { read, electorate } => {
                 if self.may_vote(&electorate) {
                     self.acceptor.inspect(from, read, &mut self.outputs);
@@ -211,6 +217,11 @@
         }
     }
 
+    pub(crate) fn accept_proposal(&mut self, from: ReplicaId, proposal: Accepted) {
+        self.acceptor.accept(from, proposal, &mut self.outputs);
+        self.learn_addresses();
+    }
+
     /// A replica without any state votes only in an electorate that names it: its id is new, so what it does not remember
     /// it has never promised.
     fn may_vote(&self, electorate: &Electorate) -> bool {
@@ -219,7 +230,10 @@
 
     fn see_ballots(&mut self, body: &Body) {
         match body {
-            Body::Prepare { ballot, .. } | Body::Accept { ballot, .. } | Body::Committed { ballot, .. } => {
+            Body::Prepare { ballot, .. }
+            | Body::Accept { ballot, .. }
+            | Body::AcceptDelta { ballot, .. }
+            | Body::Committed { ballot, .. } => {
                 self.ballots.see(*ballot);
             }
             Body::Promise { accepted, .. } | Body::InspectReply { accepted, .. } => {
--- a/crates/register/src/wire.rs
+++ b/crates/register/src/wire.rs
@@ -3,7 +3,9 @@
 use bytes::Bytes;
 use prost::Message as _;
 
-use crate::{Accepted, Ballot, Body, DecodeError, Electorate, Member, Message, Record, ReplicaId, Value};
+use crate::{
+    Accepted, Ballot, Body, DecodeError, Electorate, Member, Message, Record, ReplicaId, Value, ValueDelta,
+};
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct WireBallot {
@@ -49,6 +51,20 @@
     value: Option<WireValue>,
 }
 
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireAcceptDelta {
+    #[prost(message, optional, tag = "1")]
+    ballot: Option<WireBallot>,
+    #[prost(message, optional, tag = "2")]
+    base: Option<WireBallot>,
+    #[prost(message, optional, tag = "3")]
+    electorate: Option<WireElectorate>,
+    #[prost(message, repeated, tag = "4")]
+    lineage: Vec<WireBallot>,
+    #[prost(bytes = "bytes", tag = "5")]
+    difference: Bytes,
+}
+
 #[derive(Clone, PartialEq, prost::Message)]
 struct WirePrepare {
     #[prost(message, optional, tag = "1")]
@@ -97,7 +113,7 @@
 struct WireMessage {
     #[prost(fixed64, tag = "1")]
     to: u64,
-    #[prost(oneof = "WireBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "WireBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     body: Option<WireBody>,
 }
 
@@ -124,6 +140,10 @@
     Fetch(WireBallot),
     #[prost(message, tag = "11")]
     FetchReply(WireAccepted),
+    #[prost(message, tag = "12")]
+    AcceptDelta(WireAcceptDelta),
+    #[prost(message, tag = "13")]
+    ValueNeeded(WireBallot),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -151,9 +171,12 @@
         WireMessage { to: self.to.0, body }.encode_to_vec().into()
     }
 
-    /// Reads a message; see [`DecodeError`].
-    pub fn decode(bytes: &[u8]) -> Result<Message, DecodeError> {
-        let wire = WireMessage::decode(Bytes::copy_from_slice(bytes))?;
+    /// Reads a message, whose values refer to the same bytes.
+    ///
+    /// # Errors
+    /// The bytes are no message.
+    pub fn decode(bytes: &Bytes) -> Result<Message, DecodeError> {
+        let wire = WireMessage::decode(bytes.clone())?;
         let body = required(wire.body, "body")?;
         Ok(Message { to: ReplicaId(wire.to), body: body.try_into()? })
     }
@@ -171,9 +194,12 @@
         WireRecord { fact: Some(fact) }.encode_to_vec().into()
     }
 
-    /// Reads a record; see [`DecodeError`].
-    pub fn decode(bytes: &[u8]) -> Result<Record, DecodeError> {
-        let wire = WireRecord::decode(Bytes::copy_from_slice(bytes))?;
+    /// Reads a record, whose value refers to the same bytes.
+    ///
+    /// # Errors
+    /// The bytes are no record.
+    pub fn decode(bytes: &Bytes) -> Result<Record, DecodeError> {
+        let wire = WireRecord::decode(bytes.clone())?;
         Ok(match required(wire.fact, "fact")? {
             WireFact::FirstElectorate(electorate) => Record::FirstElectorate(electorate.into()),
             WireFact::Reserved(counter) => Record::Reserved(counter),
@@ -293,6 +319,14 @@
                 value: value.as_ref().map(WireValue::from),
             }),
             Body::Accept { ballot, value } => WireBody::Accept(wire_accepted(*ballot, Some(value))),
+            Body::AcceptDelta { ballot, delta } => WireBody::AcceptDelta(WireAcceptDelta {
+                ballot: Some((*ballot).into()),
+                base: Some(delta.base.into()),
+                electorate: Some((&delta.electorate).into()),
+                lineage: delta.lineage.iter().map(|origin| (*origin).into()).collect(),
+                difference: delta.difference.clone(),
+            }),
+            Body::ValueNeeded { ballot } => WireBody::ValueNeeded((*ballot).into()),
             Body::AcceptReply { ballot } => WireBody::AcceptReply((*ballot).into()),
             Body::Reject { ballot, promised } => WireBody::Reject(WireReject {
                 ballot: Some((*ballot).into()),
@@ -330,6 +364,16 @@
                 let Accepted { ballot, value } = accept.try_into()?;
                 Body::Accept { ballot, value }
             }
+            WireBody::AcceptDelta(accept) => Body::AcceptDelta {
+                ballot: ballot(accept.ballot)?,
+                delta: ValueDelta {
+                    base: ballot(accept.base)?,
+                    electorate: electorate(accept.electorate)?,
+                    lineage: accept.lineage.into_iter().map(Ballot::from).collect(),
+                    difference: accept.difference,
+                },
+            },
+            WireBody::ValueNeeded(needed) => Body::ValueNeeded { ballot: needed.into() },
             WireBody::AcceptReply(accepted) => Body::AcceptReply { ballot: accepted.into() },
             WireBody::Reject(reject) => {
                 Body::Reject { ballot: ballot(reject.ballot)?, promised: ballot(reject.promised)? }
--- a/crates/register/tests/faults_by_seed.rs
+++ b/crates/register/tests/faults_by_seed.rs
@@ -13,6 +13,8 @@
 struct Days {
     played: usize,
     written: usize,
+    deltas_sent: usize,
+    values_needed: usize,
     /// Seeds of days on which the register could not be read in the end.
     unread: Vec<u64>,
     violations: Vec<String>,
@@ -25,6 +27,8 @@
         match World::new(seed, plan).run() {
             Ok(day) => {
                 days.written += day.written;
+                days.deltas_sent += day.deltas_sent;
+                days.values_needed += day.values_needed;
                 if !day.last_read {
                     days.unread.push(seed);
                 }
@@ -39,6 +43,8 @@
     expect_that!(days.violations, is_empty());
     expect_that!(days.unread, is_empty(), "seeds on which the register could not be read in the end");
     expect_that!(days.written, gt(days.played), "writes over all days");
+    expect_that!(days.deltas_sent, gt(days.written), "proposals told by a difference over all days");
+    expect_that!(days.values_needed, gt(0), "whole values asked for over all days");
 }
 
 #[gtest]
--- a/crates/register/tests/model.rs
+++ b/crates/register/tests/model.rs
@@ -106,7 +106,7 @@
     }
 
     fn deliver(&mut self, from: u64, to: u64, bytes: &[u8]) {
-        let message = Message::decode(bytes).expect("messages decode");
+        let message = Message::decode(&Bytes::copy_from_slice(bytes)).expect("messages decode");
         self.input(to, Input::Message { from: ReplicaId(from), message });
     }
 
--- a/crates/register/tests/model_changes.rs
+++ b/crates/register/tests/model_changes.rs
@@ -109,7 +109,7 @@
         if self.lost == Some(to) {
             return;
         }
-        let message = Message::decode(bytes).expect("messages decode");
+        let message = Message::decode(&Bytes::copy_from_slice(bytes)).expect("messages decode");
         self.input(to, Input::Message { from: ReplicaId(from), message });
     }
 
@@ -166,8 +166,8 @@
 }
 
 fn is_accept(bytes: &[u8]) -> bool {
-    let message = Message::decode(bytes).expect("messages decode");
-    matches!(message.body, Body::Accept { .. })
+    let message = Message::decode(&Bytes::copy_from_slice(bytes)).expect("messages decode");
+    matches!(message.body, Body::Accept { .. } | Body::AcceptDelta { .. })
 }
 
 fn in_a_single_step(mut message: Message) -> Message {
--- a/crates/register/tests/simulation/history.rs
+++ b/crates/register/tests/simulation/history.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use bytes::Bytes;
 use switchhill_register::{Accepted, Ballot, RegisterError, Value};
 
 /// Length from which on a lineage no longer goes back to the first value.
@@ -47,8 +48,16 @@
     violation: Option<Violation>,
 }
 
+/// Bytes that all values begin with, so that proposals are told by their difference from the value before.
+const COMMON_BYTES: usize = 1_000;
+
+pub fn data_of(content: Content) -> Bytes {
+    [vec![7; COMMON_BYTES], content.to_le_bytes().to_vec()].concat().into()
+}
+
 pub fn content_of(value: &Value) -> Content {
-    u64::from_le_bytes(value.data[..].try_into().expect("contents are eight bytes"))
+    let content = &value.data[COMMON_BYTES..];
+    u64::from_le_bytes(content.try_into().expect("contents are eight bytes"))
 }
 
 impl History {
--- a/crates/register/tests/simulation/mod.rs
+++ b/crates/register/tests/simulation/mod.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use disk::{Disk, Finished};
 use faults::{Faults, Plan};
-use history::{content_of, Content, History, Violation};
+use history::{content_of, data_of, Content, History, Violation};
 use switchhill_register::{
     Accepted, Body, Input, Member, Message, Output, RegisterError, Replica, ReplicaId,
 };
@@ -67,6 +67,8 @@
     /// By the time they are due and the order of sending.
     packets: BTreeMap<(u64, u64), Packet>,
     packets_sent: u64,
+    deltas_sent: usize,
+    values_needed: usize,
     next_id: u64,
     next_operation: u64,
 }
@@ -82,6 +84,8 @@
             faults: Faults::new(plan),
             packets: BTreeMap::new(),
             packets_sent: 0,
+            deltas_sent: 0,
+            values_needed: 0,
             next_id: 1,
             next_operation: 1,
         };
@@ -140,7 +144,8 @@
         let written = self.history.written();
         let last_read = self.read_back();
         self.history.check()?;
-        Ok(Day { written, last_read })
+        let World { deltas_sent, values_needed, .. } = self;
+        Ok(Day { written, last_read, deltas_sent, values_needed })
     }
 
     fn run_calm(&mut self) {
@@ -258,8 +263,14 @@
 
     fn send(&mut self, machine: usize, to: ReplicaId, address: String, message: Message) {
         assert_eq!(to, message.to, "seed {}", self.seed);
-        if let Body::Accept { ballot, value } = &message.body {
-            self.faults.note_proposed(*ballot, &value.electorate);
+        match &message.body {
+            Body::Accept { ballot, value } => self.faults.note_proposed(*ballot, &value.electorate),
+            Body::AcceptDelta { ballot, delta } => {
+                self.deltas_sent += 1;
+                self.faults.note_proposed(*ballot, &delta.electorate);
+            }
+            Body::ValueNeeded { .. } => self.values_needed += 1,
+            _ => {}
         }
         let sender = &self.machines[machine];
         if sender.cut_until > self.now || self.random.f64() < self.faults.loss {
@@ -326,7 +337,7 @@
         self.machines[machine].waiting.insert(operation, Waiting::Write { content });
         self.history.write_started(self.now, content, predecessor);
         let members = faults::new_members(self, current.as_ref());
-        let data = Bytes::copy_from_slice(&content.to_le_bytes());
+        let data = data_of(content);
         self.handle(machine, Input::Write { operation, data, members });
     }
 
@@ -370,6 +381,10 @@
 #[derive(Debug)]
 pub struct Day {
     pub written: usize,
+    /// Proposals that were told by their difference from the value before.
+    pub deltas_sent: usize,
+    /// Answers that ask for a whole value instead.
+    pub values_needed: usize,
     /// Whether the register could be read in the end.
     pub last_read: bool,
 }
--- a/crates/register/tests/wire.rs
+++ b/crates/register/tests/wire.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use googletest::prelude::*;
 use switchhill_register::{
-    Accepted, Ballot, Body, DecodeError, Electorate, Member, Message, Record, ReplicaId, Value,
+    Accepted, Ballot, Body, DecodeError, Electorate, Member, Message, Record, ReplicaId, Value, ValueDelta,
 };
 
 fn ballot(counter: u64) -> Ballot {
@@ -32,6 +32,16 @@
         Body::Promise { ballot: ballot(1), accepted: Ballot::NONE, value: None },
         Body::Promise { ballot: ballot(1), accepted: ballot(2), value: Some(value.clone()) },
         Body::Accept { ballot: ballot(1), value: value.clone() },
+        Body::AcceptDelta {
+            ballot: ballot(2),
+            delta: ValueDelta {
+                base: ballot(1),
+                electorate: electorate(),
+                lineage: vec![ballot(1), ballot(2)],
+                difference: Bytes::from_static(b"difference"),
+            },
+        },
+        Body::ValueNeeded { ballot: ballot(1) },
         Body::AcceptReply { ballot: ballot(1) },
         Body::Reject { ballot: ballot(1), promised: ballot(2) },
         Body::Committed { ballot: ballot(1), value: None },
@@ -62,9 +72,12 @@
 
 #[gtest]
 fn garbled_bytes_are_refused() {
-    expect_that!(Message::decode(b"\xff\xff\xff"), err(pat!(DecodeError::Malformed(_))));
-    expect_that!(Message::decode(b""), err(eq(&DecodeError::Missing("body"))));
-    expect_that!(Record::decode(b""), err(eq(&DecodeError::Missing("fact"))));
+    expect_that!(Message::decode(&Bytes::from_static(b"\xff\xff\xff")), err(pat!(DecodeError::Malformed(_))));
+    expect_that!(Message::decode(&Bytes::new()), err(eq(&DecodeError::Missing("body"))));
+    expect_that!(Record::decode(&Bytes::new()), err(eq(&DecodeError::Missing("fact"))));
     // An acceptance without its ballot and value.
-    expect_that!(Record::decode(&[0x22, 0x00]), err(eq(&DecodeError::Missing("ballot"))));
+    expect_that!(
+        Record::decode(&Bytes::from_static(&[0x22, 0x00])),
+        err(eq(&DecodeError::Missing("ballot")))
+    );
 }
--- a/crates/replica_file/src/identity.rs
+++ b/crates/replica_file/src/identity.rs
@@ -1,10 +1,12 @@
 //! Encoding of the replica's identity and of the tag byte that starts each record.
 
+use bytes::Bytes;
+
 /// Tag of the record that holds the replica's identity.
 const IDENTITY_TAG: u8 = 0;
 
 /// Tag of the records of the register.
-const REGISTER_TAG: u8 = 1;
+pub(crate) const REGISTER_TAG: u8 = 1;
 
 /// Identity of a replica. A replica that starts on an empty disk is assigned a new one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,13 +35,6 @@
     }
 }
 
-pub(crate) fn decode_register_record(record: Vec<u8>) -> Option<Vec<u8>> {
-    record.strip_prefix(&[REGISTER_TAG]).map(<[u8]>::to_vec)
-}
-
-pub(crate) fn encode_register_record(record: &[u8]) -> Vec<u8> {
-    let mut encoded = Vec::with_capacity(record.len() + 1);
-    encoded.push(REGISTER_TAG);
-    encoded.extend_from_slice(record);
-    encoded
+pub(crate) fn decode_register_record(record: Bytes) -> Option<Bytes> {
+    (record.first() == Some(&REGISTER_TAG)).then(|| record.slice(1..))
 }
--- a/crates/replica_file/src/lib.rs
+++ b/crates/replica_file/src/lib.rs
@@ -12,6 +12,8 @@
 
 use std::path::Path;
 
+use bytes::Bytes;
+
 use switchhill_record_log::{FileSystem, LogError, Options, RecordLog};
 
 pub use identity::Identity;
@@ -28,8 +30,8 @@
     pub writer: Writer<S>,
     /// Identity of the replica.
     pub identity: Identity,
-    /// Records of the register, oldest first.
-    pub records: Vec<Vec<u8>>,
+    /// Records of the register, oldest first. All of them share the memory of the file's content.
+    pub records: Vec<Bytes>,
     /// Bytes at the end of the file that were cut off, since they are no valid records.
     pub discarded_bytes: u64,
     /// Whether the file held no identity and was given a new one.
--- a/crates/replica_file/src/writer.rs
+++ b/crates/replica_file/src/writer.rs
@@ -2,16 +2,18 @@
 
 use switchhill_record_log::{FileSystem, LogError, RecordLog};
 
-use crate::identity::encode_register_record;
+use bytes::Bytes;
+
+use crate::identity::REGISTER_TAG;
 use crate::Identity;
 
 /// A request to change the file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WriteRequest {
     /// Appends a record; its token is reported once the record is durable.
-    Append(u64, Vec<u8>),
+    Append(u64, Bytes),
     /// Replaces all records by these, which must include the effect of every earlier request.
-    Rewrite(Vec<Vec<u8>>),
+    Rewrite(Vec<Bytes>),
 }
 
 /// What the writer reports to the owner of the file.
@@ -65,7 +67,7 @@
         for request in batch {
             match request {
                 WriteRequest::Append(token, record) => {
-                    match self.log.append(&encode_register_record(&record)) {
+                    match self.log.append_parts(&[&[REGISTER_TAG], &record]) {
                         Ok(()) => appended.push(token),
                         Err(error) => report(WriterEvent::AppendFailed(token, error.to_string())),
                     }
@@ -91,9 +93,9 @@
         }
     }
 
-    fn rewrite(&mut self, records: &[Vec<u8>], report: &mut impl FnMut(WriterEvent)) {
+    fn rewrite(&mut self, records: &[Bytes], report: &mut impl FnMut(WriterEvent)) {
         let mut all = vec![self.identity.encode()];
-        all.extend(records.iter().map(|record| encode_register_record(record)));
+        all.extend(records.iter().map(|record| [&[REGISTER_TAG], &record[..]].concat()));
         self.rewrite_requested = false;
         if let Err(error) = self.log.rewrite(&all) {
             report(WriterEvent::RewriteFailed(error));
--- a/crates/replica_file/tests/identity.rs
+++ b/crates/replica_file/tests/identity.rs
@@ -46,14 +46,14 @@
     /// Writes batches, among them one with a rewrite in the middle and one with two consecutive rewrites.
     fn write_batches(&mut self, mut stored: OpenedReplica<PowerLossFileSystem>) {
         let batches = [
-            vec![WriteRequest::Append(1, vec![1])],
+            vec![WriteRequest::Append(1, vec![1].into())],
             vec![
-                WriteRequest::Append(2, vec![2]),
-                WriteRequest::Rewrite(vec![vec![2]]),
-                WriteRequest::Append(3, vec![3]),
+                WriteRequest::Append(2, vec![2].into()),
+                WriteRequest::Rewrite(vec![vec![2].into()]),
+                WriteRequest::Append(3, vec![3].into()),
             ],
-            vec![WriteRequest::Rewrite(vec![vec![3]]), WriteRequest::Rewrite(vec![vec![3]])],
-            vec![WriteRequest::Append(4, vec![4])],
+            vec![WriteRequest::Rewrite(vec![vec![3].into()]), WriteRequest::Rewrite(vec![vec![3].into()])],
+            vec![WriteRequest::Append(4, vec![4].into())],
         ];
         for batch in batches {
             stored.writer.process_batch(batch, &mut |report| {
--- a/crates/replica_file/tests/interleavings.rs
+++ b/crates/replica_file/tests/interleavings.rs
@@ -112,11 +112,11 @@
     /// Requests the append of a new record under a new token.
     fn append(&mut self) {
         self.next += 1;
-        let _ = self.requests.send(WriteRequest::Append(self.next, vec![self.next as u8]));
+        let _ = self.requests.send(WriteRequest::Append(self.next, vec![self.next as u8].into()));
     }
 
     fn rewrite(&self) {
-        let _ = self.requests.send(WriteRequest::Rewrite(vec![vec![self.next as u8]]));
+        let _ = self.requests.send(WriteRequest::Rewrite(vec![vec![self.next as u8].into()]));
     }
 
     /// Receives events until the newest record is durable. A record that failed is appended again.
--- a/lab/src/emulator/disk.rs
+++ b/lab/src/emulator/disk.rs
@@ -4,6 +4,7 @@
 //! It follows the thread that writes the replica's file: all records that wait are written together and synced once.
 
 use super::file_system::VirtualFileSystem;
+use bytes::Bytes;
 use std::collections::VecDeque;
 use std::path::Path;
 use switchhill_control::Input;
@@ -24,8 +25,8 @@
 /// Work for the disk.
 #[derive(Debug, Clone)]
 enum Work {
-    Append(u64, Vec<u8>),
-    Rewrite(Vec<Vec<u8>>),
+    Append(u64, Bytes),
+    Rewrite(Vec<Bytes>),
 }
 
 /// The name that a replica wrote to its disk first, and whether it is of the first electorate.
@@ -90,7 +91,7 @@
     }
 
     /// Opens the replica's file, as a process does when it starts; its records.
-    pub fn open(&mut self) -> Vec<Vec<u8>> {
+    pub fn open(&mut self) -> Vec<Bytes> {
         let options = Options { rewrite_above_bytes: REWRITE_ABOVE };
         let opened = RecordLog::open_with(self.files.clone(), Path::new(FOLDER), NAME, options);
         let (log, records) = opened.expect("a virtual file system opens its files");
@@ -113,12 +114,12 @@
     }
 
     /// Adds a record.
-    pub fn append(&mut self, token: u64, record: Vec<u8>) {
+    pub fn append(&mut self, token: u64, record: Bytes) {
         self.waiting.push_back(Work::Append(token, record));
     }
 
     /// Replaces all records.
-    pub fn rewrite(&mut self, records: Vec<Vec<u8>>) {
+    pub fn rewrite(&mut self, records: Vec<Bytes>) {
         self.waiting.push_back(Work::Rewrite(records));
     }
 
--- a/lab/src/emulator/world/core_machine.rs
+++ b/lab/src/emulator/world/core_machine.rs
@@ -7,6 +7,7 @@
 use crate::emulator::disk::{Disk, DiskCondition, DiskFlaw, Identity};
 use crate::emulator::host::Host;
 use crate::emulator::network::{Path, Stream};
+use bytes::Bytes;
 use switchhill_control::{ControlNode, Input, NodeSettings, SubscriberId};
 use switchhill_register::{Member, Record, ReplicaId};
 
@@ -244,7 +245,7 @@
 
 impl World {
     /// A core machine has written a record: what it says of the electorate counts once it is durable.
-    pub(super) fn record_written(&mut self, core: usize, token: u64, record: &[u8]) {
+    pub(super) fn record_written(&mut self, core: usize, token: u64, record: &Bytes) {
         let Ok(Record::Accepted(accepted)) = Record::decode(record) else { return };
         let Some(process) = self.cores[core].process.as_mut() else { return };
         process.accepting.push((token, accepted.ballot, accepted.value.electorate));
--- a/src/control_plane/disk.rs
+++ b/src/control_plane/disk.rs
@@ -2,6 +2,7 @@
 
 use crate::system::essential_tasks::EssentialTasks;
 use anyhow::Context;
+use bytes::Bytes;
 use std::hash::{BuildHasher, Hasher};
 use std::path::Path;
 use std::sync::mpsc;
@@ -97,12 +98,12 @@
     }
 
     /// Appends a record; all that waits is synced together.
-    pub(super) fn append(&self, token: u64, record: Vec<u8>) {
+    pub(super) fn append(&self, token: u64, record: Bytes) {
         let _ = self.work.send(WriteRequest::Append(token, record));
     }
 
     /// Replaces all records.
-    pub(super) fn rewrite(&self, records: Vec<Vec<u8>>) {
+    pub(super) fn rewrite(&self, records: Vec<Bytes>) {
         let _ = self.work.send(WriteRequest::Rewrite(records));
     }
 }
--- a/src/system/incoming.rs
+++ b/src/system/incoming.rs
@@ -4,6 +4,7 @@
 mod tests;
 
 use super::memory_budget::{MemoryBudget, Reservation};
+use bytes::Bytes;
 use prost::Message;
 use std::time::Duration;
 use switchhill_protocol::{read_frame_body, read_frame_length, FrameError};
@@ -37,5 +38,6 @@
     let reserve = |bytes: usize| bytes <= FREE_BYTES || memory.reserve_or_extend(&mut reservation, bytes);
     let body = tokio::time::timeout(WITHIN, read_frame_body(reader, length, reserve)).await;
     let body = body.map_err(|_| FrameError::Late(length))??;
-    Ok(M::decode(body.as_slice())?)
+    // Parts of the message that are bytes refer to those that were read.
+    Ok(M::decode(Bytes::from(body))?)
 }
