A core that loses power with a large configuration returns within its memory

Cause: after an end of the whole core each replica proposes the same content under a ballot of its own. A delta named its base by the ballot alone, so each proposal was sent whole to all others, and each node with a known choice sent the whole value at heartbeats to nodes that hold it on their disks. A message was held encoded once for each receiver, a rewrite of the replica's file three times.

Change: a delta is taken from any held content whose outcome has its checksum; only who holds nothing is sent all of it at once. A long committed value is announced, not sent. Large messages go one after the other. Records are written without a copy of them.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,6 +13,7 @@
 mod freshness;
 mod input;
 mod jobs;
+mod large_messages;
 mod load;
 mod node;
 mod peer_addresses;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -4,6 +4,7 @@
 use crate::freshness::Freshness;
 use crate::input::{Answer, Call, CallId, Input, NodeSettings, Output, SubscriberId};
 use crate::jobs::Jobs;
+use crate::large_messages::LargeMessages;
 use crate::load::FleetLoad;
 use crate::peer_addresses::PeerAddresses;
 use crate::placer::Placer;
@@ -27,6 +28,7 @@
     pub(crate) settings: NodeSettings,
     pub(crate) contacts: Contacts,
     pub(crate) replica: Replica,
+    pub(crate) large_messages: LargeMessages,
     /// Content of the newest committed value of the register.
     pub(crate) control: ControlState,
     pub(crate) values: ValueDecoder,
@@ -73,6 +75,7 @@
         ControlNode {
             contacts: Contacts::new(settings.replica_id, settings.incarnation, ContactSettings::default()),
             replica,
+            large_messages: LargeMessages::default(),
             control: ControlState::default(),
             values: ValueDecoder::default(),
             state: MergedState::new(SuspicionTimeout(suspect_after)),
@@ -156,6 +159,7 @@
         self.tick_freshness(now);
         self.send_heartbeats(now);
         self.register_input(now, switchhill_register::Input::Tick);
+        self.send_due_large_message(now);
         self.tick_workers(now);
         self.tick_electorate(now);
         self.tick_placer(now);
@@ -173,7 +177,7 @@
 
     fn register_output(&mut self, now: u64, output: RegisterOutput) {
         match output {
-            RegisterOutput::Send { address, message, .. } => self.send_register(address, &message),
+            RegisterOutput::Send { address, message, .. } => self.send_register(address, message),
             RegisterOutput::Persist { token, record } => {
                 self.outputs.push(Output::Persist(token, record.encode()))
             }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -1,11 +1,12 @@
 //! Messages to and from other core nodes.
 
 use crate::input::Output;
+use crate::large_messages::LargeMessages;
 use crate::node::ControlNode;
 use std::collections::BTreeSet;
 use switchhill_membership::{PeerStatus, ReceivedHeartbeat};
 use switchhill_protocol::{Echo, PeerBody, PeerFrame, PeerHeartbeat, RegisterEnvelope};
-use switchhill_register::{Ballot, Body, Input, Message, ReplicaId};
+use switchhill_register::{Ballot, Input, Message, ReplicaId};
 
 impl ControlNode {
     /// Sends a message to the core node at an address.
@@ -170,24 +171,39 @@
         let accepted =
             Ballot { counter: heartbeat.accepted_counter, proposer: ReplicaId(heartbeat.accepted_proposer) };
         self.freshness.ballot_reported(accepted);
-        self.send_newer_committed(now, from, &address, theirs);
+        self.announce_committed(now, from, &address, theirs);
         self.compare_workers(now, from, address, heartbeat.workers_digest, heartbeat.warm);
     }
 
-    /// Sends the committed value to a node that has an older one.
-    fn send_newer_committed(&mut self, now: u64, to: u64, address: &str, theirs: Ballot) {
-        let Some(accepted) = self.replica.committed().filter(|accepted| accepted.ballot > theirs) else {
+    /// Tells a node that has an older committed value of the newest one.
+    fn announce_committed(&mut self, now: u64, to: u64, address: &str, theirs: Ballot) {
+        if self.replica.committed().is_none_or(|accepted| accepted.ballot <= theirs) {
             return;
-        };
-        let body = Body::Committed { ballot: accepted.ballot, value: Some(accepted.value.clone()) };
-        let message = Message { to: ReplicaId(to), body };
+        }
+        let Some(body) = self.replica.announcement() else { return };
         if self.updates.may_send_committed(now, to) {
-            self.send_register(address.to_owned(), &message);
+            self.send_register(address.to_owned(), Message { to: ReplicaId(to), body });
+        }
+    }
+
+    /// Sends a register message, or lets it wait its turn. If the address is empty, the address from which the receiver was
+    /// last heard is used.
+    pub(crate) fn send_register(&mut self, address: String, message: Message) {
+        if LargeMessages::is_large(&message) {
+            self.large_messages.push(address, message);
+        } else {
+            self.send_register_now(address, &message);
+        }
+    }
+
+    /// Sends the next message that has waited, if it is due.
+    pub(crate) fn send_due_large_message(&mut self, now: u64) {
+        if let Some((address, message)) = self.large_messages.next_due(now) {
+            self.send_register_now(address, &message);
         }
     }
 
-    /// Sends a register message. If the address is empty, the address from which the receiver was last heard is used.
-    pub(crate) fn send_register(&mut self, address: String, message: &Message) {
+    fn send_register_now(&mut self, address: String, message: &Message) {
         let heard_at = || self.contacts.get(message.to.0).map(|contact| contact.address.clone());
         let address = if address.is_empty() { heard_at() } else { Some(address) };
         let Some(address) = address else { return };
--- a/crates/record_log/src/frame.rs
+++ b/crates/record_log/src/frame.rs
@@ -12,16 +12,15 @@
 /// Value that the first frame of a file uses as the previous checksum.
 pub(crate) const INITIAL_CHECKSUM: u32 = 0x5348_524c;
 
-/// Appends the frame of the record that consists of `parts` to `out` and returns its checksum.
-pub(crate) fn write_frame(out: &mut Vec<u8>, previous_checksum: u32, parts: &[&[u8]]) -> u32 {
+/// Header of the frame of the record that consists of `parts`, and its checksum.
+pub(crate) fn frame_header(previous_checksum: u32, parts: &[&[u8]]) -> ([u8; HEADER_BYTES], u32) {
     let record_bytes: usize = parts.iter().map(|part| part.len()).sum();
     let length = (record_bytes as u32 + 1).to_le_bytes();
     let checksum = frame_checksum(previous_checksum, length, parts);
-    out.reserve_exact(HEADER_BYTES + record_bytes);
-    out.extend_from_slice(&length);
-    out.extend_from_slice(&checksum.to_le_bytes());
-    parts.iter().for_each(|part| out.extend_from_slice(part));
-    checksum
+    let mut header = [0; HEADER_BYTES];
+    header[..4].copy_from_slice(&length);
+    header[4..].copy_from_slice(&checksum.to_le_bytes());
+    (header, checksum)
 }
 
 /// The longest valid prefix of a file.
--- a/crates/record_log/src/log.rs
+++ b/crates/record_log/src/log.rs
@@ -4,12 +4,15 @@
 
 use bytes::Bytes;
 
-use crate::frame::{scan, write_frame, INITIAL_CHECKSUM};
+use crate::frame::{frame_header, scan, INITIAL_CHECKSUM};
 use crate::{FileSystem, LogError, LogFile, StandardFileSystem};
 
 /// Maximum length of a record in bytes: far above any register value and far below what the length field can hold.
 pub const MAX_RECORD_BYTES: usize = 1 << 28;
 
+/// Length in bytes from which a part of a record is written by itself, not copied beside its neighbours first.
+const LONG_PART_BYTES: usize = 64 << 10;
+
 /// Settings of a log.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -111,14 +114,14 @@
     pub fn append_parts(&mut self, parts: &[&[u8]]) -> Result<(), LogError> {
         check_length(parts.iter().map(|part| part.len()).sum())?;
         self.truncate_dirty_tail().map_err(LogError::Append)?;
-        let mut frame = Vec::new();
-        let checksum = write_frame(&mut frame, self.written.checksum, parts);
-        if let Err(error) = self.file.write_at(self.written.length, &frame) {
+        let (header, checksum) = frame_header(self.written.checksum, parts);
+        let frame = [&[&header[..]], parts].concat();
+        if let Err(error) = write_slices(&mut self.file, self.written.length, &frame) {
             self.tail_dirty = true;
             let _ = self.truncate_dirty_tail();
             return Err(LogError::Append(error));
         }
-        self.written.length += frame.len() as u64;
+        self.written.length += total_length(&frame);
         self.written.checksum = checksum;
         Ok(())
     }
@@ -163,7 +166,13 @@
     /// ones, the next [`RecordLog::sync`] makes the replacement durable first. `records` must therefore include the
     /// effect of everything appended so far.
     pub fn rewrite(&mut self, records: &[impl AsRef<[u8]>]) -> Result<(), LogError> {
-        records.iter().try_for_each(|record| check_length(record.as_ref().len()))?;
+        let records: Vec<[&[u8]; 1]> = records.iter().map(|record| [record.as_ref()]).collect();
+        self.rewrite_parts(&records)
+    }
+
+    /// As [`RecordLog::rewrite`], by records that consist of several parts.
+    pub fn rewrite_parts<const PARTS: usize>(&mut self, records: &[[&[u8]; PARTS]]) -> Result<(), LogError> {
+        records.iter().try_for_each(|parts| check_length(parts.iter().map(|part| part.len()).sum()))?;
         // The limit grows with the file: otherwise a failed rewrite, or a compacted state above the configured limit,
         // would trigger a rewrite after every append.
         self.rewrite_above_bytes = self.written.length + self.options.rewrite_above_bytes;
@@ -184,19 +193,26 @@
     }
 
     /// Writes the replacement file, syncs it and renames it to the log's path.
-    fn write_replacement(&self, records: &[impl AsRef<[u8]>]) -> std::io::Result<(S::File, Position)> {
-        let mut content = Vec::new();
+    fn write_replacement<const PARTS: usize>(
+        &self,
+        records: &[[&[u8]; PARTS]],
+    ) -> std::io::Result<(S::File, Position)> {
         let mut checksum = INITIAL_CHECKSUM;
-        for record in records {
-            checksum = write_frame(&mut content, checksum, &[record.as_ref()]);
+        let mut headers = Vec::new();
+        for parts in records {
+            let (header, next) = frame_header(checksum, parts);
+            headers.push(header);
+            checksum = next;
         }
+        let frames = headers.iter().zip(records);
+        let content: Vec<&[u8]> =
+            frames.flat_map(|(header, parts)| [&[&header[..]], &parts[..]].concat()).collect();
         let mut file = self.file_system.open(&self.replacement_path)?;
         file.set_length(0)?;
-        file.write_at(0, &content)?;
+        write_slices(&mut file, 0, &content)?;
         file.sync()?;
         self.rename_replacement()?;
-        let length = content.len() as u64;
-        Ok((file, Position { length, checksum }))
+        Ok((file, Position { length: total_length(&content), checksum }))
     }
 
     /// Renames the replacement file to the log's path. A rename that reports an error may still have taken effect;
@@ -231,6 +247,37 @@
     }
 }
 
+/// Writes slices one behind the other from `offset` on, the short ones together.
+fn write_slices(file: &mut impl LogFile, offset: u64, slices: &[&[u8]]) -> std::io::Result<()> {
+    let mut position = offset;
+    let mut gathered = Vec::new();
+    for slice in slices {
+        if slice.len() < LONG_PART_BYTES {
+            gathered.extend_from_slice(slice);
+            continue;
+        }
+        position += write_gathered(file, position, &mut gathered)?;
+        file.write_at(position, slice)?;
+        position += slice.len() as u64;
+    }
+    write_gathered(file, position, &mut gathered)?;
+    Ok(())
+}
+
+/// Writes and empties a buffer; returns its length in bytes.
+fn write_gathered(file: &mut impl LogFile, offset: u64, gathered: &mut Vec<u8>) -> std::io::Result<u64> {
+    if !gathered.is_empty() {
+        file.write_at(offset, gathered)?;
+    }
+    let length = gathered.len() as u64;
+    gathered.clear();
+    Ok(length)
+}
+
+fn total_length(slices: &[&[u8]]) -> u64 {
+    slices.iter().map(|slice| slice.len() as u64).sum()
+}
+
 fn check_length(length: usize) -> Result<(), LogError> {
     if length > MAX_RECORD_BYTES {
         return Err(LogError::RecordTooLong { length, limit: MAX_RECORD_BYTES });
--- a/crates/register/src/catch_up.rs
+++ b/crates/register/src/catch_up.rs
@@ -5,7 +5,7 @@
 use crate::{Accepted, Ballot, Body, ReplicaId, Value};
 
 /// Longest content in bytes that a replica is sent because it has told of an older one. A longer one is announced, and the
-/// replica asks for it if it still lacks it: it may be on its way already.
+/// replica asks one holder for it if it still lacks it: it may hold it, or it may be on its way already.
 const LONGEST_REPAIR_BYTES: usize = 64 << 10;
 
 /// Doublings of the wait for a value that was asked for, after which it grows no further: a large value takes longer to come
@@ -19,7 +19,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct MissingValue {
     ballot: Ballot,
-    /// Who holds it.
+    /// Who told of it last, and holds it.
     holder: ReplicaId,
     asked_at: u64,
     attempts_left: u32,
@@ -47,8 +47,10 @@
     }
 
     fn fetch_chosen(&mut self, now: u64, holder: ReplicaId, ballot: Ballot) {
-        let asked = self.missing.as_ref().is_some_and(|missing| missing.ballot >= ballot);
-        if asked {
+        if let Some(missing) = self.missing.as_mut().filter(|missing| missing.ballot >= ballot) {
+            if missing.ballot == ballot {
+                missing.holder = holder;
+            }
             return;
         }
         self.missing = Some(MissingValue { ballot, holder, asked_at: now, attempts_left: FETCH_ATTEMPTS });
@@ -79,13 +81,18 @@
     pub(crate) fn repair(&mut self, to: ReplicaId, accepted: Ballot) {
         let proposing =
             self.active.as_ref().is_some_and(|active| matches!(active.stage, Stage::Proposing(_)));
-        let Some(committed) = self.committed.clone().filter(|_| !proposing) else {
-            return;
-        };
-        if to != self.id && accepted < committed.ballot {
-            let is_short = committed.value.data.len() <= LONGEST_REPAIR_BYTES;
-            let value = is_short.then_some(committed.value);
-            self.send(to, Body::Committed { ballot: committed.ballot, value });
+        if to != self.id && accepted < self.committed_ballot() && !proposing {
+            if let Some(announcement) = self.announcement() {
+                self.send(to, announcement);
+            }
         }
     }
+
+    /// What tells another replica of the newest chosen value: the value itself, or its ballot alone if it is long.
+    pub fn announcement(&self) -> Option<Body> {
+        let committed = self.committed.as_ref()?;
+        let is_short = committed.value.data.len() <= LONGEST_REPAIR_BYTES;
+        let value = is_short.then(|| committed.value.clone());
+        Some(Body::Committed { ballot: committed.ballot, value })
+    }
 }
--- a/crates/register/src/message.rs
+++ b/crates/register/src/message.rs
@@ -110,3 +110,15 @@
         accepted: Accepted,
     },
 }
+
+impl Body {
+    /// The value that it carries whole.
+    pub fn value(&self) -> Option<&Value> {
+        match self {
+            Body::Accept { value, .. } => Some(value),
+            Body::Promise { value, .. } | Body::Committed { value, .. } => value.as_ref(),
+            Body::FetchReply { accepted } => Some(&accepted.value),
+            _ => None,
+        }
+    }
+}
--- a/crates/register/src/operation.rs
+++ b/crates/register/src/operation.rs
@@ -74,8 +74,8 @@
     pub(crate) current: Option<Accepted>,
     /// Whether the promises show that the current value is chosen.
     pub(crate) chosen: bool,
-    /// Who has promised without holding the current value.
-    pub(crate) behind: BTreeSet<ReplicaId>,
+    /// Who has promised without holding any value.
+    pub(crate) empty: BTreeSet<ReplicaId>,
 }
 
 /// When a round sends its messages again and when it is given up after a refusal.
@@ -137,7 +137,7 @@
     pub(crate) accepted_by: BTreeSet<ReplicaId>,
     /// The proposal by what leads to it from the value prepared, if that is short.
     pub(crate) delta: Option<ValueDelta>,
-    /// Who does not hold the value prepared.
+    /// Who does not hold the content of the value prepared.
     pub(crate) lacking: BTreeSet<ReplicaId>,
     /// How often the proposal has been sent again.
     pub(crate) resends: u32,
@@ -191,10 +191,8 @@
     pub(crate) fn into_prepared(self, committed: Ballot) -> Prepared {
         let known = self.highest.as_ref().is_some_and(|highest| highest.ballot == committed);
         let chosen = known || self.highest_is_chosen();
-        let highest = self.highest.as_ref().map_or(Ballot::NONE, |highest| highest.ballot);
-        let behind = self.promises.iter().filter(|(_, accepted)| **accepted != highest);
-        let behind = behind.map(|(id, _)| *id).collect();
-        Prepared { ballot: self.ballot, electorate: self.electorate, current: self.highest, chosen, behind }
+        let empty = holders(&self.promises, Ballot::NONE);
+        Prepared { ballot: self.ballot, electorate: self.electorate, current: self.highest, chosen, empty }
     }
 }
 
--- a/crates/register/src/proposal.rs
+++ b/crates/register/src/proposal.rs
@@ -54,7 +54,7 @@
             electorates,
             accepted_by: BTreeSet::new(),
             delta,
-            lacking: prepared.behind,
+            lacking: prepared.empty,
             resends: 0,
             times: RoundTimes::started(now),
         };
@@ -105,11 +105,14 @@
         }
     }
 
-    /// The value that a delta leads to, if its base is held.
+    /// The value that a delta leads to, if its base is held. The same content may be held under another ballot, as after
+    /// several replicas have proposed it again at once; the delta tells by its checksum whether it is the same.
     fn value_by(&self, delta: &ValueDelta) -> Option<Value> {
         let held = [self.acceptor.state.accepted.as_ref(), self.committed.as_ref()];
-        let base = held.into_iter().flatten().find(|held| held.ballot == delta.base)?;
-        let data = content_delta::apply(&base.value.data, &delta.difference).ok()?;
+        let mut held: Vec<&Accepted> = held.into_iter().flatten().collect();
+        held.sort_by_key(|held| held.ballot != delta.base);
+        let contents = held.iter().map(|held| &held.value.data);
+        let data = contents.flat_map(|data| content_delta::apply(data, &delta.difference)).next()?;
         Some(Value { electorate: delta.electorate.clone(), data, lineage: delta.lineage.clone() })
     }
 
--- a/crates/replica_file/src/writer.rs
+++ b/crates/replica_file/src/writer.rs
@@ -94,10 +94,11 @@
     }
 
     fn rewrite(&mut self, records: &[Bytes], report: &mut impl FnMut(WriterEvent)) {
-        let mut all = vec![self.identity.encode()];
-        all.extend(records.iter().map(|record| [&[REGISTER_TAG], &record[..]].concat()));
+        let identity = self.identity.encode();
+        let mut all: Vec<[&[u8]; 2]> = vec![[&identity, &[]]];
+        all.extend(records.iter().map(|record| [&[REGISTER_TAG][..], &record[..]]));
         self.rewrite_requested = false;
-        if let Err(error) = self.log.rewrite(&all) {
+        if let Err(error) = self.log.rewrite_parts(&all) {
             report(WriterEvent::RewriteFailed(error));
         }
     }
--- a/lab/src/local_system/site.rs
+++ b/lab/src/local_system/site.rs
@@ -208,6 +208,11 @@
         machine.start()
     }
 
+    /// Removes all that the disk of a core machine holds, whose control plane does not run.
+    pub(crate) fn wipe_core(&mut self, core: usize) -> anyhow::Result<()> {
+        self.cores[core].wipe_disk()
+    }
+
     /// How often a text stands in the logs of each core machine.
     pub fn logged_by_cores(&self, text: &str) -> Vec<usize> {
         self.cores.iter().map(|core| core.logged(text)).collect()
--- a/lab/src/process_faults/growth_case.rs
+++ b/lab/src/process_faults/growth_case.rs
@@ -23,6 +23,9 @@
 /// Time in which a change is answered clearly, or the configuration is read back.
 const CLEAR_WITHIN: Duration = Duration::from_secs(30);
 
+/// The core machine that loses its disk.
+const WIPED_CORE: usize = 1;
+
 /// Pause before a call is made again.
 const AGAIN_AFTER: Duration = Duration::from_millis(100);
 
@@ -33,6 +36,17 @@
     pub changes: usize,
     /// Routes that each adds.
     pub routes_each: usize,
+    /// What happens once it has grown.
+    pub afterwards: Afterwards,
+}
+
+/// What happens to a site whose configuration has grown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Afterwards {
+    /// Nothing.
+    Nothing,
+    /// All processes are killed at once and started again, one core machine with an empty disk.
+    AllKilled,
 }
 
 /// What came of a growing configuration.
@@ -66,7 +80,7 @@
     raise_descriptor_limit();
     let mut site = Site::start_with(program, SIZE, SiteLimits::SMALL_DEPLOYMENT)?;
     let cores = site.control_addresses();
-    let Growth { changes, routes_each } = growth_plan;
+    let Growth { changes, routes_each, afterwards } = growth_plan;
     let mut revision = 1;
     let (status, body) = change(&cores, "replace", 0, &first(revision)).await?;
     ensure!(status == 200, "the first configuration is answered {status}: {body}");
@@ -86,6 +100,11 @@
         slowest = slowest.max(began.elapsed());
         (acknowledged, revision, routes) = (acknowledged + 1, revision + 1, routes + routes_each);
     }
+    if afterwards == Afterwards::AllKilled {
+        site.kill_all()?;
+        site.wipe_core(WIPED_CORE)?;
+        site.start_all_again()?;
+    }
     let read = read_back(&cores).await.ok().filter(|read| read["revision"] == revision);
     let read_back = read.and_then(|read| Some(read["routes"].as_array()?.len()));
     let in_force = is_in_force(&site, acknowledged * routes_each).await;
--- a/lab/src/process_faults/mod.rs
+++ b/lab/src/process_faults/mod.rs
@@ -16,7 +16,7 @@
 
 pub use answer_cases::{flood_all_kinds, flood_answers, AnswerFlood, AnswerOutcome};
 pub use flood_worker::AnswerCase;
-pub use growth_case::{grow_configuration, Growth, GrowthOutcome};
+pub use growth_case::{grow_configuration, Afterwards, Growth, GrowthOutcome};
 pub use lone_process::LoneProcess;
 pub use memory_cases::{flood_heads, flood_internal_frames, Flood, Listener, MemoryOutcome};
 pub use start_cases::{play_start, StartCase, StartOutcome};
--- a/lab/src/process_faults/table.rs
+++ b/lab/src/process_faults/table.rs
@@ -2,7 +2,7 @@
 
 use super::answer_cases::{flood_all_kinds, flood_answers, AnswerFlood, AnswerOutcome};
 use super::flood_worker::AnswerCase;
-use super::growth_case::{grow_configuration, Growth, GrowthOutcome};
+use super::growth_case::{grow_configuration, Afterwards, Growth, GrowthOutcome};
 use super::memory_cases::{flood_heads, flood_internal_frames, Flood, Listener, MemoryOutcome};
 use super::start_cases::{play_start, StartCase};
 use crate::local_system::ProcessLimits;
@@ -36,8 +36,11 @@
     (AnswerCase::Stalled, 200, 4),
 ];
 
-/// Growth of a configuration.
-const GROWTH: Growth = Growth { changes: 60, routes_each: 3000 };
+/// Growths of a configuration.
+const GROWTHS: [Growth; 2] = [
+    Growth { changes: 60, routes_each: 3000, afterwards: Afterwards::Nothing },
+    Growth { changes: 20, routes_each: 3000, afterwards: Afterwards::AllKilled },
+];
 
 /// Starts: program and case.
 const STARTS: [(&str, StartCase); 14] = [
@@ -77,7 +80,9 @@
         held &= print_answers(&what, &flood_answers(program, flood).await?);
     }
     held &= print_answers("all kinds together", &flood_all_kinds(program).await?);
-    held &= print_growth(&grow_configuration(program, GROWTH).await?);
+    for growth in GROWTHS {
+        held &= print_growth(growth, &grow_configuration(program, growth).await?);
+    }
     for (command, case) in STARTS {
         let outcome = play_start(program, command, case).await?;
         let verdict = if outcome.runs { "runs" } else { "ENDED" };
@@ -116,9 +121,10 @@
     is_within
 }
 
-fn print_growth(outcome: &GrowthOutcome) -> bool {
+fn print_growth(growth: Growth, outcome: &GrowthOutcome) -> bool {
     println!(
-        "growing configuration: {} changes acknowledged, {} routes, {:?} read back, the slowest after {} ms; unanswered: {}; refused: {:?}; in force: {}; MB by program: {:?}; ended: {:?}",
+        "growing configuration, then {:?}: {} changes acknowledged, {} routes, {:?} read back, the slowest after {} ms; unanswered: {}; refused: {:?}; in force: {}; MB by program: {:?}; ended: {:?}",
+        growth.afterwards,
         outcome.acknowledged,
         outcome.routes,
         outcome.read_back,
--- a/lab/tests/process_faults.rs
+++ b/lab/tests/process_faults.rs
@@ -9,7 +9,7 @@
 use switchhill_lab::local_system::{built_beside, ProcessLimits};
 use switchhill_lab::process_faults::{
     flood_all_kinds, flood_answers, flood_heads, flood_internal_frames, grow_configuration, play_start,
-    AnswerCase, AnswerFlood, Flood, Growth, GrowthOutcome, Listener, StartCase,
+    Afterwards, AnswerCase, AnswerFlood, Flood, Growth, GrowthOutcome, Listener, StartCase,
 };
 
 /// One flood at a time: each has some thousand connections.
@@ -130,7 +130,7 @@
 
 #[gtest]
 fn a_configuration_that_grows_to_sixty_thousand_routes_leaves_every_process_within_its_memory() {
-    let growth = Growth { changes: 20, routes_each: 3000 };
+    let growth = Growth { changes: 20, routes_each: 3000, afterwards: Afterwards::Nothing };
     let outcome = run(async { grow_configuration(&built_beside()?, growth).await });
     expect_that!(outcome.acknowledged, eq(growth.changes), "{outcome:?}");
     expect_within_memory(&outcome);
@@ -138,8 +138,16 @@
 
 #[gtest]
 fn a_configuration_that_grows_without_end_is_refused_before_a_process_is_over_its_memory() {
-    let growth = Growth { changes: 60, routes_each: 3000 };
+    let growth = Growth { changes: 60, routes_each: 3000, afterwards: Afterwards::Nothing };
     let outcome = run(async { grow_configuration(&built_beside()?, growth).await });
     expect_that!(outcome.refused, some((eq(&413), contains_substring("too large"))), "{outcome:?}");
     expect_within_memory(&outcome);
 }
+
+#[gtest]
+fn all_processes_return_within_their_memory_with_a_large_configuration_and_an_empty_disk() {
+    let growth = Growth { changes: 20, routes_each: 3000, afterwards: Afterwards::AllKilled };
+    let outcome = run(async { grow_configuration(&built_beside()?, growth).await });
+    expect_that!(outcome.acknowledged, eq(growth.changes), "{outcome:?}");
+    expect_within_memory(&outcome);
+}
